--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+# Everything runs in .venv, made from the lock on first use.
+PYTHON ?= python3.11
+PACKAGES = core control router cli daemon
+SOURCES = packages standins tools bench tests
+
+.PHONY: env demo test lint fuzz bench clean
+
+env: .venv/ready
+
+.venv/ready: requirements.lock $(PACKAGES:%=packages/%/pyproject.toml)
+	$(PYTHON) -m venv .venv
+	.venv/bin/pip install --quiet --disable-pip-version-check --require-hashes -r requirements.lock
+	.venv/bin/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation $(PACKAGES:%=-e packages/%)
+	touch .venv/ready
+
+demo: env
+	PYTHONPATH=. .venv/bin/python tools/demo.py
+
+test: env
+	.venv/bin/python -m pytest
+
+lint: env
+	.venv/bin/ruff format --check .
+	.venv/bin/ruff check .
+	.venv/bin/flake8 $(SOURCES)
+	.venv/bin/mypy $(PACKAGES:%=packages/%/src) standins tools bench
+	.venv/bin/lint-imports
+
+fuzz: env
+	HYPOTHESIS_PROFILE=long .venv/bin/python -m pytest tests/fuzz
+
+clean:
+	rm -rf .venv .mypy_cache .ruff_cache .pytest_cache .hypothesis
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: each script prints the figures that docs/ quotes."""
--- /dev/null
+++ b/bench/common.py
@@ -0,0 +1,1 @@
+"""Measurements share helpers here."""
--- /dev/null
+++ b/packages/cli/src/hitchdeck_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/packages/cli/src/hitchdeck_cli/group.py
@@ -0,0 +1,143 @@
+"""``hitchdeck control ...``: founding and repairing the control group."""
+
+import asyncio
+
+from hitchdeck_cli.connection import Connection
+from hitchdeck_cli.errors import CommandError, ExitCode
+from hitchdeck_cli.printing import print_line, print_rows
+from hitchdeck_core.channels import TRANSPORT_ERRORS, open_channel
+from hitchdeck_core.ids import Address
+from hitchdeck_core.wire.hitchdeck_grpc import ControlStub, ReplicationStub
+from hitchdeck_core.wire.hitchdeck_pb2 import (
+    FoundReply,
+    FoundRequest,
+    IdentifyReply,
+    IdentifyRequest,
+    Member,
+    ReplaceReply,
+    ReplaceRequest,
+)
+
+_CALL_SECONDS = 5.0
+_REPLACE_SECONDS = 150.0
+
+
+class GroupCommands:
+    """The control group: init, members, replace."""
+
+    def __init__(self, connection: Connection) -> None:
+        self._connection = connection
+
+    def init(self) -> None:
+        """Make the boxes named by --control a new group.
+
+        Every box must answer, with a data folder that belongs to no other
+        group.  May be repeated until it succeeds.
+        """
+        asyncio.run(self._init())
+
+    def members(self, *, json: bool = False) -> None:
+        """Show what each box named by --control says of itself."""
+        replies = asyncio.run(self._identify_all())
+        rows = [
+            {
+                'box': reply.box,
+                'replica': reply.replica,
+                'address': reply.address,
+                'founded': reply.founded,
+                'leader': reply.leader or '-',
+                'term': reply.term,
+                'last': reply.last_index,
+                'commit': reply.commit,
+            }
+            for reply in replies
+        ]
+        print_rows(rows, as_json=json)
+
+    def replace(self, address: str) -> None:
+        """Take up the box at an address after it lost its disk.
+
+        Returns once the box has caught up and votes; only then does the
+        group survive the loss of another one.
+        """
+        asyncio.run(self._replace(Address(address)))
+
+    async def _init(self) -> None:
+        replies = await self._identify_all()
+        members = [
+            Member(
+                replica=reply.replica,
+                box=reply.box,
+                address=reply.address,
+                voter=True,
+            )
+            for reply in replies
+        ]
+        boxes = {member.box for member in members}
+        if len(boxes) < len(members):
+            raise CommandError(ExitCode.bad_input, 'a box is named twice')
+        for member in members:
+            reply = await self._found(Address(member.address), members)
+            if reply.error:
+                raise CommandError(ExitCode.refused, reply.error)
+        print_line(f'founded: {", ".join(sorted(boxes))}')
+
+    async def _identify_all(self) -> list[IdentifyReply]:
+        return [await self._identify(one) for one in self._connection.addresses]
+
+    async def _identify(self, address: Address) -> IdentifyReply:
+        channel = open_channel(address, self._connection.token)
+        try:
+            return await ReplicationStub(channel).Identify(
+                IdentifyRequest(),
+                timeout=_CALL_SECONDS,
+            )
+        except TRANSPORT_ERRORS as error:
+            raise CommandError(ExitCode.failed, f'{address}: {error}') from error
+        finally:
+            channel.close()
+
+    async def _found(self, address: Address, members: list[Member]) -> FoundReply:
+        channel = open_channel(address, self._connection.token)
+        try:
+            return await ReplicationStub(channel).Found(
+                FoundRequest(members=members),
+                timeout=_CALL_SECONDS,
+            )
+        except TRANSPORT_ERRORS as error:
+            raise CommandError(ExitCode.failed, f'{address}: {error}') from error
+        finally:
+            channel.close()
+
+    async def _replace(self, address: Address) -> None:
+        identity = await self._identify(address)
+        newcomer = Member(
+            replica=identity.replica,
+            box=identity.box,
+            address=identity.address,
+        )
+        for address_asked in self._connection.addresses:
+            reply = await self._ask_to_replace(address_asked, newcomer)
+            if reply is None or not reply.leads:
+                continue
+            if reply.error:
+                raise CommandError(ExitCode.refused, reply.error)
+            print_line(f'{identity.box}: {identity.replica} votes')
+            return
+        raise CommandError(ExitCode.failed, 'no leader among the boxes named')
+
+    async def _ask_to_replace(
+        self,
+        address: Address,
+        newcomer: Member,
+    ) -> ReplaceReply | None:
+        channel = open_channel(address, self._connection.token)
+        try:
+            return await ControlStub(channel).Replace(
+                ReplaceRequest(newcomer=newcomer),
+                timeout=_REPLACE_SECONDS,
+            )
+        except TRANSPORT_ERRORS:
+            return None
+        finally:
+            channel.close()
--- /dev/null
+++ b/packages/cli/src/hitchdeck_cli/main.py
@@ -0,0 +1,244 @@
+"""``hitchdeck``: the operators' command line.
+
+Exit codes: 0 done, 1 failed or unreachable, 2 bad input, 3 refused (conflict),
+4 not in force in time, 5 not authorized.
+"""
+
+import secrets
+import sys
+from pathlib import Path
+from typing import Any
+
+import fire
+
+from hitchdeck_cli.connection import Connection, make_connection
+from hitchdeck_cli.documents import read_resources
+from hitchdeck_cli.errors import CommandError, ExitCode
+from hitchdeck_cli.group import GroupCommands
+from hitchdeck_cli.printing import print_line, print_object, print_rows
+from hitchdeck_cli.top import show_top
+from hitchdeck_core.commands import (
+    Batch,
+    Command,
+    Delete,
+    PlaceOrder,
+    Put,
+)
+from hitchdeck_core.control_client import ControlClient
+from hitchdeck_core.errors import HitchdeckError, ResourceError
+from hitchdeck_core.hashing import token_hash
+from hitchdeck_core.queries import (
+    GetStatus,
+    InForce,
+    ListOrders,
+    ListResources,
+    OrderList,
+    ResourceList,
+    Status,
+    WaitInForce,
+)
+from hitchdeck_core.resources import Effect, Rule, parse_resource
+
+_TOKEN_BYTES = 24
+_DRAIN_PREFIX = 'drain'
+
+
+class Hitchdeck:
+    """Steer a hitchdeck fleet.
+
+    Parameters
+    ----------
+    control
+        Addresses of the control boxes, ``IP:port,...``; default from
+        HITCHDECK_CONTROL.
+    token
+        Operator's bearer token; default from HITCHDECK_TOKEN.
+    operator, number
+        Identity of the command: a resend under both is answered, not run
+        again.  Defaults are the user's name and a fresh number.
+    seconds
+        How long to try.
+    """
+
+    def __init__(
+        self,
+        control: str = '',
+        token: str = '',
+        operator: str = '',
+        number: int = 0,
+        seconds: float = 15,
+    ) -> None:
+        self._options = (control, token, operator, number, seconds)
+
+    def apply(self, path: str, *, wait: bool = False) -> None:
+        """Create or replace every resource of a TOML file, all or none."""
+        resources = read_resources(Path(str(path)))
+        changes = tuple(Put(resource=one) for one in resources)
+        self._execute(Batch(changes=changes), wait=wait)
+
+    def put(
+        self,
+        kind: str,
+        name: str,
+        *,
+        based_on: int | None = None,
+        wait: bool = False,
+        **fields: Any,
+    ) -> None:
+        """Create or replace one resource: put account NAME --weight=2."""
+        try:
+            resource = parse_resource({'kind': kind, 'name': name, **fields})
+        except ResourceError as error:
+            raise CommandError(ExitCode.bad_input, str(error)) from error
+        self._execute(Put(resource=resource, based_on=based_on), wait=wait)
+
+    def delete(
+        self,
+        kind: str,
+        name: str,
+        *,
+        based_on: int | None = None,
+        wait: bool = False,
+    ) -> None:
+        """Remove one resource."""
+        command = Delete(kind=kind, name=name, based_on=based_on)
+        self._execute(command, wait=wait)
+
+    def get(self, kind: str = '', name: str = '', *, json: bool = False) -> None:
+        """Show resources, all, of one kind, or one."""
+        query = ListResources(kind=kind, name=name)
+        found = self._read(query, ResourceList)
+        rows = [
+            {'version': one.version, **one.resource.model_dump(mode='json')}
+            for one in found.resources
+        ]
+        if json:
+            print_rows(rows, as_json=True)
+            return
+        for row in rows:
+            shown = {key: text for key, text in row.items() if text not in ('', {}, [])}
+            print_line(' '.join(f'{key}={text}' for key, text in shown.items()))
+
+    def drain(self, what: str, name: str, *, wait: bool = True) -> None:
+        """Take an upstream or a box out of service: drain upstream NAME."""
+        selector = f'name={name}'
+        if what not in {'upstream', 'box'}:
+            raise CommandError(ExitCode.bad_input, f'drain upstream or box, not {what}')
+        rule = Rule(
+            name=f'{_DRAIN_PREFIX}-{what}-{name}',
+            effect=Effect.leaving,
+            upstreams=selector if what == 'upstream' else '',
+            boxes=selector if what == 'box' else '',
+        )
+        self._execute(Put(resource=rule), wait=wait)
+
+    def undrain(self, what: str, name: str, *, wait: bool = True) -> None:
+        """Take an upstream or a box back into service."""
+        rule = f'{_DRAIN_PREFIX}-{what}-{name}'
+        self._execute(Delete(kind='rule', name=rule), wait=wait)
+
+    def wait(self, version: int) -> None:
+        """Wait until a configuration version is in force everywhere."""
+        connection = self._connection()
+        connection.run(lambda client: _wait(client, version, connection.seconds))
+        print_line(f'version {version} is in force')
+
+    def status(self, *, json: bool = False) -> None:
+        """Show the control group, routers, schedulers and usage."""
+        status = self._read(GetStatus(), Status).model_dump(mode='json')
+        if json:
+            print_object(status, as_json=True)
+            return
+        for section in ('members', 'routers', 'shards', 'usage'):
+            rows = status.pop(section)
+            print_line(f'\n[{section}]')
+            print_rows(rows, as_json=False)
+        print_line('')
+        print_object(status, as_json=False)
+
+    def order(
+        self,
+        upstream: str,
+        action: str,
+        target: str,
+        weight_bytes: int = 0,
+    ) -> None:
+        """Order an upstream to load, unload, or change its role."""
+        command = PlaceOrder.model_validate(
+            {
+                'upstream': upstream,
+                'action': action,
+                'target': target,
+                'weight_bytes': weight_bytes,
+            },
+        )
+        self._execute(command, wait=False)
+
+    def orders(self, *, json: bool = False) -> None:
+        """Show the orders to upstreams and how they stand."""
+        found = self._read(ListOrders(), OrderList)
+        print_rows([one.model_dump() for one in found.orders], as_json=json)
+
+    def top(self, *, json: bool = False) -> None:
+        """Show per account and class what waits and what was served."""
+        status = self._read(GetStatus(), Status)
+        show_top([one.http_address for one in status.routers], as_json=json)
+
+    def key(self) -> None:
+        """Make a bearer token and the hash to keep of it."""
+        token = secrets.token_urlsafe(_TOKEN_BYTES)
+        print_object({'token': token, 'hash': token_hash(token)}, as_json=False)
+
+    @property
+    def control(self) -> GroupCommands:
+        """Found and repair the control group."""
+        return GroupCommands(self._connection())
+
+    def _connection(self) -> Connection:
+        return make_connection(*self._options)
+
+    def _execute(self, command: Command, *, wait: bool) -> None:
+        connection = self._connection()
+
+        async def work(client: ControlClient) -> int:
+            applied = await connection.execute(client, command)
+            if wait:
+                await _wait(client, applied.version, connection.seconds)
+            return applied.version
+
+        version = connection.run(work)
+        suffix = ', in force everywhere' if wait else ''
+        print_line(f'version {version}{suffix}')
+
+    def _read(self, query: Any, answer: Any) -> Any:
+        connection = self._connection()
+        return connection.run(
+            lambda client: client.read(query, answer, connection.seconds),
+        )
+
+
+async def _wait(client: ControlClient, version: int, seconds: float) -> None:
+    query = WaitInForce(version=version, seconds=seconds)
+    reached = await client.read(query, InForce, seconds + 1)
+    if not reached.in_force:
+        laggards = ', '.join(reached.laggards) or 'the version is not committed'
+        raise CommandError(
+            ExitCode.not_in_force,
+            f'version {version} is not in force after {seconds} s: {laggards}',
+        )
+
+
+def main() -> None:
+    """Run the command line and exit with its code."""
+    try:
+        fire.Fire(Hitchdeck, name='hitchdeck')
+    except CommandError as error:
+        sys.stderr.write(f'hitchdeck: {error}\n')
+        sys.exit(error.code)
+    except (HitchdeckError, ValueError) as error:
+        sys.stderr.write(f'hitchdeck: {error}\n')
+        sys.exit(ExitCode.bad_input)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/packages/control/src/hitchdeck_control/__init__.py
@@ -0,0 +1,1 @@
+"""The control group: a replicated log and what it decides."""
--- /dev/null
+++ b/packages/control/src/hitchdeck_control/errors.py
@@ -0,0 +1,31 @@
+"""Errors of the control package."""
+
+from hitchdeck_core.errors import HitchdeckError
+
+
+class StorageError(HitchdeckError):
+    """Raised when the data folder can't be read, written or trusted."""
+
+
+class DamagedLogError(StorageError):
+    """Raised when a log file is damaged before its end.
+
+    A torn last record is what a crash leaves and is cut off; damage before
+    it means that synced, promised state is gone, and starting would forget it.
+    """
+
+
+class NotLeaderError(HitchdeckError):
+    """Raised when this replica can't decide; it names the leader if known."""
+
+    def __init__(self, leader_address: str) -> None:
+        super().__init__(f'not the leader; try {leader_address or "another"}')
+        self.leader_address = leader_address
+
+
+class OutcomeUnknownError(HitchdeckError):
+    """Raised when leadership was lost before a proposal's fate was known."""
+
+
+class MembershipError(HitchdeckError):
+    """Raised when a membership change may not be made now."""
--- /dev/null
+++ b/packages/control/src/hitchdeck_control/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""The leader's side of the fleet: routers, leases, duties, usage, orders."""
--- /dev/null
+++ b/packages/control/src/hitchdeck_control/fleet/deltas.py
@@ -0,0 +1,36 @@
+"""Configuration changes as routers receive them."""
+
+from hitchdeck_control.machine.configuration import changes_since
+from hitchdeck_control.machine.machine import Machine
+from hitchdeck_core.resources import encode_resource
+from hitchdeck_core.wire.hitchdeck_pb2 import Delta, ResourceChange
+
+
+def delta_from(machine: Machine, version: int) -> Delta:
+    """Return what a router at a version lacks, all of it if need be."""
+    state = machine.state
+    changes = changes_since(state, version) if version else None
+    if changes is None:
+        return Delta(
+            version=state.version,
+            full=True,
+            changes=[
+                _written(key, encode_resource(kept.resource))
+                for key, kept in state.resources.items()
+            ],
+        )
+    keys = dict.fromkeys(f'{one.kind}/{one.name}' for one in changes)
+    delta = Delta(from_version=version, version=state.version)
+    for key in keys:
+        kept = state.resources.get(key)
+        if kept is None:
+            kind, _, name = key.partition('/')
+            delta.changes.append(ResourceChange(kind=kind, name=name, deleted=True))
+        else:
+            delta.changes.append(_written(key, encode_resource(kept.resource)))
+    return delta
+
+
+def _written(key: str, body: bytes) -> ResourceChange:
+    kind, _, name = key.partition('/')
+    return ResourceChange(kind=kind, name=name, body=body)
--- /dev/null
+++ b/packages/control/src/hitchdeck_control/fleet/duties.py
@@ -0,0 +1,53 @@
+"""Which router schedules which shard.
+
+A duty moves only when its holder is gone or leaves: a move costs the shard a
+rebuild, so a better candidate alone is no reason.
+"""
+
+from collections.abc import Iterable, Iterator
+
+from hitchdeck_control.fleet.presence import Presence
+from hitchdeck_control.machine.state import MachineState
+from hitchdeck_core.commands import AssignShard
+from hitchdeck_core.hashing import ranked
+from hitchdeck_core.ids import Incarnation, PoolName, ShardId, shard_id
+from hitchdeck_core.resources import Pool
+
+
+def shards_of(state: MachineState) -> Iterator[ShardId]:
+    """Yield every shard of every pool."""
+    for kept in state.resources.values():
+        if isinstance(kept.resource, Pool):
+            for number in range(kept.resource.shards):
+                yield shard_id(PoolName(kept.resource.name), number)
+
+
+def needed_moves(
+    state: MachineState,
+    alive: Iterable[Presence],
+) -> list[AssignShard]:
+    """Return the assignments that shards without a good holder need."""
+    present = list(alive)
+    staying = {
+        one.hello.router: one
+        for one in present
+        if not one.leaving and one.lost_at is None
+    }
+    # A holder whose connection broke a moment ago keeps its duty.
+    holding = {one.hello.incarnation for one in present if not one.leaving}
+    moves = []
+    for shard in shards_of(state):
+        duty = state.duties.get(shard)
+        if duty is not None and duty.incarnation in holding:
+            continue
+        if not staying:
+            continue
+        router = ranked(shard, staying)[0]
+        moves.append(
+            AssignShard(
+                shard=shard,
+                router=router,
+                incarnation=Incarnation(staying[router].hello.incarnation),
+            ),
+        )
+    return moves
--- /dev/null
+++ b/packages/control/src/hitchdeck_control/fleet/leader.py
@@ -0,0 +1,141 @@
+"""What the leader keeps and does for the fleet."""
+
+import hashlib
+from collections.abc import Callable
+
+from hitchdeck_control.errors import NotLeaderError, OutcomeUnknownError
+from hitchdeck_control.fleet.directory import DirectoryState
+from hitchdeck_control.fleet.duties import needed_moves
+from hitchdeck_control.fleet.presence import Presence, Routers
+from hitchdeck_control.fleet.usage import UsageTable
+from hitchdeck_control.machine.machine import Machine
+from hitchdeck_control.machine.state import Duty
+from hitchdeck_control.raft.replica import Leadership, Replica
+from hitchdeck_core import logs
+from hitchdeck_core.clock import Clock, boot_seconds, wall_seconds
+from hitchdeck_core.commands import (
+    Command,
+    Outcome,
+    Submission,
+    command_codec,
+    submission_codec,
+)
+from hitchdeck_core.ids import ShardId
+from hitchdeck_core.wire.hitchdeck_pb2 import ShardEntry
+
+_DUTY_PERIOD = 0.2
+_CLOCK_DRIFT = 1.05
+"""Factor on lease waits for clocks that run at different rates."""
+
+
+class Leader:
+    """The leader's soft state; empty again with each new leadership."""
+
+    def __init__(
+        self,
+        replica: Replica,
+        machine: Machine,
+        lease_seconds: float,
+        now: Clock = boot_seconds,
+        wall: Callable[[], float] = wall_seconds,
+    ) -> None:
+        self.replica = replica
+        self.machine = machine
+        self.lease_seconds = lease_seconds
+        self.now = now
+        self.wall = wall
+        self.seen: Leadership | None = None
+        self.routers = Routers(now, lease_seconds)
+        self.usage = UsageTable()
+        self.directory = DirectoryState()
+
+    def check_leads(self) -> None:
+        """Raise ``NotLeaderError`` unless this replica surely leads now."""
+        self.replica.check_leads()
+        if self.replica.leadership is not self.seen:
+            self.seen = self.replica.leadership
+            self.routers = Routers(self.now, self.lease_seconds)
+            self.usage = UsageTable()
+            self.directory = DirectoryState()
+
+    async def execute(
+        self,
+        command: Command,
+        operator: str = '',
+        number: int = 0,
+    ) -> Outcome:
+        """Commit a command and return its outcome.
+
+        Raises
+        ------
+        NotLeaderError
+            Nothing was done; ask the leader.
+        OutcomeUnknownError
+            It may or may not take effect; resend under the same number.
+        """
+        self.check_leads()
+        encoded = command_codec.dump_json(command)
+        submission = Submission(
+            command=command,
+            operator=operator,
+            number=number,
+            taken_at=self.wall(),
+            digest=hashlib.sha256(encoded).hexdigest(),
+        )
+        return await self.replica.propose(submission_codec.dump_json(submission))
+
+    def laggards(self, version: int) -> list[str]:
+        """Return the routers that keep a version from being in force.
+
+        The leases of an earlier leader are unknown, so until they must have
+        lapsed an unnamed laggard is assumed.
+        """
+        self.check_leads()
+        assert self.seen is not None
+        known_since = self.now() - self.seen.started_at
+        if known_since < self.lease_seconds * _CLOCK_DRIFT:
+            return ['(routers of the leader before)']
+        return self.routers.laggards(version)
+
+    def refresh_directory(self) -> None:
+        """Look who is alive, and tell the streams if that has changed."""
+        alive = list(self.routers.alive())
+        by_incarnation = {one.hello.incarnation: one for one in alive}
+        routers = {one.hello.incarnation: one.entry() for one in alive}
+        shards = {
+            shard: _shard_entry(shard, duty, by_incarnation[duty.incarnation])
+            for shard, duty in self.machine.state.duties.items()
+            if duty.incarnation in by_incarnation
+        }
+        known = self.directory
+        if (routers, shards) != (known.routers, known.shards):
+            self.directory = DirectoryState(known.number + 1, routers, shards)
+            self.machine.news.notify()
+
+    async def assign_duties(self) -> None:
+        """Give every shard a scheduler that is alive; for ever."""
+        while True:
+            await self.routers.roster_changed.wait(_DUTY_PERIOD)
+            try:
+                self.check_leads()
+                for gone in self.routers.forget_lapsed():
+                    self.usage.end(gone)
+                await self._assign_once()
+                self.refresh_directory()
+            except (NotLeaderError, OutcomeUnknownError):
+                await self.replica.role_changed.wait(_DUTY_PERIOD)
+
+    async def _assign_once(self) -> None:
+        for move in needed_moves(self.machine.state, self.routers.alive()):
+            await self.execute(move)
+            logs.info('shard assigned', shard=move.shard, router=move.router)
+
+
+def _shard_entry(shard: ShardId, duty: Duty, holder: Presence) -> ShardEntry:
+    return ShardEntry(
+        shard=shard,
+        router=duty.router,
+        incarnation=duty.incarnation,
+        epoch=duty.epoch,
+        wire_address=holder.hello.wire_address,
+    )
--- /dev/null
+++ b/packages/control/src/hitchdeck_control/machine/__init__.py
@@ -0,0 +1,1 @@
+"""The state machine: what committed commands mean."""
--- /dev/null
+++ b/packages/control/src/hitchdeck_control/machine/configuration.py
@@ -0,0 +1,69 @@
+"""Configuration: resources, their versions, and the log of changes."""
+
+from expression import Error, Ok, Result
+
+from hitchdeck_control.machine.state import Change, Kept, MachineState
+from hitchdeck_core.commands import Applied, Batch, Delete, Put, Refused
+
+_KEPT_CHANGES = 1000
+
+Write = Put | Delete
+
+
+def storage_key(kind: str, name: str) -> str:
+    """Return the key under which a resource is stored."""
+    return f'{kind}/{name}'
+
+
+def apply_batch(state: MachineState, batch: Batch) -> Result[Applied, Refused]:
+    """Make all changes of a batch, or none; one batch is one version."""
+    for write in batch.changes:
+        refusal = _refusal(state, write)
+        if refusal is not None:
+            return Error(refusal)
+    state.version += 1
+    for write in batch.changes:
+        _write(state, write)
+    state.changes = state.changes[-_KEPT_CHANGES:]
+    return Ok(Applied(version=state.version))
+
+
+def changes_since(state: MachineState, version: int) -> list[Change] | None:
+    """Return the changes after a version, or ``None`` if they are forgotten."""
+    if version > state.version:
+        return None
+    oldest = state.changes[0].version if state.changes else state.version + 1
+    if version < oldest - 1:
+        return None
+    return [change for change in state.changes if change.version > version]
+
+
+def _refusal(state: MachineState, write: Write) -> Refused | None:
+    key = _key_of(write)
+    kept = state.resources.get(key)
+    if isinstance(write, Delete) and kept is None:
+        return Refused(code='not-found', reason=f'there is no {key}')
+    present = kept.version if kept else 0
+    if write.based_on not in {None, present}:
+        return Refused(
+            code='version-conflict',
+            reason=f'{key} is at version {present}, not {write.based_on}',
+        )
+    return None
+
+
+def _write(state: MachineState, write: Write) -> None:
+    key = _key_of(write)
+    kind, _, name = key.partition('/')
+    change = Change(version=state.version, kind=kind, name=name)
+    state.changes.append(change)
+    if isinstance(write, Delete):
+        state.resources.pop(key, None)
+        return
+    state.resources[key] = Kept(resource=write.resource, version=state.version)
+
+
+def _key_of(write: Write) -> str:
+    if isinstance(write, Delete):
+        return storage_key(write.kind, write.name)
+    return storage_key(write.resource.kind, write.resource.name)
--- /dev/null
+++ b/packages/control/src/hitchdeck_control/machine/machine.py
@@ -0,0 +1,127 @@
+"""Applies submissions, in log order, the same on every replica."""
+
+from expression import Result
+
+from hitchdeck_control.machine import configuration, ledger, remembering
+from hitchdeck_control.machine.state import Duty, MachineState, Order
+from hitchdeck_core.commands import (
+    Applied,
+    AssignShard,
+    Batch,
+    Claim,
+    Command,
+    Delete,
+    FinishOrder,
+    Outcome,
+    PlaceOrder,
+    Put,
+    Refused,
+    Settle,
+    submission_codec,
+)
+from hitchdeck_core.signals import Signal
+
+_KEPT_ORDERS = 1000
+_EXPIRY_PERIOD = 10.0
+
+
+class Machine:
+    """The replicated state and the only code that changes it."""
+
+    def __init__(self, ledger_retention: float) -> None:
+        self.state = MachineState()
+        # Notified with each new configuration version; claims, which are far
+        # more frequent, wake none of the routers' streams.
+        self.news = Signal()
+        self.ledger_retention = ledger_retention
+
+    def apply(self, encoded: bytes) -> Outcome:
+        """Apply one log entry and return what its submitter is told."""
+        submission = submission_codec.validate_json(encoded)
+        # The log's own clock never runs back, whoever leads.
+        self.state.clock = max(self.state.clock, submission.taken_at)
+        self._expire()
+        answer = remembering.earlier_answer(self.state, submission)
+        if answer is not None:
+            return answer
+        version = self.state.version
+        outcome = self._run(submission.command)
+        if self.state.version != version:
+            self.news.notify()
+        remembering.remember(self.state, submission, outcome)
+        return outcome
+
+    def dump(self) -> bytes:
+        """Return the whole state for a snapshot."""
+        return self.state.model_dump_json().encode()
+
+    def load(self, encoded: bytes) -> None:
+        """Replace the state by that of a snapshot."""
+        self.state = MachineState.model_validate_json(encoded or b'{}')
+
+    def _expire(self) -> None:
+        if self.state.clock < self.state.last_expiry + _EXPIRY_PERIOD:
+            return
+        self.state.last_expiry = self.state.clock
+        ledger.drop_expired(self.state)
+
+    def _run(self, command: Command) -> Outcome:
+        match command:
+            case Batch():
+                return _merged(configuration.apply_batch(self.state, command))
+            case Put() | Delete():
+                batch = Batch(changes=(command,))
+                return _merged(configuration.apply_batch(self.state, batch))
+            case Claim():
+                return ledger.apply_claim(
+                    self.state,
+                    command,
+                    self.ledger_retention,
+                )
+            case Settle():
+                return ledger.apply_settle(self.state, command)
+            case AssignShard():
+                return self._assign(command)
+            case PlaceOrder():
+                return self._place_order(command)
+            case FinishOrder():
+                return self._finish_order(command)
+        return Applied(version=self.state.version)
+
+    def _assign(self, command: AssignShard) -> Outcome:
+        self.state.last_epoch += 1
+        self.state.duties[command.shard] = Duty(
+            router=command.router,
+            incarnation=command.incarnation,
+            epoch=self.state.last_epoch,
+        )
+        return Applied(version=self.state.version)
+
+    def _place_order(self, command: PlaceOrder) -> Outcome:
+        if f'upstream/{command.upstream}' not in self.state.resources:
+            return Refused(
+                code='not-found',
+                reason=f'there is no upstream {command.upstream}',
+            )
+        self.state.last_order += 1
+        self.state.orders[self.state.last_order] = Order(order=command)
+        if len(self.state.orders) > _KEPT_ORDERS:
+            finished = (
+                number
+                for number, order in self.state.orders.items()
+                if order.state != 'open'
+            )
+            self.state.orders.pop(next(finished, 0), None)
+        return Applied(version=self.state.last_order)
+
+    def _finish_order(self, command: FinishOrder) -> Outcome:
+        order = self.state.orders.get(command.sequence)
+        if order is None:
+            return Refused(code='not-found', reason='no such order')
+        order.state = command.state
+        order.detail = command.detail
+        return Applied(version=self.state.version)
+
+
+def _merged(result: Result[Applied, Refused]) -> Outcome:
+    return result.ok if result.is_ok() else result.error
--- /dev/null
+++ b/packages/control/src/hitchdeck_control/machine/remembering.py
@@ -0,0 +1,55 @@
+"""Operators' commands by number: a resend gets the first answer."""
+
+from hitchdeck_control.machine.state import MachineState, Remembered
+from hitchdeck_core.commands import Outcome, Refused, Submission
+
+_KEPT_NUMBERS = 128
+
+
+def earlier_answer(state: MachineState, submission: Submission) -> Outcome | None:
+    """Return what a submission must be answered without running it.
+
+    ``None`` means that its number is new.  Numbers below those remembered
+    are refused: they may have run, and nobody knows any more.
+    """
+    if not submission.operator:
+        return None
+    numbers = state.remembered.get(submission.operator, {})
+    earlier = numbers.get(submission.number)
+    if earlier is not None:
+        return _answer_again(earlier, submission)
+    if len(numbers) >= _KEPT_NUMBERS and submission.number < min(numbers):
+        return Refused(
+            code='number-too-old',
+            reason=f'number {submission.number} is older than any remembered',
+        )
+    return None
+
+
+def remember(
+    state: MachineState,
+    submission: Submission,
+    outcome: Outcome,
+) -> None:
+    """Keep the answer, and forget the operator's lowest number if need be."""
+    if not submission.operator:
+        return
+    numbers = state.remembered.setdefault(submission.operator, {})
+    numbers[submission.number] = Remembered(
+        digest=submission.digest,
+        outcome=outcome,
+    )
+    if len(numbers) > _KEPT_NUMBERS:
+        numbers.pop(min(numbers))
+
+
+def _answer_again(earlier: Remembered, submission: Submission) -> Outcome:
+    if earlier.digest == submission.digest:
+        return earlier.outcome
+    return Refused(
+        code='number-reused',
+        reason=(
+            f'operator {submission.operator} used number {submission.number} '
+            'for another command'
+        ),
+    )
--- /dev/null
+++ b/packages/control/src/hitchdeck_control/process.py
@@ -0,0 +1,102 @@
+"""Puts a control replica together and runs it."""
+
+import hmac
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from grpclib.server import Server
+
+from hitchdeck_control.fleet.leader import Leader
+from hitchdeck_control.machine.machine import Machine
+from hitchdeck_control.raft import replication
+from hitchdeck_control.raft.election import watch_leader
+from hitchdeck_control.raft.links import Links
+from hitchdeck_control.raft.replica import Machinery, Replica, Self, Timing
+from hitchdeck_control.raft.service import ReplicationService
+from hitchdeck_control.service import ControlService
+from hitchdeck_control.storage.identity import open_identity
+from hitchdeck_control.storage.log import DurableLog
+from hitchdeck_core import logs
+from hitchdeck_core.channels import Authorize, serve
+from hitchdeck_core.clock import boot_seconds
+from hitchdeck_core.hashing import token_hash
+from hitchdeck_core.ids import BoxName
+from hitchdeck_core.settings import ControlSection, Settings
+from hitchdeck_core.supervisor import Supervisor
+
+_OPERATOR_METHODS = ('/Execute', '/Read', '/Identify', '/Found', '/Replace')
+
+
+@dataclass(slots=True)
+class ControlProcess:
+    """A running control replica."""
+
+    replica: Replica
+    leader: Leader
+    links: Links
+    server: Server
+    supervisor: Supervisor
+
+    async def stop(self) -> None:
+        """Stop serving, then the tasks, then close the files."""
+        self.server.close()
+        await self.supervisor.stop()
+        self.links.close()
+        self.replica.log.close()
+
+
+async def start_control(settings: Settings) -> ControlProcess:
+    """Start the control role of a process.
+
+    Raises
+    ------
+    StorageError
+        The data folder can't be used.
+    """
+    section = settings.control
+    assert section is not None, 'settings are checked before'
+    replica, machine = _open_replica(settings, section)
+    leader = Leader(replica, machine, section.router_lease)
+    links = Links(settings.fleet_token, section.election_timeout)
+    supervisor = Supervisor('control')
+    supervisor.permanent('election', lambda: watch_leader(replica, links))
+    supervisor.permanent('replication', lambda: replication.replicate(replica, links))
+    supervisor.permanent('log', lambda: replication.write_log(replica))
+    supervisor.permanent('apply', lambda: replication.apply_log(replica))
+    supervisor.permanent('duties', leader.assign_duties)
+    server = await serve(
+        [ReplicationService(replica), ControlService(leader)],
+        section.listen,
+        _authorize(settings.fleet_token, section.operator_key_hashes),
+    )
+    logs.info('control listens', address=section.listen, replica=replica.me.replica)
+    return ControlProcess(replica, leader, links, server, supervisor)
+
+
+def _open_replica(
+    settings: Settings,
+    section: ControlSection,
+) -> tuple[Replica, Machine]:
+    box = BoxName(settings.box)
+    identity = open_identity(section.data_folder, box)
+    machine = Machine(section.ledger_retention)
+    replica = Replica(
+        Self(identity, box, section.listen),
+        DurableLog(section.data_folder),
+        Machinery(machine.apply, machine.dump, machine.load),
+        Timing(section.heartbeat, section.election_timeout, section.snapshot_every),
+        boot_seconds,
+    )
+    return replica, machine
+
+
+def _authorize(fleet_token: str, operator_hashes: Iterable[str]) -> Authorize:
+    hashes = list(operator_hashes)
+
+    def authorize(shown: str, method: str) -> bool:
+        if hmac.compare_digest(shown.encode(), fleet_token.encode()):
+            return True
+        known = any(hmac.compare_digest(token_hash(shown), one) for one in hashes)
+        return known and method.endswith(_OPERATOR_METHODS)
+
+    return authorize
--- /dev/null
+++ b/packages/control/src/hitchdeck_control/raft/links.py
@@ -0,0 +1,73 @@
+"""Calls to the other replicas, one channel each."""
+
+import asyncio
+
+from grpclib.client import Channel
+
+from hitchdeck_core.channels import TRANSPORT_ERRORS, open_channel
+from hitchdeck_core.errors import LinkError
+from hitchdeck_core.ids import Address
+from hitchdeck_core.wire.hitchdeck_grpc import ReplicationStub
+from hitchdeck_core.wire.hitchdeck_pb2 import (
+    AppendReply,
+    AppendRequest,
+    SnapshotRequest,
+    VoteReply,
+    VoteRequest,
+)
+
+_SNAPSHOT_SECONDS = 60.0
+
+
+class Links:
+    """Channels to peers by address, opened on first use."""
+
+    def __init__(self, fleet_token: str, timeout: float) -> None:
+        self.fleet_token = fleet_token
+        self.timeout = timeout
+        self.channels: dict[Address, Channel] = {}
+
+    async def vote(self, address: Address, request: VoteRequest) -> VoteReply:
+        """Ask for a vote, or raise ``LinkError``."""
+        stub = self._stub(address)
+        try:
+            async with asyncio.timeout(self.timeout):
+                return await stub.Vote(request)
+        except TRANSPORT_ERRORS as error:
+            raise LinkError(f'{address}: {error}') from error
+
+    async def append(
+        self,
+        address: Address,
+        request: AppendRequest,
+    ) -> AppendReply:
+        """Send entries, or raise ``LinkError``."""
+        stub = self._stub(address)
+        try:
+            async with asyncio.timeout(self.timeout):
+                return await stub.Append(request)
+        except TRANSPORT_ERRORS as error:
+            raise LinkError(f'{address}: {error}') from error
+
+    async def install(
+        self,
+        address: Address,
+        request: SnapshotRequest,
+    ) -> AppendReply:
+        """Send a whole snapshot, or raise ``LinkError``."""
+        stub = self._stub(address)
+        try:
+            async with asyncio.timeout(_SNAPSHOT_SECONDS):
+                return await stub.InstallSnapshot(request)
+        except TRANSPORT_ERRORS as error:
+            raise LinkError(f'{address}: {error}') from error
+
+    def close(self) -> None:
+        """Close every channel."""
+        for channel in self.channels.values():
+            channel.close()
+
+    def _stub(self, address: Address) -> ReplicationStub:
+        if address not in self.channels:
+            self.channels[address] = open_channel(address, self.fleet_token)
+        return ReplicationStub(self.channels[address])
--- /dev/null
+++ b/packages/control/src/hitchdeck_control/raft/membership.py
@@ -0,0 +1,116 @@
+"""Membership: founding a group, and replacing a box that lost its disk."""
+
+import asyncio
+
+from hitchdeck_control.errors import MembershipError
+from hitchdeck_control.raft.replica import Replica
+from hitchdeck_core import logs
+from hitchdeck_core.ids import ReplicaId
+from hitchdeck_core.wire.hitchdeck_pb2 import Entry, Member
+
+_FIRST_TERM = 1
+_CATCH_UP_POLL = 0.05
+_CATCH_UP_ROUNDS = 2400
+_CATCH_UP_GAP = 2
+
+
+async def found(replica: Replica, members: list[Member]) -> None:
+    """Make this replica part of a new group.
+
+    Every founder writes the same first entry, so founding may be repeated
+    until all have done it.  Only the replicas named may take part: a box
+    whose folder was replaced since is refused.
+
+    Raises
+    ------
+    MembershipError
+        This replica is not named, or belongs to another group already.
+    """
+    names = {member.replica for member in members}
+    if replica.me.replica not in names:
+        raise MembershipError(f'{replica.me.replica} is not among {sorted(names)}')
+    known = replica.members()
+    if known:
+        if replica.log.snapshot.last_index == 0 and _same(
+            list(replica.log.entries[0].members),
+            members,
+        ):
+            return
+        raise MembershipError(f'{replica.me.replica} is in a group already')
+    replica.log.append([Entry(term=_FIRST_TERM, index=1, members=members)])
+    replica.log.save_vote(max(_FIRST_TERM, replica.term), replica.log.vote)
+    await replica.log.flush()
+
+
+async def replace(replica: Replica, newcomer: Member) -> None:
+    """Put a replica with a new disk in the place of its box's old one.
+
+    Steps, each committed before the next: the newcomer joins as a learner;
+    once it has all committed entries, the old replica is removed; then the
+    newcomer votes.  Removing before promoting keeps the quorum at two of
+    two and then two of three; the other order needs three of four while
+    one of the four is dead.  Repeating a replacement resumes it.
+    """
+    await _join_as_learner(replica, newcomer)
+    await _caught_up(replica, ReplicaId(newcomer.replica))
+    await _change(
+        replica,
+        [
+            one
+            for one in replica.members()
+            if one.box != newcomer.box or one.replica == newcomer.replica
+        ],
+    )
+    voter = Member()
+    voter.CopyFrom(newcomer)
+    voter.voter = True
+    others = [one for one in replica.members() if one.replica != newcomer.replica]
+    await _change(replica, [*others, voter])
+    logs.info('replica replaced', newcomer=newcomer.replica)
+
+
+async def _join_as_learner(replica: Replica, newcomer: Member) -> None:
+    if any(one.replica == newcomer.replica for one in replica.members()):
+        return
+    learner = Member()
+    learner.CopyFrom(newcomer)
+    learner.voter = False
+    # An earlier newcomer of the same box, lost before it could vote, goes.
+    kept = [one for one in replica.members() if one.voter or one.box != newcomer.box]
+    await _change(replica, [*kept, learner])
+
+
+async def _caught_up(replica: Replica, newcomer: ReplicaId) -> None:
+    for _ in range(_CATCH_UP_ROUNDS):
+        replica.check_leads()
+        if replica.progress_of(newcomer).match + _CATCH_UP_GAP > replica.commit_index:
+            return
+        await asyncio.sleep(_CATCH_UP_POLL)
+    raise MembershipError(f'{newcomer} does not catch up')
+
+
+async def _change(replica: Replica, members: list[Member]) -> None:
+    if _same(members, replica.members()):
+        return
+    replica.check_leads()
+    _check_settled(replica)
+    entry = Entry(
+        term=replica.term,
+        index=replica.log.last_index + 1,
+        members=members,
+    )
+    await replica.propose_entry(entry)
+
+
+def _check_settled(replica: Replica) -> None:
+    base = int(replica.log.snapshot.last_index)
+    open_entries = replica.log.entries[max(0, replica.commit_index - base) :]
+    if any(entry.members for entry in open_entries):
+        raise MembershipError('another membership change is under way')
+
+
+def _same(left: list[Member], right: list[Member]) -> bool:
+    def ordered(members: list[Member]) -> list[bytes]:
+        return sorted(one.SerializeToString() for one in members)
+
+    return ordered(left) == ordered(right)
--- /dev/null
+++ b/packages/control/src/hitchdeck_control/raft/replica.py
@@ -0,0 +1,302 @@
+"""State of one replica, and what may be asked of it."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+
+from hitchdeck_control.errors import NotLeaderError, OutcomeUnknownError
+from hitchdeck_control.storage.log import DurableLog
+from hitchdeck_core import logs
+from hitchdeck_core.clock import Clock
+from hitchdeck_core.commands import Outcome
+from hitchdeck_core.ids import Address, BoxName, ReplicaId
+from hitchdeck_core.signals import Signal
+from hitchdeck_core.wire.hitchdeck_pb2 import Entry, Member, Snapshot
+
+LEASE_SHARE = 0.8
+"""Part of the election timeout that a leader relies on; the rest is for
+clocks that run at different rates."""
+
+
+class Role(Enum):
+    """What a replica is at the moment."""
+
+    follower = 'follower'
+    candidate = 'candidate'
+    leader = 'leader'
+
+
+@dataclass(slots=True)
+class Progress:
+    """How far one peer is, as its leader knows.
+
+    ``acked_at`` is when the last request that the peer answered was *sent*,
+    on the leader's clock in seconds: the peer heard no earlier than that.
+    """
+
+    next_index: int
+    match: int = 0
+    acked_at: float = float('-inf')
+
+
+@dataclass(frozen=True, slots=True)
+class Timing:
+    """Times in seconds; ``snapshot_every`` in entries."""
+
+    heartbeat: float
+    election_timeout: float
+    snapshot_every: int
+
+
+@dataclass(frozen=True, slots=True)
+class Self:
+    """Who this replica is."""
+
+    replica: ReplicaId
+    box: BoxName
+    address: Address
+
+
+@dataclass(slots=True)
+class Proposal:
+    """A proposed entry whose fate somebody waits for."""
+
+    term: int
+    outcome: asyncio.Future[Outcome]
+
+
+@dataclass(slots=True)
+class Machinery:
+    """The state machine, as functions."""
+
+    apply: Callable[[bytes], Outcome]
+    dump: Callable[[], bytes]
+    load: Callable[[bytes], None]
+
+
+@dataclass(slots=True)
+class Leadership:
+    """What a replica keeps only while it leads."""
+
+    started_at: float
+    first_index: int
+    peers: dict[ReplicaId, Progress] = field(default_factory=dict)
+
+
+class Replica:
+    """One replica of the group."""
+
+    def __init__(
+        self,
+        me: Self,
+        log: DurableLog,
+        machinery: Machinery,
+        timing: Timing,
+        now: Clock,
+    ) -> None:
+        self.me = me
+        self.log = log
+        self.machinery = machinery
+        self.timing = timing
+        self.now = now
+        self.role = Role.follower
+        self.leader_id = ReplicaId('')
+        # A restarted replica may have promised a leader not to vote just
+        # before it went down, so it counts as having heard one.
+        self.last_heard = now()
+        self.leadership: Leadership | None = None
+        self.commit_index = int(log.snapshot.last_index)
+        self.applied_index = self.commit_index
+        self.proposals: dict[int, Proposal] = {}
+        self.appended = Signal()
+        self.committed = Signal()
+        self.applied = Signal()
+        self.role_changed = Signal()
+        machinery.load(log.snapshot.state)
+
+    @property
+    def term(self) -> int:
+        """Current term."""
+        return self.log.term
+
+    def members(self) -> list[Member]:
+        """Return the membership in effect."""
+        return self.log.members()
+
+    def voters(self) -> list[Member]:
+        """Return the members that vote."""
+        return [member for member in self.members() if member.voter]
+
+    def is_voter(self) -> bool:
+        """Tell whether this replica votes."""
+        return any(one.replica == self.me.replica for one in self.voters())
+
+    def is_leader(self) -> bool:
+        """Tell whether this replica leads, as far as it knows."""
+        return self.role is Role.leader
+
+    def leader_address(self) -> str:
+        """Return the address of the leader, blank if none is known."""
+        for member in self.members():
+            if member.replica == self.leader_id:
+                return member.address
+        return ''
+
+    def quorum_contact(self) -> float:
+        """Return the latest time at which a majority had been in contact."""
+        assert self.leadership is not None
+        times = sorted(
+            self._contact_with(ReplicaId(member.replica)) for member in self.voters()
+        )
+        # With voters sorted by time, the majority is the upper part.
+        return times[(len(times) - 1) // 2]
+
+    def has_lease(self) -> bool:
+        """Tell whether nobody else can lead at this moment.
+
+        Voters refuse to elect within an election timeout of hearing their
+        leader, so a leader with recent contact to a majority is the only
+        one.  It must also have committed an entry of its own term, or it
+        does not yet know all that earlier leaders committed.
+        """
+        if self.leadership is None:
+            return False
+        lease = self.timing.election_timeout * LEASE_SHARE
+        recent = self.now() - self.quorum_contact() < lease
+        return recent and self.applied_index >= self.leadership.first_index
+
+    def check_leads(self) -> None:
+        """Raise ``NotLeaderError`` unless this replica holds the lease."""
+        if not self.has_lease():
+            address = '' if self.is_leader() else self.leader_address()
+            raise NotLeaderError(address)
+
+    async def propose(self, command: bytes) -> Outcome:
+        """Commit a command and return its outcome.
+
+        Raises
+        ------
+        NotLeaderError
+            The command was not appended.
+        OutcomeUnknownError
+            Leadership was lost; the command may or may not be committed.
+        """
+        if not self.is_leader():
+            raise NotLeaderError(self.leader_address())
+        entry = Entry(
+            term=self.term,
+            index=self.log.last_index + 1,
+            command=command,
+        )
+        return await self.propose_entry(entry)
+
+    async def propose_entry(self, entry: Entry) -> Outcome:
+        """Append an entry as the leader and wait for its outcome."""
+        loop = asyncio.get_running_loop()
+        proposal = Proposal(int(entry.term), loop.create_future())
+        self.log.append([entry])
+        self.proposals[int(entry.index)] = proposal
+        self.appended.notify()
+        return await proposal.outcome
+
+    def follow(self, term: int, leader: ReplicaId) -> None:
+        """Become a follower; a higher term is to be flushed by the caller."""
+        if term > self.term:
+            self.log.save_vote(term, '')
+        self.leader_id = leader
+        if self.role is Role.follower:
+            return
+        logs.info('follows', term=term, leader=leader)
+        self.role = Role.follower
+        self.leadership = None
+        self._give_up_proposals()
+        self.role_changed.notify()
+
+    def lead(self) -> None:
+        """Become the leader of the current term."""
+        logs.info('leads', term=self.term)
+        self.role = Role.leader
+        self.leader_id = self.me.replica
+        first = self.log.last_index + 1
+        self.leadership = Leadership(started_at=self.now(), first_index=first)
+        self.role_changed.notify()
+
+    def progress_of(self, replica: ReplicaId) -> Progress:
+        """Return the leader's record of a peer, made on first use."""
+        assert self.leadership is not None
+        return self.leadership.peers.setdefault(
+            replica,
+            Progress(next_index=self.log.last_index + 1),
+        )
+
+    def advance_commit(self) -> None:
+        """Commit what a majority of voters has synced in this term."""
+        if self.leadership is None:
+            return
+        matches = sorted(
+            self._match_of(ReplicaId(member.replica)) for member in self.voters()
+        )
+        agreed = matches[(len(matches) - 1) // 2]
+        # Entries of earlier terms are committed only along with one of this
+        # term: counting replicas alone would not make them safe (Raft, 5.4.2).
+        if agreed > self.commit_index and self.log.term_at(agreed) == self.term:
+            self.commit_index = agreed
+            self.committed.notify()
+
+    def apply_committed(self) -> None:
+        """Apply every committed entry and tell those who wait."""
+        while self.applied_index < self.commit_index:
+            entry = self.log.slice(self.applied_index + 1, 1)[0]
+            outcome = None
+            if not entry.members:
+                outcome = self.machinery.apply(entry.command)
+            self.applied_index += 1
+            self._resolve(entry, outcome)
+        self.applied.notify()
+
+    async def take_snapshot(self) -> None:
+        """Replace the applied part of the log by a snapshot."""
+        index = self.applied_index
+        snapshot = Snapshot(
+            last_index=index,
+            last_term=self.log.term_at(index),
+            members=self._members_at(index),
+            state=self.machinery.dump(),
+        )
+        await self.log.compact(snapshot)
+        logs.info('snapshot', index=index, bytes=len(snapshot.state))
+
+    def _members_at(self, index: int) -> list[Member]:
+        base = int(self.log.snapshot.last_index)
+        for entry in reversed(self.log.entries[: index - base]):
+            if entry.members:
+                return list(entry.members)
+        return list(self.log.snapshot.members)
+
+    def _contact_with(self, replica: ReplicaId) -> float:
+        if replica == self.me.replica:
+            return self.now()
+        return self.progress_of(replica).acked_at
+
+    def _match_of(self, replica: ReplicaId) -> int:
+        if replica == self.me.replica:
+            return self.log.synced_index
+        return self.progress_of(replica).match
+
+    def _resolve(self, entry: Entry, outcome: Outcome | None) -> None:
+        proposal = self.proposals.pop(int(entry.index), None)
+        if proposal is None or proposal.outcome.done():
+            return
+        if proposal.term != entry.term:
+            proposal.outcome.set_exception(OutcomeUnknownError('overwritten'))
+        else:
+            proposal.outcome.set_result(outcome)  # type: ignore[arg-type]
+
+    def _give_up_proposals(self) -> None:
+        for proposal in self.proposals.values():
+            if not proposal.outcome.done():
+                proposal.outcome.set_exception(
+                    OutcomeUnknownError('leadership lost before the commit'),
+                )
+        self.proposals.clear()
--- /dev/null
+++ b/packages/control/src/hitchdeck_control/raft/replication.py
@@ -0,0 +1,230 @@
+"""Replication: one task for each peer, and the follower's side."""
+
+import asyncio
+
+from hitchdeck_control.raft.links import Links
+from hitchdeck_control.raft.replica import Leadership, Replica
+from hitchdeck_core import logs
+from hitchdeck_core.errors import LinkError
+from hitchdeck_core.ids import Address, ReplicaId
+from hitchdeck_core.supervisor import Supervisor, Work
+from hitchdeck_core.wire.hitchdeck_pb2 import (
+    AppendReply,
+    AppendRequest,
+    Entry,
+    Member,
+    SnapshotRequest,
+)
+
+_MOST_ENTRIES = 512
+
+
+async def replicate(replica: Replica, links: Links) -> None:
+    """Keep one task for each peer while this replica leads; for ever."""
+    while True:
+        if replica.leadership is None:
+            await replica.role_changed.wait()
+            continue
+        tasks = Supervisor('peers')
+        try:
+            await _keep_peer_tasks(replica, links, replica.leadership, tasks)
+        finally:
+            await tasks.stop()
+
+
+async def write_log(replica: Replica) -> None:
+    """Sync what the leader appends, as one batch whenever the disk is free."""
+    while True:
+        if replica.log.synced_index >= replica.log.last_index:
+            await replica.appended.wait(replica.timing.heartbeat)
+        if replica.log.synced_index < replica.log.last_index:
+            await replica.log.flush()
+            replica.advance_commit()
+
+
+async def apply_log(replica: Replica) -> None:
+    """Apply what is committed and take snapshots; for ever."""
+    while True:
+        if replica.applied_index >= replica.commit_index:
+            await replica.committed.wait(replica.timing.heartbeat)
+        replica.apply_committed()
+        since_snapshot = replica.applied_index - replica.log.snapshot.last_index
+        if since_snapshot >= replica.timing.snapshot_every:
+            await replica.take_snapshot()
+
+
+async def answer_append(
+    replica: Replica,
+    appending: asyncio.Lock,
+    request: AppendRequest,
+) -> AppendReply:
+    """Take entries from the leader; the answer follows the sync."""
+    if request.target != replica.me.replica or request.term < replica.term:
+        return AppendReply(term=replica.term, success=False)
+    _hear(replica, int(request.term), request.leader)
+    async with appending:
+        if request.term < replica.term:
+            return AppendReply(term=replica.term, success=False)
+        matched = _take_entries(replica, request)
+        await replica.log.flush()
+    if matched is None:
+        return AppendReply(
+            term=request.term,
+            success=False,
+            last_index=min(replica.log.last_index, request.previous_index - 1),
+        )
+    if min(request.commit, matched) > replica.commit_index:
+        replica.commit_index = int(min(request.commit, matched))
+        replica.committed.notify()
+    return AppendReply(term=request.term, success=True, last_index=matched)
+
+
+async def answer_snapshot(
+    replica: Replica,
+    appending: asyncio.Lock,
+    request: SnapshotRequest,
+) -> AppendReply:
+    """Take a snapshot from the leader in place of entries it has dropped."""
+    if request.target != replica.me.replica or request.term < replica.term:
+        return AppendReply(term=replica.term, success=False)
+    _hear(replica, int(request.term), request.leader)
+    snapshot = request.snapshot
+    async with appending:
+        if snapshot.last_index > replica.commit_index:
+            await replica.log.flush()
+            await replica.log.compact(snapshot)
+            replica.machinery.load(snapshot.state)
+            replica.commit_index = int(snapshot.last_index)
+            replica.applied_index = int(snapshot.last_index)
+            logs.info('snapshot taken over', index=replica.commit_index)
+    return AppendReply(
+        term=request.term,
+        success=True,
+        last_index=snapshot.last_index,
+    )
+
+
+async def _keep_peer_tasks(
+    replica: Replica,
+    links: Links,
+    leadership: Leadership,
+    tasks: Supervisor,
+) -> None:
+    while replica.leadership is leadership:
+        peers = {
+            one.replica: one
+            for one in replica.members()
+            if one.replica != replica.me.replica
+        }
+        for gone in set(tasks.tasks) - set(peers):
+            tasks.cancel(gone)
+        for name in set(peers) - set(tasks.tasks):
+            tasks.permanent(name, _peer_work(replica, links, leadership, peers[name]))
+        if not peers:
+            replica.advance_commit()
+        await replica.role_changed.wait(replica.timing.heartbeat)
+
+
+def _peer_work(
+    replica: Replica,
+    links: Links,
+    leadership: Leadership,
+    peer: Member,
+) -> Work:
+    async def work() -> None:
+        while replica.leadership is leadership:
+            try:
+                await _one_round(replica, links, peer)
+            except LinkError:
+                await asyncio.sleep(replica.timing.heartbeat)
+            else:
+                await _wait_for_entries(replica, leadership, peer)
+
+    return work
+
+
+async def _wait_for_entries(
+    replica: Replica,
+    leadership: Leadership,
+    peer: Member,
+) -> None:
+    progress = leadership.peers[ReplicaId(peer.replica)]
+    if progress.next_index > replica.log.last_index:
+        await replica.appended.wait(replica.timing.heartbeat)
+
+
+async def _one_round(replica: Replica, links: Links, peer: Member) -> None:
+    term = replica.term
+    progress = replica.progress_of(ReplicaId(peer.replica))
+    sent_at = replica.now()
+    address = Address(peer.address)
+    if progress.next_index <= replica.log.snapshot.last_index:
+        request = _snapshot_request(replica, peer)
+        reply = await links.install(address, request)
+    else:
+        reply = await links.append(address, _append_request(replica, peer))
+    if reply.term > replica.term:
+        replica.follow(int(reply.term), ReplicaId(''))
+        await replica.log.flush()
+    if replica.term != term or replica.leadership is None:
+        return
+    if reply.term == term:
+        progress.acked_at = sent_at
+    if not reply.success:
+        # A refusal under this term says how far the peer's log may match.
+        progress.next_index = max(1, int(reply.last_index) + 1)
+        if reply.term != term:
+            await asyncio.sleep(replica.timing.heartbeat)
+        return
+    progress.match = max(progress.match, int(reply.last_index))
+    progress.next_index = progress.match + 1
+    replica.advance_commit()
+
+
+def _append_request(replica: Replica, peer: Member) -> AppendRequest:
+    start = replica.progress_of(ReplicaId(peer.replica)).next_index
+    return AppendRequest(
+        leader=replica.me.replica,
+        term=replica.term,
+        previous_index=start - 1,
+        previous_term=replica.log.term_at(start - 1),
+        commit=replica.commit_index,
+        entries=replica.log.slice(start, _MOST_ENTRIES),
+        target=peer.replica,
+    )
+
+
+def _snapshot_request(replica: Replica, peer: Member) -> SnapshotRequest:
+    return SnapshotRequest(
+        leader=replica.me.replica,
+        term=replica.term,
+        snapshot=replica.log.snapshot,
+        target=peer.replica,
+    )
+
+
+def _hear(replica: Replica, term: int, leader: str) -> None:
+    replica.follow(term, ReplicaId(leader))
+    replica.last_heard = replica.now()
+
+
+def _take_entries(replica: Replica, request: AppendRequest) -> int | None:
+    """Append what is new; the last matching index, or ``None`` for a gap."""
+    previous = int(request.previous_index)
+    base = int(replica.log.snapshot.last_index)
+    if previous >= base and replica.log.term_at(previous) != request.previous_term:
+        return None
+    fresh = [
+        entry
+        for entry in request.entries
+        if entry.index > base and replica.log.term_at(int(entry.index)) != entry.term
+    ]
+    if fresh:
+        _check_keeps_committed(replica, fresh[0])
+        position = int(fresh[0].index) - int(request.entries[0].index)
+        replica.log.append(list(request.entries[position:]))
+    return previous + len(request.entries)
+
+
+def _check_keeps_committed(replica: Replica, first: Entry) -> None:
+    assert first.index > replica.commit_index, 'committed entries never change'
--- /dev/null
+++ b/packages/control/src/hitchdeck_control/raft/service.py
@@ -0,0 +1,85 @@
+"""What a replica answers to its peers and to whoever founds the group."""
+
+import asyncio
+
+from grpclib.server import Stream
+
+from hitchdeck_control.errors import MembershipError
+from hitchdeck_control.raft.election import answer_vote
+from hitchdeck_control.raft.membership import found
+from hitchdeck_control.raft.replica import Replica
+from hitchdeck_control.raft.replication import answer_append, answer_snapshot
+from hitchdeck_core.wire.hitchdeck_grpc import ReplicationBase
+from hitchdeck_core.wire.hitchdeck_pb2 import (
+    AppendReply,
+    AppendRequest,
+    FoundReply,
+    FoundRequest,
+    IdentifyReply,
+    IdentifyRequest,
+    SnapshotRequest,
+    VoteReply,
+    VoteRequest,
+)
+
+
+class ReplicationService(ReplicationBase):
+    """Serves the ``Replication`` calls."""
+
+    def __init__(self, replica: Replica) -> None:
+        self.replica = replica
+        self.appending = asyncio.Lock()
+
+    async def Vote(self, stream: Stream[VoteRequest, VoteReply]) -> None:
+        """Answer a candidate."""
+        request = await stream.recv_message()
+        assert request is not None
+        await stream.send_message(await answer_vote(self.replica, request))
+
+    async def Append(self, stream: Stream[AppendRequest, AppendReply]) -> None:
+        """Take entries or a heartbeat."""
+        request = await stream.recv_message()
+        assert request is not None
+        reply = await answer_append(self.replica, self.appending, request)
+        await stream.send_message(reply)
+
+    async def InstallSnapshot(
+        self,
+        stream: Stream[SnapshotRequest, AppendReply],
+    ) -> None:
+        """Take a snapshot."""
+        request = await stream.recv_message()
+        assert request is not None
+        reply = await answer_snapshot(self.replica, self.appending, request)
+        await stream.send_message(reply)
+
+    async def Identify(
+        self,
+        stream: Stream[IdentifyRequest, IdentifyReply],
+    ) -> None:
+        """Say who this replica is and how far it is."""
+        await stream.recv_message()
+        replica = self.replica
+        reply = IdentifyReply(
+            box=replica.me.box,
+            replica=replica.me.replica,
+            address=replica.me.address,
+            founded=bool(replica.members()),
+            leader=replica.leader_id,
+            term=replica.term,
+            last_index=replica.log.last_index,
+            commit=replica.commit_index,
+            members=replica.members(),
+        )
+        await stream.send_message(reply)
+
+    async def Found(self, stream: Stream[FoundRequest, FoundReply]) -> None:
+        """Join a new group."""
+        request = await stream.recv_message()
+        assert request is not None
+        try:
+            await found(self.replica, list(request.members))
+        except MembershipError as error:
+            await stream.send_message(FoundReply(error=str(error)))
+            return
+        await stream.send_message(FoundReply())
--- /dev/null
+++ b/packages/control/src/hitchdeck_control/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Files under the data folder: identity, log, snapshot."""
--- /dev/null
+++ b/packages/control/src/hitchdeck_control/storage/identity.py
@@ -0,0 +1,39 @@
+"""The replica's identity: one data folder, one identity.
+
+A box whose disk was lost starts with an empty folder, hence with an identity
+that no membership knows: it can neither vote nor count as the old replica.
+"""
+
+import secrets
+from pathlib import Path
+
+from hitchdeck_control.errors import StorageError
+from hitchdeck_control.storage.files import replace_file, sync_folder
+from hitchdeck_core.ids import BoxName, ReplicaId
+
+_IDENTITY_FILE = 'identity'
+_RANDOM_BYTES = 8
+
+
+def open_identity(folder: Path, box: BoxName) -> ReplicaId:
+    """Return the identity kept in a data folder, making one for a new folder."""
+    try:
+        folder.mkdir(parents=True, exist_ok=True)
+        sync_folder(folder.parent)
+        return _read_or_make(folder, box)
+    except OSError as error:
+        raise StorageError(f'data folder {folder}: {error}') from error
+
+
+def _read_or_make(folder: Path, box: BoxName) -> ReplicaId:
+    path = folder / _IDENTITY_FILE
+    if path.exists():
+        replica = ReplicaId(path.read_text().strip())
+        if replica.rpartition('#')[0] != box:
+            raise StorageError(f'{path} belongs to {replica}, not to box {box}')
+        return replica
+    if any(folder.glob('wal-*')) or any(folder.glob('snapshot')):
+        raise StorageError(f'{folder} holds a log but no {_IDENTITY_FILE} file')
+    replica = ReplicaId(f'{box}#{secrets.token_hex(_RANDOM_BYTES)}')
+    replace_file(path, replica.encode())
+    return replica
--- /dev/null
+++ b/packages/core/src/hitchdeck_core/__init__.py
@@ -0,0 +1,1 @@
+"""What every hitchdeck process shares: ids, selectors, settings, messages."""
--- /dev/null
+++ b/packages/core/src/hitchdeck_core/hashing.py
@@ -0,0 +1,27 @@
+"""Rendezvous hashing: stable choices that move little when members change."""
+
+import hashlib
+from collections.abc import Iterable
+
+_WORD_BYTES = 8
+
+
+def stable_hash(*parts: str) -> int:
+    """Return a 64-bit hash that is the same in every process."""
+    joined = '\x1f'.join(parts).encode()
+    digest = hashlib.blake2b(joined, digest_size=_WORD_BYTES).digest()
+    return int.from_bytes(digest, 'big')
+
+
+def ranked(key: str, members: Iterable[str]) -> list[str]:
+    """Return members by descending rendezvous weight for a key."""
+    return sorted(
+        members,
+        key=lambda member: (stable_hash(key, member), member),
+        reverse=True,
+    )
+
+
+def token_hash(token: str) -> str:
+    """Return the hash under which a bearer token is kept, as hex."""
+    return hashlib.sha256(token.encode()).hexdigest()
--- /dev/null
+++ b/packages/core/src/hitchdeck_core/logs.py
@@ -0,0 +1,79 @@
+"""Logs: one JSON object a line, through ``absl.logging``."""
+
+import json
+import logging as standard_logging
+import time
+from collections.abc import Mapping
+
+from absl import logging
+
+_FIELDS = 'hitchdeck_fields'
+
+
+class JsonFormatter(standard_logging.Formatter):
+    """Turns a record into one line of JSON."""
+
+    def format(self, record: standard_logging.LogRecord) -> str:
+        """Return time, level, event and the fields of the record."""
+        line = {
+            'time': time.strftime(
+                '%Y-%m-%dT%H:%M:%S',
+                time.gmtime(record.created),
+            )
+            + f'.{int(record.msecs):03d}Z',
+            'level': record.levelname.lower(),
+            'event': record.getMessage(),
+            **getattr(record, _FIELDS, {}),
+        }
+        if record.exc_info:
+            line['error'] = self.formatException(record.exc_info)
+        return json.dumps(line, default=str)
+
+
+class _Context:
+    """Fields that every line of this process carries."""
+
+    def __init__(self) -> None:
+        self.fields: dict[str, object] = {}
+
+
+_context = _Context()
+
+
+def set_up(**fields: object) -> None:
+    """Send every log line to standard error, each with the given fields."""
+    _context.fields = fields
+    logging.use_absl_handler()
+    handler = logging.get_absl_handler()
+    handler.setFormatter(JsonFormatter())
+    logging.set_stderrthreshold('info')
+    logging.set_verbosity(logging.INFO)
+
+
+def _log(
+    level: int,
+    event: str,
+    fields: Mapping[str, object],
+    error: BaseException | None = None,
+) -> None:
+    logging.get_absl_logger().log(
+        level,
+        event,
+        exc_info=error,
+        extra={_FIELDS: {**_context.fields, **fields}},
+    )
+
+
+def info(event: str, **fields: object) -> None:
+    """Log something that an operator may want to follow."""
+    _log(standard_logging.INFO, event, fields)
+
+
+def warning(event: str, **fields: object) -> None:
+    """Log something that an operator should look at."""
+    _log(standard_logging.WARNING, event, fields)
+
+
+def failure(event: str, error: BaseException, **fields: object) -> None:
+    """Log an error with its trace."""
+    _log(standard_logging.ERROR, event, fields, error)
--- /dev/null
+++ b/packages/core/src/hitchdeck_core/resources.py
@@ -0,0 +1,235 @@
+"""Resources that operators define; the same shape in TOML, log and wire."""
+
+import ipaddress
+from enum import Enum, IntEnum
+from typing import Annotated, Any, Literal, Self
+
+from pydantic import (
+    AfterValidator,
+    BaseModel,
+    ConfigDict,
+    Field,
+    TypeAdapter,
+    ValidationError,
+)
+
+from hitchdeck_core.errors import ResourceError
+from hitchdeck_core.ids import AccountName, Address, PoolName, UpstreamName
+from hitchdeck_core.labels import check_labels, check_selector
+
+_NAME_PATTERN = r'^[a-z0-9]([a-z0-9._-]{0,61}[a-z0-9])?$'
+_LAST_PORT = 65535
+
+
+class Kind(Enum):
+    """Kinds of resources."""
+
+    account = 'account'
+    pool = 'pool'
+    upstream = 'upstream'
+    session = 'session'
+    rule = 'rule'
+
+
+class PoolKind(Enum):
+    """What the upstreams of a pool are."""
+
+    model = 'model'
+    service = 'service'
+
+
+class Urgency(IntEnum):
+    """How soon work is needed; the smaller is served first."""
+
+    urgent = 0
+    normal = 1
+    deferrable = 2
+
+
+class Effect(Enum):
+    """What a rule says about whatever its selectors match."""
+
+    access = 'access'
+    leaving = 'leaving'
+    urgent = 'urgent'
+    deferrable = 'deferrable'
+
+
+def check_address(text: str) -> str:
+    """Return ``IP:port`` text, or raise ``ValueError`` naming what is wrong."""
+    host, colon, port = text.rpartition(':')
+    if not colon or not port.isdigit() or int(port) > _LAST_PORT:
+        raise ValueError(f'{text!r} is not IP:port')
+    try:
+        ipaddress.ip_address(host.strip('[]'))
+    except ValueError as error:
+        raise ValueError(f'{text!r} has no IP number: {error}') from error
+    return text
+
+
+def _check_selector_text(text: str) -> str:
+    try:
+        check_selector(text)
+    except Exception as error:
+        raise ValueError(str(error)) from error
+    return text
+
+
+def _check_label_map(labels: dict[str, str]) -> dict[str, str]:
+    try:
+        check_labels(labels)
+    except Exception as error:
+        raise ValueError(str(error)) from error
+    return labels
+
+
+Name = Annotated[str, Field(pattern=_NAME_PATTERN)]
+SelectorText = Annotated[str, AfterValidator(_check_selector_text)]
+LabelMap = Annotated[dict[str, str], AfterValidator(_check_label_map)]
+AddressText = Annotated[Address, AfterValidator(check_address)]
+
+
+class Definition(BaseModel):
+    """What all resources have: a name and labels."""
+
+    model_config = ConfigDict(extra='forbid', frozen=True)
+
+    name: Name
+    labels: LabelMap = Field(default_factory=dict)
+
+    def all_labels(self) -> dict[str, str]:
+        """Return the labels with the resource's own name as ``name``."""
+        return {'name': self.name, **self.labels}
+
+
+class Account(Definition):
+    """A client account.
+
+    ``weight`` is its share against the others; ``key_hashes`` are the
+    SHA-256 hex digests of its bearer tokens, which are never kept.
+    """
+
+    kind: Literal['account'] = 'account'
+    weight: float = Field(default=1, gt=0, le=1000)
+    key_hashes: tuple[str, ...] = ()
+
+
+class Pool(Definition):
+    """Upstreams that serve the same thing.
+
+    ``urgent_overcommit`` is how many urgent requests an upstream may get
+    above its slots; ``queue_limit`` bounds each account's waiting requests
+    in each shard; a pool that is not ``repeatable`` takes no request but
+    reads without an idempotency key.
+    """
+
+    kind: Literal['pool'] = 'pool'
+    serves: PoolKind = PoolKind.model
+    model: str = ''
+    upstreams: SelectorText = ''
+    shards: int = Field(default=1, ge=1, le=1024)
+    urgent_overcommit: int = Field(default=1, ge=0, le=64)
+    queue_limit: int = Field(default=256, ge=1, le=100_000)
+    repeatable: bool = True
+
+
+class Upstream(Definition):
+    """One back end: a model engine or a plain service."""
+
+    kind: Literal['upstream'] = 'upstream'
+    address: AddressText
+    slots: int = Field(default=8, ge=1, le=4096)
+    checks_fences: bool = False
+
+
+class Session(Definition):
+    """A long-lived conversation of one account in one pool."""
+
+    kind: Literal['session'] = 'session'
+    account: Name
+    pool: Name
+
+
+class Rule(Definition):
+    """A statement about everything that its selectors match.
+
+    ``access`` lets matching accounts reach matching pools; ``leaving`` takes
+    matching upstreams, or entry boxes, out of service; ``urgent`` and
+    ``deferrable`` say how soon requests with matching labels are needed.
+    """
+
+    kind: Literal['rule'] = 'rule'
+    effect: Effect
+    accounts: SelectorText = ''
+    pools: SelectorText = ''
+    upstreams: SelectorText = ''
+    boxes: SelectorText = ''
+    requests: SelectorText = ''
+
+    def check_complete(self) -> Self:
+        """Return the rule, or raise ``ResourceError`` if it says nothing.
+
+        A leaving rule without a selector would drain the whole fleet.
+        """
+        selects = self.upstreams.strip() or self.boxes.strip()
+        if self.effect is Effect.leaving and not selects:
+            raise ResourceError(
+                f'rule {self.name!r}: a leaving rule must select upstreams or boxes',
+            )
+        return self
+
+
+Resource = Annotated[
+    Account | Pool | Upstream | Session | Rule,
+    Field(discriminator='kind'),
+]
+_ADAPTER: TypeAdapter[Resource] = TypeAdapter(Resource)
+
+ResourceKey = tuple[str, str]
+"""Kind and name of a resource."""
+
+UpstreamMap = dict[UpstreamName, Upstream]
+AccountMap = dict[AccountName, Account]
+PoolMap = dict[PoolName, Pool]
+
+
+def key_of(resource: Resource) -> ResourceKey:
+    """Return the kind and name under which a resource is kept."""
+    return resource.kind, resource.name
+
+
+def parse_resource(source: bytes | str | dict[str, Any]) -> Resource:
+    """Return the checked resource, or raise ``ResourceError`` saying why not.
+
+    Parameters
+    ----------
+    source
+        JSON text, or a mapping as read from TOML.
+    """
+    try:
+        if isinstance(source, dict):
+            resource = _ADAPTER.validate_python(source)
+        else:
+            resource = _ADAPTER.validate_json(source)
+    except ValidationError as error:
+        raise ResourceError(explain(error)) from error
+    if isinstance(resource, Rule):
+        resource.check_complete()
+    return resource
+
+
+def encode_resource(resource: Resource) -> bytes:
+    """Return the resource as JSON."""
+    return _ADAPTER.dump_json(resource)
+
+
+def explain(error: ValidationError) -> str:
+    """Return one line naming each key, what it was, and what it should be."""
+    return '; '.join(
+        '{where}: {what} (given: {given!r})'.format(
+            where='.'.join(str(step) for step in one['loc']) or 'top level',
+            what=one['msg'],
+            given=one['input'],
+        )
+        for one in error.errors()
+    )
--- /dev/null
+++ b/packages/core/src/hitchdeck_core/settings.py
@@ -0,0 +1,123 @@
+"""Settings of one process: a TOML file, checked before anything starts."""
+
+import tomllib
+from enum import Enum
+from pathlib import Path
+from typing import Any, Self
+
+from pydantic import (
+    BaseModel,
+    ConfigDict,
+    Field,
+    ValidationError,
+    model_validator,
+)
+
+from hitchdeck_core.errors import SettingsError
+from hitchdeck_core.resources import AddressText, Name, explain
+
+
+class Role(Enum):
+    """What a process does."""
+
+    control = 'control'
+    router = 'router'
+
+
+class Section(BaseModel):
+    """Base of every section: unknown keys are errors."""
+
+    model_config = ConfigDict(extra='forbid', frozen=True)
+
+
+class ControlSection(Section):
+    """The ``[control]`` table: a replica of the control group.
+
+    Times are in seconds; ``snapshot_every`` counts log entries;
+    ``ledger_retention`` is how long a non-repeatable key is remembered.
+    """
+
+    listen: AddressText
+    data_folder: Path
+    heartbeat: float = Field(default=0.1, gt=0, le=5)
+    election_timeout: float = Field(default=0.6, gt=0, le=60)
+    snapshot_every: int = Field(default=2000, ge=10)
+    router_lease: float = Field(default=3, ge=0.5, le=30)
+    ledger_retention: float = Field(default=86_400, ge=1)
+    operator_key_hashes: tuple[str, ...] = ()
+
+    @model_validator(mode='after')
+    def check_times(self) -> Self:
+        """Refuse timeouts under which a healthy leader would lose office."""
+        if self.election_timeout < 3 * self.heartbeat:
+            raise ValueError('election_timeout must be >= 3 heartbeats')
+        return self
+
+
+class RouterSection(Section):
+    """The ``[router]`` table: an entry box.
+
+    ``address_ttl`` and ``stop_grace`` are in seconds: how long callers may
+    keep an answer of ``/v1/addresses``, and the longest a planned stop may
+    wait for streams after that.
+    """
+
+    listen: AddressText
+    wire_listen: AddressText
+    control: tuple[AddressText, ...] = Field(min_length=1)
+    address_ttl: float = Field(default=10, ge=0, le=3600)
+    stop_grace: float = Field(default=600, ge=0)
+    addresses_per_account: int = Field(default=3, ge=1, le=64)
+    body_limit: int = Field(default=1_048_576, ge=1024)
+    attempts: int = Field(default=3, ge=1, le=10)
+
+
+class Settings(Section):
+    """The whole file."""
+
+    box: Name
+    domain: Name
+    fleet_token: str = Field(min_length=8)
+    roles: tuple[Role, ...] = Field(min_length=1)
+    control: ControlSection | None = None
+    router: RouterSection | None = None
+
+    @model_validator(mode='after')
+    def check_roles(self) -> Self:
+        """Refuse a role without its table, and a table without its role."""
+        if len(set(self.roles)) < len(self.roles):
+            raise ValueError('a role is listed twice')
+        tables = {Role.control: self.control, Role.router: self.router}
+        for role, table in tables.items():
+            if (role in self.roles) != (table is not None):
+                raise ValueError(
+                    f'role {role.value!r} and table [{role.value}] go together',
+                )
+        return self
+
+    @model_validator(mode='after')
+    def check_addresses(self) -> Self:
+        """Refuse one address for two listeners."""
+        listeners = [table.listen for table in (self.control, self.router) if table]
+        if self.router:
+            listeners.append(self.router.wire_listen)
+        if len(set(listeners)) < len(listeners):
+            raise ValueError(f'an address is listened on twice: {listeners}')
+        return self
+
+
+def load_settings(path: Path) -> Settings:
+    """Return checked settings, or raise ``SettingsError`` naming the file."""
+    try:
+        content = tomllib.loads(path.read_text())
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        raise SettingsError(f'{path}: {error}') from error
+    return parse_settings(content, str(path))
+
+
+def parse_settings(content: dict[str, Any], origin: str) -> Settings:
+    """Return checked settings from a mapping read out of ``origin``."""
+    try:
+        return Settings.model_validate(content)
+    except ValidationError as error:
+        raise SettingsError(f'{origin}: {explain(error)}') from error
--- /dev/null
+++ b/packages/core/src/hitchdeck_core/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between processes, generated from ``hitchdeck.proto``."""
--- /dev/null
+++ b/packages/daemon/src/hitchdeck_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The ``hitchdeckd`` process."""
--- /dev/null
+++ b/packages/daemon/src/hitchdeck_daemon/main.py
@@ -0,0 +1,75 @@
+"""``hitchdeckd``: one process with the roles that its settings give it."""
+
+import asyncio
+import gc
+import signal
+import sys
+from pathlib import Path
+
+import fire
+
+from hitchdeck_control.process import ControlProcess, start_control
+from hitchdeck_core import logs
+from hitchdeck_core.errors import HitchdeckError
+from hitchdeck_core.settings import Settings, load_settings
+from hitchdeck_router.process import RouterProcess, start_router
+
+_BAD_SETTINGS = 2
+_FAILED = 1
+
+
+def run(settings: str, *, check: bool = False) -> None:
+    """Run a hitchdeck process until SIGTERM or SIGINT.
+
+    Parameters
+    ----------
+    settings
+        Path of the settings file, in TOML.
+    check
+        Only check the settings, print ``ok`` and end.
+    """
+    try:
+        checked = load_settings(Path(settings))
+    except HitchdeckError as error:
+        sys.stderr.write(f'hitchdeckd: {error}\n')
+        sys.exit(_BAD_SETTINGS)
+    if check:
+        sys.stdout.write(f'{settings}: ok\n')
+        return
+    logs.set_up(box=checked.box, domain=checked.domain)
+    try:
+        asyncio.run(_serve(checked))
+    except (HitchdeckError, OSError) as error:
+        logs.failure('stopped', error)
+        sys.exit(_FAILED)
+
+
+async def _serve(settings: Settings) -> None:
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    control: ControlProcess | None = None
+    router: RouterProcess | None = None
+    if settings.control is not None:
+        control = await start_control(settings)
+    if settings.router is not None:
+        router = await start_router(settings)
+    # What was made up to here stays; the collector need not look at it again.
+    gc.freeze()
+    await stopping.wait()
+    if router is not None:
+        await router.drain()
+        await router.stop()
+    if control is not None:
+        await control.stop()
+    logs.info('stopped')
+
+
+def main() -> None:
+    """Run the command line."""
+    fire.Fire(run, name='hitchdeckd')
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/packages/router/src/hitchdeck_router/__init__.py
@@ -0,0 +1,1 @@
+"""Routers: admission, scheduling, dispatch, and the callers' doors."""
--- /dev/null
+++ b/packages/router/src/hitchdeck_router/context.py
@@ -0,0 +1,34 @@
+"""What the doors and the dispatch of one router share."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+from hitchdeck_core.histograms import Histograms
+from hitchdeck_core.ids import Incarnation
+from hitchdeck_core.settings import RouterSection
+from hitchdeck_core.supervisor import Supervisor
+from hitchdeck_router.dispatch.budget import RetryBudget
+from hitchdeck_router.dispatch.ledger import Ledger
+from hitchdeck_router.fleet.link import Fleet
+from hitchdeck_router.scheduling.host import SchedulerHost
+from hitchdeck_router.scheduling.slots import SlotFinder
+
+
+@dataclass(slots=True)
+class RouterContext:
+    """One router."""
+
+    box: str
+    domain: str
+    incarnation: Incarnation
+    settings: RouterSection
+    fleet: Fleet
+    finder: SlotFinder
+    host: SchedulerHost
+    ledger: Ledger
+    histograms: Histograms
+    supervisor: Supervisor
+    budget: RetryBudget = field(default_factory=RetryBudget)
+    outcomes: Counter[tuple[str, str]] = field(default_factory=Counter)
+    active: int = 0
+    leaving: bool = False
--- /dev/null
+++ b/packages/router/src/hitchdeck_router/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""From a granted slot to a whole answer."""
--- /dev/null
+++ b/packages/router/src/hitchdeck_router/dispatch/attempts.py
@@ -0,0 +1,247 @@
+"""Slots, claims and retries around one call to an upstream."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from hitchdeck_core import logs
+from hitchdeck_core.ids import UpstreamName
+from hitchdeck_core.resources import Upstream
+from hitchdeck_router.context import RouterContext
+from hitchdeck_router.dispatch.ledger import KeptAnswer, Ran
+from hitchdeck_router.dispatch.requests import Admitted
+from hitchdeck_router.errors import (
+    GrantLostError,
+    NotRunError,
+    OutcomeUnknownError,
+    UpstreamBrokenError,
+    UpstreamRefusedError,
+    UpstreamUnreachedError,
+)
+from hitchdeck_router.scheduling.slots import HeldGrant
+
+_BAD_GATEWAY = 502
+_UNAVAILABLE = 503
+_RETRY_AFTER = 1.0
+_MOST_LOST_GRANTS = 50
+_LOST_GRANT_PAUSE = 0.05
+_JSON = 'application/json'
+
+RunOnce = Callable[[HeldGrant, Upstream], Awaitable[None]]
+"""Runs a request on a granted upstream, to the end or an ``UpstreamError``."""
+
+
+@dataclass(slots=True)
+class Progress:
+    """How far a request has come over all its attempts.
+
+    ``sent`` is whether any byte may have gone to an upstream.
+    """
+
+    attempt: int = 0
+    failures: int = 0
+    lost_grants: int = 0
+    sent: bool = False
+    repeatable: bool = True
+
+
+class ReplayError(Exception):
+    """Raised when the ledger has an answer, in place of a run."""
+
+    def __init__(self, answer: KeptAnswer) -> None:
+        super().__init__('answered before')
+        self.answer = answer
+
+
+async def run_attempts(
+    context: RouterContext,
+    admitted: Admitted,
+    progress: Progress,
+    run_once: RunOnce,
+) -> None:
+    """Run a request, again on another upstream where that is allowed.
+
+    Raises
+    ------
+    NotRunError
+        No byte went to any upstream.
+    OutcomeUnknownError
+        Some byte did, and no whole answer came of it.
+    ReplayError
+        An earlier run's answer is kept.
+    """
+    context.budget.earn()
+    while True:
+        progress.attempt += 1
+        grant = await _acquire(context, admitted, progress)
+        upstream = grant.slot.upstream
+        failed = False
+        try:
+            await _run_granted(context, admitted, progress, grant, run_once)
+            return
+        except GrantLostError as error:
+            _note_lost_grant(progress, error)
+            await asyncio.sleep(_LOST_GRANT_PAUSE)
+        except UpstreamUnreachedError as error:
+            failed = True
+            _note_failure(context, admitted, progress, upstream, error)
+        except UpstreamBrokenError as error:
+            failed = True
+            progress.sent = True
+            _note_failure(context, admitted, progress, upstream, error)
+        finally:
+            grant.release(failed=failed)
+
+
+async def _acquire(
+    context: RouterContext,
+    admitted: Admitted,
+    progress: Progress,
+) -> HeldGrant:
+    now = context.fleet.now()
+    ticket = admitted.ticket(now, progress.attempt)
+    try:
+        grant = await context.finder.acquire(admitted.pool, ticket)
+    except NotRunError as error:
+        if progress.sent:
+            raise OutcomeUnknownError(
+                _BAD_GATEWAY,
+                'upstream-broken',
+                f'an upstream failed within the answer; then: {error.reason}',
+                error.retry_after,
+            ) from error
+        raise
+    waited = context.fleet.now() - now
+    context.histograms.record(
+        'wait_ms',
+        (admitted.account, admitted.class_name),
+        waited * 1000,
+    )
+    return grant
+
+
+async def _run_granted(
+    context: RouterContext,
+    admitted: Admitted,
+    progress: Progress,
+    grant: HeldGrant,
+    run_once: RunOnce,
+) -> None:
+    _check_usable(context, admitted, grant.slot.upstream)
+    claimed = await _claim(context, admitted, grant.slot.upstream)
+    upstream = _usable_after_claim(context, admitted, grant, claimed)
+    try:
+        # No await between the check of lease and configuration and the call.
+        await run_once(grant, upstream)
+    except UpstreamUnreachedError:
+        if claimed:
+            _settle(context, admitted, KeptAnswer(Ran.not_run))
+        raise
+    except UpstreamRefusedError as error:
+        # A refusal is the answer: whoever asks again gets it again.
+        if claimed:
+            answer = KeptAnswer(Ran.ran, error.status, _JSON, error.body)
+            _settle(context, admitted, answer)
+        raise
+    except BaseException:
+        if claimed:
+            _settle(context, admitted, KeptAnswer(Ran.unknown))
+        raise
+
+
+async def _claim(
+    context: RouterContext,
+    admitted: Admitted,
+    upstream: UpstreamName,
+) -> bool:
+    if admitted.key is None:
+        return False
+    kept = await context.ledger.claim(admitted, admitted.key, upstream)
+    if kept is not None:
+        raise ReplayError(kept)
+    return True
+
+
+def _usable_after_claim(
+    context: RouterContext,
+    admitted: Admitted,
+    grant: HeldGrant,
+    claimed: bool,
+) -> Upstream:
+    try:
+        return _check_usable(context, admitted, grant.slot.upstream)
+    except GrantLostError:
+        if claimed:
+            _settle(context, admitted, KeptAnswer(Ran.not_run))
+        raise
+
+
+def _check_usable(
+    context: RouterContext,
+    admitted: Admitted,
+    name: UpstreamName,
+) -> Upstream:
+    """Return a granted upstream if new work may go there at this moment."""
+    view = context.fleet.view
+    if not context.fleet.lease.is_live():
+        raise GrantLostError('the configuration lease has run out')
+    if not view.may_dispatch(admitted.pool, name):
+        raise GrantLostError(f'{name} is leaving or gone')
+    return view.upstreams[name]
+
+
+def _note_lost_grant(progress: Progress, error: GrantLostError) -> None:
+    progress.lost_grants += 1
+    if progress.lost_grants <= _MOST_LOST_GRANTS:
+        return
+    kind = OutcomeUnknownError if progress.sent else NotRunError
+    raise kind(
+        _UNAVAILABLE,
+        'no-usable-grant',
+        str(error),
+        _RETRY_AFTER,
+    ) from error
+
+
+def _settle(
+    context: RouterContext,
+    admitted: Admitted,
+    answer: KeptAnswer,
+) -> None:
+    assert admitted.key is not None
+    context.ledger.settle(admitted, admitted.key, answer)
+
+
+def _note_failure(
+    context: RouterContext,
+    admitted: Admitted,
+    progress: Progress,
+    upstream: UpstreamName,
+    error: Exception,
+) -> None:
+    """Count a failure and raise the final error if there is no other try."""
+    progress.failures += 1
+    admitted.avoid.add(upstream)
+    logs.warning(
+        'attempt failed',
+        request=admitted.request,
+        account=admitted.account,
+        upstream=upstream,
+        reason=str(error),
+    )
+    out_of_tries = progress.failures >= context.settings.attempts
+    may_repeat = progress.repeatable or not progress.sent
+    if may_repeat and not out_of_tries and context.budget.try_spend():
+        return
+    if progress.sent:
+        raise OutcomeUnknownError(
+            _BAD_GATEWAY,
+            'upstream-broken',
+            f'upstream {upstream}: {error}',
+        ) from error
+    raise NotRunError(
+        _UNAVAILABLE,
+        'upstream-unreached',
+        f'upstream {upstream}: {error}',
+        _RETRY_AFTER,
+    ) from error
--- /dev/null
+++ b/packages/router/src/hitchdeck_router/dispatch/calls.py
@@ -0,0 +1,184 @@
+"""One HTTP call to one upstream, on tornado's own client connection.
+
+Tornado's ``AsyncHTTPClient`` can neither be cancelled nor say whether the
+connection was made before a failure; ``HTTP1Connection`` under it gives
+both, and back pressure besides: the next chunk is read only once the last
+one was taken.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+
+from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+)
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.tcpclient import TCPClient
+
+from hitchdeck_core.channels import split_address
+from hitchdeck_core.ids import Address
+from hitchdeck_router.errors import UpstreamBrokenError, UpstreamUnreachedError
+
+CONNECT_SECONDS = 2.0
+_LARGEST_ANSWER = 1024 * 1024 * 1024
+_CHUNK = 1024 * 10
+
+
+@dataclass(frozen=True, slots=True)
+class CallRequest:
+    """What to send; ``silence`` is the longest wait for a chunk, in seconds."""
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes = b''
+    silence: float = 60.0
+
+
+@dataclass(slots=True)
+class Head:
+    """The status and headers of an answer."""
+
+    status: int
+    headers: HTTPHeaders
+
+
+@dataclass(slots=True)
+class _End:
+    """The last thing in the queue; ``whole`` if the framing was complete."""
+
+    whole: bool
+
+
+@dataclass
+class _Receiver(HTTPMessageDelegate):
+    """Puts what the connection reads into a queue of one."""
+
+    queue: asyncio.Queue[Head | bytes | _End] = field(
+        default_factory=lambda: asyncio.Queue(1),
+    )
+    ended: bool = False
+
+    async def headers_received(
+        self,
+        start_line: RequestStartLine | ResponseStartLine,
+        headers: HTTPHeaders,
+    ) -> None:
+        """Pass the head on."""
+        assert isinstance(start_line, ResponseStartLine)
+        await self.queue.put(Head(start_line.code, headers))
+
+    async def data_received(self, chunk: bytes) -> None:
+        """Pass a chunk on, and hold the connection until it is taken."""
+        await self.queue.put(chunk)
+
+    def finish(self) -> None:
+        """Note a complete answer."""
+        self.ended = True
+
+    def on_connection_close(self) -> None:
+        """Note nothing: an answer that did not finish is broken."""
+
+
+class UpstreamCall:
+    """An open call; close it in the end, which cancels what still runs."""
+
+    def __init__(self, stream: IOStream, silence: float) -> None:
+        self.stream = stream
+        self.silence = silence
+        self.receiver = _Receiver()
+        self.reading: asyncio.Task[None] | None = None
+
+    async def start(self, address: Address, request: CallRequest) -> None:
+        """Send the request and begin to read."""
+        connection = HTTP1Connection(
+            self.stream,
+            is_client=True,
+            params=HTTP1ConnectionParameters(
+                no_keep_alive=True,
+                chunk_size=_CHUNK,
+                max_body_size=_LARGEST_ANSWER,
+            ),
+        )
+        headers = HTTPHeaders(request.headers)
+        headers['Host'] = address
+        headers['Connection'] = 'close'
+        if request.body:
+            headers['Content-Length'] = str(len(request.body))
+        start_line = RequestStartLine(request.method, request.path, 'HTTP/1.1')
+        connection.write_headers(start_line, headers, request.body or None)
+        connection.finish()
+        self.reading = asyncio.create_task(self._read(connection))
+
+    async def head(self) -> Head:
+        """Wait for the status and headers."""
+        received = await self._next()
+        if not isinstance(received, Head):
+            raise UpstreamBrokenError('connection closed before an answer')
+        return received
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yield the body; raise ``UpstreamBrokenError`` if it is cut short."""
+        while True:
+            received = await self._next()
+            if isinstance(received, bytes):
+                yield received
+                continue
+            if isinstance(received, _End) and received.whole:
+                return
+            raise UpstreamBrokenError('connection closed within the answer')
+
+    async def whole_body(self) -> bytes:
+        """Return the whole body."""
+        return b''.join([chunk async for chunk in self.chunks()])
+
+    def close(self) -> None:
+        """Close the connection; an engine takes this for a cancellation."""
+        if self.reading is not None:
+            self.reading.cancel()
+        self.stream.close()
+
+    async def _read(self, connection: HTTP1Connection) -> None:
+        try:
+            await connection.read_response(self.receiver)
+        except StreamClosedError:
+            await self.receiver.queue.put(_End(whole=False))
+            return
+        await self.receiver.queue.put(_End(whole=self.receiver.ended))
+
+    async def _next(self) -> Head | bytes | _End:
+        try:
+            async with asyncio.timeout(self.silence):
+                return await self.receiver.queue.get()
+        except TimeoutError as error:
+            raise UpstreamBrokenError(f'silent for {self.silence} s') from error
+
+
+async def open_call(address: Address, request: CallRequest) -> UpstreamCall:
+    """Connect and send a request.
+
+    Raises
+    ------
+    UpstreamUnreachedError
+        No connection was made, so no byte of the request was sent.
+    UpstreamBrokenError
+        The connection broke while the request was sent.
+    """
+    host, port = split_address(address)
+    try:
+        stream = await TCPClient().connect(host, port, timeout=CONNECT_SECONDS)
+    except (OSError, TimeoutError, StreamClosedError) as error:
+        raise UpstreamUnreachedError(f'{address}: {error}') from error
+    stream.set_nodelay(True)
+    call = UpstreamCall(stream, request.silence)
+    try:
+        await call.start(address, request)
+    except StreamClosedError as error:
+        call.close()
+        raise UpstreamBrokenError(f'{address}: {error}') from error
+    return call
--- /dev/null
+++ b/packages/router/src/hitchdeck_router/dispatch/chat.py
@@ -0,0 +1,274 @@
+"""Chat completions: one stream from the engine, resumed where it broke.
+
+The engine is always asked for a stream, whatever the caller wants: tokens
+show progress, cost and gaps as they come, and a stream that breaks can be
+taken up on another engine from the last token delivered.
+"""
+
+import json
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from hitchdeck_core.resources import Upstream
+from hitchdeck_router.context import RouterContext
+from hitchdeck_router.dispatch.attempts import Progress, run_attempts
+from hitchdeck_router.dispatch.calls import CallRequest, UpstreamCall, open_call
+from hitchdeck_router.dispatch.requests import Admitted
+from hitchdeck_router.dispatch.sse import DONE, EventReader, EventTooLongError
+from hitchdeck_router.errors import (
+    UpstreamBrokenError,
+    UpstreamRefusedError,
+)
+from hitchdeck_router.scheduling.costs import prompt_cost, run_cost
+from hitchdeck_router.scheduling.slots import HeldGrant
+
+REQUEST_ID_HEADER = 'X-Request-Id'
+
+_PATH = '/v1/chat/completions'
+_OK = 200
+_TOO_MANY = 429
+_SERVER_ERRORS = 500
+_MILLISECONDS = 1000
+
+Deliver = Callable[[dict[str, Any]], Awaitable[None]]
+"""Takes each chunk for the caller; waits while the caller is slow."""
+
+
+@dataclass(slots=True)
+class ChatAnswer:
+    """What has been generated so far, over all attempts."""
+
+    request_id: str
+    model: str
+    text: list[str] = field(default_factory=list)
+    output_tokens: int = 0
+    prompt_tokens: int = 0
+    finish_reason: str = ''
+    created: int = field(default_factory=lambda: int(time.time()))
+
+    def usage(self) -> dict[str, int]:
+        """Return the usage object of the API."""
+        return {
+            'prompt_tokens': self.prompt_tokens,
+            'completion_tokens': self.output_tokens,
+            'total_tokens': self.prompt_tokens + self.output_tokens,
+        }
+
+    def whole(self) -> dict[str, Any]:
+        """Return the answer for a caller that wants no stream."""
+        message = {'role': 'assistant', 'content': ''.join(self.text)}
+        return {
+            'id': self.completion_id,
+            'object': 'chat.completion',
+            'created': self.created,
+            'model': self.model,
+            'choices': [
+                {
+                    'index': 0,
+                    'message': message,
+                    'finish_reason': self.finish_reason,
+                },
+            ],
+            'usage': self.usage(),
+        }
+
+    @property
+    def completion_id(self) -> str:
+        """Id of the answer; the same in every chunk, whoever generated it."""
+        return f'chatcmpl-{self.request_id}'
+
+
+@dataclass(slots=True)
+class _Attempt:
+    """One engine's part of an answer."""
+
+    started_at: float
+    last_token_at: float | None = None
+    output_tokens: int = 0
+    engine_id: str = ''
+    finished: bool = False
+
+
+async def run_chat(
+    context: RouterContext,
+    admitted: Admitted,
+    body: dict[str, Any],
+    deliver: Deliver,
+) -> ChatAnswer:
+    """Run a chat request to its end.
+
+    Raises
+    ------
+    RouterError
+        With what is known of the run.
+    UpstreamRefusedError
+        The engine's own refusal, for the caller to see.
+    """
+    answer = ChatAnswer(admitted.request, str(body['model']))
+    progress = Progress(repeatable=admitted.key is None)
+
+    async def run_once(grant: HeldGrant, upstream: Upstream) -> None:
+        request = _engine_request(admitted, body, answer)
+        call = await open_call(upstream.address, request)
+        try:
+            await _check_head(call, admitted)
+            await _read_stream(context, admitted, answer, grant, call, deliver)
+        finally:
+            call.close()
+
+    await run_attempts(context, admitted, progress, run_once)
+    return answer
+
+
+def _engine_request(
+    admitted: Admitted,
+    body: dict[str, Any],
+    answer: ChatAnswer,
+) -> CallRequest:
+    engine_body = {
+        **body,
+        'stream': True,
+        'stream_options': {'include_usage': True},
+        'priority': int(admitted.urgency),
+    }
+    if answer.text:
+        _continue_from(engine_body, answer)
+    return CallRequest(
+        method='POST',
+        path=_PATH,
+        headers={
+            'Content-Type': 'application/json',
+            REQUEST_ID_HEADER: admitted.request,
+        },
+        body=json.dumps(engine_body).encode(),
+    )
+
+
+def _continue_from(engine_body: dict[str, Any], answer: ChatAnswer) -> None:
+    """Ask for the rest of an answer, by the parameters that vLLM documents."""
+    so_far = {'role': 'assistant', 'content': ''.join(answer.text)}
+    engine_body['messages'] = [*engine_body['messages'], so_far]
+    engine_body['continue_final_message'] = True
+    engine_body['add_generation_prompt'] = False
+    for limit in ('max_tokens', 'max_completion_tokens'):
+        if engine_body.get(limit):
+            engine_body[limit] = max(1, engine_body[limit] - answer.output_tokens)
+
+
+async def _check_head(call: UpstreamCall, admitted: Admitted) -> None:
+    head = await call.head()
+    echoed = head.headers.get(REQUEST_ID_HEADER, admitted.request)
+    if echoed != admitted.request:
+        raise UpstreamBrokenError(f'answer to {echoed}, not {admitted.request}')
+    if head.status == _OK:
+        return
+    if head.status >= _SERVER_ERRORS or head.status == _TOO_MANY:
+        raise UpstreamBrokenError(f'status {head.status}')
+    raise UpstreamRefusedError(head.status, await call.whole_body())
+
+
+async def _read_stream(
+    context: RouterContext,
+    admitted: Admitted,
+    answer: ChatAnswer,
+    grant: HeldGrant,
+    call: UpstreamCall,
+    deliver: Deliver,
+) -> None:
+    attempt = _Attempt(context.fleet.now())
+    reader = EventReader()
+    # The prompt was computed even if no token ever comes.
+    grant.spend(prompt_cost(len(admitted.body)))
+    async for piece in call.chunks():
+        for event in _events(reader, piece):
+            if event == DONE:
+                _check_finished(attempt)
+                return
+            chunk = _parse_chunk(event, attempt)
+            _account(context, admitted, answer, attempt, grant, chunk)
+            await _deliver_chunk(answer, chunk, deliver)
+    raise UpstreamBrokenError('stream ended without its terminator')
+
+
+def _events(reader: EventReader, piece: bytes) -> list[bytes]:
+    try:
+        return list(reader.feed(piece))
+    except EventTooLongError as error:
+        raise UpstreamBrokenError(str(error)) from error
+
+
+def _check_finished(attempt: _Attempt) -> None:
+    """Refuse a terminator that came before the end of the answer."""
+    if not attempt.finished:
+        raise UpstreamBrokenError('terminator without a finish reason')
+
+
+def _parse_chunk(event: bytes, attempt: _Attempt) -> dict[str, Any]:
+    try:
+        chunk = json.loads(event)
+        engine_id = chunk['id']
+    except (ValueError, KeyError, TypeError) as error:
+        raise UpstreamBrokenError(f'chunk is not a chunk: {error}') from error
+    if attempt.engine_id and engine_id != attempt.engine_id:
+        raise UpstreamBrokenError(f'chunk of {engine_id} in {attempt.engine_id}')
+    attempt.engine_id = engine_id
+    return chunk  # type: ignore[no-any-return]
+
+
+def _account(
+    context: RouterContext,
+    admitted: Admitted,
+    answer: ChatAnswer,
+    attempt: _Attempt,
+    grant: HeldGrant,
+    chunk: dict[str, Any],
+) -> None:
+    choice = (chunk.get('choices') or [{}])[0]
+    if choice.get('finish_reason'):
+        attempt.finished = True
+        answer.finish_reason = choice['finish_reason']
+    usage = chunk.get('usage')
+    if usage:
+        answer.prompt_tokens = answer.prompt_tokens or usage['prompt_tokens']
+        grant.spend(run_cost(usage['prompt_tokens'], attempt.output_tokens))
+    text = (choice.get('delta') or {}).get('content')
+    if not text:
+        return
+    answer.text.append(text)
+    answer.output_tokens += 1
+    attempt.output_tokens += 1
+    grant.spend(run_cost(prompt_cost(len(admitted.body)), attempt.output_tokens))
+    _note_timing(context, admitted, answer, attempt, grant)
+
+
+def _note_timing(
+    context: RouterContext,
+    admitted: Admitted,
+    answer: ChatAnswer,
+    attempt: _Attempt,
+    grant: HeldGrant,
+) -> None:
+    now = context.fleet.now()
+    labels = (admitted.account, admitted.class_name)
+    if attempt.last_token_at is not None:
+        gap = now - attempt.last_token_at
+        grant.note_gap(gap)
+        context.histograms.record('token_gap_ms', labels, gap * _MILLISECONDS)
+    elif answer.output_tokens == 1:
+        first = now - admitted.admitted_at
+        context.histograms.record('first_token_ms', labels, first * _MILLISECONDS)
+    attempt.last_token_at = now
+
+
+async def _deliver_chunk(
+    answer: ChatAnswer,
+    chunk: dict[str, Any],
+    deliver: Deliver,
+) -> None:
+    if not chunk.get('choices'):
+        return
+    chunk.pop('usage', None)
+    chunk['id'] = answer.completion_id
+    await deliver(chunk)
--- /dev/null
+++ b/packages/router/src/hitchdeck_router/dispatch/requests.py
@@ -0,0 +1,89 @@
+"""A caller's request after its checks, on its way to an upstream."""
+
+import hashlib
+import json
+from dataclasses import dataclass, field
+from typing import Any
+
+from hitchdeck_core.hashing import stable_hash
+from hitchdeck_core.ids import AccountName, PoolName, RequestId
+from hitchdeck_core.resources import Urgency
+from hitchdeck_core.wire.hitchdeck_pb2 import Ticket
+
+_MOST_PREFIX_BLOCKS = 8
+
+
+@dataclass(frozen=True, slots=True)
+class Key:
+    """An idempotency key; ``issued`` in Unix seconds."""
+
+    text: str
+    issued: float
+    digest: str
+
+
+@dataclass(slots=True)
+class Admitted:
+    """A request that may be scheduled.
+
+    Attributes
+    ----------
+    deadline
+        Seconds from admission, 0 for none.
+    prefix
+        Hashes of growing prefixes of the prompt, the shortest first.
+    """
+
+    request: RequestId
+    account: AccountName
+    pool: PoolName
+    urgency: Urgency
+    deadline: float
+    hint: float
+    body: bytes
+    session: str = ''
+    prefix: tuple[int, ...] = ()
+    key: Key | None = None
+    admitted_at: float = 0.0
+    avoid: set[str] = field(default_factory=set)
+
+    @property
+    def class_name(self) -> str:
+        """Name of the class that histograms are kept for."""
+        return self.urgency.name
+
+    def ticket(self, now: float, attempt: int) -> Ticket:
+        """Return the ticket for the scheduler.
+
+        Each attempt has an id of its own, so that a late grant or report of
+        an earlier one can't be taken for this one's.
+        """
+        left = 0
+        if self.deadline:
+            left = max(1, int((self.admitted_at + self.deadline - now) * 1000))
+        return Ticket(
+            id=f'{self.request}.{attempt}',
+            account=self.account,
+            urgency=self.urgency,
+            deadline_ms=left,
+            cost_hint=self.hint,
+            session=self.session,
+            prefix=self.prefix,
+            avoid=sorted(self.avoid),
+        )
+
+
+def body_digest(path: str, body: bytes) -> str:
+    """Return what must be equal when the same key comes again."""
+    return hashlib.sha256(path.encode() + b'\0' + body).hexdigest()
+
+
+def prefix_blocks(model: str, messages: list[dict[str, Any]]) -> tuple[int, ...]:
+    """Return a hash for each growing prefix of a conversation."""
+    blocks = []
+    running = model
+    for message in messages[:_MOST_PREFIX_BLOCKS]:
+        text = json.dumps(message, sort_keys=True)
+        running = str(stable_hash(running, text))
+        blocks.append(int(running))
+    return tuple(blocks)
--- /dev/null
+++ b/packages/router/src/hitchdeck_router/dispatch/services.py
@@ -0,0 +1,102 @@
+"""Calls to plain services, passed through byte for byte."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+from tornado.httputil import HTTPHeaders
+
+from hitchdeck_core.resources import Upstream
+from hitchdeck_router.context import RouterContext
+from hitchdeck_router.dispatch.attempts import Progress, run_attempts
+from hitchdeck_router.dispatch.calls import (
+    CallRequest,
+    Head,
+    UpstreamCall,
+    open_call,
+)
+from hitchdeck_router.dispatch.chat import REQUEST_ID_HEADER
+from hitchdeck_router.dispatch.requests import Admitted
+from hitchdeck_router.errors import UpstreamBrokenError, UpstreamError
+from hitchdeck_router.scheduling.costs import SERVICE_CALL
+from hitchdeck_router.scheduling.slots import HeldGrant
+
+
+@dataclass(slots=True)
+class ServiceRequest:
+    """What goes to the service: method, path with query, headers."""
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    repeatable: bool
+
+
+@dataclass(slots=True)
+class ServiceAnswer:
+    """The service's answer; the body only as far as it is kept."""
+
+    status: int = 0
+    headers: HTTPHeaders = field(default_factory=HTTPHeaders)
+    body: bytearray = field(default_factory=bytearray)
+
+
+DeliverHead = Callable[[Head], Awaitable[None]]
+DeliverBytes = Callable[[bytes], Awaitable[None]]
+
+
+class AnswerCutError(UpstreamError):
+    """Raised when an answer broke after part of it was passed on."""
+
+
+async def run_service(
+    context: RouterContext,
+    admitted: Admitted,
+    request: ServiceRequest,
+    deliver_head: DeliverHead,
+    deliver_bytes: DeliverBytes,
+) -> None:
+    """Run a service call to its end.
+
+    Raises
+    ------
+    RouterError
+        With what is known of the run; nothing was delivered.
+    AnswerCutError
+        The answer broke off after its head had been delivered.
+    """
+    progress = Progress(repeatable=request.repeatable and admitted.key is None)
+
+    async def run_once(grant: HeldGrant, upstream: Upstream) -> None:
+        grant.spend(SERVICE_CALL)
+        call = await open_call(
+            upstream.address,
+            CallRequest(
+                request.method,
+                request.path,
+                {**request.headers, REQUEST_ID_HEADER: admitted.request},
+                admitted.body,
+            ),
+        )
+        try:
+            head = await call.head()
+            _check_own(head, admitted)
+            await deliver_head(head)
+            await _pass_body(call, deliver_bytes)
+        finally:
+            call.close()
+
+    await run_attempts(context, admitted, progress, run_once)
+
+
+async def _pass_body(call: UpstreamCall, deliver_bytes: DeliverBytes) -> None:
+    try:
+        async for chunk in call.chunks():
+            await deliver_bytes(chunk)
+    except UpstreamBrokenError as error:
+        raise AnswerCutError(str(error)) from error
+
+
+def _check_own(head: Head, admitted: Admitted) -> None:
+    echoed = head.headers.get(REQUEST_ID_HEADER, admitted.request)
+    if echoed != admitted.request:
+        raise UpstreamBrokenError(f'answer to {echoed}, not {admitted.request}')
--- /dev/null
+++ b/packages/router/src/hitchdeck_router/dispatch/sse.py
@@ -0,0 +1,32 @@
+"""Server-sent events, as far as OpenAI-compatible engines use them."""
+
+from collections.abc import Iterator
+
+DONE = b'[DONE]'
+_DATA_FIELD = b'data:'
+_LONGEST_EVENT = 1024 * 1024
+
+
+class EventTooLongError(Exception):
+    """Raised when an event exceeds what any engine sends."""
+
+
+class EventReader:
+    """Cuts a byte stream into the data of its events."""
+
+    def __init__(self) -> None:
+        self.rest = b''
+
+    def feed(self, chunk: bytes) -> Iterator[bytes]:
+        """Yield the data of each event that the chunk completes."""
+        *lines, self.rest = (self.rest + chunk).split(b'\n')
+        if len(self.rest) > _LONGEST_EVENT:
+            raise EventTooLongError(f'event over {_LONGEST_EVENT} bytes')
+        for line in lines:
+            if line.startswith(_DATA_FIELD):
+                yield line[len(_DATA_FIELD) :].strip()
+
+
+def event(data: bytes) -> bytes:
+    """Return one event."""
+    return b'data: ' + data + b'\n\n'
--- /dev/null
+++ b/packages/router/src/hitchdeck_router/fleet/link.py
@@ -0,0 +1,171 @@
+"""The router's stream to the control group's leader."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from grpclib.client import Stream
+
+from hitchdeck_core import logs
+from hitchdeck_core.channels import TRANSPORT_ERRORS, open_channel
+from hitchdeck_core.clock import Clock
+from hitchdeck_core.errors import LinkError
+from hitchdeck_core.ids import Address
+from hitchdeck_core.signals import Signal
+from hitchdeck_core.wire.hitchdeck_grpc import ControlStub
+from hitchdeck_core.wire.hitchdeck_pb2 import (
+    ControlFrame,
+    RouterBeat,
+    RouterHello,
+    UsageSum,
+)
+from hitchdeck_router.fleet.directory import FleetDirectory
+from hitchdeck_router.fleet.lease import ConfigurationLease
+from hitchdeck_router.fleet.traffic import Traffic
+from hitchdeck_router.fleet.view import FleetView
+
+_BEAT_PERIOD = 1.0
+_RETRY_PAUSE = 0.1
+_SILENCE = 2.5
+"""Seconds without a frame after which the leader is taken for lost."""
+
+_LINK = 'control'
+
+WatchStream = Stream[RouterBeat, ControlFrame]
+
+
+@dataclass(slots=True)
+class Fleet:
+    """All that a router knows of the fleet."""
+
+    view: FleetView
+    lease: ConfigurationLease
+    directory: FleetDirectory
+    traffic: Traffic
+    now: Clock
+
+
+@dataclass(frozen=True, slots=True)
+class UsageExchange:
+    """How sums of cost reach and leave this router.
+
+    ``grown`` returns what has grown since it was last asked; ``tell_all``
+    makes it start over; ``take`` gets other shards' sums and their term.
+    """
+
+    grown: Callable[[], list[UsageSum]]
+    tell_all: Callable[[], None]
+    take: Callable[[list[UsageSum], int], None]
+
+
+class ControlLink:
+    """Keeps a stream to whichever control box leads."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        hello: RouterHello,
+        addresses: tuple[Address, ...],
+        fleet_token: str,
+        usage: UsageExchange,
+    ) -> None:
+        self.fleet = fleet
+        self.hello = hello
+        self.addresses = addresses
+        self.fleet_token = fleet_token
+        self.usage = usage
+        self.position = 0
+        self.leader = Address('')
+        self.leaving = False
+        self.beat_now = Signal()
+
+    async def run(self) -> None:
+        """Stay connected to the leader; for ever."""
+        while True:
+            address = self.leader or self._next_address()
+            self.leader = Address('')
+            try:
+                await self._attend(address)
+            except LinkError as error:
+                logs.info('control link lost', address=address, reason=str(error))
+            if not self.leader:
+                await asyncio.sleep(_RETRY_PAUSE)
+
+    def announce_leaving(self) -> None:
+        """Tell the leader at once that this router is to stop."""
+        self.leaving = True
+        self.beat_now.notify()
+
+    def is_leaving(self) -> bool:
+        """Tell whether this router stops or a rule takes it out of service."""
+        if self.leaving:
+            return True
+        return self.fleet.view.box_is_leaving(self.hello.router, self.hello.domain)
+
+    def _next_address(self) -> Address:
+        self.position += 1
+        return self.addresses[self.position % len(self.addresses)]
+
+    async def _attend(self, address: Address) -> None:
+        channel = open_channel(address, self.fleet_token)
+        try:
+            async with ControlStub(channel).Watch.open() as stream:
+                await self._converse(stream)
+        except TRANSPORT_ERRORS as error:
+            raise LinkError(f'{type(error).__name__}: {error}') from error
+        finally:
+            channel.close()
+
+    async def _converse(self, stream: WatchStream) -> None:
+        # What was told to another leader may have died with it.
+        self.usage.tell_all()
+        await self._beat(stream, self.hello)
+        beating = asyncio.create_task(self._beat_for_ever(stream))
+        try:
+            while True:
+                async with asyncio.timeout(_SILENCE):
+                    frame = await stream.recv_message()
+                if frame is None or frame.leader_address:
+                    self.leader = Address(frame.leader_address if frame else '')
+                    return
+                self._take(frame)
+                if frame.HasField('delta'):
+                    self.beat_now.notify()
+        finally:
+            beating.cancel()
+
+    async def _beat_for_ever(self, stream: WatchStream) -> None:
+        while True:
+            await self.beat_now.wait(_BEAT_PERIOD)
+            await self._beat(stream)
+
+    async def _beat(
+        self,
+        stream: WatchStream,
+        hello: RouterHello | None = None,
+    ) -> None:
+        self.hello.version = self.fleet.view.version
+        beat = RouterBeat(
+            sequence=self.fleet.lease.next_beat(),
+            version=self.fleet.view.version,
+            leaving=self.is_leaving(),
+            usage=self.usage.grown(),
+            hello=hello,
+        )
+        self.fleet.traffic.count(_LINK, beat)
+        await stream.send_message(beat)
+
+    def _take(self, frame: ControlFrame) -> None:
+        self.fleet.traffic.count(_LINK, frame)
+        if frame.HasField('delta') and not self.fleet.view.apply(frame.delta):
+            raise LinkError(
+                f'delta {frame.delta.from_version}..{frame.delta.version} does '
+                f'not follow version {self.fleet.view.version}',
+            )
+        if frame.HasField('directory'):
+            self.fleet.directory.update(frame.directory)
+        if frame.usage:
+            self.usage.take(list(frame.usage), int(frame.term))
+        lease = frame.lease
+        if frame.HasField('lease') and self.fleet.view.version >= lease.version:
+            self.fleet.lease.granted(int(lease.sequence), lease.duration_ms / 1000)
--- /dev/null
+++ b/packages/router/src/hitchdeck_router/process.py
@@ -0,0 +1,155 @@
+"""Puts a router together, runs it, and stops it without cutting anything."""
+
+import asyncio
+import secrets
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from grpclib.server import Server
+from tornado.httpserver import HTTPServer
+
+from hitchdeck_core import logs
+from hitchdeck_core.channels import fleet_only, serve
+from hitchdeck_core.clock import boot_seconds
+from hitchdeck_core.control_client import ControlClient
+from hitchdeck_core.histograms import Histograms
+from hitchdeck_core.ids import Incarnation
+from hitchdeck_core.settings import Settings
+from hitchdeck_core.supervisor import Supervisor
+from hitchdeck_core.wire.hitchdeck_pb2 import RouterHello
+from hitchdeck_router.context import RouterContext
+from hitchdeck_router.dispatch.ledger import Ledger
+from hitchdeck_router.fleet.directory import FleetDirectory
+from hitchdeck_router.fleet.lease import ConfigurationLease
+from hitchdeck_router.fleet.link import ControlLink, Fleet, UsageExchange
+from hitchdeck_router.fleet.traffic import Traffic
+from hitchdeck_router.fleet.view import FleetView
+from hitchdeck_router.scheduling.host import SchedulerHost
+from hitchdeck_router.scheduling.service import SchedulerService
+from hitchdeck_router.scheduling.slots import SlotFinder
+from hitchdeck_router.serving.app import start_http
+
+_INCARNATION_BYTES = 8
+_STOP_POLL = 0.05
+_HANDOVER_SECONDS = 5.0
+
+
+@dataclass(slots=True)
+class RouterProcess:
+    """A running router."""
+
+    context: RouterContext
+    link: ControlLink
+    wire: Server
+    http: HTTPServer
+    supervisor: Supervisor
+
+    async def drain(self) -> None:
+        """Serve on until nobody can be harmed by this router's absence.
+
+        First the fleet is told, so that the address is handed out no more
+        and schedulers move; then every answer that names this router ages
+        out; then the last stream ends, or the grace does.
+        """
+        settings = self.context.settings
+        self.context.leaving = True
+        self.link.announce_leaving()
+        logs.info('leaving', active=self.context.active)
+        handover = _wait_until(lambda: not self.context.host.shards)
+        await _within(handover, _HANDOVER_SECONDS)
+        await asyncio.sleep(settings.address_ttl)
+        idle = _wait_until(lambda: not self.context.active)
+        await _within(idle, settings.stop_grace)
+
+    async def stop(self) -> None:
+        """Stop serving and end every task."""
+        self.http.stop()
+        await self.http.close_all_connections()
+        self.wire.close()
+        await self.supervisor.stop()
+        self.context.ledger.client.close()
+
+
+async def start_router(settings: Settings) -> RouterProcess:
+    """Start the router role of a process."""
+    section = settings.router
+    assert section is not None, 'settings are checked before'
+    supervisor = Supervisor('router')
+    context = _make_context(settings, supervisor)
+    link = _make_link(settings, context)
+    wire = await serve(
+        [SchedulerService(context.host)],
+        section.wire_listen,
+        fleet_only(settings.fleet_token),
+    )
+    http = start_http(context)
+    supervisor.permanent('control-link', link.run)
+    supervisor.permanent('schedulers', context.host.maintain)
+    logs.info('router listens', address=section.listen, wire=section.wire_listen)
+    return RouterProcess(context, link, wire, http, supervisor)
+
+
+def _make_context(settings: Settings, supervisor: Supervisor) -> RouterContext:
+    section = settings.router
+    assert section is not None, 'settings are checked before'
+    incarnation = Incarnation(secrets.token_hex(_INCARNATION_BYTES))
+    fleet = Fleet(
+        view=FleetView(),
+        lease=ConfigurationLease(boot_seconds),
+        directory=FleetDirectory(),
+        traffic=Traffic(),
+        now=boot_seconds,
+    )
+    client = ControlClient(section.control, settings.fleet_token)
+    return RouterContext(
+        box=settings.box,
+        domain=settings.domain,
+        incarnation=incarnation,
+        settings=section,
+        fleet=fleet,
+        finder=SlotFinder(
+            fleet,
+            settings.box,
+            incarnation,
+            settings.fleet_token,
+            supervisor,
+        ),
+        host=SchedulerHost(fleet, incarnation),
+        ledger=Ledger(client, settings.box, incarnation, supervisor),
+        histograms=Histograms(boot_seconds),
+        supervisor=supervisor,
+    )
+
+
+def _make_link(settings: Settings, context: RouterContext) -> ControlLink:
+    section = context.settings
+
+    return ControlLink(
+        context.fleet,
+        RouterHello(
+            router=settings.box,
+            incarnation=context.incarnation,
+            domain=settings.domain,
+            http_address=section.listen,
+            wire_address=section.wire_listen,
+        ),
+        section.control,
+        settings.fleet_token,
+        UsageExchange(
+            grown=context.finder.usage_to_tell,
+            tell_all=context.finder.forget_told,
+            take=context.host.take_usage_elsewhere,
+        ),
+    )
+
+
+async def _wait_until(condition: Callable[[], bool]) -> None:
+    while not condition():
+        await asyncio.sleep(_STOP_POLL)
+
+
+async def _within(work: Awaitable[None], seconds: float) -> None:
+    try:
+        await asyncio.wait_for(work, seconds)
+    except TimeoutError:
+        logs.warning('stop does not wait longer', seconds=seconds)
--- /dev/null
+++ b/packages/router/src/hitchdeck_router/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Sharing capacity: the scheduler of a shard, and its clients."""
--- /dev/null
+++ b/packages/router/src/hitchdeck_router/scheduling/costs.py
@@ -0,0 +1,37 @@
+"""What a request costs, in cost units.
+
+One unit is one prompt token; a generated token takes an engine about twice
+as long (Sheng et al., "Fairness in Serving Large Language Models", OSDI
+2024, use the same weights).  A call to a plain service is a fixed cost.
+"""
+
+PROMPT_TOKEN = 1.0
+OUTPUT_TOKEN = 2.0
+SERVICE_CALL = 100.0
+
+_CHARACTERS_PER_TOKEN = 4
+_TYPICAL_OUTPUT = 128
+
+
+def prompt_cost(characters: int) -> float:
+    """Return the rough cost of a prompt from its length in characters."""
+    return max(1, characters // _CHARACTERS_PER_TOKEN) * PROMPT_TOKEN
+
+
+def cost_hint(characters: int, most_output: int | None) -> float:
+    """Return a rough cost before the run.
+
+    Parameters
+    ----------
+    characters
+        Length of the prompt.
+    most_output
+        The caller's limit on generated tokens, if it set one.
+    """
+    output = min(most_output or _TYPICAL_OUTPUT, _TYPICAL_OUTPUT)
+    return prompt_cost(characters) + output * OUTPUT_TOKEN
+
+
+def run_cost(prompt_tokens: float, output_tokens: int) -> float:
+    """Return the cost of what ran."""
+    return prompt_tokens * PROMPT_TOKEN + output_tokens * OUTPUT_TOKEN
--- /dev/null
+++ b/packages/router/src/hitchdeck_router/scheduling/host.py
@@ -0,0 +1,291 @@
+"""The shards that this router schedules: taking duties up and laying them down."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from hitchdeck_core import logs
+from hitchdeck_core.channels import Outbox
+from hitchdeck_core.errors import LinkError
+from hitchdeck_core.hashing import ranked
+from hitchdeck_core.ids import (
+    AccountName,
+    Incarnation,
+    RequestId,
+    ShardId,
+    UpstreamName,
+    pool_of,
+)
+from hitchdeck_core.resources import Pool, Upstream
+from hitchdeck_core.wire.hitchdeck_pb2 import (
+    Grant,
+    Refusal,
+    SchedulerFrame,
+    ShardEntry,
+    UsageSum,
+)
+from hitchdeck_router.fleet.link import Fleet
+from hitchdeck_router.scheduling.shard import ShardPolicy, ShardScheduler
+
+REBUILD_SECONDS = 0.5
+"""How long a new scheduler listens before it grants: routers re-send what
+they hold within a directory push and a connection."""
+
+SLOT_LEASE = 3.0
+"""Seconds after its last word for which a router's slots count as held."""
+
+_MAINTENANCE_PERIOD = 0.1
+_ADVERTISE_PERIOD = 1.0
+
+QUEUE_FULL = 'queue-full'
+DEADLINE_PASSED = 'deadline-passed'
+
+
+@dataclass(slots=True)
+class Attendant:
+    """A router life that attends a shard; seconds on this box's clock."""
+
+    incarnation: Incarnation
+    heard_at: float
+    outbox: Outbox[SchedulerFrame] | None = None
+    sums: dict[AccountName, float] = field(default_factory=dict)
+    baseline_taken: bool = False
+
+
+@dataclass(slots=True)
+class HostedShard:
+    """A shard under one epoch of this router's duty."""
+
+    shard: ShardId
+    epoch: int
+    granting_from: float
+    scheduler: ShardScheduler
+    attendants: dict[Incarnation, Attendant] = field(default_factory=dict)
+    advertised: tuple[bool, bool] | None = None
+    advertised_at: float = 0.0
+    elsewhere: dict[AccountName, float] = field(default_factory=dict)
+    elsewhere_term: int = 0
+    measured_at: float = 0.0
+
+
+class SchedulerHost:
+    """All shards hosted by one router."""
+
+    def __init__(self, fleet: Fleet, incarnation: Incarnation) -> None:
+        self.fleet = fleet
+        self.incarnation = incarnation
+        self.shards: dict[ShardId, HostedShard] = {}
+        self.known_version = -1
+
+    async def maintain(self) -> None:
+        """Follow the directory, lapse the dead, grant; for ever."""
+        while True:
+            await self.fleet.directory.changed.wait(_MAINTENANCE_PERIOD)
+            self.follow_directory()
+            self.follow_configuration()
+            for hosted in list(self.shards.values()):
+                self._lapse_silent(hosted)
+                self._refuse_expired(hosted)
+                self.pump(hosted)
+
+    def follow_directory(self) -> None:
+        """Start and stop shards as the leader assigns them."""
+        mine = {
+            shard: entry
+            for shard, entry in self.fleet.directory.shards.items()
+            if entry.incarnation == self.incarnation
+        }
+        for shard, hosted in list(self.shards.items()):
+            entry = mine.get(shard)
+            if entry is None or entry.epoch != hosted.epoch:
+                self._lay_down(hosted)
+        for shard, entry in mine.items():
+            if shard not in self.shards and pool_of(shard) in self.fleet.view.pools:
+                self._take_up(shard, entry)
+
+    def follow_configuration(self) -> None:
+        """Take up upstreams, slots and limits of a new version."""
+        if self.known_version == self.fleet.view.version:
+            return
+        self.known_version = self.fleet.view.version
+        for hosted in list(self.shards.values()):
+            pool = self.fleet.view.pools.get(pool_of(hosted.shard))
+            if pool is None:
+                self._lay_down(hosted)
+                continue
+            hosted.scheduler.policy = self._policy(pool)
+            hosted.scheduler.set_upstreams(self._slots_of(hosted.shard, pool))
+
+    def pump(self, hosted: HostedShard) -> None:
+        """Grant whatever can be granted, and tell routers how things stand.
+
+        Nothing is granted without a live configuration lease: this router
+        may have been cut off, and another may hold the duty by now.
+        """
+        now = self.fleet.now()
+        if now >= hosted.granting_from and self.fleet.lease.is_live():
+            for placed in hosted.scheduler.grants(now):
+                attendant = hosted.attendants.get(
+                    Incarnation(placed.ticket.attendant),
+                )
+                grant = Grant(id=placed.ticket.id, upstream=placed.upstream)
+                self._tell(hosted, attendant, SchedulerFrame(grants=[grant]))
+        self._measure(hosted, now)
+        self._advertise(hosted, now)
+
+    def refuse(
+        self,
+        hosted: HostedShard,
+        attendant: Attendant | None,
+        request: RequestId,
+        reason: str,
+        retry_after: float,
+    ) -> None:
+        """Tell a router that a ticket gets no slot."""
+        refusal = Refusal(
+            id=request,
+            reason=reason,
+            retry_after_ms=int(retry_after * 1000),
+        )
+        self._tell(hosted, attendant, SchedulerFrame(refusals=[refusal]))
+
+    def take_usage_elsewhere(self, sums: Iterable[UsageSum], term: int) -> None:
+        """Count what other shards have served, as the leader sums it up.
+
+        A new leader's sums lack what routers told only the old one, so its
+        first word per account sets where growth is measured from.
+        """
+        for one in sums:
+            hosted = self.shards.get(ShardId(one.shard))
+            if hosted is None:
+                continue
+            if hosted.elsewhere_term != term:
+                hosted.elsewhere_term = term
+                hosted.elsewhere.clear()
+            account = AccountName(one.account)
+            known = hosted.elsewhere.get(account)
+            hosted.elsewhere[account] = one.cost
+            if known is not None and one.cost > known:
+                hosted.scheduler.fair.serve(account, one.cost - known)
+
+    def take_sums(
+        self,
+        hosted: HostedShard,
+        attendant: Attendant,
+        sums: Iterable[UsageSum],
+    ) -> None:
+        """Count the growth of a router's sums; its first word is the base."""
+        for one in sums:
+            account = AccountName(one.account)
+            growth = one.cost - attendant.sums.get(account, 0.0)
+            attendant.sums[account] = max(
+                one.cost,
+                attendant.sums.get(account, 0.0),
+            )
+            if attendant.baseline_taken and growth > 0:
+                hosted.scheduler.fair.serve(account, growth)
+        attendant.baseline_taken = True
+
+    def _take_up(self, shard: ShardId, entry: ShardEntry) -> None:
+        pool = self.fleet.view.pools[pool_of(shard)]
+        scheduler = ShardScheduler(self._policy(pool))
+        scheduler.set_upstreams(self._slots_of(shard, pool))
+        now = self.fleet.now()
+        self.shards[shard] = HostedShard(
+            shard=shard,
+            epoch=int(entry.epoch),
+            granting_from=now + REBUILD_SECONDS,
+            scheduler=scheduler,
+            measured_at=now,
+        )
+        logs.info('schedules', shard=shard, epoch=entry.epoch)
+
+    def _lay_down(self, hosted: HostedShard) -> None:
+        self.shards.pop(hosted.shard)
+        frame = SchedulerFrame(not_owner=True, epoch=hosted.epoch)
+        for attendant in hosted.attendants.values():
+            self._tell(hosted, attendant, frame)
+        logs.info('schedules no more', shard=hosted.shard, epoch=hosted.epoch)
+
+    def _policy(self, pool: Pool) -> ShardPolicy:
+        accounts = self.fleet.view.accounts
+
+        def weight_of(account: AccountName) -> float:
+            known = accounts.get(account)
+            return known.weight if known else 1.0
+
+        return ShardPolicy(pool.queue_limit, pool.urgent_overcommit, weight_of)
+
+    def _slots_of(self, shard: ShardId, pool: Pool) -> dict[UpstreamName, int]:
+        in_service = self.fleet.view.in_service(pool_of(shard))
+        return {
+            UpstreamName(one.name): one.slots
+            for one in in_service
+            if belongs_to(one, shard, pool)
+        }
+
+    def _lapse_silent(self, hosted: HostedShard) -> None:
+        now = self.fleet.now()
+        for incarnation, attendant in list(hosted.attendants.items()):
+            if now - attendant.heard_at > SLOT_LEASE:
+                hosted.attendants.pop(incarnation)
+                hosted.scheduler.drop_attendant(incarnation, now)
+                logs.warning(
+                    'slots of a silent router lapse',
+                    shard=hosted.shard,
+                    incarnation=incarnation,
+                )
+
+    def _refuse_expired(self, hosted: HostedShard) -> None:
+        for ticket in hosted.scheduler.expired(self.fleet.now()):
+            attendant = hosted.attendants.get(Incarnation(ticket.attendant))
+            self.refuse(hosted, attendant, ticket.id, DEADLINE_PASSED, 0)
+
+    def _tell(
+        self,
+        hosted: HostedShard,
+        attendant: Attendant | None,
+        frame: SchedulerFrame,
+    ) -> None:
+        if attendant is None or attendant.outbox is None:
+            return
+        try:
+            attendant.outbox.put(frame)
+        except LinkError as error:
+            attendant.outbox = None
+            logs.warning('router too slow', shard=hosted.shard, reason=str(error))
+
+    def _measure(self, hosted: HostedShard, now: float) -> None:
+        elapsed, hosted.measured_at = now - hosted.measured_at, now
+        if not hosted.scheduler.tickets:
+            return
+        counters = hosted.scheduler.counters
+        counters.waiting += elapsed
+        if hosted.scheduler.free_slots(now):
+            counters.idle_while_waiting += elapsed
+
+    def _advertise(self, hosted: HostedShard, now: float) -> None:
+        """Tell routers when the shard becomes idle or busy.
+
+        Only changes of kind are sent, not counts: a count would be stale on
+        arrival, and routers only need to know where work could go at once.
+        Now and then the same is said again, as the scheduler's heartbeat.
+        """
+        free = hosted.scheduler.free_slots(now)
+        waiting = len(hosted.scheduler.tickets)
+        kind = (free > 0, waiting > 0)
+        overdue = now - hosted.advertised_at > _ADVERTISE_PERIOD
+        if kind == hosted.advertised and not overdue:
+            return
+        hosted.advertised = kind
+        hosted.advertised_at = now
+        frame = SchedulerFrame(free_slots=free, waiting=waiting)
+        for attendant in hosted.attendants.values():
+            self._tell(hosted, attendant, frame)
+
+
+def belongs_to(upstream: Upstream, shard: ShardId, pool: Pool) -> bool:
+    """Tell whether an upstream is in a shard: one of its pool's, by hash."""
+    if pool.shards == 1:
+        return True
+    numbers = (str(number) for number in range(pool.shards))
+    return ranked(upstream.name, numbers)[0] == shard.rpartition('/')[2]
--- /dev/null
+++ b/packages/router/src/hitchdeck_router/scheduling/loads.py
@@ -0,0 +1,68 @@
+"""Upstreams of a shard: slots, learned limits, failures."""
+
+from dataclasses import dataclass, field
+
+from hitchdeck_core.ids import RequestId, UpstreamName
+
+TOKEN_GAP_TARGET = 0.07
+"""Seconds between tokens that callers are promised."""
+
+_COMFORT = 0.85
+_DECREASE = 0.9
+_INCREASE = 1.0
+_GAP_MEMORY = 0.7
+_ADJUST_PERIOD = 1.0
+_FIRST_PENALTY = 0.5
+_LONGEST_PENALTY = 10.0
+
+
+@dataclass(slots=True)
+class UpstreamLoad:
+    """One upstream; times in seconds on the scheduler's clock.
+
+    ``limit`` is the concurrency learned from token gaps: it falls by a
+    tenth while they are over target and creeps up to ``slots`` while they
+    are well under it.  The engines' own load reports lag too much for that.
+    """
+
+    slots: int
+    limit: float
+    held: set[RequestId] = field(default_factory=set)
+    token_gap: float = 0.0
+    adjusted_at: float = 0.0
+    blocked_until: float = 0.0
+    penalty: float = 0.0
+
+    def room(self, now: float, extra: int = 0) -> int:
+        """Return how many more requests may go there, negative if over."""
+        if now < self.blocked_until:
+            return 0
+        most = 1 if self.penalty else max(1, int(self.limit)) + extra
+        return most - len(self.held)
+
+    def observe_gap(self, gap: float, now: float) -> None:
+        """Learn from a reported time between tokens."""
+        if gap <= 0:
+            return
+        if not self.token_gap:
+            self.token_gap = gap
+        self.token_gap = _GAP_MEMORY * self.token_gap + (1 - _GAP_MEMORY) * gap
+        if now - self.adjusted_at < _ADJUST_PERIOD:
+            return
+        self.adjusted_at = now
+        if self.token_gap > TOKEN_GAP_TARGET:
+            self.limit = max(1.0, self.limit * _DECREASE)
+        elif self.token_gap < TOKEN_GAP_TARGET * _COMFORT:
+            self.limit = min(float(self.slots), self.limit + _INCREASE)
+
+    def note_failure(self, now: float) -> None:
+        """Keep new work away for a while, longer each time."""
+        self.penalty = min(_LONGEST_PENALTY, 2 * self.penalty or _FIRST_PENALTY)
+        self.blocked_until = now + self.penalty
+
+    def note_success(self) -> None:
+        """Forget failures: it serves."""
+        self.penalty = 0.0
+
+
+Loads = dict[UpstreamName, UpstreamLoad]
--- /dev/null
+++ b/packages/router/src/hitchdeck_router/scheduling/placement.py
@@ -0,0 +1,68 @@
+"""Which upstream a ticket goes to: where its cache is, unless that is full.
+
+The record is the scheduler's own: what it sent where.  Engines' cache events
+come late and with gaps; they may add to it or take from it, as hints.
+"""
+
+from collections import OrderedDict
+from collections.abc import Iterable, Mapping
+
+from hitchdeck_core.ids import UpstreamName
+
+_MOST_BLOCKS = 20_000
+
+
+class CacheRecord:
+    """Prefix blocks and sessions by the upstream that last had them."""
+
+    def __init__(self, most: int = _MOST_BLOCKS) -> None:
+        self.most = most
+        self.blocks: OrderedDict[int | str, UpstreamName] = OrderedDict()
+
+    def note(
+        self,
+        upstream: UpstreamName,
+        prefix: Iterable[int],
+        session: str = '',
+    ) -> None:
+        """Record that an upstream has served this prefix and session."""
+        keys: list[int | str] = list(prefix)
+        if session:
+            keys.append(session)
+        for key in keys:
+            self.blocks[key] = upstream
+            self.blocks.move_to_end(key)
+        while len(self.blocks) > self.most:
+            self.blocks.popitem(last=False)
+
+    def forget(self, upstream: UpstreamName, blocks: Iterable[int]) -> None:
+        """Drop blocks that an upstream says it has evicted."""
+        for block in blocks:
+            if self.blocks.get(block) == upstream:
+                self.blocks.pop(block)
+
+    def holder(self, prefix: tuple[int, ...], session: str) -> UpstreamName | None:
+        """Return the upstream with the session or the longest known prefix."""
+        if session and session in self.blocks:
+            return self.blocks[session]
+        for block in reversed(prefix):
+            if block in self.blocks:
+                return self.blocks[block]
+        return None
+
+
+def choose_upstream(
+    rooms: Mapping[UpstreamName, int],
+    preferred: UpstreamName | None,
+) -> UpstreamName | None:
+    """Return the preferred upstream if it has room, else the emptiest.
+
+    A full holder is not waited for: a prompt that is computed again costs
+    less than a slot that stays free meanwhile.
+    """
+    if preferred is not None and rooms.get(preferred, 0) > 0:
+        return preferred
+    emptiest = max(rooms, key=lambda name: (rooms[name], name), default=None)
+    if emptiest is None or rooms[emptiest] <= 0:
+        return None
+    return emptiest
--- /dev/null
+++ b/packages/router/src/hitchdeck_router/serving/__init__.py
@@ -0,0 +1,1 @@
+"""The callers' doors: HTTP handlers on tornado."""
--- /dev/null
+++ b/packages/router/src/hitchdeck_router/serving/addresses.py
@@ -0,0 +1,63 @@
+"""``GET /v1/addresses``: which entry addresses an account is to use.
+
+Shuffle sharding: each account gets a small stable subset of routers, spread
+over failure domains, so that one account's flood does not reach every
+router, and few accounts share all of theirs.
+"""
+
+from collections.abc import Iterable
+
+from hitchdeck_core.hashing import ranked
+from hitchdeck_core.ids import AccountName
+from hitchdeck_core.wire.hitchdeck_pb2 import RouterEntry
+from hitchdeck_router.serving.base import Door
+
+
+def addresses_for(
+    account: AccountName,
+    routers: Iterable[RouterEntry],
+    count: int,
+) -> list[str]:
+    """Return addresses of up to ``count`` routers, the best first.
+
+    The domain of the next one is one that has been taken from least.
+    """
+    serving = {one.router: one for one in routers if not one.leaving}
+    order = ranked(account, serving)
+    taken: dict[str, int] = {}
+    chosen: list[str] = []
+
+    def used(name: str) -> int:
+        return taken.get(serving[name].domain, 0)
+
+    while order and len(chosen) < count:
+        name = min(order, key=used)
+        order.remove(name)
+        entry = serving[name]
+        taken[entry.domain] = taken.get(entry.domain, 0) + 1
+        chosen.append(entry.http_address)
+    return chosen
+
+
+class AddressesDoor(Door):
+    """Entry addresses for an account."""
+
+    async def get(self) -> None:
+        """Answer with addresses and how long they may be kept."""
+        await self.run(self._serve())
+
+    async def _serve(self) -> None:
+        account = self.check_account()
+        settings = self.context.settings
+        addresses = addresses_for(
+            account,
+            self.context.fleet.directory.routers.values(),
+            settings.addresses_per_account,
+        )
+        await self.finish(
+            {
+                'addresses': addresses,
+                'ttl': settings.address_ttl,
+                'version': self.context.fleet.view.version,
+            },
+        )
--- /dev/null
+++ b/packages/router/src/hitchdeck_router/serving/admission.py
@@ -0,0 +1,192 @@
+"""From headers and body to an admitted request, or a clear refusal."""
+
+import json
+import re
+from typing import Any
+from uuid import UUID
+
+from tornado.httputil import HTTPHeaders
+
+from hitchdeck_core.errors import SelectorError
+from hitchdeck_core.ids import AccountName, PoolName, SessionName
+from hitchdeck_core.labels import check_labels
+from hitchdeck_core.resources import Pool, PoolKind, Urgency
+from hitchdeck_router.dispatch.requests import Key, body_digest
+from hitchdeck_router.errors import NotRunError
+from hitchdeck_router.fleet.view import FleetView
+
+SESSION_HEADER = 'Hitchdeck-Session'
+LABELS_HEADER = 'Hitchdeck-Labels'
+DEADLINE_HEADER = 'Hitchdeck-Deadline'
+KEY_HEADER = 'Idempotency-Key'
+
+_BAD_REQUEST = 400
+_FORBIDDEN = 403
+_NOT_FOUND = 404
+_LONGEST_KEY = 200
+_LONGEST_DEADLINE = 604_800
+_UUID_TIME_VERSION = 7
+_UUID_TIME_SHIFT = 80
+_STAMPED_KEY = re.compile(r'(\d{9,11})-[\x21-\x7e]+')
+_MILLISECONDS = 1000
+
+
+def check_chat_body(body: bytes) -> dict[str, Any]:
+    """Return a chat request's body, or raise ``NotRunError`` naming the flaw."""
+    try:
+        content = json.loads(body)
+    except ValueError as error:
+        raise _bad(f'body is not JSON: {error}') from error
+    if not isinstance(content, dict):
+        raise _bad('body must be a JSON object')
+    if not isinstance(content.get('model'), str) or not content['model']:
+        raise _bad('"model" must be a non-empty string')
+    messages = content.get('messages')
+    if not isinstance(messages, list) or not messages:
+        raise _bad('"messages" must be a non-empty list')
+    if not all(isinstance(message, dict) for message in messages):
+        raise _bad('each message must be an object')
+    _check_number_fields(content)
+    return content
+
+
+def check_model_pool(view: FleetView, account: AccountName, model: str) -> PoolName:
+    """Return a pool of the model that the account may reach."""
+    serving = [
+        name
+        for name, pool in view.pools.items()
+        if pool.serves is PoolKind.model and pool.model == model
+    ]
+    if not serving:
+        raise NotRunError(_NOT_FOUND, 'no-model', f'no pool serves {model!r}')
+    reachable = view.reachable_pools(account)
+    for name in sorted(serving):
+        if name in reachable:
+            return name
+    raise NotRunError(_FORBIDDEN, 'no-access', f'no access to {model!r}')
+
+
+def check_service_pool(view: FleetView, account: AccountName, name: str) -> PoolName:
+    """Return a pool of plain services that the account may reach."""
+    pool = view.pools.get(PoolName(name))
+    if pool is None or pool.serves is not PoolKind.service:
+        raise NotRunError(_NOT_FOUND, 'no-pool', f'no service pool {name!r}')
+    if PoolName(name) not in view.reachable_pools(account):
+        raise NotRunError(_FORBIDDEN, 'no-access', f'no access to {name!r}')
+    return PoolName(name)
+
+
+def check_session(
+    view: FleetView,
+    account: AccountName,
+    pool: PoolName,
+    headers: HTTPHeaders,
+) -> str:
+    """Return the session that the caller names, blank if it names none."""
+    name = headers.get(SESSION_HEADER, '')
+    if not name:
+        return ''
+    session = view.sessions.get(SessionName(name))
+    if session is None or session.account != account or session.pool != pool:
+        raise NotRunError(
+            _NOT_FOUND,
+            'no-session',
+            f'no session {name!r} of this account in pool {pool!r}',
+        )
+    return name
+
+
+def check_urgency(
+    view: FleetView,
+    account: AccountName,
+    pool: Pool,
+    headers: HTTPHeaders,
+) -> Urgency:
+    """Return how soon the request is needed, by the rules and its labels.
+
+    Labels of the request come from its header; those of account and pool
+    take precedence, so that a caller can't pass for another.
+    """
+    labels = {
+        **_header_labels(headers.get(LABELS_HEADER, '')),
+        **view.accounts[account].labels,
+        **pool.labels,
+        'account': account,
+        'pool': pool.name,
+    }
+    return view.urgency_of(labels)
+
+
+def check_deadline(headers: HTTPHeaders) -> float:
+    """Return the seconds that the caller gives, 0 if it gives none."""
+    text = headers.get(DEADLINE_HEADER, '')
+    if not text:
+        return 0
+    try:
+        seconds = float(text)
+    except ValueError as error:
+        raise _bad(f'{DEADLINE_HEADER} must be seconds, not {text!r}') from error
+    if not 0 < seconds <= _LONGEST_DEADLINE:
+        raise _bad(f'{DEADLINE_HEADER} must be in (0, {_LONGEST_DEADLINE}] s')
+    return seconds
+
+
+def check_key(headers: HTTPHeaders, path: str, body: bytes) -> Key | None:
+    """Return the idempotency key, ``None`` if there is none.
+
+    A key must say when it was made, as a UUID of version 7 does, or in the
+    form ``<Unix seconds>-<anything>``: a key that is older than the ledger
+    remembers can then be refused instead of run again.
+    """
+    text = headers.get(KEY_HEADER, '')
+    if not text:
+        return None
+    if len(text) > _LONGEST_KEY:
+        raise _bad(f'{KEY_HEADER} is longer than {_LONGEST_KEY} characters')
+    issued = _issue_time(text)
+    if issued is None:
+        raise _bad(
+            f'{KEY_HEADER} {text!r} is neither a UUID of version 7 nor '
+            '<Unix seconds>-<text>',
+        )
+    return Key(text, issued, body_digest(path, body))
+
+
+def _issue_time(text: str) -> float | None:
+    stamped = _STAMPED_KEY.fullmatch(text)
+    if stamped:
+        return float(stamped.group(1))
+    try:
+        uuid = UUID(text)
+    except ValueError:
+        return None
+    if uuid.version != _UUID_TIME_VERSION:
+        return None
+    return (uuid.int >> _UUID_TIME_SHIFT) / _MILLISECONDS
+
+
+def _header_labels(text: str) -> dict[str, str]:
+    labels = {}
+    for part in filter(None, (part.strip() for part in text.split(','))):
+        key, equals, chosen = part.partition('=')
+        if not equals:
+            raise _bad(f'{LABELS_HEADER}: {part!r} is not key=value')
+        labels[key.strip()] = chosen.strip()
+    try:
+        check_labels(labels)
+    except SelectorError as error:
+        raise _bad(f'{LABELS_HEADER}: {error}') from error
+    return labels
+
+
+def _check_number_fields(content: dict[str, Any]) -> None:
+    for name in ('max_tokens', 'max_completion_tokens'):
+        limit = content.get(name)
+        if limit is None:
+            continue
+        if not isinstance(limit, int) or isinstance(limit, bool) or limit < 1:
+            raise _bad(f'"{name}" must be a positive whole number')
+
+
+def _bad(reason: str) -> NotRunError:
+    return NotRunError(_BAD_REQUEST, 'bad-request', reason)
--- /dev/null
+++ b/packages/router/src/hitchdeck_router/serving/app.py
@@ -0,0 +1,51 @@
+"""The HTTP server of a router."""
+
+from tornado.httpserver import HTTPServer
+from tornado.web import Application
+
+from hitchdeck_core.channels import split_address
+from hitchdeck_router.context import RouterContext
+from hitchdeck_router.errors import NotRunError
+from hitchdeck_router.serving.addresses import AddressesDoor
+from hitchdeck_router.serving.base import Door, log_request
+from hitchdeck_router.serving.chat import ChatDoor
+from hitchdeck_router.serving.services import ServiceDoor
+from hitchdeck_router.serving.status import HealthDoor, MetricsDoor
+
+_NOT_FOUND = 404
+_LARGEST_HEADERS = 65_536
+_LARGEST_BODY = 1024 * 1024 * 1024
+
+
+class UnknownDoor(Door):
+    """Any other path."""
+
+    def prepare(self) -> None:
+        """Answer that there is nothing here."""
+        self.refuse(NotRunError(_NOT_FOUND, 'no-such-path', self.request.path))
+
+
+def start_http(context: RouterContext) -> HTTPServer:
+    """Listen for callers."""
+    shared = {'context': context}
+    application = Application(
+        [
+            (r'/v1/chat/completions', ChatDoor, shared),
+            (r'/v1/services/([^/]+)/?(.*)', ServiceDoor, shared),
+            (r'/v1/addresses', AddressesDoor, shared),
+            (r'/healthz', HealthDoor, shared),
+            (r'/metrics', MetricsDoor, shared),
+        ],
+        default_handler_class=UnknownDoor,
+        default_handler_args=shared,
+        log_function=log_request,
+    )
+    # The doors bound bodies themselves, with an answer that says so.
+    server = HTTPServer(
+        application,
+        max_header_size=_LARGEST_HEADERS,
+        max_body_size=_LARGEST_BODY,
+    )
+    host, port = split_address(context.settings.listen)
+    server.listen(port, host)
+    return server
--- /dev/null
+++ b/packages/router/src/hitchdeck_router/serving/base.py
@@ -0,0 +1,186 @@
+"""What all doors share: bodies, keys, errors, callers that go away."""
+
+import asyncio
+import json
+import secrets
+from collections.abc import Awaitable
+from typing import Any
+
+from tornado.iostream import StreamClosedError
+from tornado.web import RequestHandler, stream_request_body
+
+from hitchdeck_core import logs
+from hitchdeck_core.hashing import token_hash
+from hitchdeck_core.ids import AccountName, RequestId
+from hitchdeck_router.context import RouterContext
+from hitchdeck_router.errors import NotRunError, RouterError
+
+RAN_HEADER = 'Hitchdeck-Ran'
+REQUEST_HEADER = 'Hitchdeck-Request-Id'
+
+_BEARER = 'Bearer '
+_UNAUTHORIZED = 401
+_TOO_LARGE = 413
+_UNAVAILABLE = 503
+_INTERNAL_ERROR = 500
+_ID_BYTES = 12
+_RETRY_AFTER = 1.0
+
+
+@stream_request_body
+class Door(RequestHandler):
+    """Base of the handlers.
+
+    The body is taken in as it comes, so that one that is too large is
+    refused before it is read, and the connection lives on for an answer.
+    """
+
+    def initialize(self, context: RouterContext) -> None:
+        """Take the router's context."""
+        self.context = context
+        self.received = bytearray()
+        self.too_large = False
+        self.request_id = RequestId(secrets.token_hex(_ID_BYTES))
+        self.work: asyncio.Future[None] | None = None
+        self.gone = False
+
+    def prepare(self) -> None:
+        """Refuse a body whose announced length is too large."""
+        self.set_header(REQUEST_HEADER, self.request_id)
+        announced = self.request.headers.get('Content-Length', '0')
+        if announced.isdigit() and int(announced) > self.context.settings.body_limit:
+            self.too_large = True
+            self.refuse(self._too_large())
+
+    def data_received(self, chunk: bytes) -> None:
+        """Take in a part of the body."""
+        if len(self.received) + len(chunk) > self.context.settings.body_limit:
+            self.too_large = True
+            return
+        self.received += chunk
+
+    def on_connection_close(self) -> None:
+        """Stop the work for a caller who went away."""
+        self.gone = True
+        if self.work is not None:
+            self.work.cancel()
+
+    async def run(self, work: Awaitable[None]) -> None:
+        """Do the work of a request, and turn its errors into answers."""
+        self.context.active += 1
+        self.work = asyncio.ensure_future(work)
+        try:
+            await self.work
+        except (asyncio.CancelledError, StreamClosedError):
+            self.note_outcome('caller-gone')
+        except RouterError as error:
+            self.refuse(error)
+        except Exception as error:
+            logs.failure('request failed', error, request=self.request_id)
+            self.fail_inside()
+        finally:
+            self.context.active -= 1
+
+    def check_body(self) -> bytes:
+        """Return the body, or raise ``NotRunError`` if it was too large."""
+        if self.too_large:
+            raise self._too_large()
+        return bytes(self.received)
+
+    def check_account(self) -> AccountName:
+        """Return the account whose key the caller shows.
+
+        Raises
+        ------
+        NotRunError
+            There is no such key, or this router's configuration is not
+            known to be in force, so that no key can be judged.
+        """
+        self.check_configured()
+        shown = self.request.headers.get('Authorization', '')
+        token = shown.removeprefix(_BEARER)
+        known = self.context.fleet.view.account_by_key
+        account = known.get(token_hash(token)) if shown != token else None
+        if account is None:
+            raise NotRunError(_UNAUTHORIZED, 'bad-key', 'unknown or missing key')
+        return account
+
+    def check_configured(self) -> None:
+        """Raise ``NotRunError`` unless the configuration is in force."""
+        if not self.context.fleet.lease.is_live():
+            raise NotRunError(
+                _UNAVAILABLE,
+                'no-configuration-lease',
+                'this router is cut off from the control group',
+                _RETRY_AFTER,
+            )
+
+    def refuse(self, error: RouterError) -> None:
+        """Answer with an error, as the API's clients expect it."""
+        self.note_outcome(error.ran)
+        if self._finished:
+            return
+        content = error_content(error)
+        if self._headers_written:
+            self.write(b'data: ' + json.dumps(content).encode() + b'\n\n')
+            self.finish()
+            return
+        self.set_status(error.status)
+        self.set_header(RAN_HEADER, error.ran)
+        if error.retry_after is not None:
+            self.set_header('Retry-After', max(1, round(error.retry_after)))
+        if error.status == _UNAUTHORIZED:
+            self.set_header('WWW-Authenticate', 'Bearer')
+        self.finish(content)
+
+    def fail_inside(self) -> None:
+        """Answer that this router itself failed; it can't say how far."""
+        error = RouterError(_INTERNAL_ERROR, 'internal', 'the router failed')
+        error.ran = 'unknown'
+        self.refuse(error)
+
+    def note_outcome(self, ran: str) -> None:
+        """Count how a request ended."""
+        self.context.outcomes[type(self).__name__, ran] += 1
+
+    def write_error(self, status_code: int, **_: Any) -> None:
+        """Answer what tornado itself refuses, in the same shape."""
+        self.finish(
+            error_content(
+                NotRunError(status_code, 'bad-request', self._reason),
+            ),
+        )
+
+    def log_exception(self, *_: Any) -> None:
+        """Leave the logging to ``run``."""
+
+    def _too_large(self) -> NotRunError:
+        limit = self.context.settings.body_limit
+        return NotRunError(_TOO_LARGE, 'too-large', f'body over {limit} bytes')
+
+
+def error_content(error: RouterError) -> dict[str, Any]:
+    """Return the error object of the OpenAI API, with what ran."""
+    return {
+        'error': {
+            'message': error.reason,
+            'type': 'hitchdeck_error',
+            'code': error.code,
+            'param': None,
+            'ran': error.ran,
+        },
+    }
+
+
+def log_request(handler: RequestHandler) -> None:
+    """Log one request as tornado finishes it."""
+    if not isinstance(handler, Door):
+        return
+    logs.info(
+        'request',
+        request=handler.request_id,
+        method=handler.request.method,
+        path=handler.request.path,
+        status=handler.get_status(),
+        seconds=round(handler.request.request_time(), 4),
+    )
--- /dev/null
+++ b/packages/router/src/hitchdeck_router/serving/chat.py
@@ -0,0 +1,167 @@
+"""``POST /v1/chat/completions``, streamed and whole."""
+
+import asyncio
+import json
+from typing import Any
+
+from tornado.iostream import StreamClosedError
+
+from hitchdeck_core.ids import AccountName
+from hitchdeck_router.context import RouterContext
+from hitchdeck_router.dispatch.attempts import ReplayError
+from hitchdeck_router.dispatch.chat import ChatAnswer, run_chat
+from hitchdeck_router.dispatch.ledger import KeptAnswer, Ran
+from hitchdeck_router.dispatch.requests import Admitted, prefix_blocks
+from hitchdeck_router.dispatch.sse import DONE, event
+from hitchdeck_router.errors import UpstreamRefusedError
+from hitchdeck_router.scheduling.costs import cost_hint
+from hitchdeck_router.serving import admission
+from hitchdeck_router.serving.base import RAN_HEADER, Door
+from hitchdeck_router.serving.replay import check_replayable
+
+_JSON = 'application/json'
+_OK = 200
+
+
+class ChatDoor(Door):
+    """Chat completions."""
+
+    def initialize(self, context: RouterContext) -> None:
+        """Take the router's context."""
+        super().initialize(context)
+        self.streams = False
+
+    async def post(self) -> None:
+        """Serve one request."""
+        await self.run(self._serve())
+
+    async def _serve(self) -> None:
+        account = self.check_account()
+        raw = self.check_body()
+        body = admission.check_chat_body(raw)
+        self.streams = bool(body.get('stream'))
+        admitted = self._admit(account, raw, body)
+        try:
+            answer = await self._run(admitted, body)
+        except UpstreamRefusedError as error:
+            await self._pass_refusal(error)
+        except ReplayError as error:
+            await self._replay(error.answer, body)
+        else:
+            await self._finish(answer, body)
+
+    def _admit(self, name: AccountName, raw: bytes, body: dict[str, Any]) -> Admitted:
+        view = self.context.fleet.view
+        headers = self.request.headers
+        pool = admission.check_model_pool(view, name, body['model'])
+        limit = body.get('max_completion_tokens') or body.get('max_tokens')
+        return Admitted(
+            request=self.request_id,
+            account=name,
+            pool=pool,
+            urgency=admission.check_urgency(view, name, view.pools[pool], headers),
+            deadline=admission.check_deadline(headers),
+            hint=cost_hint(len(raw), limit),
+            body=raw,
+            session=admission.check_session(view, name, pool, headers),
+            prefix=prefix_blocks(body['model'], body['messages']),
+            key=admission.check_key(headers, self.request.path, raw),
+            admitted_at=self.context.fleet.now(),
+        )
+
+    async def _run(self, admitted: Admitted, body: dict[str, Any]) -> ChatAnswer:
+        if admitted.key is None:
+            return await run_chat(self.context, admitted, body, self._deliver)
+        # A claimed run goes on without its caller: who asks again under the
+        # same key is to find the answer.
+        running = asyncio.ensure_future(self._run_claimed(admitted, body))
+        return await asyncio.shield(running)
+
+    async def _run_claimed(
+        self,
+        admitted: Admitted,
+        body: dict[str, Any],
+    ) -> ChatAnswer:
+        assert admitted.key is not None
+        answer = await run_chat(self.context, admitted, body, self._deliver_if_there)
+        content = json.dumps(answer.whole()).encode()
+        kept = KeptAnswer(Ran.ran, _OK, _JSON, content)
+        self.context.ledger.settle(admitted, admitted.key, kept)
+        return answer
+
+    async def _deliver(self, chunk: dict[str, Any]) -> None:
+        if not self.streams:
+            return
+        if not self._headers_written:
+            self.set_header('Content-Type', 'text/event-stream')
+            self.set_header('Cache-Control', 'no-cache')
+        self.write(event(json.dumps(chunk).encode()))
+        await self.flush()
+
+    async def _deliver_if_there(self, chunk: dict[str, Any]) -> None:
+        if self.gone:
+            return
+        try:
+            await self._deliver(chunk)
+        except StreamClosedError:
+            self.gone = True
+
+    async def _finish(self, answer: ChatAnswer, body: dict[str, Any]) -> None:
+        self.note_outcome('ran')
+        if not body.get('stream'):
+            self.set_header(RAN_HEADER, 'ran')
+            await self.finish(answer.whole())
+            return
+        options = body.get('stream_options') or {}
+        if options.get('include_usage'):
+            self.write(event(json.dumps(_usage_chunk(answer)).encode()))
+        self.write(event(DONE))
+        await self.finish()
+
+    async def _pass_refusal(self, error: UpstreamRefusedError) -> None:
+        self.note_outcome('refused-by-upstream')
+        self.set_status(error.status)
+        self.set_header('Content-Type', _JSON)
+        self.set_header(RAN_HEADER, 'ran')
+        await self.finish(error.body)
+
+    async def _replay(self, kept: KeptAnswer, body: dict[str, Any]) -> None:
+        check_replayable(kept)
+        self.note_outcome('replayed')
+        self.set_status(kept.status)
+        self.set_header(RAN_HEADER, 'ran')
+        if not body.get('stream') or kept.status != _OK:
+            self.set_header('Content-Type', kept.content_type)
+            await self.finish(kept.body)
+            return
+        self.set_header('Content-Type', 'text/event-stream')
+        self.write(event(json.dumps(_as_chunk(json.loads(kept.body))).encode()))
+        self.write(event(DONE))
+        await self.finish()
+
+
+def _usage_chunk(answer: ChatAnswer) -> dict[str, Any]:
+    return {
+        'id': answer.completion_id,
+        'object': 'chat.completion.chunk',
+        'created': answer.created,
+        'model': answer.model,
+        'choices': [],
+        'usage': answer.usage(),
+    }
+
+
+def _as_chunk(whole: dict[str, Any]) -> dict[str, Any]:
+    """Return a kept answer as the one chunk of a stream."""
+    choice = whole['choices'][0]
+    return {
+        **whole,
+        'object': 'chat.completion.chunk',
+        'choices': [
+            {
+                'index': 0,
+                'delta': choice['message'],
+                'finish_reason': choice['finish_reason'],
+            },
+        ],
+    }
--- /dev/null
+++ b/packages/router/src/hitchdeck_router/serving/services.py
@@ -0,0 +1,184 @@
+"""``/v1/services/{pool}/...``: plain services."""
+
+import asyncio
+
+from tornado.iostream import StreamClosedError
+
+from hitchdeck_core.ids import AccountName, PoolName
+from hitchdeck_router.dispatch.attempts import ReplayError
+from hitchdeck_router.dispatch.calls import Head
+from hitchdeck_router.dispatch.ledger import (
+    LARGEST_KEPT_ANSWER,
+    KeptAnswer,
+    Ran,
+)
+from hitchdeck_router.dispatch.requests import Admitted
+from hitchdeck_router.dispatch.services import (
+    AnswerCutError,
+    ServiceAnswer,
+    ServiceRequest,
+    run_service,
+)
+from hitchdeck_router.errors import NotRunError
+from hitchdeck_router.scheduling.costs import SERVICE_CALL
+from hitchdeck_router.serving import admission
+from hitchdeck_router.serving.base import RAN_HEADER, Door
+from hitchdeck_router.serving.replay import check_replayable
+
+_BAD_REQUEST = 400
+_READS = frozenset(('GET', 'HEAD'))
+_PASSED_REQUEST_HEADERS = ('Content-Type', 'Accept', 'Accept-Language')
+_PASSED_ANSWER_HEADERS = ('Content-Type', 'Location', 'ETag', 'Last-Modified')
+_BODILESS = frozenset((204, 304))
+
+
+class ServiceDoor(Door):
+    """Calls to plain services."""
+
+    async def get(self, pool: str, path: str) -> None:
+        """Serve a read."""
+        await self.run(self._serve(pool, path))
+
+    async def post(self, pool: str, path: str) -> None:
+        """Serve a call that may change something."""
+        await self.run(self._serve(pool, path))
+
+    async def put(self, pool: str, path: str) -> None:
+        """Serve a call that may change something."""
+        await self.run(self._serve(pool, path))
+
+    async def delete(self, pool: str, path: str) -> None:
+        """Serve a call that may change something."""
+        await self.run(self._serve(pool, path))
+
+    async def _serve(self, pool: str, path: str) -> None:
+        account = self.check_account()
+        view = self.context.fleet.view
+        name = admission.check_service_pool(view, account, pool)
+        admitted = self._admit(account, name)
+        request = self._service_request(path, repeatable=self._repeatable(name))
+        _check_has_key(admitted, request)
+        try:
+            if admitted.key is None:
+                await self._run(admitted, request)
+            else:
+                # As with chat, a claimed run goes on without its caller.
+                running = asyncio.ensure_future(self._run(admitted, request))
+                await asyncio.shield(running)
+        except ReplayError as error:
+            await self._replay(error.answer)
+        except AnswerCutError:
+            self._cut()
+
+    def _admit(self, account: AccountName, pool: PoolName) -> Admitted:
+        view = self.context.fleet.view
+        headers = self.request.headers
+        body = self.check_body()
+        return Admitted(
+            request=self.request_id,
+            account=account,
+            pool=pool,
+            urgency=admission.check_urgency(
+                view,
+                account,
+                view.pools[pool],
+                headers,
+            ),
+            deadline=admission.check_deadline(headers),
+            hint=SERVICE_CALL,
+            body=body,
+            session=admission.check_session(view, account, pool, headers),
+            key=admission.check_key(headers, self.request.uri or '', body),
+            admitted_at=self.context.fleet.now(),
+        )
+
+    def _repeatable(self, pool: PoolName) -> bool:
+        if self.request.method in _READS:
+            return True
+        return self.context.fleet.view.pools[pool].repeatable
+
+    def _service_request(self, path: str, *, repeatable: bool) -> ServiceRequest:
+        headers = {
+            name: self.request.headers[name]
+            for name in _PASSED_REQUEST_HEADERS
+            if name in self.request.headers
+        }
+        query = f'?{self.request.query}' if self.request.query else ''
+        method = self.request.method or 'GET'
+        return ServiceRequest(method, f'/{path}{query}', headers, repeatable)
+
+    async def _run(self, admitted: Admitted, request: ServiceRequest) -> None:
+        answer = ServiceAnswer()
+
+        async def deliver_head(head: Head) -> None:
+            answer.status = head.status
+            answer.headers = head.headers
+            self._copy_head(head)
+
+        async def deliver_bytes(chunk: bytes) -> None:
+            if len(answer.body) <= LARGEST_KEPT_ANSWER:
+                answer.body += chunk
+            await self._pass_on(chunk, claimed=admitted.key is not None)
+
+        await run_service(
+            self.context,
+            admitted,
+            request,
+            deliver_head,
+            deliver_bytes,
+        )
+        self.note_outcome('ran')
+        if admitted.key is not None:
+            kept = KeptAnswer(
+                Ran.ran,
+                answer.status,
+                answer.headers.get('Content-Type', ''),
+                bytes(answer.body),
+            )
+            self.context.ledger.settle(admitted, admitted.key, kept)
+        if not self.gone:
+            await self.finish()
+
+    def _copy_head(self, head: Head) -> None:
+        self.set_status(head.status)
+        self.set_header(RAN_HEADER, 'ran')
+        for name in _PASSED_ANSWER_HEADERS:
+            if name in head.headers:
+                self.set_header(name, head.headers[name])
+
+    async def _pass_on(self, chunk: bytes, *, claimed: bool) -> None:
+        if self.gone:
+            return
+        try:
+            self.write(chunk)
+            await self.flush()
+        except StreamClosedError:
+            self.gone = True
+            if not claimed:
+                raise
+
+    async def _replay(self, kept: KeptAnswer) -> None:
+        check_replayable(kept)
+        self.note_outcome('replayed')
+        self.set_status(kept.status)
+        self.set_header(RAN_HEADER, 'ran')
+        if kept.status not in _BODILESS:
+            self.set_header('Content-Type', kept.content_type)
+            self.write(kept.body)
+        await self.finish()
+
+    def _cut(self) -> None:
+        """Close the connection: a cut answer must not read as a whole one."""
+        self.note_outcome('unknown')
+        if self.request.connection is not None:
+            self.request.connection.stream.close()  # type: ignore[attr-defined]
+
+
+def _check_has_key(admitted: Admitted, request: ServiceRequest) -> None:
+    if request.repeatable or admitted.key is not None:
+        return
+    raise NotRunError(
+        _BAD_REQUEST,
+        'key-needed',
+        f'pool {admitted.pool} is not repeatable: send {admission.KEY_HEADER}',
+    )
--- /dev/null
+++ b/standins/engine.py
@@ -0,0 +1,226 @@
+"""A model engine: OpenAI-compatible, batching, with a deterministic answer.
+
+The answer repeats the last user message and goes on with numbered tokens, so
+a caller can tell its own whole answer from any other.  A fault can be set by
+``POST /faults``.
+"""
+
+import asyncio
+import json
+from collections import OrderedDict
+from pathlib import Path
+from typing import Any
+
+import fire
+from tornado.iostream import StreamClosedError
+from tornado.web import Application, RequestHandler
+
+from standins.records import Recorder
+
+_DEFAULT_TOKENS = 16
+_CHARACTERS_PER_TOKEN = 4
+_CONFLICT = 409
+
+
+class Engine:
+    """State of one engine; times in seconds."""
+
+    def __init__(self, name: str, slots: int, gap: float, recorder: Recorder) -> None:
+        self.name = name
+        self.slots = asyncio.Semaphore(slots)
+        self.gap = gap
+        self.recorder = recorder
+        self.running = 0
+        self.faults: dict[str, Any] = {}
+        self.fence = (0, 0)
+        self.loaded: set[str] = set()
+        self.caches: OrderedDict[str, str] = OrderedDict()
+
+
+class Base(RequestHandler):
+    """Base of the handlers."""
+
+    def initialize(self, engine: Engine) -> None:
+        """Take the engine."""
+        self.engine = engine
+
+
+class ChatHandler(Base):
+    """Chat completions, always streamed."""
+
+    async def post(self) -> None:
+        """Generate."""
+        body = json.loads(self.request.body)
+        request = self.request.headers.get('X-Request-Id', '')
+        self.engine.recorder.write('start', request=request, engine=self.engine.name)
+        self.engine.running += 1
+        self.closed = False
+        outcome = 'cut'
+        try:
+            async with self.engine.slots:
+                outcome = await self._generate(request, body)
+        except StreamClosedError:
+            outcome = 'cancelled'
+        finally:
+            self.engine.running -= 1
+            self.engine.recorder.write('end', request=request, outcome=outcome)
+
+    def on_connection_close(self) -> None:
+        """Note that the router hung up."""
+        self.closed = True
+
+    async def _generate(self, request: str, body: dict[str, Any]) -> str:
+        self.set_header('Content-Type', 'text/event-stream')
+        self.set_header('X-Request-Id', self.engine.faults.get('foreign_id', request))
+        tokens, done = answer_tokens(body)
+        stop_after = self.engine.faults.get('die_after')
+        for position, token in enumerate(tokens[done:]):
+            await asyncio.sleep(self.engine.gap)
+            if self.closed:
+                return 'cancelled'
+            if stop_after is not None and position >= stop_after:
+                return self._die()
+            self._write({'content': token}, None)
+            await self.flush()
+        self._write({}, 'stop')
+        usage = {
+            'prompt_tokens': len(self.request.body) // _CHARACTERS_PER_TOKEN,
+            'completion_tokens': len(tokens) - done,
+        }
+        self._event({'id': f'cmpl-{request}', 'choices': [], 'usage': usage})
+        if not self.engine.faults.get('no_terminator'):
+            self.write(b'data: [DONE]\n\n')
+        await self.finish()
+        return 'whole'
+
+    def _die(self) -> str:
+        self.request.connection.stream.close()  # type: ignore[union-attr]
+        return 'died'
+
+    def _write(self, delta: dict[str, Any], finish_reason: str | None) -> None:
+        request = self.request.headers.get('X-Request-Id', '')
+        choice = {'index': 0, 'delta': delta, 'finish_reason': finish_reason}
+        self._event(
+            {
+                'id': f'cmpl-{request}',
+                'object': 'chat.completion.chunk',
+                'created': 0,
+                'model': 'stand-in',
+                'choices': [choice],
+            },
+        )
+
+    def _event(self, content: dict[str, Any]) -> None:
+        self.write(b'data: ' + json.dumps(content).encode() + b'\n\n')
+
+
+class FaultHandler(Base):
+    """Sets and clears faults."""
+
+    def post(self) -> None:
+        """Replace the faults by those given."""
+        self.engine.faults = json.loads(self.request.body)
+        self.finish({'faults': self.engine.faults})
+
+
+class OrderHandler(Base):
+    """Fenced orders: load, unload, role."""
+
+    def get(self) -> None:
+        """Say what is loaded, and the last fence seen."""
+        self.finish(
+            {'loaded': sorted(self.engine.loaded), 'fence': self.engine.fence},
+        )
+
+    def post(self) -> None:
+        """Carry out an order unless its fence is old."""
+        order = json.loads(self.request.body)
+        fence = (order['term'], order['sequence'])
+        checks = not self.engine.faults.get('no_fence_check')
+        if checks and fence < self.engine.fence:
+            self.set_status(_CONFLICT)
+            self.engine.recorder.write('order-rejected', **order)
+            self.finish({'error': 'fenced', 'fence': self.engine.fence})
+            return
+        self.engine.fence = max(fence, self.engine.fence)
+        if order['action'] == 'load':
+            self.engine.loaded.add(order['target'])
+        elif order['action'] == 'unload':
+            self.engine.loaded.discard(order['target'])
+        self.engine.recorder.write('order', **order)
+        self.finish({'fence': self.engine.fence})
+
+
+class CacheHandler(Base):
+    """Export and import of a session's KV cache."""
+
+    def get(self, session: str) -> None:
+        """Export."""
+        self.finish({'session': session, 'cache': self.engine.caches.get(session, '')})
+
+    def put(self, session: str) -> None:
+        """Import."""
+        self.engine.caches[session] = json.loads(self.request.body)['cache']
+        self.engine.recorder.write('cache-import', session=session)
+        self.finish({})
+
+
+class LoadHandler(Base):
+    """Load report."""
+
+    def get(self) -> None:
+        """Say how many requests run or wait inside the engine."""
+        self.finish({'running': self.engine.running})
+
+
+def answer_tokens(body: dict[str, Any]) -> tuple[list[str], int]:
+    """Return the tokens of the whole answer, and how many are there already."""
+    messages = body['messages']
+    so_far = ''
+    limit = body.get('max_tokens') or body.get('max_completion_tokens')
+    if body.get('continue_final_message'):
+        so_far = messages[-1]['content']
+        messages = messages[:-1]
+    tokens = expected_tokens(str(messages[-1]['content']), limit or _DEFAULT_TOKENS)
+    done = so_far.count(' ')
+    if so_far and limit:
+        tokens = expected_tokens(str(messages[-1]['content']), limit + done)
+    return tokens, done
+
+
+def expected_tokens(prompt: str, count: int) -> list[str]:
+    """Return the answer to a prompt: each token ends with a blank."""
+    first = prompt.replace(' ', '_')
+    return [f'{first} ', *(f't{number} ' for number in range(1, count))]
+
+
+def make_app(engine: Engine) -> Application:
+    """Return the engine's application."""
+    shared = {'engine': engine}
+    return Application(
+        [
+            (r'/v1/chat/completions', ChatHandler, shared),
+            (r'/faults', FaultHandler, shared),
+            (r'/admin/orders', OrderHandler, shared),
+            (r'/admin/cache/(.+)', CacheHandler, shared),
+            (r'/load', LoadHandler, shared),
+        ],
+        log_function=lambda _: None,
+    )
+
+
+async def serve(
+    name: str,
+    port: int,
+    log: str,
+    slots: int = 8,
+    gap: float = 0.01,
+) -> None:
+    """Serve on loopback until killed."""
+    engine = Engine(name, slots, gap, Recorder(Path(log)))
+    make_app(engine).listen(port, '127.0.0.1')
+    await asyncio.Event().wait()
+
+
+if __name__ == '__main__':
+    fire.Fire(lambda **flags: asyncio.run(serve(**flags)))
--- /dev/null
+++ b/standins/service.py
@@ -0,0 +1,48 @@
+"""A plain service whose calls must not be repeated: confirmations."""
+
+import asyncio
+import json
+from pathlib import Path
+
+import fire
+from tornado.web import Application, RequestHandler
+
+from standins.records import Recorder
+
+
+class ConfirmHandler(RequestHandler):
+    """Runs whatever it is asked to, as often as it is asked."""
+
+    def initialize(self, recorder: Recorder, delay: float) -> None:
+        """Take the recorder and the time a call takes, in seconds."""
+        self.recorder = recorder
+        self.delay = delay
+
+    async def post(self, path: str) -> None:
+        """Confirm."""
+        request = self.request.headers.get('X-Request-Id', '')
+        body = json.loads(self.request.body or b'{}')
+        self.recorder.write('run', path=path, request=request, body=body)
+        await asyncio.sleep(self.delay)
+        self.set_header('X-Request-Id', request)
+        await self.finish({'confirmed': body, 'path': path})
+
+    async def get(self, path: str) -> None:
+        """Look up."""
+        await asyncio.sleep(self.delay)
+        await self.finish({'looked_up': path, 'query': self.request.query})
+
+
+async def serve(port: int, log: str, delay: float = 0.01) -> None:
+    """Serve on loopback until killed."""
+    shared = {'recorder': Recorder(Path(log)), 'delay': delay}
+    application = Application(
+        [(r'/(.*)', ConfirmHandler, shared)],
+        log_function=lambda _: None,
+    )
+    application.listen(port, '127.0.0.1')
+    await asyncio.Event().wait()
+
+
+if __name__ == '__main__':
+    fire.Fire(lambda **flags: asyncio.run(serve(**flags)))
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, in folders by purpose."""
--- /dev/null
+++ b/tests/cover/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of single modules."""
--- /dev/null
+++ b/tools/generate_wire.py
@@ -0,0 +1,30 @@
+"""Regenerate the committed message code from ``hitchdeck.proto``.
+
+Needs ``grpcio-tools``, which is left out of the lock: a build never needs it.
+"""
+
+import subprocess
+import sys
+from pathlib import Path
+
+SOURCE_ROOT = Path(__file__).parent.parent / 'packages' / 'core' / 'src'
+PROTO = 'hitchdeck_core/wire/hitchdeck.proto'
+
+
+def main() -> None:
+    """Run the protobuf compiler with the grpclib plug-in."""
+    command = [
+        sys.executable,
+        '-m',
+        'grpc_tools.protoc',
+        f'-I{SOURCE_ROOT}',
+        f'--python_out={SOURCE_ROOT}',
+        f'--pyi_out={SOURCE_ROOT}',
+        f'--grpclib_python_out={SOURCE_ROOT}',
+        PROTO,
+    ]
+    subprocess.run(command, check=True)
+
+
+if __name__ == '__main__':
+    main()
