--- a/tools/demo.py
+++ b/tools/demo.py
@@ -12,6 +12,7 @@
 import time
 from collections import Counter
 from dataclasses import dataclass, field
+from functools import cache
 from pathlib import Path
 from typing import Any
 
@@ -92,6 +93,16 @@
     return list(json.loads(reply.body)['addresses'])
 
 
+@cache
+def client_of(address: str, account: str) -> AsyncOpenAI:
+    """Return the official client, pointed at one router."""
+    return AsyncOpenAI(
+        base_url=f'http://{address}/v1',
+        api_key=ACCOUNTS[account],
+        max_retries=0,
+    )
+
+
 async def chat(
     address: str,
     account: str,
@@ -99,11 +110,7 @@
     findings: Findings,
 ) -> None:
     """Send one streamed chat request and check its answer."""
-    client = AsyncOpenAI(
-        base_url=f'http://{address}/v1',
-        api_key=ACCOUNTS[account],
-        max_retries=0,
-    )
+    client = client_of(address, account)
     prompt = f'draft {number} for {account}'
     stream = await client.chat.completions.create(
         model='roster',
@@ -111,10 +118,10 @@
         max_tokens=_TOKENS,
         stream=True,
     )
-    text = ''
-    async for chunk in stream:
-        text += chunk.choices[0].delta.content or '' if chunk.choices else ''
-    await client.close()
+    parts = [
+        chunk.choices[0].delta.content or '' async for chunk in stream if chunk.choices
+    ]
+    text = ''.join(parts)
     expected = ''.join(expected_tokens(prompt, _TOKENS))
     if text != expected:
         findings.wrong.append(f'{account}: got {text!r}, not {expected!r}')
