End broken streams by an error of their own; start and stop fleets in parallel

Cause: grpclib raises ProtocolError when a client leaves a stream that it has not ended, so each lost link was logged as a crash and restarted with a pause.

--- a/packages/router/src/hitchdeck_router/fleet/link.py
+++ b/packages/router/src/hitchdeck_router/fleet/link.py
@@ -1,6 +1,7 @@
 """The router's stream to the control group's leader."""
 
 import asyncio
+import random
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -25,7 +26,8 @@
 from hitchdeck_router.fleet.view import FleetView
 
 _BEAT_PERIOD = 1.0
-_RETRY_PAUSE = 0.1
+_FIRST_PAUSE = 0.1
+_LONGEST_PAUSE = 1.0
 _SILENCE = 2.5
 """Seconds without a frame after which the leader is taken for lost."""
 
@@ -75,12 +77,14 @@
         self.fleet_token = fleet_token
         self.usage = usage
         self.position = 0
+        self.connected = False
         self.leader = Address('')
         self.leaving = False
         self.beat_now = Signal()
 
     async def run(self) -> None:
         """Stay connected to the leader; for ever."""
+        pause = _FIRST_PAUSE
         while True:
             address = self.leader or self._next_address()
             self.leader = Address('')
@@ -88,8 +92,13 @@
                 await self._attend(address)
             except LinkError as error:
                 logs.info('control link lost', address=address, reason=str(error))
+            if self.connected:
+                pause = _FIRST_PAUSE
             if not self.leader:
-                await asyncio.sleep(_RETRY_PAUSE)
+                # Spread out, or a fleet that lost its leader at one moment
+                # would come back to the next one at one moment.
+                await asyncio.sleep(pause * random.uniform(0.5, 1))
+                pause = min(_LONGEST_PAUSE, 2 * pause)
 
     def announce_leaving(self) -> None:
         """Tell the leader at once that this router is to stop."""
@@ -107,6 +116,7 @@
         return self.addresses[self.position % len(self.addresses)]
 
     async def _attend(self, address: Address) -> None:
+        self.connected = False
         channel = open_channel(address, self.fleet_token)
         try:
             async with ControlStub(channel).Watch.open() as stream:
@@ -125,9 +135,11 @@
             while True:
                 async with asyncio.timeout(_SILENCE):
                     frame = await stream.recv_message()
-                if frame is None or frame.leader_address:
-                    self.leader = Address(frame.leader_address if frame else '')
-                    return
+                if frame is None:
+                    raise LinkError('the stream ended')
+                if frame.leader_address:
+                    self.leader = Address(frame.leader_address)
+                    raise LinkError(f'the leader is {frame.leader_address}')
                 self._take(frame)
                 if frame.HasField('delta'):
                     self.beat_now.notify()
@@ -156,6 +168,7 @@
         await stream.send_message(beat)
 
     def _take(self, frame: ControlFrame) -> None:
+        self.connected = True
         self.fleet.traffic.count(_LINK, frame)
         if frame.HasField('delta') and not self.fleet.view.apply(frame.delta):
             raise LinkError(
--- a/packages/router/src/hitchdeck_router/process.py
+++ b/packages/router/src/hitchdeck_router/process.py
@@ -55,12 +55,19 @@
         self.context.leaving = True
         self.link.announce_leaving()
         logs.info('leaving', active=self.context.active)
-        handover = _wait_until(lambda: not self.context.host.shards)
+        handover = _wait_until(self._has_handed_over)
         await _within(handover, _HANDOVER_SECONDS)
         await asyncio.sleep(settings.address_ttl)
         idle = _wait_until(lambda: not self.context.active)
         await _within(idle, settings.stop_grace)
 
+    def _has_handed_over(self) -> bool:
+        """Tell whether no shard is here, or nobody is there to take one."""
+        if not self.context.host.shards:
+            return True
+        routers = self.context.fleet.directory.routers.values()
+        return all(one.leaving for one in routers)
+
     async def stop(self) -> None:
         """Stop serving and end every task."""
         self.http.stop()
--- a/packages/router/src/hitchdeck_router/scheduling/client.py
+++ b/packages/router/src/hitchdeck_router/scheduling/client.py
@@ -171,8 +171,9 @@
                 async with asyncio.timeout(_SILENCE):
                     frame = await stream.recv_message()
                 if frame is None or frame.not_owner:
-                    return
+                    raise LinkError('it schedules the shard no more')
                 self._take(frame)
+            raise LinkError('the duty has moved')
         finally:
             sending.cancel()
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -41,6 +41,11 @@
 
     def start(self) -> None:
         """Start the process and wait until its port answers."""
+        self.launch()
+        self.wait_until_up()
+
+    def launch(self) -> None:
+        """Start the process."""
         environment = {**os.environ, 'PYTHONPATH': str(_ROOT)}
         with self.log.open('ab') as log:
             self.process = subprocess.Popen(
@@ -50,7 +55,6 @@
                 env=environment,
                 cwd=_ROOT,
             )
-        self._wait_for_port()
 
     def signal(self, number: signal.Signals) -> None:
         """Send the process a signal, by its id."""
@@ -65,9 +69,17 @@
 
     def stop(self) -> int:
         """Ask the process to stop, and return its exit code."""
+        self.ask_to_stop()
+        return self.wait_until_stopped()
+
+    def ask_to_stop(self) -> None:
+        """Ask the process to stop, also if it is frozen."""
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGTERM)
+
+    def wait_until_stopped(self) -> int:
+        """Return the exit code, killing the process if it takes too long."""
         assert self.process is not None
-        self.process.send_signal(signal.SIGCONT)
-        self.process.terminate()
         try:
             return self.process.wait(_STOP_SECONDS)
         except subprocess.TimeoutExpired:
@@ -78,7 +90,8 @@
         """Tell whether the process runs."""
         return self.process is not None and self.process.poll() is None
 
-    def _wait_for_port(self) -> None:
+    def wait_until_up(self) -> None:
+        """Wait until the process answers on its port."""
         deadline = time.monotonic() + _START_SECONDS
         while time.monotonic() < deadline:
             if not self.is_running():
@@ -133,19 +146,22 @@
 
     def start(self) -> None:
         """Start every process and found the control group."""
-        for member in (*self.engines, *self.services, *self.controls):
-            member.start()
+        for member in self.members:
+            member.launch()
+        for member in self.members:
+            member.wait_until_up()
         self.hitchdeck('control', 'init')
-        for router in self.routers:
-            router.start()
 
     def stop(self) -> dict[str, int]:
-        """Stop every process by its id; returns exit codes by name."""
-        running = [one for one in reversed(self.members) if one.is_running()]
-        for member in running:
-            member.signal(signal.SIGCONT)
-            member.signal(signal.SIGTERM)
-        return {member.name: member.stop() for member in running}
+        """Stop every process by its id, routers first; returns exit codes."""
+        codes = {}
+        for group in (self.routers, self.controls, self.services, self.engines):
+            running = [one for one in group if one.is_running()]
+            for member in running:
+                member.ask_to_stop()
+            for member in running:
+                codes[member.name] = member.wait_until_stopped()
+        return codes
 
     def lose_disk(self, control: Member) -> None:
         """Delete a control box's data folder."""
