--- a/packages/control/src/hitchdeck_control/errors.py
+++ b/packages/control/src/hitchdeck_control/errors.py
@@ -27,5 +27,9 @@
     """Raised when leadership was lost before a proposal's fate was known."""
 
 
+class OrderError(HitchdeckError):
+    """Raised when an upstream did not take an order; it may be sent again."""
+
+
 class MembershipError(HitchdeckError):
     """Raised when a membership change may not be made now."""
--- /dev/null
+++ b/packages/control/src/hitchdeck_control/fleet/orders.py
@@ -0,0 +1,185 @@
+"""Orders to upstreams: one sender, one at a time for each upstream.
+
+An order is committed before it is sent, and numbered by (term, sequence).
+Upstreams that check this fence refuse what an earlier leader sends late.
+For those that don't, a new leader waits until nothing of an earlier one can
+still be under way, and reads what the upstream has before it sends.
+"""
+
+import asyncio
+import json
+from dataclasses import dataclass
+from typing import Literal
+
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
+
+from hitchdeck_control.errors import (
+    NotLeaderError,
+    OrderError,
+    OutcomeUnknownError,
+)
+from hitchdeck_control.fleet.leader import Leader
+from hitchdeck_control.machine.state import Order
+from hitchdeck_core import logs
+from hitchdeck_core.commands import FinishOrder
+from hitchdeck_core.resources import Upstream
+
+FLIGHT_SECONDS = 5.0
+"""Longest time from sending an order to its end, or the call is given up."""
+
+_PERIOD = 0.2
+_PATH = '/admin/orders'
+_CONFLICT = 409
+_MOST_TRIES = 10
+
+
+@dataclass(slots=True)
+class WeightStore:
+    """The weight store's rate, shared by all loads; bytes and seconds."""
+
+    rate: float
+    free_at: float = 0.0
+
+    def reserve(self, size: int, now: float) -> float:
+        """Return how long to wait before a load of this size may start."""
+        start = max(now, self.free_at)
+        self.free_at = start + size / self.rate
+        return start - now
+
+
+class OrderSender:
+    """Sends open orders while its replica leads."""
+
+    def __init__(self, leader: Leader, store: WeightStore) -> None:
+        self.leader = leader
+        self.store = store
+        self.under_way: dict[str, asyncio.Task[None]] = {}
+
+    async def run(self) -> None:
+        """Send whatever is open; for ever."""
+        while True:
+            await self.leader.machine.news.wait(_PERIOD)
+            try:
+                self.leader.check_leads()
+            except NotLeaderError:
+                self._stop_all()
+                continue
+            self._start_next()
+
+    def _start_next(self) -> None:
+        for upstream, task in list(self.under_way.items()):
+            if task.done():
+                self.under_way.pop(upstream)
+        for sequence, order in self.leader.machine.state.orders.items():
+            upstream = order.order.upstream
+            if order.state == 'open' and upstream not in self.under_way:
+                work = self._carry_out(sequence, order)
+                self.under_way[upstream] = asyncio.create_task(work)
+
+    def _stop_all(self) -> None:
+        for task in self.under_way.values():
+            task.cancel()
+        self.under_way.clear()
+
+    async def _carry_out(self, sequence: int, order: Order) -> None:
+        try:
+            finished = await self._send_until_answered(sequence, order)
+            await self.leader.execute(finished)
+        except (NotLeaderError, OutcomeUnknownError) as error:
+            logs.info('order left to the next leader', reason=str(error))
+
+    async def _send_until_answered(self, sequence: int, order: Order) -> FinishOrder:
+        kept = self.leader.machine.state.resources.get(
+            f'upstream/{order.order.upstream}',
+        )
+        if kept is None or not isinstance(kept.resource, Upstream):
+            return FinishOrder(sequence=sequence, state='failed', detail='no upstream')
+        upstream = kept.resource
+        if not upstream.checks_fences:
+            await self._wait_out_earlier_senders()
+            if await _has_it_already(upstream, order):
+                return FinishOrder(sequence=sequence, state='done', detail='was so')
+        if order.order.action == 'load':
+            size = order.order.weight_bytes
+            await asyncio.sleep(self.store.reserve(size, self.leader.now()))
+        return await self._try_to_send(upstream, sequence, order)
+
+    async def _try_to_send(
+        self,
+        upstream: Upstream,
+        sequence: int,
+        order: Order,
+    ) -> FinishOrder:
+        problem = ''
+        for _ in range(_MOST_TRIES):
+            # Directly before the call: nothing awaits between.
+            self.leader.check_leads()
+            term = self.leader.replica.term
+            try:
+                state = await _send(upstream, order, term, sequence)
+            except OrderError as error:
+                problem = str(error)
+                await asyncio.sleep(_PERIOD)
+            else:
+                return FinishOrder(sequence=sequence, state=state)
+        return FinishOrder(sequence=sequence, state='failed', detail=problem)
+
+    async def _wait_out_earlier_senders(self) -> None:
+        """Wait until no order of an earlier leader can be in flight.
+
+        That leader stopped to send when its lease ended, at the latest when
+        this one was elected; what it had sent by then ends within a flight.
+        """
+        leadership = self.leader.replica.leadership
+        if leadership is None:
+            raise NotLeaderError('')
+        left = leadership.started_at + FLIGHT_SECONDS - self.leader.now()
+        await asyncio.sleep(max(0.0, left))
+
+
+async def _send(
+    upstream: Upstream,
+    order: Order,
+    term: int,
+    sequence: int,
+) -> Literal['done', 'superseded']:
+    body = {
+        'term': term,
+        'sequence': sequence,
+        'action': order.order.action,
+        'target': order.order.target,
+    }
+    request = HTTPRequest(
+        f'http://{upstream.address}{_PATH}',
+        method='POST',
+        body=json.dumps(body),
+        request_timeout=FLIGHT_SECONDS,
+    )
+    try:
+        await AsyncHTTPClient().fetch(request)
+    except HTTPClientError as error:
+        if error.code == _CONFLICT:
+            return 'superseded'
+        raise OrderError(f'{upstream.name}: {error}') from error
+    except OSError as error:
+        raise OrderError(f'{upstream.name}: {error}') from error
+    return 'done'
+
+
+async def _has_it_already(upstream: Upstream, order: Order) -> bool:
+    """Read an upstream's state, so as not to repeat what was done unseen."""
+    request = HTTPRequest(
+        f'http://{upstream.address}{_PATH}',
+        request_timeout=FLIGHT_SECONDS,
+    )
+    try:
+        reply = await AsyncHTTPClient().fetch(request)
+    except (HTTPClientError, OSError):
+        return False
+    content = json.loads(reply.body)
+    loaded = order.order.target in content.get('loaded', ())
+    if order.order.action == 'load':
+        return loaded
+    if order.order.action == 'unload':
+        return not loaded
+    return bool(content.get('role') == order.order.target)
--- a/packages/control/src/hitchdeck_control/fleet/usage.py
+++ b/packages/control/src/hitchdeck_control/fleet/usage.py
@@ -25,9 +25,9 @@
     """
 
     def __init__(self) -> None:
-        self.by_life: dict[str, dict[_Cell, float]] = {}
-        self.by_cell: dict[_Cell, float] = defaultdict(float)
-        self.by_account: dict[str, float] = defaultdict(float)
+        self.by_life: dict[str, dict[_Cell, int]] = {}
+        self.by_cell: dict[_Cell, int] = defaultdict(int)
+        self.by_account: dict[str, int] = defaultdict(int)
         self.changed_at: dict[str, int] = {}
         self.position = 0
         self.ended: set[str] = set()
@@ -39,12 +39,12 @@
         known = self.by_life.setdefault(life, {})
         for one in sums:
             cell = (one.shard, one.account)
-            growth = one.cost - known.get(cell, 0.0)
+            growth = one.cost - known.get(cell, 0)
             if growth <= 0:
                 continue
-            known[cell] = one.cost
-            self.by_cell[cell] += growth
-            self.by_account[one.account] += growth
+            known[cell] = int(one.cost)
+            self.by_cell[cell] += int(growth)
+            self.by_account[one.account] += int(growth)
             self.position += 1
             self.changed_at.pop(one.account, None)
             self.changed_at[one.account] = self.position
@@ -63,5 +63,5 @@
         for account, changed_at in reversed(self.changed_at.items()):
             if changed_at <= position:
                 return
-            cost = self.by_account[account] - self.by_cell.get((shard, account), 0.0)
+            cost = self.by_account[account] - self.by_cell.get((shard, account), 0)
             yield UsageSum(shard=shard, account=account, cost=cost)
--- a/packages/control/src/hitchdeck_control/process.py
+++ b/packages/control/src/hitchdeck_control/process.py
@@ -6,7 +6,9 @@
 
 from grpclib.server import Server
 
+from hitchdeck_control.errors import StorageError
 from hitchdeck_control.fleet.leader import Leader
+from hitchdeck_control.fleet.orders import OrderSender, WeightStore
 from hitchdeck_control.machine.machine import Machine
 from hitchdeck_control.raft import replication
 from hitchdeck_control.raft.election import watch_leader
@@ -58,12 +60,14 @@
     replica, machine = _open_replica(settings, section)
     leader = Leader(replica, machine, section.router_lease)
     links = Links(settings.fleet_token, section.election_timeout)
-    supervisor = Supervisor('control')
+    supervisor = Supervisor('control', fatal=(StorageError,))
     supervisor.permanent('election', lambda: watch_leader(replica, links))
     supervisor.permanent('replication', lambda: replication.replicate(replica, links))
     supervisor.permanent('log', lambda: replication.write_log(replica))
     supervisor.permanent('apply', lambda: replication.apply_log(replica))
     supervisor.permanent('duties', leader.assign_duties)
+    orders = OrderSender(leader, WeightStore(section.weight_store_rate))
+    supervisor.permanent('orders', orders.run)
     server = await serve(
         [ReplicationService(replica), ControlService(leader)],
         section.listen,
--- a/packages/core/src/hitchdeck_core/ids.py
+++ b/packages/core/src/hitchdeck_core/ids.py
@@ -20,6 +20,10 @@
 """One slice of a pool's upstreams, written ``pool/number``."""
 
 RequestId = NewType('RequestId', str)
+
+TicketId = NewType('TicketId', int)
+"""Number of a ticket within one router life."""
+
 Address = NewType('Address', str)
 """``IP:port``; names are not resolved."""
 
--- a/packages/core/src/hitchdeck_core/logs.py
+++ b/packages/core/src/hitchdeck_core/logs.py
@@ -5,7 +5,7 @@
 import time
 from collections.abc import Mapping
 
-from absl import logging
+from absl import flags, logging
 
 _FIELDS = 'hitchdeck_fields'
 
@@ -43,6 +43,8 @@
 def set_up(**fields: object) -> None:
     """Send every log line to standard error, each with the given fields."""
     _context.fields = fields
+    # Without this, absl says at each start that no flags were parsed.
+    flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
     handler = logging.get_absl_handler()
     handler.setFormatter(JsonFormatter())
--- a/packages/core/src/hitchdeck_core/settings.py
+++ b/packages/core/src/hitchdeck_core/settings.py
@@ -34,7 +34,8 @@
     """The ``[control]`` table: a replica of the control group.
 
     Times are in seconds; ``snapshot_every`` counts log entries;
-    ``ledger_retention`` is how long a non-repeatable key is remembered.
+    ``ledger_retention`` is how long a non-repeatable key is remembered;
+    ``weight_store_rate`` is what the weight store gives, in bytes a second.
     """
 
     listen: AddressText
@@ -44,6 +45,7 @@
     snapshot_every: int = Field(default=2000, ge=10)
     router_lease: float = Field(default=3, ge=0.5, le=30)
     ledger_retention: float = Field(default=86_400, ge=1)
+    weight_store_rate: float = Field(default=1_000_000_000, gt=0)
     operator_key_hashes: tuple[str, ...] = ()
 
     @model_validator(mode='after')
--- a/packages/core/src/hitchdeck_core/supervisor.py
+++ b/packages/core/src/hitchdeck_core/supervisor.py
@@ -2,6 +2,8 @@
 
 A supervisor owns named children.  A permanent child that fails is started
 again after a growing pause; a temporary one (a connection) just ends.
+Errors named as fatal are not mended by a restart (a disk that failed): they
+end the process, through ``wait_for_failure``.
 Stopping a supervisor cancels its children in reverse order of their start,
 and waits for each.
 """
@@ -21,8 +23,14 @@
 class Supervisor:
     """Owner of a group of tasks."""
 
-    def __init__(self, name: str) -> None:
+    def __init__(
+        self,
+        name: str,
+        fatal: tuple[type[Exception], ...] = (),
+    ) -> None:
         self.name = name
+        self.fatal = fatal
+        self.failed: asyncio.Future[None] | None = None
         self.tasks: dict[str, asyncio.Task[None]] = {}
         self.counter = 0
         self.stopping = False
@@ -49,11 +57,23 @@
             task.cancel()
             await asyncio.wait([task])
 
+    async def wait_for_failure(self) -> None:
+        """Wait until a child fails for good, and raise what it raised."""
+        if self.failed is None:
+            self.failed = asyncio.get_running_loop().create_future()
+        await self.failed
+
     def _start(self, name: str, coroutine: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(coroutine, name=f'{self.name}.{name}')
         self.tasks[name] = task
         task.add_done_callback(lambda done: self._forget(name, done))
 
+    def _fail(self, error: Exception) -> None:
+        if self.failed is None:
+            self.failed = asyncio.get_running_loop().create_future()
+        if not self.failed.done():
+            self.failed.set_exception(error)
+
     def _forget(self, name: str, done: asyncio.Task[None]) -> None:
         if self.tasks.get(name) is done:
             self.tasks.pop(name)
@@ -73,6 +93,9 @@
         while not self.stopping:
             try:
                 await work()
+            except self.fatal as error:
+                self._fail(error)
+                return
             except Exception as error:
                 logs.failure('task restarts', error, task=f'{self.name}.{name}')
                 pause = min(_LONGEST_PAUSE, 2 * pause)
--- a/packages/daemon/src/hitchdeck_daemon/main.py
+++ b/packages/daemon/src/hitchdeck_daemon/main.py
@@ -5,6 +5,7 @@
 import signal
 import sys
 from pathlib import Path
+from typing import Any
 
 import fire
 
@@ -57,7 +58,7 @@
         router = await start_router(settings)
     # What was made up to here stays; the collector need not look at it again.
     gc.freeze()
-    await stopping.wait()
+    await _wait_for_end(stopping, control)
     if router is not None:
         await router.drain()
         await router.stop()
@@ -66,6 +67,24 @@
     logs.info('stopped')
 
 
+async def _wait_for_end(
+    stopping: asyncio.Event,
+    control: ControlProcess | None,
+) -> None:
+    """Wait for a signal; raise if the process can't go on.
+
+    A control replica whose disk failed ends at once, without any stop in
+    order: it can't keep a promise any more, and the others go on.
+    """
+    waits: list[asyncio.Future[Any]] = [asyncio.ensure_future(stopping.wait())]
+    if control is not None:
+        failure = control.supervisor.wait_for_failure()
+        waits.append(asyncio.ensure_future(failure))
+    ended, _ = await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+    for one in ended:
+        one.result()
+
+
 def main() -> None:
     """Run the command line."""
     fire.Fire(run, name='hitchdeckd')
--- a/packages/router/src/hitchdeck_router/dispatch/attempts.py
+++ b/packages/router/src/hitchdeck_router/dispatch/attempts.py
@@ -8,6 +8,7 @@
 from hitchdeck_core.ids import UpstreamName
 from hitchdeck_core.resources import Upstream
 from hitchdeck_router.context import RouterContext
+from hitchdeck_router.dispatch.caches import move_cache
 from hitchdeck_router.dispatch.ledger import KeptAnswer, Ran
 from hitchdeck_router.dispatch.requests import Admitted
 from hitchdeck_router.errors import (
@@ -18,7 +19,7 @@
     UpstreamRefusedError,
     UpstreamUnreachedError,
 )
-from hitchdeck_router.scheduling.slots import HeldGrant
+from hitchdeck_router.scheduling.client import Slot
 
 _BAD_GATEWAY = 502
 _UNAVAILABLE = 503
@@ -27,7 +28,7 @@
 _LOST_GRANT_PAUSE = 0.05
 _JSON = 'application/json'
 
-RunOnce = Callable[[HeldGrant, Upstream], Awaitable[None]]
+RunOnce = Callable[[Slot, Upstream], Awaitable[None]]
 """Runs a request on a granted upstream, to the end or an ``UpstreamError``."""
 
 
@@ -74,7 +75,7 @@
     while True:
         progress.attempt += 1
         grant = await _acquire(context, admitted, progress)
-        upstream = grant.slot.upstream
+        upstream = grant.upstream
         failed = False
         try:
             await _run_granted(context, admitted, progress, grant, run_once)
@@ -97,9 +98,9 @@
     context: RouterContext,
     admitted: Admitted,
     progress: Progress,
-) -> HeldGrant:
+) -> Slot:
     now = context.fleet.now()
-    ticket = admitted.ticket(now, progress.attempt)
+    ticket = admitted.ticket(now)
     try:
         grant = await context.finder.acquire(admitted.pool, ticket)
     except NotRunError as error:
@@ -124,11 +125,14 @@
     context: RouterContext,
     admitted: Admitted,
     progress: Progress,
-    grant: HeldGrant,
+    grant: Slot,
     run_once: RunOnce,
 ) -> None:
-    _check_usable(context, admitted, grant.slot.upstream)
-    claimed = await _claim(context, admitted, grant.slot.upstream)
+    target = _check_usable(context, admitted, grant.upstream)
+    if grant.moved_from:
+        source = UpstreamName(grant.moved_from)
+        await move_cache(context.fleet.view, admitted.session, source, target)
+    claimed = await _claim(context, admitted, grant.upstream)
     upstream = _usable_after_claim(context, admitted, grant, claimed)
     try:
         # No await between the check of lease and configuration and the call.
@@ -165,11 +169,11 @@
 def _usable_after_claim(
     context: RouterContext,
     admitted: Admitted,
-    grant: HeldGrant,
+    grant: Slot,
     claimed: bool,
 ) -> Upstream:
     try:
-        return _check_usable(context, admitted, grant.slot.upstream)
+        return _check_usable(context, admitted, grant.upstream)
     except GrantLostError:
         if claimed:
             _settle(context, admitted, KeptAnswer(Ran.not_run))
--- /dev/null
+++ b/packages/router/src/hitchdeck_router/dispatch/caches.py
@@ -0,0 +1,71 @@
+"""Moving a session's KV cache from one engine to another.
+
+Best effort: an engine that lacks the cache computes the prompt again, which
+costs time and nothing else, so no failure here may fail the request.
+"""
+
+import json
+from urllib.parse import quote
+
+from hitchdeck_core import logs
+from hitchdeck_core.ids import UpstreamName
+from hitchdeck_core.resources import Upstream
+from hitchdeck_router.dispatch.calls import CallRequest, open_call
+from hitchdeck_router.errors import UpstreamError, UpstreamRefusedError
+from hitchdeck_router.fleet.view import FleetView
+
+_PATH = '/admin/cache/'
+_SILENCE = 2.0
+_OK = 200
+
+
+async def move_cache(
+    view: FleetView,
+    session: str,
+    source: UpstreamName,
+    target: Upstream,
+) -> bool:
+    """Export a session's cache from one upstream and import it to another.
+
+    Returns
+    -------
+    bool
+        Whether the target has the cache now.
+    """
+    origin = view.upstreams.get(source)
+    if origin is None:
+        return False
+    try:
+        content = await _call(origin, session, 'GET', b'')
+        if not json.loads(content).get('cache'):
+            return False
+        await _call(target, session, 'PUT', content)
+    except (UpstreamError, ValueError) as error:
+        logs.info('cache not moved', session=session, reason=str(error))
+        return False
+    logs.info('cache moved', session=session, source=source, target=target.name)
+    return True
+
+
+async def _call(
+    upstream: Upstream,
+    session: str,
+    method: str,
+    body: bytes,
+) -> bytes:
+    request = CallRequest(
+        method=method,
+        path=f'{_PATH}{quote(session)}',
+        headers={'Content-Type': 'application/json'},
+        body=body,
+        silence=_SILENCE,
+    )
+    call = await open_call(upstream.address, request)
+    try:
+        head = await call.head()
+        content = await call.whole_body()
+    finally:
+        call.close()
+    if head.status != _OK:
+        raise UpstreamRefusedError(head.status, content)
+    return content
--- a/packages/router/src/hitchdeck_router/dispatch/calls.py
+++ b/packages/router/src/hitchdeck_router/dispatch/calls.py
@@ -63,6 +63,22 @@
         default_factory=lambda: asyncio.Queue(1),
     )
     ended: bool = False
+    abandoned: bool = False
+
+    async def put(self, received: Head | bytes | _End) -> None:
+        """Hand something over, unless nobody will take it any more."""
+        if not self.abandoned:
+            await self.queue.put(received)
+
+    def abandon(self) -> None:
+        """Let the connection run to its end without anybody reading.
+
+        Cancelling the reading task instead would have tornado log an error
+        for each caller that goes away.
+        """
+        self.abandoned = True
+        while not self.queue.empty():
+            self.queue.get_nowait()
 
     async def headers_received(
         self,
@@ -71,11 +87,11 @@
     ) -> None:
         """Pass the head on."""
         assert isinstance(start_line, ResponseStartLine)
-        await self.queue.put(Head(start_line.code, headers))
+        await self.put(Head(start_line.code, headers))
 
     async def data_received(self, chunk: bytes) -> None:
         """Pass a chunk on, and hold the connection until it is taken."""
-        await self.queue.put(chunk)
+        await self.put(chunk)
 
     def finish(self) -> None:
         """Note a complete answer."""
@@ -139,17 +155,16 @@
 
     def close(self) -> None:
         """Close the connection; an engine takes this for a cancellation."""
-        if self.reading is not None:
-            self.reading.cancel()
+        self.receiver.abandon()
         self.stream.close()
 
     async def _read(self, connection: HTTP1Connection) -> None:
         try:
             await connection.read_response(self.receiver)
         except StreamClosedError:
-            await self.receiver.queue.put(_End(whole=False))
+            await self.receiver.put(_End(whole=False))
             return
-        await self.receiver.queue.put(_End(whole=self.receiver.ended))
+        await self.receiver.put(_End(whole=self.receiver.ended))
 
     async def _next(self) -> Head | bytes | _End:
         try:
--- a/packages/router/src/hitchdeck_router/dispatch/chat.py
+++ b/packages/router/src/hitchdeck_router/dispatch/chat.py
@@ -21,10 +21,11 @@
     UpstreamBrokenError,
     UpstreamRefusedError,
 )
+from hitchdeck_router.scheduling.client import Slot
 from hitchdeck_router.scheduling.costs import prompt_cost, run_cost
-from hitchdeck_router.scheduling.slots import HeldGrant
 
 REQUEST_ID_HEADER = 'X-Request-Id'
+SESSION_ID_HEADER = 'X-Session-Id'
 
 _PATH = '/v1/chat/completions'
 _OK = 200
@@ -109,7 +110,7 @@
     answer = ChatAnswer(admitted.request, str(body['model']))
     progress = Progress(repeatable=admitted.key is None)
 
-    async def run_once(grant: HeldGrant, upstream: Upstream) -> None:
+    async def run_once(grant: Slot, upstream: Upstream) -> None:
         request = _engine_request(admitted, body, answer)
         call = await open_call(upstream.address, request)
         try:
@@ -141,6 +142,7 @@
         headers={
             'Content-Type': 'application/json',
             REQUEST_ID_HEADER: admitted.request,
+            SESSION_ID_HEADER: admitted.session,
         },
         body=json.dumps(engine_body).encode(),
     )
@@ -173,7 +175,7 @@
     context: RouterContext,
     admitted: Admitted,
     answer: ChatAnswer,
-    grant: HeldGrant,
+    grant: Slot,
     call: UpstreamCall,
     deliver: Deliver,
 ) -> None:
@@ -222,7 +224,7 @@
     admitted: Admitted,
     answer: ChatAnswer,
     attempt: _Attempt,
-    grant: HeldGrant,
+    grant: Slot,
     chunk: dict[str, Any],
 ) -> None:
     choice = (chunk.get('choices') or [{}])[0]
@@ -248,7 +250,7 @@
     admitted: Admitted,
     answer: ChatAnswer,
     attempt: _Attempt,
-    grant: HeldGrant,
+    grant: Slot,
 ) -> None:
     now = context.fleet.now()
     labels = (admitted.account, admitted.class_name)
--- a/packages/router/src/hitchdeck_router/dispatch/requests.py
+++ b/packages/router/src/hitchdeck_router/dispatch/requests.py
@@ -52,21 +52,16 @@
         """Name of the class that histograms are kept for."""
         return self.urgency.name
 
-    def ticket(self, now: float, attempt: int) -> Ticket:
-        """Return the ticket for the scheduler.
-
-        Each attempt has an id of its own, so that a late grant or report of
-        an earlier one can't be taken for this one's.
-        """
+    def ticket(self, now: float) -> Ticket:
+        """Return a ticket for the scheduler; it gets its number there."""
         left = 0
         if self.deadline:
             left = max(1, int((self.admitted_at + self.deadline - now) * 1000))
         return Ticket(
-            id=f'{self.request}.{attempt}',
             account=self.account,
             urgency=self.urgency,
             deadline_ms=left,
-            cost_hint=self.hint,
+            cost_hint=round(self.hint),
             session=self.session,
             prefix=self.prefix,
             avoid=sorted(self.avoid),
--- a/packages/router/src/hitchdeck_router/dispatch/services.py
+++ b/packages/router/src/hitchdeck_router/dispatch/services.py
@@ -17,8 +17,8 @@
 from hitchdeck_router.dispatch.chat import REQUEST_ID_HEADER
 from hitchdeck_router.dispatch.requests import Admitted
 from hitchdeck_router.errors import UpstreamBrokenError, UpstreamError
+from hitchdeck_router.scheduling.client import Slot
 from hitchdeck_router.scheduling.costs import SERVICE_CALL
-from hitchdeck_router.scheduling.slots import HeldGrant
 
 
 @dataclass(slots=True)
@@ -66,7 +66,7 @@
     """
     progress = Progress(repeatable=request.repeatable and admitted.key is None)
 
-    async def run_once(grant: HeldGrant, upstream: Upstream) -> None:
+    async def run_once(grant: Slot, upstream: Upstream) -> None:
         grant.spend(SERVICE_CALL)
         call = await open_call(
             upstream.address,
--- a/packages/router/src/hitchdeck_router/process.py
+++ b/packages/router/src/hitchdeck_router/process.py
@@ -26,6 +26,7 @@
 from hitchdeck_router.fleet.view import FleetView
 from hitchdeck_router.scheduling.host import SchedulerHost
 from hitchdeck_router.scheduling.service import SchedulerService
+from hitchdeck_router.scheduling.shard import Rank, least_served
 from hitchdeck_router.scheduling.slots import SlotFinder
 from hitchdeck_router.serving.app import start_http
 
@@ -61,13 +62,6 @@
         idle = _wait_until(lambda: not self.context.active)
         await _within(idle, settings.stop_grace)
 
-    def _has_handed_over(self) -> bool:
-        """Tell whether no shard is here, or nobody is there to take one."""
-        if not self.context.host.shards:
-            return True
-        routers = self.context.fleet.directory.routers.values()
-        return all(one.leaving for one in routers)
-
     async def stop(self) -> None:
         """Stop serving and end every task."""
         self.http.stop()
@@ -76,13 +70,31 @@
         await self.supervisor.stop()
         self.context.ledger.client.close()
 
+    def _has_handed_over(self) -> bool:
+        """Tell whether no shard is here, or nobody is there to take one."""
+        if not self.context.host.shards:
+            return True
+        routers = self.context.fleet.directory.routers.values()
+        return all(one.leaving for one in routers)
+
+
+@dataclass(frozen=True, slots=True)
+class Variation:
+    """What an experiment may exchange: whose turn it is, how slots are found."""
+
+    rank: Rank = least_served
+    make_finder: type[SlotFinder] = SlotFinder
+
 
-async def start_router(settings: Settings) -> RouterProcess:
+async def start_router(
+    settings: Settings,
+    variation: Variation | None = None,
+) -> RouterProcess:
     """Start the router role of a process."""
     section = settings.router
     assert section is not None, 'settings are checked before'
     supervisor = Supervisor('router')
-    context = _make_context(settings, supervisor)
+    context = _make_context(settings, supervisor, variation or Variation())
     link = _make_link(settings, context)
     wire = await serve(
         [SchedulerService(context.host)],
@@ -92,11 +104,16 @@
     http = start_http(context)
     supervisor.permanent('control-link', link.run)
     supervisor.permanent('schedulers', context.host.maintain)
+    supervisor.permanent('rebalance', context.finder.rebalance)
     logs.info('router listens', address=section.listen, wire=section.wire_listen)
     return RouterProcess(context, link, wire, http, supervisor)
 
 
-def _make_context(settings: Settings, supervisor: Supervisor) -> RouterContext:
+def _make_context(
+    settings: Settings,
+    supervisor: Supervisor,
+    variation: Variation,
+) -> RouterContext:
     section = settings.router
     assert section is not None, 'settings are checked before'
     incarnation = Incarnation(secrets.token_hex(_INCARNATION_BYTES))
@@ -114,14 +131,14 @@
         incarnation=incarnation,
         settings=section,
         fleet=fleet,
-        finder=SlotFinder(
+        finder=variation.make_finder(
             fleet,
             settings.box,
             incarnation,
             settings.fleet_token,
             supervisor,
         ),
-        host=SchedulerHost(fleet, incarnation),
+        host=SchedulerHost(fleet, incarnation, variation.rank),
         ledger=Ledger(client, settings.box, incarnation, supervisor),
         histograms=Histograms(boot_seconds),
         supervisor=supervisor,
--- a/packages/router/src/hitchdeck_router/scheduling/client.py
+++ b/packages/router/src/hitchdeck_router/scheduling/client.py
@@ -1,7 +1,11 @@
 """A router's side of the schedulers: asking for slots, reporting, releasing."""
 
+from __future__ import annotations
+
 import asyncio
+from collections import OrderedDict
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from grpclib.client import Stream
 
@@ -12,8 +16,8 @@
     AccountName,
     Address,
     Incarnation,
-    RequestId,
     ShardId,
+    TicketId,
     UpstreamName,
 )
 from hitchdeck_core.signals import Signal
@@ -25,6 +29,7 @@
     Refusal,
     RouterFrame,
     SchedulerFrame,
+    SessionPlace,
     ShardEntry,
     Ticket,
     UsageSum,
@@ -34,37 +39,72 @@
 
 _HEARTBEAT = 1.0
 _COALESCE = 0.002
-_REPORT_PERIOD = 0.25
+_REPORT_PERIOD = 5.0
+_REPORT_FACTOR = 1.5
 _SILENCE = 3.0
 _RETRY_PAUSE = 0.05
-_MICROSECONDS = 1_000_000
+_MILLISECONDS = 1000
 _TOO_MANY_REQUESTS = 429
 _GATEWAY_TIMEOUT = 504
 _RETRY_SOON = 1.0
+_MOST_PLACES = 1000
 
 AttendStream = Stream[RouterFrame, SchedulerFrame]
 
 
 @dataclass(slots=True)
 class PendingTicket:
-    """A ticket of this router that waits for its grant."""
+    """A ticket of this router that waits for its grant.
+
+    ``client`` is where it waits now; it may be moved to another shard.
+    """
 
     ticket: Ticket
-    granted: asyncio.Future[UpstreamName]
+    granted: asyncio.Future[Slot]
     since: float
+    client: ShardClient | None = None
 
 
 @dataclass(slots=True)
 class Slot:
-    """A slot that this router holds; ``cost`` is what its run has cost."""
+    """A slot that this router holds.
+
+    ``cost`` is what its run has cost, of which the scheduler has been told
+    ``told`` at ``told_at``.
+    """
 
     ticket: Ticket
-    shard: ShardId
+    client: SlotKeeper
     upstream: UpstreamName
+    moved_from: str = ''
     cost: float = 0.0
-    told: float = 0.0
+    told: int = 0
+    told_at: float = 0.0
     worst_gap: float = 0.0
 
+    def release(self, *, failed: bool = False) -> None:
+        """Give the slot back; more than once does no harm."""
+        self.client.release(self, failed=failed)
+
+    def spend(self, cost: float) -> None:
+        """Note what the run has cost so far, in all."""
+        self.cost = max(self.cost, cost)
+        self.client.note_progress(self)
+
+    def note_gap(self, seconds: float) -> None:
+        """Note a time between tokens."""
+        self.worst_gap = max(self.worst_gap, seconds)
+
+
+class SlotKeeper(Protocol):
+    """Whoever a slot goes back to."""
+
+    def release(self, slot: Slot, *, failed: bool = False) -> None:
+        """Take a slot back."""
+
+    def note_progress(self, slot: Slot) -> None:
+        """Hear that a slot's run has cost more."""
+
 
 @dataclass(slots=True)
 class Unsent:
@@ -72,8 +112,11 @@
 
     tickets: list[Ticket] = field(default_factory=list)
     reports: list[CostReport] = field(default_factory=list)
-    cancelled: list[str] = field(default_factory=list)
-    accounts: set[AccountName] = field(default_factory=set)
+    cancelled: list[int] = field(default_factory=list)
+
+    def is_empty(self) -> bool:
+        """Tell whether there is nothing to send."""
+        return not (self.tickets or self.reports or self.cancelled)
 
 
 class ShardClient:
@@ -90,46 +133,47 @@
         self.shard = shard
         self.incarnation = incarnation
         self.fleet_token = fleet_token
-        self.waiting: dict[RequestId, PendingTicket] = {}
-        self.held: dict[RequestId, Slot] = {}
-        self.sums: dict[AccountName, float] = {}
+        self.waiting: dict[TicketId, PendingTicket] = {}
+        self.held: dict[TicketId, Slot] = {}
+        self.sums: dict[AccountName, int] = {}
+        self.places: OrderedDict[str, UpstreamName] = OrderedDict()
         self.unsent = Unsent()
         self.something_unsent = Signal()
         self.connected = False
         self.idle = False
         self.busy = False
 
-    def submit(self, ticket: Ticket) -> PendingTicket:
+    def submit(self, pending: PendingTicket) -> None:
         """Ask for a slot."""
-        pending = PendingTicket(
-            ticket,
-            asyncio.get_running_loop().create_future(),
-            self.fleet.now(),
-        )
-        self.waiting[RequestId(ticket.id)] = pending
-        self.unsent.tickets.append(ticket)
+        pending.client = self
+        self.waiting[TicketId(pending.ticket.id)] = pending
+        self.unsent.tickets.append(pending.ticket)
         self.something_unsent.notify()
-        return pending
 
-    def withdraw(self, request: RequestId) -> None:
+    def withdraw(self, ticket: TicketId) -> None:
         """Take a waiting ticket back."""
-        if self.waiting.pop(request, None) is not None:
-            self.unsent.cancelled.append(request)
+        if self.waiting.pop(ticket, None) is not None:
+            self.unsent.cancelled.append(ticket)
             self.something_unsent.notify()
 
-    def spend(self, slot: Slot, cost: float) -> None:
-        """Note that a run has cost this much so far, in all."""
-        grown = cost - slot.cost
-        if grown <= 0:
-            return
-        slot.cost = cost
-        account = AccountName(slot.ticket.account)
-        self.sums[account] = self.sums.get(account, 0.0) + grown
-        self.unsent.accounts.add(account)
+    def note_progress(self, slot: Slot) -> None:
+        """Report a run that has cost far more than was told, or long ago.
+
+        The scheduler has charged an estimate; telling it of each token would
+        cost more than it mends.
+        """
+        expected = max(slot.told, slot.ticket.cost_hint)
+        now = self.fleet.now()
+        if slot.cost < _REPORT_FACTOR * expected:
+            if not slot.told_at or now - slot.told_at < _REPORT_PERIOD:
+                slot.told_at = slot.told_at or now
+                return
+        self.unsent.reports.append(self._report(slot))
+        self.something_unsent.notify()
 
     def release(self, slot: Slot, *, failed: bool = False) -> None:
         """Give a slot back."""
-        if self.held.pop(RequestId(slot.ticket.id), None) is None:
+        if self.held.pop(TicketId(slot.ticket.id), None) is None:
             return
         report = self._report(slot)
         report.released = True
@@ -188,7 +232,7 @@
         for pending in self.waiting.values():
             pending.ticket.waited_ms = int((now - pending.since) * 1000)
         for slot in self.held.values():
-            slot.told = slot.cost
+            self._tell(slot)
         return RouterFrame(
             incarnation=self.incarnation,
             shard=self.shard,
@@ -198,59 +242,55 @@
                 HeldGrant(
                     ticket=slot.ticket,
                     upstream=slot.upstream,
-                    charged=slot.cost,
+                    charged=slot.told,
                 )
                 for slot in self.held.values()
             ],
-            usage=self._usage(self.sums),
+            usage=[
+                UsageSum(account=account, cost=cost)
+                for account, cost in self.sums.items()
+            ],
+            places=[
+                SessionPlace(session=session, upstream=upstream)
+                for session, upstream in self.places.items()
+            ],
         )
 
     async def _send(self, stream: AttendStream, entry: ShardEntry) -> None:
-        """Send tickets and releases soon, costs now and then, or a heartbeat."""
-        report_at = self.fleet.now() + _REPORT_PERIOD
-        heartbeat_at = 0.0
+        """Send whatever there is, soon; a heartbeat if there is nothing."""
         while self._still_holds(entry):
-            if not self._urgent():
-                await self.something_unsent.wait(_REPORT_PERIOD)
+            if self.unsent.is_empty():
+                await self.something_unsent.wait(_HEARTBEAT)
+            # A moment later there may be more for the same frame.
             await asyncio.sleep(_COALESCE)
-            now = self.fleet.now()
-            if now >= report_at:
-                self._collect_reports()
-                report_at = now + _REPORT_PERIOD
-            if self._urgent() or now >= heartbeat_at:
-                await self._send_frame(stream, self._collect())
-                heartbeat_at = now + _HEARTBEAT
-
-    def _urgent(self) -> bool:
-        unsent = self.unsent
-        return bool(unsent.tickets or unsent.reports or unsent.cancelled)
-
-    def _collect_reports(self) -> None:
-        for slot in self.held.values():
-            if slot.cost > slot.told:
-                self.unsent.reports.append(self._report(slot))
+            unsent, self.unsent = self.unsent, Unsent()
+            frame = RouterFrame(
+                tickets=unsent.tickets,
+                reports=unsent.reports,
+                cancelled=unsent.cancelled,
+            )
+            await self._send_frame(stream, frame)
 
     def _report(self, slot: Slot) -> CostReport:
-        slot.told = slot.cost
+        self._tell(slot)
         gap, slot.worst_gap = slot.worst_gap, 0.0
         return CostReport(
             id=slot.ticket.id,
-            cost=slot.cost,
-            token_gap_us=int(gap * _MICROSECONDS),
+            cost=slot.told,
+            token_gap_ms=int(gap * _MILLISECONDS),
         )
 
-    def _collect(self) -> RouterFrame:
-        unsent, self.unsent = self.unsent, Unsent()
-        changed = {account: self.sums[account] for account in unsent.accounts}
-        return RouterFrame(
-            tickets=unsent.tickets,
-            reports=unsent.reports,
-            cancelled=unsent.cancelled,
-            usage=self._usage(changed),
-        )
+    def _tell(self, slot: Slot) -> None:
+        """Count as told what a slot has cost by now.
 
-    def _usage(self, sums: dict[AccountName, float]) -> list[UsageSum]:
-        return [UsageSum(account=name, cost=cost) for name, cost in sums.items()]
+        The sums grow by what is told and no sooner, so that they and the
+        reports always add up to the same.
+        """
+        grown = round(slot.cost) - slot.told
+        slot.told += grown
+        slot.told_at = self.fleet.now()
+        account = AccountName(slot.ticket.account)
+        self.sums[account] = self.sums.get(account, 0) + grown
 
     async def _send_frame(self, stream: AttendStream, frame: RouterFrame) -> None:
         self.fleet.traffic.count('ticket', frame)
@@ -267,8 +307,8 @@
             self.busy = frame.waiting > 0
 
     def _take_grant(self, grant: Grant) -> None:
-        request = RequestId(grant.id)
-        pending = self.waiting.pop(request, None)
+        ticket = TicketId(grant.id)
+        pending = self.waiting.pop(ticket, None)
         if pending is None or pending.granted.done():
             # Withdrawn meanwhile: the slot goes back unused.
             report = CostReport(id=grant.id, released=True)
@@ -276,11 +316,21 @@
             self.something_unsent.notify()
             return
         upstream = UpstreamName(grant.upstream)
-        self.held[request] = Slot(pending.ticket, self.shard, upstream)
-        pending.granted.set_result(upstream)
+        slot = Slot(pending.ticket, self, upstream, grant.moved_from)
+        self.held[ticket] = slot
+        self._note_place(pending.ticket.session, upstream)
+        pending.granted.set_result(slot)
+
+    def _note_place(self, session: str, upstream: UpstreamName) -> None:
+        if not session:
+            return
+        self.places[session] = upstream
+        self.places.move_to_end(session)
+        if len(self.places) > _MOST_PLACES:
+            self.places.popitem(last=False)
 
     def _take_refusal(self, refusal: Refusal) -> None:
-        pending = self.waiting.pop(RequestId(refusal.id), None)
+        pending = self.waiting.pop(TicketId(refusal.id), None)
         if pending is None or pending.granted.done():
             return
         retry_after = refusal.retry_after_ms / 1000
--- a/packages/router/src/hitchdeck_router/scheduling/host.py
+++ b/packages/router/src/hitchdeck_router/scheduling/host.py
@@ -10,8 +10,8 @@
 from hitchdeck_core.ids import (
     AccountName,
     Incarnation,
-    RequestId,
     ShardId,
+    TicketId,
     UpstreamName,
     pool_of,
 )
@@ -24,7 +24,12 @@
     UsageSum,
 )
 from hitchdeck_router.fleet.link import Fleet
-from hitchdeck_router.scheduling.shard import ShardPolicy, ShardScheduler
+from hitchdeck_router.scheduling.shard import (
+    Rank,
+    ShardPolicy,
+    ShardScheduler,
+    least_served,
+)
 
 REBUILD_SECONDS = 0.5
 """How long a new scheduler listens before it grants: routers re-send what
@@ -48,7 +53,7 @@
     heard_at: float
     outbox: Outbox[SchedulerFrame] | None = None
     sums: dict[AccountName, float] = field(default_factory=dict)
-    baseline_taken: bool = False
+    known: bool = False
 
 
 @dataclass(slots=True)
@@ -70,9 +75,15 @@
 class SchedulerHost:
     """All shards hosted by one router."""
 
-    def __init__(self, fleet: Fleet, incarnation: Incarnation) -> None:
+    def __init__(
+        self,
+        fleet: Fleet,
+        incarnation: Incarnation,
+        rank: Rank = least_served,
+    ) -> None:
         self.fleet = fleet
         self.incarnation = incarnation
+        self.rank = rank
         self.shards: dict[ShardId, HostedShard] = {}
         self.known_version = -1
 
@@ -85,6 +96,7 @@
             for hosted in list(self.shards.values()):
                 self._lapse_silent(hosted)
                 self._refuse_expired(hosted)
+                hosted.scheduler.rooms.refresh_all(self.fleet.now())
                 self.pump(hosted)
 
     def follow_directory(self) -> None:
@@ -113,7 +125,8 @@
                 self._lay_down(hosted)
                 continue
             hosted.scheduler.policy = self._policy(pool)
-            hosted.scheduler.set_upstreams(self._slots_of(hosted.shard, pool))
+            slots = self._slots_of(hosted.shard, pool)
+            hosted.scheduler.set_upstreams(slots, self.fleet.now())
 
     def pump(self, hosted: HostedShard) -> None:
         """Grant whatever can be granted, and tell routers how things stand.
@@ -124,10 +137,12 @@
         now = self.fleet.now()
         if now >= hosted.granting_from and self.fleet.lease.is_live():
             for placed in hosted.scheduler.grants(now):
-                attendant = hosted.attendants.get(
-                    Incarnation(placed.ticket.attendant),
+                attendant = hosted.attendants.get(placed.ticket.attendant)
+                grant = Grant(
+                    id=placed.ticket.key[1],
+                    upstream=placed.upstream,
+                    moved_from=placed.moved_from,
                 )
-                grant = Grant(id=placed.ticket.id, upstream=placed.upstream)
                 self._tell(hosted, attendant, SchedulerFrame(grants=[grant]))
         self._measure(hosted, now)
         self._advertise(hosted, now)
@@ -136,13 +151,13 @@
         self,
         hosted: HostedShard,
         attendant: Attendant | None,
-        request: RequestId,
+        ticket: TicketId,
         reason: str,
         retry_after: float,
     ) -> None:
         """Tell a router that a ticket gets no slot."""
         refusal = Refusal(
-            id=request,
+            id=ticket,
             reason=reason,
             retry_after_ms=int(retry_after * 1000),
         )
@@ -173,23 +188,25 @@
         attendant: Attendant,
         sums: Iterable[UsageSum],
     ) -> None:
-        """Count the growth of a router's sums; its first word is the base."""
+        """Reconcile a router's sums with what its reports added up to.
+
+        They differ by what a broken link lost.  A router that attends this
+        scheduler life for the first time brings history that its earlier
+        schedulers have counted: that is where counting starts.
+        """
         for one in sums:
             account = AccountName(one.account)
-            growth = one.cost - attendant.sums.get(account, 0.0)
-            attendant.sums[account] = max(
-                one.cost,
-                attendant.sums.get(account, 0.0),
-            )
-            if attendant.baseline_taken and growth > 0:
-                hosted.scheduler.fair.serve(account, growth)
-        attendant.baseline_taken = True
+            missed = one.cost - attendant.sums.get(account, 0.0)
+            if attendant.known and missed > 0:
+                hosted.scheduler.fair.serve(account, missed)
+            attendant.sums[account] = float(one.cost)
+        attendant.known = True
 
     def _take_up(self, shard: ShardId, entry: ShardEntry) -> None:
         pool = self.fleet.view.pools[pool_of(shard)]
         scheduler = ShardScheduler(self._policy(pool))
-        scheduler.set_upstreams(self._slots_of(shard, pool))
         now = self.fleet.now()
+        scheduler.set_upstreams(self._slots_of(shard, pool), now)
         self.shards[shard] = HostedShard(
             shard=shard,
             epoch=int(entry.epoch),
@@ -213,7 +230,12 @@
             known = accounts.get(account)
             return known.weight if known else 1.0
 
-        return ShardPolicy(pool.queue_limit, pool.urgent_overcommit, weight_of)
+        return ShardPolicy(
+            pool.queue_limit,
+            pool.urgent_overcommit,
+            weight_of,
+            self.rank,
+        )
 
     def _slots_of(self, shard: ShardId, pool: Pool) -> dict[UpstreamName, int]:
         in_service = self.fleet.view.in_service(pool_of(shard))
@@ -237,8 +259,8 @@
 
     def _refuse_expired(self, hosted: HostedShard) -> None:
         for ticket in hosted.scheduler.expired(self.fleet.now()):
-            attendant = hosted.attendants.get(Incarnation(ticket.attendant))
-            self.refuse(hosted, attendant, ticket.id, DEADLINE_PASSED, 0)
+            attendant = hosted.attendants.get(ticket.attendant)
+            self.refuse(hosted, attendant, ticket.key[1], DEADLINE_PASSED, 0)
 
     def _tell(
         self,
@@ -260,7 +282,7 @@
             return
         counters = hosted.scheduler.counters
         counters.waiting += elapsed
-        if hosted.scheduler.free_slots(now):
+        if hosted.scheduler.rooms.free:
             counters.idle_while_waiting += elapsed
 
     def _advertise(self, hosted: HostedShard, now: float) -> None:
@@ -270,7 +292,7 @@
         arrival, and routers only need to know where work could go at once.
         Now and then the same is said again, as the scheduler's heartbeat.
         """
-        free = hosted.scheduler.free_slots(now)
+        free = hosted.scheduler.rooms.free_slots()
         waiting = len(hosted.scheduler.tickets)
         kind = (free > 0, waiting > 0)
         overdue = now - hosted.advertised_at > _ADVERTISE_PERIOD
--- a/packages/router/src/hitchdeck_router/scheduling/loads.py
+++ b/packages/router/src/hitchdeck_router/scheduling/loads.py
@@ -2,7 +2,8 @@
 
 from dataclasses import dataclass, field
 
-from hitchdeck_core.ids import RequestId, UpstreamName
+from hitchdeck_core.ids import UpstreamName
+from hitchdeck_router.scheduling.queueing import TicketKey
 
 TOKEN_GAP_TARGET = 0.07
 """Seconds between tokens that callers are promised."""
@@ -27,7 +28,7 @@
 
     slots: int
     limit: float
-    held: set[RequestId] = field(default_factory=set)
+    held: set[TicketKey] = field(default_factory=set)
     token_gap: float = 0.0
     adjusted_at: float = 0.0
     blocked_until: float = 0.0
--- a/packages/router/src/hitchdeck_router/scheduling/placement.py
+++ b/packages/router/src/hitchdeck_router/scheduling/placement.py
@@ -17,7 +17,8 @@
 
     def __init__(self, most: int = _MOST_BLOCKS) -> None:
         self.most = most
-        self.blocks: OrderedDict[int | str, UpstreamName] = OrderedDict()
+        self.blocks: OrderedDict[int, UpstreamName] = OrderedDict()
+        self.sessions: OrderedDict[str, UpstreamName] = OrderedDict()
 
     def note(
         self,
@@ -26,14 +27,17 @@
         session: str = '',
     ) -> None:
         """Record that an upstream has served this prefix and session."""
-        keys: list[int | str] = list(prefix)
-        if session:
-            keys.append(session)
-        for key in keys:
-            self.blocks[key] = upstream
-            self.blocks.move_to_end(key)
+        for block in prefix:
+            self.blocks[block] = upstream
+            self.blocks.move_to_end(block)
         while len(self.blocks) > self.most:
             self.blocks.popitem(last=False)
+        if not session:
+            return
+        self.sessions[session] = upstream
+        self.sessions.move_to_end(session)
+        while len(self.sessions) > self.most:
+            self.sessions.popitem(last=False)
 
     def forget(self, upstream: UpstreamName, blocks: Iterable[int]) -> None:
         """Drop blocks that an upstream says it has evicted."""
@@ -43,8 +47,8 @@
 
     def holder(self, prefix: tuple[int, ...], session: str) -> UpstreamName | None:
         """Return the upstream with the session or the longest known prefix."""
-        if session and session in self.blocks:
-            return self.blocks[session]
+        if session in self.sessions:
+            return self.sessions[session]
         for block in reversed(prefix):
             if block in self.blocks:
                 return self.blocks[block]
--- a/packages/router/src/hitchdeck_router/scheduling/queueing.py
+++ b/packages/router/src/hitchdeck_router/scheduling/queueing.py
@@ -3,9 +3,12 @@
 import heapq
 from dataclasses import dataclass, field
 
-from hitchdeck_core.ids import AccountName, RequestId, UpstreamName
+from hitchdeck_core.ids import AccountName, Incarnation, TicketId, UpstreamName
 from hitchdeck_core.resources import Urgency
 
+TicketKey = tuple[Incarnation, TicketId]
+"""A ticket's identity in a shard: the router life and its number there."""
+
 _ESCALATION_SLACK = 30.0
 """Seconds before its deadline at which any ticket becomes urgent."""
 
@@ -17,18 +20,22 @@
     ``deadline`` is infinite for a request without one.
     """
 
-    id: RequestId
+    key: TicketKey
     account: AccountName
     urgency: Urgency
     deadline: float
     hint: float
     since: float
-    attendant: str
     session: str = ''
     prefix: tuple[int, ...] = ()
     avoid: frozenset[UpstreamName] = frozenset()
     gone: bool = False
 
+    @property
+    def attendant(self) -> Incarnation:
+        """The router life that waits for the grant."""
+        return self.key[0]
+
     def urgency_at(self, now: float) -> Urgency:
         """Return the urgency, which rises as the deadline comes near."""
         if self.deadline - now < _ESCALATION_SLACK:
@@ -43,14 +50,14 @@
     Cancelled tickets stay in their heap, marked, until they surface.
     """
 
-    heaps: dict[Urgency, list[tuple[float, float, str, WaitingTicket]]] = field(
+    heaps: dict[Urgency, list[tuple[float, float, TicketKey, WaitingTicket]]] = field(
         default_factory=lambda: {urgency: [] for urgency in Urgency},
     )
     length: int = 0
 
     def push(self, ticket: WaitingTicket) -> None:
         """Add a ticket."""
-        entry = (ticket.deadline, ticket.since, ticket.id, ticket)
+        entry = (ticket.deadline, ticket.since, ticket.key, ticket)
         heapq.heappush(self.heaps[ticket.urgency], entry)
         self.length += 1
 
--- a/packages/router/src/hitchdeck_router/scheduling/service.py
+++ b/packages/router/src/hitchdeck_router/scheduling/service.py
@@ -8,13 +8,14 @@
 from hitchdeck_core.ids import (
     AccountName,
     Incarnation,
-    RequestId,
     ShardId,
+    TicketId,
     UpstreamName,
 )
 from hitchdeck_core.resources import Urgency
 from hitchdeck_core.wire.hitchdeck_grpc import SchedulerBase
 from hitchdeck_core.wire.hitchdeck_pb2 import (
+    CostReport,
     HeldGrant,
     RouterFrame,
     SchedulerFrame,
@@ -30,7 +31,7 @@
 from hitchdeck_router.scheduling.shard import HeldSlot
 
 _LINK = 'scheduler'
-_MICROSECONDS = 1_000_000
+_MILLISECONDS = 1000
 
 AttendStream = Stream[RouterFrame, SchedulerFrame]
 
@@ -70,17 +71,11 @@
         earlier = hosted.attendants.get(incarnation)
         if earlier is not None:
             attendant.sums = earlier.sums
-            attendant.baseline_taken = earlier.baseline_taken
+            attendant.known = earlier.known
         hosted.attendants[incarnation] = attendant
         # Whatever it still waits for, a router that connects anew re-sends.
-        scheduler = hosted.scheduler
-        for request, ticket in list(scheduler.tickets.items()):
-            if ticket.attendant == incarnation:
-                scheduler.cancel(request)
-        resent = {held.ticket.id for held in first.held}
-        for request, slot in list(scheduler.held.items()):
-            if slot.attendant == incarnation and request not in resent:
-                scheduler.release(request, failed=False, now=self.host.fleet.now())
+        resent = {(incarnation, TicketId(held.ticket.id)) for held in first.held}
+        hosted.scheduler.keep_only(incarnation, resent, self.host.fleet.now())
         hosted.advertised = None
         return attendant
 
@@ -109,30 +104,50 @@
         attendant: Attendant,
         frame: RouterFrame,
     ) -> None:
-        now = self.host.fleet.now()
-        scheduler = hosted.scheduler
         for held in frame.held:
             self._adopt(hosted, attendant, held)
-        self.host.take_sums(hosted, attendant, frame.usage)
+        for place in frame.places:
+            upstream = UpstreamName(place.upstream)
+            hosted.scheduler.cache.note(upstream, (), place.session)
+        if frame.shard:
+            self.host.take_sums(hosted, attendant, frame.usage)
         for report in frame.reports:
-            request = RequestId(report.id)
-            gap = report.token_gap_us / _MICROSECONDS
-            scheduler.report(request, report.cost, gap, now)
-            if report.released:
-                scheduler.release(request, failed=report.failed, now=now)
+            self._take_report(hosted, attendant, report)
         for cancelled in frame.cancelled:
-            scheduler.cancel(RequestId(cancelled))
+            hosted.scheduler.cancel((attendant.incarnation, TicketId(cancelled)))
         for ticket in frame.tickets:
-            waiting = read_ticket(ticket, attendant.incarnation, now)
-            full = scheduler.submit(waiting)
-            if full is not None:
-                self.host.refuse(
-                    hosted,
-                    attendant,
-                    waiting.id,
-                    QUEUE_FULL,
-                    full.retry_after,
-                )
+            self._take_ticket(hosted, attendant, ticket)
+
+    def _take_report(
+        self,
+        hosted: HostedShard,
+        attendant: Attendant,
+        report: CostReport,
+    ) -> None:
+        now = self.host.fleet.now()
+        key = (attendant.incarnation, TicketId(report.id))
+        slot = hosted.scheduler.held.get(key)
+        if slot is None:
+            return
+        gap = report.token_gap_ms / _MILLISECONDS
+        grown = hosted.scheduler.report(key, report.cost, gap, now)
+        attendant.sums[slot.account] = attendant.sums.get(slot.account, 0) + grown
+        if report.released:
+            hosted.scheduler.release(key, failed=report.failed, now=now)
+
+    def _take_ticket(
+        self,
+        hosted: HostedShard,
+        attendant: Attendant,
+        ticket: Ticket,
+    ) -> None:
+        now = self.host.fleet.now()
+        waiting = read_ticket(ticket, attendant.incarnation, now)
+        full = hosted.scheduler.submit(waiting)
+        if full is not None:
+            retry_after = full.retry_after
+            number = waiting.key[1]
+            self.host.refuse(hosted, attendant, number, QUEUE_FULL, retry_after)
 
     def _adopt(
         self,
@@ -144,11 +159,11 @@
         slot = HeldSlot(
             AccountName(held.ticket.account),
             UpstreamName(held.upstream),
-            attendant.incarnation,
             pending=max(0.0, held.ticket.cost_hint - held.charged),
             spent=held.charged,
         )
-        hosted.scheduler.adopt(RequestId(held.ticket.id), slot)
+        key = (attendant.incarnation, TicketId(held.ticket.id))
+        hosted.scheduler.adopt(key, slot, self.host.fleet.now())
 
     async def _send(
         self,
@@ -167,17 +182,16 @@
             return
 
 
-def read_ticket(ticket: Ticket, attendant: str, now: float) -> WaitingTicket:
+def read_ticket(ticket: Ticket, attendant: Incarnation, now: float) -> WaitingTicket:
     """Return a ticket as the scheduler keeps it."""
     deadline = now + ticket.deadline_ms / 1000 if ticket.deadline_ms else float('inf')
     return WaitingTicket(
-        id=RequestId(ticket.id),
+        key=(attendant, TicketId(ticket.id)),
         account=AccountName(ticket.account),
         urgency=Urgency(min(ticket.urgency, max(Urgency))),
         deadline=deadline,
         hint=ticket.cost_hint,
         since=now - ticket.waited_ms / 1000,
-        attendant=attendant,
         session=ticket.session,
         prefix=tuple(ticket.prefix),
         avoid=frozenset(UpstreamName(name) for name in ticket.avoid),
--- a/packages/router/src/hitchdeck_router/scheduling/shard.py
+++ b/packages/router/src/hitchdeck_router/scheduling/shard.py
@@ -4,17 +4,24 @@
 slots is the truth; all state here is rebuilt from what the routers re-send.
 """
 
+from collections import defaultdict
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 
-from hitchdeck_core.ids import AccountName, RequestId, UpstreamName
+from hitchdeck_core.ids import AccountName, Incarnation, UpstreamName
 from hitchdeck_core.resources import Urgency
-from hitchdeck_router.scheduling.fairness import FairShare
-from hitchdeck_router.scheduling.loads import Loads, UpstreamLoad
-from hitchdeck_router.scheduling.placement import CacheRecord, choose_upstream
-from hitchdeck_router.scheduling.queueing import AccountQueue, WaitingTicket
+from hitchdeck_router.scheduling.fairness import AccountShare, FairShare
+from hitchdeck_router.scheduling.placement import CacheRecord
+from hitchdeck_router.scheduling.queueing import (
+    AccountQueue,
+    TicketKey,
+    WaitingTicket,
+)
+from hitchdeck_router.scheduling.rooms import Rooms
 
 DEBT_CAP = 20_000.0
+"""Weighted cost by which an account may stand above the least served."""
+
 URGENT_CREDIT = 4_000.0
 """Weighted cost by which urgent work may go before other accounts' work."""
 
@@ -33,17 +40,20 @@
 
     account: AccountName
     upstream: UpstreamName
-    attendant: str
     pending: float
     spent: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
 class Placed:
-    """A ticket that has got a slot."""
+    """A ticket that has got a slot.
+
+    ``moved_from`` is where its session ran last, if that is elsewhere.
+    """
 
     ticket: WaitingTicket
     upstream: UpstreamName
+    moved_from: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,13 +63,25 @@
     retry_after: float
 
 
+Rank = Callable[[AccountShare, WaitingTicket, float], float]
+"""From an account's share, its next ticket and the time: lowest is served."""
+
+
+def least_served(share: AccountShare, head: WaitingTicket, now: float) -> float:
+    """Rank by weighted service; urgent work may borrow a bounded credit."""
+    if head.urgency_at(now) is Urgency.urgent:
+        return share.virtual() - URGENT_CREDIT
+    return share.virtual()
+
+
 @dataclass(slots=True)
 class ShardPolicy:
-    """What the pool's definition says about scheduling."""
+    """What the pool's definition says about scheduling, and whose turn it is."""
 
     queue_limit: int
     urgent_overcommit: int
     weight_of: Callable[[AccountName], float]
+    rank: Rank = least_served
 
 
 @dataclass(slots=True)
@@ -82,36 +104,26 @@
         self.policy = policy
         self.fair = FairShare(DEBT_CAP)
         self.queues: dict[AccountName, AccountQueue] = {}
-        self.tickets: dict[RequestId, WaitingTicket] = {}
-        self.held: dict[RequestId, HeldSlot] = {}
-        self.loads: Loads = {}
+        self.tickets: dict[TicketKey, WaitingTicket] = {}
+        self.held: dict[TicketKey, HeldSlot] = {}
+        self.rooms = Rooms()
         self.cache = CacheRecord()
         self.counters = Counters()
         self.since_patient = 0
 
-    def set_upstreams(self, slots: dict[UpstreamName, int]) -> None:
+    def set_upstreams(self, slots: dict[UpstreamName, int], now: float) -> None:
         """Say which upstreams may get new work, and their slots."""
-        for gone in set(self.loads) - set(slots):
-            self.loads.pop(gone)
-        for name, most in slots.items():
-            load = self.loads.get(name)
-            if load is None:
-                held = {
-                    request
-                    for request, slot in self.held.items()
-                    if slot.upstream == name
-                }
-                self.loads[name] = UpstreamLoad(most, float(most), held)
-            elif load.slots != most:
-                load.slots = most
-                load.limit = float(most)
+        held: dict[UpstreamName, set[TicketKey]] = defaultdict(set)
+        for key, slot in self.held.items():
+            held[slot.upstream].add(key)
+        self.rooms.set_upstreams(slots, held, now)
 
     def submit(self, ticket: WaitingTicket) -> QueueFull | None:
         """Queue a ticket, or say that its account has too many waiting.
 
         A ticket that is known already was re-sent after a broken link.
         """
-        if ticket.id in self.tickets or ticket.id in self.held:
+        if ticket.key in self.tickets or ticket.key in self.held:
             return None
         queue = self.queues.setdefault(ticket.account, AccountQueue())
         if queue.length >= self.policy.queue_limit:
@@ -121,12 +133,12 @@
             weight = self.policy.weight_of(ticket.account)
             self.fair.enter(ticket.account, weight, self.backlogged())
         queue.push(ticket)
-        self.tickets[ticket.id] = ticket
+        self.tickets[ticket.key] = ticket
         return None
 
-    def cancel(self, request: RequestId) -> None:
+    def cancel(self, key: TicketKey) -> None:
         """Forget a waiting ticket."""
-        ticket = self.tickets.pop(request, None)
+        ticket = self.tickets.pop(key, None)
         if ticket is not None:
             self.queues[ticket.account].remove(ticket)
 
@@ -134,63 +146,82 @@
         """Take out and return the tickets whose deadline has passed."""
         late = [one for one in self.tickets.values() if one.deadline <= now]
         for ticket in late:
-            self.cancel(ticket.id)
+            self.cancel(ticket.key)
         return late
 
-    def adopt(self, request: RequestId, slot: HeldSlot) -> None:
+    def adopt(self, key: TicketKey, slot: HeldSlot, now: float) -> None:
         """Take over a slot that a router holds from an earlier epoch."""
-        if request in self.held:
-            self.held[request].attendant = slot.attendant
+        if key in self.held:
             return
-        self.cancel(request)
+        self.cancel(key)
         share = self.fair.share_of(slot.account)
         share.weight = self.policy.weight_of(slot.account)
         share.pending += slot.pending
-        self._hold(request, slot)
+        self._hold(key, slot, now)
 
-    def report(self, request: RequestId, cost: float, gap: float, now: float) -> None:
-        """Note cost so far and the time between tokens, both of one request.
+    def report(self, key: TicketKey, cost: float, gap: float, now: float) -> float:
+        """Note a request's cost so far and its time between tokens.
 
-        The cost itself is counted from the router's sums, which outlive
-        both the request and this scheduler; here it only uses up the
-        estimate.
+        Returns
+        -------
+        float
+            By how much the cost has grown since the last report.
         """
-        slot = self.held.get(request)
+        slot = self.held.get(key)
         if slot is None:
-            return
-        self._spend(slot, cost)
-        load = self.loads.get(slot.upstream)
+            return 0.0
+        load = self.rooms.loads.get(slot.upstream)
         if load is not None:
             load.observe_gap(gap, now)
+        grown = max(0.0, cost - slot.spent)
+        used = min(slot.pending, grown)
+        self.fair.settle_estimate(slot.account, used)
+        self.fair.serve(slot.account, grown)
+        slot.pending -= used
+        slot.spent += grown
+        return grown
 
-    def release(self, request: RequestId, *, failed: bool, now: float) -> None:
+    def release(self, key: TicketKey, *, failed: bool, now: float) -> None:
         """Free a slot."""
-        slot = self.held.pop(request, None)
+        slot = self.held.pop(key, None)
         if slot is None:
             return
         self.fair.settle_estimate(slot.account, slot.pending)
-        load = self.loads.get(slot.upstream)
-        if load is not None:
-            load.held.discard(request)
-            if failed:
-                load.note_failure(now)
-            else:
-                load.note_success()
         if not failed and slot.spent:
             self.fair.learn(slot.account, slot.spent)
-
-    def drop_attendant(self, attendant: str, now: float) -> None:
+        load = self.rooms.loads.get(slot.upstream)
+        if load is None:
+            return
+        load.held.discard(key)
+        if failed:
+            load.note_failure(now)
+        else:
+            load.note_success()
+        self.rooms.refresh(slot.upstream, now)
+
+    def drop_attendant(self, attendant: Incarnation, now: float) -> None:
         """Free all that a router life held or waited for."""
-        for request, ticket in list(self.tickets.items()):
-            if ticket.attendant == attendant:
-                self.cancel(request)
-        for request, slot in list(self.held.items()):
-            if slot.attendant == attendant:
-                self.release(request, failed=False, now=now)
+        for waiting in _of_attendant(self.tickets, attendant):
+            self.cancel(waiting)
+        for key in _of_attendant(self.held, attendant):
+            self.release(key, failed=False, now=now)
+
+    def keep_only(
+        self,
+        attendant: Incarnation,
+        held: set[TicketKey],
+        now: float,
+    ) -> None:
+        """Forget what a router life that connects anew does not re-send."""
+        for waiting in _of_attendant(self.tickets, attendant):
+            self.cancel(waiting)
+        for key in _of_attendant(self.held, attendant):
+            if key not in held:
+                self.release(key, failed=False, now=now)
 
     def grants(self, now: float) -> Iterator[Placed]:
         """Grant slots while there are tickets and room for them."""
-        while True:
+        while self.tickets:
             placed = self._next_grant(now)
             if placed is None:
                 return
@@ -200,21 +231,17 @@
         """Return the accounts with waiting tickets."""
         return [name for name, queue in self.queues.items() if queue.length]
 
-    def free_slots(self, now: float) -> int:
-        """Return how many more requests the shard could run."""
-        return sum(max(0, load.room(now)) for load in self.loads.values())
-
     def service_gap(self) -> float:
         """Return the widest gap in weighted service among the backlogged."""
         virtual = [self.fair.shares[one].virtual() for one in self.backlogged()]
         return max(virtual) - min(virtual) if virtual else 0.0
 
     def gap_bound(self) -> float:
-        """Return the bound on that gap: twice what can be in flight, plus debt.
+        """Return the bound on that gap: twice what can be in flight, plus credit.
 
         See docs/design/fairness.md for the derivation.
         """
-        slots = sum(load.slots for load in self.loads.values())
+        slots = sum(load.slots for load in self.rooms.loads.values())
         shares = [self.fair.shares[one] for one in self.backlogged()]
         largest = max(
             ((one.mean_cost or 0.0) / one.weight for one in shares),
@@ -223,31 +250,34 @@
         return 2 * slots * largest + URGENT_CREDIT
 
     def _next_grant(self, now: float) -> Placed | None:
+        if not self.rooms.free and not self._may_exceed():
+            return None
         for ticket in self._candidates(now):
             upstream = self._place(ticket, now)
-            if upstream is None:
-                continue
-            self._grant(ticket, upstream)
-            return Placed(ticket, upstream)
+            if upstream is not None:
+                return self._grant(ticket, upstream, now)
         return None
 
-    def _candidates(self, now: float) -> Iterable[WaitingTicket]:
+    def _may_exceed(self) -> bool:
+        """Tell whether urgent work waits that may go beyond the slots."""
+        return self.policy.urgent_overcommit > 0 and any(
+            queue.heaps[Urgency.urgent] for queue in self.queues.values()
+        )
+
+    def _candidates(self, now: float) -> list[WaitingTicket]:
         """Return each backlogged account's head, in the order of service."""
         heads = [
             head
             for name in self.backlogged()
             if (head := self.queues[name].head(now)) is not None
         ]
-        heads.sort(key=lambda head: self._rank(head, now))
+        shares = self.fair.shares
+        heads.sort(
+            key=lambda head: self.policy.rank(shares[head.account], head, now),
+        )
         patient = self._patient_ticket(now)
         return [patient, *heads] if patient else heads
 
-    def _rank(self, head: WaitingTicket, now: float) -> float:
-        virtual = self.fair.shares[head.account].virtual()
-        if head.urgency_at(now) is Urgency.urgent:
-            return virtual - URGENT_CREDIT
-        return virtual
-
     def _patient_ticket(self, now: float) -> WaitingTicket | None:
         """Return a ticket that has waited too long, once every few grants.
 
@@ -266,47 +296,48 @@
         return queue.head(now)
 
     def _place(self, ticket: WaitingTicket, now: float) -> UpstreamName | None:
-        extra = 0
-        if ticket.urgency_at(now) is Urgency.urgent:
-            extra = self.policy.urgent_overcommit
-        rooms = {
-            name: load.room(now)
-            for name, load in self.loads.items()
-            if name not in ticket.avoid
-        }
         preferred = self.cache.holder(ticket.prefix, ticket.session)
-        chosen = choose_upstream(rooms, preferred)
-        if chosen is None and extra:
-            rooms = {name: self.loads[name].room(now, extra) for name in rooms}
-            chosen = choose_upstream(rooms, preferred)
-        return chosen
-
-    def _grant(self, ticket: WaitingTicket, upstream: UpstreamName) -> None:
-        self.cancel(ticket.id)
+        chosen = self.rooms.choose(preferred, ticket.avoid)
+        extra = self.policy.urgent_overcommit
+        if chosen is not None or not extra:
+            return chosen
+        if ticket.urgency_at(now) is not Urgency.urgent:
+            return None
+        return self.rooms.choose_beyond(preferred, ticket.avoid, extra, now)
+
+    def _grant(
+        self,
+        ticket: WaitingTicket,
+        upstream: UpstreamName,
+        now: float,
+    ) -> Placed:
+        self.cancel(ticket.key)
         estimate = self.fair.estimate(ticket.account, ticket.hint)
         self.fair.charge(ticket.account, estimate)
-        slot = HeldSlot(ticket.account, upstream, ticket.attendant, estimate)
-        self._hold(ticket.id, slot)
+        self._hold(ticket.key, HeldSlot(ticket.account, upstream, estimate), now)
+        known = self.cache.sessions.get(ticket.session, upstream)
         self.cache.note(upstream, ticket.prefix, ticket.session)
         self.since_patient += 1
         if self.since_patient > _PATIENT_TURN:
             self.since_patient = 0
         self.counters.granted += 1
         self.counters.by_class[ticket.urgency] += 1
+        return Placed(ticket, upstream, known if known != upstream else '')
 
-    def _hold(self, request: RequestId, slot: HeldSlot) -> None:
-        self.held[request] = slot
-        load = self.loads.get(slot.upstream)
+    def _hold(self, key: TicketKey, slot: HeldSlot, now: float) -> None:
+        self.held[key] = slot
+        load = self.rooms.loads.get(slot.upstream)
         if load is not None:
-            load.held.add(request)
-
-    def _spend(self, slot: HeldSlot, cost: float) -> None:
-        grown = max(0.0, cost - slot.spent)
-        used = min(slot.pending, grown)
-        self.fair.settle_estimate(slot.account, used)
-        slot.pending -= used
-        slot.spent += grown
+            load.held.add(key)
+            self.rooms.refresh(slot.upstream, now)
 
     def _retry_after(self, queue: AccountQueue) -> float:
         running = max(1, len(self.held))
         return max(_FIRST_RETRY_AFTER, queue.length / running)
+
+
+def _of_attendant(
+    keys: Iterable[TicketKey],
+    attendant: Incarnation,
+) -> list[TicketKey]:
+    return [key for key in keys if key[0] == attendant]
--- a/packages/router/src/hitchdeck_router/scheduling/slots.py
+++ b/packages/router/src/hitchdeck_router/scheduling/slots.py
@@ -2,10 +2,16 @@
 
 import asyncio
 from collections.abc import Iterator
-from dataclasses import dataclass
 
 from hitchdeck_core.hashing import ranked
-from hitchdeck_core.ids import Incarnation, PoolName, RequestId, ShardId, shard_id
+from hitchdeck_core.ids import (
+    Incarnation,
+    PoolName,
+    ShardId,
+    TicketId,
+    pool_of,
+    shard_id,
+)
 from hitchdeck_core.supervisor import Supervisor
 from hitchdeck_core.wire.hitchdeck_pb2 import Ticket, UsageSum
 from hitchdeck_router.errors import NotRunError
@@ -23,26 +29,6 @@
 _RETRY_AFTER = 1.0
 
 
-@dataclass(slots=True)
-class HeldGrant:
-    """A slot with the client that gives it back."""
-
-    client: ShardClient
-    slot: Slot
-
-    def release(self, *, failed: bool = False) -> None:
-        """Give the slot back; more than once does no harm."""
-        self.client.release(self.slot, failed=failed)
-
-    def spend(self, cost: float) -> None:
-        """Note the cost so far."""
-        self.client.spend(self.slot, cost)
-
-    def note_gap(self, seconds: float) -> None:
-        """Note a time between tokens."""
-        self.slot.worst_gap = max(self.slot.worst_gap, seconds)
-
-
 class SlotFinder:
     """All shard clients of a router."""
 
@@ -60,9 +46,10 @@
         self.fleet_token = fleet_token
         self.supervisor = supervisor
         self.clients: dict[ShardId, ShardClient] = {}
-        self.told: dict[tuple[ShardId, str], float] = {}
+        self.told: dict[tuple[ShardId, str], int] = {}
+        self.last_ticket = 0
 
-    async def acquire(self, pool: PoolName, ticket: Ticket) -> HeldGrant:
+    async def acquire(self, pool: PoolName, ticket: Ticket) -> Slot:
         """Wait for a slot in a pool.
 
         Cancelling the wait withdraws the ticket.
@@ -73,33 +60,34 @@
             The queue is full, the deadline has passed, or no scheduler of
             the pool can be reached.
         """
-        request = RequestId(ticket.id)
-        client = self._best_client(pool, ticket)
-        pending = client.submit(ticket)
+        self.last_ticket += 1
+        ticket.id = self.last_ticket
+        pending = PendingTicket(
+            ticket,
+            asyncio.get_running_loop().create_future(),
+            self.fleet.now(),
+        )
+        self._best_client(pool, ticket).submit(pending)
         try:
-            while not pending.granted.done():
-                await asyncio.wait([pending.granted], timeout=_MOVE_PERIOD)
-                if pending.granted.done():
-                    break
-                self._check_reachable(pool, pending)
-                better = self._idle_client(pool, client)
-                if better is not None:
-                    client, pending = _move(client, better, pending)
-            await pending.granted
+            return await pending.granted
         except BaseException:
-            # Also on cancellation, when the grant may just have arrived.
-            client.withdraw(request)
-            if request in client.held:
-                client.release(client.held[request])
+            self._give_up(pending)
             raise
-        return HeldGrant(client, client.held[request])
+
+    async def rebalance(self) -> None:
+        """Move tickets that wait to shards that are idle; for ever."""
+        while True:
+            await asyncio.sleep(_MOVE_PERIOD)
+            for client in list(self.clients.values()):
+                if client.waiting:
+                    self._relieve(client)
 
     def usage_to_tell(self) -> list[UsageSum]:
         """Return the sums that have grown since they were last told."""
         grown = []
         for shard, client in self.clients.items():
             for account, cost in client.sums.items():
-                if self.told.get((shard, account), 0.0) < cost:
+                if self.told.get((shard, account), 0) < cost:
                     self.told[shard, account] = cost
                     grown.append(UsageSum(shard=shard, account=account, cost=cost))
         return grown
@@ -120,18 +108,31 @@
             key=lambda one: (not one.connected, not one.idle, len(one.waiting)),
         )
 
-    def _idle_client(self, pool: PoolName, present: ShardClient) -> ShardClient | None:
-        """Return another shard's client if work could start there at once."""
-        if present.connected and not present.busy:
-            return None
-        return next(
-            (
-                client
-                for client in self._clients_of(pool)
-                if client is not present and client.idle
-            ),
-            None,
-        )
+    def _give_up(self, pending: PendingTicket) -> None:
+        """Withdraw a ticket; its grant may have arrived at this moment."""
+        assert pending.client is not None
+        number = TicketId(pending.ticket.id)
+        pending.client.withdraw(number)
+        slot = pending.client.held.get(number)
+        if slot is not None:
+            slot.release()
+
+    def _relieve(self, client: ShardClient) -> None:
+        """Move a waiting ticket away from a busy or lost shard, if possible.
+
+        One at a time: that a shard is idle is old news already.
+        """
+        pool = pool_of(client.shard)
+        if not client.connected:
+            self._refuse_unreachable(pool, client)
+        if client.connected and not client.busy:
+            return
+        for other in self._clients_of(pool):
+            if other is not client and other.idle and client.waiting:
+                pending = next(iter(client.waiting.values()))
+                client.withdraw(TicketId(pending.ticket.id))
+                other.idle = False
+                other.submit(pending)
 
     def _clients_of(self, pool: PoolName) -> Iterator[ShardClient]:
         definition = self.fleet.view.pools.get(pool)
@@ -152,27 +153,22 @@
             self.supervisor.permanent(f'shard-{shard}', client.run)
         return self.clients[shard]
 
-    def _check_reachable(self, pool: PoolName, pending: PendingTicket) -> None:
-        if any(client.connected for client in self._clients_of(pool)):
+    def _refuse_unreachable(self, pool: PoolName, client: ShardClient) -> None:
+        if any(one.connected for one in self._clients_of(pool)):
             return
-        if self.fleet.now() - pending.since < _NO_SCHEDULER_PATIENCE:
-            return
-        raise NotRunError(
-            _UNAVAILABLE,
-            'no-scheduler',
-            f'no scheduler of pool {pool} can be reached',
-            _RETRY_AFTER,
-        )
-
-
-def _move(
-    client: ShardClient,
-    better: ShardClient,
-    pending: PendingTicket,
-) -> tuple[ShardClient, PendingTicket]:
-    client.withdraw(RequestId(pending.ticket.id))
-    better.idle = False
-    since = pending.since
-    moved = better.submit(pending.ticket)
-    moved.since = since
-    return better, moved
+        now = self.fleet.now()
+        for number, pending in list(client.waiting.items()):
+            if now - pending.since < _NO_SCHEDULER_PATIENCE:
+                continue
+            client.withdraw(number)
+            if not pending.granted.done():
+                pending.granted.set_exception(_no_scheduler(pool))
+
+
+def _no_scheduler(pool: PoolName) -> NotRunError:
+    return NotRunError(
+        _UNAVAILABLE,
+        'no-scheduler',
+        f'no scheduler of pool {pool} can be reached',
+        _RETRY_AFTER,
+    )
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -52,12 +52,13 @@
         """Generate."""
         body = json.loads(self.request.body)
         request = self.request.headers.get('X-Request-Id', '')
-        self.engine.recorder.write('start', request=request, engine=self.engine.name)
+        self.engine.recorder.write('taken', request=request)
         self.engine.running += 1
         self.closed = False
         outcome = 'cut'
         try:
             async with self.engine.slots:
+                self.engine.recorder.write('begin', request=request)
                 outcome = await self._generate(request, body)
         except StreamClosedError:
             outcome = 'cancelled'
@@ -70,6 +71,9 @@
         self.closed = True
 
     async def _generate(self, request: str, body: dict[str, Any]) -> str:
+        session = self.request.headers.get('X-Session-Id', '')
+        if session:
+            self.engine.caches[session] = f'kv-of-{session}'
         self.set_header('Content-Type', 'text/event-stream')
         self.set_header('X-Request-Id', self.engine.faults.get('foreign_id', request))
         tokens, done = answer_tokens(body)
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -195,6 +195,7 @@
     address_ttl: float = 1.0
     ledger_retention: float = 86_400.0
     snapshot_every: int = 2000
+    router_command: tuple[str, ...] = ()
 
 
 def make_fleet(folder: Path, size: FleetSize) -> Fleet:
@@ -302,7 +303,10 @@
 stop_grace = 20
 """,
     )
-    return _daemon(fleet.folder, name, port, settings)
+    daemon = _daemon(fleet.folder, name, port, settings)
+    if size.router_command:
+        daemon.command = [*size.router_command, f'--settings={settings}']
+    return daemon
 
 
 def _daemon(folder: Path, name: str, port: int, settings: Path) -> Member:
