--- a/packages/control/src/hitchdeck_control/raft/replication.py
+++ b/packages/control/src/hitchdeck_control/raft/replication.py
@@ -59,7 +59,9 @@
     request: AppendRequest,
 ) -> AppendReply:
     """Take entries from the leader; the answer follows the sync."""
-    if request.target != replica.me.replica or request.term < replica.term:
+    if request.target != replica.me.replica:
+        return AppendReply(other_replica=True)
+    if request.term < replica.term:
         return AppendReply(term=replica.term, success=False)
     _hear(replica, int(request.term), request.leader)
     async with appending:
@@ -85,7 +87,9 @@
     request: SnapshotRequest,
 ) -> AppendReply:
     """Take a snapshot from the leader in place of entries it has dropped."""
-    if request.target != replica.me.replica or request.term < replica.term:
+    if request.target != replica.me.replica:
+        return AppendReply(other_replica=True)
+    if request.term < replica.term:
         return AppendReply(term=replica.term, success=False)
     _hear(replica, int(request.term), request.leader)
     snapshot = request.snapshot
@@ -163,6 +167,10 @@
         reply = await links.install(address, request)
     else:
         reply = await links.append(address, _append_request(replica, peer))
+    if reply.other_replica:
+        # Neither contact nor refusal: a box with a new disk must not keep
+        # the lease alive in the name of its lost replica.
+        raise LinkError(f'{peer.address} is {peer.replica} no more')
     if reply.term > replica.term:
         replica.follow(int(reply.term), ReplicaId(''))
         await replica.log.flush()
--- /dev/null
+++ b/tests/common/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers that tests share."""
--- /dev/null
+++ b/tests/cover/test_agreement.py
@@ -0,0 +1,160 @@
+"""The control group under loss of leaders, disks and links."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import pytest
+import pytest_asyncio
+
+from hitchdeck_control.errors import MembershipError, NotLeaderError
+from hitchdeck_control.raft import membership
+from hitchdeck_control.raft.election import answer_vote
+from hitchdeck_core.wire.hitchdeck_pb2 import VoteRequest
+from tests.common.group import Group, until
+
+
+@pytest_asyncio.fixture
+async def group(tmp_path: Path) -> AsyncIterator[Group]:
+    """Return a group of three."""
+    three = Group(tmp_path)
+    for name in ('a', 'b', 'c'):
+        three.start(name)
+    await three.found()
+    yield three
+    await three.close()
+
+
+def accounts_of(group: Group, name: str) -> set[str]:
+    """Return the accounts that a replica knows."""
+    return set(group.nodes[name].machine.state.resources)
+
+
+async def test_what_is_committed_is_everywhere(group: Group) -> None:
+    for number in range(5):
+        await group.put(f'n{number}')
+    expected = {f'account/n{number}' for number in range(5)}
+    await until(lambda: all(accounts_of(group, one) == expected for one in group.nodes))
+
+
+async def test_committed_survives_the_leader_and_its_return(group: Group) -> None:
+    await group.put('before')
+    leader = (await group.leader()).name
+    await group.stop(leader)
+    await group.put('after')
+    group.start(leader)
+    await until(
+        lambda: accounts_of(group, leader) == {'account/before', 'account/after'}
+    )
+
+
+async def test_restart_of_everything_keeps_the_newest(group: Group) -> None:
+    for number in range(120):
+        await group.put(f'n{number}')
+    for name in list(group.nodes):
+        await group.stop(name)
+    for name in ('a', 'b', 'c'):
+        group.start(name)
+    await group.put('last')
+    leader = await group.leader()
+    assert len(leader.machine.state.resources) == 121
+    assert leader.replica.log.snapshot.last_index > 0
+
+
+async def test_leader_cut_off_loses_its_lease_before_another_leads(
+    group: Group,
+) -> None:
+    old = await group.leader()
+    group.cut.add(old.name)
+    new = await group.leader()
+    assert new is not old
+    assert not old.replica.has_lease()
+    with pytest.raises(NotLeaderError):
+        old.replica.check_leads()
+
+
+async def test_return_after_a_long_cut_does_not_depose(group: Group) -> None:
+    """Without the pre-vote, the one cut off came back with a higher term."""
+    leader = await group.leader()
+    away = next(name for name in group.nodes if name != leader.name)
+    group.cut.add(away)
+    await asyncio.sleep(1)
+    term = leader.replica.term
+    group.cut.clear()
+    await group.put('after')
+    assert group.nodes[away].replica.term == term
+    assert leader.replica.is_leader()
+
+
+async def test_lost_disk_never_votes_under_the_old_identity(group: Group) -> None:
+    await group.put('x')
+    leader = await group.leader()
+    victim = next(name for name in group.nodes if name != leader.name)
+    old_identity = group.nodes[victim].replica.me.replica
+    await group.stop(victim)
+    fresh = group.start(victim, folder='new-disk')
+    assert fresh.replica.me.replica != old_identity
+    fresh.replica.last_heard = float('-inf')
+    for target in (old_identity, fresh.replica.me.replica):
+        request = VoteRequest(candidate='z', term=99, last_index=99, target=target)
+        assert not (await answer_vote(fresh.replica, request)).granted
+
+
+async def test_second_loss_right_after_a_repair_loses_nothing(group: Group) -> None:
+    for number in range(60):
+        await group.put(f'n{number}')
+    leader = await group.leader()
+    victim, other = (name for name in group.nodes if name != leader.name)
+    await group.stop(victim)
+    group.start(victim, folder='new-disk')
+    await membership.replace(leader.replica, group.member(victim))
+    await group.stop(other)
+    await group.put('after')
+    await group.stop(leader.name)
+    group.start(other)
+    await group.put('last')
+    expected = {'account/after', 'account/last', 'account/n59'}
+    await until(lambda: expected <= accounts_of(group, victim))
+
+
+async def test_replacement_may_be_repeated(group: Group) -> None:
+    leader = await group.leader()
+    victim = next(name for name in group.nodes if name != leader.name)
+    await group.stop(victim)
+    group.start(victim, folder='new-disk')
+    await membership.replace(leader.replica, group.member(victim))
+    await membership.replace(leader.replica, group.member(victim))
+    assert len(leader.replica.voters()) == 3
+
+
+async def test_box_of_another_group_is_not_founded_again(group: Group) -> None:
+    await group.put('x')
+    members = [group.member(name, voter=True) for name in ('a', 'b')]
+    with pytest.raises(MembershipError):
+        await membership.found(group.nodes['a'].replica, members)
+
+
+async def test_lagging_replica_catches_up_by_snapshot(group: Group) -> None:
+    leader = await group.leader()
+    away = next(name for name in group.nodes if name != leader.name)
+    group.cut.add(away)
+    for number in range(120):
+        await group.put(f'n{number}')
+    group.cut.clear()
+    await until(lambda: len(accounts_of(group, away)) == 120)
+    assert group.nodes[away].replica.log.snapshot.last_index > 0
+
+
+async def test_voter_that_hears_a_leader_elects_nobody(group: Group) -> None:
+    await group.put('x')
+    leader = await group.leader()
+    for node in group.nodes.values():
+        request = VoteRequest(
+            candidate='z',
+            term=leader.replica.term + 5,
+            last_index=999,
+            last_term=999,
+            target=node.replica.me.replica,
+        )
+        assert not (await answer_vote(node.replica, request)).granted
+        assert node.replica.term == leader.replica.term
--- /dev/null
+++ b/tests/failures/__init__.py
@@ -0,0 +1,1 @@
+"""Failures of real processes."""
--- /dev/null
+++ b/tests/fuzz/__init__.py
@@ -0,0 +1,1 @@
+"""Stateful fuzzing against simple oracles."""
