--- a/packages/control/src/hitchdeck_control/storage/log.py
+++ b/packages/control/src/hitchdeck_control/storage/log.py
@@ -153,11 +153,10 @@
     async def _write_pending(self) -> None:
         records, self.pending = self.pending, []
         last = self.last_index
-        entries = [entry for record in records for entry in record.entries]
         batch = LogRecord(
             term=records[-1].term,
             vote=records[-1].vote,
-            entries=entries,
+            entries=_latest_entries(records),
         )
         await self._in_thread(self._write, batch.SerializeToString())
         self._mark_synced(last)
@@ -207,3 +206,18 @@
         for old in old_segments:
             old.unlink()
         sync_folder(self.folder)
+
+
+def _latest_entries(records: list[LogRecord]) -> list[Entry]:
+    """Return the entries of a batch, without those replaced within it.
+
+    A reader replaces from the first index of a record on, so a record that
+    held both an entry and its replacement would be read as two entries.
+    """
+    entries: list[Entry] = []
+    for record in records:
+        if record.entries:
+            first = record.entries[0].index
+            entries = [entry for entry in entries if entry.index < first]
+            entries.extend(record.entries)
+    return entries
--- a/tests/common/group.py
+++ b/tests/common/group.py
@@ -4,11 +4,13 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import cast
 
 from hitchdeck_control.errors import NotLeaderError, OutcomeUnknownError
 from hitchdeck_control.machine.machine import Machine
 from hitchdeck_control.raft import membership, replication
 from hitchdeck_control.raft.election import answer_vote, watch_leader
+from hitchdeck_control.raft.links import Links
 from hitchdeck_control.raft.replica import Machinery, Replica, Self, Timing
 from hitchdeck_control.storage.identity import open_identity
 from hitchdeck_control.storage.log import DurableLog
@@ -100,14 +102,12 @@
             self.now,
         )
         node = Node(name, replica, machine, Supervisor(name))
-        links = FakeLinks(self, name)
-        for title, work in {
-            'election': lambda: watch_leader(replica, links),  # type: ignore[arg-type]
-            'replication': lambda: replication.replicate(replica, links),  # type: ignore[arg-type]
-            'log': lambda: replication.write_log(replica),
-            'apply': lambda: replication.apply_log(replica),
-        }.items():
-            node.tasks.permanent(title, work)
+        links = cast(Links, FakeLinks(self, name))
+        keep = node.tasks.permanent
+        keep('election', lambda: watch_leader(replica, links))
+        keep('replication', lambda: replication.replicate(replica, links))
+        keep('log', lambda: replication.write_log(replica))
+        keep('apply', lambda: replication.apply_log(replica))
         self.nodes[name] = node
         return node
 
--- a/tests/cover/test_storage.py
+++ b/tests/cover/test_storage.py
@@ -113,9 +113,14 @@
 
 async def test_writers_share_a_sync(tmp_path: Path) -> None:
     log = DurableLog(tmp_path)
-    records = []
+    records: list[bytes] = []
     write = log._write
-    log._write = lambda payload: (records.append(payload), write(payload))  # type: ignore[method-assign,assignment,func-returns-value]
+
+    def record(payload: bytes) -> None:
+        records.append(payload)
+        write(payload)
+
+    log._write = record  # type: ignore[method-assign]
 
     async def append(index: int) -> None:
         log.append([entry(index)])
@@ -185,3 +190,13 @@
     assert log.synced_index == 1
     log.close()
     assert DurableLog(tmp_path).last_index == 1
+
+
+async def test_entry_replaced_before_its_sync_is_read_once(tmp_path: Path) -> None:
+    """Found by the fuzzer: both stood in one record and were read as two."""
+    log = DurableLog(tmp_path)
+    log.append([entry(1)])
+    log.append([entry(1, term=2)])
+    await log.flush()
+    log.close()
+    assert [(one.index, one.term) for one in DurableLog(tmp_path).entries] == [(1, 2)]
--- /dev/null
+++ b/tests/fuzz/test_selector_fuzz.py
@@ -0,0 +1,37 @@
+"""Selectors against a direct reading of their meaning."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hitchdeck_core.labels import check_selector, parse_selector
+
+KEYS = st.sampled_from(['tier', 'region', 'leaving'])
+CHOICES = st.sampled_from(['a', 'b', 'c'])
+LABELS = st.dictionaries(KEYS, CHOICES)
+
+
+@given(LABELS, KEYS, st.sets(CHOICES, min_size=1), st.booleans())
+def test_sets_mean_what_they_say(
+    labels: dict[str, str],
+    key: str,
+    choices: set[str],
+    negated: bool,
+) -> None:
+    word = 'notin' if negated else 'in'
+    selector = check_selector(f'{key} {word} ({", ".join(sorted(choices))})')
+    assert selector.matches(labels) is ((labels.get(key) in choices) != negated)
+
+
+@given(LABELS, st.lists(st.tuples(KEYS, CHOICES), min_size=1, max_size=3))
+def test_all_requirements_must_hold(
+    labels: dict[str, str],
+    pairs: list[tuple[str, str]],
+) -> None:
+    selector = check_selector(', '.join(f'{key}={one}' for key, one in pairs))
+    assert selector.matches(labels) is all(labels.get(key) == one for key, one in pairs)
+
+
+@given(st.text(max_size=40))
+def test_any_text_is_parsed_or_refused(text: str) -> None:
+    parsed = parse_selector(text)
+    assert parsed.is_ok() or str(parsed.error)
