Prove promises against real processes; stop a ticket from avoiding everything

Cause: a request whose attempts had failed on every upstream asked for a slot anywhere else, and waited for ever.

--- a/packages/router/src/hitchdeck_router/scheduling/rooms.py
+++ b/packages/router/src/hitchdeck_router/scheduling/rooms.py
@@ -4,8 +4,6 @@
 changes; looking at every upstream each time was most of its processor time.
 """
 
-from collections.abc import Iterable
-
 from hitchdeck_core.ids import UpstreamName
 from hitchdeck_router.scheduling.loads import Loads, UpstreamLoad
 from hitchdeck_router.scheduling.placement import choose_upstream
@@ -60,11 +58,15 @@
     def choose(
         self,
         preferred: UpstreamName | None,
-        avoid: Iterable[UpstreamName],
+        avoid: frozenset[UpstreamName],
     ) -> UpstreamName | None:
-        """Return an upstream with room, the preferred one if it has some."""
+        """Return an upstream with room, the preferred one if it has some.
+
+        Where all upstreams are to be avoided, none is: a ticket that nothing
+        suits would wait for ever.
+        """
         rooms = self.free
-        if avoid:
+        if avoid and not avoid >= self.loads.keys():
             rooms = {name: room for name, room in rooms.items() if name not in avoid}
         return choose_upstream(rooms, preferred)
 
--- /dev/null
+++ b/tests/common/callers.py
@@ -0,0 +1,167 @@
+"""Callers of a real fleet."""
+
+import asyncio
+import json
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
+from tornado.simple_httpclient import HTTPStreamClosedError
+
+from hitchdeck_core.hashing import token_hash
+from standins.engine import expected_tokens
+from standins.fleet import Fleet, Member
+from standins.records import read_records
+
+KEYS = {'ann': 'key-of-ann', 'bob': 'key-of-bob'}
+
+_SECONDS = 40.0
+
+
+@dataclass(frozen=True)
+class Reply:
+    """What a caller got."""
+
+    status: int
+    ran: str
+    body: bytes
+
+
+def write_resources(fleet: Fleet) -> Path:
+    """Write the resources that the tests use."""
+    lines = []
+    for name, key in KEYS.items():
+        lines += ['[[account]]', f'name = "{name}"']
+        lines += [f'key_hashes = ["{token_hash(key)}"]']
+    for kind, members in (('engine', fleet.engines), ('plain', fleet.services)):
+        for member in members:
+            lines += ['[[upstream]]', f'name = "{member.name}"', 'slots = 4']
+            lines += [f'address = "127.0.0.1:{member.port}"']
+            lines += [f'labels = {{kind = "{kind}"}}']
+            lines += ['checks_fences = true'] if kind == 'engine' else []
+    lines += ['[[pool]]', 'name = "chat"', 'model = "m"', 'upstreams = "kind=engine"']
+    lines += ['queue_limit = 50']
+    lines += ['[[pool]]', 'name = "plain"', 'serves = "service"']
+    lines += ['upstreams = "kind=plain"', 'repeatable = false']
+    lines += ['[[session]]', 'name = "long"', 'account = "ann"', 'pool = "chat"']
+    lines += ['[[rule]]', 'name = "chat"', 'effect = "access"', 'pools = "name=chat"']
+    lines += ['[[rule]]', 'name = "plain"', 'effect = "access"']
+    lines += ['accounts = "name=ann"', 'pools = "name=plain"']
+    path = fleet.folder / 'resources.toml'
+    path.write_text('\n'.join(lines))
+    return path
+
+
+async def request(
+    router: Member,
+    path: str,
+    body: object = None,
+    method: str = 'POST',
+    key: str = KEYS['ann'],
+    **headers: str,
+) -> Reply:
+    """Send one request; headers with underscores for dashes.
+
+    A connection that is refused or breaks gives status 0.
+    """
+    outgoing = HTTPRequest(
+        f'http://127.0.0.1:{router.port}{path}',
+        method=method,
+        body=_encoded(body) if method == 'POST' else None,
+        headers={
+            'Authorization': f'Bearer {key}',
+            **{name.replace('_', '-'): text for name, text in headers.items()},
+        },
+        request_timeout=_SECONDS,
+    )
+    client = AsyncHTTPClient(force_instance=True, max_clients=200)
+    try:
+        return _reply(await client.fetch(outgoing, raise_error=False))
+    except (OSError, HTTPStreamClosedError):
+        return Reply(0, 'lost', b'')
+
+
+async def chat(router: Member, prompt: str, tokens: int = 8, **options: str) -> Reply:
+    """Ask for a whole answer."""
+    body = {
+        'model': 'm',
+        'max_tokens': tokens,
+        'messages': [{'role': 'user', 'content': prompt}],
+    }
+    return await request(router, '/v1/chat/completions', body, **options)
+
+
+async def confirm(router: Member, key: str, shift: int = 1) -> Reply:
+    """Send a call that must not run twice."""
+    return await request(
+        router,
+        '/v1/services/plain/confirm',
+        {'key': key, 'shift': shift},
+        Idempotency_Key=key,
+    )
+
+
+def fresh_key(name: str) -> str:
+    """Return an idempotency key made now."""
+    return f'{int(time.time())}-{name}'
+
+
+def expected_text(prompt: str, tokens: int = 8) -> str:
+    """Return the engine's whole answer to a prompt."""
+    return ''.join(expected_tokens(prompt, tokens))
+
+
+def text_of(reply: Reply) -> str:
+    """Return the text of a whole answer, or the error's code."""
+    content = json.loads(reply.body)
+    if 'error' in content:
+        return str(content['error']['code'])
+    return str(content['choices'][0]['message']['content'])
+
+
+def runs_of(fleet: Fleet) -> list[str]:
+    """Return the keys that plain services truly ran."""
+    return [
+        str(line['body'].get('key'))
+        for service in fleet.services
+        for line in read_records(fleet.folder / f'{service.name}.records')
+        if line['event'] == 'run'
+    ]
+
+
+def begun_at(fleet: Fleet, engine: Member) -> list[float]:
+    """Return when an engine took new work, in monotonic seconds."""
+    records = read_records(fleet.folder / f'{engine.name}.records')
+    return [float(line['at']) for line in records if line['event'] == 'taken']
+
+
+async def set_faults(engine: Member, **faults: object) -> None:
+    """Set an engine's faults, in place of those it has."""
+    await AsyncHTTPClient().fetch(
+        HTTPRequest(
+            f'http://127.0.0.1:{engine.port}/faults',
+            method='POST',
+            body=json.dumps(faults),
+        ),
+    )
+
+
+async def until_ready(fleet: Fleet) -> None:
+    """Wait until every running router admits."""
+    for router in fleet.routers:
+        while router.is_running():
+            if (await request(router, '/healthz', method='GET')).status == 200:
+                break
+            await asyncio.sleep(0.05)
+
+
+def _encoded(body: object) -> bytes:
+    if isinstance(body, bytes):
+        return body
+    return json.dumps(body).encode()
+
+
+def _reply(reply: HTTPResponse) -> Reply:
+    ran = reply.headers.get('Hitchdeck-Ran', '')
+    return Reply(reply.code, ran, reply.body or b'')
--- a/tests/cover/test_scheduling.py
+++ b/tests/cover/test_scheduling.py
@@ -253,3 +253,12 @@
     bench.finish_all()
     bench.scheduler.set_upstreams({UpstreamName('u'): 2}, 0)
     assert bench.grant() == ['a']
+
+
+def test_ticket_that_avoids_every_upstream_still_gets_one() -> None:
+    """Such a ticket waited for ever, and its caller with it."""
+    bench = Bench()
+    bench.submit('a')
+    ticket = next(iter(bench.scheduler.tickets.values()))
+    ticket.avoid = frozenset(bench.scheduler.rooms.loads)
+    assert bench.grant() == ['a']
