--- a/bench/connections.py
+++ b/bench/connections.py
@@ -112,7 +112,8 @@
     changing = asyncio.create_task(_change(fleet, seconds))
     row |= await _watch(leader.process.pid, links, seconds, 'changing')
     await changing
-    row |= {'in_force': await in_force_time(fleet, 10)}
+    in_force = await in_force_time(fleet, 10)
+    row |= {name: in_force[name] for name in ('p50_ms', 'max_ms')}
     await supervisor.stop()
     return row
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -46,7 +46,8 @@
 
     def launch(self) -> None:
         """Start the process."""
-        environment = {**os.environ, 'PYTHONPATH': str(_ROOT)}
+        path = f'{_ROOT}:{os.environ.get("PYTHONPATH", "")}'
+        environment = {**os.environ, 'PYTHONPATH': path}
         with self.log.open('ab') as log:
             self.process = subprocess.Popen(
                 self.command,
--- /dev/null
+++ b/tools/switch_off.py
@@ -0,0 +1,219 @@
+"""Switch mechanisms off, one at a time, and see their tests fail.
+
+For each row, a scratch copy of the tree is changed in one place and the test
+that proves the mechanism is run on it.  A test that passes all the same
+proves nothing, and the script says so and exits with 1.
+
+``.venv/bin/python tools/switch_off.py [word]`` runs the rows with that word.
+"""
+
+import os
+import shutil
+import subprocess
+import sys
+import tempfile
+from dataclasses import dataclass
+from pathlib import Path
+
+_ROOT = Path(__file__).parent.parent
+_CONTROL = 'packages/control/src/hitchdeck_control'
+_ROUTER = 'packages/router/src/hitchdeck_router'
+_TEST_SECONDS = 120
+
+
+@dataclass(frozen=True)
+class Mechanism:
+    """What is switched off, by which change, and the test that must notice."""
+
+    name: str
+    path: str
+    present: str
+    changed: str
+    test: str
+
+
+MECHANISMS = (
+    Mechanism(
+        'pre-vote',
+        f'{_CONTROL}/raft/election.py',
+        'if not await _wins_round(replica, links, replica.term + 1, pre_vote=True):\n'
+        '        return\n',
+        'await _wins_round(replica, links, replica.term + 1, pre_vote=True)\n',
+        'test_return_after_a_long_cut_does_not_depose',
+    ),
+    Mechanism(
+        'votes withheld while a leader is heard',
+        f'{_CONTROL}/raft/election.py',
+        'if _hears_leader(replica) and request.candidate != replica.log.vote:',
+        'if False:',
+        'test_voter_that_hears_a_leader_elects_nobody',
+    ),
+    Mechanism(
+        'answers of a new disk kept out of the lease',
+        f'{_CONTROL}/raft/replication.py',
+        'return AppendReply(other_replica=True)',
+        'return AppendReply(term=replica.term, success=False)',
+        'test_replacement_may_be_repeated',
+    ),
+    Mechanism(
+        'one copy of an entry in a batch',
+        f'{_CONTROL}/storage/log.py',
+        'entries = [entry for entry in entries if entry.index < first]',
+        'entries = list(entries)',
+        'test_entry_replaced_before_its_sync_is_read_once',
+    ),
+    Mechanism(
+        'answers remembered by number',
+        f'{_CONTROL}/machine/machine.py',
+        'remembering.remember(self.state, submission, outcome)',
+        'pass',
+        'test_resend_gets_the_first_answer',
+    ),
+    Mechanism(
+        'version check of writes',
+        f'{_CONTROL}/machine/configuration.py',
+        'if write.based_on not in {None, present}:',
+        'if False:',
+        'test_one_of_two_racing_writes_wins',
+    ),
+    Mechanism(
+        'lease counted from when it was asked for',
+        f'{_ROUTER}/fleet/lease.py',
+        'self.until = max(self.until, sent_at + seconds * _DRIFT_SHARE)',
+        'self.until = self.now() + seconds * _DRIFT_SHARE',
+        'test_lease_counts_from_when_it_was_asked_for',
+    ),
+    Mechanism(
+        'deltas only in order',
+        f'{_ROUTER}/fleet/view.py',
+        'if not follows or delta.version < self.version:',
+        'if False:',
+        'test_configuration_follows_and_never_reverts',
+    ),
+    Mechanism(
+        'lease checked before dispatch',
+        f'{_ROUTER}/fleet/lease.py',
+        'return self.now() < self.until',
+        'return self.until > 0',
+        'test_routers_cut_off_from_control_stop_and_come_back',
+    ),
+    Mechanism(
+        'claim before dispatch',
+        f'{_ROUTER}/dispatch/attempts.py',
+        'if admitted.key is None:\n        return False\n    kept',
+        'if admitted:\n        return False\n    kept',
+        'test_one_key_through_every_router_runs_once',
+    ),
+    Mechanism(
+        'terminator checked',
+        f'{_ROUTER}/dispatch/chat.py',
+        "raise UpstreamBrokenError('stream ended without its terminator')",
+        'return',
+        'test_broken_stream_is_taken_up_by_another_engine and die_after or '
+        'test_broken_stream_is_taken_up_by_another_engine and fault0',
+    ),
+    Mechanism(
+        'callers who leave cancel',
+        f'{_ROUTER}/serving/base.py',
+        'self.work.cancel()',
+        'pass',
+        'test_caller_who_leaves_frees_the_slot',
+    ),
+    Mechanism(
+        'leaving upstreams left out',
+        f'{_ROUTER}/fleet/view.py',
+        'return any(upstream in chosen for chosen in self.leaving_by_rule.values())',
+        'return False',
+        'test_drained_upstream_gets_no_new_work',
+    ),
+    Mechanism(
+        'least served first',
+        f'{_ROUTER}/scheduling/shard.py',
+        '    return share.virtual()\n',
+        '    return head.since\n',
+        'test_service_follows_the_weights',
+    ),
+    Mechanism(
+        'lift of returning accounts',
+        f'{_ROUTER}/scheduling/fairness.py',
+        'if gap > 0 or not share.seen:',
+        'if False:',
+        'test_idle_time_earns_no_credit',
+    ),
+    Mechanism(
+        'cap on debts',
+        f'{_ROUTER}/scheduling/fairness.py',
+        'elif gap < -self.debt_cap:',
+        'elif False:',
+        'test_debt_from_elsewhere_is_capped',
+    ),
+    Mechanism(
+        'patience',
+        f'{_ROUTER}/scheduling/shard.py',
+        'return [patient, *heads] if patient else heads',
+        'return heads',
+        'test_nobody_waits_for_ever_whatever_its_debt',
+    ),
+    Mechanism(
+        'duties move when their holder is lost',
+        f'{_CONTROL}/fleet/duties.py',
+        'if duty is not None and duty.incarnation in holding:',
+        'if duty is not None:',
+        'test_loss_of_the_scheduler_loses_no_answer',
+    ),
+    Mechanism(
+        'a planned stop waits',
+        f'{_ROUTER}/process.py',
+        'await asyncio.sleep(settings.address_ttl)\n'
+        '        idle = _wait_until(lambda: not self.context.active)\n',
+        'idle = _wait_until(lambda: True)\n',
+        'test_rolling_restart_cuts_nothing',
+    ),
+)
+
+
+def fails_without(mechanism: Mechanism, scratch: Path) -> bool:
+    """Tell whether the test notices that a mechanism is off."""
+    path = scratch / mechanism.path
+    whole = path.read_text()
+    assert mechanism.present in whole, f'{mechanism.name}: text not found'
+    path.write_text(whole.replace(mechanism.present, mechanism.changed))
+    sources = sorted(str(one) for one in scratch.glob('packages/*/src'))
+    environment = {**os.environ, 'PYTHONPATH': ':'.join(sources)}
+    command = [sys.executable, '-m', 'pytest', '-x', '-k', mechanism.test]
+    try:
+        ended = subprocess.run(
+            command,
+            cwd=scratch,
+            env=environment,
+            capture_output=True,
+            timeout=_TEST_SECONDS,
+            check=False,
+        )
+    except subprocess.TimeoutExpired:
+        return True
+    finally:
+        path.write_text(whole)
+    return ended.returncode == 1
+
+
+def main() -> int:
+    """Run every row; 1 if a test did not notice."""
+    word = sys.argv[1] if len(sys.argv) > 1 else ''
+    unnoticed = 0
+    with tempfile.TemporaryDirectory() as folder:
+        scratch = Path(folder) / 'tree'
+        ignored = shutil.ignore_patterns('.venv', '.git', '.hypothesis', 'results')
+        shutil.copytree(_ROOT, scratch, ignore=ignored)
+        for mechanism in MECHANISMS:
+            if word not in mechanism.name:
+                continue
+            noticed = fails_without(mechanism, scratch)
+            unnoticed += not noticed
+            verdict = 'fails without it' if noticed else 'PASSES WITHOUT IT'
+            print(f'{mechanism.name:45} {mechanism.test[:60]:62}{verdict}', flush=True)
+    return 1 if unnoticed else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
