Look the membership up once, make each delta once, wake less when idle

Cause: every beat and every commit searched the whole log in memory for the last membership; every router's delta was built anew (2 MB at 12,000 upstreams: 50 routers took 27 s to attach); idle routers woke 20 times a second. Ruled out: the disk (fdatasync 0.13 ms).

--- a/bench/view_cost.py
+++ b/bench/view_cost.py
@@ -63,12 +63,15 @@
     )
 
 
+def encoded_delta(upstreams: int) -> bytes:
+    """Return the whole configuration as a router receives it."""
+    changes = [written(one) for one in resources(upstreams)]
+    return Delta(full=True, version=1, changes=changes).SerializeToString()
+
+
 def measure(upstreams: int) -> dict[str, float]:
     """Build a view and change it."""
-    delta = Delta(full=True, version=1)
-    delta.changes.extend(written(one) for one in resources(upstreams))
-    encoded = delta.SerializeToString()
-    del delta
+    encoded = encoded_delta(upstreams)
     own = int(Path('/proc/self/stat').read_text().split()[0])
     before = spent_by(own).memory
     started = time.perf_counter()
--- a/packages/control/src/hitchdeck_control/fleet/deltas.py
+++ b/packages/control/src/hitchdeck_control/fleet/deltas.py
@@ -6,6 +6,29 @@
 from hitchdeck_core.wire.hitchdeck_pb2 import Delta, ResourceChange
 
 
+class Deltas:
+    """Deltas to the present version, made once for all routers.
+
+    After a change every router needs the same one, and after a leader's loss
+    many need everything: made anew for each, that would keep a leader of
+    12,000 upstreams busy for longer than its lease.
+    """
+
+    def __init__(self, machine: Machine) -> None:
+        self.machine = machine
+        self.version = 0
+        self.by_start: dict[int, Delta] = {}
+
+    def since(self, version: int) -> Delta:
+        """Return what a router at a version lacks."""
+        if self.version != self.machine.state.version:
+            self.version = self.machine.state.version
+            self.by_start.clear()
+        if version not in self.by_start:
+            self.by_start[version] = delta_from(self.machine, version)
+        return self.by_start[version]
+
+
 def delta_from(machine: Machine, version: int) -> Delta:
     """Return what a router at a version lacks, all of it if need be."""
     state = machine.state
--- a/packages/control/src/hitchdeck_control/fleet/leader.py
+++ b/packages/control/src/hitchdeck_control/fleet/leader.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from hitchdeck_control.errors import NotLeaderError, OutcomeUnknownError
+from hitchdeck_control.fleet.deltas import Deltas
 from hitchdeck_control.fleet.directory import DirectoryState
 from hitchdeck_control.fleet.duties import needed_moves
 from hitchdeck_control.fleet.presence import Presence, Routers
@@ -41,6 +42,7 @@
     ) -> None:
         self.replica = replica
         self.machine = machine
+        self.deltas = Deltas(machine)
         self.lease_seconds = lease_seconds
         self.now = now
         self.wall = wall
--- a/packages/control/src/hitchdeck_control/fleet/watch.py
+++ b/packages/control/src/hitchdeck_control/fleet/watch.py
@@ -7,7 +7,6 @@
 from grpclib.server import Stream
 
 from hitchdeck_control.errors import NotLeaderError
-from hitchdeck_control.fleet.deltas import delta_from
 from hitchdeck_control.fleet.directory import DirectoryState, difference
 from hitchdeck_control.fleet.leader import Leader
 from hitchdeck_control.fleet.presence import Presence
@@ -109,7 +108,7 @@
     """
     frame = ControlFrame()
     if sent.version != leader.machine.state.version:
-        frame.delta.CopyFrom(delta_from(leader.machine, sent.version))
+        frame.delta.CopyFrom(leader.deltas.since(sent.version))
         sent.version = leader.machine.state.version
     directory = leader.directory
     if sent.directory is not directory:
--- a/packages/control/src/hitchdeck_control/machine/configuration.py
+++ b/packages/control/src/hitchdeck_control/machine/configuration.py
@@ -5,7 +5,9 @@
 from hitchdeck_control.machine.state import Change, Kept, MachineState
 from hitchdeck_core.commands import Applied, Batch, Delete, Put, Refused
 
-_KEPT_CHANGES = 1000
+_KEPT_CHANGES = 4000
+"""An hour's cut at 28,000 changes a day is 1,167; a router that is further
+behind gets everything, which at 12,000 upstreams takes it seconds."""
 
 Write = Put | Delete
 
--- a/packages/control/src/hitchdeck_control/storage/log.py
+++ b/packages/control/src/hitchdeck_control/storage/log.py
@@ -47,6 +47,8 @@
         self.segment = recovered.segment
         self.stream: BinaryIO = open_segment(folder, self.segment)
         self.pending: list[LogRecord] = []
+        # Asked for at every beat of every router: not looked up each time.
+        self.known_members: list[Member] | None = None
         self.failed: Exception | None = None
         self.writing = asyncio.Lock()
         self.thread = ThreadPoolExecutor(1, 'log-writer')
@@ -78,10 +80,9 @@
 
     def members(self) -> list[Member]:
         """Return the membership in effect: the latest one in the log."""
-        for entry in reversed(self.entries):
-            if entry.members:
-                return list(entry.members)
-        return list(self.snapshot.members)
+        if self.known_members is None:
+            self.known_members = self._find_members()
+        return self.known_members
 
     def append(self, entries: list[Entry]) -> None:
         """Queue entries; those at known indexes replace the rest from there."""
@@ -89,6 +90,9 @@
             return
         keep = int(entries[0].index) - int(self.snapshot.last_index) - 1
         assert 0 <= keep <= len(self.entries), 'no gaps in the log'
+        replaces = keep < len(self.entries)
+        if replaces or any(entry.members for entry in entries):
+            self.known_members = None
         self.entries[keep:] = entries
         self.synced_index = min(self.synced_index, int(entries[0].index) - 1)
         self._queue(entries)
@@ -143,9 +147,16 @@
         kept = self.slice(index + 1, len(self.entries)) if known else []
         self.snapshot = snapshot
         self.entries = kept
+        self.known_members = None
         # What was queued is either in the snapshot or in the new segment.
         self.pending = []
 
+    def _find_members(self) -> list[Member]:
+        for entry in reversed(self.entries):
+            if entry.members:
+                return list(entry.members)
+        return list(self.snapshot.members)
+
     def _queue(self, entries: list[Entry]) -> None:
         record = LogRecord(term=self.term, vote=self.vote, entries=entries)
         self.pending.append(record)
@@ -218,6 +229,7 @@
     for record in records:
         if record.entries:
             first = record.entries[0].index
-            entries = [entry for entry in entries if entry.index < first]
+            if entries and entries[-1].index >= first:
+                entries = [entry for entry in entries if entry.index < first]
             entries.extend(record.entries)
     return entries
--- a/packages/router/src/hitchdeck_router/scheduling/host.py
+++ b/packages/router/src/hitchdeck_router/scheduling/host.py
@@ -39,6 +39,7 @@
 """Seconds after its last word for which a router's slots count as held."""
 
 _MAINTENANCE_PERIOD = 0.1
+_IDLE_PERIOD = 1.0
 _ADVERTISE_PERIOD = 1.0
 
 QUEUE_FULL = 'queue-full'
@@ -90,7 +91,8 @@
     async def maintain(self) -> None:
         """Follow the directory, lapse the dead, grant; for ever."""
         while True:
-            await self.fleet.directory.changed.wait(_MAINTENANCE_PERIOD)
+            period = _MAINTENANCE_PERIOD if self.shards else _IDLE_PERIOD
+            await self.fleet.directory.changed.wait(period)
             self.follow_directory()
             self.follow_configuration()
             for hosted in list(self.shards.values()):
--- a/packages/router/src/hitchdeck_router/scheduling/slots.py
+++ b/packages/router/src/hitchdeck_router/scheduling/slots.py
@@ -24,6 +24,7 @@
 product with shards."""
 
 _MOVE_PERIOD = 0.1
+_IDLE_PERIOD = 1.0
 _UNAVAILABLE = 503
 _NO_SCHEDULER_PATIENCE = 5.0
 _RETRY_AFTER = 1.0
@@ -77,7 +78,8 @@
     async def rebalance(self) -> None:
         """Move tickets that wait to shards that are idle; for ever."""
         while True:
-            await asyncio.sleep(_MOVE_PERIOD)
+            several = len(self.clients) > 1
+            await asyncio.sleep(_MOVE_PERIOD if several else _IDLE_PERIOD)
             for client in list(self.clients.values()):
                 if client.waiting:
                     self._relieve(client)
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -84,6 +84,9 @@
                 return 'cancelled'
             if stop_after is not None and position >= stop_after:
                 return self._die()
+            if position == self.engine.faults.get('end_early'):
+                await self.finish()
+                return 'cut'
             self._write({'content': token}, None)
             await self.flush()
         self._write({}, 'stop')
--- a/tests/failures/test_answers.py
+++ b/tests/failures/test_answers.py
@@ -139,7 +139,12 @@
     assert callers.text_of(reply) == callers.expected_text('after garbage')
 
 
-FAULTS = [{'die_after': 3}, {'no_terminator': True}, {'foreign_id': 'other'}]
+FAULTS = [
+    {'die_after': 3},
+    {'end_early': 3},
+    {'no_terminator': True},
+    {'foreign_id': 'other'},
+]
 
 
 @pytest.mark.parametrize('fault', FAULTS)
--- a/tools/switch_off.py
+++ b/tools/switch_off.py
@@ -58,8 +58,8 @@
     Mechanism(
         'one copy of an entry in a batch',
         f'{_CONTROL}/storage/log.py',
-        'entries = [entry for entry in entries if entry.index < first]',
-        'entries = list(entries)',
+        'if entries and entries[-1].index >= first:',
+        'if False:',
         'test_entry_replaced_before_its_sync_is_read_once',
     ),
     Mechanism(
@@ -109,8 +109,7 @@
         f'{_ROUTER}/dispatch/chat.py',
         "raise UpstreamBrokenError('stream ended without its terminator')",
         'return',
-        'test_broken_stream_is_taken_up_by_another_engine and die_after or '
-        'test_broken_stream_is_taken_up_by_another_engine and fault0',
+        'test_broken_stream_is_taken_up_by_another_engine and fault1',
     ),
     Mechanism(
         'callers who leave cancel',
