--- a/tests/failures/test_answers.py
+++ b/tests/failures/test_answers.py
@@ -171,10 +171,11 @@
     assert (reply.status, reply.ran) == (502, 'unknown')
 
 
-async def test_caller_who_leaves_frees_the_slot(fleet: Fleet) -> None:
+@pytest.mark.parametrize('stream', [False, True])
+async def test_caller_who_leaves_frees_the_slot(fleet: Fleet, stream: bool) -> None:
     router = fleet.routers[0]
     body = json.dumps(
-        {'model': 'm', 'stream': True, 'max_tokens': 500, 'messages': MESSAGE},
+        {'model': 'm', 'stream': stream, 'max_tokens': 500, 'messages': MESSAGE},
     ).encode()
     head = (
         f'POST {CHAT} HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n'
@@ -182,10 +183,10 @@
     ).encode()
     writers = []
     for _ in range(8):
-        reader, writer = await asyncio.open_connection('127.0.0.1', router.port)
+        _, writer = await asyncio.open_connection('127.0.0.1', router.port)
         writer.write(head + body)
-        await reader.readline()
         writers.append(writer)
+    await asyncio.sleep(0.5)
     for writer in writers:
         writer.close()
     reply = await asyncio.wait_for(callers.chat(router, 'next'), 5)
