--- a/packages/router/src/hitchdeck_router/scheduling/client.py
+++ b/packages/router/src/hitchdeck_router/scheduling/client.py
@@ -82,7 +82,8 @@
     cost: float = 0.0
     told: int = 0
     told_at: float = 0.0
-    worst_gap: float = 0.0
+    gap_total: float = 0.0
+    gap_count: int = 0
 
     def release(self, *, failed: bool = False) -> None:
         """Give the slot back; more than once does no harm."""
@@ -95,7 +96,19 @@
 
     def note_gap(self, seconds: float) -> None:
         """Note a time between tokens."""
-        self.worst_gap = max(self.worst_gap, seconds)
+        self.gap_total += seconds
+        self.gap_count += 1
+
+    def take_mean_gap(self) -> float:
+        """Return the mean time between tokens since this was last asked.
+
+        The mean, not the worst: one late token on a busy box would take
+        slots from an upstream that is well within its target.
+        """
+        mean = self.gap_total / max(1, self.gap_count)
+        self.gap_total = 0.0
+        self.gap_count = 0
+        return mean
 
 
 class SlotKeeper(Protocol):
@@ -287,11 +300,10 @@
 
     def _report(self, slot: Slot) -> CostReport:
         self._tell(slot)
-        gap, slot.worst_gap = slot.worst_gap, 0.0
         return CostReport(
             id=slot.ticket.id,
             cost=slot.told,
-            token_gap_ms=int(gap * _MILLISECONDS),
+            token_gap_ms=int(slot.take_mean_gap() * _MILLISECONDS),
         )
 
     def _tell(self, slot: Slot) -> None:
--- a/tests/cover/test_scheduling.py
+++ b/tests/cover/test_scheduling.py
@@ -6,6 +6,8 @@
 
 from hitchdeck_core.ids import AccountName, Incarnation, TicketId, UpstreamName
 from hitchdeck_core.resources import Urgency
+from hitchdeck_core.wire.hitchdeck_pb2 import Ticket
+from hitchdeck_router.scheduling.client import Slot
 from hitchdeck_router.scheduling.loads import UpstreamLoad
 from hitchdeck_router.scheduling.queueing import WaitingTicket
 from hitchdeck_router.scheduling.shard import (
@@ -262,3 +264,24 @@
     ticket = next(iter(bench.scheduler.tickets.values()))
     ticket.avoid = frozenset(bench.scheduler.rooms.loads)
     assert bench.grant() == ['a']
+
+
+class Keeper:
+    """Takes slots back and says nothing."""
+
+    def release(self, slot: Slot, *, failed: bool = False) -> None:
+        """Do nothing."""
+
+    def note_progress(self, slot: Slot) -> None:
+        """Do nothing."""
+
+
+def test_one_late_token_does_not_lower_a_limit() -> None:
+    """Worst gaps were reported, and a busy box lost a tenth of its slots."""
+    slot = Slot(Ticket(), Keeper(), UpstreamName('u'))
+    for gap in (0.05, 0.05, 0.05, 0.05, 0.12):
+        slot.note_gap(gap)
+    load = UpstreamLoad(8, 8.0)
+    load.observe_gap(slot.take_mean_gap(), now=5)
+    assert load.limit == 8
+    assert slot.take_mean_gap() == 0
