--- a/bench/baselines.py
+++ b/bench/baselines.py
@@ -18,10 +18,10 @@
 from hitchdeck_core.settings import load_settings
 from hitchdeck_core.wire.hitchdeck_pb2 import Ticket, UsageSum
 from hitchdeck_router.process import Variation, start_router
-from hitchdeck_router.scheduling.client import Slot
 from hitchdeck_router.scheduling.fairness import AccountShare
+from hitchdeck_router.scheduling.holding import Slot
+from hitchdeck_router.scheduling.policy import least_served
 from hitchdeck_router.scheduling.queueing import WaitingTicket
-from hitchdeck_router.scheduling.shard import least_served
 from hitchdeck_router.scheduling.slots import SlotFinder
 
 
--- a/packages/control/src/hitchdeck_control/raft/replica.py
+++ b/packages/control/src/hitchdeck_control/raft/replica.py
@@ -245,8 +245,13 @@
             self.committed.notify()
 
     def apply_committed(self) -> None:
-        """Apply every committed entry and tell those who wait."""
-        while self.applied_index < self.commit_index:
+        """Apply every committed entry and tell those who wait.
+
+        While a snapshot from the leader is taken over, the entries before it
+        are gone and its state is not here yet: there is nothing to apply.
+        """
+        base = int(self.log.snapshot.last_index)
+        while base <= self.applied_index < self.commit_index:
             entry = self.log.slice(self.applied_index + 1, 1)[0]
             outcome = None
             if not entry.members:
--- a/packages/control/src/hitchdeck_control/raft/replication.py
+++ b/packages/control/src/hitchdeck_control/raft/replication.py
@@ -59,11 +59,9 @@
     request: AppendRequest,
 ) -> AppendReply:
     """Take entries from the leader; the answer follows the sync."""
-    if request.target != replica.me.replica:
-        return AppendReply(other_replica=True)
-    if request.term < replica.term:
-        return AppendReply(term=replica.term, success=False)
-    _hear(replica, int(request.term), request.leader)
+    refusal = _refusal_or_hear(replica, request)
+    if refusal is not None:
+        return refusal
     async with appending:
         if request.term < replica.term:
             return AppendReply(term=replica.term, success=False)
@@ -87,11 +85,9 @@
     request: SnapshotRequest,
 ) -> AppendReply:
     """Take a snapshot from the leader in place of entries it has dropped."""
-    if request.target != replica.me.replica:
-        return AppendReply(other_replica=True)
-    if request.term < replica.term:
-        return AppendReply(term=replica.term, success=False)
-    _hear(replica, int(request.term), request.leader)
+    refusal = _refusal_or_hear(replica, request)
+    if refusal is not None:
+        return refusal
     snapshot = request.snapshot
     async with appending:
         if snapshot.last_index > replica.commit_index:
@@ -211,9 +207,18 @@
     )
 
 
-def _hear(replica: Replica, term: int, leader: str) -> None:
-    replica.follow(term, ReplicaId(leader))
+def _refusal_or_hear(
+    replica: Replica,
+    request: AppendRequest | SnapshotRequest,
+) -> AppendReply | None:
+    """Refuse what is not for this replica or of an old term, else follow."""
+    if request.target != replica.me.replica:
+        return AppendReply(other_replica=True)
+    if request.term < replica.term:
+        return AppendReply(term=replica.term, success=False)
+    replica.follow(int(request.term), ReplicaId(request.leader))
     replica.last_heard = replica.now()
+    return None
 
 
 def _take_entries(replica: Replica, request: AppendRequest) -> int | None:
--- a/packages/router/src/hitchdeck_router/dispatch/attempts.py
+++ b/packages/router/src/hitchdeck_router/dispatch/attempts.py
@@ -19,7 +19,7 @@
     UpstreamRefusedError,
     UpstreamUnreachedError,
 )
-from hitchdeck_router.scheduling.client import Slot
+from hitchdeck_router.scheduling.holding import Slot
 
 _BAD_GATEWAY = 502
 _UNAVAILABLE = 503
--- a/packages/router/src/hitchdeck_router/dispatch/chat.py
+++ b/packages/router/src/hitchdeck_router/dispatch/chat.py
@@ -21,8 +21,8 @@
     UpstreamBrokenError,
     UpstreamRefusedError,
 )
-from hitchdeck_router.scheduling.client import Slot
 from hitchdeck_router.scheduling.costs import prompt_cost, run_cost
+from hitchdeck_router.scheduling.holding import Slot
 
 REQUEST_ID_HEADER = 'X-Request-Id'
 SESSION_ID_HEADER = 'X-Session-Id'
--- a/packages/router/src/hitchdeck_router/dispatch/services.py
+++ b/packages/router/src/hitchdeck_router/dispatch/services.py
@@ -17,8 +17,8 @@
 from hitchdeck_router.dispatch.chat import REQUEST_ID_HEADER
 from hitchdeck_router.dispatch.requests import Admitted
 from hitchdeck_router.errors import UpstreamBrokenError, UpstreamError
-from hitchdeck_router.scheduling.client import Slot
 from hitchdeck_router.scheduling.costs import SERVICE_CALL
+from hitchdeck_router.scheduling.holding import Slot
 
 
 @dataclass(slots=True)
--- a/packages/router/src/hitchdeck_router/process.py
+++ b/packages/router/src/hitchdeck_router/process.py
@@ -25,8 +25,8 @@
 from hitchdeck_router.fleet.traffic import Traffic
 from hitchdeck_router.fleet.view import FleetView
 from hitchdeck_router.scheduling.host import SchedulerHost
+from hitchdeck_router.scheduling.policy import Rank, least_served
 from hitchdeck_router.scheduling.service import SchedulerService
-from hitchdeck_router.scheduling.shard import Rank, least_served
 from hitchdeck_router.scheduling.slots import SlotFinder
 from hitchdeck_router.serving.app import start_http
 
--- a/packages/router/src/hitchdeck_router/scheduling/client.py
+++ b/packages/router/src/hitchdeck_router/scheduling/client.py
@@ -1,11 +1,7 @@
 """A router's side of the schedulers: asking for slots, reporting, releasing."""
 
-from __future__ import annotations
-
 import asyncio
 from collections import OrderedDict
-from dataclasses import dataclass, field
-from typing import Protocol
 
 from grpclib.client import Stream
 
@@ -32,11 +28,11 @@
     SchedulerFrame,
     SessionPlace,
     ShardEntry,
-    Ticket,
     UsageSum,
 )
 from hitchdeck_router.errors import NotRunError
 from hitchdeck_router.fleet.link import Fleet
+from hitchdeck_router.scheduling.holding import PendingTicket, Slot, Unsent
 
 _HEARTBEAT = 1.0
 _LINGER = 0.02
@@ -54,82 +50,6 @@
 AttendStream = Stream[RouterFrame, SchedulerFrame]
 
 
-@dataclass(slots=True)
-class PendingTicket:
-    """A ticket of this router that waits for its grant.
-
-    ``client`` is where it waits now; it may be moved to another shard.
-    """
-
-    ticket: Ticket
-    granted: asyncio.Future[Slot]
-    since: float
-    client: ShardClient | None = None
-
-
-@dataclass(slots=True)
-class Slot:
-    """A slot that this router holds.
-
-    ``cost`` is what its run has cost, of which the scheduler has been told
-    ``told`` at ``told_at``.
-    """
-
-    ticket: Ticket
-    client: SlotKeeper
-    upstream: UpstreamName
-    moved_from: str = ''
-    cost: float = 0.0
-    told: int = 0
-    told_at: float = 0.0
-    gap_total: float = 0.0
-    gap_count: int = 0
-
-    def release(self, *, failed: bool = False) -> None:
-        """Give the slot back; more than once does no harm."""
-        self.client.release(self, failed=failed)
-
-    def spend(self, cost: float) -> None:
-        """Note what the run has cost so far, in all."""
-        self.cost = max(self.cost, cost)
-        self.client.note_progress(self)
-
-    def note_gap(self, seconds: float) -> None:
-        """Note a time between tokens."""
-        self.gap_total += seconds
-        self.gap_count += 1
-
-    def take_mean_gap(self) -> float:
-        """Return the mean time between tokens since this was last asked.
-
-        The mean, not the worst: one late token on a busy box would take
-        slots from an upstream that is well within its target.
-        """
-        mean = self.gap_total / max(1, self.gap_count)
-        self.gap_total = 0.0
-        self.gap_count = 0
-        return mean
-
-
-class SlotKeeper(Protocol):
-    """Whoever a slot goes back to."""
-
-    def release(self, slot: Slot, *, failed: bool = False) -> None:
-        """Take a slot back."""
-
-    def note_progress(self, slot: Slot) -> None:
-        """Hear that a slot's run has cost more."""
-
-
-@dataclass(slots=True)
-class Unsent:
-    """What the next frame to the scheduler will carry."""
-
-    tickets: list[Ticket] = field(default_factory=list)
-    reports: list[CostReport] = field(default_factory=list)
-    cancelled: list[int] = field(default_factory=list)
-
-
 class ShardClient:
     """The router's dealings with the scheduler of one shard."""
 
--- a/packages/router/src/hitchdeck_router/scheduling/host.py
+++ b/packages/router/src/hitchdeck_router/scheduling/host.py
@@ -24,12 +24,8 @@
     UsageSum,
 )
 from hitchdeck_router.fleet.link import Fleet
-from hitchdeck_router.scheduling.shard import (
-    Rank,
-    ShardPolicy,
-    ShardScheduler,
-    least_served,
-)
+from hitchdeck_router.scheduling.policy import Rank, ShardPolicy, least_served
+from hitchdeck_router.scheduling.shard import ShardScheduler
 
 REBUILD_SECONDS = 0.5
 """How long a new scheduler listens before it grants: routers re-send what
--- a/packages/router/src/hitchdeck_router/scheduling/shard.py
+++ b/packages/router/src/hitchdeck_router/scheduling/shard.py
@@ -5,13 +5,14 @@
 """
 
 from collections import defaultdict
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
 from hitchdeck_core.ids import AccountName, Incarnation, UpstreamName
 from hitchdeck_core.resources import Urgency
-from hitchdeck_router.scheduling.fairness import AccountShare, FairShare
+from hitchdeck_router.scheduling.fairness import FairShare
 from hitchdeck_router.scheduling.placement import CacheRecord
+from hitchdeck_router.scheduling.policy import URGENT_CREDIT, ShardPolicy
 from hitchdeck_router.scheduling.queueing import (
     AccountQueue,
     TicketKey,
@@ -22,9 +23,6 @@
 DEBT_CAP = 20_000.0
 """Weighted cost by which an account may stand above the least served."""
 
-URGENT_CREDIT = 4_000.0
-"""Weighted cost by which urgent work may go before other accounts' work."""
-
 PATIENCE = 20.0
 """Seconds after which a waiting ticket may be served out of turn."""
 
@@ -63,27 +61,6 @@
     retry_after: float
 
 
-Rank = Callable[[AccountShare, WaitingTicket, float], float]
-"""From an account's share, its next ticket and the time: lowest is served."""
-
-
-def least_served(share: AccountShare, head: WaitingTicket, now: float) -> float:
-    """Rank by weighted service; urgent work may borrow a bounded credit."""
-    if head.urgency_at(now) is Urgency.urgent:
-        return share.virtual() - URGENT_CREDIT
-    return share.virtual()
-
-
-@dataclass(slots=True)
-class ShardPolicy:
-    """What the pool's definition says about scheduling, and whose turn it is."""
-
-    queue_limit: int
-    urgent_overcommit: int
-    weight_of: Callable[[AccountName], float]
-    rank: Rank = least_served
-
-
 @dataclass(slots=True)
 class Counters:
     """Sums since this life began; seconds for times."""
--- a/packages/router/src/hitchdeck_router/scheduling/slots.py
+++ b/packages/router/src/hitchdeck_router/scheduling/slots.py
@@ -16,7 +16,8 @@
 from hitchdeck_core.wire.hitchdeck_pb2 import Ticket, UsageSum
 from hitchdeck_router.errors import NotRunError
 from hitchdeck_router.fleet.link import Fleet
-from hitchdeck_router.scheduling.client import PendingTicket, ShardClient, Slot
+from hitchdeck_router.scheduling.client import ShardClient
+from hitchdeck_router.scheduling.holding import PendingTicket, Slot
 
 _ATTENDED_SHARDS = 4
 """How many shards of a pool one router deals with: enough choice to find a
--- a/tests/fuzz/test_scheduler_fuzz.py
+++ b/tests/fuzz/test_scheduler_fuzz.py
@@ -5,8 +5,9 @@
 
 from hitchdeck_core.ids import AccountName, Incarnation, TicketId, UpstreamName
 from hitchdeck_core.resources import Urgency
+from hitchdeck_router.scheduling.policy import ShardPolicy
 from hitchdeck_router.scheduling.queueing import TicketKey, WaitingTicket
-from hitchdeck_router.scheduling.shard import ShardPolicy, ShardScheduler
+from hitchdeck_router.scheduling.shard import ShardScheduler
 
 ACCOUNTS = st.sampled_from(['a', 'b', 'c'])
 LIVES = st.sampled_from(['r1', 'r2'])
--- a/tools/switch_off.py
+++ b/tools/switch_off.py
@@ -127,7 +127,7 @@
     ),
     Mechanism(
         'least served first',
-        f'{_ROUTER}/scheduling/shard.py',
+        f'{_ROUTER}/scheduling/policy.py',
         '    return share.virtual()\n',
         '    return head.since\n',
         'test_service_follows_the_weights',
