--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Everything runs in .venv, made from the lock on first use.
-PYTHON ?= python3.11
+PYTHON ?= $(shell command -v python3.11 || command -v python3)
 PACKAGES = core control router cli daemon
 SOURCES = packages standins tools bench tests
 
--- a/bench/ticket_cost.py
+++ b/bench/ticket_cost.py
@@ -5,11 +5,13 @@
 """
 
 import asyncio
+import json
 import random
 import resource
 import time
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
+from pathlib import Path
 from typing import Any
 
 import fire
@@ -207,10 +209,18 @@
     accounts: int = 44,
     rate: float = 24,
     seconds: float = 8,
+    output: str = 'bench/results/ticket.jsonl',
 ) -> None:
-    """Print the figures of one run."""
+    """Print the figures of one run, and append them as a line of JSON."""
     setup = Setup(routers, upstreams, accounts, rate, seconds)
-    print(asyncio.run(measure(setup)))
+    row = {
+        name: round(figure, 2) for name, figure in asyncio.run(measure(setup)).items()
+    }
+    path = Path(output)
+    path.parent.mkdir(exist_ok=True)
+    with path.open('a') as stream:
+        stream.write(f'{json.dumps(row)}\n')
+    print(json.dumps(row))
 
 
 if __name__ == '__main__':
--- a/packages/router/src/hitchdeck_router/scheduling/slots.py
+++ b/packages/router/src/hitchdeck_router/scheduling/slots.py
@@ -27,7 +27,9 @@
 _MOVE_PERIOD = 0.1
 _IDLE_PERIOD = 1.0
 _UNAVAILABLE = 503
-_NO_SCHEDULER_PATIENCE = 5.0
+_NO_SCHEDULER_PATIENCE = 10.0
+"""Seconds; a frozen scheduler is replaced when its lease of 3 s has run out,
+so that a shorter patience would refuse what is about to be served."""
 _RETRY_AFTER = 1.0
 
 
--- a/tests/common/callers.py
+++ b/tests/common/callers.py
@@ -149,8 +149,10 @@
 
 async def until_ready(fleet: Fleet) -> None:
     """Wait until every running router admits."""
+    deadline = time.monotonic() + _SECONDS
     for router in fleet.routers:
         while router.is_running():
+            assert time.monotonic() < deadline, f'{router.name} does not admit'
             if (await request(router, '/healthz', method='GET')).status == 200:
                 break
             await asyncio.sleep(0.05)
--- a/tests/failures/test_processes.py
+++ b/tests/failures/test_processes.py
@@ -204,7 +204,8 @@
 
 async def ask_until_answered(fleet: Fleet, prompt: str) -> str:
     """Ask as a caller does who tries another address after a failure."""
-    while True:
+    deadline = time.monotonic() + 60
+    while time.monotonic() < deadline:
         for router in fleet.routers:
             if not router.is_running():
                 continue
@@ -212,6 +213,7 @@
             if reply.status == 200:
                 return callers.text_of(reply)
         await asyncio.sleep(0.05)
+    raise AssertionError('nobody answers')
 
 
 @pytest.mark.parametrize('blow', [signal.SIGKILL, signal.SIGSTOP])
