--- a/packages/router/src/hitchdeck_router/dispatch/attempts.py
+++ b/packages/router/src/hitchdeck_router/dispatch/attempts.py
@@ -134,6 +134,7 @@
         await move_cache(context.fleet.view, admitted.session, source, target)
     claimed = await _claim(context, admitted, grant.upstream)
     upstream = _usable_after_claim(context, admitted, grant, claimed)
+    admitted.upstream = upstream.name
     try:
         # No await between the check of lease and configuration and the call.
         await run_once(grant, upstream)
--- a/packages/router/src/hitchdeck_router/dispatch/requests.py
+++ b/packages/router/src/hitchdeck_router/dispatch/requests.py
@@ -32,6 +32,8 @@
         Seconds from admission, 0 for none.
     prefix
         Hashes of growing prefixes of the prompt, the shortest first.
+    upstream
+        Where it was sent last, for the log.
     """
 
     request: RequestId
@@ -46,6 +48,7 @@
     key: Key | None = None
     admitted_at: float = 0.0
     avoid: set[str] = field(default_factory=set)
+    upstream: str = ''
 
     @property
     def class_name(self) -> str:
--- a/packages/router/src/hitchdeck_router/serving/base.py
+++ b/packages/router/src/hitchdeck_router/serving/base.py
@@ -13,6 +13,7 @@
 from hitchdeck_core.hashing import token_hash
 from hitchdeck_core.ids import AccountName, RequestId
 from hitchdeck_router.context import RouterContext
+from hitchdeck_router.dispatch.requests import Admitted
 from hitchdeck_router.errors import NotRunError, RouterError
 
 RAN_HEADER = 'Hitchdeck-Ran'
@@ -43,6 +44,8 @@
         self.request_id = RequestId(secrets.token_hex(_ID_BYTES))
         self.work: asyncio.Future[None] | None = None
         self.gone = False
+        self.account = AccountName('')
+        self.admitted: Admitted | None = None
 
     def prepare(self) -> None:
         """Refuse a body whose announced length is too large."""
@@ -103,6 +106,7 @@
         account = known.get(token_hash(token)) if shown != token else None
         if account is None:
             raise NotRunError(_UNAUTHORIZED, 'bad-key', 'unknown or missing key')
+        self.account = account
         return account
 
     def check_configured(self) -> None:
@@ -179,6 +183,8 @@
     logs.info(
         'request',
         request=handler.request_id,
+        account=handler.account,
+        upstream=handler.admitted.upstream if handler.admitted else '',
         method=handler.request.method,
         path=handler.request.path,
         status=handler.get_status(),
--- a/packages/router/src/hitchdeck_router/serving/chat.py
+++ b/packages/router/src/hitchdeck_router/serving/chat.py
@@ -41,6 +41,7 @@
         body = admission.check_chat_body(raw)
         self.streams = bool(body.get('stream'))
         admitted = self._admit(account, raw, body)
+        self.admitted = admitted
         try:
             answer = await self._run(admitted, body)
         except UpstreamRefusedError as error:
--- a/packages/router/src/hitchdeck_router/serving/services.py
+++ b/packages/router/src/hitchdeck_router/serving/services.py
@@ -56,6 +56,7 @@
         view = self.context.fleet.view
         name = admission.check_service_pool(view, account, pool)
         admitted = self._admit(account, name)
+        self.admitted = admitted
         request = self._service_request(path, repeatable=self._repeatable(name))
         _check_has_key(admitted, request)
         try:
--- a/tests/failures/test_answers.py
+++ b/tests/failures/test_answers.py
@@ -75,6 +75,16 @@
     assert chunks[-1].usage is not None
 
 
+async def test_logs_name_request_account_and_upstream(fleet: Fleet) -> None:
+    reply = await callers.chat(fleet.routers[2], 'logged')
+    request = json.loads(reply.body)['id'].removeprefix('chatcmpl-')
+    lines = [json.loads(one) for one in fleet.routers[2].log.read_text().splitlines()]
+    logged = next(one for one in lines if one.get('request') == request)
+    assert logged['account'] == 'ann'
+    assert logged['upstream'].startswith('engine-')
+    assert logged['status'] == 200
+
+
 async def test_official_client_sees_a_wrong_key(fleet: Fleet) -> None:
     with pytest.raises(AuthenticationError):
         await client_of(fleet, 'wrong').chat.completions.create(
