--- /dev/null
+++ b/tests/cover/test_orders.py
@@ -0,0 +1,123 @@
+"""Orders to upstreams that check no fence: one sender, and no repeats."""
+
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import cast
+
+import pytest
+from tornado.httpserver import HTTPServer
+
+from hitchdeck_control.errors import NotLeaderError
+from hitchdeck_control.fleet import orders
+from hitchdeck_control.fleet.leader import Leader
+from hitchdeck_control.fleet.orders import OrderSender, WeightStore
+from hitchdeck_control.machine.machine import Machine
+from hitchdeck_control.raft.replica import Leadership
+from hitchdeck_core.clock import boot_seconds
+from hitchdeck_core.commands import Command, FinishOrder, PlaceOrder, Put
+from hitchdeck_core.ids import Address
+from hitchdeck_core.resources import Upstream
+from standins.engine import Engine, make_app
+from standins.fleet import free_ports
+from standins.records import Recorder, read_records
+from tests.cover.test_machine import submit
+
+FLIGHT = 0.4
+
+
+@dataclass
+class FakeReplica:
+    """What the sender asks of a replica."""
+
+    leadership: Leadership
+    term: int = 7
+
+
+@dataclass
+class FakeLeader:
+    """A leader that may lose office after some checks."""
+
+    machine: Machine
+    replica: FakeReplica
+    checks_left: int = 1000
+    finished: list[FinishOrder] = field(default_factory=list)
+
+    def now(self) -> float:
+        """Return the time."""
+        return boot_seconds()
+
+    def check_leads(self) -> None:
+        """Lose office in time."""
+        self.checks_left -= 1
+        if self.checks_left < 0:
+            raise NotLeaderError('')
+
+    async def execute(self, command: Command) -> None:
+        """Note how an order ended."""
+        assert isinstance(command, FinishOrder)
+        self.finished.append(command)
+
+
+@dataclass
+class Site:
+    """An engine, and a leader just elected with one order open."""
+
+    leader: FakeLeader
+    engine: Engine
+    server: HTTPServer
+    records: Path
+
+    async def carry_out(self) -> list[FinishOrder]:
+        """Have the order sent."""
+        sender = OrderSender(cast(Leader, self.leader), WeightStore(1e9))
+        await sender._carry_out(1, self.leader.machine.state.orders[1])
+        return self.leader.finished
+
+    def sent(self) -> list[float]:
+        """Return when the engine took orders."""
+        lines = read_records(self.records)
+        return [float(one['at']) for one in lines if one['event'] == 'order']
+
+
+@pytest.fixture
+async def site(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> Site:
+    """Return a site whose engine checks no fence."""
+    monkeypatch.setattr(orders, 'FLIGHT_SECONDS', FLIGHT)
+    port = free_ports(1)[0]
+    records = tmp_path / 'records'
+    engine = Engine('e', 4, 0, Recorder(records))
+    server = make_app(engine).listen(port, '127.0.0.1')
+    machine = Machine(1000)
+    address = Address(f'127.0.0.1:{port}')
+    submit(machine, Put(resource=Upstream(name='e', address=address)))
+    submit(machine, PlaceOrder(upstream='e', action='load', target='m'))
+    leadership = Leadership(started_at=boot_seconds(), first_index=1)
+    leader = FakeLeader(machine, FakeReplica(leadership))
+    return Site(leader, engine, server, records)
+
+
+async def test_new_leader_waits_out_the_flight_of_earlier_orders(site: Site) -> None:
+    finished = await site.carry_out()
+    assert [one.state for one in finished] == ['done']
+    elected_at = site.leader.replica.leadership.started_at
+    assert len(site.sent()) == 1
+    assert boot_seconds() - elected_at >= FLIGHT
+
+
+async def test_what_an_earlier_leader_did_unseen_is_not_repeated(site: Site) -> None:
+    site.engine.loaded.add('m')
+    finished = await site.carry_out()
+    assert [one.state for one in finished] == ['done']
+    assert not site.sent()
+
+
+async def test_leader_out_of_office_sends_nothing(site: Site) -> None:
+    site.leader.checks_left = 0
+    assert not await site.carry_out()
+    assert not site.sent()
+
+
+def test_loads_share_the_rate_of_the_weight_store() -> None:
+    store = WeightStore(rate=100)
+    assert [store.reserve(200, now=10) for _ in range(3)] == [0, 2, 4]
+    assert store.reserve(200, now=30) == 0
