--- a/bench/connections.py
+++ b/bench/connections.py
@@ -15,6 +15,7 @@
 
 import fire
 
+from bench.common import append_row, listed
 from bench.control import client_of, in_force_time
 from hitchdeck_core.clock import boot_seconds
 from hitchdeck_core.commands import Batch, Put
@@ -154,19 +155,14 @@
     output: str = 'bench/results/connections.jsonl',
 ) -> None:
     """Run every count on a group of its own."""
-    path = Path(output)
-    path.parent.mkdir(exist_ok=True)
-    listed = counts if isinstance(counts, tuple) else str(counts).split(',')
-    for count in listed:
+    for count in listed(counts):
         folder = Path(tempfile.mkdtemp(prefix='hitchdeck-bench-'))
         size = processes.FleetSize(routers=0, engines=0, services=0)
         with processes.running_fleet(folder, size) as fleet:
             asyncio.run(fill(fleet, upstreams))
             row = asyncio.run(measure(fleet, int(count), seconds))
         row['upstreams'] = upstreams
-        with path.open('a') as stream:
-            stream.write(f'{json.dumps(row)}\n')
-        print(json.dumps(row), flush=True)
+        append_row(output, row)
 
 
 if __name__ == '__main__':
--- a/bench/control.py
+++ b/bench/control.py
@@ -13,6 +13,7 @@
 import fire
 from tornado.httpclient import AsyncHTTPClient
 
+from bench.common import append_row, listed
 from bench.fairness import read_metrics, wait_ready
 from hitchdeck_core.commands import Claim, Command, Put
 from hitchdeck_core.control_client import ControlClient
@@ -187,17 +188,12 @@
     output: str = 'bench/results/control.jsonl',
 ) -> None:
     """Run everything and append a line of JSON for each figure."""
-    path = Path(output)
-    path.parent.mkdir(exist_ok=True)
-    listed = sizes if isinstance(sizes, tuple) else str(sizes).split(',')
-    for size in listed:
+    for size in listed(sizes):
         folder = Path(tempfile.mkdtemp(prefix='hitchdeck-bench-'))
         fleet_size = FleetSize(routers=int(size), engines=0, services=0)
         with running_fleet(folder, fleet_size) as fleet:
             for row in asyncio.run(_measure(fleet, int(size), seconds)):
-                with path.open('a') as stream:
-                    stream.write(f'{json.dumps(row)}\n')
-                print(json.dumps(row), flush=True)
+                append_row(output, row)
 
 
 if __name__ == '__main__':
--- a/bench/fairness.py
+++ b/bench/fairness.py
@@ -17,6 +17,7 @@
 import fire
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest
 
+from bench.common import append_row, listed
 from bench.figures import Figures, service_gap, utilisation, waits
 from bench.load import Profile, Seen, run_profiles
 from hitchdeck_core.hashing import token_hash
@@ -230,22 +231,11 @@
     overcommit: int = 1,
 ) -> None:
     """Run every combination and append a line of JSON for each."""
-    path = Path(output)
-    path.parent.mkdir(exist_ok=True)
-    for count in _listed(routers):
-        for fault in _listed(faults):
-            for policy in _listed(policies):
+    for count in listed(routers):
+        for fault in listed(faults):
+            for policy in listed(policies):
                 scenario = Scenario(policy, int(count), fault, seconds, overcommit)
-                row = run_scenario(scenario)
-                with path.open('a') as stream:
-                    stream.write(f'{json.dumps(row)}\n')
-                print(json.dumps(row))
-
-
-def _listed(text: object) -> list[str]:
-    if isinstance(text, (list, tuple)):
-        return [str(one) for one in text]
-    return str(text).split(',')
+                append_row(output, run_scenario(scenario))
 
 
 if __name__ == '__main__':
--- a/bench/report.py
+++ b/bench/report.py
@@ -101,12 +101,12 @@
 
 
 def _table(rows: Iterable[Row]) -> str:
-    listed = list(rows)
-    if not listed:
+    table = list(rows)
+    if not table:
         return '(not measured)\n'
-    columns = list(listed[0])
+    columns = list(table[0])
     lines = [columns, ['---' for _ in columns]]
-    lines += [[str(row.get(column, '')) for column in columns] for row in listed]
+    lines += [[str(row.get(column, '')) for column in columns] for row in table]
     return '\n'.join(f'| {" | ".join(line)} |' for line in lines)
 
 
--- a/bench/ticket_cost.py
+++ b/bench/ticket_cost.py
@@ -5,17 +5,16 @@
 """
 
 import asyncio
-import json
 import random
 import resource
 import time
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
-from pathlib import Path
 from typing import Any
 
 import fire
 
+from bench.common import append_row
 from hitchdeck_core.channels import fleet_only, serve
 from hitchdeck_core.clock import boot_seconds
 from hitchdeck_core.ids import AccountName, Address, Incarnation, PoolName, RequestId
@@ -216,11 +215,7 @@
     row = {
         name: round(figure, 2) for name, figure in asyncio.run(measure(setup)).items()
     }
-    path = Path(output)
-    path.parent.mkdir(exist_ok=True)
-    with path.open('a') as stream:
-        stream.write(f'{json.dumps(row)}\n')
-    print(json.dumps(row))
+    append_row(output, row)
 
 
 if __name__ == '__main__':
--- a/bench/view_cost.py
+++ b/bench/view_cost.py
@@ -4,12 +4,12 @@
 upstreams, with 440 accounts, 8 pools and 50 rules.
 """
 
-import json
 import time
 from pathlib import Path
 
 import fire
 
+from bench.common import append_row
 from bench.connections import spent_by
 from hitchdeck_core.ids import Address
 from hitchdeck_core.resources import (
@@ -105,12 +105,7 @@
 
 def main(upstreams: int = 12_000, output: str = 'bench/results/view.jsonl') -> None:
     """Measure one size in this process, and append a line of JSON."""
-    row = measure(upstreams)
-    path = Path(output)
-    path.parent.mkdir(exist_ok=True)
-    with path.open('a') as stream:
-        stream.write(f'{json.dumps(row)}\n')
-    print(json.dumps(row))
+    append_row(output, measure(upstreams))
 
 
 if __name__ == '__main__':
