--- a/tests/failures/test_answers.py
+++ b/tests/failures/test_answers.py
@@ -4,7 +4,7 @@
 import json
 import socket
 import time
-from collections.abc import Iterator
+from collections.abc import Awaitable, Callable, Iterator
 from pathlib import Path
 
 import pytest
@@ -265,6 +265,36 @@
     assert callers.begun_at(fleet, fleet.engines[1])[-1] > left_at + 3
 
 
+async def test_drained_box_is_handed_out_no_more(fleet: Fleet) -> None:
+    drained = f'127.0.0.1:{fleet.routers[1].port}'
+
+    async def handed_out() -> list[str]:
+        reply = await callers.request(
+            fleet.routers[0],
+            '/v1/addresses',
+            method='GET',
+        )
+        return list(json.loads(reply.body)['addresses'])
+
+    assert drained in await handed_out()
+    await asyncio.to_thread(fleet.hitchdeck, 'drain', 'box', 'router-1')
+    await _until_absent(handed_out, drained)
+    reply = await callers.chat(fleet.routers[1], 'old address')
+    assert callers.text_of(reply) == callers.expected_text('old address')
+    await asyncio.to_thread(fleet.hitchdeck, 'undrain', 'box', 'router-1')
+
+
+async def _until_absent(
+    handed_out: Callable[[], Awaitable[list[str]]],
+    drained: str,
+) -> None:
+    for _ in range(200):
+        if drained not in await handed_out():
+            return
+        await asyncio.sleep(0.05)
+    raise AssertionError('still handed out')
+
+
 @pytest.mark.parametrize(
     ('arguments', 'code', 'word'),
     [
