Drop two pieces of dead code, and state the cap on debts as it is

cap_debts and the counter by class were never called or read. The fairness note said that the cap holds at all times; it holds when an account becomes backlogged, and patience bounds the wait after that.

--- a/packages/router/src/hitchdeck_router/scheduling/fairness.py
+++ b/packages/router/src/hitchdeck_router/scheduling/fairness.py
@@ -47,7 +47,8 @@
     Attributes
     ----------
     debt_cap
-        Most weighted cost by which an account may stand above the floor.
+        Most weighted cost by which an account may stand above the floor when
+        it becomes backlogged.
     """
 
     def __init__(self, debt_cap: float) -> None:
@@ -115,14 +116,3 @@
         share.mean_cost = (
             _ESTIMATE_MEMORY * share.mean_cost + (1 - _ESTIMATE_MEMORY) * cost
         )
-
-    def cap_debts(self, backlogged: list[AccountName]) -> None:
-        """Bring accounts far above the floor down to the cap."""
-        if not backlogged:
-            return
-        floor = min(self.shares[one].virtual() for one in backlogged)
-        for account in backlogged:
-            share = self.shares[account]
-            excess = share.virtual() - floor - self.debt_cap
-            if excess > 0:
-                share.lift -= excess
--- a/packages/router/src/hitchdeck_router/scheduling/shard.py
+++ b/packages/router/src/hitchdeck_router/scheduling/shard.py
@@ -6,7 +6,7 @@
 
 from collections import defaultdict
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from hitchdeck_core.ids import AccountName, Incarnation, UpstreamName
 from hitchdeck_core.resources import Urgency
@@ -69,9 +69,6 @@
     refused: int = 0
     idle_while_waiting: float = 0.0
     waiting: float = 0.0
-    by_class: dict[Urgency, int] = field(
-        default_factory=lambda: dict.fromkeys(Urgency, 0),
-    )
 
 
 class ShardScheduler:
@@ -298,7 +295,6 @@
         if self.since_patient > _PATIENT_TURN:
             self.since_patient = 0
         self.counters.granted += 1
-        self.counters.by_class[ticket.urgency] += 1
         return Placed(ticket, upstream, known if known != upstream else '')
 
     def _hold(self, key: TicketKey, slot: HeldSlot, now: float) -> None:
