Wait for a request's log line in a test, as the answer comes first

Cause: tests/failures/test_answers.py read the router's log once, right after the answer's last byte; the line is written after it. Ruled out: a line that lacks the id (it is there later).

--- a/tests/failures/test_answers.py
+++ b/tests/failures/test_answers.py
@@ -75,13 +75,24 @@
     assert chunks[-1].usage is not None
 
 
+async def _logged(log: Path, request: str) -> dict[str, object]:
+    # The line follows the answer's last byte, so the caller may be first.
+    async with asyncio.timeout(10):
+        while True:
+            # The last piece is empty, or a line that is still being written.
+            for line in log.read_text().split('\n')[:-1]:
+                fields: dict[str, object] = json.loads(line)
+                if fields.get('request') == request:
+                    return fields
+            await asyncio.sleep(0.02)
+
+
 async def test_logs_name_request_account_and_upstream(fleet: Fleet) -> None:
     reply = await callers.chat(fleet.routers[2], 'logged')
     request = json.loads(reply.body)['id'].removeprefix('chatcmpl-')
-    lines = [json.loads(one) for one in fleet.routers[2].log.read_text().splitlines()]
-    logged = next(one for one in lines if one.get('request') == request)
+    logged = await _logged(fleet.routers[2].log, request)
     assert logged['account'] == 'ann'
-    assert logged['upstream'].startswith('engine-')
+    assert str(logged['upstream']).startswith('engine-')
     assert logged['status'] == 200
 
 
--- a/tools/generate_wire.py
+++ b/tools/generate_wire.py
@@ -1,4 +1,4 @@
-"""Regenerate the committed message code from ``hitchdeck.proto``.
+"""Regenerate the committed message code from the protocol files.
 
 Needs ``grpcio-tools``, which is left out of the lock: a build never needs it.
 """
@@ -8,7 +8,10 @@
 from pathlib import Path
 
 SOURCE_ROOT = Path(__file__).parent.parent / 'packages' / 'core' / 'src'
-PROTO = 'hitchdeck_core/wire/hitchdeck.proto'
+PROTOS = (
+    'hitchdeck_core/wire/hitchdeck.proto',
+    'hitchdeck_core/wire/spread.proto',
+)
 
 
 def main() -> None:
@@ -21,7 +24,7 @@
         f'--python_out={SOURCE_ROOT}',
         f'--pyi_out={SOURCE_ROOT}',
         f'--grpclib_python_out={SOURCE_ROOT}',
-        PROTO,
+        *PROTOS,
     ]
     subprocess.run(command, check=True)
 
