--- a/packages/core/src/hitchdeck_core/log_output.py
+++ b/packages/core/src/hitchdeck_core/log_output.py
@@ -15,7 +15,7 @@
 BURST_LINES = 1500
 """Lines at once, after quiet seconds."""
 
-WAITING_BYTES = 256 * 1024
+WAITING_BYTES = 262_144
 """Lines that wait for a slow reader, in bytes."""
 
 
--- a/packages/edge/src/hitchdeck_edge/dispatch/answers.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/answers.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import Enum
-from http.client import responses
+from http import HTTPStatus
 
 from hitchdeck_edge.dispatch.exchange import Head
 from hitchdeck_edge.model.calls import Call, Header
@@ -27,10 +27,24 @@
 """Headers of one connection (RFC 9110, 7.6.1), and the length, which is set
 anew from the body."""
 
-BAD_GATEWAY = 502
-UNAVAILABLE = 503
-TIMED_OUT = 504
-TOO_MANY = 429
+BAD_GATEWAY = HTTPStatus.BAD_GATEWAY
+UNAVAILABLE = HTTPStatus.SERVICE_UNAVAILABLE
+TIMED_OUT = HTTPStatus.GATEWAY_TIMEOUT
+
+SHARE_RETRY_SECONDS = 1.0
+"""A quarter of a usual share window: by then some of the share is free."""
+
+STATE_RETRY_SECONDS = 0.3
+"""A box that has just started knows documents and upstreams by then."""
+
+LOAD_RETRY_SECONDS = 0.25
+"""About the time in which an engine reads one long prompt."""
+
+AGAIN_RETRY_SECONDS = 0.1
+"""Another box, or the next attempt, may well succeed."""
+
+ELSEWHERE_RETRY_SECONDS = 0.02
+"""Only this box is in the way: another one serves at once."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,16 +58,16 @@
 class Refusal(Enum):
     """Why this box answers itself.  None of these has run."""
 
-    bad_request = _Reply(400, 0)
-    no_key = _Reply(401, 0)
-    no_route = _Reply(404, 0)
-    over_share = _Reply(TOO_MANY, 1.0)
-    no_document = _Reply(UNAVAILABLE, 0.3)
-    no_upstream = _Reply(UNAVAILABLE, 0.3)
-    no_attempt_left = _Reply(UNAVAILABLE, 0.1)
-    overloaded = _Reply(UNAVAILABLE, 0.25)
-    stopping = _Reply(UNAVAILABLE, 0.02)
-    time_over = _Reply(UNAVAILABLE, 0.1)
+    bad_request = _Reply(HTTPStatus.BAD_REQUEST, 0)
+    no_key = _Reply(HTTPStatus.UNAUTHORIZED, 0)
+    no_route = _Reply(HTTPStatus.NOT_FOUND, 0)
+    over_share = _Reply(HTTPStatus.TOO_MANY_REQUESTS, SHARE_RETRY_SECONDS)
+    no_document = _Reply(UNAVAILABLE, STATE_RETRY_SECONDS)
+    no_upstream = _Reply(UNAVAILABLE, STATE_RETRY_SECONDS)
+    no_attempt_left = _Reply(UNAVAILABLE, AGAIN_RETRY_SECONDS)
+    overloaded = _Reply(UNAVAILABLE, LOAD_RETRY_SECONDS)
+    stopping = _Reply(UNAVAILABLE, ELSEWHERE_RETRY_SECONDS)
+    time_over = _Reply(UNAVAILABLE, AGAIN_RETRY_SECONDS)
 
 
 def end_to_end(headers: Iterable[Header]) -> list[Header]:
@@ -89,7 +103,8 @@
     if reply.retry_after:
         headers.append(('Retry-After', str(reply.retry_after)))
     text = refusal.name.replace('_', ' ').encode()
-    await caller.answer(reply.status, responses[reply.status], headers, text)
+    reason = HTTPStatus(reply.status).phrase
+    await caller.answer(reply.status, reason, headers, text)
 
 
 class Answers:
@@ -133,4 +148,5 @@
 
     async def _say(self, status: int) -> None:
         headers = self.dialect.echo_headers(self.passage.call)
-        await self.caller.answer(status, responses[status], headers, b'unknown')
+        reason = HTTPStatus(status).phrase
+        await self.caller.answer(status, reason, headers, b'unknown')
--- a/packages/edge/src/hitchdeck_edge/dispatch/attempts.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/attempts.py
@@ -7,6 +7,7 @@
 import asyncio
 from dataclasses import dataclass
 from enum import Enum
+from http import HTTPStatus
 
 from hitchdeck_core import logs
 from hitchdeck_core.clock import Clock
@@ -33,9 +34,6 @@
 """A request whose first token is expected later than so many times its goal
 is refused at once: it would be late itself, and make others late."""
 
-SUCCESS = range(200, 300)
-FAILURES = range(500, 600)
-
 
 class Verdict(Enum):
     """What one attempt came to."""
@@ -206,7 +204,7 @@
         mark = self.dialect.read_answer(head.status, head.headers)
         if mark.other_life:
             self.placement.health.misplace(attempt.upstream)
-        success = head.status in SUCCESS
+        success = HTTPStatus.OK <= head.status < HTTPStatus.MULTIPLE_CHOICES
         if success and not mark.sealed:
             raise BrokenAnswerError('a success that the upstream does not vouch for')
         if success and service.passage.route.streams:
@@ -330,7 +328,11 @@
 def _verdict_on(head: Head, *, not_run: bool) -> Verdict:
     if not_run:
         return Verdict.not_run
-    return Verdict.failed if head.status in FAILURES else Verdict.answered
+    return (
+        Verdict.failed
+        if head.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+        else Verdict.answered
+    )
 
 
 def _comes_too_late(passage: Passage, choice: Choice) -> bool:
--- a/packages/edge/src/hitchdeck_edge/dispatch/exchange.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/exchange.py
@@ -164,7 +164,7 @@
             return False
         self.parser = h11.Connection(h11.CLIENT)
         # The request went out long ago; this only brings the states in line.
-        self.parser.send(h11.Request(method='GET', target='/', headers=_ANY_HOST))
+        self.parser.send(h11.Request(method='GET', target='/', headers=[_ANY_HOST]))
         self.parser.send(h11.EndOfMessage())
         self.busy = True
         self.spoiled = True
@@ -189,14 +189,10 @@
         if self.transport is not None:
             self.transport.abort()
 
-    async def _event(self) -> h11.Event | type[h11.PAUSED]:
+    async def _event(self) -> h11.Event:
         while True:
-            try:
-                event = self.parser.next_event()
-            except h11.RemoteProtocolError as error:
-                self.spoiled = True
-                raise BrokenAnswerError(f'not an answer: {error}') from error
-            if event is not h11.NEED_DATA:
+            event = self._parse()
+            if event is not None:
                 return event
             if self.failure is not None:
                 raise BrokenAnswerError(f'connection lost: {self.failure!r}')
@@ -204,6 +200,16 @@
                 raise BrokenAnswerError('connection closed')
             await self._wait()
 
+    def _parse(self) -> h11.Event | None:
+        try:
+            event = self.parser.next_event()
+        except h11.RemoteProtocolError as error:
+            self.spoiled = True
+            raise BrokenAnswerError(f'not an answer: {error}') from error
+        if event is h11.PAUSED:
+            raise BrokenAnswerError('more than one answer came')
+        return None if isinstance(event, type) else event
+
     async def _wait(self) -> None:
         self.waiter = asyncio.get_running_loop().create_future()
         try:
@@ -218,14 +224,15 @@
     def _end_request(self) -> None:
         self.busy = False
         rest, _ = self.parser.trailing_data
-        reusable = self.parser.our_state is h11.DONE is self.parser.their_state
+        states = (self.parser.our_state, self.parser.their_state)
+        reusable = states == (h11.DONE, h11.DONE)
         if rest or not reusable or self.spoiled:
             self.spoiled = True
             return
         self.parser.start_next_cycle()
 
 
-_ANY_HOST = ((b'host', b'any'),)
+_ANY_HOST: Header = (b'host', b'any')
 
 
 def _set_probes(sock: socket.socket | None) -> None:
--- a/packages/edge/src/hitchdeck_edge/hub/attendees.py
+++ b/packages/edge/src/hitchdeck_edge/hub/attendees.py
@@ -58,11 +58,7 @@
 
     def entries(self) -> list[Attendee]:
         """Return the entry boxes that are alive and ready."""
-        return [
-            one
-            for one in self._alive()
-            if one.hello.entry_address and one.ready
-        ]
+        return [one for one in self._alive() if one.hello.entry_address and one.ready]
 
     def hubs(self) -> list[Attendee]:
         """Return the hubs that are alive."""
@@ -82,7 +78,8 @@
 
     def total(self) -> Tally:
         """Return the sum over the fleet: own boxes and what hubs passed on."""
-        return total_of(one.tally for one in [*self.own_boxes(), *self.hubs()])
+        reporting = self.own_boxes() + self.hubs()
+        return total_of(one.tally for one in reporting)
 
     def box_count(self) -> int:
         """Return how many entry boxes the fleet has, as far as known."""
--- a/packages/edge/src/hitchdeck_edge/hub/documents.py
+++ b/packages/edge/src/hitchdeck_edge/hub/documents.py
@@ -12,7 +12,6 @@
 from hitchdeck_core import logs
 from hitchdeck_core.channels import TRANSPORT_ERRORS, open_channel
 from hitchdeck_core.clock import Clock
-from hitchdeck_core.errors import LinkError
 from hitchdeck_core.ids import Address
 from hitchdeck_core.wire.spread_grpc import DocumentsBase, DocumentsStub
 from hitchdeck_core.wire.spread_pb2 import (
@@ -40,7 +39,7 @@
 
 @dataclass(slots=True)
 class Seat:
-    """This hub's replica, if it has a disk, and what it needs to commit.
+    """The replica of this hub, if it has a disk, and what it needs to commit.
 
     ``voters_needed`` is the least number of voters under which nothing that
     was accepted is lost together with as many disks as may be lost at once.
@@ -214,12 +213,10 @@
         request: PublishRequest | NewestRequest,
     ) -> PublishReply | NewestReply | None:
         channel = open_channel(address, self.token)
-        stub = DocumentsStub(channel)
-        call = stub.Publish if isinstance(request, PublishRequest) else stub.Newest
         try:
             async with asyncio.timeout(min(CALL_SECONDS, ends - self.now())):
-                reply = await call(request)  # type: ignore[operator]
-        except (LinkError, *TRANSPORT_ERRORS) as error:
+                reply = await _ask(DocumentsStub(channel), request)
+        except TRANSPORT_ERRORS as error:
             logs.info('leader not reached', hub=address, reason=repr(error))
             self.leader = Address('')
             return None
@@ -235,3 +232,12 @@
     ) -> None:
         taken = getattr(reply, 'accepted', False) or getattr(reply, 'certain', False)
         self.leader = address if taken else Address(reply.leader_address)
+
+
+async def _ask(
+    stub: DocumentsStub,
+    request: PublishRequest | NewestRequest,
+) -> PublishReply | NewestReply:
+    if isinstance(request, PublishRequest):
+        return await stub.Publish(request)
+    return await stub.Newest(request)
--- a/packages/edge/src/hitchdeck_edge/hub/peers.py
+++ b/packages/edge/src/hitchdeck_edge/hub/peers.py
@@ -16,7 +16,7 @@
 
 
 class HubPeer:
-    """This hub, as the others see it."""
+    """The hub of this process, as the others see it."""
 
     def __init__(
         self,
--- a/packages/edge/src/hitchdeck_edge/hub/process.py
+++ b/packages/edge/src/hitchdeck_edge/hub/process.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from pathlib import Path
 
 from grpclib.server import Server
 
@@ -10,10 +9,8 @@
 from hitchdeck_control.raft import replication
 from hitchdeck_control.raft.election import watch_leader
 from hitchdeck_control.raft.links import Links
-from hitchdeck_control.raft.replica import Machinery, Replica, Self, Timing
+from hitchdeck_control.raft.replica import Replica
 from hitchdeck_control.raft.service import ReplicationService
-from hitchdeck_control.storage.identity import open_identity
-from hitchdeck_control.storage.log import DurableLog
 from hitchdeck_core import logs
 from hitchdeck_core.channels import fleet_only, serve
 from hitchdeck_core.clock import boot_seconds
@@ -24,12 +21,12 @@
 from hitchdeck_edge.hub.attendees import Attendees
 from hitchdeck_edge.hub.documents import DocumentsDesk, DocumentsService, Seat
 from hitchdeck_edge.hub.liveness import Liveness
-from hitchdeck_edge.hub.machine import DocumentMachine
 from hitchdeck_edge.hub.peers import HubPeer
+from hitchdeck_edge.hub.replica import open_replica
 from hitchdeck_edge.hub.spread import HubState, SpreadService
 from hitchdeck_edge.links.attend import Attendant
 from hitchdeck_edge.links.hubs import HubBook
-from hitchdeck_edge.model.document import Document, DocumentVersion
+from hitchdeck_edge.model.document import Document
 from hitchdeck_edge.settings import HubSettings
 from hitchdeck_edge.state.documents import Documents
 from hitchdeck_edge.state.registry import Registry
@@ -38,9 +35,6 @@
 """After its start a hub names no addresses for so long: boxes attend within
 some tenths of a second, and the first ones would get every caller."""
 
-SNAPSHOT_EVERY = 40
-"""Log entries: each holds a whole document, and disks are small."""
-
 
 @dataclass(slots=True)
 class Hub:
@@ -107,7 +101,7 @@
         attendees=Attendees(boot_seconds),
         news=news,
     )
-    replica = _open_replica(settings, state.documents)
+    replica = open_replica(settings, state.documents)
     book = HubBook(
         BoxName(settings.box),
         settings.domain,
@@ -135,26 +129,6 @@
     return hub
 
 
-def _open_replica(settings: HubSettings, documents: Documents) -> Replica | None:
-    if settings.data_folder is None:
-        return None
-    box = BoxName(settings.box)
-    folder = Path(settings.data_folder) / 'group'
-    identity = open_identity(folder, box)
-
-    def committed(version: DocumentVersion, packed: bytes) -> None:
-        documents.offer(version, packed, 'log')
-
-    machine = DocumentMachine(committed)
-    return Replica(
-        Self(identity, box, Address(settings.listen)),
-        DurableLog(folder),
-        Machinery(machine.apply, machine.dump, machine.load),
-        Timing(settings.heartbeat, settings.election_timeout, SNAPSHOT_EVERY),
-        boot_seconds,
-    )
-
-
 async def _listen(hub: Hub, service: DocumentsService) -> None:
     services: list[object] = [SpreadService(hub.state), service]
     if hub.replica is not None:
--- /dev/null
+++ b/packages/edge/src/hitchdeck_edge/hub/replica.py
@@ -0,0 +1,43 @@
+"""The replica of a hub that has a disk."""
+
+from pathlib import Path
+
+from hitchdeck_control.raft.replica import Machinery, Replica, Self, Timing
+from hitchdeck_control.storage.identity import open_identity
+from hitchdeck_control.storage.log import DurableLog
+from hitchdeck_core.clock import boot_seconds
+from hitchdeck_core.ids import Address, BoxName
+from hitchdeck_edge.hub.machine import DocumentMachine
+from hitchdeck_edge.model.document import DocumentVersion
+from hitchdeck_edge.settings import HubSettings
+from hitchdeck_edge.state.documents import Documents
+
+SNAPSHOT_EVERY = 40
+"""Log entries: each holds a whole document, and disks are small."""
+
+
+def open_replica(settings: HubSettings, documents: Documents) -> Replica | None:
+    """Open the replica under the data folder; ``None`` without a disk.
+
+    Raises
+    ------
+    StorageError
+        The data folder can't be used.
+    """
+    if settings.data_folder is None:
+        return None
+    box = BoxName(settings.box)
+    folder = Path(settings.data_folder) / 'group'
+    identity = open_identity(folder, box)
+
+    def committed(version: DocumentVersion, packed: bytes) -> None:
+        documents.offer(version, packed, 'log')
+
+    machine = DocumentMachine(committed)
+    return Replica(
+        Self(identity, box, Address(settings.listen)),
+        DurableLog(folder),
+        Machinery(machine.apply, machine.dump, machine.load),
+        Timing(settings.heartbeat, settings.election_timeout, SNAPSHOT_EVERY),
+        boot_seconds,
+    )
--- a/packages/edge/src/hitchdeck_edge/hub/spread.py
+++ b/packages/edge/src/hitchdeck_edge/hub/spread.py
@@ -111,7 +111,8 @@
         return frame
 
     def _add_hubs(self, frame: HubFrame, sent: _Sent) -> None:
-        hubs = frozenset({self.state.address, *self.state.attendees.hub_addresses()})
+        addresses = self.state.attendees.hub_addresses()
+        hubs = frozenset(addresses | {self.state.address})
         frame.founder = self.state.founder
         if hubs != sent.hubs:
             sent.hubs = hubs
--- a/packages/edge/src/hitchdeck_edge/links/attend.py
+++ b/packages/edge/src/hitchdeck_edge/links/attend.py
@@ -40,6 +40,8 @@
 IDLE_SECONDS = 0.5
 """Between two frames to any other hub."""
 
+LINK_ERRORS = (LinkError, *TRANSPORT_ERRORS)
+
 Channels = Stream[BoxFrame, HubFrame]
 
 
@@ -90,7 +92,7 @@
                 channel = open_channel(address, self.token)
                 try:
                     await self._attend(address, channel)
-                except (LinkError, *TRANSPORT_ERRORS) as error:
+                except LINK_ERRORS as error:
                     self._lose(address, error)
                 finally:
                     channel.close()
--- a/packages/edge/src/hitchdeck_edge/links/entry.py
+++ b/packages/edge/src/hitchdeck_edge/links/entry.py
@@ -10,11 +10,8 @@
 from hitchdeck_edge.links.attend import Attendance, box_pause
 from hitchdeck_edge.links.hubs import HubBook
 from hitchdeck_edge.links.intake import take_news
-from hitchdeck_edge.scheduling.books import Books
-from hitchdeck_edge.scheduling.shares import Shares
 from hitchdeck_edge.settings import EntrySettings
-from hitchdeck_edge.state.documents import Documents
-from hitchdeck_edge.state.registry import Registry
+from hitchdeck_edge.state.knowledge import Knowledge
 from hitchdeck_edge.state.tallies import Tally, tally_of
 
 
@@ -24,17 +21,11 @@
     def __init__(
         self,
         settings: EntrySettings,
-        documents: Documents,
-        registry: Registry,
-        books: Books,
-        shares: Shares,
+        known: Knowledge,
         budget: RepeatBudget,
     ) -> None:
         self.settings = settings
-        self.documents = documents
-        self.registry = registry
-        self.books = books
-        self.shares = shares
+        self.known = known
         self.budget = budget
         self.ready = False
         self.urgent = Signal()
@@ -52,7 +43,7 @@
     def compose(self, hub: Address, home: bool, first: bool) -> BoxFrame:
         """Return the next frame for a hub."""
         frame = BoxFrame(
-            version=self.documents.version,
+            version=self.known.documents.version,
             ready=self.ready,
             wants_reports=home,
         )
@@ -65,30 +56,30 @@
     def lose(self, hub: Address) -> None:
         """Count on this box's own books alone while its hub is away."""
         if hub == self.home:
-            self.books.others = Tally()
+            self.known.books.others = Tally()
             self.home = None
 
-    def set_ready(self, *, ready: bool) -> None:
+    def announce(self, *, ready: bool) -> None:
         """Tell every hub at once whether callers may be sent here."""
         if ready != self.ready:
             self.ready = ready
             self.urgent.notify()
 
     def _accept(self, hub: Address, frame: HubFrame, *, is_home: bool) -> None:
-        take_news(hub, frame, self.documents, self.registry)
+        take_news(hub, frame, self.known.documents, self.known.registry)
         if not is_home:
             return
         self.home = hub
         tally = tally_of(frame)
-        self.books.others = tally
-        self.shares.others = tally
+        self.known.books.others = tally
+        self.known.shares.others = tally
         if frame.boxes:
             self.budget.boxes = int(frame.boxes)
 
     def _report(self, frame: BoxFrame) -> None:
-        frame.loads.extend(self.books.own.loads())
-        self.shares.expire()
-        asked: Counter[AccountName] = self.shares.own
+        frame.loads.extend(self.known.books.own.loads())
+        self.known.shares.expire()
+        asked: Counter[AccountName] = self.known.shares.own
         frame.demands.extend(Tally(asked=asked).demands())
 
     def _hello(self) -> Hello:
@@ -98,4 +89,3 @@
             domain=self.settings.domain,
             entry_address=self.settings.listen,
         )
-
--- a/packages/edge/src/hitchdeck_edge/links/hubs.py
+++ b/packages/edge/src/hitchdeck_edge/links/hubs.py
@@ -7,7 +7,6 @@
 from hitchdeck_core.ids import Address, BoxName
 from hitchdeck_core.signals import Signal
 
-
 NAMED_SECONDS = 60.0
 """How long a hub is tried that no other hub names any more: longer than any
 outage after which it may come back at its address."""
--- a/packages/edge/src/hitchdeck_edge/links/records.py
+++ b/packages/edge/src/hitchdeck_edge/links/records.py
@@ -1,14 +1,18 @@
-"""Upstreams and addresses as they travel between processes."""
+"""Upstreams as they travel between processes."""
+
+from types import MappingProxyType
 
 from hitchdeck_core.ids import Address, PoolName, UpstreamName
 from hitchdeck_core.wire.spread_pb2 import UpstreamPhase, UpstreamRecord
 from hitchdeck_edge.model.upstreams import Phase, Upstream
 
-_PHASES = {
-    Phase.serving: UpstreamPhase.UPSTREAM_PHASE_SERVING,
-    Phase.leaving: UpstreamPhase.UPSTREAM_PHASE_LEAVING,
-    Phase.gone: UpstreamPhase.UPSTREAM_PHASE_GONE,
-}
+_PHASES = MappingProxyType(
+    {
+        Phase.serving: UpstreamPhase.UPSTREAM_PHASE_SERVING,
+        Phase.leaving: UpstreamPhase.UPSTREAM_PHASE_LEAVING,
+        Phase.gone: UpstreamPhase.UPSTREAM_PHASE_GONE,
+    },
+)
 
 
 def encode_upstream(upstream: Upstream) -> UpstreamRecord:
--- a/packages/edge/src/hitchdeck_edge/model/document.py
+++ b/packages/edge/src/hitchdeck_edge/model/document.py
@@ -5,7 +5,6 @@
 from typing import NewType
 
 from hitchdeck_core.ids import AccountName, PoolName
-
 from hitchdeck_edge.errors import DocumentError
 
 DocumentVersion = NewType('DocumentVersion', int)
--- a/packages/edge/src/hitchdeck_edge/process.py
+++ b/packages/edge/src/hitchdeck_edge/process.py
@@ -34,6 +34,7 @@
 from hitchdeck_edge.serving.stopping import Stopping
 from hitchdeck_edge.settings import EntrySettings
 from hitchdeck_edge.state.documents import Documents
+from hitchdeck_edge.state.knowledge import Knowledge
 from hitchdeck_edge.state.registry import Registry
 
 STOP_POLL_SECONDS = 0.1
@@ -59,7 +60,7 @@
     async def drain(self) -> None:
         """Stop as planned: cut nothing that can end within the grace."""
         self.stopping.begin()
-        self.link.set_ready(ready=False)
+        self.link.announce(ready=False)
         self.door.close_after_answers()
         logs.info('stopping', open_requests=len(self.desk.tasks))
         while not self.stopping.may_end(idle=not self.desk.tasks):
@@ -67,7 +68,8 @@
 
     async def stop(self) -> None:
         """Close the doors and end the tasks."""
-        for server in [*self.servers, self.door.server]:
+        self.door.server.stop()
+        for server in self.servers:
             server.stop()
         await self.supervisor.stop()
 
@@ -79,13 +81,13 @@
         """Keep readiness true and forget what is gone; for ever."""
         while True:
             if self.stopping.began is None:
-                known = self.link.documents.document is not None
-                self.link.set_ready(ready=known)
+                known = self.link.known.documents.document is not None
+                self.link.announce(ready=known)
             self._forget_gone()
-            await self.link.documents.changed.wait(UPKEEP_SECONDS)
+            await self.link.known.documents.changed.wait(UPKEEP_SECONDS)
 
     def _forget_gone(self) -> None:
-        registry = self.link.registry
+        registry = self.link.known.registry
         gone = [
             name
             for name, record in registry.records.items()
@@ -99,38 +101,57 @@
 
 async def start_entry(settings: EntrySettings, dialect: Dialect) -> EntryBox:
     """Start an entry box that speaks a platform's dialect."""
-    news = Signal()
-    documents = Documents(dialect.read_document, news)
-    registry = Registry(boot_seconds, news)
-    books = Books(boot_seconds)
-    shares = Shares(settings.share_window, boot_seconds)
-    budget = RepeatBudget(
-        settings.retry_share,
-        settings.retry_extra,
-        settings.retry_window,
-        boot_seconds,
-    )
-    connections = Connections(boot_seconds)
-    placement = Placement(settings.domain, registry, books)
-    dispatcher = Dispatcher(dialect, placement, connections, budget, boot_seconds)
+    knowledge = _knowledge(settings, dialect)
+    dispatcher = _dispatcher(settings, dialect, knowledge)
     stopping = Stopping(settings.stop_grace, boot_seconds)
-    desk = Desk(dialect, documents, shares, dispatcher, stopping, boot_seconds)
+    desk = Desk(dialect, knowledge, dispatcher, stopping, boot_seconds)
     seeds = map(Address, settings.seeds)
     box = EntryBox(
         settings=settings,
-        link=EntryLink(settings, documents, registry, books, shares, budget),
+        link=EntryLink(settings, knowledge, dispatcher.budget),
         book=HubBook(BoxName(settings.box), settings.domain, seeds, boot_seconds),
         desk=desk,
-        door=FrontDoor(desk.handle),
+        door=FrontDoor(desk.take),
         stopping=stopping,
         supervisor=Supervisor('entry'),
     )
-    _start(box, connections)
+    _start(box)
     logs.info('entry box listens', address=settings.listen)
     return box
 
 
-def _start(box: EntryBox, connections: Connections) -> None:
+def _knowledge(settings: EntrySettings, dialect: Dialect) -> Knowledge:
+    news = Signal()
+    return Knowledge(
+        documents=Documents(dialect.read_document, news),
+        registry=Registry(boot_seconds, news),
+        books=Books(boot_seconds),
+        shares=Shares(settings.share_window, boot_seconds),
+    )
+
+
+def _dispatcher(
+    settings: EntrySettings,
+    dialect: Dialect,
+    knowledge: Knowledge,
+) -> Dispatcher:
+    budget = RepeatBudget(
+        settings.retry_share,
+        settings.retry_extra,
+        settings.retry_window,
+        boot_seconds,
+    )
+    placement = Placement(settings.domain, knowledge.registry, knowledge.books)
+    return Dispatcher(
+        dialect,
+        placement,
+        Connections(boot_seconds),
+        budget,
+        boot_seconds,
+    )
+
+
+def _start(box: EntryBox) -> None:
     settings = box.settings
     host, port = split_address(Address(settings.listen))
     box.door.server.listen(port, host)
@@ -145,5 +166,6 @@
     attendance = box.link.attendance(box.book)
     attendant = Attendant(box.book, attendance, settings.fleet_token)
     box.supervisor.permanent('hubs', attendant.run)
+    connections = box.desk.dispatcher.connections
     box.supervisor.permanent('connections', connections.sweep)
     box.supervisor.permanent('upkeep', box.keep_up)
--- a/packages/edge/src/hitchdeck_edge/scheduling/health.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/health.py
@@ -85,5 +85,6 @@
 
     def forget(self, keep: Callable[[UpstreamName], bool]) -> None:
         """Drop the records of upstreams that are gone."""
-        for name in [one for one in self.records if not keep(one)]:
-            self.records.pop(name)
+        self.records = {
+            name: known for name, known in self.records.items() if keep(name)
+        }
--- a/packages/edge/src/hitchdeck_edge/scheduling/placement.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/placement.py
@@ -35,6 +35,12 @@
 FAILURE_WEIGHT = 4.0
 """How much a failing plain service counts as slower than it is."""
 
+FAR_FACTOR = 1.1
+"""How much slower a plain service in another domain counts: see NEAR_TOKENS."""
+
+JITTER_FACTOR = 1.05
+"""Spreads the choice between equals, which all boxes would make alike."""
+
 LEAST_SECONDS = 0.005
 """Floor of a plain service's measured time, so that a fast one is not taken
 for free."""
@@ -103,8 +109,7 @@
         holder = self._holder(prompt, candidates)
         pace = self.pace.of(passage.pool.name)
         choices = [
-            self._weigh(one, prompt, passage, one.name == holder)
-            for one in candidates
+            self._weigh(one, prompt, passage, one.name == holder) for one in candidates
         ]
         cost, tokens, best = min(choices, key=lambda choice: choice[0])
         return Choice(best, tokens, cost / pace)
@@ -141,6 +146,6 @@
         record = self.health.record(upstream.name)
         seconds = max(LEAST_SECONDS, record.seconds)
         doubt = 1 + FAILURE_WEIGHT * record.failure_rate
-        near = 1 if upstream.domain == self.domain else 1.1
-        jitter = random.uniform(1, 1.05)
-        return (self.books.running(upstream.name) + 1) * seconds * doubt * near * jitter
+        far = 1 if upstream.domain == self.domain else FAR_FACTOR
+        jitter = random.uniform(1, JITTER_FACTOR)
+        return (self.books.running(upstream.name) + 1) * seconds * doubt * far * jitter
--- a/packages/edge/src/hitchdeck_edge/serving/desk.py
+++ b/packages/edge/src/hitchdeck_edge/serving/desk.py
@@ -8,17 +8,16 @@
 from hitchdeck_core.ids import AccountName, PoolName
 from hitchdeck_edge.dispatch.answers import Refusal, refuse
 from hitchdeck_edge.dispatch.attempts import Dispatcher, Service
-from hitchdeck_edge.errors import CallError, CallerGoneError
+from hitchdeck_edge.errors import CallerGoneError, CallError
 from hitchdeck_edge.model.calls import Call
 from hitchdeck_edge.model.dialect import Dialect
 from hitchdeck_edge.model.document import Route
 from hitchdeck_edge.model.passage import Passage
-from hitchdeck_edge.scheduling.shares import Shares
 from hitchdeck_edge.serving.caller import Caller
 from hitchdeck_edge.serving.front import Reading
 from hitchdeck_edge.serving.gauges import Gauges
 from hitchdeck_edge.serving.stopping import Stopping
-from hitchdeck_edge.state.documents import Documents
+from hitchdeck_edge.state.knowledge import Knowledge
 
 
 class Desk:
@@ -27,33 +26,36 @@
     def __init__(
         self,
         dialect: Dialect,
-        documents: Documents,
-        shares: Shares,
+        known: Knowledge,
         dispatcher: Dispatcher,
         stopping: Stopping,
         now: Clock,
     ) -> None:
         self.dialect = dialect
-        self.documents = documents
-        self.shares = shares
+        self.documents = known.documents
+        self.shares = known.shares
         self.dispatcher = dispatcher
         self.stopping = stopping
         self.now = now
         self.gauges = Gauges(now)
         self.tasks: set[asyncio.Task[None]] = set()
 
-    def handle(self, reading: Reading) -> None:
+    def take(self, reading: Reading) -> None:
         """Start to serve a request that was read."""
         arrived = self.now()
         caller = Caller(reading.connection)
         task = asyncio.get_running_loop().create_task(
-            self._handle(reading, caller, arrived),
+            self._serve(reading, caller, arrived),
         )
-        caller.on_gone = task.cancel
+
+        def leave() -> None:
+            task.cancel()
+
+        caller.on_gone = leave
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    async def _handle(self, reading: Reading, caller: Caller, arrived: float) -> None:
+    async def _serve(self, reading: Reading, caller: Caller, arrived: float) -> None:
         call: Call | None = None
         try:
             call = self._read(reading)
@@ -108,7 +110,7 @@
             account = table.account(call.key)
             if account is None:
                 return Refusal.no_key
-        if self.stopping.refuses(streams=route.streams):
+        if self.stopping.refuses(self.gauges.usual_seconds(route.name)):
             return Refusal.stopping
         pool = document.pools[_pool_of(route)]
         if account is not None and call.prompt is not None and pool.engine is not None:
--- a/packages/edge/src/hitchdeck_edge/serving/front.py
+++ b/packages/edge/src/hitchdeck_edge/serving/front.py
@@ -17,18 +17,18 @@
 """Largest head of a request: well above what callers may send by any
 document seen, so that none of theirs is refused."""
 
-BODY_BYTES = 16 * 1024 * 1024
+BODY_BYTES = 16_777_216
 """Largest body, for the same reason."""
 
-Handle = Callable[['Reading'], None]
+Serve = Callable[['Reading'], None]
 
 
 class Reading(HTTPMessageDelegate):
     """One request while it is read."""
 
-    def __init__(self, connection: HTTP1Connection, handle: Handle) -> None:
+    def __init__(self, connection: HTTP1Connection, serve: Serve) -> None:
         self.connection = connection
-        self.handle = handle
+        self.serve = serve
         self.start_line: RequestStartLine | None = None
         self.headers = HTTPHeaders()
         self.pieces: list[bytes] = []
@@ -49,7 +49,7 @@
 
     def finish(self) -> None:
         """Have the whole request served."""
-        self.handle(self)
+        self.serve(self)
 
     def on_connection_close(self) -> None:
         """Forget a request whose caller left before its end."""
@@ -64,8 +64,8 @@
 class FrontDoor(HTTPServerConnectionDelegate):
     """Accepts callers' connections."""
 
-    def __init__(self, handle: Handle) -> None:
-        self.handle = handle
+    def __init__(self, serve: Serve) -> None:
+        self.serve = serve
         self.server = HTTPServer(
             self,
             max_header_size=HEADER_BYTES,
@@ -80,7 +80,7 @@
     ) -> HTTPMessageDelegate:
         """Read the next request of a connection."""
         assert isinstance(request_conn, HTTP1Connection)
-        return Reading(request_conn, self.handle)
+        return Reading(request_conn, self.serve)
 
     def on_close(self, server_conn: object) -> None:
         """Note the end of a connection; there is nothing to do."""
--- a/packages/edge/src/hitchdeck_edge/serving/stopping.py
+++ b/packages/edge/src/hitchdeck_edge/serving/stopping.py
@@ -2,14 +2,13 @@
 
 from hitchdeck_core.clock import Clock
 
-STREAM_PART = 0.3
-"""Part of the grace in which new streams are still taken: a stream may last
-for most of the rest."""
+TAKING_PART = 0.85
+"""A request is taken only if it surely ends within this part of the grace."""
 
-CALL_PART = 0.7
-"""Part of the grace in which other requests are still taken."""
+LONGEST_FACTOR = 3.0
+"""Few requests take longer than so many times what their route's take."""
 
-LAST_PART = 0.9
+LAST_PART = 0.95
 """Part of the grace after which the process ends whatever is open; what is
 left covers the way out of the process."""
 
@@ -30,10 +29,18 @@
         """Begin the stop."""
         self.began = self.now()
 
-    def refuses(self, *, streams: bool) -> bool:
-        """Tell whether a new request comes too late to be served whole."""
-        part = STREAM_PART if streams else CALL_PART
-        return self._passed() > part
+    def refuses(self, usual_seconds: float) -> bool:
+        """Tell whether a new request may last longer than this process.
+
+        Parameters
+        ----------
+        usual_seconds
+            How long requests of its route take in the mean.
+        """
+        if self.began is None:
+            return False
+        longest = LONGEST_FACTOR * usual_seconds
+        return self._passed() + longest / self.grace > TAKING_PART
 
     def may_end(self, *, idle: bool) -> bool:
         """Tell whether the process may end now."""
--- /dev/null
+++ b/standins/platform_site.py
@@ -0,0 +1,259 @@
+"""A small deployment on loopback, in one event loop: hubs, boxes, workers.
+
+The processes' own parts are the real ones; only the platform around them, its
+operator, callers and workers, stands in.
+"""
+
+import asyncio
+import json
+import socket
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
+from tornado.httpserver import HTTPServer
+
+from hitchdeck_core.ids import Address
+from hitchdeck_edge.hub.process import Hub, start_hub
+from hitchdeck_edge.process import EntryBox, start_entry
+from hitchdeck_edge.settings import EntrySettings, HubSettings
+from hitchdeck_platform.documents import read_document
+from hitchdeck_platform.doors import open_doors
+from hitchdeck_platform.requests import DIALECT
+from standins.platform_worker import Worker
+
+HOST = 'site.example'
+KEY = 'key-of-ann'
+WAIT_SECONDS = 15.0
+POLL_SECONDS = 0.03
+
+
+def free_address() -> Address:
+    """Return a loopback address that is free now."""
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return Address(f'127.0.0.1:{probe.getsockname()[1]}')
+
+
+def document(version: int, **changes: object) -> dict[str, object]:
+    """Return an operator's document of this stand-in site."""
+    return {
+        'version': version,
+        'routes': [
+            route('stream', '/s/', 'stream', resumable=True, service='llm'),
+            route('once', '/once/', 'stream', resumable=False, service='llm'),
+            route('unsafe', '/u/', 'non_idempotent', service='app'),
+            route('safe', '/g/', 'idempotent', service='app'),
+            route('open', '/o/', 'idempotent', service='app', noAuth=True),
+        ],
+        'services': [
+            {
+                'name': 'llm',
+                'maxConns': 50,
+                'engine': {'slots': 8, 'kvCapacity': 100_000},
+            },
+            {'name': 'app', 'maxConns': 50},
+        ],
+        'limits': {'tokensPerS': 100_000},
+        'tenants': [{'name': 'ann', 'apiKeys': [KEY]}],
+        **changes,
+    }
+
+
+def route(name: str, prefix: str, kind: str, **more: object) -> dict[str, object]:
+    """Return one route of a document."""
+    return {
+        'name': name,
+        'host': HOST,
+        'pathPrefix': prefix,
+        'routeType': kind,
+        'timeoutMs': 3000,
+        'goalMs': 600,
+        'priority': 1,
+        'maxAttempts': 2,
+        'noAuth': False,
+        **more,
+    }
+
+
+@dataclass(slots=True)
+class Site:
+    """A running stand-in deployment."""
+
+    folder: Path
+    hubs: list[Hub] = field(default_factory=list)
+    doors: dict[str, list[HTTPServer]] = field(default_factory=dict)
+    boxes: list[EntryBox] = field(default_factory=list)
+    workers: list[Worker] = field(default_factory=list)
+    client: AsyncHTTPClient = field(
+        default_factory=lambda: AsyncHTTPClient(force_instance=True, max_clients=100),
+    )
+
+    async def start_hubs(self, count: int, disks_lost: int) -> None:
+        """Start hubs, each with a data folder, all with the same seeds."""
+        addresses = [free_address() for _ in range(count)]
+        for number, address in enumerate(addresses):
+            settings = HubSettings(
+                box=f'hub-{number}',
+                domain='a',
+                seeds=tuple(addresses[:3]),
+                listen=address,
+                control_listen=free_address(),
+                directory_listen=free_address(),
+                data_folder=self.folder / f'hub-{number}',
+                may_found=True,
+                disks_lost=disks_lost,
+            )
+            await self.start_hub(settings)
+
+    async def start_hub(self, settings: HubSettings) -> Hub:
+        """Start one hub with its doors."""
+        hub = await start_hub(settings, read_document)
+        self.hubs.append(hub)
+        self.doors[settings.box] = open_doors(hub)
+        return hub
+
+    async def kill_hub(self, hub: Hub) -> None:
+        """End a hub with no word to anybody."""
+        self.hubs.remove(hub)
+        for door in self.doors.pop(hub.settings.box):
+            door.stop()
+        await hub.stop()
+
+    async def start_box(self, number: int) -> EntryBox:
+        """Start an entry box."""
+        settings = EntrySettings(
+            box=f'box-{number}',
+            domain='a',
+            seeds=tuple(hub.settings.listen for hub in self.hubs[:3]),
+            listen=free_address(),
+            ready_listen=free_address(),
+            stop_grace=2,
+        )
+        box = await start_entry(settings, DIALECT)
+        self.boxes.append(box)
+        return box
+
+    async def start_worker(self, name: str, pool: str) -> Worker:
+        """Start a worker and report it to the first hub."""
+        worker = Worker(name, pool)
+        await worker.start()
+        self.workers.append(worker)
+        await self.tell(worker, 1)
+        return worker
+
+    async def tell(
+        self,
+        worker: Worker,
+        sequence: int,
+        state: str = 'ready',
+        hub: int = 0,
+    ) -> HTTPResponse:
+        """Report a worker to a hub."""
+        control = self.hubs[hub].settings.control_listen
+        body = json.dumps(worker.report(sequence, state))
+        return await self.call('PUT', control, f'/api/instances/{worker.name}', body)
+
+    async def publish(self, given: object, hub: int = 0) -> HTTPResponse:
+        """Send a document to a hub."""
+        control = self.hubs[hub].settings.control_listen
+        text = given if isinstance(given, str) else json.dumps(given)
+        return await self.call('PUT', control, '/api/config', text)
+
+    async def read(self, hub: int = 0) -> HTTPResponse:
+        """Ask a hub for the newest document."""
+        control = self.hubs[hub].settings.control_listen
+        return await self.call('GET', control, '/api/config')
+
+    async def call(
+        self,
+        method: str,
+        address: str,
+        path: str,
+        body: str | None = None,
+        **headers: str,
+    ) -> HTTPResponse:
+        """Make one HTTP call."""
+        request = HTTPRequest(
+            f'http://{address}{path}',
+            method,
+            headers={name.replace('_', '-'): text for name, text in headers.items()},
+            body=body,
+            request_timeout=10,
+            allow_nonstandard_methods=True,
+        )
+        return await self.client.fetch(request, raise_error=False)
+
+    async def ask(self, path: str, attempt: str, **more: str) -> HTTPResponse:
+        """Send a caller's request to the first box, as ``more`` headers say."""
+        headers = {
+            'Host': HOST,
+            'Attempt_Id': attempt,
+            'Deadline_Ms': '3000',
+            'Authorization': f'Token {KEY}',
+            **more,
+        }
+        address = self.boxes[0].settings.listen
+        return await self.call('POST', address, path, 'body', **headers)
+
+    async def ask_model(self, path: str, attempt: str, **more: str) -> HTTPResponse:
+        """Send a caller's generation to the first box."""
+        prompt = {
+            'Model': 'm',
+            'Token_Count': '300,40',
+            'Prompt_Prefix': 'aa:100,bb:100,cc:100',
+        }
+        return await self.ask(path, attempt, **{**prompt, **more})
+
+    async def settle(self, version: int = 1) -> None:
+        """Wait until every box has a document and every worker."""
+        async with asyncio.timeout(WAIT_SECONDS):
+            while not all(self._is_settled(box, version) for box in self.boxes):
+                await asyncio.sleep(POLL_SECONDS)
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        for box in self.boxes:
+            await box.stop()
+        for hub in list(self.hubs):
+            await self.kill_hub(hub)
+        for worker in self.workers:
+            await worker.stop()
+        self.client.close()
+
+    def _is_settled(self, box: EntryBox, version: int) -> bool:
+        known = box.link.known
+        names = {str(name) for name in known.registry.names()}
+        told = all(worker.name in names for worker in self.workers)
+        return known.documents.version >= version and told
+
+
+@asynccontextmanager
+async def running_site(
+    folder: Path,
+    hubs: int = 1,
+    boxes: int = 1,
+    disks_lost: int = 0,
+) -> AsyncIterator[Site]:
+    """Run a site with two engines and two plain workers, document 1 in force."""
+    site = Site(folder)
+    try:
+        await site.start_hubs(hubs, disks_lost)
+        for number in range(boxes):
+            await site.start_box(number)
+        for name, pool in (('e1', 'llm'), ('e2', 'llm'), ('p1', 'app'), ('p2', 'app')):
+            await site.start_worker(name, pool)
+        await until_taken(site, document(1))
+        await site.settle()
+        yield site
+    finally:
+        await site.stop()
+
+
+async def until_taken(site: Site, given: dict[str, object]) -> None:
+    """Send a document again and again until it is accepted."""
+    async with asyncio.timeout(WAIT_SECONDS):
+        while (await site.publish(given)).code != 200:
+            await asyncio.sleep(POLL_SECONDS)
--- /dev/null
+++ b/standins/platform_worker.py
@@ -0,0 +1,250 @@
+"""A stand-in for the platform's workers, written by its published protocol.
+
+Serves streams and plain calls, records what it ran, and misbehaves as told.
+"""
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from enum import Enum
+
+
+class Fault(Enum):
+    """How a worker treats its next requests."""
+
+    none = 'none'
+    error = 'error'
+    shed = 'shed'
+    reset = 'reset'
+    cut = 'cut'
+    unsealed = 'unsealed'
+    stale = 'stale'
+    surplus = 'surplus'
+    hang = 'hang'
+
+
+@dataclass(frozen=True, slots=True)
+class Seen:
+    """One request as it reached a worker."""
+
+    line: str
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def attempt(self) -> str:
+        """Return the caller's id of the request."""
+        return self.headers.get('attempt-id', '')
+
+
+@dataclass(slots=True)
+class Worker:
+    """One worker and what it saw.
+
+    ``gap`` is the time between two events of a stream, in seconds; ``cut_at``
+    the number of whole events before a stream that is cut.
+    """
+
+    name: str
+    pool: str
+    gap: float = 0.005
+    events: int = 5
+    cut_at: int = 2
+    fault: Fault = Fault.none
+    faults_left: int = 0
+    seen: list[Seen] = field(default_factory=list)
+    ran: list[str] = field(default_factory=list)
+    left: list[str] = field(default_factory=list)
+    connections: int = 0
+    address: str = ''
+    server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listen on loopback."""
+        self.server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        host, port = self.server.sockets[0].getsockname()
+        self.address = f'{host}:{port}'
+
+    async def stop(self) -> None:
+        """Stop to listen."""
+        assert self.server is not None
+        self.server.close()
+
+    def misbehave(self, fault: Fault, times: int = 1) -> None:
+        """Treat the next requests so."""
+        self.fault = fault
+        self.faults_left = times
+
+    def report(self, sequence: int, state: str = 'ready') -> dict[str, object]:
+        """Return what the worker reports to a hub."""
+        return {
+            'service': self.pool,
+            'address': self.address,
+            'zone': 'a',
+            'slots': 4,
+            'state': state,
+            'sequence': sequence,
+        }
+
+    async def _serve(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self.connections += 1
+        try:
+            while await self._serve_one(reader, writer):
+                continue
+        except (ConnectionError, asyncio.IncompleteReadError):
+            writer.close()
+        else:
+            writer.close()
+
+    async def _serve_one(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        request = await _read(reader)
+        if request is None:
+            return False
+        self.seen.append(request)
+        if request.headers.get('expect-instance') != self.name:
+            writer.write(_answer(request, '421 Misdirected', b''))
+            return True
+        serve = self._behaviour()
+        return await serve(request, writer)
+
+    def _behaviour(self) -> Callable[[Seen, asyncio.StreamWriter], Awaitable[bool]]:
+        if self.faults_left <= 0:
+            return self._answer_well
+        self.faults_left -= 1
+        return {
+            Fault.error: self._answer_error,
+            Fault.shed: self._shed,
+            Fault.reset: self._reset,
+            Fault.cut: self._cut,
+            Fault.unsealed: self._answer_unsealed,
+            Fault.stale: self._answer_stale,
+            Fault.surplus: self._answer_surplus,
+            Fault.hang: self._hang,
+        }.get(self.fault, self._answer_well)
+
+    async def _answer_well(self, request: Seen, writer: asyncio.StreamWriter) -> bool:
+        self.ran.append(request.attempt)
+        if request.headers.get('model'):
+            return await self._stream(request, writer, self.events)
+        writer.write(_answer(request, '200 OK', self._body(request), seal=self.name))
+        return True
+
+    async def _answer_error(self, request: Seen, writer: asyncio.StreamWriter) -> bool:
+        self.ran.append(request.attempt)
+        writer.write(_answer(request, '500 Oops', b'oops', seal=self.name))
+        return True
+
+    async def _shed(self, request: Seen, writer: asyncio.StreamWriter) -> bool:
+        head = 'Not-Executed: 1\r\n'
+        writer.write(_answer(request, '503 Full', b'full', extra=head))
+        return True
+
+    async def _reset(self, request: Seen, writer: asyncio.StreamWriter) -> bool:
+        self.ran.append(request.attempt)
+        writer.transport.abort()
+        return False
+
+    async def _cut(self, request: Seen, writer: asyncio.StreamWriter) -> bool:
+        self.ran.append(request.attempt)
+        await self._stream(request, writer, self.cut_at, whole=False)
+        writer.write(b'6\r\nid: 9\n\r\n')
+        await writer.drain()
+        writer.transport.abort()
+        return False
+
+    async def _answer_unsealed(
+        self,
+        request: Seen,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        self.ran.append(request.attempt)
+        writer.write(_answer(request, '200 OK', self._body(request)))
+        return True
+
+    async def _answer_stale(self, request: Seen, writer: asyncio.StreamWriter) -> bool:
+        other = Seen(request.line, {'attempt-id': 'another'}, b'')
+        writer.write(_answer(other, '200 OK', b'not yours', seal=self.name))
+        return await self._answer_well(request, writer)
+
+    async def _answer_surplus(
+        self,
+        request: Seen,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        await self._answer_well(request, writer)
+        writer.write(_answer(request, '200 OK', b'once more', seal=self.name))
+        return True
+
+    async def _hang(self, request: Seen, writer: asyncio.StreamWriter) -> bool:
+        self.ran.append(request.attempt)
+        try:
+            await writer.wait_closed()
+        finally:
+            self.left.append(request.attempt)
+        return False
+
+    async def _stream(
+        self,
+        request: Seen,
+        writer: asyncio.StreamWriter,
+        last: int,
+        *,
+        whole: bool = True,
+    ) -> bool:
+        first = int(request.headers.get('last-event-id', '0') or 0) + 1
+        head = _head(request, '200 OK', self.name)
+        writer.write(f'{head}Transfer-Encoding: chunked\r\n\r\n'.encode())
+        for number in range(first, last + 1):
+            event = f'id: {number}\ndata: {number}\n\n'.encode()
+            writer.write(b'%x\r\n%s\r\n' % (len(event), event))
+            await writer.drain()
+            await asyncio.sleep(self.gap)
+            if writer.transport.is_closing():
+                self.left.append(request.attempt)
+                return False
+        if whole:
+            writer.write(b'0\r\n\r\n')
+        return True
+
+    def _body(self, request: Seen) -> bytes:
+        return json.dumps({'attempt': request.attempt, 'by': self.name}).encode()
+
+
+async def _read(reader: asyncio.StreamReader) -> Seen | None:
+    head = await reader.readuntil(b'\r\n\r\n')
+    line, *rest = head.decode('latin-1').split('\r\n')
+    headers = {}
+    for one in rest:
+        name, colon, text = one.partition(':')
+        if colon:
+            headers[name.strip().lower()] = text.strip()
+    body = await reader.readexactly(int(headers.get('content-length', '0')))
+    return Seen(line, headers, body)
+
+
+def _head(request: Seen, status: str, seal: str = '') -> str:
+    lines = [f'HTTP/1.1 {status}', f'Attempt-Id: {request.attempt}']
+    if seal:
+        lines.append(f'Server-Seal: {seal}')
+    return '\r\n'.join([*lines, ''])
+
+
+def _answer(
+    request: Seen,
+    status: str,
+    body: bytes,
+    *,
+    seal: str = '',
+    extra: str = '',
+) -> bytes:
+    head = _head(request, status, seal)
+    return f'{head}{extra}Content-Length: {len(body)}\r\n\r\n'.encode() + body
--- /dev/null
+++ b/tests/edge/test_hubs.py
@@ -0,0 +1,261 @@
+"""Hubs found a group by themselves, and keep documents and upstreams."""
+
+import asyncio
+import json
+import shutil
+from collections.abc import AsyncIterator, Callable
+from pathlib import Path
+
+import pytest
+
+from hitchdeck_core.clock import boot_seconds
+from hitchdeck_core.ids import Address, PoolName, UpstreamName
+from hitchdeck_core.signals import Signal
+from hitchdeck_edge.hub.process import Hub
+from hitchdeck_edge.model.upstreams import Phase, Upstream
+from hitchdeck_edge.settings import HubSettings
+from hitchdeck_edge.state.registry import Registry
+from standins.platform_site import (
+    Site,
+    document,
+    free_address,
+    running_site,
+    until_taken,
+)
+
+WAIT_SECONDS = 15.0
+
+
+@pytest.fixture
+async def site(tmp_path: Path) -> AsyncIterator[Site]:
+    """Return a site of three hubs, of which one disk may be lost."""
+    async with running_site(tmp_path, hubs=3, boxes=2, disks_lost=1) as running:
+        yield running
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    async with asyncio.timeout(WAIT_SECONDS):
+        while not condition():
+            await asyncio.sleep(0.02)
+
+
+def leader_of(site: Site) -> Hub:
+    return next(hub for hub in site.hubs if hub.replica and hub.replica.has_lease())
+
+
+def has_voters(site: Site, count: int) -> Callable[[], bool]:
+    def check() -> bool:
+        leaders = [one for one in site.hubs if one.replica and one.replica.has_lease()]
+        return any(
+            one.replica is not None and len(one.replica.voters()) == count
+            for one in leaders
+        )
+
+    return check
+
+
+async def test_three_hubs_found_one_group_of_three_voters(site: Site) -> None:
+    await until(has_voters(site, 3))
+    founders = [hub for hub in site.hubs if hub.replica and hub.replica.is_leader()]
+    assert len(founders) == 1
+
+
+async def test_any_hub_accepts_a_document_and_all_read_it_back(site: Site) -> None:
+    for hub in range(3):
+        reply = await site.publish(document(hub + 5), hub)
+        assert reply.code == 200
+        for asked in range(3):
+            read = await site.read(asked)
+            assert read.code == 200
+            assert json.loads(read.body) == document(hub + 5)
+
+
+@pytest.mark.parametrize(
+    'spoil',
+    [
+        lambda given: given[:-1],
+        lambda given: given.replace('"service": "llm"', '"service": "who"'),
+        lambda given: given.replace('"timeoutMs": 3000', '"timeoutMs": 0'),
+        lambda given: given.replace('"/u/"', '"/s/"'),
+        lambda given: given.replace('"version": 9', '"version": true'),
+        lambda given: given.replace('"apiKeys": ["key', '"apiKeys": ["key-of-ann", "key'),
+        lambda given: '[]',
+        lambda given: '',
+    ],
+)
+async def test_an_invalid_document_is_refused_and_changes_nothing(
+    site: Site,
+    spoil: Callable[[str], str],
+) -> None:
+    reply = await site.publish(spoil(json.dumps(document(9))))
+    assert reply.code == 400
+    assert json.loads((await site.read()).body) == document(1)
+
+
+async def test_the_first_content_under_a_version_stays(site: Site) -> None:
+    other = document(7, limits={'tokensPerS': 5})
+    first, second = await asyncio.gather(
+        site.publish(document(7), 0),
+        site.publish(other, 1),
+    )
+    assert {first.code, second.code} == {200}
+    read = json.loads((await site.read(2)).body)
+    assert read in (document(7), other)
+    # Whatever comes later under this or an older version alters nothing.
+    for version in (7, 3):
+        assert (await site.publish(document(version, limits={}), 2)).code == 200
+        assert json.loads((await site.read(0)).body) == read
+
+
+async def test_a_document_survives_the_loss_of_the_leader_and_its_disk(
+    site: Site,
+) -> None:
+    await until_taken(site, document(8))
+    leader = leader_of(site)
+    settings = leader.settings
+    await site.kill_hub(leader)
+    shutil.rmtree(str(settings.data_folder))
+    again = settings.model_copy(update={'may_found': False})
+    await site.start_hub(again)
+    await until(has_voters(site, 3))
+    assert json.loads((await site.read()).body) == document(8)
+    # The second loss, right after the repair, is borne as well.
+    await site.kill_hub(leader_of(site))
+    await until_taken(site, document(9))
+    assert json.loads((await site.read()).body) == document(9)
+
+
+async def test_a_hub_at_another_address_takes_the_place_of_a_lost_one(
+    site: Site,
+    tmp_path: Path,
+) -> None:
+    lost = next(hub for hub in site.hubs if hub is not leader_of(site))
+    await site.kill_hub(lost)
+    await site.start_hub(
+        HubSettings(
+            box='hub-new',
+            domain='a',
+            seeds=lost.settings.seeds,
+            listen=free_address(),
+            control_listen=free_address(),
+            directory_listen=free_address(),
+            data_folder=tmp_path / 'hub-new',
+            disks_lost=1,
+        ),
+    )
+
+    def is_replaced() -> bool:
+        replica = leader_of(site).replica
+        assert replica is not None
+        return {one.box for one in replica.voters()} == {
+            hub.settings.box for hub in site.hubs
+        }
+
+    await until(is_replaced)
+    assert (await site.publish(document(6))).code == 200
+
+
+async def test_without_a_majority_nothing_is_accepted_or_surely_read(
+    site: Site,
+) -> None:
+    await until(has_voters(site, 3))
+    for hub in site.hubs[1:]:
+        await site.kill_hub(hub)
+    assert (await site.publish(document(4))).code == 503
+    assert (await site.read()).code == 503
+    assert (await site.ask('/u/', 'r1')).code == 200
+
+
+async def test_a_lone_founder_accepts_nothing(tmp_path: Path) -> None:
+    site = Site(tmp_path)
+    try:
+        await site.start_hubs(1, disks_lost=1)
+        await asyncio.sleep(1.5)
+        assert (await site.publish(document(1))).code == 503
+    finally:
+        await site.stop()
+
+
+async def test_word_of_a_leaving_upstream_reaches_boxes_by_any_hub(site: Site) -> None:
+    for number, worker in enumerate(site.workers[:3]):
+        await site.tell(worker, 2, 'draining', hub=number)
+
+    def all_know() -> bool:
+        return all(
+            sum(
+                one.phase is Phase.leaving
+                for one in box.link.known.registry.records.values()
+            )
+            == 3
+            for box in site.boxes
+        )
+
+    await until(all_know)
+    # A late report of earlier times does not bring it back.
+    await site.tell(site.workers[0], 1, hub=1)
+    await asyncio.sleep(0.3)
+    assert all_know()
+
+
+async def test_a_restarted_hub_learns_upstreams_from_the_others(site: Site) -> None:
+    settings = site.hubs[2].settings
+    await site.kill_hub(site.hubs[2])
+    hub = await site.start_hub(settings)
+    await until(lambda: len(hub.state.registry.records) == 4)
+
+
+async def test_callers_are_told_the_boxes_that_are_ready(site: Site) -> None:
+    hub = site.hubs[0]
+
+    async def told() -> list[str]:
+        path = '/api/resolve?name=x&zone=a&region=r'
+        reply = await site.call('GET', hub.settings.directory_listen, path)
+        return list(json.loads(reply.body)['addresses']) if reply.code == 200 else []
+
+    async with asyncio.timeout(WAIT_SECONDS):
+        while len(await told()) < 2:
+            await asyncio.sleep(0.05)
+        site.boxes[0].link.announce(ready=False)
+        while await told() != [site.boxes[1].settings.listen]:
+            await asyncio.sleep(0.02)
+
+
+def upstream(name: str, sequence: int, phase: Phase = Phase.serving) -> Upstream:
+    return Upstream(
+        UpstreamName(name),
+        PoolName('llm'),
+        Address('10.0.0.1:80'),
+        'a',
+        4,
+        phase,
+        sequence,
+    )
+
+
+@pytest.mark.parametrize(
+    ('reports', 'phase'),
+    [
+        ([(1, Phase.serving), (2, Phase.leaving), (1, Phase.serving)], Phase.leaving),
+        ([(2, Phase.leaving), (1, Phase.serving)], Phase.leaving),
+        ([(1, Phase.serving), (0, Phase.gone), (9, Phase.serving)], Phase.gone),
+        ([(5, Phase.serving), (4, Phase.leaving)], Phase.serving),
+    ],
+)
+def test_reports_merge_to_the_newest_in_any_order(
+    reports: list[tuple[int, Phase]],
+    phase: Phase,
+) -> None:
+    registry = Registry(boot_seconds, Signal())
+    for sequence, reported in reports:
+        registry.merge(upstream('one', sequence, reported), 'test')
+    assert registry.records[UpstreamName('one')].phase is phase
+
+
+def test_a_late_report_of_an_earlier_life_does_not_end_the_present_one() -> None:
+    registry = Registry(boot_seconds, Signal())
+    registry.merge(upstream('new', 1), 'test')
+    registry.merge(upstream('old', 9), 'test')
+    assert registry.records[UpstreamName('new')].silent
+    registry.merge(upstream('new', 2), 'test')
+    assert not registry.records[UpstreamName('new')].silent
+    assert registry.records[UpstreamName('new')].phase is Phase.serving
--- /dev/null
+++ b/tests/edge/test_passing.py
@@ -0,0 +1,197 @@
+"""Requests through a box reach one upstream, whole, and never too often."""
+
+import asyncio
+import json
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import pytest
+from tornado.simple_httpclient import HTTPStreamClosedError
+
+from standins.platform_site import HOST, KEY, Site, document, running_site
+from standins.platform_worker import Fault, Worker
+
+
+@pytest.fixture
+async def site(tmp_path: Path) -> AsyncIterator[Site]:
+    """Return a site of one hub and one box."""
+    async with running_site(tmp_path) as running:
+        yield running
+
+
+def of_pool(site: Site, pool: str) -> list[Worker]:
+    return [worker for worker in site.workers if worker.pool == pool]
+
+
+def ran(site: Site, attempt: str) -> int:
+    return sum(worker.ran.count(attempt) for worker in site.workers)
+
+
+def misbehave(site: Site, pool: str, fault: Fault, times: int = 1) -> None:
+    for worker in of_pool(site, pool):
+        worker.misbehave(fault, times)
+
+
+async def test_an_upstream_gets_the_request_with_what_the_box_adds(site: Site) -> None:
+    reply = await site.ask('/u/x?y=1', 'r1', Tenant='forged', Expect_Instance='forged')
+    worker = next(one for one in site.workers if one.seen)
+    seen = worker.seen[0]
+    assert reply.code == 200
+    assert json.loads(reply.body) == {'attempt': 'r1', 'by': worker.name}
+    assert seen.line == 'POST /u/x?y=1 HTTP/1.1'
+    assert seen.body == b'body'
+    assert seen.headers['tenant'] == 'ann'
+    assert seen.headers['expect-instance'] == worker.name
+    assert 'authorization' not in seen.headers
+    assert 2000 < int(seen.headers['deadline-ms']) <= 3000
+
+
+@pytest.mark.parametrize(
+    ('path', 'headers', 'status'),
+    [
+        ('/nowhere/', {}, 404),
+        ('/u/', {'Authorization': 'Token wrong'}, 401),
+        ('/u/', {'Authorization': ''}, 401),
+        ('/u/', {'Host': 'other.example'}, 404),
+        ('/o/', {'Authorization': ''}, 200),
+        ('/u/', {'Deadline_Ms': 'soon'}, 400),
+        ('/s/', {'Token_Count': 'many'}, 400),
+    ],
+)
+async def test_each_door_keeps_its_rule(
+    site: Site,
+    path: str,
+    headers: dict[str, str],
+    status: int,
+) -> None:
+    reply = await site.ask(path, 'r1', **headers)
+    assert reply.code == status
+    assert ran(site, 'r1') == (status == 200)
+
+
+@pytest.mark.parametrize(
+    ('path', 'pool', 'fault', 'times', 'status', 'runs'),
+    [
+        ('/g/', 'app', Fault.error, 1, 200, 2),
+        ('/g/', 'app', Fault.error, 9, 500, 2),
+        ('/g/', 'app', Fault.reset, 1, 200, 2),
+        ('/g/', 'app', Fault.unsealed, 1, 200, 2),
+        ('/g/', 'app', Fault.shed, 9, 503, 0),
+        ('/u/', 'app', Fault.error, 1, 500, 1),
+        ('/u/', 'app', Fault.reset, 1, 502, 1),
+        ('/u/', 'app', Fault.unsealed, 1, 502, 1),
+        ('/u/', 'app', Fault.shed, 1, 200, 1),
+        ('/u/', 'app', Fault.shed, 9, 503, 0),
+        ('/u/', 'app', Fault.stale, 1, 200, 1),
+        ('/once/', 'llm', Fault.reset, 1, 502, 1),
+        ('/s/', 'llm', Fault.reset, 1, 200, 2),
+    ],
+)
+async def test_a_request_runs_as_often_as_its_route_allows(
+    site: Site,
+    path: str,
+    pool: str,
+    fault: Fault,
+    times: int,
+    status: int,
+    runs: int,
+) -> None:
+    # One upstream of the pool misbehaves once, or both for good.
+    workers = of_pool(site, pool)
+    if times == 1:
+        for worker in workers[1:]:
+            await site.tell(worker, 2, 'draining')
+        await until_known(site, workers[1].name, 'leaving')
+        workers[0].misbehave(fault)
+        spare = await site.start_worker('spare', pool)
+        await site.settle()
+        # The spare is the slower choice, so the faulty one gets the request.
+        site.boxes[0].desk.dispatcher.placement.health.measure_slowness(
+            spare.name,  # type: ignore[arg-type]
+            30,
+        )
+        site.boxes[0].desk.dispatcher.placement.health.record(
+            spare.name,  # type: ignore[arg-type]
+        ).seconds = 9
+    else:
+        misbehave(site, pool, fault, times)
+    ask = site.ask_model if pool == 'llm' else site.ask
+    reply = await ask(path, 'r1')
+    assert reply.code == status
+    assert ran(site, 'r1') == runs
+
+
+async def until_known(site: Site, name: str, phase: str) -> None:
+    async with asyncio.timeout(5):
+        while True:
+            records = site.boxes[0].link.known.registry.records
+            if any(one.name == name and one.phase.name == phase for one in records.values()):
+                return
+            await asyncio.sleep(0.02)
+
+
+async def test_a_stream_that_breaks_off_goes_on_elsewhere_without_a_gap(
+    site: Site,
+) -> None:
+    of_pool(site, 'llm')[0].misbehave(Fault.cut)
+    replies = [await site.ask_model('/s/', f'r{number}') for number in range(4)]
+    for reply in replies:
+        assert reply.code == 200
+        ids = [line for line in reply.body.decode().split('\n') if line.startswith('id')]
+        assert ids == ['id: 1', 'id: 2', 'id: 3', 'id: 4', 'id: 5']
+
+
+async def test_a_stream_that_may_not_run_again_ends_visibly_broken(site: Site) -> None:
+    misbehave(site, 'llm', Fault.cut)
+    with pytest.raises(HTTPStreamClosedError):
+        await site.ask_model('/once/', 'r1')
+    assert ran(site, 'r1') == 1
+
+
+async def test_a_connection_with_surplus_bytes_is_not_used_again(site: Site) -> None:
+    misbehave(site, 'app', Fault.surplus, 50)
+    for number in range(6):
+        reply = await site.ask('/u/', f'r{number}')
+        assert json.loads(reply.body)['attempt'] == f'r{number}'
+    assert sum(worker.connections for worker in of_pool(site, 'app')) == 6
+
+
+async def test_connections_are_kept_between_requests(site: Site) -> None:
+    for number in range(6):
+        await site.ask('/u/', f'r{number}')
+    assert sum(worker.connections for worker in of_pool(site, 'app')) <= 2
+
+
+async def test_work_of_a_caller_who_leaves_is_cancelled(site: Site) -> None:
+    misbehave(site, 'app', Fault.hang, 9)
+    host, _, port = site.boxes[0].settings.listen.rpartition(':')
+    _, writer = await asyncio.open_connection(host, int(port))
+    head = f'GET /u/ HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: r1\r\n'
+    writer.write(f'{head}Authorization: Token {KEY}\r\n\r\n'.encode())
+    async with asyncio.timeout(5):
+        while not ran(site, 'r1'):
+            await asyncio.sleep(0.01)
+        writer.close()
+        while not any(worker.left for worker in site.workers):
+            await asyncio.sleep(0.01)
+
+
+async def test_the_final_answer_comes_when_the_route_has_no_time_left(
+    site: Site,
+) -> None:
+    misbehave(site, 'app', Fault.hang, 9)
+    reply = await site.ask('/u/', 'r1', Deadline_Ms='300')
+    assert reply.code == 504
+
+
+async def test_without_any_upstream_the_request_surely_did_not_run(site: Site) -> None:
+    changed = document(2)
+    changed['services'] = [{'name': 'llm'}, {'name': 'app'}, {'name': 'none'}]
+    routes = changed['routes']
+    assert isinstance(routes, list)
+    routes[2]['service'] = 'none'
+    await site.publish(changed)
+    await site.settle(2)
+    reply = await site.ask('/u/', 'r1')
+    assert reply.code == 503
+    assert float(reply.headers['Retry-After']) > 0
