--- a/packages/edge/src/hitchdeck_edge/hub/placing.py
+++ b/packages/edge/src/hitchdeck_edge/hub/placing.py
@@ -86,6 +86,9 @@
             frame = await stream.recv_message()
 
     def _take_progress(self, box: _Box, frame: PlacingFrame) -> None:
+        for demand in frame.demands:
+            account = AccountName(demand.account)
+            self.scheduler.shares.recall(account, int(demand.tokens))
         for work in frame.open:
             key = (box.name, int(work.id))
             self.scheduler.enter(key, UpstreamName(work.upstream), int(work.unread))
--- a/packages/edge/src/hitchdeck_edge/hub/process.py
+++ b/packages/edge/src/hitchdeck_edge/hub/process.py
@@ -20,10 +20,11 @@
 from hitchdeck_edge.hub import formation
 from hitchdeck_edge.hub.attendees import Attendees
 from hitchdeck_edge.hub.documents import DocumentsDesk, DocumentsService, Seat
+from hitchdeck_edge.hub.keepsake import Keepsake
 from hitchdeck_edge.hub.liveness import Liveness
 from hitchdeck_edge.hub.peers import HubPeer
 from hitchdeck_edge.hub.placing import PlacingService, placing_service
-from hitchdeck_edge.hub.replica import open_replica
+from hitchdeck_edge.hub.replica import group_folder, open_replica
 from hitchdeck_edge.hub.spread import HubState, SpreadService
 from hitchdeck_edge.links.attend import Attendant
 from hitchdeck_edge.links.hubs import HubBook
@@ -105,6 +106,7 @@
         news=news,
     )
     replica = open_replica(settings, state.documents)
+    keepsake = _keepsake(settings, state)
     book = HubBook(
         BoxName(settings.box),
         settings.domain,
@@ -129,10 +131,20 @@
     )
     await _listen(hub, service)
     _start_tasks(hub, book)
+    if keepsake is not None:
+        hub.supervisor.permanent('keepsake', keepsake.run)
     logs.info('hub listens', address=settings.listen, durable=replica is not None)
     return hub
 
 
+def _keepsake(settings: HubSettings, state: HubState) -> Keepsake | None:
+    if settings.data_folder is None:
+        return None
+    keepsake = Keepsake(group_folder(settings.data_folder), state.documents)
+    keepsake.recall()
+    return keepsake
+
+
 async def _listen(hub: Hub, service: DocumentsService) -> None:
     services: list[object] = [SpreadService(hub.state), service, hub.placing]
     if hub.replica is not None:
--- a/packages/edge/src/hitchdeck_edge/hub/replica.py
+++ b/packages/edge/src/hitchdeck_edge/hub/replica.py
@@ -16,6 +16,11 @@
 """Log entries: each holds a whole document, and disks are small."""
 
 
+def group_folder(data_folder: Path) -> Path:
+    """Return where the group's files are."""
+    return data_folder / 'group'
+
+
 def open_replica(settings: HubSettings, documents: Documents) -> Replica | None:
     """Open the replica under the data folder; ``None`` without a disk.
 
@@ -27,7 +32,7 @@
     if settings.data_folder is None:
         return None
     box = BoxName(settings.box)
-    folder = Path(settings.data_folder) / 'group'
+    folder = group_folder(settings.data_folder)
     identity = open_identity(folder, box)
 
     def committed(version: DocumentVersion, packed: bytes) -> None:
--- a/packages/edge/src/hitchdeck_edge/links/hubs.py
+++ b/packages/edge/src/hitchdeck_edge/links/hubs.py
@@ -12,6 +12,13 @@
 outage after which it may come back at its address."""
 
 
+FIRST_DISTRUST_SECONDS = 1.0
+"""After a first loss: about as long as the restart of a hub takes."""
+
+DISTRUST_SECONDS = 8.0
+"""After another loss soon after: links lose packets for some seconds."""
+
+
 class HubBook:
     """Addresses of hubs: those from the settings and those learned.
 
@@ -35,6 +42,7 @@
         self.live: set[Address] = set()
         self.near: set[Address] = set()
         self.durable: set[Address] = set()
+        self.distrusted: dict[Address, float] = {}
         self.changed = Signal()
 
     def addresses(self) -> list[Address]:
@@ -57,11 +65,23 @@
 
         Hubs with a disk go first: theirs are the larger boxes.
         """
-        candidates = self.live & self.durable or self.live
+        trusted = {one for one in self.live if not self._is_distrusted(one)}
+        candidates = trusted & self.durable or trusted or self.live
         if not candidates:
             return None
         return Address(ranked('scheduler', candidates)[0])
 
+    def distrust(self, address: Address) -> None:
+        """Let another hub schedule for a while, after this one was lost.
+
+        The first loss may be its restart; over a link that loses packets it
+        would be lost again and again, so each further one counts for longer.
+        """
+        until = self.distrusted.get(address, 0)
+        again = self.now() - until < DISTRUST_SECONDS
+        pause = DISTRUST_SECONDS if again else FIRST_DISTRUST_SECONDS
+        self.distrusted[address] = self.now() + pause
+
     def reach(self, address: Address) -> None:
         """Note that a hub answers."""
         self.live.add(address)
@@ -95,3 +115,6 @@
         if not candidates:
             return None
         return Address(ranked(self.box, candidates)[0])
+
+    def _is_distrusted(self, address: Address) -> bool:
+        return self.distrusted.get(address, 0) > self.now()
--- a/packages/edge/src/hitchdeck_edge/links/placing.py
+++ b/packages/edge/src/hitchdeck_edge/links/placing.py
@@ -7,7 +7,6 @@
 
 from hitchdeck_core import logs
 from hitchdeck_core.channels import open_channel
-from hitchdeck_core.clock import Clock
 from hitchdeck_core.errors import LinkError
 from hitchdeck_core.ids import Address, UpstreamName
 from hitchdeck_core.signals import Signal
@@ -26,7 +25,9 @@
 from hitchdeck_edge.model.placing import Choice, Wanted
 from hitchdeck_edge.model.refusals import Refusal
 from hitchdeck_edge.model.upstreams import Phase
+from hitchdeck_edge.scheduling.shares import Shares
 from hitchdeck_edge.state.registry import Registry
+from hitchdeck_edge.state.tallies import Tally
 
 ANSWER_SECONDS = 0.06
 """For one answer; a round between failure domains takes some 5 ms, and a
@@ -70,13 +71,14 @@
         book: HubBook,
         registry: Registry,
         token: str,
-        now: Clock,
+        shares: Shares,
     ) -> None:
         self.box = box
         self.book = book
         self.registry = registry
         self.token = token
-        self.now = now
+        self.shares = shares
+        self.now = shares.now
         self.scheduler: Address | None = None
         self.open: dict[int, OpenWork] = {}
         self.waiting: dict[int, asyncio.Future[Placed]] = {}
@@ -148,6 +150,7 @@
                     await self._attend(hub, channel)
                 except LINK_ERRORS as error:
                     logs.warning('scheduler lost', hub=hub, reason=repr(error))
+                    self.book.distrust(hub)
                 finally:
                     self._lose()
                     channel.close()
@@ -201,10 +204,12 @@
     def _hello(self) -> PlacingFrame:
         self.outgoing = PlacingFrame()
         self.unanswered = 0
+        self.shares.expire()
         return PlacingFrame(
             box=self.box,
             domain=self.book.domain,
             open=list(self.open.values()),
+            demands=Tally(asked=self.shares.own).demands(),
         )
 
     def _lose(self) -> None:
--- a/packages/edge/src/hitchdeck_edge/process.py
+++ b/packages/edge/src/hitchdeck_edge/process.py
@@ -157,7 +157,7 @@
         book,
         knowledge.registry,
         settings.fleet_token,
-        boot_seconds,
+        knowledge.scheduler.shares,
     )
     return Dispatcher(
         dialect,
--- a/packages/edge/src/hitchdeck_edge/scheduling/chooser.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/chooser.py
@@ -23,7 +23,7 @@
         decision = await self.link.place(wanted)
         if decision is None:
             return self.local.decide(wanted)
-        if isinstance(decision, Choice) and wanted.account is not None:
+        if wanted.account is not None:
             # Keep the count that this box would go by if it were alone.
             self.local.shares.ask(wanted.account, wanted.prompt)
         return decision
--- a/packages/edge/src/hitchdeck_edge/scheduling/shares.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/shares.py
@@ -87,6 +87,15 @@
         self.credit[account] -= tokens
         return True
 
+    def recall(self, account: AccountName, tokens: int) -> None:
+        """Count what was asked for elsewhere, as if it were asked now.
+
+        A scheduler that has just taken over would otherwise admit a whole
+        window of what it knows nothing of.
+        """
+        self.recent.append((self.now(), account, tokens))
+        self.own[account] += tokens
+
     def adjust(self, queue: float) -> None:
         """Follow the engines: admit more while they wait for work.
 
