Take no stream that a stopping box may have to cut

Ruled out: a longer grace (the platform's). The longest duration of late decides now, and no stream after 0.3 of the grace.

--- a/packages/core/src/hitchdeck_core/log_output.py
+++ b/packages/core/src/hitchdeck_core/log_output.py
@@ -67,6 +67,10 @@
             written = len(self.waiting)
         self.waiting = self.waiting[written:]
 
+    def close(self) -> None:
+        """Write what the reader takes; the descriptor is not this object's."""
+        self.flush()
+
     def _refill(self) -> None:
         now = self.now()
         fresh = (now - self.refilled) * LINES_A_SECOND
--- a/packages/edge/src/hitchdeck_edge/serving/desk.py
+++ b/packages/edge/src/hitchdeck_edge/serving/desk.py
@@ -110,7 +110,7 @@
             account = table.account(call.key)
             if account is None:
                 return Refusal.no_key
-        if self.stopping.refuses(self.gauges.usual_seconds(route.name)):
+        if self._comes_too_late_to_stop(route):
             return Refusal.stopping
         pool = document.pools[_pool_of(route)]
         patience = min(call.patience or route.time_limit, route.time_limit)
@@ -126,6 +126,10 @@
             last_event=call.last_event,
         )
 
+    def _comes_too_late_to_stop(self, route: Route) -> bool:
+        longest = min(self.gauges.longest_seconds(route.name), route.time_limit)
+        return self.stopping.refuses(longest, streams=route.streams)
+
     def _note_service(self, service: Service) -> None:
         passage = service.passage
         last = service.last
--- a/packages/edge/src/hitchdeck_edge/serving/gauges.py
+++ b/packages/edge/src/hitchdeck_edge/serving/gauges.py
@@ -12,11 +12,12 @@
 """Most histograms kept: a few for each account and route in use."""
 
 
-SMOOTHING = 0.05
-"""Weight of the newest duration: some twenty of them make most of the mean."""
+FADING = 0.997
+"""What each further request leaves of the longest duration: some hundreds of
+requests, a minute or more of a busy box, halve it."""
 
-UNKNOWN_SECONDS = 1.0
-"""Taken for the duration of a route that was not used yet."""
+UNKNOWN_SECONDS = 5.0
+"""Taken for the longest duration of a route that was not used yet."""
 
 
 class Gauges:
@@ -30,17 +31,22 @@
 
     def served(self, passage: Passage, outcome: str, seconds: float) -> None:
         """Count a request that was dispatched."""
-        self._measure(passage.route.name, seconds)
+        self.note_duration(passage.route.name, seconds)
         self.outcomes[outcome] += 1
         account = passage.account or ''
         self.accounts[(account, outcome)] += 1
         kind = 'stream' if passage.route.streams else 'call'
         self.histograms.record('request_ms', (kind,), seconds * MS)
 
-    def usual_seconds(self, route: RouteName) -> float:
-        """Return how long requests of a route take in the mean."""
+    def longest_seconds(self, route: RouteName) -> float:
+        """Return how long requests of a route took at the longest of late."""
         return self.durations.get(route, UNKNOWN_SECONDS)
 
+    def note_duration(self, route: RouteName, seconds: float) -> None:
+        """Note how long a request of a route took."""
+        longest = self.durations.get(route, 0) * FADING
+        self.durations[route] = max(longest, seconds)
+
     def ended(self, outcome: str) -> None:
         """Count a request that ended without being dispatched."""
         self.outcomes[outcome] += 1
@@ -67,7 +73,3 @@
                 f'hitchdeck_{summary.name}_count{{kind="{label}"}} {summary.count}',
             )
         return '\n'.join([*lines, ''])
-
-    def _measure(self, route: RouteName, seconds: float) -> None:
-        mean = self.durations.get(route, seconds)
-        self.durations[route] = mean + SMOOTHING * (seconds - mean)
--- a/packages/edge/src/hitchdeck_edge/serving/stopping.py
+++ b/packages/edge/src/hitchdeck_edge/serving/stopping.py
@@ -5,8 +5,12 @@
 TAKING_PART = 0.85
 """A request is taken only if it surely ends within this part of the grace."""
 
-LONGEST_FACTOR = 3.0
-"""Few requests take longer than so many times what their route's take."""
+LONGEST_FACTOR = 1.2
+"""Margin on the longest request of a route so far."""
+
+STREAM_PART = 0.3
+"""Part of the grace after which no stream is taken, however short those of its
+route were: load may have grown since, and a stream that is cut is lost."""
 
 LAST_PART = 0.95
 """Part of the grace after which the process ends whatever is open; what is
@@ -29,18 +33,23 @@
         """Begin the stop."""
         self.began = self.now()
 
-    def refuses(self, usual_seconds: float) -> bool:
+    def refuses(self, longest_seconds: float, *, streams: bool) -> bool:
         """Tell whether a new request may last longer than this process.
 
         Parameters
         ----------
-        usual_seconds
-            How long requests of its route take in the mean.
+        longest_seconds
+            How long requests of its route take at the longest.
+        streams
+            Whether its answer is a stream.
         """
         if self.began is None:
             return False
-        longest = LONGEST_FACTOR * usual_seconds
-        return self._passed() + longest / self.grace > TAKING_PART
+        passed = self._passed()
+        if streams and passed > STREAM_PART:
+            return True
+        longest = LONGEST_FACTOR * longest_seconds
+        return passed + longest / self.grace > TAKING_PART
 
     def may_end(self, *, idle: bool) -> bool:
         """Tell whether the process may end now."""
--- a/tests/edge/test_policies.py
+++ b/tests/edge/test_policies.py
@@ -16,6 +16,7 @@
 from hitchdeck_edge.dispatch.events import EventSplitter
 from hitchdeck_edge.links.hubs import NAMED_SECONDS, HubBook
 from hitchdeck_edge.model.calls import Part, PartId, Prompt
+from hitchdeck_edge.model.document import RouteName
 from hitchdeck_edge.model.placing import Choice, Wanted
 from hitchdeck_edge.model.refusals import Refusal
 from hitchdeck_edge.model.upstreams import Phase, Upstream
@@ -23,6 +24,7 @@
 from hitchdeck_edge.scheduling.placement import Placement
 from hitchdeck_edge.scheduling.scheduler import Scheduler
 from hitchdeck_edge.scheduling.shares import MOST_FACTOR, Shares, even_level
+from hitchdeck_edge.serving.gauges import UNKNOWN_SECONDS, Gauges
 from hitchdeck_edge.serving.stopping import Stopping
 from hitchdeck_edge.state.documents import Documents
 from hitchdeck_edge.state.registry import Registry
@@ -152,26 +154,40 @@
 
 
 @pytest.mark.parametrize(
-    ('passed', 'usual', 'refused'),
+    ('passed', 'longest', 'streams', 'refused'),
     [
-        (0.1, 0.05, False),
-        (1, 1.9, False),
-        (1, 2.5, True),
-        (7, 0.1, True),
-        (5, 0.1, False),
+        (0.1, 0.2, False, False),
+        (0.1, 5.0, True, False),
+        (0.1, 6.0, True, True),
+        (2.0, 4.5, True, True),
+        # Both were taken and cut: own day 4 and stavmat hunt-f59e-11 (LOST).
+        (3.7, 1.0, True, True),
+        (5.2, 0.5, True, True),
+        (5.2, 0.5, False, False),
+        (6.5, 0.5, False, True),
     ],
 )
 def test_a_stopping_box_takes_only_what_ends_in_time(
     passed: float,
-    usual: float,
+    longest: float,
+    streams: bool,
     refused: bool,
 ) -> None:
     clock = FakeClock()
     stopping = Stopping(8, clock)
-    assert not stopping.refuses(100)
+    assert not stopping.refuses(100, streams=streams)
     stopping.begin()
     clock.seconds += passed
-    assert stopping.refuses(usual) is refused
+    assert stopping.refuses(longest, streams=streams) is refused
+
+
+def test_one_long_request_is_remembered_over_many_short_ones() -> None:
+    gauges = Gauges(FakeClock())
+    route = RouteName('r')
+    assert gauges.longest_seconds(route) == UNKNOWN_SECONDS
+    for seconds in (6, *[0.1] * 100):
+        gauges.note_duration(route, seconds)
+    assert gauges.longest_seconds(route) > 4
 
 
 def test_a_slow_reader_of_the_log_costs_lines_and_never_time() -> None:
