--- a/packages/edge/src/hitchdeck_edge/hub/placing.py
+++ b/packages/edge/src/hitchdeck_edge/hub/placing.py
@@ -7,7 +7,7 @@
 
 from hitchdeck_core import logs
 from hitchdeck_core.clock import boot_seconds
-from hitchdeck_core.ids import AccountName, PoolName, UpstreamName
+from hitchdeck_core.ids import AccountName, PoolName, RequestId, UpstreamName
 from hitchdeck_core.wire.spread_grpc import PlacingBase
 from hitchdeck_core.wire.spread_pb2 import (
     Decision,
@@ -130,6 +130,7 @@
 def _decode(message: WantedMessage, domain: str, slots: int) -> Wanted:
     parts = tuple(Part(PartId(one.part), int(one.tokens)) for one in message.parts)
     return Wanted(
+        request=RequestId(message.request),
         pool=PoolName(message.pool),
         domain=domain,
         slots=slots,
--- a/packages/edge/src/hitchdeck_edge/links/placing.py
+++ b/packages/edge/src/hitchdeck_edge/links/placing.py
@@ -244,6 +244,7 @@
         goal_ms=int(wanted.goal * _MS),
         tried=wanted.tried,
         resumes=wanted.resumes,
+        request=wanted.request,
     )
     if wanted.prompt is not None:
         message.tokens = wanted.prompt.tokens
--- a/packages/edge/src/hitchdeck_edge/model/passage.py
+++ b/packages/edge/src/hitchdeck_edge/model/passage.py
@@ -26,6 +26,8 @@
         Whether some upstream may have run it.
     last_event
         Id of the last event of a stream that the caller has.
+    decided_by
+        The scheduler that decided on it last, or this box.
     """
 
     call: Call
@@ -40,10 +42,12 @@
     sent: int = 0
     may_have_run: bool = False
     last_event: str = ''
+    decided_by: str = ''
 
     def wanted(self, domain: str) -> Wanted:
         """Return what this request asks of a placement."""
         return Wanted(
+            request=self.call.request,
             pool=self.pool.name,
             domain=domain,
             slots=self.pool.engine.slots if self.pool.engine else 0,
--- a/packages/edge/src/hitchdeck_edge/model/placing.py
+++ b/packages/edge/src/hitchdeck_edge/model/placing.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from hitchdeck_core.ids import AccountName, PoolName, UpstreamName
+from hitchdeck_core.ids import AccountName, PoolName, RequestId, UpstreamName
 from hitchdeck_edge.model.calls import Prompt
 from hitchdeck_edge.model.upstreams import Upstream
 
@@ -13,6 +13,8 @@
 
     Attributes
     ----------
+    request
+        The caller's id of it, for the log.
     domain
         Failure domain of the box that will send it.
     slots
@@ -25,6 +27,7 @@
         It has begun before, so its account's share does not matter.
     """
 
+    request: RequestId
     pool: PoolName
     domain: str
     slots: int
--- a/packages/edge/src/hitchdeck_edge/scheduling/chooser.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/chooser.py
@@ -20,9 +20,12 @@
         wanted = passage.wanted(self.domain)
         if not wanted.slots or wanted.prompt is None:
             return self.local.placement.choose(wanted) or Refusal.no_upstream
+        scheduler = self.link.scheduler
         decision = await self.link.place(wanted)
         if decision is None:
+            passage.decided_by = 'this box'
             return self.local.decide(wanted)
+        passage.decided_by = scheduler or ''
         if wanted.account is not None:
             # Keep the count that this box would go by if it were alone.
             self.local.shares.ask(wanted.account, wanted.prompt)
--- a/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
@@ -9,6 +9,7 @@
 
 from dataclasses import dataclass
 
+from hitchdeck_core import logs
 from hitchdeck_core.clock import Clock
 from hitchdeck_core.ids import UpstreamName
 from hitchdeck_edge.model.placing import Choice, Wanted
@@ -54,12 +55,12 @@
     def decide(self, wanted: Wanted) -> Choice | Refusal:
         """Choose an engine, or say why the request is refused."""
         if not self._is_within_share(wanted):
-            return Refusal.over_share
+            return self._refuse(wanted, Refusal.over_share, 0)
         choice = self.placement.choose(wanted)
         if choice is None:
-            return Refusal.no_upstream
+            return self._refuse(wanted, Refusal.no_upstream, 0)
         if not wanted.resumes and choice.queue > wanted.goal * LATE_FACTOR:
-            return Refusal.overloaded
+            return self._refuse(wanted, Refusal.overloaded, choice.queue)
         return choice
 
     def place(self, key: BoxTicket, wanted: Wanted) -> Choice | Refusal:
@@ -113,6 +114,20 @@
         queues = map(self.placement.mean_queue, engines)
         self.shares.adjust(max(queues, default=0))
 
+    def _refuse(self, wanted: Wanted, refusal: Refusal, queue: float) -> Refusal:
+        logs.info(
+            'refused',
+            request=wanted.request,
+            account=wanted.account,
+            reason=refusal.name,
+            share=round(self.shares.last_part, 3),
+            capacity_factor=round(self.shares.factor, 3),
+            queue=round(queue, 3),
+            goal=wanted.goal,
+            version=self.documents.version,
+        )
+        return refusal
+
     def _is_within_share(self, wanted: Wanted) -> bool:
         document = self.documents.document
         if document is None or wanted.account is None or wanted.prompt is None:
--- a/packages/edge/src/hitchdeck_edge/scheduling/shares.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/shares.py
@@ -48,13 +48,24 @@
 
 
 class Shares:
-    """Decides whether a request lies within its account's share."""
+    """Decides whether a request lies within its account's share.
+
+    Attributes
+    ----------
+    capacity
+        What the engines are stated to give, in tokens a second; 0 if unknown.
+    factor
+        What they are taken to give, as a part of that.
+    last_part
+        What part of the account's was admitted at the last decision.
+    """
 
     def __init__(self, window: float, now: Clock) -> None:
         self.window = window
         self.now = now
         self.capacity = 0.0
         self.factor = MOST_FACTOR
+        self.last_part = 1.0
         self.recent: deque[tuple[float, AccountName, int]] = deque()
         self.own: Counter[AccountName] = Counter()
         self.others: Tally = Tally()
@@ -73,7 +84,8 @@
             for name in self.own.keys() | self.others.asked.keys()
         }
         level = even_level(asked, self.capacity * self.window * self.factor)
-        return min(1, level / max(1, asked[account]))
+        self.last_part = min(1, level / max(1, asked[account]))
+        return self.last_part
 
     def admit(self, account: AccountName, prompt: Prompt) -> bool:
         """Count a request and tell whether it lies within the share."""
--- a/packages/edge/src/hitchdeck_edge/serving/desk.py
+++ b/packages/edge/src/hitchdeck_edge/serving/desk.py
@@ -146,7 +146,7 @@
             upstream=last.upstream if last else '',
             sent=passage.sent,
             expected_queue=round(last.choice.queue, 3) if last else 0,
-            scheduled=bool(last and last.choice.ticket),
+            decided_by=passage.decided_by,
             unread=last.choice.tokens if last else 0,
             first_event=round(last.first_event, 3) if last else 0,
             prompt=passage.call.prompt.tokens if passage.call.prompt else 0,
--- a/tests/edge/test_policies.py
+++ b/tests/edge/test_policies.py
@@ -3,12 +3,20 @@
 import json
 import os
 from collections import Counter
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
 
 from hitchdeck_core.errors import SettingsError
-from hitchdeck_core.ids import AccountName, Address, BoxName, PoolName, UpstreamName
+from hitchdeck_core.ids import (
+    AccountName,
+    Address,
+    BoxName,
+    PoolName,
+    RequestId,
+    UpstreamName,
+)
 from hitchdeck_core.log_output import BURST_LINES, WAITING_BYTES, BoundedOutput
 from hitchdeck_core.signals import Signal
 from hitchdeck_edge.dispatch.answers import end_to_end
@@ -55,6 +63,7 @@
 
 def wanted(name: str = 'ann', subject: str = 's', tokens: int = 1000) -> Wanted:
     return Wanted(
+        request=RequestId('r'),
         pool=POOL,
         domain='a',
         slots=8,
@@ -235,7 +244,7 @@
         for number in range(20)
     ]
     assert Refusal.overloaded in decisions
-    resumed = Wanted(POOL, 'a', 8, 0.6, None, prompt(), frozenset(), resumes=True)
+    resumed = replace(wanted(), resumes=True)
     assert isinstance(scheduler.decide(resumed), Choice)
 
 
@@ -246,7 +255,7 @@
     registry.merge(engine('tried'), 'test')
     placement = Placement(registry, Books(clock))
     tried = frozenset((UpstreamName('tried'),))
-    again = Wanted(POOL, 'a', 0, 0.6, None, None, tried, resumes=False)
+    again = replace(wanted(), slots=0, tried=tried)
     assert placement.choose(again) is None
 
 
