Add a soak of the real programs under signals, lost disks and spoilt answers

Hubs and entry boxes run as processes on loopback addresses of their own; kills, planned stops, freezes, emptied disks and misbehaving upstreams come in series and overlap. Checked: own whole answers, at most once, 'not run' true, nothing runs unasked, accepted documents never go back. Not there yet: a loopback proxy for connections, clocks.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= $(shell command -v python3.11 || command -v python3)
 PACKAGES = core control router edge cli daemon
 ADAPTER = platform
-SOURCES = packages platform standins tools bench tests
+SOURCES = packages platform standins soak tools bench tests
 
 .PHONY: env demo test lint fuzz bench clean
 
@@ -24,7 +24,7 @@
 	.venv/bin/ruff format --check .
 	.venv/bin/ruff check .
 	.venv/bin/flake8 $(SOURCES)
-	.venv/bin/mypy $(PACKAGES:%=packages/%/src) $(ADAPTER)/src standins tools bench
+	.venv/bin/mypy $(PACKAGES:%=packages/%/src) $(ADAPTER)/src standins soak tools bench
 	.venv/bin/lint-imports
 
 fuzz: env
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: the real programs under faults from outside."""
--- /dev/null
+++ b/soak/faults.py
@@ -0,0 +1,102 @@
+"""Faults from outside, drawn by a seed; they come in series and overlap."""
+
+import asyncio
+import random
+import signal
+from collections.abc import Awaitable, Callable
+
+from soak.fleet import Fleet, Program
+from standins.platform_worker import Fault, Worker
+
+GRACE_SECONDS = 3.0
+"""Between SIGTERM and SIGKILL, as the settings say."""
+
+Injection = Callable[[], Awaitable[None]]
+
+
+class Faults:
+    """Injects faults into a fleet.
+
+    At most one hub is away at a time, as the fleet's settings promise to bear.
+    """
+
+    def __init__(self, fleet: Fleet, workers: list[Worker], seed: int) -> None:
+        self.fleet = fleet
+        self.workers = workers
+        self.random = random.Random(seed)
+        self.hub_away = asyncio.Lock()
+        self.told: list[str] = []
+
+    async def run(self) -> None:
+        """Inject one fault after another, without waiting for their ends."""
+        injections = [
+            self.kill_box,
+            self.stop_box,
+            self.freeze_box,
+            self.kill_hub,
+            self.freeze_hub,
+            self.lose_hub_disk,
+            self.spoil_worker,
+            self.spoil_worker,
+        ]
+        async with asyncio.TaskGroup() as group:
+            while True:
+                await asyncio.sleep(self.random.uniform(0.2, 1))
+                injection = self.random.choice(injections)
+                self.told.append(injection.__name__)
+                group.create_task(injection())
+
+    async def kill_box(self) -> None:
+        """Kill an entry box and start it again."""
+        await self._kill(self.random.choice(self.fleet.boxes))
+
+    async def stop_box(self) -> None:
+        """Stop an entry box as planned and start it again."""
+        box = self.random.choice(self.fleet.boxes)
+        box.signal(signal.SIGTERM)
+        await asyncio.to_thread(box.end, GRACE_SECONDS)
+        box.start()
+
+    async def freeze_box(self) -> None:
+        """Freeze an entry box for a moment."""
+        await self._freeze(self.random.choice(self.fleet.boxes))
+
+    async def kill_hub(self) -> None:
+        """Kill a hub and start it again."""
+        async with self.hub_away:
+            await self._kill(self.random.choice(self.fleet.hubs))
+
+    async def freeze_hub(self) -> None:
+        """Freeze a hub for a moment."""
+        async with self.hub_away:
+            await self._freeze(self.random.choice(self.fleet.hubs))
+
+    async def lose_hub_disk(self) -> None:
+        """Kill a hub, empty its disk, start it, and let the group repair."""
+        async with self.hub_away:
+            hub = self.random.choice(self.fleet.hubs)
+            hub.signal(signal.SIGKILL)
+            await asyncio.to_thread(hub.end, 1)
+            hub.lose_disk()
+            self.fleet.write_settings(hub, first=False)
+            hub.start()
+            # The loss counts until the newcomer has caught up.
+            await asyncio.sleep(4)
+
+    async def spoil_worker(self) -> None:
+        """Let a worker misbehave on its next requests."""
+        worker = self.random.choice(self.workers)
+        fault = self.random.choice(list(Fault))
+        worker.misbehave(fault, self.random.randint(1, 5))
+
+    async def _kill(self, program: Program) -> None:
+        program.signal(signal.SIGKILL)
+        await asyncio.to_thread(program.end, 1)
+        await asyncio.sleep(self.random.uniform(0, 1))
+        self.fleet.write_settings(program, first=False)
+        program.start()
+
+    async def _freeze(self, program: Program) -> None:
+        program.signal(signal.SIGSTOP)
+        await asyncio.sleep(self.random.uniform(0.2, 2.5))
+        program.signal(signal.SIGCONT)
--- /dev/null
+++ b/soak/fleet.py
@@ -0,0 +1,159 @@
+"""The programs as processes on loopback, started and ended by their ids.
+
+Every machine has a loopback address of its own, so that ports are alike on
+all of them, as on the platform.
+"""
+
+import os
+import shutil
+import signal
+import subprocess
+import sys
+from dataclasses import dataclass, field
+from pathlib import Path
+
+FIRST_PORT = 21_400
+SETTINGS = """
+nodeName = "{name}"
+serves = [{serves}]
+ip = "{ip}"
+zone = "{zone}"
+portRange = [{base}, {last}]
+seeds = [{seeds}]
+firstStart = {first}
+dataDir = "{data}"
+heartbeatMs = 500
+[listen]
+front = "{ip}:{front}"
+ready = "{ip}:{ready}"
+control = "{ip}:{control}"
+directory = "{ip}:{directory}"
+[faultTolerance]
+machines = 1
+[bounds]
+graceS = 3
+ttl_max_s = 2
+quotaWindowS = 4
+retryBudgetRatio = 0.2
+retryExtra = 58
+budgetWindowS = 10
+"""
+
+
+@dataclass(slots=True)
+class Program:
+    """One process of the fleet, and how to start it again."""
+
+    name: str
+    ip: str
+    role: str
+    settings: Path
+    data: Path | None
+    log: Path
+    process: subprocess.Popen[bytes] | None = None
+
+    def start(self) -> None:
+        """Start the process."""
+        with self.log.open('ab') as output:
+            self.process = subprocess.Popen(
+                [sys.executable, '-m', 'hitchdeck_daemon.on_platform'],
+                env={**os.environ, 'HITCHDECK_SETTINGS': str(self.settings)},
+                stdout=output,
+                stderr=output,
+            )
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to this very process, if it still runs."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def end(self, seconds: float = 0) -> None:
+        """Wait for the process to end by itself for a while, then kill it."""
+        if self.process is None:
+            return
+        try:
+            self.process.wait(seconds or None if seconds else 0)
+        except subprocess.TimeoutExpired:
+            self.signal(signal.SIGCONT)
+            self.process.kill()
+            self.process.wait()
+
+    def lose_disk(self) -> None:
+        """Empty the data folder, and be no first start any more."""
+        if self.data is not None:
+            shutil.rmtree(self.data, ignore_errors=True)
+            self.data.mkdir()
+
+
+@dataclass(slots=True)
+class Fleet:
+    """All programs of one run."""
+
+    folder: Path
+    network: int
+    hubs: list[Program] = field(default_factory=list)
+    boxes: list[Program] = field(default_factory=list)
+
+    def add(self, number: int, role: str) -> Program:
+        """Write a program's settings and start it."""
+        ip = self.ip_of(number)
+        name = f'm{number}'
+        data = self.folder / f'{name}-data'
+        data.mkdir(exist_ok=True)
+        path = self.folder / f'{name}-{role}.toml'
+        program = Program(
+            name=name,
+            ip=ip,
+            role=role,
+            settings=path,
+            data=data if role == 'hub' else None,
+            log=self.folder / f'{name}-{role}.log',
+        )
+        self.write_settings(program, first=True)
+        (self.hubs if role == 'hub' else self.boxes).append(program)
+        program.start()
+        return program
+
+    def write_settings(self, program: Program, *, first: bool) -> None:
+        """Write the settings that a program reads at its next start."""
+        seeds = ', '.join(f'"{self.ip_of(one)}:{FIRST_PORT + 3}"' for one in range(3))
+        serves = '"control", "directory"' if program.role == 'hub' else '"front"'
+        text = SETTINGS.format(
+            name=program.name,
+            serves=serves,
+            ip=program.ip,
+            zone='a' if program.name in {'m0', 'm2'} else 'b',
+            base=FIRST_PORT + 10,
+            last=FIRST_PORT + 20,
+            seeds=seeds,
+            first=str(first).lower(),
+            data=program.data or '',
+            front=FIRST_PORT + 1,
+            ready=FIRST_PORT + 2,
+            control=FIRST_PORT + 3,
+            directory=FIRST_PORT + 4,
+        )
+        program.settings.write_text(text)
+
+    def ip_of(self, number: int) -> str:
+        """Return the loopback address of a machine."""
+        return f'127.{self.network}.0.{number + 1}'
+
+    def front(self, box: Program) -> str:
+        """Return where callers reach a box."""
+        return f'{box.ip}:{FIRST_PORT + 1}'
+
+    def control(self, hub: Program) -> str:
+        """Return where operators and upstreams reach a hub."""
+        return f'{hub.ip}:{FIRST_PORT + 3}'
+
+    def programs(self) -> list[Program]:
+        """Return every program."""
+        return [*self.hubs, *self.boxes]
+
+    def stop(self) -> None:
+        """End every program that this run started."""
+        for program in self.programs():
+            program.signal(signal.SIGCONT)
+            program.signal(signal.SIGKILL)
+            program.end(1)
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""The soak of the real programs, short and with a fixed seed."""
--- /dev/null
+++ b/tests/soak/test_soak.py
@@ -0,0 +1,50 @@
+"""The soak finds nothing on its fixed seeds, and would find what is broken."""
+
+import asyncio
+from collections import Counter
+from pathlib import Path
+
+import pytest
+
+from soak.__main__ import Run
+from soak.promises import Answer, History
+
+SECONDS = 6.0
+
+
+@pytest.mark.parametrize('seed', [1])
+def test_no_promise_breaks_under_the_faults_of_a_seed(
+    tmp_path: Path,
+    seed: int,
+) -> None:
+    run = Run(tmp_path, seed)
+    assert asyncio.run(run.play(SECONDS)) == []
+    assert any(one.status == 200 for one in run.history.answers)
+
+
+GOOD = '\n'.join(f'id: {number}' for number in range(1, 6))
+
+
+@pytest.mark.parametrize(
+    ('answer', 'runs', 'broken'),
+    [
+        (Answer('a', '/u/', 200, True, '{"attempt": "a"}'), 1, 0),
+        (Answer('a', '/u/', 200, True, '{"attempt": "a"}'), 2, 1),
+        (Answer('a', '/u/', 200, True, '{"attempt": "b"}'), 1, 1),
+        (Answer('a', '/u/', 200, True, '{"attempt": "a"}'), 0, 1),
+        (Answer('a', '/u/', 503, True, ''), 1, 1),
+        (Answer('a', '/u/', 502, True, ''), 1, 0),
+        (Answer('a', '/g/', 503, True, ''), 1, 0),
+        (Answer('a', '/s/', 200, True, GOOD), 2, 0),
+        (Answer('a', '/s/', 200, True, GOOD.replace('id: 3', 'id: 2')), 1, 1),
+        (Answer('a', '/once/', 200, True, GOOD), 2, 1),
+    ],
+)
+def test_each_broken_promise_is_told(answer: Answer, runs: int, broken: int) -> None:
+    history = History(asked={'a'}, answers=[answer])
+    assert len(history.broken(Counter({'a': runs}))) == broken
+
+
+def test_a_read_that_goes_back_and_work_nobody_asked_for_are_told() -> None:
+    history = History(accepted=4, reads=[(4, 3), (3, 3)])
+    assert len(history.broken(Counter({'stranger': 1}))) == 2
