Forget distrust of a hub that was lost altogether

Boxes that had lost the same hub twice kept away for 8 s. Each scheduler admits a whole capacity. The new test fails without the change.

--- a/packages/edge/src/hitchdeck_edge/links/hubs.py
+++ b/packages/edge/src/hitchdeck_edge/links/hubs.py
@@ -87,8 +87,13 @@
         self.live.add(address)
 
     def lose(self, address: Address) -> None:
-        """Note that a hub does not answer."""
+        """Note that a hub does not answer.
+
+        When it does again it is as good as new: boxes that had lost it once
+        and those that had lost it twice must agree on one scheduler.
+        """
         self.live.discard(address)
+        self.distrusted.pop(address, None)
 
     def learn(self, addresses: Iterable[Address]) -> None:
         """Add hubs that another hub named, drop those not named for long."""
--- a/tests/edge/test_policies.py
+++ b/tests/edge/test_policies.py
@@ -281,6 +281,29 @@
     assert book.addresses() == ['s:1']
 
 
+def test_a_hub_that_was_lost_altogether_schedules_again_when_it_is_back() -> None:
+    """Boxes agree on one scheduler soon after all hubs had lost power.
+
+    Turnolibero scale-2, seed 362760998182, broke FAIR: boxes that had lost the
+    same hub twice kept away from it for 8 s, the others did not, and two
+    schedulers admitted a whole capacity each.
+    """
+    clock = FakeClock()
+    seeds = [Address('h1:1'), Address('h2:1')]
+    book = HubBook(BoxName('box'), 'a', seeds, clock)
+    for address in seeds:
+        book.reach(address)
+    first = book.scheduler()
+    assert first is not None
+    for _ in range(2):
+        book.distrust(first)
+        clock.seconds += 0.5
+    assert book.scheduler() != first
+    book.lose(first)
+    book.reach(first)
+    assert book.scheduler() == first
+
+
 SETTINGS = """
 nodeName = "n1"
 serves = ["front", "control", "directory"]
