Remove leftovers and logic that stood twice in the edge

Unclear before: attributes that nothing read (FrontDoor.open, Connections.opened), a setting documented under another name, the steering loop, the account demands and the document message each written in two or three places, and statuses as bare numbers beside HTTPStatus.

--- a/packages/control/src/hitchdeck_control/raft/membership.py
+++ b/packages/control/src/hitchdeck_control/raft/membership.py
@@ -1,4 +1,4 @@
-"""Membership: founding a group, and replacing a box that lost its disk."""
+"""Membership: founding a group; admitting, replacing, dismissing replicas."""
 
 import asyncio
 
@@ -81,8 +81,7 @@
 
 async def dismiss(replica: Replica, member: Member) -> None:
     """Take a member out of the group."""
-    kept = [one for one in replica.members() if one.replica != member.replica]
-    await _change(replica, kept)
+    await _change(replica, _others(replica, member))
     logs.info('replica dismissed', replica=member.replica)
 
 
@@ -103,22 +102,16 @@
 
 
 async def _promote(replica: Replica, newcomer: Member) -> None:
-    voter = Member()
-    voter.CopyFrom(newcomer)
-    voter.voter = True
-    others = [one for one in replica.members() if one.replica != newcomer.replica]
-    await _change(replica, [*others, voter])
+    voter = _copy(newcomer, voter=True)
+    await _change(replica, [*_others(replica, newcomer), voter])
 
 
 async def _join_as_learner(replica: Replica, newcomer: Member) -> None:
     if any(one.replica == newcomer.replica for one in replica.members()):
         return
-    learner = Member()
-    learner.CopyFrom(newcomer)
-    learner.voter = False
     # An earlier newcomer of the same box, lost before it could vote, goes.
     kept = [one for one in replica.members() if one.voter or one.box != newcomer.box]
-    await _change(replica, [*kept, learner])
+    await _change(replica, [*kept, _copy(newcomer, voter=False)])
 
 
 async def _caught_up(replica: Replica, newcomer: ReplicaId) -> None:
@@ -150,6 +143,17 @@
         raise MembershipError('another membership change is under way')
 
 
+def _others(replica: Replica, member: Member) -> list[Member]:
+    return [one for one in replica.members() if one.replica != member.replica]
+
+
+def _copy(member: Member, *, voter: bool) -> Member:
+    copied = Member()
+    copied.CopyFrom(member)
+    copied.voter = voter
+    return copied
+
+
 def _same(left: list[Member], right: list[Member]) -> bool:
     def ordered(members: list[Member]) -> list[bytes]:
         return sorted(one.SerializeToString() for one in members)
--- a/packages/edge/src/hitchdeck_edge/dispatch/answers.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/answers.py
@@ -26,9 +26,6 @@
 """Headers of one connection (RFC 9110, 7.6.1), and the length, which is set
 anew from the body."""
 
-BAD_GATEWAY = HTTPStatus.BAD_GATEWAY
-TIMED_OUT = HTTPStatus.GATEWAY_TIMEOUT
-
 
 def end_to_end(headers: Iterable[Header]) -> list[Header]:
     """Return the headers that are not of one connection."""
@@ -92,7 +89,7 @@
         if self.caller.started:
             self.caller.break_off()
         elif self.passage.may_have_run:
-            await self._say(BAD_GATEWAY)
+            await self._say(HTTPStatus.BAD_GATEWAY)
         else:
             await refuse(self.dialect, self.passage.call, self.caller, refusal)
 
@@ -102,11 +99,10 @@
         if self.caller.started:
             self.caller.break_off()
         elif self.passage.may_have_run:
-            await self._say(TIMED_OUT)
+            await self._say(HTTPStatus.GATEWAY_TIMEOUT)
         else:
             await self.give_up(Refusal.time_over)
 
-    async def _say(self, status: int) -> None:
+    async def _say(self, status: HTTPStatus) -> None:
         headers = self.dialect.echo_headers(self.passage.call)
-        reason = HTTPStatus(status).phrase
-        await self.caller.answer(status, reason, headers, b'unknown')
+        await self.caller.answer(status, status.phrase, headers, b'unknown')
--- a/packages/edge/src/hitchdeck_edge/dispatch/connections.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/connections.py
@@ -35,7 +35,6 @@
     def __init__(self, now: Clock) -> None:
         self.now = now
         self.idle: dict[UpstreamName, list[Connection]] = defaultdict(list)
-        self.opened = 0
 
     async def take(self, upstream: Upstream, *, sure: bool) -> Connection:
         """Return a connection that is open, a new one if need be.
@@ -51,14 +50,12 @@
             if not connection.usable:
                 connection.abort()
                 continue
-            rested = self.now() - connection.idle_since
             limit = connection.idle_limit
             if sure:
                 limit = min(limit, SURE_SECONDS)
-            if rested < limit:
+            if self._idle_seconds(connection) < limit:
                 return connection
             connection.abort()
-        self.opened += 1
         return await connect(upstream.address)
 
     def give_back(
@@ -88,11 +85,14 @@
             for name in list(self.idle):
                 self._sweep_one(name)
 
+    def _idle_seconds(self, connection: Connection) -> float:
+        return self.now() - connection.idle_since
+
     def _sweep_one(self, name: UpstreamName) -> None:
         kept: list[Connection] = []
         for connection in self.idle[name]:
-            rested = self.now() - connection.idle_since
-            if connection.usable and rested < connection.idle_limit:
+            idle = self._idle_seconds(connection)
+            if connection.usable and idle < connection.idle_limit:
                 kept.append(connection)
             else:
                 connection.abort()
--- a/packages/edge/src/hitchdeck_edge/errors.py
+++ b/packages/edge/src/hitchdeck_edge/errors.py
@@ -1,4 +1,4 @@
-"""Errors of the edge package, each layer its own."""
+"""Errors of the edge package."""
 
 from hitchdeck_core.errors import HitchdeckError
 
@@ -16,7 +16,7 @@
 
 
 class DispatchError(HitchdeckError):
-    """Base of what ends one attempt at an upstream."""
+    """Base of the errors that end an attempt or the service of a request."""
 
 
 class NotSentError(DispatchError):
@@ -28,4 +28,4 @@
 
 
 class CallerGoneError(DispatchError):
-    """Raised when the caller closed its connection or the time is up."""
+    """Raised when the caller closed its connection."""
--- a/packages/edge/src/hitchdeck_edge/hub/documents.py
+++ b/packages/edge/src/hitchdeck_edge/hub/documents.py
@@ -113,7 +113,7 @@
         """Return the newest document, or raise ``NotLeaderError``."""
         replica = self.seat.check_may_commit()
         replica.check_leads()
-        return Document(version=self.documents.version, body=self.documents.packed)
+        return self.documents.message()
 
 
 class DocumentsDesk:
--- a/packages/edge/src/hitchdeck_edge/hub/keepsake.py
+++ b/packages/edge/src/hitchdeck_edge/hub/keepsake.py
@@ -53,8 +53,7 @@
 
     async def _write(self) -> None:
         version = self.documents.version
-        document = Document(version=version, body=self.documents.packed)
-        content = frame(document.SerializeToString())
+        content = frame(self.documents.message().SerializeToString())
         try:
             await asyncio.to_thread(replace_file, self.path, content)
         except OSError as error:
--- a/packages/edge/src/hitchdeck_edge/hub/placing.py
+++ b/packages/edge/src/hitchdeck_edge/hub/placing.py
@@ -1,6 +1,5 @@
 """The scheduler's side of a box's stream."""
 
-import asyncio
 from dataclasses import dataclass
 
 from grpclib.server import Stream
@@ -25,9 +24,6 @@
 from hitchdeck_edge.state.documents import Documents
 from hitchdeck_edge.state.registry import Registry
 
-STEER_SECONDS = 0.2
-"""Between two adjustments of what is admitted."""
-
 _MS = 1000
 
 _DECISIONS = (
@@ -65,12 +61,6 @@
         finally:
             self.scheduler.leave(box.name)
 
-    async def steer(self) -> None:
-        """Fit what is admitted to how the engines keep up; for ever."""
-        while True:
-            self.scheduler.steer()
-            await asyncio.sleep(STEER_SECONDS)
-
     async def _serve(
         self,
         box: _Box,
--- a/packages/edge/src/hitchdeck_edge/hub/process.py
+++ b/packages/edge/src/hitchdeck_edge/hub/process.py
@@ -163,7 +163,7 @@
     attendant = Attendant(book, peer.attendance(book), hub.settings.fleet_token)
     supervisor.permanent('hubs', attendant.run)
     supervisor.permanent('liveness', hub.liveness.run)
-    supervisor.permanent('shares', hub.placing.steer)
+    supervisor.permanent('shares', hub.placing.scheduler.run)
     first = hub.settings.may_found and hub.settings.seeds[:1] == (hub.settings.listen,)
     replica = hub.replica
     if replica is None:
--- a/packages/edge/src/hitchdeck_edge/hub/spread.py
+++ b/packages/edge/src/hitchdeck_edge/hub/spread.py
@@ -14,7 +14,7 @@
 from hitchdeck_core.ids import Address, UpstreamName
 from hitchdeck_core.signals import Signal
 from hitchdeck_core.wire.spread_grpc import SpreadBase
-from hitchdeck_core.wire.spread_pb2 import BoxFrame, Document, HubFrame
+from hitchdeck_core.wire.spread_pb2 import BoxFrame, HubFrame
 from hitchdeck_edge.hub.attendees import Attendee, Attendees
 from hitchdeck_edge.links.attend import IDLE_SECONDS, REPORT_SECONDS
 from hitchdeck_edge.links.records import encode_upstream
@@ -98,11 +98,7 @@
             sent.introduced = True
         if state.documents.version > max(sent.document, attendee.version):
             sent.document = state.documents.version
-            document = Document(
-                version=state.documents.version,
-                body=state.documents.packed,
-            )
-            frame.document.CopyFrom(document)
+            frame.document.CopyFrom(state.documents.message())
         if state.registry.changes > sent.change:
             fresh = state.registry.since(sent.change)
             sent.change = state.registry.changes
--- a/packages/edge/src/hitchdeck_edge/links/entry.py
+++ b/packages/edge/src/hitchdeck_edge/links/entry.py
@@ -1,9 +1,8 @@
 """What an entry box says to hubs, and does with what they say."""
 
 import secrets
-from collections import Counter
 
-from hitchdeck_core.ids import AccountName, Address
+from hitchdeck_core.ids import Address
 from hitchdeck_core.signals import Signal
 from hitchdeck_core.wire.spread_pb2 import BoxFrame, Hello, HubFrame
 from hitchdeck_edge.dispatch.budget import RepeatBudget
@@ -78,10 +77,7 @@
 
     def _report(self, frame: BoxFrame) -> None:
         frame.loads.extend(self.known.books.own.loads())
-        shares = self.known.scheduler.shares
-        shares.expire()
-        asked: Counter[AccountName] = shares.own
-        frame.demands.extend(Tally(asked=asked).demands())
+        frame.demands.extend(self.known.scheduler.shares.demands())
 
     def _hello(self) -> Hello:
         return Hello(
--- a/packages/edge/src/hitchdeck_edge/links/placing.py
+++ b/packages/edge/src/hitchdeck_edge/links/placing.py
@@ -27,7 +27,6 @@
 from hitchdeck_edge.model.upstreams import Phase
 from hitchdeck_edge.scheduling.shares import Shares
 from hitchdeck_edge.state.registry import Registry
-from hitchdeck_edge.state.tallies import Tally
 
 ANSWER_SECONDS = 0.06
 """For one answer; a round between failure domains takes some 5 ms, and a
@@ -204,12 +203,11 @@
     def _hello(self) -> PlacingFrame:
         self.outgoing = PlacingFrame()
         self.unanswered = 0
-        self.shares.expire()
         return PlacingFrame(
             box=self.box,
             domain=self.book.domain,
             open=list(self.open.values()),
-            demands=Tally(asked=self.shares.own).demands(),
+            demands=self.shares.demands(),
         )
 
     def _lose(self) -> None:
--- a/packages/edge/src/hitchdeck_edge/process.py
+++ b/packages/edge/src/hitchdeck_edge/process.py
@@ -41,9 +41,6 @@
 STOP_POLL_SECONDS = 0.1
 """Between two looks whether a stopping box may end."""
 
-STEER_SECONDS = 0.2
-"""Between two adjustments of what is admitted: reports are about as old."""
-
 UPKEEP_SECONDS = 2.0
 """Between two clean-ups of what is kept on upstreams that are gone."""
 
@@ -90,12 +87,6 @@
             self._forget_gone()
             await self.link.known.documents.changed.wait(UPKEEP_SECONDS)
 
-    async def steer_shares(self) -> None:
-        """Fit what is admitted to how the engines keep up; for ever."""
-        while True:
-            self.desk.dispatcher.chooser.local.steer()
-            await asyncio.sleep(STEER_SECONDS)
-
     def _forget_gone(self) -> None:
         registry = self.link.known.registry
         gone = [
@@ -186,6 +177,6 @@
     connections = box.desk.dispatcher.connections
     box.supervisor.permanent('connections', connections.sweep)
     box.supervisor.permanent('upkeep', box.keep_up)
-    box.supervisor.permanent('shares', box.steer_shares)
-    link = box.desk.dispatcher.chooser.link
-    box.supervisor.permanent('scheduler', link.run)
+    chooser = box.desk.dispatcher.chooser
+    box.supervisor.permanent('shares', chooser.local.run)
+    box.supervisor.permanent('scheduler', chooser.link.run)
--- a/packages/edge/src/hitchdeck_edge/scheduling/books.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/books.py
@@ -1,7 +1,5 @@
 """Open work at each upstream: this box's own, and what the others report."""
 
-from collections import Counter
-
 from hitchdeck_core.clock import Clock
 from hitchdeck_core.ids import UpstreamName
 from hitchdeck_edge.state.tallies import Tally
@@ -58,9 +56,5 @@
         """Drop upstreams at which nothing is open and that are gone."""
         for name in names:
             if not self.own.running[name]:
-                _drop(self.own.running, name)
-                _drop(self.own.waiting, name)
-
-
-def _drop(counter: Counter[UpstreamName], name: UpstreamName) -> None:
-    counter.pop(name, None)
+                self.own.running.pop(name, None)
+                self.own.waiting.pop(name, None)
--- a/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
@@ -7,6 +7,7 @@
 reach.
 """
 
+import asyncio
 from dataclasses import dataclass
 
 from hitchdeck_core import logs
@@ -24,6 +25,9 @@
 """A request that would begin later than so many times its goal is refused at
 once: it would be late itself, and make others late."""
 
+STEER_SECONDS = 0.2
+"""Between two adjustments of what is admitted: reports are about as old."""
+
 BoxTicket = tuple[str, int]
 """A box, and its number for one of its requests."""
 
@@ -114,6 +118,12 @@
         queues = map(self.placement.mean_queue, engines)
         self.shares.adjust(max(queues, default=0))
 
+    async def run(self) -> None:
+        """Keep what is admitted fitted to the engines; for ever."""
+        while True:
+            self.steer()
+            await asyncio.sleep(STEER_SECONDS)
+
     def _refuse(self, wanted: Wanted, refusal: Refusal, queue: float) -> Refusal:
         logs.info(
             'refused',
--- a/packages/edge/src/hitchdeck_edge/scheduling/shares.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/shares.py
@@ -10,6 +10,7 @@
 
 from hitchdeck_core.clock import Clock
 from hitchdeck_core.ids import AccountName
+from hitchdeck_core.wire.spread_pb2 import Demand
 from hitchdeck_edge.model.calls import Prompt
 from hitchdeck_edge.state.tallies import Tally
 
@@ -122,6 +123,11 @@
             excess = min(3, queue / TARGET_QUEUE_SECONDS)
             self.factor = max(LEAST_FACTOR, self.factor * STEP_DOWN**excess)
 
+    def demands(self) -> list[Demand]:
+        """Return what this process was asked for in the window, as messages."""
+        self.expire()
+        return Tally(asked=self.own).demands()
+
     def expire(self) -> None:
         """Take what is older than the window off the count."""
         horizon = self.now() - self.window
--- a/packages/edge/src/hitchdeck_edge/serving/doors.py
+++ b/packages/edge/src/hitchdeck_edge/serving/doors.py
@@ -1,6 +1,7 @@
-"""Small doors: readiness and metrics."""
+"""HTTP servers for readiness checks and metrics."""
 
 from collections.abc import Callable
+from http import HTTPStatus
 
 from tornado.httpserver import HTTPServer
 from tornado.web import Application, RequestHandler
@@ -8,9 +9,6 @@
 from hitchdeck_core.channels import split_address
 from hitchdeck_core.ids import Address
 
-OK = 200
-UNAVAILABLE = 503
-
 
 class ReadyHandler(RequestHandler):
     """Says whether callers may be sent here."""
@@ -21,7 +19,8 @@
 
     async def get(self, *_path: str) -> None:
         """Answer 200 if ready, else 503."""
-        self.set_status(OK if self.is_ready() else UNAVAILABLE)
+        ready = self.is_ready()
+        self.set_status(HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE)
 
 
 class MetricsHandler(RequestHandler):
--- a/packages/edge/src/hitchdeck_edge/serving/front.py
+++ b/packages/edge/src/hitchdeck_edge/serving/front.py
@@ -1,4 +1,4 @@
-"""The callers' door: reads requests, decides on them, has them served."""
+"""The server for callers: reads whole requests and has them served."""
 
 from collections.abc import Callable
 
@@ -71,7 +71,6 @@
             max_header_size=HEADER_BYTES,
             max_body_size=BODY_BYTES,
         )
-        self.open = 0
 
     def start_request(
         self,
--- a/packages/edge/src/hitchdeck_edge/settings.py
+++ b/packages/edge/src/hitchdeck_edge/settings.py
@@ -19,7 +19,7 @@
         Addresses of some hubs, for boxes; the others are learned from them.
     stop_grace
         How long a planned stop may take before the process is killed.
-    account_ttl
+    address_ttl
         The longest that callers may keep an answer about addresses.
     share_window
         Span over which client accounts share capacity.
--- a/packages/edge/src/hitchdeck_edge/state/documents.py
+++ b/packages/edge/src/hitchdeck_edge/state/documents.py
@@ -5,6 +5,7 @@
 
 from hitchdeck_core import logs
 from hitchdeck_core.signals import Signal
+from hitchdeck_core.wire.spread_pb2 import Document as DocumentMessage
 from hitchdeck_edge.errors import DocumentError
 from hitchdeck_edge.model.document import Document, DocumentVersion
 from hitchdeck_edge.state.routing import RoutingTable
@@ -54,3 +55,7 @@
             routes=len(document.routes),
         )
         self.changed.notify()
+
+    def message(self) -> DocumentMessage:
+        """Return the document in force as it is kept and sent."""
+        return DocumentMessage(version=self.version, body=self.packed)
