--- /dev/null
+++ b/packages/edge/src/hitchdeck_edge/dispatch/dispatcher.py
@@ -0,0 +1,106 @@
+"""Sending a request to upstreams until one answers, within what it allows.
+
+A refusal says "not run" only where no upstream can have begun the request:
+nothing was sent, or each upstream that got it said that it did not run it.
+"""
+
+import asyncio
+
+from hitchdeck_core.clock import Clock
+from hitchdeck_edge.dispatch.answers import Answers
+from hitchdeck_edge.dispatch.attempts import Attempt, Service, Verdict
+from hitchdeck_edge.dispatch.budget import RepeatBudget
+from hitchdeck_edge.dispatch.relay import Relay
+from hitchdeck_edge.dispatch.sender import Sender
+from hitchdeck_edge.model.dialect import Dialect
+from hitchdeck_edge.model.passage import Passage
+from hitchdeck_edge.model.refusals import Refusal
+from hitchdeck_edge.scheduling.chooser import Chooser
+from hitchdeck_edge.serving.caller import Caller
+
+UNREACHED_MOST = 4
+"""Upstreams that may be out of reach in a row before a request is refused."""
+
+
+class Dispatcher:
+    """Serves requests with what a box knows of its upstreams."""
+
+    def __init__(
+        self,
+        dialect: Dialect,
+        chooser: Chooser,
+        sender: Sender,
+        budget: RepeatBudget,
+        now: Clock,
+    ) -> None:
+        self.dialect = dialect
+        self.chooser = chooser
+        self.sender = sender
+        self.budget = budget
+        self.now = now
+
+    async def serve(self, passage: Passage, caller: Caller) -> Service:
+        """Answer a request, finally, before its time is over.
+
+        Raises
+        ------
+        CallerGoneError
+            The caller left; nobody is to be answered.
+        """
+        answers = Answers(self.dialect, passage, caller)
+        service = Service(passage, caller, answers, Relay(passage, caller))
+        self.budget.count(passage.pool.name)
+        try:
+            async with asyncio.timeout(passage.ends - self.now()):
+                await self._serve(service)
+        except TimeoutError:
+            await answers.run_out_of_time()
+        return service
+
+    async def _serve(self, service: Service) -> None:
+        passage = service.passage
+        while True:
+            choice = await self.chooser.choose(passage)
+            if isinstance(choice, Refusal):
+                await self._give_up(service, choice)
+                return
+            passage.tried.add(choice.upstream.name)
+            if not await self.sender.send(service, choice):
+                if service.unreached < UNREACHED_MOST:
+                    continue
+                await self._give_up(service, Refusal.no_upstream)
+                return
+            assert service.last is not None
+            if service.last.verdict is Verdict.answered:
+                await self._deliver(service, service.last)
+                return
+            if not self._may_repeat(service):
+                await self._give_up(service, Refusal.no_attempt_left)
+                return
+
+    def _may_repeat(self, service: Service) -> bool:
+        passage = service.passage
+        if passage.sent >= passage.route.attempts:
+            return False
+        if passage.may_have_run and not passage.repeatable:
+            return False
+        if service.caller.started and not passage.route.resumable:
+            return False
+        return self.budget.take(passage.pool.name)
+
+    async def _deliver(self, service: Service, attempt: Attempt) -> None:
+        if attempt.relayed:
+            service.answers.outcome = 'streamed'
+            return
+        assert attempt.head is not None
+        await service.answers.pass_on(attempt.head, attempt.body)
+
+    async def _give_up(self, service: Service, refusal: Refusal) -> None:
+        """End with the upstream's own word if it has one, else with ours."""
+        last = service.last
+        failed = last is not None and last.verdict is Verdict.failed
+        if failed and not service.caller.started:
+            assert last is not None
+            await self._deliver(service, last)
+            return
+        await service.answers.give_up(refusal)
--- /dev/null
+++ b/packages/edge/src/hitchdeck_edge/dispatch/sender.py
@@ -0,0 +1,202 @@
+"""Sending a request to one upstream, and what the attempt teaches."""
+
+from http import HTTPStatus
+
+from hitchdeck_core import logs
+from hitchdeck_core.clock import Clock
+from hitchdeck_edge.dispatch.attempts import Attempt, Service, Verdict, verdict_on
+from hitchdeck_edge.dispatch.connections import Connections
+from hitchdeck_edge.dispatch.exchange import Connection, Head, Outgoing
+from hitchdeck_edge.errors import BrokenAnswerError, NotSentError
+from hitchdeck_edge.model.dialect import Dialect, Forwarding
+from hitchdeck_edge.model.passage import Passage
+from hitchdeck_edge.model.placing import Choice
+from hitchdeck_edge.scheduling.books import Ticket
+from hitchdeck_edge.scheduling.chooser import Chooser
+
+STALE_ANSWERS = 2
+"""Answers to earlier requests that are skipped on one connection."""
+
+
+class Sender:
+    """Makes single attempts, and notes what they say of the upstreams."""
+
+    def __init__(
+        self,
+        dialect: Dialect,
+        chooser: Chooser,
+        connections: Connections,
+        now: Clock,
+    ) -> None:
+        self.dialect = dialect
+        self.link = chooser.link
+        self.placement = chooser.local.placement
+        self.domain = chooser.domain
+        self.connections = connections
+        self.now = now
+
+    async def send(self, service: Service, choice: Choice) -> bool:
+        """Send the request to an upstream; tell whether it was sent."""
+        passage = service.passage
+        attempt = self._open_attempt(passage, choice)
+        connection: Connection | None = None
+        try:
+            connection = await self.connections.take(
+                choice.upstream,
+                sure=not passage.repeatable,
+            )
+            connection.send(self._outgoing(passage, choice))
+            self._note_sent(service, attempt)
+            await self._receive(service, attempt, connection)
+        except NotSentError as error:
+            service.unreached += 1
+            self._note_unreached(passage, choice, error)
+            return False
+        except BrokenAnswerError as error:
+            attempt.reason = str(error)
+        finally:
+            self._close_attempt(attempt, connection)
+        self._judge(service, attempt)
+        return True
+
+    def _open_attempt(self, passage: Passage, choice: Choice) -> Attempt:
+        name = choice.upstream.name
+        ticket = Ticket(self.placement.books, name, choice.tokens)
+        number = 0
+        if passage.pool.engine is not None:
+            number = self.link.track(choice.ticket, name, choice.tokens)
+        return Attempt(choice, self.now(), ticket, number, passage.may_have_run)
+
+    def _close_attempt(self, attempt: Attempt, connection: Connection | None) -> None:
+        attempt.ticket.close()
+        self.link.end(attempt.number)
+        if connection is not None and connection.busy:
+            connection.abort()
+
+    def _outgoing(self, passage: Passage, choice: Choice) -> Outgoing:
+        forwarding = Forwarding(
+            upstream=choice.upstream,
+            account=passage.account,
+            seconds_left=max(0, passage.ends - self.now()),
+            last_event=passage.last_event,
+            body_bytes=len(passage.body),
+        )
+        headers = self.dialect.forward_headers(passage.call, forwarding)
+        return Outgoing(
+            passage.call.method,
+            passage.call.target,
+            headers,
+            passage.body,
+        )
+
+    def _note_sent(self, service: Service, attempt: Attempt) -> None:
+        passage = service.passage
+        passage.sent += 1
+        passage.may_have_run = True
+        service.last = attempt
+        prompt = passage.call.prompt
+        if prompt is not None and passage.pool.engine is not None:
+            self.placement.memory.note(attempt.upstream, prompt)
+
+    async def _receive(
+        self,
+        service: Service,
+        attempt: Attempt,
+        connection: Connection,
+    ) -> None:
+        head = await self._own_head(service.passage, connection)
+        attempt.head = head
+        mark = self.dialect.read_answer(head.status, head.headers)
+        if mark.other_life:
+            self.placement.health.misplace(attempt.upstream)
+        success = HTTPStatus.OK <= head.status < HTTPStatus.MULTIPLE_CHOICES
+        if success and not mark.sealed:
+            raise BrokenAnswerError('a success that the upstream does not vouch for')
+        if success and service.passage.route.streams:
+            await self._relay(service, attempt, connection, head)
+        else:
+            attempt.body = await connection.read_body()
+            attempt.ticket.start()
+            attempt.verdict = verdict_on(head, not_run=mark.not_run)
+        self.connections.give_back(attempt.choice.upstream, connection, head.headers)
+
+    async def _relay(
+        self,
+        service: Service,
+        attempt: Attempt,
+        connection: Connection,
+        head: Head,
+    ) -> None:
+        def on_event() -> None:
+            if attempt.ticket.reading:
+                attempt.first_event = self.now() - attempt.began
+                self._note_start(service.passage, attempt)
+
+        attempt.relayed = True
+        await service.relay.pass_on(connection, head, on_event)
+        attempt.verdict = Verdict.answered
+
+    def _note_start(self, passage: Passage, attempt: Attempt) -> None:
+        attempt.ticket.start()
+        self.link.start(attempt.number)
+        wanted = passage.wanted(self.domain)
+        self.placement.measure(attempt.ticket, wanted)
+
+    async def _own_head(self, passage: Passage, connection: Connection) -> Head:
+        """Return the head of the answer to this very request.
+
+        An answer to an earlier one may come late on a kept connection.
+        """
+        for _ in range(STALE_ANSWERS):
+            head = await connection.read_head()
+            mark = self.dialect.read_answer(head.status, head.headers)
+            if mark.request in {'', passage.call.request}:
+                return head
+            await connection.read_body()
+            logs.info(
+                'stale answer skipped',
+                request=passage.call.request,
+                answered=mark.request,
+            )
+            if not connection.expect_another_answer():
+                break
+        raise BrokenAnswerError('only answers to other requests came')
+
+    def _judge(self, service: Service, attempt: Attempt) -> None:
+        """Draw conclusions on the upstream, and on whether the request ran."""
+        health = self.placement.health
+        if attempt.verdict is Verdict.answered:
+            health.succeed(attempt.upstream, self.now() - attempt.began)
+            return
+        if attempt.verdict is Verdict.broken:
+            health.fail(attempt.upstream, attempt.reason)
+            self.link.fail(attempt.upstream)
+        else:
+            health.err(attempt.upstream)
+        if attempt.verdict is Verdict.not_run:
+            service.passage.may_have_run = attempt.ran_before
+        logs.info(
+            'attempt failed',
+            request=service.passage.call.request,
+            upstream=attempt.upstream,
+            verdict=attempt.verdict.value,
+            status=attempt.head.status if attempt.head else 0,
+            reason=attempt.reason,
+            attempt=service.passage.sent,
+        )
+
+    def _note_unreached(
+        self,
+        passage: Passage,
+        choice: Choice,
+        error: NotSentError,
+    ) -> None:
+        logs.info(
+            'upstream not reached',
+            request=passage.call.request,
+            upstream=choice.upstream.name,
+            reason=str(error),
+        )
+        self.placement.health.fail(choice.upstream.name, 'not reached')
+        self.link.fail(choice.upstream.name)
+        self.connections.drop(choice.upstream.name)
--- a/packages/edge/src/hitchdeck_edge/process.py
+++ b/packages/edge/src/hitchdeck_edge/process.py
@@ -10,11 +10,11 @@
 from hitchdeck_core.channels import split_address
 from hitchdeck_core.clock import boot_seconds
 from hitchdeck_core.ids import Address, BoxName
-from hitchdeck_core.signals import Signal
 from hitchdeck_core.supervisor import Supervisor
-from hitchdeck_edge.dispatch.attempts import Dispatcher
 from hitchdeck_edge.dispatch.budget import RepeatBudget
 from hitchdeck_edge.dispatch.connections import Connections
+from hitchdeck_edge.dispatch.dispatcher import Dispatcher
+from hitchdeck_edge.dispatch.sender import Sender
 from hitchdeck_edge.links.attend import Attendant
 from hitchdeck_edge.links.entry import EntryLink
 from hitchdeck_edge.links.hubs import HubBook
@@ -22,8 +22,6 @@
 from hitchdeck_edge.model.dialect import Dialect
 from hitchdeck_edge.model.upstreams import Phase
 from hitchdeck_edge.scheduling.chooser import Chooser
-from hitchdeck_edge.scheduling.scheduler import Scheduler
-from hitchdeck_edge.scheduling.shares import Shares
 from hitchdeck_edge.serving.desk import Desk
 from hitchdeck_edge.serving.doors import (
     ReadyHandler,
@@ -34,9 +32,7 @@
 from hitchdeck_edge.serving.front import FrontDoor
 from hitchdeck_edge.serving.stopping import Stopping
 from hitchdeck_edge.settings import EntrySettings
-from hitchdeck_edge.state.documents import Documents
-from hitchdeck_edge.state.knowledge import Knowledge
-from hitchdeck_edge.state.registry import Registry
+from hitchdeck_edge.state.knowledge import Knowledge, new_knowledge
 
 STOP_POLL_SECONDS = 0.1
 """Between two looks whether a stopping box may end."""
@@ -94,15 +90,15 @@
             for name, record in registry.records.items()
             if record.phase is Phase.gone
         ]
-        placement = self.desk.dispatcher.placement
-        placement.forget_gone(gone)
+        sender = self.desk.dispatcher.sender
+        sender.placement.forget_gone(gone)
         for name in gone:
-            self.desk.dispatcher.connections.drop(name)
+            sender.connections.drop(name)
 
 
 async def start_entry(settings: EntrySettings, dialect: Dialect) -> EntryBox:
     """Start an entry box that speaks a platform's dialect."""
-    knowledge = _knowledge(settings, dialect)
+    knowledge = new_knowledge(settings, dialect)
     seeds = map(Address, settings.seeds)
     book = HubBook(BoxName(settings.box), settings.domain, seeds, boot_seconds)
     dispatcher = _dispatcher(settings, dialect, knowledge, book)
@@ -122,15 +118,6 @@
     return box
 
 
-def _knowledge(settings: EntrySettings, dialect: Dialect) -> Knowledge:
-    news = Signal()
-    documents = Documents(dialect.read_document, news)
-    registry = Registry(boot_seconds, news)
-    shares = Shares(settings.share_window, boot_seconds)
-    scheduler = Scheduler(documents, registry, shares, boot_seconds)
-    return Knowledge(documents, registry, scheduler.placement.books, scheduler)
-
-
 def _dispatcher(
     settings: EntrySettings,
     dialect: Dialect,
@@ -150,13 +137,9 @@
         settings.fleet_token,
         knowledge.scheduler.shares,
     )
-    return Dispatcher(
-        dialect,
-        Chooser(settings.domain, knowledge.scheduler, link),
-        Connections(boot_seconds),
-        budget,
-        boot_seconds,
-    )
+    chooser = Chooser(settings.domain, knowledge.scheduler, link)
+    sender = Sender(dialect, chooser, Connections(boot_seconds), boot_seconds)
+    return Dispatcher(dialect, chooser, sender, budget, boot_seconds)
 
 
 def _start(box: EntryBox) -> None:
@@ -174,7 +157,7 @@
     attendance = box.link.attendance(box.book)
     attendant = Attendant(box.book, attendance, settings.fleet_token)
     box.supervisor.permanent('hubs', attendant.run)
-    connections = box.desk.dispatcher.connections
+    connections = box.desk.dispatcher.sender.connections
     box.supervisor.permanent('connections', connections.sweep)
     box.supervisor.permanent('upkeep', box.keep_up)
     chooser = box.desk.dispatcher.chooser
--- a/packages/edge/src/hitchdeck_edge/serving/desk.py
+++ b/packages/edge/src/hitchdeck_edge/serving/desk.py
@@ -7,7 +7,8 @@
 from hitchdeck_core.clock import Clock
 from hitchdeck_core.ids import AccountName, PoolName
 from hitchdeck_edge.dispatch.answers import refuse
-from hitchdeck_edge.dispatch.attempts import Dispatcher, Service
+from hitchdeck_edge.dispatch.attempts import Service
+from hitchdeck_edge.dispatch.dispatcher import Dispatcher
 from hitchdeck_edge.errors import CallerGoneError, CallError
 from hitchdeck_edge.model.calls import Call
 from hitchdeck_edge.model.dialect import Dialect
--- a/packages/edge/src/hitchdeck_edge/state/knowledge.py
+++ b/packages/edge/src/hitchdeck_edge/state/knowledge.py
@@ -2,8 +2,13 @@
 
 from dataclasses import dataclass
 
+from hitchdeck_core.clock import boot_seconds
+from hitchdeck_core.signals import Signal
+from hitchdeck_edge.model.dialect import Dialect
 from hitchdeck_edge.scheduling.books import Books
 from hitchdeck_edge.scheduling.scheduler import Scheduler
+from hitchdeck_edge.scheduling.shares import Shares
+from hitchdeck_edge.settings import EntrySettings
 from hitchdeck_edge.state.documents import Documents
 from hitchdeck_edge.state.registry import Registry
 
@@ -16,3 +21,13 @@
     registry: Registry
     books: Books
     scheduler: Scheduler
+
+
+def new_knowledge(settings: EntrySettings, dialect: Dialect) -> Knowledge:
+    """Return what an entry box knows when it starts: nothing of the fleet yet."""
+    news = Signal()
+    documents = Documents(dialect.read_document, news)
+    registry = Registry(boot_seconds, news)
+    shares = Shares(settings.share_window, boot_seconds)
+    scheduler = Scheduler(documents, registry, shares, boot_seconds)
+    return Knowledge(documents, registry, scheduler.placement.books, scheduler)
