Part the leader's documents service from its client; decode placings once

Unclear before: hub/documents.py held what the leader does and what every hub does to find it (DocumentsDesk, now DocumentsClient in documents_client.py); each end of the placing stream had its own table of refusals and its own conversions, now both in links/placing_messages.py; the number of voters needed was worked out twice; start_hub and _start_tasks did several jobs.

--- /dev/null
+++ b/packages/edge/src/hitchdeck_edge/hub/documents_client.py
@@ -0,0 +1,160 @@
+"""Publishing and reading documents from any hub, by finding the leader."""
+
+import asyncio
+import random
+import zlib
+
+from hitchdeck_control.errors import NotLeaderError, OutcomeUnknownError
+from hitchdeck_core import logs
+from hitchdeck_core.channels import TRANSPORT_ERRORS, open_channel
+from hitchdeck_core.clock import Clock
+from hitchdeck_core.ids import Address
+from hitchdeck_core.wire.spread_grpc import DocumentsStub
+from hitchdeck_core.wire.spread_pb2 import (
+    Document,
+    NewestReply,
+    NewestRequest,
+    PublishReply,
+    PublishRequest,
+)
+from hitchdeck_edge.errors import UnavailableError
+from hitchdeck_edge.hub.documents import DocumentsService
+from hitchdeck_edge.hub.machine import pack
+from hitchdeck_edge.links.hubs import HubBook
+from hitchdeck_edge.model.document import DocumentVersion
+
+CALL_SECONDS = 0.6
+"""For one call to the leader: an operator moves on after a second."""
+
+ANSWER_SECONDS = 0.9
+"""For a whole answer to an operator, all tries together; see above."""
+
+PAUSE_SECONDS = 0.05
+"""Between two tries: an election takes some hundred milliseconds."""
+
+
+class DocumentsClient:
+    """Does what operators ask of this hub: here if it leads, else at the leader."""
+
+    def __init__(
+        self,
+        service: DocumentsService,
+        book: HubBook,
+        token: str,
+        now: Clock,
+    ) -> None:
+        self.service = service
+        self.book = book
+        self.token = token
+        self.now = now
+        self.leader = Address('')
+
+    async def publish(self, version: DocumentVersion, text: bytes) -> None:
+        """Return once a document, or one as new, is committed.
+
+        Raises
+        ------
+        UnavailableError
+            It may or may not come into force.
+        """
+        document = pack(version, text)
+        ends = self.now() + ANSWER_SECONDS
+        while self.service.documents.version < version:
+            if self.now() >= ends:
+                raise UnavailableError('no leader committed it in time')
+            if await self._publish_once(document, ends):
+                return
+            await asyncio.sleep(PAUSE_SECONDS)
+
+    async def newest(self) -> tuple[DocumentVersion, bytes]:
+        """Return version and text of the newest document.
+
+        Raises
+        ------
+        UnavailableError
+            No leader could say so in time.
+        """
+        ends = self.now() + ANSWER_SECONDS
+        while self.now() < ends:
+            document = await self._newest_once(ends)
+            if document is not None:
+                version = DocumentVersion(int(document.version))
+                body = document.body
+                return version, zlib.decompress(body) if body else b''
+            await asyncio.sleep(PAUSE_SECONDS)
+        raise UnavailableError('no leader answered in time')
+
+    async def _publish_once(self, document: Document, ends: float) -> bool:
+        try:
+            async with asyncio.timeout(ends - self.now()):
+                await self.service.commit(document)
+        except NotLeaderError as error:
+            self._hint(error.leader_address)
+        except (UnavailableError, OutcomeUnknownError, TimeoutError) as error:
+            logs.warning('document not committed', reason=repr(error))
+            return False
+        else:
+            return True
+        request = PublishRequest(document=document)
+        for address in self._where():
+            reply = await self._call(address, ends, request)
+            if isinstance(reply, PublishReply) and reply.accepted:
+                return True
+        return False
+
+    async def _newest_once(self, ends: float) -> Document | None:
+        try:
+            return self.service.newest()
+        except NotLeaderError as error:
+            self._hint(error.leader_address)
+        for address in self._where():
+            reply = await self._call(address, ends, NewestRequest())
+            if isinstance(reply, NewestReply) and reply.certain:
+                return reply.document
+        return None
+
+    def _hint(self, address: str) -> None:
+        if address:
+            self.leader = Address(address)
+
+    def _where(self) -> list[Address]:
+        """Return the hub that leads as far as known, else any in reach."""
+        if self.leader:
+            return [self.leader]
+        return random.sample(sorted(self.book.live), k=min(1, len(self.book.live)))
+
+    async def _call(
+        self,
+        address: Address,
+        ends: float,
+        request: PublishRequest | NewestRequest,
+    ) -> PublishReply | NewestReply | None:
+        channel = open_channel(address, self.token)
+        try:
+            async with asyncio.timeout(min(CALL_SECONDS, ends - self.now())):
+                reply = await _ask(DocumentsStub(channel), request)
+        except TRANSPORT_ERRORS as error:
+            logs.info('leader not reached', hub=address, reason=repr(error))
+            self.leader = Address('')
+            return None
+        finally:
+            channel.close()
+        self._learn_leader(address, reply)
+        return reply
+
+    def _learn_leader(
+        self,
+        address: Address,
+        reply: PublishReply | NewestReply,
+    ) -> None:
+        taken = getattr(reply, 'accepted', False) or getattr(reply, 'certain', False)
+        self.leader = address if taken else Address(reply.leader_address)
+
+
+async def _ask(
+    stub: DocumentsStub,
+    request: PublishRequest | NewestRequest,
+) -> PublishReply | NewestReply:
+    if isinstance(request, PublishRequest):
+        return await stub.Publish(request)
+    return await stub.Newest(request)
--- a/packages/edge/src/hitchdeck_edge/hub/placing.py
+++ b/packages/edge/src/hitchdeck_edge/hub/placing.py
@@ -6,32 +6,17 @@
 
 from hitchdeck_core import logs
 from hitchdeck_core.clock import boot_seconds
-from hitchdeck_core.ids import AccountName, PoolName, RequestId, UpstreamName
+from hitchdeck_core.ids import AccountName, PoolName, UpstreamName
 from hitchdeck_core.wire.spread_grpc import PlacingBase
-from hitchdeck_core.wire.spread_pb2 import (
-    Decision,
-    Placed,
-    PlacedFrame,
-    PlacingFrame,
-)
+from hitchdeck_core.wire.spread_pb2 import Placed, PlacedFrame, PlacingFrame
 from hitchdeck_core.wire.spread_pb2 import Wanted as WantedMessage
-from hitchdeck_edge.model.calls import Part, PartId, Prompt
-from hitchdeck_edge.model.placing import Choice, Wanted
-from hitchdeck_edge.model.refusals import Refusal
+from hitchdeck_edge.links.placing_messages import decode_wanted, encode_decision
 from hitchdeck_edge.scheduling.scheduler import Scheduler
 from hitchdeck_edge.scheduling.shares import Shares
 from hitchdeck_edge.settings import HubSettings
 from hitchdeck_edge.state.documents import Documents
 from hitchdeck_edge.state.registry import Registry
 
-_MS = 1000
-
-_DECISIONS = (
-    (Refusal.over_share, Decision.DECISION_OVER_SHARE),
-    (Refusal.overloaded, Decision.DECISION_OVERLOADED),
-    (Refusal.no_upstream, Decision.DECISION_NO_UPSTREAM),
-)
-
 
 @dataclass(frozen=True, slots=True)
 class _Box:
@@ -94,17 +79,9 @@
         document = self.scheduler.documents.document
         pool = document.pools.get(PoolName(message.pool)) if document else None
         slots = pool.engine.slots if pool and pool.engine else 1
-        wanted = _decode(message, box.domain, slots)
+        wanted = decode_wanted(message, box.domain, slots)
         decision = self.scheduler.place((box.name, int(message.id)), wanted)
-        if isinstance(decision, Choice):
-            return Placed(
-                id=message.id,
-                upstream=decision.upstream.name,
-                unread=decision.tokens,
-                queue_ms=int(decision.queue * _MS),
-            )
-        code = next(code for refusal, code in _DECISIONS if refusal is decision)
-        return Placed(id=message.id, decision=code)
+        return encode_decision(int(message.id), decision)
 
 
 def placing_service(
@@ -115,18 +92,3 @@
     """Return the service of a hub, with a scheduler of its own."""
     shares = Shares(settings.share_window, boot_seconds)
     return PlacingService(Scheduler(documents, registry, shares, boot_seconds))
-
-
-def _decode(message: WantedMessage, domain: str, slots: int) -> Wanted:
-    parts = tuple(Part(PartId(one.part), int(one.tokens)) for one in message.parts)
-    return Wanted(
-        request=RequestId(message.request),
-        pool=PoolName(message.pool),
-        domain=domain,
-        slots=slots,
-        goal=message.goal_ms / _MS,
-        account=AccountName(message.account) if message.account else None,
-        prompt=Prompt(int(message.tokens), int(message.most_made), parts),
-        tried=frozenset(UpstreamName(one) for one in message.tried),
-        resumes=message.resumes,
-    )
--- a/packages/edge/src/hitchdeck_edge/hub/process.py
+++ b/packages/edge/src/hitchdeck_edge/hub/process.py
@@ -15,23 +15,20 @@
 from hitchdeck_core.channels import fleet_only, serve
 from hitchdeck_core.clock import boot_seconds
 from hitchdeck_core.ids import Address, BoxName
-from hitchdeck_core.signals import Signal
 from hitchdeck_core.supervisor import Supervisor
 from hitchdeck_edge.hub import formation
-from hitchdeck_edge.hub.attendees import Attendees
-from hitchdeck_edge.hub.documents import DocumentsDesk, DocumentsService, Seat
+from hitchdeck_edge.hub.documents import DocumentsService, Seat
+from hitchdeck_edge.hub.documents_client import DocumentsClient
 from hitchdeck_edge.hub.keepsake import Keepsake
 from hitchdeck_edge.hub.liveness import Liveness
 from hitchdeck_edge.hub.peers import HubPeer
 from hitchdeck_edge.hub.placing import PlacingService, placing_service
 from hitchdeck_edge.hub.replica import group_folder, open_replica
-from hitchdeck_edge.hub.spread import HubState, SpreadService
+from hitchdeck_edge.hub.spread import HubState, SpreadService, new_state
 from hitchdeck_edge.links.attend import Attendant
 from hitchdeck_edge.links.hubs import HubBook
 from hitchdeck_edge.model.document import Document
 from hitchdeck_edge.settings import HubSettings
-from hitchdeck_edge.state.documents import Documents
-from hitchdeck_edge.state.registry import Registry
 
 GATHERING_SECONDS = 1.0
 """After its start a hub names no addresses for so long: boxes attend within
@@ -45,7 +42,7 @@
     settings: HubSettings
     state: HubState
     book: HubBook
-    desk: DocumentsDesk
+    documents: DocumentsClient
     liveness: Liveness
     placing: PlacingService
     replica: Replica | None
@@ -95,34 +92,17 @@
     StorageError
         The data folder can't be used.
     """
-    news = Signal()
-    state = HubState(
-        address=Address(settings.listen),
-        domain=settings.domain,
-        durable=settings.data_folder is not None,
-        documents=Documents(read, news),
-        registry=Registry(boot_seconds, news),
-        attendees=Attendees(boot_seconds),
-        news=news,
-    )
+    state = new_state(settings, read)
     replica = open_replica(settings, state.documents)
     keepsake = _keepsake(settings, state)
-    book = HubBook(
-        BoxName(settings.box),
-        settings.domain,
-        map(Address, settings.seeds),
-        boot_seconds,
-    )
-    book.own = state.address
-    service = DocumentsService(
-        Seat(replica, 2 * settings.disks_lost + 1),
-        state.documents,
-    )
+    book = _book(settings)
+    seat = Seat(replica, settings.voters_needed)
+    service = DocumentsService(seat, state.documents)
     hub = Hub(
         settings=settings,
         state=state,
         book=book,
-        desk=DocumentsDesk(service, book, settings.fleet_token, boot_seconds),
+        documents=DocumentsClient(service, book, settings.fleet_token, boot_seconds),
         liveness=Liveness(state.registry, boot_seconds, settings.report_period),
         placing=placing_service(settings, state.documents, state.registry),
         replica=replica,
@@ -137,6 +117,13 @@
     return hub
 
 
+def _book(settings: HubSettings) -> HubBook:
+    seeds = map(Address, settings.seeds)
+    book = HubBook(BoxName(settings.box), settings.domain, seeds, boot_seconds)
+    book.own = Address(settings.listen)
+    return book
+
+
 def _keepsake(settings: HubSettings, state: HubState) -> Keepsake | None:
     if settings.data_folder is None:
         return None
@@ -172,7 +159,12 @@
         return
     if first and not replica.members():
         hub.state.founder = hub.state.address
-    needed = 2 * hub.settings.disks_lost + 1
+    _start_replica(hub, replica, peer)
+
+
+def _start_replica(hub: Hub, replica: Replica, peer: HubPeer) -> None:
+    supervisor = hub.supervisor
+    needed = hub.settings.voters_needed
     supervisor.permanent('election', lambda: watch_leader(replica, hub.links))
     supervisor.permanent(
         'replication',
--- a/packages/edge/src/hitchdeck_edge/hub/spread.py
+++ b/packages/edge/src/hitchdeck_edge/hub/spread.py
@@ -11,6 +11,7 @@
 from grpclib.server import Stream
 
 from hitchdeck_core.channels import TRANSPORT_ERRORS
+from hitchdeck_core.clock import boot_seconds
 from hitchdeck_core.ids import Address, UpstreamName
 from hitchdeck_core.signals import Signal
 from hitchdeck_core.wire.spread_grpc import SpreadBase
@@ -18,7 +19,8 @@
 from hitchdeck_edge.hub.attendees import Attendee, Attendees
 from hitchdeck_edge.links.attend import IDLE_SECONDS, REPORT_SECONDS
 from hitchdeck_edge.links.records import encode_upstream
-from hitchdeck_edge.state.documents import Documents
+from hitchdeck_edge.settings import HubSettings
+from hitchdeck_edge.state.documents import Documents, ReadDocument
 from hitchdeck_edge.state.registry import Registry
 
 BoxStream = Stream[BoxFrame, HubFrame]
@@ -38,6 +40,20 @@
     news: Signal = field(default_factory=Signal)
 
 
+def new_state(settings: HubSettings, read: ReadDocument) -> HubState:
+    """Return what a hub knows when it starts; ``read`` decodes documents."""
+    news = Signal()
+    return HubState(
+        address=Address(settings.listen),
+        domain=settings.domain,
+        durable=settings.data_folder is not None,
+        documents=Documents(read, news),
+        registry=Registry(boot_seconds, news),
+        attendees=Attendees(boot_seconds),
+        news=news,
+    )
+
+
 @dataclass(slots=True)
 class _Sent:
     """What one stream has sent so far."""
--- a/packages/edge/src/hitchdeck_edge/links/placing.py
+++ b/packages/edge/src/hitchdeck_edge/links/placing.py
@@ -17,11 +17,14 @@
     Placed,
     PlacedFrame,
     PlacingFrame,
-    PromptPart,
 )
-from hitchdeck_core.wire.spread_pb2 import Wanted as WantedMessage
 from hitchdeck_edge.links.attend import CONNECT_SECONDS, LINK_ERRORS
 from hitchdeck_edge.links.hubs import HubBook
+from hitchdeck_edge.links.placing_messages import (
+    decode_choice,
+    decode_refusal,
+    encode_wanted,
+)
 from hitchdeck_edge.model.placing import Choice, Wanted
 from hitchdeck_edge.model.refusals import Refusal
 from hitchdeck_edge.model.upstreams import Phase
@@ -46,14 +49,6 @@
 
 PlacingStream = Stream[PlacingFrame, PlacedFrame]
 
-_MS = 1000
-
-_REFUSALS = (
-    (Decision.DECISION_OVER_SHARE, Refusal.over_share),
-    (Decision.DECISION_OVERLOADED, Refusal.overloaded),
-    (Decision.DECISION_NO_UPSTREAM, Refusal.no_upstream),
-)
-
 
 class PlacingLink:
     """The scheduler, as a box sees it.
@@ -94,7 +89,7 @@
         ticket = self.last_ticket
         answer = asyncio.get_running_loop().create_future()
         self.waiting[ticket] = answer
-        self.outgoing.wanted.append(_encode(ticket, wanted))
+        self.outgoing.wanted.append(encode_wanted(ticket, wanted))
         self.asked.notify()
         try:
             async with asyncio.timeout(ANSWER_SECONDS):
@@ -221,34 +216,13 @@
         logs.info('scheduler silent', ticket=ticket, in_a_row=self.unanswered)
 
     def _decision(self, placed: Placed) -> Choice | Refusal | None:
-        for code, refusal in _REFUSALS:
-            if placed.decision == code:
-                return refusal
+        refusal = decode_refusal(placed)
+        if refusal is not None:
+            return refusal
         upstream = self.registry.records.get(UpstreamName(placed.upstream))
         if upstream is None or upstream.phase is not Phase.serving:
             # The scheduler knows one that this box has not heard of, or that
             # it knows to leave.
             self.outgoing.ended.append(placed.id)
             return None
-        queue = placed.queue_ms / _MS
-        return Choice(upstream, int(placed.unread), queue, int(placed.id))
-
-
-def _encode(ticket: int, wanted: Wanted) -> WantedMessage:
-    message = WantedMessage(
-        id=ticket,
-        pool=wanted.pool,
-        account=wanted.account or '',
-        goal_ms=int(wanted.goal * _MS),
-        tried=wanted.tried,
-        resumes=wanted.resumes,
-        request=wanted.request,
-    )
-    if wanted.prompt is not None:
-        message.tokens = wanted.prompt.tokens
-        message.most_made = wanted.prompt.most_made
-        message.parts.extend(
-            PromptPart(part=part.part, tokens=part.tokens)
-            for part in wanted.prompt.parts
-        )
-    return message
+        return decode_choice(placed, upstream)
--- /dev/null
+++ b/packages/edge/src/hitchdeck_edge/links/placing_messages.py
@@ -0,0 +1,84 @@
+"""Placing questions and answers as they travel between box and scheduler."""
+
+from types import MappingProxyType
+
+from hitchdeck_core.ids import AccountName, PoolName, RequestId, UpstreamName
+from hitchdeck_core.wire.spread_pb2 import Decision, Placed, PromptPart
+from hitchdeck_core.wire.spread_pb2 import Wanted as WantedMessage
+from hitchdeck_edge.model.calls import Part, PartId, Prompt
+from hitchdeck_edge.model.placing import Choice, Wanted
+from hitchdeck_edge.model.refusals import Refusal
+from hitchdeck_edge.model.upstreams import Upstream
+
+_MILLISECONDS = 1000
+
+_DECISIONS = MappingProxyType(
+    {
+        Refusal.over_share: Decision.DECISION_OVER_SHARE,
+        Refusal.overloaded: Decision.DECISION_OVERLOADED,
+        Refusal.no_upstream: Decision.DECISION_NO_UPSTREAM,
+    },
+)
+
+
+def encode_wanted(ticket: int, wanted: Wanted) -> WantedMessage:
+    """Return the message that asks for an upstream."""
+    message = WantedMessage(
+        id=ticket,
+        pool=wanted.pool,
+        account=wanted.account or '',
+        goal_ms=int(wanted.goal * _MILLISECONDS),
+        tried=wanted.tried,
+        resumes=wanted.resumes,
+        request=wanted.request,
+    )
+    if wanted.prompt is not None:
+        message.tokens = wanted.prompt.tokens
+        message.most_made = wanted.prompt.most_made
+        message.parts.extend(
+            PromptPart(part=part.part, tokens=part.tokens)
+            for part in wanted.prompt.parts
+        )
+    return message
+
+
+def decode_wanted(message: WantedMessage, domain: str, slots: int) -> Wanted:
+    """Return what a message asks for, on behalf of a box in a domain."""
+    parts = tuple(Part(PartId(one.part), int(one.tokens)) for one in message.parts)
+    return Wanted(
+        request=RequestId(message.request),
+        pool=PoolName(message.pool),
+        domain=domain,
+        slots=slots,
+        goal=message.goal_ms / _MILLISECONDS,
+        account=AccountName(message.account) if message.account else None,
+        prompt=Prompt(int(message.tokens), int(message.most_made), parts),
+        tried=frozenset(UpstreamName(one) for one in message.tried),
+        resumes=message.resumes,
+    )
+
+
+def encode_decision(ticket: int, decision: Choice | Refusal) -> Placed:
+    """Return the scheduler's answer to a question."""
+    if isinstance(decision, Refusal):
+        return Placed(id=ticket, decision=_DECISIONS[decision])
+    return Placed(
+        id=ticket,
+        upstream=decision.upstream.name,
+        unread=decision.tokens,
+        queue_ms=int(decision.queue * _MILLISECONDS),
+    )
+
+
+def decode_refusal(placed: Placed) -> Refusal | None:
+    """Return the refusal that an answer is, if it is one."""
+    for refusal, code in _DECISIONS.items():
+        if placed.decision == code:
+            return refusal
+    return None
+
+
+def decode_choice(placed: Placed, upstream: Upstream) -> Choice:
+    """Return the choice that an answer is, given the upstream that it names."""
+    queue = placed.queue_ms / _MILLISECONDS
+    return Choice(upstream, int(placed.unread), queue, int(placed.id))
--- a/packages/edge/src/hitchdeck_edge/settings.py
+++ b/packages/edge/src/hitchdeck_edge/settings.py
@@ -69,3 +69,8 @@
     report_period: float = Field(default=1.2, gt=0)
     heartbeat: float = Field(default=0.1, gt=0, le=5)
     election_timeout: float = Field(default=0.6, gt=0, le=60)
+
+    @property
+    def voters_needed(self) -> int:
+        """Return how many voters keep a majority without the lost disks."""
+        return 2 * self.disks_lost + 1
