--- a/packages/edge/src/hitchdeck_edge/hub/spread.py
+++ b/packages/edge/src/hitchdeck_edge/hub/spread.py
@@ -11,14 +11,16 @@
 from grpclib.server import Stream
 
 from hitchdeck_core.channels import TRANSPORT_ERRORS
+from hitchdeck_core.clock import boot_seconds
 from hitchdeck_core.ids import Address, UpstreamName
 from hitchdeck_core.signals import Signal
 from hitchdeck_core.wire.spread_grpc import SpreadBase
-from hitchdeck_core.wire.spread_pb2 import BoxFrame, Document, HubFrame
+from hitchdeck_core.wire.spread_pb2 import BoxFrame, HubFrame
 from hitchdeck_edge.hub.attendees import Attendee, Attendees
 from hitchdeck_edge.links.attend import IDLE_SECONDS, REPORT_SECONDS
 from hitchdeck_edge.links.records import encode_upstream
-from hitchdeck_edge.state.documents import Documents
+from hitchdeck_edge.settings import HubSettings
+from hitchdeck_edge.state.documents import Documents, ReadDocument
 from hitchdeck_edge.state.registry import Registry
 
 BoxStream = Stream[BoxFrame, HubFrame]
@@ -38,6 +40,20 @@
     news: Signal = field(default_factory=Signal)
 
 
+def new_state(settings: HubSettings, read: ReadDocument) -> HubState:
+    """Return what a hub knows when it starts; ``read`` decodes documents."""
+    news = Signal()
+    return HubState(
+        address=Address(settings.listen),
+        domain=settings.domain,
+        durable=settings.data_folder is not None,
+        documents=Documents(read, news),
+        registry=Registry(boot_seconds, news),
+        attendees=Attendees(boot_seconds),
+        news=news,
+    )
+
+
 @dataclass(slots=True)
 class _Sent:
     """What one stream has sent so far."""
@@ -98,11 +114,7 @@
             sent.introduced = True
         if state.documents.version > max(sent.document, attendee.version):
             sent.document = state.documents.version
-            document = Document(
-                version=state.documents.version,
-                body=state.documents.packed,
-            )
-            frame.document.CopyFrom(document)
+            frame.document.CopyFrom(state.documents.message())
         if state.registry.changes > sent.change:
             fresh = state.registry.since(sent.change)
             sent.change = state.registry.changes
--- a/packages/edge/src/hitchdeck_edge/settings.py
+++ b/packages/edge/src/hitchdeck_edge/settings.py
@@ -19,7 +19,7 @@
         Addresses of some hubs, for boxes; the others are learned from them.
     stop_grace
         How long a planned stop may take before the process is killed.
-    account_ttl
+    address_ttl
         The longest that callers may keep an answer about addresses.
     share_window
         Span over which client accounts share capacity.
@@ -69,3 +69,8 @@
     report_period: float = Field(default=1.2, gt=0)
     heartbeat: float = Field(default=0.1, gt=0, le=5)
     election_timeout: float = Field(default=0.6, gt=0, le=60)
+
+    @property
+    def voters_needed(self) -> int:
+        """Return how many voters keep a majority without the lost disks."""
+        return 2 * self.disks_lost + 1
