--- a/packages/edge/src/hitchdeck_edge/hub/keepsake.py
+++ b/packages/edge/src/hitchdeck_edge/hub/document_file.py
@@ -21,7 +21,7 @@
 """Pause after the disk refused; the next document is newer anyway."""
 
 
-class Keepsake:
+class DocumentFile:
     """Keeps the newest document in a file, apart from the log's writer."""
 
     def __init__(self, folder: Path, documents: Documents) -> None:
--- a/packages/edge/src/hitchdeck_edge/hub/process.py
+++ b/packages/edge/src/hitchdeck_edge/hub/process.py
@@ -17,9 +17,9 @@
 from hitchdeck_core.ids import Address, BoxName
 from hitchdeck_core.supervisor import Supervisor
 from hitchdeck_edge.hub import formation
+from hitchdeck_edge.hub.document_file import DocumentFile
 from hitchdeck_edge.hub.documents import DocumentsService, Seat
 from hitchdeck_edge.hub.documents_client import DocumentsClient
-from hitchdeck_edge.hub.keepsake import Keepsake
 from hitchdeck_edge.hub.liveness import Liveness
 from hitchdeck_edge.hub.peers import HubPeer
 from hitchdeck_edge.hub.placing import PlacingService, placing_service
@@ -94,7 +94,7 @@
     """
     state = new_state(settings, read)
     replica = open_replica(settings, state.documents)
-    keepsake = _keepsake(settings, state)
+    document_file = _document_file(settings, state)
     book = _book(settings)
     seat = Seat(replica, settings.voters_needed)
     service = DocumentsService(seat, state.documents)
@@ -111,8 +111,8 @@
     )
     await _listen(hub, service)
     _start_tasks(hub, book)
-    if keepsake is not None:
-        hub.supervisor.permanent('keepsake', keepsake.run)
+    if document_file is not None:
+        hub.supervisor.permanent('document file', document_file.run)
     logs.info('hub listens', address=settings.listen, durable=replica is not None)
     return hub
 
@@ -124,12 +124,12 @@
     return book
 
 
-def _keepsake(settings: HubSettings, state: HubState) -> Keepsake | None:
+def _document_file(settings: HubSettings, state: HubState) -> DocumentFile | None:
     if settings.data_folder is None:
         return None
-    keepsake = Keepsake(group_folder(settings.data_folder), state.documents)
-    keepsake.recall()
-    return keepsake
+    document_file = DocumentFile(group_folder(settings.data_folder), state.documents)
+    document_file.recall()
+    return document_file
 
 
 async def _listen(hub: Hub, service: DocumentsService) -> None:
--- a/packages/edge/src/hitchdeck_edge/process.py
+++ b/packages/edge/src/hitchdeck_edge/process.py
@@ -22,7 +22,7 @@
 from hitchdeck_edge.model.dialect import Dialect
 from hitchdeck_edge.model.upstreams import Phase
 from hitchdeck_edge.scheduling.chooser import Chooser
-from hitchdeck_edge.serving.desk import Desk
+from hitchdeck_edge.serving.admission import Admission
 from hitchdeck_edge.serving.doors import (
     ReadyHandler,
     listen,
@@ -48,7 +48,7 @@
     settings: EntrySettings
     link: EntryLink
     book: HubBook
-    desk: Desk
+    admission: Admission
     door: FrontDoor
     stopping: Stopping
     supervisor: Supervisor
@@ -59,8 +59,8 @@
         self.stopping.begin()
         self.link.announce(ready=False)
         self.door.close_after_answers()
-        logs.info('stopping', open_requests=len(self.desk.tasks))
-        while not self.stopping.may_end(idle=not self.desk.tasks):
+        logs.info('stopping', open_requests=len(self.admission.tasks))
+        while not self.stopping.may_end(idle=not self.admission.tasks):
             await asyncio.sleep(STOP_POLL_SECONDS)
 
     async def stop(self) -> None:
@@ -90,7 +90,7 @@
             for name, record in registry.records.items()
             if record.phase is Phase.gone
         ]
-        sender = self.desk.dispatcher.sender
+        sender = self.admission.dispatcher.sender
         sender.placement.forget_gone(gone)
         for name in gone:
             sender.connections.drop(name)
@@ -103,13 +103,13 @@
     book = HubBook(BoxName(settings.box), settings.domain, seeds, boot_seconds)
     dispatcher = _dispatcher(settings, dialect, knowledge, book)
     stopping = Stopping(settings.stop_grace, boot_seconds)
-    desk = Desk(dialect, knowledge, dispatcher, stopping, boot_seconds)
+    admission = Admission(dialect, knowledge, dispatcher, stopping, boot_seconds)
     box = EntryBox(
         settings=settings,
         link=EntryLink(settings, knowledge, dispatcher.budget),
         book=book,
-        desk=desk,
-        door=FrontDoor(desk.take),
+        admission=admission,
+        door=FrontDoor(admission.take),
         stopping=stopping,
         supervisor=Supervisor('entry'),
     )
@@ -152,14 +152,14 @@
     )
     box.servers.append(listen(ready, Address(settings.ready_listen)))
     if settings.metrics_listen is not None:
-        figures = metrics_application(box.desk.gauges.text)
+        figures = metrics_application(box.admission.gauges.text)
         box.servers.append(listen(figures, Address(settings.metrics_listen)))
     attendance = box.link.attendance(box.book)
     attendant = Attendant(box.book, attendance, settings.fleet_token)
     box.supervisor.permanent('hubs', attendant.run)
-    connections = box.desk.dispatcher.sender.connections
+    connections = box.admission.dispatcher.sender.connections
     box.supervisor.permanent('connections', connections.sweep)
     box.supervisor.permanent('upkeep', box.keep_up)
-    chooser = box.desk.dispatcher.chooser
+    chooser = box.admission.dispatcher.chooser
     box.supervisor.permanent('shares', chooser.local.run)
     box.supervisor.permanent('scheduler', chooser.link.run)
--- a/packages/edge/src/hitchdeck_edge/serving/desk.py
+++ b/packages/edge/src/hitchdeck_edge/serving/admission.py
@@ -22,7 +22,7 @@
 from hitchdeck_edge.state.knowledge import Knowledge
 
 
-class Desk:
+class Admission:
     """Decides on requests under the newest document."""
 
     def __init__(
--- a/tests/edge/test_passing.py
+++ b/tests/edge/test_passing.py
@@ -118,7 +118,7 @@
     """Have an upstream chosen first, whose next request meets a fault."""
     faulty.misbehave(fault)
     others = [one for one in of_pool(site, faulty.pool) if one is not faulty]
-    chooser = site.boxes[0].desk.dispatcher.chooser
+    chooser = site.boxes[0].admission.dispatcher.chooser
     schedulers = [chooser.local, site.hubs[0].placing.scheduler]
     for scheduler in schedulers:
         for other in others:
