--- a/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
@@ -62,8 +62,10 @@
             return self._refuse(wanted, Refusal.over_share, 0)
         choice = self.placement.choose(wanted)
         if choice is None:
+            self._refund(wanted)
             return self._refuse(wanted, Refusal.no_upstream, 0)
         if not wanted.resumes and choice.queue > wanted.goal * LATE_FACTOR:
+            self._refund(wanted)
             return self._refuse(wanted, Refusal.overloaded, choice.queue)
         return choice
 
@@ -138,6 +140,11 @@
         )
         return refusal
 
+    def _refund(self, wanted: Wanted) -> None:
+        """Give an account back what a request cost that is not served."""
+        if wanted.account is not None and wanted.prompt is not None:
+            self.shares.refund(wanted.account, wanted.prompt)
+
     def _is_within_share(self, wanted: Wanted) -> bool:
         document = self.documents.document
         if document is None or wanted.account is None or wanted.prompt is None:
--- a/packages/edge/src/hitchdeck_edge/scheduling/shares.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/shares.py
@@ -100,6 +100,11 @@
         self.credit[account] -= tokens
         return True
 
+    def refund(self, account: AccountName, prompt: Prompt) -> None:
+        """Give back what a request was charged that is refused after all."""
+        if self.last_part < 1:
+            self.credit[account] += weight_of(prompt)
+
     def recall(self, account: AccountName, tokens: int) -> None:
         """Count what was asked for elsewhere, as if it were asked now.
 
--- a/tests/edge/test_policies.py
+++ b/tests/edge/test_policies.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import zlib
 from collections import Counter
 from dataclasses import replace
 from pathlib import Path
@@ -25,7 +26,7 @@
 from hitchdeck_edge.links.hubs import NAMED_SECONDS, HubBook
 from hitchdeck_edge.links.placing import PlacingLink
 from hitchdeck_edge.model.calls import Part, PartId, Prompt
-from hitchdeck_edge.model.document import RouteName
+from hitchdeck_edge.model.document import DocumentVersion, RouteName
 from hitchdeck_edge.model.placing import Choice, Wanted
 from hitchdeck_edge.model.refusals import Refusal
 from hitchdeck_edge.model.upstreams import Phase, Upstream
@@ -39,6 +40,7 @@
 from hitchdeck_edge.state.registry import Registry
 from hitchdeck_platform.documents import read_document
 from hitchdeck_platform.settings import read_settings
+from standins.platform_site import document
 
 POOL = PoolName('llm')
 
@@ -261,6 +263,18 @@
     assert choice.upstream.name == 'far'
 
 
+def test_a_request_that_no_engine_gets_costs_its_account_no_share() -> None:
+    # Stavmat trouble-3 broke FAIR: 175 requests of one account were charged
+    # and then refused as overloaded.
+    scheduler = scheduler_of(FakeClock(), 0)
+    text = json.dumps(document(1, limits={'tokensPerS': 100})).encode()
+    version = DocumentVersion(1)
+    scheduler.documents.offer(version, zlib.compress(text), 'test')
+    decisions = [scheduler.decide(wanted()) for _ in range(40)]
+    assert scheduler.shares.last_part < 1
+    assert set(decisions) == {Refusal.no_upstream}
+
+
 def test_a_leaving_or_tried_upstream_is_not_chosen() -> None:
     clock = FakeClock()
     registry = Registry(clock, Signal())
