--- a/packages/edge/src/hitchdeck_edge/hub/document_file.py
+++ b/packages/edge/src/hitchdeck_edge/hub/document_file.py
@@ -6,7 +6,9 @@
 """
 
 import asyncio
+from collections.abc import Coroutine
 from pathlib import Path
+from typing import Any
 
 from hitchdeck_control.storage.files import replace_file
 from hitchdeck_control.storage.records import Damage, frame, unframe
@@ -55,9 +57,19 @@
         version = self.documents.version
         content = frame(self.documents.message().SerializeToString())
         try:
-            await asyncio.to_thread(replace_file, self.path, content)
+            await _finished(asyncio.to_thread(replace_file, self.path, content))
         except OSError as error:
             logs.warning('document not kept', version=version, reason=repr(error))
             await asyncio.sleep(RETRY_SECONDS)
             return
         self.kept = version
+
+
+async def _finished(work: Coroutine[Any, Any, None]) -> None:
+    """Wait for a thread's work, also when cancelled: it goes on all the same."""
+    task = asyncio.create_task(work)
+    try:
+        await asyncio.shield(task)
+    except asyncio.CancelledError:
+        await task
+        raise
