--- a/packages/edge/src/hitchdeck_edge/scheduling/shares.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/shares.py
@@ -74,9 +74,7 @@
 
     def ask(self, account: AccountName, prompt: Prompt) -> float:
         """Count a request; return what part of the account's may be served."""
-        tokens = weight_of(prompt)
-        self.recent.append((self.now(), account, tokens))
-        self.own[account] += tokens
+        self.recall(account, weight_of(prompt))
         self.expire()
         if not self.capacity:
             return 1
