--- a/packages/edge/src/hitchdeck_edge/hub/documents_client.py
+++ b/packages/edge/src/hitchdeck_edge/hub/documents_client.py
@@ -3,6 +3,8 @@
 import asyncio
 import random
 import zlib
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
 
 from hitchdeck_control.errors import NotLeaderError, OutcomeUnknownError
 from hitchdeck_core import logs
@@ -33,6 +35,9 @@
 """Between two tries: an election takes some hundred milliseconds."""
 
 
+Answer = TypeVar('Answer')
+
+
 class DocumentsClient:
     """Does what operators ask of this hub: here if it leads, else at the leader."""
 
@@ -58,13 +63,13 @@
             It may or may not come into force.
         """
         document = pack(version, text)
-        ends = self.now() + ANSWER_SECONDS
-        while self.service.documents.version < version:
-            if self.now() >= ends:
-                raise UnavailableError('no leader committed it in time')
-            if await self._publish_once(document, ends):
-                return
-            await asyncio.sleep(PAUSE_SECONDS)
+
+        async def publish_once(ends: float) -> bool | None:
+            if self.service.documents.version >= version:
+                return True
+            return await self._publish_once(document, ends) or None
+
+        await self._until_answered(publish_once)
 
     async def newest(self) -> tuple[DocumentVersion, bytes]:
         """Return version and text of the newest document.
@@ -74,13 +79,21 @@
         UnavailableError
             No leader could say so in time.
         """
+        document = await self._until_answered(self._newest_once)
+        version = DocumentVersion(int(document.version))
+        body = document.body
+        return version, zlib.decompress(body) if body else b''
+
+    async def _until_answered(
+        self,
+        ask_once: Callable[[float], Awaitable[Answer | None]],
+    ) -> Answer:
+        """Repeat a call that is told when to end, until it returns an answer."""
         ends = self.now() + ANSWER_SECONDS
         while self.now() < ends:
-            document = await self._newest_once(ends)
-            if document is not None:
-                version = DocumentVersion(int(document.version))
-                body = document.body
-                return version, zlib.decompress(body) if body else b''
+            answer = await ask_once(ends)
+            if answer is not None:
+                return answer
             await asyncio.sleep(PAUSE_SECONDS)
         raise UnavailableError('no leader answered in time')
 
@@ -95,40 +108,37 @@
             return False
         else:
             return True
-        request = PublishRequest(document=document)
-        for address in self._where():
-            reply = await self._call(address, ends, request)
-            if isinstance(reply, PublishReply) and reply.accepted:
-                return True
-        return False
+        reply = await self._call(PublishRequest(document=document), ends)
+        return isinstance(reply, PublishReply) and reply.accepted
 
     async def _newest_once(self, ends: float) -> Document | None:
         try:
             return self.service.newest()
         except NotLeaderError as error:
             self._hint(error.leader_address)
-        for address in self._where():
-            reply = await self._call(address, ends, NewestRequest())
-            if isinstance(reply, NewestReply) and reply.certain:
-                return reply.document
+        reply = await self._call(NewestRequest(), ends)
+        if isinstance(reply, NewestReply) and reply.certain:
+            return reply.document
         return None
 
     def _hint(self, address: str) -> None:
         if address:
             self.leader = Address(address)
 
-    def _where(self) -> list[Address]:
+    def _where(self) -> Address | None:
         """Return the hub that leads as far as known, else any in reach."""
         if self.leader:
-            return [self.leader]
-        return random.sample(sorted(self.book.live), k=min(1, len(self.book.live)))
+            return self.leader
+        return random.choice(sorted(self.book.live)) if self.book.live else None
 
     async def _call(
         self,
-        address: Address,
-        ends: float,
         request: PublishRequest | NewestRequest,
+        ends: float,
     ) -> PublishReply | NewestReply | None:
+        address = self._where()
+        if address is None:
+            return None
         channel = open_channel(address, self.token)
         try:
             async with asyncio.timeout(min(CALL_SECONDS, ends - self.now())):
--- a/packages/edge/src/hitchdeck_edge/process.py
+++ b/packages/edge/src/hitchdeck_edge/process.py
@@ -20,7 +20,6 @@
 from hitchdeck_edge.links.hubs import HubBook
 from hitchdeck_edge.links.placing import PlacingLink
 from hitchdeck_edge.model.dialect import Dialect
-from hitchdeck_edge.model.upstreams import Phase
 from hitchdeck_edge.scheduling.chooser import Chooser
 from hitchdeck_edge.serving.admission import Admission
 from hitchdeck_edge.serving.doors import (
@@ -38,7 +37,7 @@
 """Between two looks whether a stopping box may end."""
 
 UPKEEP_SECONDS = 2.0
-"""Between two clean-ups of what is kept on upstreams that are gone."""
+"""Between two looks for connections to upstreams that are gone."""
 
 
 @dataclass(slots=True)
@@ -75,25 +74,18 @@
         return self.link.ready
 
     async def keep_up(self) -> None:
-        """Keep readiness true and forget what is gone; for ever."""
+        """Keep readiness true, close what leads to gone upstreams; for ever."""
         while True:
             if self.stopping.began is None:
                 known = self.link.known.documents.document is not None
                 self.link.announce(ready=known)
-            self._forget_gone()
+            self._close_gone()
             await self.link.known.documents.changed.wait(UPKEEP_SECONDS)
 
-    def _forget_gone(self) -> None:
-        registry = self.link.known.registry
-        gone = [
-            name
-            for name, record in registry.records.items()
-            if record.phase is Phase.gone
-        ]
-        sender = self.admission.dispatcher.sender
-        sender.placement.forget_gone(gone)
-        for name in gone:
-            sender.connections.drop(name)
+    def _close_gone(self) -> None:
+        connections = self.admission.dispatcher.sender.connections
+        for name in self.link.known.registry.gone():
+            connections.drop(name)
 
 
 async def start_entry(settings: EntrySettings, dialect: Dialect) -> EntryBox:
--- a/packages/edge/src/hitchdeck_edge/scheduling/books.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/books.py
@@ -54,7 +54,7 @@
 
     def forget(self, names: set[UpstreamName]) -> None:
         """Drop upstreams at which nothing is open and that are gone."""
-        for name in names:
+        for name in self.own.running.keys() & names:
             if not self.own.running[name]:
                 self.own.running.pop(name, None)
                 self.own.waiting.pop(name, None)
--- a/packages/edge/src/hitchdeck_edge/scheduling/health.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/health.py
@@ -1,6 +1,5 @@
 """What a box has seen of each upstream: failures, and how slow it is."""
 
-from collections.abc import Callable
 from dataclasses import dataclass
 
 from hitchdeck_core import logs
@@ -83,8 +82,7 @@
         known = self.record(name)
         known.slowness += SMOOTHING * (ratio - known.slowness)
 
-    def forget(self, keep: Callable[[UpstreamName], bool]) -> None:
-        """Drop the records of upstreams that are gone."""
-        self.records = {
-            name: known for name, known in self.records.items() if keep(name)
-        }
+    def forget(self, names: set[UpstreamName]) -> None:
+        """Drop the records of upstreams."""
+        for name in self.records.keys() & names:
+            self.records.pop(name)
--- a/packages/edge/src/hitchdeck_edge/scheduling/memory.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/memory.py
@@ -43,6 +43,7 @@
         while len(known) > REMEMBERED_PARTS:
             known.popitem(last=False)
 
-    def forget(self, name: UpstreamName) -> None:
-        """Drop what is known of an upstream."""
-        self.parts.pop(name, None)
+    def forget(self, names: set[UpstreamName]) -> None:
+        """Drop what is known of upstreams."""
+        for name in self.parts.keys() & names:
+            self.parts.pop(name)
--- a/packages/edge/src/hitchdeck_edge/scheduling/placement.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/placement.py
@@ -8,7 +8,6 @@
 """
 
 import random
-from collections.abc import Iterable
 
 from hitchdeck_core.hashing import ranked
 from hitchdeck_core.ids import PoolName, UpstreamName
@@ -103,11 +102,13 @@
         ratio = min(MOST_SLOWNESS, max(1, seconds / expected))
         self.health.measure_slowness(ticket.upstream, ratio)
 
-    def forget_gone(self, gone: Iterable[UpstreamName]) -> None:
-        """Drop what is known of upstreams that are gone."""
-        for name in gone:
-            self.memory.forget(name)
-        self.books.forget(set(gone))
+    def forget_gone(self) -> None:
+        """Drop what was learned of upstreams that are gone."""
+        self.registry.forget_ended()
+        gone = self.registry.gone()
+        self.memory.forget(gone)
+        self.books.forget(gone)
+        self.health.forget(gone)
 
     def _choose_engine(
         self,
--- a/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
@@ -28,6 +28,9 @@
 STEER_SECONDS = 0.2
 """Between two adjustments of what is admitted: reports are about as old."""
 
+STEERS_PER_CLEANUP = 10
+"""Upstreams that ended are looked for every two seconds: it only bounds memory."""
+
 BoxTicket = tuple[str, int]
 """A box, and its number for one of its requests."""
 
@@ -58,14 +61,15 @@
 
     def decide(self, wanted: Wanted) -> Choice | Refusal:
         """Choose an engine, or say why the request is refused."""
-        if not self._is_within_share(wanted):
+        charged = self._charge(wanted)
+        if charged is None:
             return self._refuse(wanted, Refusal.over_share, 0)
         choice = self.placement.choose(wanted)
         if choice is None:
-            self._refund(wanted)
+            self._refund(wanted, charged)
             return self._refuse(wanted, Refusal.no_upstream, 0)
         if not wanted.resumes and choice.queue > wanted.goal * LATE_FACTOR:
-            self._refund(wanted)
+            self._refund(wanted, charged)
             return self._refuse(wanted, Refusal.overloaded, choice.queue)
         return choice
 
@@ -123,8 +127,10 @@
     async def run(self) -> None:
         """Keep what is admitted fitted to the engines; for ever."""
         while True:
-            self.steer()
-            await asyncio.sleep(STEER_SECONDS)
+            self.placement.forget_gone()
+            for _ in range(STEERS_PER_CLEANUP):
+                self.steer()
+                await asyncio.sleep(STEER_SECONDS)
 
     def _refuse(self, wanted: Wanted, refusal: Refusal, queue: float) -> Refusal:
         logs.info(
@@ -140,15 +146,18 @@
         )
         return refusal
 
-    def _refund(self, wanted: Wanted) -> None:
+    def _refund(self, wanted: Wanted, charged: int) -> None:
         """Give an account back what a request cost that is not served."""
-        if wanted.account is not None and wanted.prompt is not None:
-            self.shares.refund(wanted.account, wanted.prompt)
+        if wanted.account is not None:
+            self.shares.refund(wanted.account, charged)
 
-    def _is_within_share(self, wanted: Wanted) -> bool:
+    def _charge(self, wanted: Wanted) -> int | None:
+        """Charge a request to its account; ``None`` if it is over its share."""
         document = self.documents.document
         if document is None or wanted.account is None or wanted.prompt is None:
-            return True
+            return 0
         self.shares.capacity = document.limits.tokens_per_second
-        admitted = self.shares.admit(wanted.account, wanted.prompt)
-        return admitted or wanted.resumes
+        charged = self.shares.admit(wanted.account, wanted.prompt)
+        if charged is None and wanted.resumes:
+            return 0
+        return charged
--- a/packages/edge/src/hitchdeck_edge/scheduling/shares.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/shares.py
@@ -48,6 +48,11 @@
     return float('inf')
 
 
+MOST_CREDIT_SECONDS = 0.5
+"""Of an account's level, what it may save up while its requests are refused
+for other reasons: without a bound, an outage would end in a burst."""
+
+
 class Shares:
     """Decides whether a request lies within its account's share.
 
@@ -57,8 +62,12 @@
         What the engines are stated to give, in tokens a second; 0 if unknown.
     factor
         What they are taken to give, as a part of that.
+    level
+        The most that an account gets in a window, in tokens.
     last_part
         What part of the account's was admitted at the last decision.
+    credit
+        Tokens that each account may still spend, or owes if negative.
     """
 
     def __init__(self, window: float, now: Clock) -> None:
@@ -66,6 +75,7 @@
         self.now = now
         self.capacity = 0.0
         self.factor = MOST_FACTOR
+        self.level = float('inf')
         self.last_part = 1.0
         self.recent: deque[tuple[float, AccountName, int]] = deque()
         self.own: Counter[AccountName] = Counter()
@@ -82,26 +92,33 @@
             name: float(self.own[name] + self.others.asked[name])
             for name in self.own.keys() | self.others.asked.keys()
         }
-        level = even_level(asked, self.capacity * self.window * self.factor)
-        self.last_part = min(1, level / max(1, asked[account]))
+        self.level = even_level(asked, self.capacity * self.window * self.factor)
+        self.last_part = min(1, self.level / max(1, asked[account]))
         return self.last_part
 
-    def admit(self, account: AccountName, prompt: Prompt) -> bool:
-        """Count a request and tell whether it lies within the share."""
+    def admit(self, account: AccountName, prompt: Prompt) -> int | None:
+        """Count a request and charge it to its account's share.
+
+        Returns
+        -------
+        int or None
+            Tokens that were charged, none while all can be served; ``None``
+            if the request lies beyond the share.
+        """
         part = self.ask(account, prompt)
         if part >= 1:
-            return True
+            return 0
         tokens = weight_of(prompt)
         self.credit[account] += int(part * tokens)
         if self.credit[account] < 0:
-            return False
+            return None
         self.credit[account] -= tokens
-        return True
+        return tokens
 
-    def refund(self, account: AccountName, prompt: Prompt) -> None:
+    def refund(self, account: AccountName, charged: int) -> None:
         """Give back what a request was charged that is refused after all."""
-        if self.last_part < 1:
-            self.credit[account] += weight_of(prompt)
+        most = self.level / self.window * MOST_CREDIT_SECONDS
+        self.credit[account] = int(min(most, self.credit[account] + charged))
 
     def recall(self, account: AccountName, tokens: int) -> None:
         """Count what was asked for elsewhere, as if it were asked now.
--- a/packages/edge/src/hitchdeck_edge/state/registry.py
+++ b/packages/edge/src/hitchdeck_edge/state/registry.py
@@ -28,6 +28,8 @@
         Number of the last change; ``numbers`` tells each record's.
     heard
         When each upstream was last heard of, on the given clock, seconds.
+    stored
+        When each record last changed, likewise.
     """
 
     def __init__(self, now: Clock, changed: Signal) -> None:
@@ -35,6 +37,7 @@
         self.records: dict[UpstreamName, Upstream] = {}
         self.numbers: dict[UpstreamName, int] = {}
         self.heard: dict[UpstreamName, float] = {}
+        self.stored: dict[UpstreamName, float] = {}
         self.holders: dict[Address, UpstreamName] = {}
         self.changes = 0
         self.changed = changed
@@ -98,8 +101,22 @@
             if last < horizon and not record.silent and record.phase is not Phase.gone:
                 logs.warning('upstream silent', upstream=name, seconds=limit)
                 self._store(replace(record, silent=True))
-            if last < self.now() - GONE_KEPT_SECONDS:
-                self._forget(name)
+
+    def gone(self) -> set[UpstreamName]:
+        """Return the upstreams that ended."""
+        return {
+            name
+            for name, record in self.records.items()
+            if record.phase is Phase.gone
+        }
+
+    def forget_ended(self) -> None:
+        """Forget upstreams that have been gone or silent for long."""
+        horizon = self.now() - GONE_KEPT_SECONDS
+        for name, record in list(self.records.items()):
+            ended = record.phase is Phase.gone or record.silent
+            if ended and self.stored[name] < horizon:
+                self._forget(record)
 
     def names(self) -> Iterable[UpstreamName]:
         """Return every name known, of ended ones too."""
@@ -109,6 +126,7 @@
         self.changes += 1
         self.records[record.name] = record
         self.numbers[record.name] = self.changes
+        self.stored[record.name] = self.now()
         self.heard.setdefault(record.name, self.now())
         self.changed.notify()
 
@@ -129,11 +147,11 @@
             self._store(replace(doubted, silent=True))
             logs.info('upstream superseded', upstream=holder, by=record.name)
 
-    def _forget(self, name: UpstreamName) -> None:
-        if self.records[name].phase is Phase.gone or self.records[name].silent:
-            self.records.pop(name)
-            self.numbers.pop(name)
-            self.heard.pop(name)
+    def _forget(self, record: Upstream) -> None:
+        for known in (self.records, self.numbers, self.heard, self.stored):
+            known.pop(record.name, None)
+        if self.holders.get(record.address) == record.name:
+            self.holders.pop(record.address)
 
 
 def _outranks(record: Upstream, known: Upstream) -> bool:
@@ -149,8 +167,4 @@
 def _differs(record: Upstream, known: Upstream | None) -> bool:
     if known is None:
         return True
-    return (record.phase, record.address, record.silent) != (
-        known.phase,
-        known.address,
-        known.silent,
-    )
+    return replace(record, sequence=known.sequence) != known
--- a/tests/edge/test_policies.py
+++ b/tests/edge/test_policies.py
@@ -37,7 +37,7 @@
 from hitchdeck_edge.serving.gauges import UNKNOWN_SECONDS, Gauges
 from hitchdeck_edge.serving.stopping import Stopping
 from hitchdeck_edge.state.documents import Documents
-from hitchdeck_edge.state.registry import Registry
+from hitchdeck_edge.state.registry import GONE_KEPT_SECONDS, Registry
 from hitchdeck_platform.documents import read_document
 from hitchdeck_platform.settings import read_settings
 from standins.platform_site import document
@@ -117,7 +117,7 @@
     for step in range(4000):
         clock.seconds += 0.01
         for name in ['big', 'big', 'big'] + ['small'] * (step % 10 == 0):
-            if shares.admit(account(name), prompt(20)):
+            if shares.admit(account(name), prompt(20)) is not None:
                 admitted[name] += 20
     seconds = 40
     assert admitted['small'] == 20 * 400
@@ -275,6 +275,62 @@
     assert set(decisions) == {Refusal.no_upstream}
 
 
+def test_a_resumed_stream_that_finds_no_engine_earns_no_share() -> None:
+    # Found by reading: what was never charged was given back.
+    scheduler = scheduler_of(FakeClock(), 0)
+    text = json.dumps(document(1, limits={'tokensPerS': 100})).encode()
+    scheduler.documents.offer(DocumentVersion(1), zlib.compress(text), 'test')
+    resumed = replace(wanted(), resumes=True)
+    credit = scheduler.shares.credit
+    credit[account('ann')] = -100_000
+    for _ in range(40):
+        assert scheduler.decide(resumed) is Refusal.no_upstream
+    assert credit[account('ann')] < -90_000
+
+
+def test_an_outage_saves_up_no_burst_of_share() -> None:
+    # Found by reading: what was given back added up while no engine was there.
+    clock = FakeClock()
+    scheduler = scheduler_of(clock, 0)
+    text = json.dumps(document(1, limits={'tokensPerS': 100})).encode()
+    scheduler.documents.offer(DocumentVersion(1), zlib.compress(text), 'test')
+    for _ in range(4000):
+        clock.seconds += 0.01
+        scheduler.decide(wanted())
+    assert 0 <= scheduler.shares.credit[account('ann')] <= 100 * MOST_FACTOR
+
+
+@pytest.mark.parametrize('phase', [Phase.serving, Phase.gone])
+def test_only_upstreams_that_are_gone_are_forgotten(phase: Phase) -> None:
+    clock = FakeClock()
+    registry = Registry(clock, Signal())
+    placement = Placement(registry, Books(clock))
+    registry.merge(engine('e0'), 'test')
+    placement.memory.note(UpstreamName('e0'), prompt())
+    placement.health.err(UpstreamName('e0'))
+    registry.merge(replace(engine('e0'), sequence=2, phase=phase), 'test')
+    placement.forget_gone()
+    known = phase is Phase.serving
+    assert bool(placement.memory.parts) is known
+    assert bool(placement.health.records) is known
+    assert registry.records
+    clock.seconds += GONE_KEPT_SECONDS + 1
+    placement.forget_gone()
+    assert bool(registry.records) is known
+    assert bool(registry.holders) is known
+
+
+@pytest.mark.parametrize('change', [{'domain': 'b'}, {'slots': 3}, {'silent': True}])
+def test_whatever_changes_in_a_report_is_passed_on(change: dict[str, object]) -> None:
+    # Found by reading: a change of domain or slots alone was kept back.
+    registry = Registry(FakeClock(), Signal())
+    registry.merge(engine('e0'), 'test')
+    seen = registry.changes
+    assert registry.merge(replace(engine('e0'), sequence=2, **change), 'test')
+    assert [one.sequence for one in registry.since(seen)] == [2]
+    assert not registry.merge(replace(engine('e0'), sequence=3, **change), 'test')
+
+
 def test_a_leaving_or_tried_upstream_is_not_chosen() -> None:
     clock = FakeClock()
     registry = Registry(clock, Signal())
