--- a/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
@@ -126,11 +126,13 @@
 
     async def run(self) -> None:
         """Keep what is admitted fitted to the engines; for ever."""
+        steers = 0
         while True:
-            self.placement.forget_gone()
-            for _ in range(STEERS_PER_CLEANUP):
-                self.steer()
-                await asyncio.sleep(STEER_SECONDS)
+            self.steer()
+            steers += 1
+            if steers % STEERS_PER_CLEANUP == 0:
+                self.placement.forget_gone()
+            await asyncio.sleep(STEER_SECONDS)
 
     def _refuse(self, wanted: Wanted, refusal: Refusal, queue: float) -> Refusal:
         logs.info(
--- a/packages/edge/src/hitchdeck_edge/state/registry.py
+++ b/packages/edge/src/hitchdeck_edge/state/registry.py
@@ -105,9 +105,7 @@
     def gone(self) -> set[UpstreamName]:
         """Return the upstreams that ended."""
         return {
-            name
-            for name, record in self.records.items()
-            if record.phase is Phase.gone
+            name for name, record in self.records.items() if record.phase is Phase.gone
         }
 
     def forget_ended(self) -> None:
