Leave a scheduler that is gone without waiting for its last word

A box that saw another hub become the scheduler left its stream without an error, and grpclib then waits for the hub's first word, for ever if the hub has lost power; if it had spoken, the same exit raised ProtocolError and the task was restarted. Meanwhile each request waited 60 ms and each box shared capacity by itself. Frames are also given up now if the connection takes none for half a second. Ruled out: the shares (the accounts' standing was right on each side).

--- a/packages/edge/src/hitchdeck_edge/errors.py
+++ b/packages/edge/src/hitchdeck_edge/errors.py
@@ -1,6 +1,6 @@
 """Errors of the edge package."""
 
-from hitchdeck_core.errors import HitchdeckError
+from hitchdeck_core.errors import HitchdeckError, LinkError
 
 
 class DocumentError(HitchdeckError):
@@ -15,6 +15,10 @@
     """Raised when the group can't give a sure answer in time."""
 
 
+class SchedulerMovedError(LinkError):
+    """Raised when another hub has become the scheduler."""
+
+
 class DispatchError(HitchdeckError):
     """Base of the errors that end an attempt or the service of a request."""
 
--- a/packages/edge/src/hitchdeck_edge/links/placing.py
+++ b/packages/edge/src/hitchdeck_edge/links/placing.py
@@ -18,6 +18,7 @@
     PlacedFrame,
     PlacingFrame,
 )
+from hitchdeck_edge.errors import SchedulerMovedError
 from hitchdeck_edge.links.attend import CONNECT_SECONDS, LINK_ERRORS
 from hitchdeck_edge.links.hubs import HubBook
 from hitchdeck_edge.links.placing_messages import (
@@ -41,6 +42,9 @@
 PROGRESS_SECONDS = 0.02
 """Word of progress waits so long for a frame to go with."""
 
+SEND_SECONDS = 0.5
+"""For one frame to be taken by the connection: a hub that reads leaves room."""
+
 RETRY_SECONDS = 0.3
 """Pause before a lost scheduler, or the next one, is tried."""
 
@@ -142,6 +146,8 @@
                 channel = open_channel(hub, self.token)
                 try:
                     await self._attend(hub, channel)
+                except SchedulerMovedError:
+                    logs.info('scheduler changes', hub=hub)
                 except LINK_ERRORS as error:
                     logs.warning('scheduler lost', hub=hub, reason=repr(error))
                     self.book.distrust(hub)
@@ -176,11 +182,13 @@
             if self.now() - checked > WATCH_SECONDS:
                 checked = self.now()
                 if self.book.scheduler() != hub:
-                    logs.info('scheduler changes', hub=hub)
-                    return
+                    # To leave a stream without an error waits for the hub's
+                    # last word, and a hub that is gone has none.
+                    raise SchedulerMovedError(hub)
             if self.outgoing.ByteSize():
                 frame, self.outgoing = self.outgoing, PlacingFrame()
-                await stream.send_message(frame)
+                async with asyncio.timeout(SEND_SECONDS):
+                    await stream.send_message(frame)
         raise LinkError(f'stream ended, {self.unanswered} answers missing')
 
     async def _receive(self, stream: PlacingStream) -> None:
--- /dev/null
+++ b/tests/edge/test_scheduler_link.py
@@ -0,0 +1,83 @@
+"""A box's link to its scheduler, where the scheduler does not behave."""
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager, suppress
+
+import pytest
+
+from hitchdeck_core.clock import boot_seconds
+from hitchdeck_core.ids import Address, BoxName
+from hitchdeck_core.signals import Signal
+from hitchdeck_edge.links.hubs import HubBook
+from hitchdeck_edge.links.placing import PlacingLink
+from hitchdeck_edge.scheduling.shares import Shares
+from hitchdeck_edge.state.registry import Registry
+from tests.common.scheduling import wanted
+
+Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+
+
+async def read_on(reader: asyncio.StreamReader, _: asyncio.StreamWriter) -> None:
+    """Take every byte and say nothing, as a host behind a cut seems to."""
+    await reader.read()
+
+
+async def read_nothing(_: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Take no byte, as a process that is stopped."""
+    await asyncio.sleep(60)
+    writer.close()
+
+
+@asynccontextmanager
+async def silent_hub(serve: Serve) -> AsyncIterator[Address]:
+    """Run a hub that answers nothing."""
+    server = await asyncio.start_server(serve, '127.0.0.1', 0)
+    port = server.sockets[0].getsockname()[1]
+    try:
+        yield Address(f'127.0.0.1:{port}')
+    finally:
+        server.close()
+
+
+@asynccontextmanager
+async def running_link(hub: Address) -> AsyncIterator[PlacingLink]:
+    """Run a link to the only hub that is known."""
+    book = HubBook(BoxName('box'), 'a', [hub], boot_seconds)
+    book.reach(hub)
+    registry = Registry(boot_seconds, Signal())
+    link = PlacingLink('box', book, registry, 'token', Shares(4, boot_seconds))
+    task = asyncio.create_task(link.run())
+    try:
+        yield link
+    finally:
+        task.cancel()
+        with suppress(asyncio.CancelledError):
+            await task
+
+
+async def reached(link: PlacingLink, *, connected: bool) -> None:
+    async with asyncio.timeout(15):
+        while (link.scheduler is not None) is not connected:
+            await asyncio.sleep(0.01)
+
+
+@pytest.mark.parametrize('serve', [read_on, read_nothing])
+async def test_a_scheduler_that_is_lost_without_a_word_is_left(serve: Serve) -> None:
+    # FAIR on turnolibero trouble-1: four boxes waited 60 ms for each of 1,300
+    # answers of a hub that had lost power, and each shared capacity by itself:
+    # the call to leave the stream waited for the hub's first word.
+    async with silent_hub(serve) as hub, running_link(hub) as link:
+        await reached(link, connected=True)
+        link.book.lose(hub)
+        await reached(link, connected=False)
+        assert link.scheduler is None
+
+
+@pytest.mark.parametrize('serve', [read_on, read_nothing])
+async def test_a_scheduler_that_does_not_answer_is_left(serve: Serve) -> None:
+    async with silent_hub(serve) as hub, running_link(hub) as link:
+        await reached(link, connected=True)
+        async with asyncio.timeout(15):
+            while link.scheduler is not None:
+                assert await link.place(wanted()) is None
