Put a proxy that holds, delays and resets connections into the soak

Callers, operators, reports and the boxes' connections to upstreams go through it; links between hubs and boxes do not yet.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -19,6 +19,7 @@
 from soak.faults import Faults
 from soak.fleet import Fleet
 from soak.promises import SUCCESS, Answer, History
+from soak.proxy import Proxy
 from standins.platform_site import HOST, KEY, document
 from standins.platform_worker import Worker
 
@@ -36,6 +37,7 @@
         self.fleet = Fleet(folder, 10 + seed % 200)
         pools = ('llm', 'llm', 'llm', 'app', 'app')
         self.workers = [Worker(f'w{at}', pool) for at, pool in enumerate(pools)]
+        self.proxies: dict[str, Proxy] = {}
         self.history = History()
         self.client = AsyncHTTPClient(force_instance=True, max_clients=200)
         self.asked = 0
@@ -48,21 +50,41 @@
             self.fleet.add(number, 'box')
         for worker in self.workers:
             await worker.start()
+            worker.address = await self._proxy(worker.address)
+        for box in self.fleet.boxes:
+            await self._proxy(self.fleet.front(box))
+        for hub in self.fleet.hubs:
+            await self._proxy(self.fleet.control(hub))
         try:
             await self._play(seconds)
         finally:
-            self.fleet.stop()
-            for worker in self.workers:
-                await worker.stop()
+            await self._stop()
         ran = Counter(one for worker in self.workers for one in worker.ran)
         return self.history.broken(ran)
 
+    async def _stop(self) -> None:
+        self.fleet.stop()
+        for proxy in self.proxies.values():
+            await proxy.stop()
+        for worker in self.workers:
+            await worker.stop()
+
+    async def _proxy(self, target: str) -> str:
+        proxy = Proxy(target)
+        await proxy.start()
+        self.proxies[target] = proxy
+        return proxy.address
+
+    def _through(self, target: str) -> str:
+        return self.proxies[target].address
+
     async def _play(self, seconds: float) -> None:
         reporting = asyncio.create_task(self._report())
         async with asyncio.timeout(START_SECONDS):
             while not await self._publish() or not await self._serves():
                 await asyncio.sleep(0.2)
-        faults = Faults(self.fleet, self.workers, self.seed)
+        proxies = list(self.proxies.values())
+        faults = Faults(self.fleet, self.workers, proxies, self.seed)
         tasks = [asyncio.create_task(self._call()) for _ in range(8)]
         tasks.append(asyncio.create_task(self._operate()))
         tasks.append(asyncio.create_task(faults.run()))
@@ -78,7 +100,8 @@
                 worker.sequence += 1
                 body = json.dumps(worker.report(worker.sequence))
                 hub = self.random.choice(self.fleet.hubs)
-                url = f'http://{self.fleet.control(hub)}/api/instances/{worker.name}'
+                control = self._through(self.fleet.control(hub))
+                url = f'http://{control}/api/instances/{worker.name}'
                 await self._fetch(HTTPRequest(url, 'PUT', body=body))
             await asyncio.sleep(0.4)
 
@@ -97,7 +120,7 @@
             model = {'Model': 'm', 'Token-Count': '200,20', 'Prompt-Prefix': prompt}
             headers.update(model)
         box = self.random.choice(self.fleet.boxes)
-        url = f'http://{self.fleet.front(box)}{path}'
+        url = f'http://{self._through(self.fleet.front(box))}{path}'
         status, body = await self._fetch(
             HTTPRequest(url, 'POST', headers=headers, body='b', request_timeout=5),
         )
@@ -111,7 +134,7 @@
 
     async def _publish(self) -> bool:
         hub = self.random.choice(self.fleet.hubs)
-        url = f'http://{self.fleet.control(hub)}/api/config'
+        url = f'http://{self._through(self.fleet.control(hub))}/api/config'
         body = json.dumps(document(self.version))
         status, _ = await self._fetch(HTTPRequest(url, 'PUT', body=body))
         if status == SUCCESS:
@@ -124,7 +147,7 @@
             await self._publish()
             accepted = self.history.accepted
             hub = self.random.choice(self.fleet.hubs)
-            url = f'http://{self.fleet.control(hub)}/api/config'
+            url = f'http://{self._through(self.fleet.control(hub))}/api/config'
             status, body = await self._fetch(HTTPRequest(url))
             if status == SUCCESS:
                 read = int(json.loads(body)['version'])
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable, Callable
 
 from soak.fleet import Fleet, Program
+from soak.proxy import Proxy, Weather
 from standins.platform_worker import Fault, Worker
 
 GRACE_SECONDS = 3.0
@@ -20,9 +21,16 @@
     At most one hub is away at a time, as the fleet's settings promise to bear.
     """
 
-    def __init__(self, fleet: Fleet, workers: list[Worker], seed: int) -> None:
+    def __init__(
+        self,
+        fleet: Fleet,
+        workers: list[Worker],
+        proxies: list[Proxy],
+        seed: int,
+    ) -> None:
         self.fleet = fleet
         self.workers = workers
+        self.proxies = proxies
         self.random = random.Random(seed)
         self.hub_away = asyncio.Lock()
         self.told: list[str] = []
@@ -38,6 +46,9 @@
             self.lose_hub_disk,
             self.spoil_worker,
             self.spoil_worker,
+            self.disturb_link,
+            self.disturb_link,
+            self.reset_link,
         ]
         async with asyncio.TaskGroup() as group:
             while True:
@@ -89,6 +100,19 @@
         fault = self.random.choice(list(Fault))
         worker.misbehave(fault, self.random.randint(1, 5))
 
+    async def disturb_link(self) -> None:
+        """Slow a link down, hold one direction of it, or silence it, for a while."""
+        proxy = self.random.choice(self.proxies)
+        kinds = [kind for kind in Weather if kind is not Weather.clear]
+        proxy.delay = self.random.uniform(0.01, 0.3)
+        await proxy.change(self.random.choice(kinds))
+        await asyncio.sleep(self.random.uniform(0.2, 2.5))
+        await proxy.change(Weather.clear)
+
+    async def reset_link(self) -> None:
+        """Reset every connection of a link."""
+        self.random.choice(self.proxies).reset()
+
     async def _kill(self, program: Program) -> None:
         program.signal(signal.SIGKILL)
         await asyncio.to_thread(program.end, 1)
--- /dev/null
+++ b/soak/proxy.py
@@ -0,0 +1,133 @@
+"""A loopback proxy that delays, resets, holds or silences connections."""
+
+import asyncio
+import socket
+import struct
+from dataclasses import dataclass, field
+from enum import Enum
+
+PIECE_BYTES = 65_536
+
+_NO_LINGER = struct.pack('ii', 1, 0)
+
+END_POLL_SECONDS = 0.01
+
+HOST = '127.0.0.1'
+
+
+class Weather(Enum):
+    """What a proxy does with the bytes that it gets.
+
+    What is held goes on when the weather clears, as bytes do that a cut link
+    has kept from their receiver.
+    """
+
+    clear = 'clear'
+    slow = 'slow'
+    forth_held = 'forth held'
+    back_held = 'back held'
+    silent = 'silent'
+
+
+class Direction(Enum):
+    """Towards the program that listens, or back."""
+
+    forth = 'forth'
+    back = 'back'
+
+
+HELD = {
+    Weather.forth_held: {Direction.forth},
+    Weather.back_held: {Direction.back},
+    Weather.silent: {Direction.forth, Direction.back},
+}
+
+
+@dataclass(slots=True)
+class Proxy:
+    """Passes connections on to one address.
+
+    ``delay`` is what each piece waits in slow weather, in seconds.
+    """
+
+    target: str
+    delay: float = 0.05
+    weather: Weather = Weather.clear
+    address: str = ''
+    writers: set[asyncio.StreamWriter] = field(default_factory=set)
+    cleared: asyncio.Condition = field(default_factory=asyncio.Condition)
+    server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listen on a port of its own."""
+        self.server = await asyncio.start_server(self._serve, HOST, 0)
+        self.address = f'{HOST}:{self.server.sockets[0].getsockname()[1]}'
+
+    async def stop(self) -> None:
+        """Listen no more, and end every connection."""
+        assert self.server is not None
+        self.server.close()
+        await self.change(Weather.clear)
+        self.reset()
+        while self.writers:
+            await asyncio.sleep(END_POLL_SECONDS)
+
+    def reset(self) -> None:
+        """Reset every connection that is open."""
+        for writer in self.writers:
+            # Without this option the kernel closes, and does not reset.
+            sock = writer.get_extra_info('socket')
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+            writer.transport.abort()
+
+    async def change(self, weather: Weather) -> None:
+        """Change the weather; what was held may go on."""
+        async with self.cleared:
+            self.weather = weather
+            self.cleared.notify_all()
+
+    async def _serve(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        host, _, port = self.target.rpartition(':')
+        try:
+            there = await asyncio.open_connection(host, int(port))
+        except OSError:
+            # The program is down: its callers see a connection that ends.
+            writer.transport.abort()
+            return
+        ends = {writer, there[1]}
+        self.writers |= ends
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._pass(reader, there[1], Direction.forth))
+                group.create_task(self._pass(there[0], writer, Direction.back))
+        finally:
+            self.writers -= ends
+
+    async def _pass(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        direction: Direction,
+    ) -> None:
+        try:
+            while piece := await reader.read(PIECE_BYTES):
+                await self._wait(direction)
+                writer.write(piece)
+            await self._wait(direction)
+        except ConnectionError:
+            # A reset on one side is a reset on the other.
+            writer.transport.abort()
+            return
+        writer.close()
+
+    async def _wait(self, direction: Direction) -> None:
+        if self.weather is Weather.slow:
+            await asyncio.sleep(self.delay)
+        async with self.cleared:
+            await self.cleared.wait_for(
+                lambda: direction not in HELD.get(self.weather, set()),
+            )
