--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -75,9 +75,10 @@
     def reset(self) -> None:
         """Reset every connection that is open."""
         for writer in self.writers:
-            # Without this option the kernel closes, and does not reset.
-            sock = writer.get_extra_info('socket')
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+            if not writer.transport.is_closing():
+                # Without this option the kernel closes, and does not reset.
+                sock = writer.get_extra_info('socket')
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
             writer.transport.abort()
 
     async def change(self, weather: Weather) -> None:
