Count a request's share in one place, and refuse by guard clauses

Three callers asked whether a request has an account and a prompt before they counted it; Shares asks now. No decision, count or log line changes.

--- a/packages/edge/src/hitchdeck_edge/scheduling/chooser.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/chooser.py
@@ -2,7 +2,7 @@
 
 from hitchdeck_edge.links.placing import PlacingLink
 from hitchdeck_edge.model.passage import Passage
-from hitchdeck_edge.model.placing import Choice, Wanted
+from hitchdeck_edge.model.placing import Choice
 from hitchdeck_edge.model.refusals import Refusal
 from hitchdeck_edge.scheduling.scheduler import Scheduler
 
@@ -26,13 +26,8 @@
             passage.decided_by = 'this box'
             return self.local.decide(wanted)
         passage.decided_by = scheduler or ''
-        self._keep_count(wanted, granted=isinstance(decision, Choice))
+        # Count as if this box had decided: it may soon have to.
+        self.local.shares.ask(wanted)
+        if isinstance(decision, Choice):
+            self.local.shares.grant(wanted)
         return decision
-
-    def _keep_count(self, wanted: Wanted, *, granted: bool) -> None:
-        """Count as if this box had decided: it may soon have to."""
-        if wanted.account is None or wanted.prompt is None:
-            return
-        self.local.shares.ask(wanted.account, wanted.prompt)
-        if granted:
-            self.local.shares.grant(wanted.account, wanted.prompt)
--- a/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
@@ -55,21 +55,17 @@
 
     def decide(self, wanted: Wanted) -> Choice | Refusal:
         """Choose an engine, or say why the request is refused."""
-        standing = self._ask(wanted)
+        standing = self._count_asked(wanted)
         choice = self.placement.choose(wanted)
         if choice is None:
             return self._refuse(wanted, Refusal.no_upstream, standing, 0)
-        patience = longest_queue(wanted, choice, standing)
-        if choice.queue > patience and not wanted.resumes:
-            if standing > 1:
-                reason = Refusal.over_share
-            else:
-                reason = Refusal.overloaded
-                self.shares.note_crowded()
-            return self._refuse(wanted, reason, standing, choice.queue)
-        if wanted.account is not None and wanted.prompt is not None:
-            self.shares.grant(wanted.account, wanted.prompt)
-        return choice
+        if wanted.resumes or choice.queue <= longest_queue(wanted, choice, standing):
+            self.shares.grant(wanted)
+            return choice
+        if standing > 1:
+            return self._refuse(wanted, Refusal.over_share, standing, choice.queue)
+        self.shares.note_crowded()
+        return self._refuse(wanted, Refusal.overloaded, standing, choice.queue)
 
     def place(self, key: BoxTicket, wanted: Wanted) -> Choice | Refusal:
         """Decide, and enter the request in the books."""
@@ -138,11 +134,11 @@
         )
         return refusal
 
-    def _ask(self, wanted: Wanted) -> float:
+    def _count_asked(self, wanted: Wanted) -> float:
         """Count a request; return what its account has had of its share."""
         document = self.documents.document
         if document is None or wanted.account is None or wanted.prompt is None:
             return 0
         self.shares.capacity = document.limits.tokens_per_second
-        self.shares.ask(wanted.account, wanted.prompt)
+        self.shares.ask(wanted)
         return self.shares.standing(wanted.account)
--- a/packages/edge/src/hitchdeck_edge/scheduling/shares.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/shares.py
@@ -14,6 +14,7 @@
 from hitchdeck_core.ids import AccountName
 from hitchdeck_core.wire.spread_pb2 import Demand
 from hitchdeck_edge.model.calls import Prompt
+from hitchdeck_edge.model.placing import Wanted
 from hitchdeck_edge.state.tallies import Tally
 
 MADE_WEIGHT = 2
@@ -90,13 +91,13 @@
         self.others: Tally = Tally()
         self.crowded_at = float('-inf')
 
-    def ask(self, account: AccountName, prompt: Prompt) -> None:
+    def ask(self, wanted: Wanted) -> None:
         """Count a request."""
-        self.asked.add(account, weight_of(prompt))
+        _count(self.asked, wanted)
 
-    def grant(self, account: AccountName, prompt: Prompt) -> None:
+    def grant(self, wanted: Wanted) -> None:
         """Count a request that is let through."""
-        self.granted.add(account, weight_of(prompt))
+        _count(self.granted, wanted)
 
     def note_crowded(self) -> None:
         """Note that the engines had no room for what is within a share."""
@@ -151,6 +152,12 @@
         return max(LEAST_PART * stated, min(stated, granted))
 
 
+def _count(count: WindowCount, wanted: Wanted) -> None:
+    """Count a generation; what has no account or no prompt has no share."""
+    if wanted.account is not None and wanted.prompt is not None:
+        count.add(wanted.account, weight_of(wanted.prompt))
+
+
 def weight_of(prompt: Prompt) -> int:
     """Return a generation's size in the unit of the capacity."""
     return prompt.tokens + MADE_WEIGHT * prompt.most_made
