--- a/packages/edge/src/hitchdeck_edge/links/placing.py
+++ b/packages/edge/src/hitchdeck_edge/links/placing.py
@@ -92,8 +92,7 @@
         """Return what the scheduler decides, or ``None`` if it does not answer."""
         if self.scheduler is None:
             return None
-        self.last_ticket += 1
-        ticket = self.last_ticket
+        ticket = self._new_ticket()
         answer = asyncio.get_running_loop().create_future()
         self.waiting[ticket] = answer
         self.outgoing.wanted.append(encode_wanted(ticket, wanted))
@@ -118,13 +117,12 @@
         One that this box placed by itself gets a ticket too, and the
         scheduler hears of it.
         """
+        number = ticket or self._new_ticket()
+        work = OpenWork(id=number, upstream=upstream, unread=unread)
+        self.open[number] = work
         if not ticket:
-            self.last_ticket += 1
-            ticket = self.last_ticket
-            work = OpenWork(id=ticket, upstream=upstream, unread=unread)
             self._tell(PlacingFrame(open=[work]))
-        self.open[ticket] = OpenWork(id=ticket, upstream=upstream, unread=unread)
-        return ticket
+        return number
 
     def start(self, ticket: int) -> None:
         """Note the first event of a request."""
@@ -135,7 +133,7 @@
     def end(self, ticket: int) -> None:
         """Note the end of a request."""
         if self.open.pop(ticket, None) is not None:
-            self._tell(PlacingFrame(ended=[ticket]))
+            self._tell_ended(ticket)
 
     def fail(self, upstream: UpstreamName) -> None:
         """Note that an upstream broke off or was not reached."""
@@ -185,16 +183,22 @@
             self.due = False
             if self.now() - checked > WATCH_SECONDS:
                 checked = self.now()
-                if self.book.scheduler() != hub:
-                    # To leave a stream without an error waits for the hub's
-                    # last word, and a hub that is gone has none.
-                    raise SchedulerMovedError(hub)
-            if self.outgoing.ByteSize():
-                frame, self.outgoing = self.outgoing, PlacingFrame()
-                async with asyncio.timeout(SEND_SECONDS):
-                    await stream.send_message(frame)
+                self._check_scheduler(hub)
+            await self._send_outgoing(stream)
         raise LinkError(f'stream ended, {self.unanswered} answers missing')
 
+    def _check_scheduler(self, hub: Address) -> None:
+        if self.book.scheduler() != hub:
+            # To leave a stream without an error waits for the hub's last
+            # word, and a hub that is gone has none.
+            raise SchedulerMovedError(hub)
+
+    async def _send_outgoing(self, stream: PlacingStream) -> None:
+        if self.outgoing.ByteSize():
+            frame, self.outgoing = self.outgoing, PlacingFrame()
+            async with asyncio.timeout(SEND_SECONDS):
+                await stream.send_message(frame)
+
     async def _receive(self, stream: PlacingStream) -> None:
         while True:
             frame = await stream.recv_message()
@@ -206,7 +210,11 @@
                     answer.set_result(placed)
                 elif placed.decision == Decision.DECISION_PLACED:
                     # It came too late, and the box has chosen by itself.
-                    self._tell(PlacingFrame(ended=[placed.id]))
+                    self._tell_ended(placed.id)
+
+    def _new_ticket(self) -> int:
+        self.last_ticket += 1
+        return self.last_ticket
 
     def _tell(self, news: PlacingFrame) -> None:
         """Send word with the next frame; the next scheduler asks for all."""
@@ -217,6 +225,9 @@
             loop.call_later(PROGRESS_SECONDS, self._ask_to_send)
         self.outgoing.MergeFrom(news)
 
+    def _tell_ended(self, ticket: int) -> None:
+        self._tell(PlacingFrame(ended=[ticket]))
+
     def _ask_to_send(self) -> None:
         self.due = True
         self.asked.notify()
@@ -249,6 +260,6 @@
         if upstream is None or upstream.phase is not Phase.serving:
             # The scheduler knows one that this box has not heard of, or that
             # it knows to leave.
-            self._tell(PlacingFrame(ended=[placed.id]))
+            self._tell_ended(placed.id)
             return None
         return decode_choice(placed, upstream)
