Keep what a box has yet to tell its scheduler in a module of its own

The link held the next frame, whether it is due and the timer beside its requests and its stream. Two tests look for the frame at its new place; what they ask of it is the same.

--- a/packages/edge/src/hitchdeck_edge/links/placing.py
+++ b/packages/edge/src/hitchdeck_edge/links/placing.py
@@ -9,7 +9,6 @@
 from hitchdeck_core.channels import open_channel
 from hitchdeck_core.errors import LinkError
 from hitchdeck_core.ids import Address, UpstreamName
-from hitchdeck_core.signals import Signal
 from hitchdeck_core.wire.spread_grpc import PlacingStub
 from hitchdeck_core.wire.spread_pb2 import (
     Decision,
@@ -21,6 +20,7 @@
 from hitchdeck_edge.errors import SchedulerMovedError
 from hitchdeck_edge.links.attend import CONNECT_SECONDS, LINK_ERRORS
 from hitchdeck_edge.links.hubs import HubBook
+from hitchdeck_edge.links.outbox import Outbox
 from hitchdeck_edge.links.placing_messages import (
     decode_choice,
     decode_refusal,
@@ -39,9 +39,6 @@
 MOST_UNANSWERED = 3
 """Answers missing in a row after which the scheduler counts as lost."""
 
-PROGRESS_SECONDS = 0.02
-"""Word of progress waits so long for a frame to go with."""
-
 SEND_SECONDS = 0.5
 """For one frame to be taken by the connection: a hub that reads leaves room."""
 
@@ -61,8 +58,6 @@
     ----------
     open
         Upstream and unread tokens of each request that is open.
-    due
-        Whether the next frame is to be sent now.
     """
 
     def __init__(
@@ -82,9 +77,7 @@
         self.scheduler: Address | None = None
         self.open: dict[int, OpenWork] = {}
         self.waiting: dict[int, asyncio.Future[Placed]] = {}
-        self.outgoing = PlacingFrame()
-        self.asked = Signal()
-        self.due = False
+        self.outbox = Outbox()
         self.last_ticket = 0
         self.unanswered = 0
 
@@ -95,8 +88,7 @@
         ticket = self._new_ticket()
         answer = asyncio.get_running_loop().create_future()
         self.waiting[ticket] = answer
-        self.outgoing.wanted.append(encode_wanted(ticket, wanted))
-        self._ask_to_send()
+        self.outbox.ask(encode_wanted(ticket, wanted))
         try:
             async with asyncio.timeout(ANSWER_SECONDS):
                 placed = await answer
@@ -178,13 +170,14 @@
     ) -> None:
         checked = self.now()
         while not ended() and self.unanswered < MOST_UNANSWERED:
-            if not self.due:
-                await self.asked.wait(WATCH_SECONDS)
-            self.due = False
+            await self.outbox.wait(WATCH_SECONDS)
             if self.now() - checked > WATCH_SECONDS:
                 checked = self.now()
                 self._check_scheduler(hub)
-            await self._send_outgoing(stream)
+            frame = self.outbox.take()
+            if frame is not None:
+                async with asyncio.timeout(SEND_SECONDS):
+                    await stream.send_message(frame)
         raise LinkError(f'stream ended, {self.unanswered} answers missing')
 
     def _check_scheduler(self, hub: Address) -> None:
@@ -193,12 +186,6 @@
             # word, and a hub that is gone has none.
             raise SchedulerMovedError(hub)
 
-    async def _send_outgoing(self, stream: PlacingStream) -> None:
-        if self.outgoing.ByteSize():
-            frame, self.outgoing = self.outgoing, PlacingFrame()
-            async with asyncio.timeout(SEND_SECONDS):
-                await stream.send_message(frame)
-
     async def _receive(self, stream: PlacingStream) -> None:
         while True:
             frame = await stream.recv_message()
@@ -218,22 +205,14 @@
 
     def _tell(self, news: PlacingFrame) -> None:
         """Send word with the next frame; the next scheduler asks for all."""
-        if self.scheduler is None:
-            return
-        if not self.outgoing.ByteSize():
-            loop = asyncio.get_running_loop()
-            loop.call_later(PROGRESS_SECONDS, self._ask_to_send)
-        self.outgoing.MergeFrom(news)
+        if self.scheduler is not None:
+            self.outbox.tell(news)
 
     def _tell_ended(self, ticket: int) -> None:
         self._tell(PlacingFrame(ended=[ticket]))
 
-    def _ask_to_send(self) -> None:
-        self.due = True
-        self.asked.notify()
-
     def _hello(self) -> PlacingFrame:
-        self.outgoing = PlacingFrame()
+        self.outbox.clear()
         self.unanswered = 0
         return PlacingFrame(
             box=self.box,
--- a/tests/edge/test_policies.py
+++ b/tests/edge/test_policies.py
@@ -150,7 +150,7 @@
         link.start(ticket)
         link.fail(UpstreamName('e0'))
         link.end(ticket)
-    assert not link.outgoing.ByteSize()
+    assert not link.outbox.frame.ByteSize()
     assert not link.open
 
 
--- a/tests/edge/test_scheduler_link.py
+++ b/tests/edge/test_scheduler_link.py
@@ -80,7 +80,7 @@
         async with asyncio.timeout(15):
             for number in range(50):
                 link.fail(UpstreamName(str(number)))
-                while link.outgoing.ByteSize():
+                while link.outbox.frame.ByteSize():
                     await asyncio.sleep(0.001)
         assert link.scheduler == hub
 
