--- a/packages/edge/src/hitchdeck_edge/hub/documents_client.py
+++ b/packages/edge/src/hitchdeck_edge/hub/documents_client.py
@@ -4,6 +4,7 @@
 import random
 import zlib
 from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import TypeVar
 
 from hitchdeck_control.errors import NotLeaderError, OutcomeUnknownError
@@ -34,7 +35,6 @@
 PAUSE_SECONDS = 0.05
 """Between two tries: an election takes some hundred milliseconds."""
 
-
 Answer = TypeVar('Answer')
 
 
@@ -63,13 +63,7 @@
             It may or may not come into force.
         """
         document = pack(version, text)
-
-        async def publish_once(ends: float) -> bool | None:
-            if self.service.documents.version >= version:
-                return True
-            return await self._publish_once(document, ends) or None
-
-        await self._until_answered(publish_once)
+        await self._until_answered(partial(self._publish_once, document))
 
     async def newest(self) -> tuple[DocumentVersion, bytes]:
         """Return version and text of the newest document.
@@ -97,7 +91,10 @@
             await asyncio.sleep(PAUSE_SECONDS)
         raise UnavailableError('no leader answered in time')
 
-    async def _publish_once(self, document: Document, ends: float) -> bool:
+    async def _publish_once(self, document: Document, ends: float) -> bool | None:
+        """Return ``True`` once it is committed, ``None`` while that is not sure."""
+        if self.service.documents.version >= document.version:
+            return True
         try:
             async with asyncio.timeout(ends - self.now()):
                 await self.service.commit(document)
@@ -105,11 +102,13 @@
             self._hint(error.leader_address)
         except (UnavailableError, OutcomeUnknownError, TimeoutError) as error:
             logs.warning('document not committed', reason=repr(error))
-            return False
+            return None
         else:
             return True
         reply = await self._call(PublishRequest(document=document), ends)
-        return isinstance(reply, PublishReply) and reply.accepted
+        if isinstance(reply, PublishReply) and reply.accepted:
+            return True
+        return None
 
     async def _newest_once(self, ends: float) -> Document | None:
         try:
