--- a/packages/edge/src/hitchdeck_edge/scheduling/placement.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/placement.py
@@ -96,7 +96,10 @@
         self.health.measure_slowness(ticket.upstream, ratio)
 
     def forget_gone(self) -> None:
-        """Drop what was learned of upstreams that are gone."""
+        """Drop what was learned of upstreams that are gone.
+
+        The registry keeps word of their end for longer: see there.
+        """
         self.registry.forget_ended()
         gone = self.registry.gone()
         self.memory.forget(gone)
--- a/packages/edge/src/hitchdeck_edge/scheduling/shares.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/shares.py
@@ -2,9 +2,9 @@
 
 Every box knows what all boxes were asked for in the last window.  While that
 is more than the engines give, accounts that ask for more than the even level
-are owed that level, and the others what they ask for.  An account that got
-less than it is owed goes first; one that got more still gets what the engines
-have room for.
+are owed that level, and the others what they ask for.  What an account got of
+the level bears on how long its requests may wait for an engine; one that got
+more than it is owed still gets what the engines have room for.
 """
 
 from collections import Counter, deque
--- a/packages/edge/src/hitchdeck_edge/state/registry.py
+++ b/packages/edge/src/hitchdeck_edge/state/registry.py
@@ -30,6 +30,8 @@
         When each upstream was last heard of, on the given clock, seconds.
     stored
         When each record last changed, likewise.
+    holders
+        The upstream that reported each address last.
     """
 
     def __init__(self, now: Clock, changed: Signal) -> None:
@@ -103,7 +105,7 @@
                 self._store(replace(record, silent=True))
 
     def gone(self) -> set[UpstreamName]:
-        """Return the upstreams that ended."""
+        """Return the upstreams whose end is known."""
         return {
             name for name, record in self.records.items() if record.phase is Phase.gone
         }
--- a/tests/edge/test_policies.py
+++ b/tests/edge/test_policies.py
@@ -1,4 +1,4 @@
-"""Shares, repeats, events, stops and logs, each by itself."""
+"""Repeats, events, hubs, stops, settings and logs, each by itself."""
 
 import json
 import os
@@ -7,11 +7,7 @@
 import pytest
 
 from hitchdeck_core.errors import SettingsError
-from hitchdeck_core.ids import (
-    Address,
-    BoxName,
-    UpstreamName,
-)
+from hitchdeck_core.ids import Address, BoxName, UpstreamName
 from hitchdeck_core.log_output import BURST_LINES, WAITING_BYTES, BoundedOutput
 from hitchdeck_edge.dispatch.answers import end_to_end
 from hitchdeck_edge.dispatch.budget import CAUTION, RepeatBudget
@@ -22,11 +18,7 @@
 from hitchdeck_edge.serving.gauges import UNKNOWN_SECONDS, Gauges
 from hitchdeck_edge.serving.stopping import Stopping
 from hitchdeck_platform.settings import read_settings
-from tests.common.scheduling import (
-    POOL,
-    FakeClock,
-    scheduler_of,
-)
+from tests.common.scheduling import POOL, FakeClock, scheduler_of
 
 
 def test_repeats_stay_within_the_budget_of_the_fleet() -> None:
