--- a/tests/common/scheduling.py
+++ b/tests/common/scheduling.py
@@ -2,6 +2,8 @@
 
 import json
 import zlib
+from collections import Counter, deque
+from collections.abc import Iterator
 
 from hitchdeck_core.ids import (
     AccountName,
@@ -35,6 +37,41 @@
         return self.seconds
 
 
+class PaperEngine:
+    """An engine that reads one prompt after the other at a pace."""
+
+    def __init__(self, clock: FakeClock, pace: int) -> None:
+        self.clock = clock
+        self.pace = pace
+        self.free_at = clock.seconds
+        self.reading: deque[tuple[float, int]] = deque()
+
+    def read(self, number: int, tokens: int) -> None:
+        """Put a prompt behind those that wait."""
+        self.free_at = max(self.free_at, self.clock.seconds) + tokens / self.pace
+        self.reading.append((self.free_at, number))
+
+    def finished(self) -> Iterator[int]:
+        """Yield the numbers of the prompts that have been read by now."""
+        while self.reading and self.reading[0][0] <= self.clock.seconds:
+            yield self.reading.popleft()[1]
+
+
+def arriving(asks: dict[str, int], clock: FakeClock, seconds: int) -> Iterator[str]:
+    """Move the clock on, and yield the account of each request that comes.
+
+    ``asks`` tells how many requests each account makes a second.
+    """
+    due: Counter[str] = Counter()
+    for _ in range(seconds * 100):
+        clock.seconds += 0.01
+        due.update(asks)
+        for name in asks:
+            if due[name] >= 100:
+                due[name] -= 100
+                yield name
+
+
 def account(name: str) -> AccountName:
     return AccountName(name)
 
--- a/tests/edge/test_sharing.py
+++ b/tests/edge/test_sharing.py
@@ -19,7 +19,9 @@
 from tests.common.scheduling import (
     POOL,
     FakeClock,
+    PaperEngine,
     account,
+    arriving,
     engine,
     offer,
     prompt,
@@ -53,29 +55,19 @@
     ``asks`` tells how many requests of 1000 tokens each account makes a second.
     """
     clock = FakeClock()
+    reader = PaperEngine(clock, pace)
     scheduler = scheduler_of(clock, 1)
     offer(scheduler, pace)
     scheduler.placement.pace.tokens[POOL] = pace
     scheduler.placement.pace.seconds[POOL] = 1
     granted: Counter[str] = Counter()
-    reading: list[tuple[float, int]] = []
-    free_at = clock.seconds
-    number = 0
-    due: Counter[str] = Counter()
-    for _ in range(seconds * 100):
-        clock.seconds += 0.01
-        while reading and reading[0][0] <= clock.seconds:
-            scheduler.end(('box', reading.pop(0)[1]))
-        due.update(asks)
-        ready = [name for name in asks if due[name] >= 100]
-        for name in ready:
-            due[name] -= 100
-            number += 1
-            one = wanted(name, subject=str(number))
-            if isinstance(scheduler.place(('box', number), one), Choice):
-                granted[name] += 1000
-                free_at = max(free_at, clock.seconds) + 1000 / pace
-                reading.append((free_at, number))
+    for number, name in enumerate(arriving(asks, clock, seconds), 1):
+        for finished in reader.finished():
+            scheduler.end(('box', finished))
+        one = wanted(name, subject=str(number))
+        if isinstance(scheduler.place(('box', number), one), Choice):
+            granted[name] += 1000
+            reader.read(number, 1000)
     return granted
 
 
