--- /dev/null
+++ b/tests/edge/test_registry.py
@@ -0,0 +1,44 @@
+"""What is kept and passed on of upstreams, and what is forgotten."""
+
+from dataclasses import replace
+
+import pytest
+
+from hitchdeck_core.ids import UpstreamName
+from hitchdeck_core.signals import Signal
+from hitchdeck_edge.model.upstreams import Phase
+from hitchdeck_edge.scheduling.books import Books
+from hitchdeck_edge.scheduling.placement import Placement
+from hitchdeck_edge.state.registry import GONE_KEPT_SECONDS, Registry
+from tests.common.scheduling import FakeClock, engine, prompt
+
+
+@pytest.mark.parametrize('phase', [Phase.serving, Phase.gone])
+def test_only_upstreams_that_are_gone_are_forgotten(phase: Phase) -> None:
+    clock = FakeClock()
+    registry = Registry(clock, Signal())
+    placement = Placement(registry, Books(clock))
+    registry.merge(engine('e0'), 'test')
+    placement.memory.note(UpstreamName('e0'), prompt())
+    placement.health.err(UpstreamName('e0'))
+    registry.merge(replace(engine('e0'), sequence=2, phase=phase), 'test')
+    placement.forget_gone()
+    known = phase is Phase.serving
+    assert bool(placement.memory.parts) is known
+    assert bool(placement.health.records) is known
+    assert registry.records
+    clock.seconds += GONE_KEPT_SECONDS + 1
+    placement.forget_gone()
+    assert bool(registry.records) is known
+    assert bool(registry.holders) is known
+
+
+@pytest.mark.parametrize('change', [{'domain': 'b'}, {'slots': 3}, {'silent': True}])
+def test_whatever_changes_in_a_report_is_passed_on(change: dict[str, object]) -> None:
+    # Found by reading: a change of domain or slots alone was kept back.
+    registry = Registry(FakeClock(), Signal())
+    registry.merge(engine('e0'), 'test')
+    seen = registry.changes
+    assert registry.merge(replace(engine('e0'), sequence=2, **change), 'test')
+    assert [one.sequence for one in registry.since(seen)] == [2]
+    assert not registry.merge(replace(engine('e0'), sequence=3, **change), 'test')
--- a/tests/edge/test_sharing.py
+++ b/tests/edge/test_sharing.py
@@ -15,7 +15,7 @@
 from hitchdeck_edge.scheduling.patience import LEAST_QUEUE, longest_queue
 from hitchdeck_edge.scheduling.placement import Placement
 from hitchdeck_edge.scheduling.shares import even_level
-from hitchdeck_edge.state.registry import GONE_KEPT_SECONDS, Registry
+from hitchdeck_edge.state.registry import Registry
 from tests.common.scheduling import (
     POOL,
     FakeClock,
@@ -24,7 +24,6 @@
     arriving,
     engine,
     offer,
-    prompt,
     scheduler_of,
     wanted,
 )
@@ -180,37 +179,6 @@
     assert patience == pytest.approx(longest)
 
 
-@pytest.mark.parametrize('phase', [Phase.serving, Phase.gone])
-def test_only_upstreams_that_are_gone_are_forgotten(phase: Phase) -> None:
-    clock = FakeClock()
-    registry = Registry(clock, Signal())
-    placement = Placement(registry, Books(clock))
-    registry.merge(engine('e0'), 'test')
-    placement.memory.note(UpstreamName('e0'), prompt())
-    placement.health.err(UpstreamName('e0'))
-    registry.merge(replace(engine('e0'), sequence=2, phase=phase), 'test')
-    placement.forget_gone()
-    known = phase is Phase.serving
-    assert bool(placement.memory.parts) is known
-    assert bool(placement.health.records) is known
-    assert registry.records
-    clock.seconds += GONE_KEPT_SECONDS + 1
-    placement.forget_gone()
-    assert bool(registry.records) is known
-    assert bool(registry.holders) is known
-
-
-@pytest.mark.parametrize('change', [{'domain': 'b'}, {'slots': 3}, {'silent': True}])
-def test_whatever_changes_in_a_report_is_passed_on(change: dict[str, object]) -> None:
-    # Found by reading: a change of domain or slots alone was kept back.
-    registry = Registry(FakeClock(), Signal())
-    registry.merge(engine('e0'), 'test')
-    seen = registry.changes
-    assert registry.merge(replace(engine('e0'), sequence=2, **change), 'test')
-    assert [one.sequence for one in registry.since(seen)] == [2]
-    assert not registry.merge(replace(engine('e0'), sequence=3, **change), 'test')
-
-
 def test_a_leaving_or_tried_upstream_is_not_chosen() -> None:
     clock = FakeClock()
     registry = Registry(clock, Signal())
