--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,7 +6,7 @@
 from collections.abc import Awaitable, Callable
 
 from soak.fleet import Fleet, Program
-from soak.proxy import Proxy, Weather
+from soak.proxy import LinkState, Proxy
 from standins.platform_worker import Fault, Worker
 
 GRACE_SECONDS = 3.0
@@ -105,11 +105,11 @@
     async def disturb_link(self) -> None:
         """Slow a link down, hold one direction of it, or silence it, for a while."""
         proxy = self.random.choice(self.proxies)
-        kinds = [kind for kind in Weather if kind is not Weather.clear]
+        kinds = [kind for kind in LinkState if kind is not LinkState.whole]
         proxy.delay = self.random.uniform(0.01, 0.3)
         await proxy.change(self.random.choice(kinds))
         await asyncio.sleep(self.random.uniform(0.2, 2.5))
-        await proxy.change(Weather.clear)
+        await proxy.change(LinkState.whole)
 
     async def reset_link(self) -> None:
         """Reset every connection of a link."""
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -15,14 +15,14 @@
 HOST = '127.0.0.1'
 
 
-class Weather(Enum):
+class LinkState(Enum):
     """What a proxy does with the bytes that it gets.
 
-    What is held goes on when the weather clears, as bytes do that a cut link
+    What is held goes on when the link is whole again, as bytes do that a cut link
     has kept from their receiver.
     """
 
-    clear = 'clear'
+    whole = 'whole'
     slow = 'slow'
     forth_held = 'forth held'
     back_held = 'back held'
@@ -37,9 +37,9 @@
 
 
 HELD = {
-    Weather.forth_held: {Direction.forth},
-    Weather.back_held: {Direction.back},
-    Weather.silent: {Direction.forth, Direction.back},
+    LinkState.forth_held: {Direction.forth},
+    LinkState.back_held: {Direction.back},
+    LinkState.silent: {Direction.forth, Direction.back},
 }
 
 
@@ -47,15 +47,15 @@
 class Proxy:
     """Passes connections on to one address.
 
-    ``delay`` is what each piece waits in slow weather, in seconds.
+    ``delay`` is what each piece waits on a slow link, in seconds.
     """
 
     target: str
     delay: float = 0.05
-    weather: Weather = Weather.clear
+    state: LinkState = LinkState.whole
     address: str = ''
     writers: set[asyncio.StreamWriter] = field(default_factory=set)
-    cleared: asyncio.Condition = field(default_factory=asyncio.Condition)
+    changed: asyncio.Condition = field(default_factory=asyncio.Condition)
     server: asyncio.Server | None = None
 
     async def start(self) -> None:
@@ -67,7 +67,7 @@
         """Listen no more, and end every connection."""
         assert self.server is not None
         self.server.close()
-        await self.change(Weather.clear)
+        await self.change(LinkState.whole)
         self.reset()
         while self.writers:
             await asyncio.sleep(END_POLL_SECONDS)
@@ -81,11 +81,11 @@
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
             writer.transport.abort()
 
-    async def change(self, weather: Weather) -> None:
-        """Change the weather; what was held may go on."""
-        async with self.cleared:
-            self.weather = weather
-            self.cleared.notify_all()
+    async def change(self, state: LinkState) -> None:
+        """Change the state; what was held may go on."""
+        async with self.changed:
+            self.state = state
+            self.changed.notify_all()
 
     async def _serve(
         self,
@@ -126,9 +126,9 @@
         writer.close()
 
     async def _wait(self, direction: Direction) -> None:
-        if self.weather is Weather.slow:
+        if self.state is LinkState.slow:
             await asyncio.sleep(self.delay)
-        async with self.cleared:
-            await self.cleared.wait_for(
-                lambda: direction not in HELD.get(self.weather, set()),
+        async with self.changed:
+            await self.changed.wait_for(
+                lambda: direction not in HELD.get(self.state, set()),
             )
--- a/tests/soak/test_proxy.py
+++ b/tests/soak/test_proxy.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from soak.proxy import Proxy, Weather
+from soak.proxy import LinkState, Proxy
 
 HELD_SECONDS = 0.1
 WAIT_SECONDS = 15.0
@@ -38,27 +38,29 @@
 
 
 @pytest.mark.parametrize(
-    'weather',
-    [Weather.forth_held, Weather.back_held, Weather.silent],
+    'state',
+    [LinkState.forth_held, LinkState.back_held, LinkState.silent],
 )
-async def test_what_is_held_arrives_when_the_weather_clears(weather: Weather) -> None:
+async def test_what_is_held_arrives_when_the_link_is_whole_again(
+    state: LinkState,
+) -> None:
     async with running_proxy() as proxy:
         reader, writer = await connect(proxy)
-        await proxy.change(weather)
+        await proxy.change(state)
         writer.write(b'line\n')
         with pytest.raises(TimeoutError):
             async with asyncio.timeout(HELD_SECONDS):
                 await reader.readline()
-        await proxy.change(Weather.clear)
+        await proxy.change(LinkState.whole)
         async with asyncio.timeout(WAIT_SECONDS):
             assert await reader.readline() == b'line\n'
         writer.close()
 
 
-@pytest.mark.parametrize('weather', [Weather.clear, Weather.slow])
-async def test_bytes_pass_in_order(weather: Weather) -> None:
+@pytest.mark.parametrize('state', [LinkState.whole, LinkState.slow])
+async def test_bytes_pass_in_order(state: LinkState) -> None:
     async with running_proxy() as proxy:
-        await proxy.change(weather)
+        await proxy.change(state)
         reader, writer = await connect(proxy)
         async with asyncio.timeout(WAIT_SECONDS):
             for number in range(3):
