--- /dev/null
+++ b/tests/edge/test_platform_requests.py
@@ -0,0 +1,73 @@
+"""What of a caller's headers reaches an upstream."""
+
+import pytest
+
+from hitchdeck_core.ids import AccountName
+from hitchdeck_edge.model.dialect import Forwarding
+from hitchdeck_platform.requests import forward_headers, read_call
+from tests.common.scheduling import engine
+
+FORWARDING = Forwarding(engine('e0'), AccountName('ann'), 1.5, '', 0)
+
+
+def forwarded(*given: tuple[str, str]) -> list[tuple[bytes, bytes]]:
+    call = read_call('POST', '/a/b', [('Host', 'h'), *given])
+    return forward_headers(call, FORWARDING)
+
+
+@pytest.mark.parametrize(
+    'name',
+    [
+        'Hold',
+        'Pin-Ms',
+        'Kv-Backup',
+        'Kv-From',
+        'Kv-Fetch',
+        'Expect-Version',
+        'Authorization',
+        'Expect',
+    ],
+)
+@pytest.mark.parametrize('change_case', [str, str.lower, str.upper, str.swapcase])
+@pytest.mark.parametrize('times', [1, 2])
+def test_fields_of_the_system_never_come_from_a_caller(
+    name: str,
+    change_case: type[str],
+    times: int,
+) -> None:
+    spelled = change_case(name)
+    headers = forwarded(*[(spelled, 'x')] * times, ('Model', 'm'))
+    assert name.lower().encode() not in {one.lower() for one, _ in headers}
+    assert (b'Model', b'm') in headers
+
+
+@pytest.mark.parametrize(
+    ('name', 'own'),
+    [
+        ('Tenant', b'ann'),
+        ('Expect-Instance', b'e0'),
+        ('Deadline-Ms', b'1500'),
+    ],
+)
+def test_what_the_system_sets_stands_once_and_is_its_own(name: str, own: bytes) -> None:
+    headers = forwarded((name, '7'), (name.lower(), '8'))
+    texts = [text for one, text in headers if one.lower() == name.lower().encode()]
+    assert texts == [own]
+
+
+@pytest.mark.parametrize(
+    'header',
+    [
+        ('Model', 'm'),
+        ('Token-Count', '10,2'),
+        ('Prompt-Prefix', 'a:4,b:6'),
+        ('Length-Hint', '20'),
+        ('Attempt-Id', 'r1'),
+        ('X-Hold', 'own of the caller'),
+    ],
+)
+def test_what_a_caller_says_of_its_request_passes_unchanged(
+    header: tuple[str, str],
+) -> None:
+    name, text = header
+    assert (name.encode(), text.encode()) in forwarded(header)
