--- a/packages/edge/src/hitchdeck_edge/links/placing_messages.py
+++ b/packages/edge/src/hitchdeck_edge/links/placing_messages.py
@@ -34,7 +34,7 @@
     )
     if wanted.prompt is not None:
         message.tokens = wanted.prompt.tokens
-        message.most_made = wanted.prompt.most_made
+        message.expected_made = wanted.prompt.expected_made
         message.parts.extend(
             PromptPart(part=part.part, tokens=part.tokens)
             for part in wanted.prompt.parts
@@ -52,7 +52,7 @@
         slots=slots,
         goal=message.goal_ms / _MILLISECONDS,
         account=AccountName(message.account) if message.account else None,
-        prompt=Prompt(int(message.tokens), int(message.most_made), parts),
+        prompt=Prompt(int(message.tokens), int(message.expected_made), parts),
         tried=frozenset(UpstreamName(one) for one in message.tried),
         resumes=message.resumes,
     )
--- a/packages/edge/src/hitchdeck_edge/model/calls.py
+++ b/packages/edge/src/hitchdeck_edge/model/calls.py
@@ -24,10 +24,12 @@
     """Size of a generation, in tokens; ``parts`` in their order.
 
     All parts but the last may be shared with other requests.
+    ``expected_made`` is the caller's own estimate of what the engine will make
+    where it gives one, else the most that it allows.
     """
 
     tokens: int
-    most_made: int
+    expected_made: int
     parts: tuple[Part, ...]
 
 
--- a/packages/edge/src/hitchdeck_edge/scheduling/shares.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/shares.py
@@ -179,4 +179,4 @@
 
 def weight_of(prompt: Prompt) -> int:
     """Return a generation's size in the unit of the capacity."""
-    return prompt.tokens + MADE_WEIGHT * prompt.most_made
+    return prompt.tokens + MADE_WEIGHT * prompt.expected_made
--- a/tests/edge/test_platform_requests.py
+++ b/tests/edge/test_platform_requests.py
@@ -55,6 +55,32 @@
     assert texts == [own]
 
 
+@pytest.mark.parametrize(
+    ('hint', 'expected'),
+    [
+        (None, 900),
+        ('130', 130),
+        (' 130 ', 130),
+        ('0', 0),
+        ('2000', 900),
+        ('-5', 900),
+        ('inf', 900),
+        ('many', 900),
+        ('', 900),
+    ],
+)
+def test_the_callers_estimate_tells_what_an_engine_will_make(
+    hint: str | None,
+    expected: int,
+) -> None:
+    given = [('Token-Count', '500,900'), ('Prompt-Prefix', 'a:400,b:100')]
+    if hint is not None:
+        given.append(('Length-Hint', hint))
+    call = read_call('POST', '/a/b', given)
+    assert call.prompt is not None
+    assert call.prompt.expected_made == expected
+
+
 @pytest.mark.parametrize(
     'header',
     [
