--- /dev/null
+++ b/bench/lab/__main__.py
@@ -0,0 +1,51 @@
+"""Play the scheduler on many drawn deployments: ``python -m bench.lab``."""
+
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import asdict
+from random import Random
+from statistics import fmean
+
+import fire
+
+from bench.lab.deployment import draw_deployment
+from bench.lab.judge import Verdict
+from bench.lab.play import Play
+from hitchdeck_core import logs
+
+
+def play_one(seed: int, *, quiet: bool) -> Verdict:
+    """Return what one drawn play was worth."""
+    logs.silence()
+    deployment = draw_deployment(Random(f'{seed} deployment'), quiet=quiet)
+    return Play(deployment, str(seed)).run()
+
+
+def main(seeds: int = 14, first: int = 1, jobs: int = 2) -> None:
+    """Print the mean worth over drawn quiet and busy plays.
+
+    Parameters
+    ----------
+    seeds
+        Plays of each sort.
+    first
+        First seed.
+    jobs
+        Processes to use.
+    """
+    numbers = range(first, first + seeds)
+    with ProcessPoolExecutor(jobs) as pool:
+        for quiet in (True, False):
+            runs = [pool.submit(play_one, seed, quiet=quiet) for seed in numbers]
+            _print('quiet' if quiet else 'busy', [run.result() for run in runs])
+
+
+def _print(name: str, verdicts: list[Verdict]) -> None:
+    means = {
+        field: fmean(asdict(one)[field] for one in verdicts)
+        for field in asdict(verdicts[0])
+    }
+    print(name, ' '.join(f'{field} {mean:.3f}' for field, mean in means.items()))
+
+
+if __name__ == '__main__':
+    fire.Fire(main)
--- /dev/null
+++ b/bench/lab/judge.py
@@ -0,0 +1,114 @@
+"""What a play was worth: earned of owed, as the users' sheets weigh it."""
+
+from collections import Counter, defaultdict
+from collections.abc import Callable, Hashable, Iterable
+from dataclasses import dataclass
+
+from bench.lab.arrivals import Asked
+from bench.lab.deployment import Deployment
+from hitchdeck_core.ids import AccountName
+from hitchdeck_edge.scheduling.shares import even_level
+
+SHARE_WINDOW = 4.0
+"""Seconds in which an account is owed its share."""
+
+SHOWN_WINDOW = 2.0
+"""Seconds of the windows of which the two worst count by themselves."""
+
+WEIGHTS = (0.45, 0.15, 0.1, 0.3)
+"""Of the whole play, its worst windows, kind and accounts."""
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """Worth of a play and its parts; ``again`` is tokens read again."""
+
+    worth: float
+    whole: float
+    windows: float
+    kinds: float
+    accounts: float
+    again: float
+    late: int
+    refused: int
+    failed: int
+    asked: int
+
+
+def judge(deployment: Deployment, asked: list[Asked], again: float) -> Verdict:
+    """Return what a play was worth.
+
+    What an account asks beyond its max-min share in a window is not owed, and
+    what it earns beyond that does not count.
+    """
+    owed_of = _owed_parts(deployment, asked)
+    owed = sum(one.worth * owed_of[_cell(one)] for one in asked)
+
+    def ratio(group: Callable[[Asked], Hashable]) -> list[float]:
+        return _ratios(asked, owed_of, group)
+
+    whole = ratio(lambda one: 0)[0]
+    windows = _mean_of_worst(ratio(lambda one: int(one.at // SHOWN_WINDOW)), 2)
+    kinds = min(ratio(lambda one: one.kind.name))
+    accounts = _mean_of_worst(ratio(lambda one: one.account), 2)
+    price = again * deployment.again_price / owed
+    parts = (whole, windows, kinds, accounts)
+    worth = sum(weight * part for weight, part in zip(WEIGHTS, parts, strict=True))
+    outcomes = Counter(one.outcome for one in asked)
+    return Verdict(
+        worth=worth - price,
+        whole=whole,
+        windows=windows,
+        kinds=kinds,
+        accounts=accounts,
+        again=price,
+        late=outcomes['late'],
+        refused=outcomes['refused'],
+        failed=outcomes['failed'],
+        asked=len(asked),
+    )
+
+
+def _cell(one: Asked) -> tuple[int, AccountName]:
+    return int(one.at // SHARE_WINDOW), one.account
+
+
+def _owed_parts(
+    deployment: Deployment,
+    asked: Iterable[Asked],
+) -> dict[tuple[int, AccountName], float]:
+    """Return the owed part of what each account asked in each window."""
+    tokens: dict[int, Counter[AccountName]] = defaultdict(Counter)
+    for one in asked:
+        window, account = _cell(one)
+        tokens[window][account] += one.tokens
+    parts: dict[tuple[int, AccountName], float] = {}
+    for window, counts in tokens.items():
+        level = even_level(dict(counts), deployment.capacity * SHARE_WINDOW)
+        for account, count in counts.items():
+            parts[window, account] = min(1, level / max(1, count))
+    return parts
+
+
+def _ratios(
+    asked: Iterable[Asked],
+    owed_of: dict[tuple[int, AccountName], float],
+    group: Callable[[Asked], Hashable],
+) -> list[float]:
+    owed: dict[Hashable, float] = defaultdict(float)
+    cells: dict[tuple[Hashable, tuple[int, AccountName]], list[float]] = {}
+    for one in asked:
+        cell = _cell(one)
+        entry = cells.setdefault((group(one), cell), [0.0, 0.0])
+        entry[0] += one.worth * owed_of[cell]
+        entry[1] += one.earned
+    earned: dict[Hashable, float] = defaultdict(float)
+    for (name, _), (due, got) in cells.items():
+        owed[name] += due
+        earned[name] += min(due, got)
+    return [earned[name] / max(1e-9, owed[name]) for name in owed]
+
+
+def _mean_of_worst(ratios: list[float], count: int) -> float:
+    worst = sorted(ratios)[:count]
+    return sum(worst) / len(worst)
--- /dev/null
+++ b/bench/lab/play.py
@@ -0,0 +1,196 @@
+"""One play: callers on paper, the real scheduler, engines on paper."""
+
+from functools import partial
+from random import Random
+
+from bench.lab.arrivals import Asked, draw_arrivals
+from bench.lab.deployment import Deployment, Fault, FaultKind
+from bench.lab.engine import Engine, Run
+from bench.lab.judge import Verdict, judge
+from bench.lab.timeline import Timeline
+from hitchdeck_core.ids import Address, PoolName, RequestId, UpstreamName
+from hitchdeck_core.signals import Signal
+from hitchdeck_edge.model.calls import Part, PartId, Prompt
+from hitchdeck_edge.model.document import Document, DocumentVersion, Limits
+from hitchdeck_edge.model.placing import Choice, Wanted
+from hitchdeck_edge.model.refusals import Refusal
+from hitchdeck_edge.model.upstreams import Phase, Upstream
+from hitchdeck_edge.scheduling.scheduler import Scheduler
+from hitchdeck_edge.scheduling.shares import Shares
+from hitchdeck_edge.state.documents import Documents
+from hitchdeck_edge.state.registry import Registry
+
+POOL = PoolName('engines')
+DOMAIN = 'a'
+ASK_SECONDS = 0.008
+"""From a caller to the scheduler: link, parsing and one round of messages."""
+
+SEND_SECONDS = 0.004
+"""From the box to the engine, and as much back."""
+
+MOST_TRIES = 2
+"""A caller comes back once after a refusal."""
+
+PATIENT_PART = 3
+"""A caller waits at most this part of its time left before it comes back."""
+
+
+class Play:
+    """The state of one play."""
+
+    def __init__(self, deployment: Deployment, seed: str) -> None:
+        self.deployment = deployment
+        self.timeline = Timeline()
+        self.random = Random(f'{seed} arrivals')
+        self.engines: dict[UpstreamName, Engine] = {}
+        self.last_use: dict[str, float] = {}
+        self.again = 0.0
+        self.numbers = 0
+        self.down_until = 0.0
+        self.registry = Registry(self.now, Signal())
+        self.scheduler = self._new_scheduler()
+
+    def now(self) -> float:
+        """Return virtual time; the scheduler's clock starts late."""
+        return self.timeline.now + 1000
+
+    def run(self) -> Verdict:
+        """Play it to its end."""
+        for _ in range(self.deployment.engines):
+            self._add_engine()
+        asked = draw_arrivals(self.deployment, self.random)
+        for one in asked:
+            self.timeline.after(one.at, partial(self._come, one))
+        for fault in self.deployment.faults:
+            self.timeline.after(fault.at, partial(self._strike, fault))
+        self.timeline.play()
+        return judge(self.deployment, asked, self.again)
+
+    def _new_scheduler(self) -> Scheduler:
+        documents = Documents(_unread, Signal())
+        documents.document = Document(
+            version=DocumentVersion(1),
+            routes=(),
+            pools={},
+            limits=Limits(0, 0, 0, 0, self.deployment.capacity),
+            accounts=(),
+        )
+        return Scheduler(documents, self.registry, Shares(4, self.now), self.now)
+
+    def _add_engine(self) -> None:
+        self.numbers += 1
+        name = UpstreamName(f'engine-{self.numbers}')
+        self.engines[name] = Engine(
+            self.deployment.sheet,
+            self.timeline,
+            self._note_read,
+        )
+        places = self.deployment.sheet.places
+        record = Upstream(name, POOL, Address(name), DOMAIN, places, Phase.serving, 1)
+        self.registry.merge(record, 'play')
+
+    def _note_read(self, part: str, tokens: int) -> None:
+        now = self.timeline.now
+        last = self.last_use.get(part)
+        if last is not None and now - last < self.deployment.again_seconds:
+            self.again += tokens
+        self.last_use[part] = now
+
+    def _come(self, one: Asked) -> None:
+        one.tries += 1
+        self.timeline.after(ASK_SECONDS, lambda: self._place(one, frozenset()))
+
+    def _place(self, one: Asked, tried: frozenset[UpstreamName]) -> None:
+        if self.timeline.now < self.down_until:
+            self._refuse(one, 0.3)
+            return
+        self.numbers += 1
+        key = ('box', self.numbers)
+        decision = self.scheduler.place(key, self._wanted(one, tried))
+        if isinstance(decision, Refusal):
+            self._refuse(one, decision.value.retry_after)
+            return
+        engine = self.engines[decision.upstream.name]
+        if not engine.alive:
+            self.scheduler.end(key)
+            self.scheduler.placement.health.fail(decision.upstream.name, 'dead')
+            self._place(one, tried | {decision.upstream.name})
+            return
+        run = self._run_of(one, key, decision)
+        self.timeline.after(SEND_SECONDS, lambda: engine.submit(run))
+
+    def _run_of(self, one: Asked, key: tuple[str, int], choice: Choice) -> Run:
+        scheduler = self.scheduler
+
+        def on_first() -> None:
+            one.first = self.timeline.now + SEND_SECONDS - one.at
+            for part, _ in one.parts:
+                self.last_use[part] = self.timeline.now
+            scheduler.start(key)
+
+        def on_end(run: Run) -> None:
+            scheduler.end(key)
+            in_time = one.first <= one.kind.goal and not run.paused
+            one.earned = one.worth if in_time else one.late_worth
+            one.outcome = 'served' if in_time else 'late'
+
+        def on_lost() -> None:
+            scheduler.end(key)
+            scheduler.placement.health.fail(choice.upstream.name, 'lost')
+            one.outcome = 'failed'
+
+        return Run(
+            one.parts,
+            one.made,
+            one.kind.gap_goal,
+            on_first,
+            on_end,
+            on_lost,
+        )
+
+    def _refuse(self, one: Asked, retry_after: float) -> None:
+        left = one.at + one.kind.limit - self.timeline.now
+        one.outcome = 'refused'
+        if one.tries < MOST_TRIES and left > 0:
+            wait = min(retry_after, left / PATIENT_PART)
+            self.timeline.after(wait, lambda: self._come(one))
+
+    def _wanted(self, one: Asked, tried: frozenset[UpstreamName]) -> Wanted:
+        parts = tuple(Part(PartId(part), tokens) for part, tokens in one.parts)
+        return Wanted(
+            request=RequestId(''),
+            pool=POOL,
+            domain=DOMAIN,
+            slots=self.deployment.sheet.places,
+            goal=one.kind.goal,
+            account=one.account,
+            prompt=Prompt(one.read, one.expected_made, parts),
+            tried=tried,
+            resumes=bool(tried),
+        )
+
+    def _strike(self, fault: Fault) -> None:
+        if fault.kind is FaultKind.crash:
+            self._crash(fault)
+        else:
+            self._restart(fault)
+
+    def _crash(self, fault: Fault) -> None:
+        alive = [name for name, engine in self.engines.items() if engine.alive]
+        for name in self.random.sample(alive, fault.count):
+            self.engines[name].crash()
+            self.timeline.after(fault.lasts, self._add_engine)
+            self.timeline.after(fault.lasts, partial(self._end, name))
+
+    def _end(self, name: UpstreamName) -> None:
+        self.registry.end(name, 'play')
+
+    def _restart(self, fault: Fault) -> None:
+        self.down_until = self.timeline.now + fault.lasts
+        for engine in self.engines.values():
+            engine.drop_all()
+        self.scheduler = self._new_scheduler()
+
+
+def _unread(text: bytes) -> Document:
+    raise NotImplementedError(f'no document is read in a play ({len(text)} bytes)')
--- a/packages/core/src/hitchdeck_core/logs.py
+++ b/packages/core/src/hitchdeck_core/logs.py
@@ -64,6 +64,12 @@
     handler.stream = BoundedOutput(sys.stdout.fileno())
 
 
+def silence() -> None:
+    """Drop every line: for programs whose output is something else."""
+    logging.set_verbosity(logging.FATAL)
+    logging.get_absl_logger().setLevel(standard_logging.CRITICAL)
+
+
 def _log(
     level: int,
     event: str,
--- a/packages/edge/src/hitchdeck_edge/serving/admission.py
+++ b/packages/edge/src/hitchdeck_edge/serving/admission.py
@@ -161,8 +161,9 @@
             decided_by=passage.decided_by,
             unread=last.choice.tokens if last else 0,
             first_event=round(last.first_event, 3) if last else 0,
-            prompt=passage.call.prompt.tokens if passage.call.prompt else 0,
+            goal=passage.route.goal,
             seconds=round(seconds, 3),
+            **_size_fields(passage.call),
         )
 
     def _note_end(
@@ -180,9 +181,26 @@
             outcome=outcome,
             status=caller.status,
             seconds=round(self.now() - arrived, 3),
+            **(_size_fields(call) if call else {}),
         )
 
 
+def _size_fields(call: Call) -> dict[str, object]:
+    """Return what the log says of a generation.
+
+    A request that comes back after a refusal has another id, but the same
+    size and the same last part of its prompt.
+    """
+    prompt = call.prompt
+    if prompt is None:
+        return {}
+    return {
+        'prompt': prompt.tokens,
+        'expected_made': prompt.expected_made,
+        'last_part': prompt.parts[-1].part if prompt.parts else '',
+    }
+
+
 def _pool_of(route: Route) -> PoolName:
     if len(route.targets) == 1:
         return route.targets[0].pool
