Model what engines keep by the size of their memory

Hypothesis: a horizon of 20 s alone counts as cached what has been evicted under load. Change: each engine's parts are kept as it keeps them, least recently used first to go, within the memory that the document states; the horizon stays.

--- a/bench/lab/play.py
+++ b/bench/lab/play.py
@@ -11,7 +11,8 @@
 from hitchdeck_core.ids import Address, PoolName, RequestId, UpstreamName
 from hitchdeck_core.signals import Signal
 from hitchdeck_edge.model.calls import Part, PartId, Prompt
-from hitchdeck_edge.model.document import Document, DocumentVersion, Limits
+from hitchdeck_edge.model.document import Document, DocumentVersion, Limits, Pool
+from hitchdeck_edge.model.document import Engine as EngineLimits
 from hitchdeck_edge.model.placing import Choice, Wanted
 from hitchdeck_edge.model.refusals import Refusal
 from hitchdeck_edge.model.upstreams import Phase, Upstream
@@ -68,10 +69,12 @@
 
     def _new_scheduler(self) -> Scheduler:
         documents = Documents(_unread, Signal())
+        sheet = self.deployment.sheet
+        engine = EngineLimits(sheet.places, sheet.memory)
         documents.document = Document(
             version=DocumentVersion(1),
             routes=(),
-            pools={},
+            pools={POOL: Pool(POOL, 0, engine)},
             limits=Limits(0, 0, 0, 0, self.deployment.capacity),
             accounts=(),
         )
--- a/packages/edge/src/hitchdeck_edge/scheduling/memory.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/memory.py
@@ -1,49 +1,86 @@
 """Which parts of prompts an upstream's engine probably has in its cache."""
 
 from collections import OrderedDict
+from dataclasses import dataclass
 
 from hitchdeck_core.clock import Clock
 from hitchdeck_core.ids import UpstreamName
-from hitchdeck_edge.model.calls import PartId, Prompt
+from hitchdeck_edge.model.calls import Part, PartId, Prompt
 
-REMEMBERED_PARTS = 2000
-"""For each upstream: more shared parts than its memory can hold."""
+DEFAULT_TOKENS = 400_000
+"""An engine's memory where no document states it: the size of today's."""
 
 REMEMBERED_SECONDS = 20.0
-"""An engine evicts what was not used for the longest time; under load its
-memory turns over within about half a minute."""
+"""What was not used for so long is not counted on: other boxes may have sent
+there what this one does not know of."""
+
+
+@dataclass(frozen=True, slots=True)
+class Kept:
+    """A part in an engine's memory: its tokens, and when it was last used."""
+
+    tokens: int
+    used: float
+
+
+class EngineMemory:
+    """What one engine keeps: what was unused for the longest time yields."""
+
+    def __init__(self) -> None:
+        self.parts: OrderedDict[PartId, Kept] = OrderedDict()
+        self.tokens = 0
+
+    def use(self, part: Part, now: float, most: int) -> None:
+        """Note the use of a part; ``most`` is the engine's memory in tokens."""
+        known = self.parts.pop(part.part, None)
+        if known is not None:
+            self.tokens -= known.tokens
+        self.parts[part.part] = Kept(part.tokens, now)
+        self.tokens += part.tokens
+        while self.tokens > most:
+            _, yielded = self.parts.popitem(last=False)
+            self.tokens -= yielded.tokens
+
+    def cached(self, prompt: Prompt, horizon: float) -> int:
+        """Return how many tokens of a prompt are kept from its start on."""
+        total = 0
+        for part in prompt.parts:
+            known = self.parts.get(part.part)
+            if known is None or known.used < horizon:
+                break
+            total += part.tokens
+        return total
 
 
 class PrefixMemory:
-    """Parts that this box sent to each upstream, and when."""
+    """Parts that this box sent to each upstream, and when.
+
+    Attributes
+    ----------
+    size
+        Memory of an engine, in tokens.
+    """
 
     def __init__(self, now: Clock) -> None:
         self.now = now
-        self.parts: dict[UpstreamName, OrderedDict[PartId, float]] = {}
+        self.size = DEFAULT_TOKENS
+        self.engines: dict[UpstreamName, EngineMemory] = {}
 
     def uncached(self, name: UpstreamName, prompt: Prompt) -> int:
         """Return how many tokens of a prompt the engine must read."""
-        known = self.parts.get(name)
+        known = self.engines.get(name)
         if known is None:
             return prompt.tokens
         horizon = self.now() - REMEMBERED_SECONDS
-        cached = 0
-        for part in prompt.parts:
-            if known.get(part.part, float('-inf')) < horizon:
-                break
-            cached += part.tokens
-        return max(0, prompt.tokens - cached)
+        return max(0, prompt.tokens - known.cached(prompt, horizon))
 
     def note(self, name: UpstreamName, prompt: Prompt) -> None:
-        """Note that a prompt is sent to an upstream."""
-        known = self.parts.setdefault(name, OrderedDict())
+        """Note that a prompt is sent to an upstream, or has been read there."""
+        engine = self.engines.setdefault(name, EngineMemory())
         for part in prompt.parts:
-            known[part.part] = self.now()
-            known.move_to_end(part.part)
-        while len(known) > REMEMBERED_PARTS:
-            known.popitem(last=False)
+            engine.use(part, self.now(), self.size)
 
     def keep(self, names: set[UpstreamName]) -> None:
         """Drop what is known of all other upstreams."""
-        for name in self.parts.keys() - names:
-            self.parts.pop(name)
+        for name in self.engines.keys() - names:
+            self.engines.pop(name)
--- a/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
@@ -141,5 +141,8 @@
         if document is None or wanted.account is None or wanted.prompt is None:
             return 0
         self.shares.capacity = document.limits.tokens_per_second
+        pool = document.pools.get(wanted.pool)
+        if pool is not None and pool.engine is not None:
+            self.placement.memory.size = pool.engine.memory_tokens
         self.shares.ask(wanted)
         return self.shares.standing(wanted.account)
--- a/tests/edge/test_sharing.py
+++ b/tests/edge/test_sharing.py
@@ -223,6 +223,30 @@
     assert scheduler.shares.granted.total == 0
 
 
+@pytest.mark.parametrize(
+    ('sent_between', 'unread'),
+    [
+        # An engine of 4000 tokens still has the first 1000 ...
+        ([1000, 1000, 1000], 0),
+        # ... until as much again came after them.
+        ([1000, 1000, 1000, 1000], 1000),
+        ([4000], 1000),
+    ],
+)
+def test_an_engine_keeps_as_much_as_its_memory_holds(
+    sent_between: list[int],
+    unread: int,
+) -> None:
+    memory = PrefixMemory(FakeClock())
+    memory.size = 4000
+    first = Prompt(1000, 0, (Part(PartId('first'), 1000),))
+    memory.note(UpstreamName('e0'), first)
+    for number, tokens in enumerate(sent_between):
+        between = Part(PartId(str(number)), tokens)
+        memory.note(UpstreamName('e0'), Prompt(tokens, 0, (between,)))
+    assert memory.uncached(UpstreamName('e0'), first) == unread
+
+
 def test_a_prompt_that_was_never_sent_is_not_cached_right_after_boot() -> None:
     # Found by reading: the clock starts at boot, and what was never sent
     # counted as sent then.
