Start each role without the other's modules, and without the commands' codecs

Cause: after a restart of all boxes callers were refused until hubs and boxes had started; each imported the other's modules and codecs that the platform's processes never use. Change: a program for each role; outcomes, shared field types and sections in modules of their own.

--- a/packages/control/src/hitchdeck_control/answers.py
+++ b/packages/control/src/hitchdeck_control/answers.py
@@ -1,8 +1,8 @@
 """Answers to the questions that the leader is asked."""
 
 from hitchdeck_control.fleet.leader import Leader
-from hitchdeck_core.commands import Message
 from hitchdeck_core.ids import ReplicaId
+from hitchdeck_core.outcomes import Message
 from hitchdeck_core.queries import (
     AccountUsage,
     GetStatus,
--- a/packages/control/src/hitchdeck_control/fleet/leader.py
+++ b/packages/control/src/hitchdeck_control/fleet/leader.py
@@ -14,14 +14,9 @@
 from hitchdeck_control.raft.replica import Leadership, Replica
 from hitchdeck_core import logs
 from hitchdeck_core.clock import Clock, boot_seconds, wall_seconds
-from hitchdeck_core.commands import (
-    Command,
-    Outcome,
-    Submission,
-    command_codec,
-    submission_codec,
-)
+from hitchdeck_core.commands import Command, Submission, command_codec, submission_codec
 from hitchdeck_core.ids import ShardId
+from hitchdeck_core.outcomes import Outcome
 from hitchdeck_core.wire.hitchdeck_pb2 import ShardEntry
 
 _DUTY_PERIOD = 0.2
--- a/packages/control/src/hitchdeck_control/machine/configuration.py
+++ b/packages/control/src/hitchdeck_control/machine/configuration.py
@@ -3,7 +3,8 @@
 from expression import Error, Ok, Result
 
 from hitchdeck_control.machine.state import Change, Kept, MachineState
-from hitchdeck_core.commands import Applied, Batch, Delete, Put, Refused
+from hitchdeck_core.commands import Batch, Delete, Put
+from hitchdeck_core.outcomes import Applied, Refused
 
 _KEPT_CHANGES = 4000
 """An hour's cut at 28,000 changes a day is 1,167; a router that is further
--- a/packages/control/src/hitchdeck_control/machine/ledger.py
+++ b/packages/control/src/hitchdeck_control/machine/ledger.py
@@ -6,16 +6,8 @@
 """
 
 from hitchdeck_control.machine.state import ClaimEntry, MachineState
-from hitchdeck_core.commands import (
-    Applied,
-    Claim,
-    Granted,
-    Outcome,
-    Pending,
-    Refused,
-    Settle,
-    Settled,
-)
+from hitchdeck_core.commands import Claim, Settle
+from hitchdeck_core.outcomes import Applied, Granted, Outcome, Pending, Refused, Settled
 
 _CLOCK_ALLOWANCE = 300.0
 """Seconds by which a caller's clock may run ahead of the group's."""
--- a/packages/control/src/hitchdeck_control/machine/machine.py
+++ b/packages/control/src/hitchdeck_control/machine/machine.py
@@ -5,7 +5,6 @@
 from hitchdeck_control.machine import configuration, ledger, remembering
 from hitchdeck_control.machine.state import Duty, MachineState, Order
 from hitchdeck_core.commands import (
-    Applied,
     AssignShard,
     Batch,
     Claim,
@@ -13,14 +12,13 @@
     Delete,
     FinishOrder,
     NoOperation,
-    Outcome,
     PlaceOrder,
     Put,
-    Refused,
     Settle,
     Submission,
     submission_codec,
 )
+from hitchdeck_core.outcomes import Applied, Outcome, Refused
 from hitchdeck_core.signals import Signal
 
 _KEPT_ORDERS = 1000
--- a/packages/control/src/hitchdeck_control/machine/remembering.py
+++ b/packages/control/src/hitchdeck_control/machine/remembering.py
@@ -1,7 +1,8 @@
 """Operators' commands by number: a resend gets the first answer."""
 
 from hitchdeck_control.machine.state import MachineState, Remembered
-from hitchdeck_core.commands import Outcome, Refused, Submission
+from hitchdeck_core.commands import Submission
+from hitchdeck_core.outcomes import Outcome, Refused
 
 _KEPT_NUMBERS = 128
 
--- a/packages/control/src/hitchdeck_control/machine/state.py
+++ b/packages/control/src/hitchdeck_control/machine/state.py
@@ -2,8 +2,9 @@
 
 from pydantic import BaseModel, Field
 
-from hitchdeck_core.commands import Outcome, PlaceOrder
+from hitchdeck_core.commands import PlaceOrder
 from hitchdeck_core.ids import Incarnation, ShardId
+from hitchdeck_core.outcomes import Outcome
 from hitchdeck_core.resources import Resource
 
 
--- a/packages/control/src/hitchdeck_control/raft/replica.py
+++ b/packages/control/src/hitchdeck_control/raft/replica.py
@@ -9,8 +9,8 @@
 from hitchdeck_control.storage.log import DurableLog
 from hitchdeck_core import logs
 from hitchdeck_core.clock import Clock
-from hitchdeck_core.commands import Outcome
 from hitchdeck_core.ids import Address, BoxName, ReplicaId
+from hitchdeck_core.outcomes import Outcome
 from hitchdeck_core.signals import Signal
 from hitchdeck_core.wire.hitchdeck_pb2 import Entry, Member, Snapshot
 
--- a/packages/control/src/hitchdeck_control/service.py
+++ b/packages/control/src/hitchdeck_control/service.py
@@ -14,15 +14,9 @@
 from hitchdeck_control.fleet.leader import Leader
 from hitchdeck_control.fleet.watch import attend_router
 from hitchdeck_control.raft.membership import replace
-from hitchdeck_core.commands import (
-    Command,
-    Outcome,
-    Put,
-    Refused,
-    command_codec,
-    outcome_codec,
-)
+from hitchdeck_core.commands import Command, Put, command_codec, outcome_codec
 from hitchdeck_core.errors import ResourceError
+from hitchdeck_core.outcomes import Outcome, Refused
 from hitchdeck_core.queries import query_codec
 from hitchdeck_core.resources import Rule, explain
 from hitchdeck_core.wire.hitchdeck_grpc import ControlBase
--- a/packages/core/src/hitchdeck_core/commands.py
+++ b/packages/core/src/hitchdeck_core/commands.py
@@ -1,19 +1,14 @@
-"""Commands that the control group commits, and what it answers."""
+"""Commands that the control group commits."""
 
 from typing import Annotated, Literal
 
-from pydantic import BaseModel, ConfigDict, Field, TypeAdapter
+from pydantic import Field, TypeAdapter
 
 from hitchdeck_core.ids import Incarnation, ShardId
+from hitchdeck_core.outcomes import Message, Outcome
 from hitchdeck_core.resources import Resource
 
 
-class Message(BaseModel):
-    """Base of commands and outcomes: immutable and closed."""
-
-    model_config = ConfigDict(extra='forbid', frozen=True)
-
-
 class Put(Message):
     """Create or replace a resource.
 
@@ -136,59 +131,6 @@
     digest: str = ''
 
 
-class Applied(Message):
-    """The command took effect; ``version`` is the configuration after it."""
-
-    result: Literal['applied'] = 'applied'
-    version: int
-
-
-class Refused(Message):
-    """The command had no effect."""
-
-    result: Literal['refused'] = 'refused'
-    code: Literal[
-        'number-reused',
-        'number-too-old',
-        'version-conflict',
-        'not-found',
-        'invalid',
-        'expired',
-        'content-conflict',
-    ]
-    reason: str
-
-
-class Granted(Message):
-    """The claim is the router's: it may dispatch once, now."""
-
-    result: Literal['granted'] = 'granted'
-
-
-class Settled(Message):
-    """The request ran earlier; this is what is kept of its answer."""
-
-    result: Literal['settled'] = 'settled'
-    ran: str
-    status: int
-    content_type: str
-    body: str
-
-
-class Pending(Message):
-    """Another router life holds the claim and has not said how it ended."""
-
-    result: Literal['pending'] = 'pending'
-    router: str
-    incarnation: Incarnation
-    request: str
-
-
-Outcome = Annotated[
-    Applied | Refused | Granted | Settled | Pending,
-    Field(discriminator='result'),
-]
-
 command_codec: TypeAdapter[Command] = TypeAdapter(Command)
 submission_codec: TypeAdapter[Submission] = TypeAdapter(Submission)
 outcome_codec: TypeAdapter[Outcome] = TypeAdapter(Outcome)
--- a/packages/core/src/hitchdeck_core/control_client.py
+++ b/packages/core/src/hitchdeck_core/control_client.py
@@ -10,14 +10,10 @@
 from pydantic import BaseModel
 
 from hitchdeck_core.channels import TRANSPORT_ERRORS, open_channel
-from hitchdeck_core.commands import (
-    Command,
-    Outcome,
-    command_codec,
-    outcome_codec,
-)
+from hitchdeck_core.commands import Command, command_codec, outcome_codec
 from hitchdeck_core.errors import AuthenticationError, HitchdeckError, LinkError
 from hitchdeck_core.ids import Address
+from hitchdeck_core.outcomes import Outcome
 from hitchdeck_core.queries import Query, query_codec
 from hitchdeck_core.wire.hitchdeck_grpc import ControlStub
 from hitchdeck_core.wire.hitchdeck_pb2 import (
--- a/packages/core/src/hitchdeck_core/queries.py
+++ b/packages/core/src/hitchdeck_core/queries.py
@@ -4,7 +4,7 @@
 
 from pydantic import Field, TypeAdapter
 
-from hitchdeck_core.commands import Message
+from hitchdeck_core.outcomes import Message
 from hitchdeck_core.resources import Resource
 
 
--- a/packages/core/src/hitchdeck_core/resources.py
+++ b/packages/core/src/hitchdeck_core/resources.py
@@ -1,6 +1,5 @@
 """Resources that operators define; the same shape in TOML, log and wire."""
 
-import ipaddress
 from enum import Enum, IntEnum
 from typing import Annotated, Any, Literal, Self
 
@@ -14,12 +13,10 @@
 )
 
 from hitchdeck_core.errors import ResourceError
-from hitchdeck_core.ids import AccountName, Address, PoolName, UpstreamName
+from hitchdeck_core.field_types import AddressText, Name
+from hitchdeck_core.ids import AccountName, PoolName, UpstreamName
 from hitchdeck_core.labels import check_labels, check_selector
 
-_NAME_PATTERN = r'^[a-z0-9]([a-z0-9._-]{0,61}[a-z0-9])?$'
-_LAST_PORT = 65535
-
 
 class Kind(Enum):
     """Kinds of resources."""
@@ -55,18 +52,6 @@
     deferrable = 'deferrable'
 
 
-def check_address(text: str) -> str:
-    """Return ``IP:port`` text, or raise ``ValueError`` naming what is wrong."""
-    host, colon, port = text.rpartition(':')
-    if not colon or not port.isdigit() or int(port) > _LAST_PORT:
-        raise ValueError(f'{text!r} is not IP:port')
-    try:
-        ipaddress.ip_address(host.strip('[]'))
-    except ValueError as error:
-        raise ValueError(f'{text!r} has no IP number: {error}') from error
-    return text
-
-
 def _check_selector_text(text: str) -> str:
     try:
         check_selector(text)
@@ -83,10 +68,8 @@
     return labels
 
 
-Name = Annotated[str, Field(pattern=_NAME_PATTERN)]
 SelectorText = Annotated[str, AfterValidator(_check_selector_text)]
 LabelMap = Annotated[dict[str, str], AfterValidator(_check_label_map)]
-AddressText = Annotated[Address, AfterValidator(check_address)]
 
 
 class Definition(BaseModel):
--- a/packages/core/src/hitchdeck_core/settings.py
+++ b/packages/core/src/hitchdeck_core/settings.py
@@ -6,15 +6,14 @@
 from typing import Any, Self
 
 from pydantic import (
-    BaseModel,
-    ConfigDict,
     Field,
     ValidationError,
     model_validator,
 )
 
 from hitchdeck_core.errors import SettingsError
-from hitchdeck_core.resources import AddressText, Name, explain
+from hitchdeck_core.field_types import AddressText, Name, Section
+from hitchdeck_core.resources import explain
 
 
 class Role(Enum):
@@ -24,12 +23,6 @@
     router = 'router'
 
 
-class Section(BaseModel):
-    """Base of every section: unknown keys are errors."""
-
-    model_config = ConfigDict(extra='forbid', frozen=True)
-
-
 class ControlSection(Section):
     """The ``[control]`` table: a replica of the control group.
 
--- /dev/null
+++ b/packages/daemon/src/hitchdeck_daemon/platform_hub.py
@@ -0,0 +1,33 @@
+"""A hub on the platform: ``python3 -m hitchdeck_daemon.platform_hub``."""
+
+import asyncio
+
+from hitchdeck_core.errors import SettingsError
+from hitchdeck_daemon.on_platform import Role, run_role
+from hitchdeck_edge.hub.process import start_hub
+from hitchdeck_platform.documents import read_document
+from hitchdeck_platform.doors import open_doors
+from hitchdeck_platform.settings import PlatformSettings
+
+STOP_SECONDS = 0.5
+"""A stopping hub still answers calls that are under way for so long."""
+
+
+async def start(settings: PlatformSettings) -> Role:
+    """Start the hub that the settings ask for."""
+    if settings.hub is None:
+        raise SettingsError('these settings ask for no hub')
+    hub = await start_hub(settings.hub, read_document)
+    doors = open_doors(hub)
+
+    async def stop() -> None:
+        await asyncio.sleep(STOP_SECONDS)
+        for door in doors:
+            door.stop()
+        await hub.stop()
+
+    return Role(hub.book, stop)
+
+
+if __name__ == '__main__':
+    run_role(start)
--- a/packages/edge/src/hitchdeck_edge/hub/machine.py
+++ b/packages/edge/src/hitchdeck_edge/hub/machine.py
@@ -7,7 +7,7 @@
 import zlib
 from collections.abc import Callable
 
-from hitchdeck_core.commands import Applied, Outcome
+from hitchdeck_core.outcomes import Applied, Outcome
 from hitchdeck_core.wire.spread_pb2 import Document as DocumentMessage
 from hitchdeck_edge.model.document import DocumentVersion
 
--- a/packages/edge/src/hitchdeck_edge/settings.py
+++ b/packages/edge/src/hitchdeck_edge/settings.py
@@ -4,8 +4,7 @@
 
 from pydantic import Field
 
-from hitchdeck_core.resources import AddressText, Name
-from hitchdeck_core.settings import Section
+from hitchdeck_core.field_types import AddressText, Name, Section
 
 
 class BoxSettings(Section):
--- a/packages/router/src/hitchdeck_router/dispatch/ledger.py
+++ b/packages/router/src/hitchdeck_router/dispatch/ledger.py
@@ -6,18 +6,11 @@
 from enum import Enum
 
 from hitchdeck_core import logs
-from hitchdeck_core.commands import (
-    Claim,
-    Granted,
-    Outcome,
-    Pending,
-    Refused,
-    Settle,
-    Settled,
-)
+from hitchdeck_core.commands import Claim, Settle
 from hitchdeck_core.control_client import ControlClient
 from hitchdeck_core.errors import LinkError
 from hitchdeck_core.ids import Incarnation, UpstreamName
+from hitchdeck_core.outcomes import Granted, Outcome, Pending, Refused, Settled
 from hitchdeck_core.supervisor import Supervisor
 from hitchdeck_router.dispatch.requests import Admitted, Key
 from hitchdeck_router.errors import NotRunError, OutcomeUnknownError, RouterError
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -11,6 +11,7 @@
 import sys
 from dataclasses import dataclass, field
 from pathlib import Path
+from types import MappingProxyType
 
 FIRST_PORT = 21_400
 SETTINGS = """
@@ -40,6 +41,14 @@
 """
 
 
+PROGRAMS = MappingProxyType(
+    {
+        'hub': 'hitchdeck_daemon.platform_hub',
+        'box': 'hitchdeck_daemon.platform_entry',
+    },
+)
+
+
 @dataclass(slots=True)
 class Program:
     """One process of the fleet, and how to start it again."""
@@ -56,7 +65,7 @@
         """Start the process."""
         with self.log.open('ab') as output:
             self.process = subprocess.Popen(
-                [sys.executable, '-m', 'hitchdeck_daemon.on_platform'],
+                [sys.executable, '-m', PROGRAMS[self.role]],
                 env={**os.environ, 'HITCHDECK_SETTINGS': str(self.settings)},
                 stdout=output,
                 stderr=output,
--- a/tests/common/group.py
+++ b/tests/common/group.py
@@ -15,9 +15,10 @@
 from hitchdeck_control.storage.identity import open_identity
 from hitchdeck_control.storage.log import DurableLog
 from hitchdeck_core.clock import boot_seconds
-from hitchdeck_core.commands import Outcome, Put, Submission, submission_codec
+from hitchdeck_core.commands import Put, Submission, submission_codec
 from hitchdeck_core.errors import LinkError
 from hitchdeck_core.ids import Address, BoxName
+from hitchdeck_core.outcomes import Outcome
 from hitchdeck_core.resources import Account
 from hitchdeck_core.supervisor import Supervisor
 from hitchdeck_core.wire.hitchdeck_pb2 import (
--- a/tests/cover/test_machine.py
+++ b/tests/cover/test_machine.py
@@ -6,25 +6,20 @@
 
 from hitchdeck_control.machine.machine import Machine
 from hitchdeck_core.commands import (
-    Applied,
     AssignShard,
     Batch,
     Claim,
     Command,
     Delete,
-    Granted,
-    Outcome,
-    Pending,
     PlaceOrder,
     Put,
-    Refused,
     Settle,
-    Settled,
     Submission,
     command_codec,
     submission_codec,
 )
 from hitchdeck_core.ids import Incarnation, ShardId
+from hitchdeck_core.outcomes import Applied, Granted, Outcome, Pending, Refused, Settled
 from hitchdeck_core.resources import Account
 
 RETENTION = 100.0
--- a/tests/fuzz/test_machine_fuzz.py
+++ b/tests/fuzz/test_machine_fuzz.py
@@ -7,16 +7,8 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from hitchdeck_control.machine.machine import Machine
-from hitchdeck_core.commands import (
-    Applied,
-    Command,
-    Delete,
-    Granted,
-    Outcome,
-    Pending,
-    Refused,
-    Settled,
-)
+from hitchdeck_core.commands import Command, Delete
+from hitchdeck_core.outcomes import Applied, Granted, Outcome, Pending, Refused, Settled
 from tests.cover.test_machine import RETENTION, claim, put, settle, submit
 
 NAMES = st.sampled_from(['x', 'y'])
