Keep the upstreams on a hub's disk for the moment of a restart

Cause: after a power loss of all boxes hubs know an engine only when it reports again, every 1.2 s. Ruled out: engines at work (they were idle). Change: the file that keeps the newest document becomes one of two; the other holds the upstreams, ended ones too, rewritten at most five times a second when one changes.

--- /dev/null
+++ b/packages/edge/src/hitchdeck_edge/hub/kept_file.py
@@ -0,0 +1,137 @@
+"""What a hub keeps on its disk for the moment of a restart.
+
+The log says what was appended; what of it is committed is known only once a
+leader is elected, a second or more after all hubs have lost power.  A document
+kept here was committed, so boxes may serve under it at once.  Upstreams report
+themselves every second or so; until they have, the fleet would send everything
+to the first that did.
+"""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from hitchdeck_control.storage.files import replace_file
+from hitchdeck_control.storage.records import Damage, frame, unframe
+from hitchdeck_core import logs
+from hitchdeck_core.signals import Signal
+from hitchdeck_core.wire.spread_pb2 import Document, HubFrame
+from hitchdeck_edge.links.records import decode_upstream, encode_upstream
+from hitchdeck_edge.model.document import DocumentVersion
+from hitchdeck_edge.state.documents import Documents
+from hitchdeck_edge.state.registry import Registry
+
+RETRY_SECONDS = 1.0
+"""Pause after the disk refused; what comes next is newer anyway."""
+
+WRITE_SECONDS = 0.2
+"""Between two writes of one file, so that a burst of changes costs few."""
+
+ORIGIN = 'disk'
+"""Where the log says that recalled news comes from."""
+
+
+@dataclass(frozen=True, slots=True)
+class Kept:
+    """What a file keeps, as functions.
+
+    ``stamp`` grows with each change of it, ``compose`` returns it, and
+    ``recall`` takes it back.
+    """
+
+    stamp: Callable[[], int]
+    compose: Callable[[], bytes]
+    recall: Callable[[bytes], None]
+
+
+class KeptFile:
+    """A file that is replaced as a whole when what it keeps has changed."""
+
+    def __init__(self, path: Path, kept: Kept, changed: Signal) -> None:
+        self.path = path
+        self.kept = kept
+        self.changed = changed
+        self.written = 0
+
+    def recall(self) -> None:
+        """Take back what the file holds, if it is whole."""
+        try:
+            content = self.path.read_bytes()
+        except OSError as error:
+            logs.info('nothing kept', file=self.path.name, reason=repr(error))
+            return
+        for payload in unframe(content):
+            if isinstance(payload, Damage):
+                logs.warning(
+                    'kept file damaged',
+                    file=self.path.name,
+                    offset=payload.offset,
+                )
+                return
+            self.kept.recall(payload)
+        self.written = self.kept.stamp()
+
+    async def run(self) -> None:
+        """Write each newer state; for ever."""
+        while True:
+            if self.written < self.kept.stamp():
+                await self._write()
+            await self.changed.wait(RETRY_SECONDS)
+
+    async def _write(self) -> None:
+        stamp = self.kept.stamp()
+        content = frame(self.kept.compose())
+        try:
+            await _finished(asyncio.to_thread(replace_file, self.path, content))
+        except OSError as error:
+            logs.warning('file not kept', file=self.path.name, reason=repr(error))
+            await asyncio.sleep(RETRY_SECONDS)
+            return
+        self.written = stamp
+        await asyncio.sleep(WRITE_SECONDS)
+
+
+def document_file(folder: Path, documents: Documents) -> KeptFile:
+    """Return the file of the newest committed document."""
+
+    def compose() -> bytes:
+        return bytes(documents.message().SerializeToString())
+
+    def recall(payload: bytes) -> None:
+        document = Document.FromString(payload)
+        version = DocumentVersion(int(document.version))
+        documents.offer(version, document.body, ORIGIN)
+
+    kept = Kept(lambda: documents.version, compose, recall)
+    return KeptFile(folder / 'document', kept, documents.changed)
+
+
+def upstreams_file(folder: Path, registry: Registry) -> KeptFile:
+    """Return the file of all upstreams, ended ones too.
+
+    They count as heard of at the recall, so those that report no more fall
+    silent soon after.
+    """
+
+    def compose() -> bytes:
+        records = map(encode_upstream, registry.records.values())
+        return bytes(HubFrame(upstreams=records).SerializeToString())
+
+    def recall(payload: bytes) -> None:
+        for record in HubFrame.FromString(payload).upstreams:
+            registry.merge(decode_upstream(record), ORIGIN)
+
+    kept = Kept(lambda: registry.changes, compose, recall)
+    return KeptFile(folder / 'upstreams', kept, registry.changed)
+
+
+async def _finished(work: Coroutine[Any, Any, None]) -> None:
+    """Wait for a thread's work, also when cancelled: it goes on all the same."""
+    task = asyncio.create_task(work)
+    try:
+        await asyncio.shield(task)
+    except asyncio.CancelledError:
+        await task
+        raise
--- a/packages/edge/src/hitchdeck_edge/hub/process.py
+++ b/packages/edge/src/hitchdeck_edge/hub/process.py
@@ -17,9 +17,9 @@
 from hitchdeck_core.ids import Address, BoxName
 from hitchdeck_core.supervisor import Supervisor
 from hitchdeck_edge.hub import formation
-from hitchdeck_edge.hub.document_file import DocumentFile
 from hitchdeck_edge.hub.documents import DocumentsService, Seat
 from hitchdeck_edge.hub.documents_client import DocumentsClient
+from hitchdeck_edge.hub.kept_file import KeptFile, document_file, upstreams_file
 from hitchdeck_edge.hub.liveness import Liveness
 from hitchdeck_edge.hub.peers import HubPeer
 from hitchdeck_edge.hub.placing import PlacingService, placing_service
@@ -94,7 +94,7 @@
     """
     state = new_state(settings, read)
     replica = open_replica(settings, state.documents)
-    document_file = _document_file(settings, state)
+    kept_files = _kept_files(settings, state)
     book = _book(settings)
     seat = Seat(replica, settings.voters_needed)
     service = DocumentsService(seat, state.documents)
@@ -111,8 +111,8 @@
     )
     await _listen(hub, service)
     _start_tasks(hub, book)
-    if document_file is not None:
-        hub.supervisor.permanent('document file', document_file.run)
+    for file in kept_files:
+        hub.supervisor.permanent(f'file {file.path.name}', file.run)
     logs.info('hub listens', address=settings.listen, durable=replica is not None)
     return hub
 
@@ -124,12 +124,17 @@
     return book
 
 
-def _document_file(settings: HubSettings, state: HubState) -> DocumentFile | None:
+def _kept_files(settings: HubSettings, state: HubState) -> list[KeptFile]:
     if settings.data_folder is None:
-        return None
-    document_file = DocumentFile(group_folder(settings.data_folder), state.documents)
-    document_file.recall()
-    return document_file
+        return []
+    folder = group_folder(settings.data_folder)
+    files = [
+        document_file(folder, state.documents),
+        upstreams_file(folder, state.registry),
+    ]
+    for file in files:
+        file.recall()
+    return files
 
 
 async def _listen(hub: Hub, service: DocumentsService) -> None:
