--- a/bench/lab/judge.py
+++ b/bench/lab/judge.py
@@ -1,5 +1,6 @@
 """What a play was worth: earned of owed, as the users' sheets weigh it."""
 
+from bisect import bisect
 from collections import Counter, defaultdict
 from collections.abc import Callable, Hashable, Iterable
 from dataclasses import dataclass
@@ -15,6 +16,9 @@
 SHOWN_WINDOW = 2.0
 """Seconds of the windows of which the two worst count by themselves."""
 
+LARGEST_PARTS = (0.1, 0.3)
+"""The largest tenth of a kind, and the fifth below it, are classes too."""
+
 WEIGHTS = (0.45, 0.15, 0.1, 0.3)
 """Of the whole play, its worst windows, kind and accounts."""
 
@@ -49,7 +53,8 @@
 
     whole = ratio(lambda one: 0)[0]
     windows = _mean_of_worst(ratio(lambda one: int(one.at // SHOWN_WINDOW)), 2)
-    kinds = min(ratio(lambda one: one.kind.name))
+    sizes = _size_classes(asked)
+    kinds = min(ratio(lambda one: one.kind.name) + ratio(sizes.__getitem__))
     accounts = _mean_of_worst(ratio(lambda one: one.account), 2)
     price = again * deployment.again_price / owed
     parts = (whole, windows, kinds, accounts)
@@ -69,6 +74,24 @@
     )
 
 
+def _size_classes(asked: Iterable[Asked]) -> dict[Asked, str]:
+    """Return the class of each request by its size among those of its kind."""
+    classes: dict[Asked, str] = {}
+    by_kind: dict[str, list[Asked]] = defaultdict(list)
+    for one in asked:
+        by_kind[one.kind.name].append(one)
+    for name, members in by_kind.items():
+        members.sort(key=_size, reverse=True)
+        for position, one in enumerate(members):
+            part = position / len(members)
+            classes[one] = f'{name} {bisect(LARGEST_PARTS, part)}'
+    return classes
+
+
+def _size(one: Asked) -> int:
+    return one.read + 10 * one.made
+
+
 def _cell(one: Asked) -> tuple[int, AccountName]:
     return int(one.at // SHARE_WINDOW), one.account
 
--- a/packages/edge/src/hitchdeck_edge/scheduling/patience.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/patience.py
@@ -21,9 +21,11 @@
 plays in virtual time 0.70 was earned at 1, 0.73 at 2, 0.74 at 4, where more
 was refused."""
 
-LATE_PART = 0.25
+LATE_PART = 0.5
 """Part of its goal that a prompt may wait which is too long to be read within
-its goal: served late it is of use, and refused it would never be served."""
+its goal: served late it is of use, and refused it would never be served.  Of what
+was owed to the largest tenth 0.66 was earned at 0.25, 0.70 at 0.5 (busy plays
+in virtual time)."""
 
 MADE_WORK = 1.4
 """What a token made takes of an engine, in tokens read: some 0.035 ms of each
