Send what is within a share to another engine rather than refuse it

Change: such a request goes to the engine with a free place that makes its first token soonest, if that is in time. The new test fails before.

--- a/packages/edge/src/hitchdeck_edge/scheduling/placement.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/placement.py
@@ -106,6 +106,21 @@
         self.books.keep(present)
         self.health.keep(present)
 
+    def soonest(self, wanted: Wanted) -> Choice | None:
+        """Return the engine with a free place that makes the first token soonest.
+
+        It may have to read again what another one has cached.
+        """
+        prompt = wanted.prompt
+        if prompt is None:
+            return self.choose(wanted)
+        choices = [
+            self._choice(one, wanted, self.memory.uncached(one.name, prompt))
+            for one in self.candidates(wanted)
+            if not self._is_full(one, wanted)
+        ]
+        return min(choices, key=_begin, default=None)
+
     def _choose_engine(
         self,
         wanted: Wanted,
@@ -118,11 +133,20 @@
             for one in candidates
         ]
         _, tokens, best = min(weighed, key=lambda entry: entry[0])
-        seconds = self.health.record(best.name).slowness / self.pace.of(wanted.pool)
+        return self._choice(best, wanted, tokens)
+
+    def _choice(
+        self,
+        upstream: Upstream,
+        wanted: Wanted,
+        tokens: int,
+    ) -> Choice:
+        slowness = self.health.record(upstream.name).slowness
+        seconds = slowness / self.pace.of(wanted.pool)
         return Choice(
-            best,
+            upstream,
             tokens,
-            queue=self._queue(best.name) * seconds,
+            queue=self._wait(upstream.name) * seconds,
             reading=tokens * seconds,
         )
 
@@ -147,18 +171,20 @@
         if holds and prompt.parts:
             tokens = min(tokens, prompt.parts[-1].tokens)
         again = max(0, tokens - prompt.parts[-1].tokens) if prompt.parts else 0
-        cost = float(self._queue(name) + tokens + AGAIN_WEIGHT * again)
-        if self.books.running(name) >= wanted.slots:
+        cost = float(self._wait(name) + tokens + AGAIN_WEIGHT * again)
+        if self._is_full(upstream, wanted):
             cost += FULL_TOKENS
         cost *= self.health.record(name).slowness
         if upstream.domain == wanted.domain:
             cost -= NEAR_TOKENS
         return cost, tokens, upstream
 
-    def _queue(self, name: UpstreamName) -> int:
+    def _wait(self, name: UpstreamName) -> int:
         """Return what is before a new request at an engine, in tokens."""
-        running = RUNNING_TOKENS * self.books.running(name)
-        return self.books.waiting(name) + running
+        return self.books.waiting(name) + RUNNING_TOKENS * self.books.running(name)
+
+    def _is_full(self, upstream: Upstream, wanted: Wanted) -> bool:
+        return self.books.running(upstream.name) >= wanted.slots
 
     def _plain_cost(self, upstream: Upstream, wanted: Wanted) -> float:
         record = self.health.record(upstream.name)
@@ -167,3 +193,7 @@
         far = 1 if upstream.domain == wanted.domain else FAR_FACTOR
         jitter = random.uniform(1, JITTER_FACTOR)
         return (self.books.running(upstream.name) + 1) * seconds * doubt * far * jitter
+
+
+def _begin(choice: Choice) -> float:
+    return choice.queue + choice.reading
--- a/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
@@ -59,13 +59,13 @@
         choice = self.placement.choose(wanted)
         if choice is None:
             return self._refuse(wanted, Refusal.no_upstream, standing, 0)
-        if wanted.resumes or choice.queue <= longest_queue(wanted, choice, standing):
+        accepted = self._accepted(wanted, choice, standing)
+        if accepted is not None:
             if self.documents.document is not None:
                 self.shares.grant(wanted)
-            return choice
-        if standing > 1:
-            return self._refuse(wanted, Refusal.over_share, standing, choice.queue)
-        return self._refuse(wanted, Refusal.overloaded, standing, choice.queue)
+            return accepted
+        refusal = Refusal.over_share if standing > 1 else Refusal.overloaded
+        return self._refuse(wanted, refusal, standing, choice.queue)
 
     def place(self, key: BoxTicket, wanted: Wanted) -> Choice | Refusal:
         """Decide, and enter the request in the books."""
@@ -115,6 +115,28 @@
             self.placement.forget_gone()
             await asyncio.sleep(CLEANUP_SECONDS)
 
+    def _accepted(
+        self,
+        wanted: Wanted,
+        choice: Choice,
+        standing: float,
+    ) -> Choice | None:
+        """Return where a request may go within its time, if anywhere.
+
+        The cheapest engine may be one with a long wait, for what it has
+        cached.  Rather than refuse a request within its share, another one
+        reads that again.
+        """
+        if wanted.resumes or choice.queue <= longest_queue(wanted, choice, standing):
+            return choice
+        if standing > 1:
+            return None
+        soonest = self.placement.soonest(wanted)
+        if soonest is None:
+            return None
+        longest = longest_queue(wanted, soonest, standing)
+        return soonest if soonest.queue <= longest else None
+
     def _refuse(
         self,
         wanted: Wanted,
--- a/tests/edge/test_sharing.py
+++ b/tests/edge/test_sharing.py
@@ -101,6 +101,18 @@
     assert len(set(names)) > 1
 
 
+def test_rather_than_be_refused_a_request_within_its_share_goes_elsewhere() -> None:
+    # The engine that has the subject is cheapest, and busy beyond the goal.
+    scheduler = scheduler_of(FakeClock(), 2)
+    first = scheduler.place(('box', 0), wanted(tokens=20_000))
+    assert isinstance(first, Choice)
+    scheduler.start(('box', 0))
+    scheduler.enter(('box', 1), first.upstream.name, 40_000)
+    second = scheduler.decide(wanted(tokens=20_000))
+    assert isinstance(second, Choice)
+    assert second.upstream.name != first.upstream.name
+
+
 def test_scheduled_work_spreads_evenly_and_is_forgotten_with_its_box() -> None:
     scheduler = scheduler_of(FakeClock(), 4)
     for number in range(40):
