Count the places that are taken into the expected wait

Hypothesis: where engines have few places, these bind and not reading; the expected wait did not know them. Change: the wait is the longer of that for reading and that for a place, which become free over the mean time that a request holds one (learned from ends).

--- a/packages/edge/src/hitchdeck_edge/scheduling/pace.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/pace.py
@@ -1,4 +1,7 @@
-"""How fast the engines of a pool read prompts, learned from first tokens."""
+"""How fast the engines of a pool read prompts, and how long requests run there.
+
+Both are learned from first events and ends.
+"""
 
 from hitchdeck_core.ids import PoolName
 
@@ -13,12 +16,17 @@
 reads.  Too low a figure would refuse the first requests of all."""
 
 
+DEFAULT_RUN_SECONDS = 1.0
+"""How long a request holds a place, until some have ended."""
+
+
 class Pace:
-    """Tokens read a second, by pool."""
+    """Tokens read a second, and seconds that a place is held, by pool."""
 
     def __init__(self) -> None:
         self.tokens: dict[PoolName, float] = {}
         self.seconds: dict[PoolName, float] = {}
+        self.run_seconds: dict[PoolName, float] = {}
 
     def measure(self, pool: PoolName, tokens: int, seconds: float) -> None:
         """Note that so many tokens were read before a first token came."""
@@ -32,3 +40,12 @@
         if pool not in self.seconds:
             return DEFAULT_PACE
         return self.tokens[pool] / self.seconds[pool]
+
+    def measure_run(self, pool: PoolName, seconds: float) -> None:
+        """Note that a request held a place for so long."""
+        known = self.run_of(pool)
+        self.run_seconds[pool] = known + (1 - DECAY) * (seconds - known)
+
+    def run_of(self, pool: PoolName) -> float:
+        """Return how long a request holds a place at an engine of a pool."""
+        return self.run_seconds.get(pool, DEFAULT_RUN_SECONDS)
--- a/packages/edge/src/hitchdeck_edge/scheduling/placement.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/placement.py
@@ -96,6 +96,11 @@
         ratio = min(MOST_SLOWNESS, max(1, seconds / expected))
         self.health.measure_slowness(ticket.upstream, ratio)
 
+    def measure_run(self, ticket: Ticket, wanted: Wanted) -> None:
+        """Learn from how long a request held its place."""
+        if not ticket.reading:
+            self.pace.measure_run(wanted.pool, self.books.now() - ticket.opened)
+
     def forget_gone(self) -> None:
         """Drop what was learned of upstreams that are gone.
 
@@ -144,10 +149,12 @@
     ) -> Choice:
         slowness = self.health.record(upstream.name).slowness
         seconds = slowness / self.pace.of(wanted.pool)
+        # What waits to be read holds places too, so the waits do not add up.
+        place = self._wait_for_place(upstream.name, wanted)
         return Choice(
             upstream,
             tokens,
-            queue=self._wait(upstream.name) * seconds,
+            queue=max(place, self._wait(upstream.name) * seconds),
             reading=tokens * seconds,
         )
 
@@ -184,6 +191,17 @@
         """Return what is before a new request at an engine, in tokens."""
         return self.books.waiting(name) + RUNNING_TOKENS * self.books.running(name)
 
+    def _wait_for_place(self, name: UpstreamName, wanted: Wanted) -> float:
+        """Return the expected seconds until an engine has a place.
+
+        Its places become free one after the other over the time that a
+        request holds one.
+        """
+        ahead = self.books.running(name) - wanted.slots + 1
+        if ahead <= 0 or not wanted.slots:
+            return 0
+        return ahead * self.pace.run_of(wanted.pool) / wanted.slots
+
     def _is_full(self, upstream: Upstream, wanted: Wanted) -> bool:
         return self.books.running(upstream.name) >= wanted.slots
 
--- a/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
@@ -100,8 +100,11 @@
     def end(self, key: BoxTicket) -> None:
         """Note the end of a request."""
         known = self.open.pop(key, None)
-        if known is not None:
-            known.ticket.close()
+        if known is None:
+            return
+        if known.wanted is not None:
+            self.placement.measure_run(known.ticket, known.wanted)
+        known.ticket.close()
 
     def leave(self, box: str) -> None:
         """Forget what a box has open: it names it to whoever comes next."""
--- a/tests/edge/test_sharing.py
+++ b/tests/edge/test_sharing.py
@@ -136,6 +136,35 @@
     assert isinstance(scheduler.decide(resumed), Choice)
 
 
+@pytest.mark.parametrize(
+    ('running', 'held', 'expected'),
+    [
+        # Eight places, each held for 0.8 s: one is free every 0.1 s.
+        (7, 0.8, 0),
+        (8, 0.8, 0.1),
+        (12, 0.8, 0.5),
+        (12, 8.0, 5),
+    ],
+)
+def test_the_expected_wait_counts_the_places_that_are_taken(
+    running: int,
+    held: float,
+    expected: float,
+) -> None:
+    clock = FakeClock()
+    scheduler = scheduler_of(clock, 1)
+    for number in range(300):
+        scheduler.place(('box', number), replace(wanted(), resumes=True))
+        scheduler.start(('box', number))
+        clock.seconds += held
+        scheduler.end(('box', number))
+    for number in range(running):
+        scheduler.enter(('box', number), UpstreamName('e0'), 0)
+    choice = scheduler.placement.choose(wanted())
+    assert choice is not None
+    assert choice.queue == pytest.approx(expected, abs=0.02)
+
+
 def test_a_slow_engine_is_no_bargain_for_being_near() -> None:
     # Found by reading: a discount below zero grew with the slowness.
     scheduler = scheduler_of(FakeClock(), 1)
