--- a/packages/core/src/hitchdeck_core/channels.py
+++ b/packages/core/src/hitchdeck_core/channels.py
@@ -14,6 +14,7 @@
 
 from hitchdeck_core.errors import LinkError
 from hitchdeck_core.ids import Address
+from hitchdeck_core.sockets import listening_socket
 
 TRANSPORT_ERRORS = (
     GRPCError,
@@ -74,7 +75,7 @@
 
     listen(server, RecvRequest, check_token)
     host, port = split_address(address)
-    await server.start(host, port)
+    await server.start(sock=listening_socket(host, port))
     return server
 
 
--- a/packages/edge/src/hitchdeck_edge/dispatch/exchange.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/exchange.py
@@ -6,13 +6,13 @@
 """
 
 import asyncio
-import socket
 from dataclasses import dataclass
 
 import h11
 
 from hitchdeck_core.channels import split_address
 from hitchdeck_core.ids import Address
+from hitchdeck_core.sockets import set_probes
 from hitchdeck_edge.errors import BrokenAnswerError, NotSentError
 from hitchdeck_edge.model.calls import Header
 
@@ -20,15 +20,6 @@
 """An upstream in reach accepts within some milliseconds; a lost opening
 packet is sent again after a second by itself, so another try is faster."""
 
-KEEPALIVE_SECONDS = 1
-"""Idle time before, and time between, probes of the connection."""
-
-KEEPALIVE_PROBES = 3
-"""Unanswered probes after which a connection is dead."""
-
-UNACKED_MS = 3000
-"""Sent bytes that stay unacknowledged so long end a connection, in ms."""
-
 
 @dataclass(frozen=True, slots=True)
 class Outgoing:
@@ -74,7 +65,9 @@
         """Take the transport."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
-        _set_probes(transport.get_extra_info('socket'))
+        sock = transport.get_extra_info('socket')
+        if sock is not None:
+            set_probes(sock)
 
     def data_received(self, data: bytes) -> None:
         """Hand bytes to the parser; between two requests nothing may come."""
@@ -235,22 +228,6 @@
 _ANY_HOST: Header = (b'host', b'any')
 
 
-def _set_probes(sock: socket.socket | None) -> None:
-    """Make the kernel notice a peer that went silent without a word."""
-    if sock is None:
-        return
-    options = (
-        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_SECONDS),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_SECONDS),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_MS),
-        (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-    )
-    for level, option, setting in options:
-        sock.setsockopt(level, option, setting)
-
-
 async def connect(address: Address) -> Connection:
     """Open a connection, or raise ``NotSentError``."""
     host, port = split_address(address)
--- a/packages/edge/src/hitchdeck_edge/process.py
+++ b/packages/edge/src/hitchdeck_edge/process.py
@@ -10,6 +10,7 @@
 from hitchdeck_core.channels import split_address
 from hitchdeck_core.clock import boot_seconds
 from hitchdeck_core.ids import Address, BoxName
+from hitchdeck_core.sockets import listening_socket
 from hitchdeck_core.supervisor import Supervisor
 from hitchdeck_edge.dispatch.budget import RepeatBudget
 from hitchdeck_edge.dispatch.connections import Connections
@@ -137,7 +138,7 @@
 def _start(box: EntryBox) -> None:
     settings = box.settings
     host, port = split_address(Address(settings.listen))
-    box.door.server.listen(port, host)
+    box.door.server.add_socket(listening_socket(host, port))
     ready = Application(
         [('/.*', ReadyHandler, {'is_ready': box.is_ready})],
         log_function=quiet,
--- a/packages/edge/src/hitchdeck_edge/serving/doors.py
+++ b/packages/edge/src/hitchdeck_edge/serving/doors.py
@@ -8,6 +8,7 @@
 
 from hitchdeck_core.channels import split_address
 from hitchdeck_core.ids import Address
+from hitchdeck_core.sockets import listening_socket
 
 
 class ReadyHandler(RequestHandler):
@@ -40,7 +41,7 @@
     """Serve an application at an address."""
     host, port = split_address(address)
     server = HTTPServer(application)
-    server.listen(port, host)
+    server.add_socket(listening_socket(host, port))
     return server
 
 
--- a/tests/edge/test_registry.py
+++ b/tests/edge/test_registry.py
@@ -24,7 +24,7 @@
     registry.merge(replace(engine('e0'), sequence=2, phase=phase), 'test')
     placement.forget_gone()
     known = phase is Phase.serving
-    assert bool(placement.memory.parts) is known
+    assert bool(placement.memory.engines) is known
     assert bool(placement.health.records) is known
     assert registry.records
     clock.seconds += GONE_KEPT_SECONDS + 1
@@ -57,4 +57,4 @@
     clock.seconds += GONE_KEPT_SECONDS + 1
     placement.forget_gone()
     assert not registry.records
-    assert not placement.memory.parts
+    assert not placement.memory.engines
--- /dev/null
+++ b/tests/edge/test_sockets.py
@@ -0,0 +1,32 @@
+"""Connections that go silent for good are noticed at every door."""
+
+import socket
+
+import pytest
+
+from hitchdeck_core.sockets import (
+    KEEPALIVE_PROBES,
+    KEEPALIVE_SECONDS,
+    UNACKED_MS,
+    listening_socket,
+)
+
+
+@pytest.mark.parametrize(
+    ('level', 'option', 'expected'),
+    [
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_SECONDS),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_SECONDS),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_MS),
+    ],
+)
+def test_what_a_door_accepts_is_probed(level: int, option: int, expected: int) -> None:
+    door = listening_socket('127.0.0.1', 0)
+    with socket.create_connection(door.getsockname()):
+        door.settimeout(5)
+        accepted, _ = door.accept()
+        assert accepted.getsockopt(level, option) == expected
+        accepted.close()
+    door.close()
