--- a/bench/lab/__main__.py
+++ b/bench/lab/__main__.py
@@ -11,16 +11,23 @@
 from bench.lab.judge import Verdict
 from bench.lab.play import Play
 from hitchdeck_core import logs
+from hitchdeck_edge.model.mechanisms import Mechanisms
 
 
-def play_one(seed: int, *, quiet: bool) -> Verdict:
-    """Return what one drawn play was worth."""
+def play_one(seed: int, without: str, *, quiet: bool) -> Verdict:
+    """Return what one drawn play was worth, with one mechanism switched off."""
     logs.silence()
     deployment = draw_deployment(Random(f'{seed} deployment'), quiet=quiet)
-    return Play(deployment, str(seed)).run()
+    mechanisms = Mechanisms(**({without: False} if without else {}))
+    return Play(deployment, str(seed), mechanisms).run()
 
 
-def main(seeds: int = 14, first: int = 1, jobs: int = 2) -> None:
+def main(
+    seeds: int = 14,
+    first: int = 1,
+    jobs: int = 2,
+    without: str = '',
+) -> None:
     """Print the mean worth over drawn quiet and busy plays.
 
     Parameters
@@ -31,11 +38,15 @@
         First seed.
     jobs
         Processes to use.
+    without
+        Mechanism to switch off: a field of ``Mechanisms``.
     """
     numbers = range(first, first + seeds)
     with ProcessPoolExecutor(jobs) as pool:
         for quiet in (True, False):
-            runs = [pool.submit(play_one, seed, quiet=quiet) for seed in numbers]
+            runs = [
+                pool.submit(play_one, seed, without, quiet=quiet) for seed in numbers
+            ]
             _print('quiet' if quiet else 'busy', [run.result() for run in runs])
 
 
--- a/bench/lab/play.py
+++ b/bench/lab/play.py
@@ -6,13 +6,14 @@
 from bench.lab.arrivals import Asked, draw_arrivals
 from bench.lab.deployment import Deployment, Fault, FaultKind
 from bench.lab.engine import Engine, Run
-from bench.lab.judge import Verdict, judge
+from bench.lab.judge import SHARE_WINDOW, Verdict, judge
 from bench.lab.timeline import Timeline
 from hitchdeck_core.ids import Address, PoolName, RequestId, UpstreamName
 from hitchdeck_core.signals import Signal
 from hitchdeck_edge.model.calls import Part, PartId, Prompt
 from hitchdeck_edge.model.document import Document, DocumentVersion, Limits, Pool
 from hitchdeck_edge.model.document import Engine as EngineLimits
+from hitchdeck_edge.model.mechanisms import ALL, Mechanisms
 from hitchdeck_edge.model.placing import Choice, Wanted
 from hitchdeck_edge.model.refusals import Refusal
 from hitchdeck_edge.model.upstreams import Phase, Upstream
@@ -39,8 +40,14 @@
 class Play:
     """The state of one play."""
 
-    def __init__(self, deployment: Deployment, seed: str) -> None:
+    def __init__(
+        self,
+        deployment: Deployment,
+        seed: str,
+        mechanisms: Mechanisms = ALL,
+    ) -> None:
         self.deployment = deployment
+        self.mechanisms = mechanisms
         self.timeline = Timeline()
         self.random = Random(f'{seed} arrivals')
         self.engines: dict[UpstreamName, Engine] = {}
@@ -78,7 +85,8 @@
             limits=Limits(0, 0, 0, 0, self.deployment.capacity),
             accounts=(),
         )
-        return Scheduler(documents, self.registry, Shares(4, self.now), self.now)
+        shares = Shares(SHARE_WINDOW, self.now)
+        return Scheduler(documents, self.registry, shares, self.now, self.mechanisms)
 
     def _add_engine(self) -> None:
         self.numbers += 1
--- a/packages/edge/src/hitchdeck_edge/hub/placing.py
+++ b/packages/edge/src/hitchdeck_edge/hub/placing.py
@@ -91,4 +91,11 @@
 ) -> PlacingService:
     """Return the service of a hub, with a scheduler of its own."""
     shares = Shares(settings.share_window, boot_seconds)
-    return PlacingService(Scheduler(documents, registry, shares, boot_seconds))
+    scheduler = Scheduler(
+        documents,
+        registry,
+        shares,
+        boot_seconds,
+        settings.mechanisms,
+    )
+    return PlacingService(scheduler)
--- /dev/null
+++ b/packages/edge/src/hitchdeck_edge/model/mechanisms.py
@@ -0,0 +1,46 @@
+"""Which of the mechanisms that decide are at work."""
+
+from hitchdeck_core.field_types import Section
+
+
+class Mechanisms(Section):
+    """The ``[mechanisms]`` table: each may be switched off to see its worth.
+
+    Attributes
+    ----------
+    scheduler
+        One hub places for all boxes; else each box places by itself.
+    shares
+        Requests of accounts beyond their share give way.
+    yielding
+        They give way the sooner, the more an engine must read for them.
+    prefix_memory
+        What engines have cached is remembered, and prompts go there.
+    reading_again
+        To read a shared part once more weighs more than the time it takes.
+    another_engine
+        What is within a share goes to another engine rather than be refused.
+    places
+        The expected wait counts the places that are taken.
+    slowness
+        Engines that answer late count as slower.
+    ejection
+        Upstreams that fail are passed over for a while.
+    near_first
+        Upstreams in the box's own failure domain are preferred.
+    """
+
+    scheduler: bool = True
+    shares: bool = True
+    yielding: bool = True
+    prefix_memory: bool = True
+    reading_again: bool = True
+    another_engine: bool = True
+    places: bool = True
+    slowness: bool = True
+    ejection: bool = True
+    near_first: bool = True
+
+
+ALL = Mechanisms()
+"""Every mechanism at work."""
--- a/packages/edge/src/hitchdeck_edge/scheduling/patience.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/patience.py
@@ -40,7 +40,13 @@
 of request with a low one must still be served."""
 
 
-def longest_queue(wanted: Wanted, choice: Choice, standing: float) -> float:
+def longest_queue(
+    wanted: Wanted,
+    choice: Choice,
+    standing: float,
+    *,
+    yielding: bool = True,
+) -> float:
     """Return how long a request may wait before it begins, in seconds.
 
     Parameters
@@ -49,11 +55,15 @@
         The request, and where it would go.
     standing
         What its account has had, as a part of the even level.
+    yielding
+        Whether it matters how much the engine must read.
     """
     longest = max(wanted.goal * LATE_PART, wanted.goal - choice.reading)
     if wanted.prompt is None or standing <= FREE_PART:
         return longest
     longest *= (FREE_PART / standing) ** YIELDING_POWER
+    if not yielding:
+        return float(longest)
     # Just beyond the share the yield hardly counts, so that there is no step.
     beyond = min(1, max(0, standing - 1))
     return float(longest * _yield_part(wanted.prompt, choice.tokens) ** beyond)
--- a/packages/edge/src/hitchdeck_edge/scheduling/placement.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/placement.py
@@ -12,6 +12,7 @@
 from hitchdeck_core.hashing import ranked
 from hitchdeck_core.ids import UpstreamName
 from hitchdeck_edge.model.calls import Prompt
+from hitchdeck_edge.model.mechanisms import ALL, Mechanisms
 from hitchdeck_edge.model.placing import Choice, Wanted
 from hitchdeck_edge.model.upstreams import Upstream
 from hitchdeck_edge.scheduling.books import Books, Ticket
@@ -56,9 +57,15 @@
 class Placement:
     """Chooses upstreams from everything that a box knows."""
 
-    def __init__(self, registry: Registry, books: Books) -> None:
+    def __init__(
+        self,
+        registry: Registry,
+        books: Books,
+        mechanisms: Mechanisms = ALL,
+    ) -> None:
         self.registry = registry
         self.books = books
+        self.mechanisms = mechanisms
         self.health = Health(books.now)
         self.memory = PrefixMemory(books.now)
         self.pace = Pace()
@@ -80,6 +87,8 @@
             for one in self.registry.serving(wanted.pool)
             if one.name not in wanted.tried
         ]
+        if not self.mechanisms.ejection:
+            return serving
         trusted = [
             one
             for one in serving
@@ -121,7 +130,7 @@
         if prompt is None:
             return self.choose(wanted)
         choices = [
-            self._choice(one, wanted, self.memory.uncached(one.name, prompt))
+            self._choice(one, wanted, self._unread(one, prompt))
             for one in self.candidates(wanted)
             if not self._is_full(one, wanted)
         ]
@@ -147,8 +156,7 @@
         wanted: Wanted,
         tokens: int,
     ) -> Choice:
-        slowness = self.health.record(upstream.name).slowness
-        seconds = slowness / self.pace.of(wanted.pool)
+        seconds = self._slowness(upstream) / self.pace.of(wanted.pool)
         # What waits to be read holds places too, so the waits do not add up.
         place = self._wait_for_place(upstream.name, wanted)
         return Choice(
@@ -161,7 +169,7 @@
     def _holder(self, prompt: Prompt, candidates: list[Upstream]) -> str:
         """Return the engine that all boxes take to hold the shared part."""
         parts = prompt.parts
-        if not parts:
+        if not parts or not self.mechanisms.prefix_memory:
             return ''
         key = parts[-2].part if len(parts) > 1 else parts[0].part
         return ranked(key, [one.name for one in candidates])[0]
@@ -174,16 +182,17 @@
         *,
         holds: bool,
     ) -> tuple[float, int, Upstream]:
-        name = upstream.name
-        tokens = self.memory.uncached(name, prompt)
+        tokens = self._unread(upstream, prompt)
         if holds and prompt.parts:
             tokens = min(tokens, prompt.parts[-1].tokens)
         again = max(0, tokens - prompt.parts[-1].tokens) if prompt.parts else 0
-        cost = float(self._wait(name) + tokens + AGAIN_WEIGHT * again)
+        cost = float(self._wait(upstream.name) + tokens)
+        if self.mechanisms.reading_again:
+            cost += AGAIN_WEIGHT * again
         if self._is_full(upstream, wanted):
             cost += FULL_TOKENS
-        cost *= self.health.record(name).slowness
-        if upstream.domain == wanted.domain:
+        cost *= self._slowness(upstream)
+        if self.mechanisms.near_first and upstream.domain == wanted.domain:
             cost -= NEAR_TOKENS
         return cost, tokens, upstream
 
@@ -198,10 +207,21 @@
         request holds one.
         """
         ahead = self.books.running(name) - wanted.slots + 1
-        if ahead <= 0 or not wanted.slots:
+        if ahead <= 0 or not self.mechanisms.places:
             return 0
         return ahead * self.pace.run_of(wanted.pool) / wanted.slots
 
+    def _unread(self, upstream: Upstream, prompt: Prompt) -> int:
+        """Return how much of a prompt an engine must read, as far as known."""
+        if not self.mechanisms.prefix_memory:
+            return prompt.tokens
+        return self.memory.uncached(upstream.name, prompt)
+
+    def _slowness(self, upstream: Upstream) -> float:
+        if not self.mechanisms.slowness:
+            return 1
+        return self.health.record(upstream.name).slowness
+
     def _is_full(self, upstream: Upstream, wanted: Wanted) -> bool:
         return self.books.running(upstream.name) >= wanted.slots
 
@@ -209,7 +229,8 @@
         record = self.health.record(upstream.name)
         seconds = max(LEAST_SECONDS, record.seconds)
         doubt = 1 + FAILURE_WEIGHT * record.failure_rate
-        far = 1 if upstream.domain == wanted.domain else FAR_FACTOR
+        near = upstream.domain == wanted.domain or not self.mechanisms.near_first
+        far = 1 if near else FAR_FACTOR
         jitter = random.uniform(1, JITTER_FACTOR)
         return (self.books.running(upstream.name) + 1) * seconds * doubt * far * jitter
 
--- a/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
@@ -13,6 +13,7 @@
 from hitchdeck_core import logs
 from hitchdeck_core.clock import Clock
 from hitchdeck_core.ids import UpstreamName
+from hitchdeck_edge.model.mechanisms import ALL, Mechanisms
 from hitchdeck_edge.model.placing import Choice, Wanted
 from hitchdeck_edge.model.refusals import Refusal
 from hitchdeck_edge.scheduling.books import Books, Ticket
@@ -46,10 +47,12 @@
         registry: Registry,
         shares: Shares,
         now: Clock,
+        mechanisms: Mechanisms = ALL,
     ) -> None:
         self.documents = documents
         self.shares = shares
-        self.placement = Placement(registry, Books(now))
+        self.mechanisms = mechanisms
+        self.placement = Placement(registry, Books(now), mechanisms)
         self.now = now
         self.open: dict[BoxTicket, Open] = {}
 
@@ -130,15 +133,24 @@
         cached.  Rather than refuse a request within its share, another one
         reads that again.
         """
-        if wanted.resumes or choice.queue <= longest_queue(wanted, choice, standing):
+        if wanted.resumes or self._begins_in_time(wanted, choice, standing):
             return choice
-        if standing > 1:
+        if standing > 1 or not self.mechanisms.another_engine:
             return None
         soonest = self.placement.soonest(wanted)
-        if soonest is None:
+        if soonest is None or not self._begins_in_time(wanted, soonest, standing):
             return None
-        longest = longest_queue(wanted, soonest, standing)
-        return soonest if soonest.queue <= longest else None
+        return soonest
+
+    def _begins_in_time(
+        self,
+        wanted: Wanted,
+        choice: Choice,
+        standing: float,
+    ) -> bool:
+        yielding = self.mechanisms.yielding
+        longest = longest_queue(wanted, choice, standing, yielding=yielding)
+        return choice.queue <= longest
 
     def _refuse(
         self,
@@ -169,4 +181,6 @@
         if pool is not None and pool.engine is not None:
             self.placement.memory.size = pool.engine.memory_tokens
         self.shares.ask(wanted)
+        if not self.mechanisms.shares:
+            return 0
         return self.shares.standing(wanted.account)
--- a/packages/edge/src/hitchdeck_edge/settings.py
+++ b/packages/edge/src/hitchdeck_edge/settings.py
@@ -5,6 +5,7 @@
 from pydantic import Field
 
 from hitchdeck_core.field_types import AddressText, Name, Section
+from hitchdeck_edge.model.mechanisms import ALL, Mechanisms
 
 
 class BoxSettings(Section):
@@ -25,6 +26,8 @@
     retry_share, retry_extra, retry_window
         In each window, sends beyond the first of each request may be this
         part of all requests and so many more, over the whole fleet.
+    mechanisms
+        What takes part in deciding; all of it, but for measurements.
     fleet_token
         What the fleet's processes show one another.  The default only keeps
         strangers' frames out where the network itself admits the fleet alone.
@@ -40,6 +43,7 @@
     retry_share: float = Field(default=0.2, ge=0)
     retry_extra: int = Field(default=50, ge=0)
     retry_window: float = Field(default=10, gt=0)
+    mechanisms: Mechanisms = ALL
     fleet_token: str = Field(default='hitchdeck-fleet', min_length=8)
 
 
--- a/packages/edge/src/hitchdeck_edge/state/knowledge.py
+++ b/packages/edge/src/hitchdeck_edge/state/knowledge.py
@@ -29,5 +29,11 @@
     documents = Documents(dialect.read_document, news)
     registry = Registry(boot_seconds, news)
     shares = Shares(settings.share_window, boot_seconds)
-    scheduler = Scheduler(documents, registry, shares, boot_seconds)
+    scheduler = Scheduler(
+        documents,
+        registry,
+        shares,
+        boot_seconds,
+        settings.mechanisms,
+    )
     return Knowledge(documents, registry, scheduler.placement.books, scheduler)
--- /dev/null
+++ b/tests/edge/test_mechanisms.py
@@ -0,0 +1,131 @@
+"""Each mechanism that decides can be switched off, and then decides nothing."""
+
+from collections.abc import Callable
+from dataclasses import replace
+
+import pytest
+from pydantic import ValidationError
+
+from hitchdeck_core.ids import UpstreamName
+from hitchdeck_core.signals import Signal
+from hitchdeck_edge.model.mechanisms import Mechanisms
+from hitchdeck_edge.model.placing import Wanted
+from hitchdeck_edge.model.refusals import Refusal
+from hitchdeck_edge.scheduling.scheduler import Scheduler
+from hitchdeck_edge.scheduling.shares import Shares
+from hitchdeck_edge.state.documents import Documents
+from hitchdeck_edge.state.registry import Registry
+from hitchdeck_platform.documents import read_document
+from tests.common.scheduling import FakeClock, engine, offer, wanted
+
+FIRST = UpstreamName('e0')
+
+
+def scheduler_with(mechanisms: Mechanisms) -> Scheduler:
+    """Return a scheduler of a near engine e0 and a far one e1."""
+    clock = FakeClock()
+    registry = Registry(clock, Signal())
+    registry.merge(engine('e0'), 'test')
+    registry.merge(replace(engine('e1'), domain='b'), 'test')
+    documents = Documents(read_document, Signal())
+    return Scheduler(documents, registry, Shares(4, clock), clock, mechanisms)
+
+
+def chosen(scheduler: Scheduler, one: Wanted) -> str:
+    """Return where a request goes, or why it is refused."""
+    decision = scheduler.decide(one)
+    if isinstance(decision, Refusal):
+        return decision.name
+    return decision.upstream.name
+
+
+def long_one(scheduler: Scheduler) -> Wanted:
+    """Return a long request whose subject e0 is taken to hold."""
+    subjects = (wanted(subject=str(number), tokens=20_000) for number in range(100))
+    return next(one for one in subjects if chosen(scheduler, one) == FIRST)
+
+
+def flooded(scheduler: Scheduler) -> str:
+    offer(scheduler, 100)
+    for number in range(30):
+        scheduler.shares.ask(wanted('other'))
+        scheduler.place(('box', number), replace(wanted(), resumes=True))
+        scheduler.end(('box', number))
+    scheduler.enter(('box', 1), FIRST, 2000)
+    scheduler.enter(('box', 2), UpstreamName('e1'), 2000)
+    return _placed_or_refused(scheduler)
+
+
+def nearest(scheduler: Scheduler) -> str:
+    scheduler.enter(('box', 1), FIRST, 100)
+    return chosen(scheduler, wanted(tokens=10))
+
+
+def failed(scheduler: Scheduler) -> str:
+    one = long_one(scheduler)
+    scheduler.placement.health.fail(FIRST, 'test')
+    return chosen(scheduler, one)
+
+
+def slow(scheduler: Scheduler) -> str:
+    one = long_one(scheduler)
+    scheduler.placement.health.record(FIRST).slowness = 30
+    return chosen(scheduler, one)
+
+
+def crowded(scheduler: Scheduler) -> str:
+    for number in range(60):
+        scheduler.enter(('box', number), UpstreamName(f'e{number % 2}'), 0)
+    return _placed_or_refused(scheduler)
+
+
+def cached(scheduler: Scheduler) -> str:
+    one = long_one(scheduler)
+    assert one.prompt is not None
+    scheduler.placement.memory.note(UpstreamName('e1'), one.prompt)
+    return chosen(scheduler, one)
+
+
+def busy_with_the_subject(scheduler: Scheduler) -> str:
+    one = long_one(scheduler)
+    scheduler.enter(('box', 1), FIRST, 40_000)
+    return chosen(scheduler, one)
+
+
+def worth_the_wait(scheduler: Scheduler) -> str:
+    one = long_one(scheduler)
+    scheduler.enter(('box', 1), FIRST, 12_000)
+    return chosen(scheduler, one)
+
+
+def _placed_or_refused(scheduler: Scheduler) -> str:
+    decision = scheduler.decide(wanted())
+    return decision.name if isinstance(decision, Refusal) else 'placed'
+
+
+@pytest.mark.parametrize(
+    ('name', 'play', 'with_it', 'without'),
+    [
+        ('shares', flooded, 'over_share', 'placed'),
+        ('near_first', nearest, 'e0', 'e1'),
+        ('ejection', failed, 'e1', 'e0'),
+        ('slowness', slow, 'e1', 'e0'),
+        ('places', crowded, 'overloaded', 'placed'),
+        ('prefix_memory', cached, 'e1', 'e0'),
+        ('another_engine', busy_with_the_subject, 'e1', 'overloaded'),
+        ('reading_again', worth_the_wait, 'e0', 'e1'),
+    ],
+)
+def test_a_mechanism_decides_only_while_it_is_on(
+    name: str,
+    play: Callable[[Scheduler], str],
+    with_it: str,
+    without: str,
+) -> None:
+    assert play(scheduler_with(Mechanisms())) == with_it
+    assert play(scheduler_with(Mechanisms(**{name: False}))) == without
+
+
+def test_a_mechanism_that_does_not_exist_is_an_error() -> None:
+    with pytest.raises(ValidationError, match='unknown'):
+        Mechanisms.model_validate({'unknown': False})
