Name the upstream in the log line of a caller that left

The line of a dispatched request is now the same whatever its outcome. Test fails before (no upstream in the line).

--- a/packages/edge/src/hitchdeck_edge/dispatch/dispatcher.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/dispatcher.py
@@ -39,7 +39,13 @@
         self.budget = budget
         self.now = now
 
-    async def serve(self, passage: Passage, caller: Caller) -> Service:
+    def open(self, passage: Passage, caller: Caller) -> Service:
+        """Return the service of a request, which is counted from now on."""
+        answers = Answers(self.dialect, passage, caller)
+        self.budget.count(passage.pool.name)
+        return Service(passage, caller, answers, Relay(passage, caller))
+
+    async def serve(self, service: Service) -> None:
         """Answer a request, finally, before its time is over.
 
         Raises
@@ -47,15 +53,11 @@
         CallerGoneError
             The caller left; nobody is to be answered.
         """
-        answers = Answers(self.dialect, passage, caller)
-        service = Service(passage, caller, answers, Relay(passage, caller))
-        self.budget.count(passage.pool.name)
         try:
-            async with asyncio.timeout(passage.ends - self.now()):
+            async with asyncio.timeout(service.passage.ends - self.now()):
                 await self._serve(service)
         except TimeoutError:
-            await answers.run_out_of_time()
-        return service
+            await service.answers.run_out_of_time()
 
     async def _serve(self, service: Service) -> None:
         passage = service.passage
--- a/packages/edge/src/hitchdeck_edge/serving/admission.py
+++ b/packages/edge/src/hitchdeck_edge/serving/admission.py
@@ -21,6 +21,9 @@
 from hitchdeck_edge.serving.stopping import Stopping
 from hitchdeck_edge.state.knowledge import Knowledge
 
+CALLER_GONE = 'caller gone'
+"""Outcome of a request whose caller closed its connection first."""
+
 START_SECONDS = 1.2
 """How long a request waits for the first document at most.  Of 400 requests
 that reached boxes in their first 0.6 s, all were refused, most of them twice."""
@@ -69,7 +72,7 @@
             call = self._read(reading)
             await self._answer(call, reading.body, caller, arrived)
         except (CallerGoneError, asyncio.CancelledError):
-            self._note_end(call, caller, 'caller gone', arrived)
+            self._note_end(call, caller, CALLER_GONE, arrived)
         except Exception as error:
             logs.failure(
                 'request failed',
@@ -114,7 +117,12 @@
             await refuse(self.dialect, call, caller, decision)
             self._note_end(call, caller, decision.name, arrived)
             return
-        service = await self.dispatcher.serve(decision, caller)
+        service = self.dispatcher.open(decision, caller)
+        try:
+            await self.dispatcher.serve(service)
+        except (CallerGoneError, asyncio.CancelledError):
+            # The task that serves this request is cancelled as its caller left.
+            service.answers.outcome = CALLER_GONE
         self._note_service(service)
 
     async def _wait_for_document(self, call: Call, arrived: float) -> None:
--- a/tests/edge/test_passing.py
+++ b/tests/edge/test_passing.py
@@ -10,6 +10,7 @@
 from tornado.simple_httpclient import HTTPStreamClosedError
 
 from hitchdeck_core.ids import UpstreamName
+from hitchdeck_edge.serving import admission
 from standins.platform_site import HOST, KEY, Site, document, running_site
 from standins.platform_worker import Fault, Worker
 
@@ -161,7 +162,8 @@
     assert sum(worker.connections for worker in of_pool(site, 'app')) <= 2
 
 
-async def test_work_of_a_caller_who_leaves_is_cancelled(site: Site) -> None:
+async def leave_while_served(site: Site) -> None:
+    """Ask for something, and close the connection while an upstream works."""
     misbehave(site, 'app', Fault.hang, 9)
     host, _, port = site.boxes[0].settings.listen.rpartition(':')
     _, writer = await asyncio.open_connection(host, int(port))
@@ -170,11 +172,36 @@
     async with asyncio.timeout(5):
         while not ran(site, 'r1'):
             await asyncio.sleep(0.01)
-        writer.close()
+    writer.close()
+
+
+async def test_work_of_a_caller_who_leaves_is_cancelled(site: Site) -> None:
+    await leave_while_served(site)
+    async with asyncio.timeout(5):
         while not any(worker.left for worker in site.workers):
             await asyncio.sleep(0.01)
 
 
+async def test_the_log_tells_who_had_the_request_of_a_caller_who_left(
+    site: Site,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    lines: list[dict[str, object]] = []
+
+    def note(event: str, **fields: object) -> None:
+        lines.append({'event': event, **fields})
+
+    monkeypatch.setattr(admission.logs, 'info', note)
+    await leave_while_served(site)
+    async with asyncio.timeout(5):
+        while not any(line['event'] == 'request' for line in lines):
+            await asyncio.sleep(0.01)
+    line = next(one for one in lines if one['event'] == 'request')
+    worker = next(one for one in site.workers if ran(site, 'r1') and one.ran)
+    assert line['outcome'] == admission.CALLER_GONE
+    assert (line['upstream'], line['sent']) == (worker.name, 1)
+
+
 async def test_the_final_answer_comes_when_the_route_has_no_time_left(
     site: Site,
 ) -> None:
