Bound the doublings of an ejection

Cause: the pause doubles with each failure in a row; beyond 1,023 of them it was no longer a number, and fail() raised OverflowError within a request. Found by a play in virtual time with ejection switched off, which sends to dead engines again and again.

--- a/packages/edge/src/hitchdeck_edge/scheduling/health.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/health.py
@@ -13,6 +13,10 @@
 """A restarted upstream reports under a new name, so this only bounds how long
 one that was merely out of reach goes unused."""
 
+MOST_DOUBLINGS = 16
+"""Far more than reach the longest ejection: after a thousand failures in a row
+the doubled pause no longer was a number, and the request ended in an error."""
+
 MISPLACED_SECONDS = 30.0
 """After another upstream answered at its address."""
 
@@ -64,9 +68,10 @@
         """Note that an upstream was not reached or gave no whole answer."""
         known = self.record(name)
         self.err(name)
+        doublings = min(known.failures, MOST_DOUBLINGS)
         pause = min(
             LONGEST_EJECTION_SECONDS,
-            FIRST_EJECTION_SECONDS * 2**known.failures,
+            FIRST_EJECTION_SECONDS * 2**doublings,
         )
         known.failures += 1
         known.ejected_until = self.now() + pause
