--- a/bench/lab/play.py
+++ b/bench/lab/play.py
@@ -10,6 +10,7 @@
 from bench.lab.timeline import Timeline
 from hitchdeck_core.ids import Address, PoolName, RequestId, UpstreamName
 from hitchdeck_core.signals import Signal
+from hitchdeck_edge.errors import DocumentError
 from hitchdeck_edge.model.calls import Part, PartId, Prompt
 from hitchdeck_edge.model.document import Document, DocumentVersion, Limits, Pool
 from hitchdeck_edge.model.document import Engine as EngineLimits
@@ -204,4 +205,4 @@
 
 
 def _unread(text: bytes) -> Document:
-    raise NotImplementedError(f'no document is read in a play ({len(text)} bytes)')
+    raise DocumentError(f'no document is read in a play ({len(text)} bytes)')
--- a/packages/edge/src/hitchdeck_edge/hub/placing.py
+++ b/packages/edge/src/hitchdeck_edge/hub/placing.py
@@ -5,14 +5,12 @@
 from grpclib.server import Stream
 
 from hitchdeck_core import logs
-from hitchdeck_core.clock import boot_seconds
 from hitchdeck_core.ids import AccountName, PoolName, UpstreamName
 from hitchdeck_core.wire.spread_grpc import PlacingBase
 from hitchdeck_core.wire.spread_pb2 import Placed, PlacedFrame, PlacingFrame
 from hitchdeck_core.wire.spread_pb2 import Wanted as WantedMessage
 from hitchdeck_edge.links.placing_messages import decode_wanted, encode_decision
-from hitchdeck_edge.scheduling.scheduler import Scheduler
-from hitchdeck_edge.scheduling.shares import Shares
+from hitchdeck_edge.scheduling.scheduler import Scheduler, new_scheduler
 from hitchdeck_edge.settings import HubSettings
 from hitchdeck_edge.state.documents import Documents
 from hitchdeck_edge.state.registry import Registry
@@ -90,12 +88,4 @@
     registry: Registry,
 ) -> PlacingService:
     """Return the service of a hub, with a scheduler of its own."""
-    shares = Shares(settings.share_window, boot_seconds)
-    scheduler = Scheduler(
-        documents,
-        registry,
-        shares,
-        boot_seconds,
-        settings.mechanisms,
-    )
-    return PlacingService(scheduler)
+    return PlacingService(new_scheduler(settings, documents, registry))
--- a/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 
 from hitchdeck_core import logs
-from hitchdeck_core.clock import Clock
+from hitchdeck_core.clock import Clock, boot_seconds
 from hitchdeck_core.ids import UpstreamName
 from hitchdeck_edge.model.mechanisms import ALL, Mechanisms
 from hitchdeck_edge.model.placing import Choice, Wanted
@@ -20,6 +20,7 @@
 from hitchdeck_edge.scheduling.patience import longest_queue
 from hitchdeck_edge.scheduling.placement import Placement
 from hitchdeck_edge.scheduling.shares import Shares
+from hitchdeck_edge.settings import BoxSettings
 from hitchdeck_edge.state.documents import Documents
 from hitchdeck_edge.state.registry import Registry
 
@@ -184,3 +185,13 @@
         if not self.mechanisms.shares:
             return 0
         return self.shares.standing(wanted.account)
+
+
+def new_scheduler(
+    settings: BoxSettings,
+    documents: Documents,
+    registry: Registry,
+) -> Scheduler:
+    """Return a process's scheduler, which knows of no request yet."""
+    shares = Shares(settings.share_window, boot_seconds)
+    return Scheduler(documents, registry, shares, boot_seconds, settings.mechanisms)
--- a/packages/edge/src/hitchdeck_edge/state/knowledge.py
+++ b/packages/edge/src/hitchdeck_edge/state/knowledge.py
@@ -6,8 +6,7 @@
 from hitchdeck_core.signals import Signal
 from hitchdeck_edge.model.dialect import Dialect
 from hitchdeck_edge.scheduling.books import Books
-from hitchdeck_edge.scheduling.scheduler import Scheduler
-from hitchdeck_edge.scheduling.shares import Shares
+from hitchdeck_edge.scheduling.scheduler import Scheduler, new_scheduler
 from hitchdeck_edge.settings import EntrySettings
 from hitchdeck_edge.state.documents import Documents
 from hitchdeck_edge.state.registry import Registry
@@ -28,12 +27,5 @@
     news = Signal()
     documents = Documents(dialect.read_document, news)
     registry = Registry(boot_seconds, news)
-    shares = Shares(settings.share_window, boot_seconds)
-    scheduler = Scheduler(
-        documents,
-        registry,
-        shares,
-        boot_seconds,
-        settings.mechanisms,
-    )
+    scheduler = new_scheduler(settings, documents, registry)
     return Knowledge(documents, registry, scheduler.placement.books, scheduler)
