Write the log anew after a disk was full

Ruled out: the files that hubs keep (they log and retry). Change: no space is told from a failed sync; the next flush writes everything from memory into a new segment. Segments are unbuffered, a rotation that fails leaves the segment as it was. The new test fails before (4 of 4 cases); the test that a failed sync is never tried again stays as it is.

--- a/packages/control/src/hitchdeck_control/storage/log.py
+++ b/packages/control/src/hitchdeck_control/storage/log.py
@@ -6,11 +6,12 @@
 """
 
 import asyncio
+import errno
 import os
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
+from io import FileIO
 from pathlib import Path
-from typing import BinaryIO
 
 from hitchdeck_control.errors import StorageError
 from hitchdeck_control.storage.files import replace_file, sync_folder
@@ -22,6 +23,7 @@
     segment_path,
     segments_of,
 )
+from hitchdeck_core import logs
 from hitchdeck_core.wire.hitchdeck_pb2 import Entry, LogRecord, Member, Snapshot
 
 
@@ -34,6 +36,8 @@
         Entries after the snapshot, the first having ``snapshot.last_index + 1``.
     synced_index
         Last index that survives a crash now.
+    refused
+        The disk was full at the last write; the next one starts a segment.
     """
 
     def __init__(self, folder: Path) -> None:
@@ -45,11 +49,12 @@
         self.vote = recovered.vote
         self.synced_index = self.last_index
         self.segment = recovered.segment
-        self.stream: BinaryIO = open_segment(folder, self.segment)
+        self.stream: FileIO = open_segment(folder, self.segment)
         self.pending: list[LogRecord] = []
         # Asked for at every beat of every router: not looked up each time.
         self.known_members: list[Member] | None = None
         self.failed: Exception | None = None
+        self.refused = False
         self.writing = asyncio.Lock()
         self.thread = ThreadPoolExecutor(1, 'log-writer')
 
@@ -109,7 +114,8 @@
         Raises
         ------
         StorageError
-            The disk refused; this replica must not promise anything more.
+            The disk refused: nothing may be promised now, and if it did not
+            refuse because it was full, nothing any more.
         """
         # Shielded: the caller may be a peer's call that times out, and what
         # it queued was taken off the queue already, together with others'.
@@ -126,9 +132,21 @@
 
     async def _flush(self) -> None:
         async with self.writing:
-            if self.pending:
+            if self.refused:
+                await self._write_anew()
+            elif self.pending:
                 await self._write_pending()
 
+    async def _write_anew(self) -> None:
+        """Write everything into a new segment, after a write found no space.
+
+        What the old one's tail holds is not known; memory is.
+        """
+        self.pending = []
+        await self._start_segment()
+        self.refused = False
+        logs.info('log written anew', folder=str(self.folder), segment=self.segment)
+
     async def _compact(self, snapshot: Snapshot) -> None:
         async with self.writing:
             if snapshot.last_index <= self.snapshot.last_index:
@@ -181,8 +199,9 @@
                 self.synced_index = min(self.synced_index, replaced_from - 1)
 
     def _write(self, payload: bytes) -> None:
-        self.stream.write(frame(payload))
-        self.stream.flush()
+        left = memoryview(frame(payload))
+        while left:
+            left = left[self.stream.write(left) :]
         os.fdatasync(self.stream.fileno())
 
     async def _in_thread(
@@ -196,9 +215,12 @@
         try:
             await loop.run_in_executor(self.thread, work, *arguments)
         except OSError as error:
-            # After a failed sync the kernel may have dropped the pages: a
-            # second sync that succeeds proves nothing.
-            self.failed = error
+            if error.errno == errno.ENOSPC:
+                self.refused = True
+            else:
+                # After a failed sync the kernel may have dropped the pages: a
+                # second sync that succeeds proves nothing.
+                self.failed = error
             raise StorageError(f'{self.folder}: {error}') from error
 
     async def _start_segment(self) -> None:
@@ -209,11 +231,11 @@
 
     def _rotate(self, payload: bytes) -> None:
         old_segments = segments_of(self.folder)
-        self.stream.close()
-        self.segment += 1
-        path = segment_path(self.folder, self.segment)
+        path = segment_path(self.folder, self.segment + 1)
         replace_file(path, frame(payload))
-        self.stream = path.open('ab')
+        self.segment += 1
+        self.stream.close()
+        self.stream = path.open('ab', buffering=0)
         for old in old_segments:
             old.unlink()
         sync_folder(self.folder)
--- a/packages/control/src/hitchdeck_control/storage/recovery.py
+++ b/packages/control/src/hitchdeck_control/storage/recovery.py
@@ -2,8 +2,8 @@
 
 import os
 from dataclasses import dataclass, field
+from io import FileIO
 from pathlib import Path
-from typing import BinaryIO
 
 from hitchdeck_control.errors import DamagedLogError, StorageError
 from hitchdeck_control.storage.files import sync_folder
@@ -37,10 +37,13 @@
     return folder / f'wal-{number:010d}.log'
 
 
-def open_segment(folder: Path, number: int) -> BinaryIO:
-    """Open a segment to append to it; it is in its folder for good."""
+def open_segment(folder: Path, number: int) -> FileIO:
+    """Open a segment to append to it; it is in its folder for good.
+
+    Unbuffered: what the disk refuses must not be written later by a close.
+    """
     try:
-        stream = segment_path(folder, number).open('ab')
+        stream = segment_path(folder, number).open('ab', buffering=0)
         sync_folder(folder)
     except OSError as error:
         raise StorageError(f'{folder}: {error}') from error
--- a/tests/cover/test_storage.py
+++ b/tests/cover/test_storage.py
@@ -1,6 +1,7 @@
 """The durable log: what a crash leaves, and what damage is refused."""
 
 import asyncio
+import errno
 from collections.abc import Callable
 from pathlib import Path
 
@@ -150,6 +151,48 @@
     assert log.synced_index == 0
 
 
+@pytest.mark.parametrize('written', [0, 5])
+@pytest.mark.parametrize('refusals', [1, 3])
+async def test_a_disk_that_was_full_takes_everything_anew(
+    written: int,
+    refusals: int,
+    tmp_path: Path,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A replica that met a full disk counts again once there is space.
+
+    It stayed out until its process was started again; with another disk lost
+    meanwhile the group had no majority, and nobody could read its document.
+    """
+    log = DurableLog(tmp_path)
+    log.save_vote(1, 'other')
+    log.append([entry(1)])
+    await log.flush()
+
+    def refuse(payload: bytes) -> None:
+        log.stream.write(b'x' * written)
+        raise OSError(errno.ENOSPC, 'No space left on device')
+
+    monkeypatch.setattr(log, '_write', refuse)
+    monkeypatch.setattr(log, '_rotate', refuse)
+    log.append([entry(2)])
+    for _ in range(refusals):
+        with pytest.raises(StorageError):
+            await log.flush()
+    assert log.synced_index == 1
+    monkeypatch.undo()
+    log.append([entry(3)])
+    await log.flush()
+    assert log.synced_index == 3
+    log.append([entry(4)])
+    await log.flush()
+    log.close()
+    again = DurableLog(tmp_path)
+    assert [one.index for one in again.entries] == [1, 2, 3, 4]
+    assert (again.term, again.vote) == (1, 'other')
+    assert len(list(tmp_path.glob('wal-*'))) == 1
+
+
 def lose_identity(folder: Path) -> None:
     """Delete the identity but not the log."""
     (folder / 'identity').unlink()
