Leave no process of a soak behind

A hub of a run at 18:39 still had the address: that run had failed while it started its programs, before the part that stops them. Four entry boxes of later runs lived on too: two faults that hit one box at once each start it again, and the first process is forgotten. Ruled out: the product (m0-hub.log: address already in use; the other hubs took documents of the old run from it). Change: a program that runs is not started beside itself, and what was started is stopped when a start fails.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -45,6 +45,15 @@
 
     async def play(self, seconds: float) -> list[str]:
         """Play the seed; return the broken promises."""
+        try:
+            await self._start()
+            await self._play(seconds)
+        finally:
+            await self._stop()
+        ran = Counter(one for worker in self.workers for one in worker.ran)
+        return self.history.broken(ran)
+
+    async def _start(self) -> None:
         for number in range(3):
             self.fleet.add(number, 'hub')
             self.fleet.add(number, 'box')
@@ -55,19 +64,14 @@
             await self._proxy(self.fleet.front(box))
         for hub in self.fleet.hubs:
             await self._proxy(self.fleet.control(hub))
-        try:
-            await self._play(seconds)
-        finally:
-            await self._stop()
-        ran = Counter(one for worker in self.workers for one in worker.ran)
-        return self.history.broken(ran)
 
     async def _stop(self) -> None:
         self.fleet.stop()
         for proxy in self.proxies.values():
             await proxy.stop()
         for worker in self.workers:
-            await worker.stop()
+            if worker.server is not None:
+                await worker.stop()
 
     async def _proxy(self, target: str) -> str:
         proxy = Proxy(target)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -62,7 +62,9 @@
     process: subprocess.Popen[bytes] | None = None
 
     def start(self) -> None:
-        """Start the process."""
+        """Start the process, unless it runs: two faults may hit it at once."""
+        if self.process is not None and self.process.poll() is None:
+            return
         with self.log.open('ab') as output:
             self.process = subprocess.Popen(
                 [sys.executable, '-m', PROGRAMS[self.role]],
