Hold the ports that tests and stand-ins pick

Cause: a port that was free when picked is taken before its hub listens: the kernel gives it to an outgoing connection, or another process picks it. Change: ports below the kernel's range, in blocks that a listening socket holds for the life of the process.

--- a/bench/ticket_cost.py
+++ b/bench/ticket_cost.py
@@ -42,7 +42,7 @@
 from hitchdeck_router.scheduling.host import REBUILD_SECONDS, SchedulerHost
 from hitchdeck_router.scheduling.service import SchedulerService
 from hitchdeck_router.scheduling.slots import SlotFinder
-from standins.fleet import free_ports
+from standins.ports import free_ports
 
 _TOKEN = 'bench-token'
 _POOL = PoolName('bench')
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -13,6 +13,7 @@
 from pathlib import Path
 
 from hitchdeck_core.hashing import token_hash
+from standins.ports import free_ports
 
 FLEET_TOKEN = 'fleet-token-of-the-test'
 OPERATOR_TOKEN = 'operator-token-of-the-test'
@@ -169,17 +170,6 @@
         shutil.rmtree(self.folder / control.name)
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports on which nothing listens now."""
-    sockets = [socket.socket() for _ in range(count)]
-    for one in sockets:
-        one.bind(('127.0.0.1', 0))
-    ports = [int(one.getsockname()[1]) for one in sockets]
-    for one in sockets:
-        one.close()
-    return ports
-
-
 @dataclass(frozen=True)
 class FleetSize:
     """How many processes of each kind, and how they are set.
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import json
-import socket
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -15,7 +14,6 @@
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
 from tornado.httpserver import HTTPServer
 
-from hitchdeck_core.ids import Address
 from hitchdeck_edge.hub.process import Hub, start_hub
 from hitchdeck_edge.process import EntryBox, start_entry
 from hitchdeck_edge.settings import EntrySettings, HubSettings
@@ -23,6 +21,7 @@
 from hitchdeck_platform.doors import open_doors
 from hitchdeck_platform.requests import DIALECT
 from standins.platform_worker import Worker
+from standins.ports import free_address
 
 HOST = 'site.example'
 KEY = 'key-of-ann'
@@ -32,13 +31,6 @@
 UNSURE = 503
 
 
-def free_address() -> Address:
-    """Return a loopback address that is free now."""
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return Address(f'127.0.0.1:{probe.getsockname()[1]}')
-
-
 def document(version: int, **changes: object) -> dict[str, object]:
     """Return an operator's document of this stand-in site."""
     return {
--- a/tests/cover/test_orders.py
+++ b/tests/cover/test_orders.py
@@ -18,7 +18,7 @@
 from hitchdeck_core.ids import Address
 from hitchdeck_core.resources import Upstream
 from standins.engine import Engine, make_app
-from standins.fleet import free_ports
+from standins.ports import free_ports
 from standins.records import Recorder, read_records
 from tests.cover.test_machine import submit
 
