Send callers into their own failure domain, and over all of its boxes

Change: hub/directory.py, apart from input and output: the caller's domain first, all of its boxes or a subset by rendezvous on who asks; one box elsewhere, and more where a domain has under half of a usual one's boxes; boxes beside hubs spared where eight others are left. A hub logs when what it tells a domain changes. Ruled out: a subset drawn anew for each answer (callers drop connections to boxes that an answer leaves out); several boxes of other domains (each crosses).

--- /dev/null
+++ b/packages/edge/src/hitchdeck_edge/hub/directory.py
@@ -0,0 +1,114 @@
+"""Which entry boxes a caller is told of.
+
+Callers take one of the addresses by chance for every new connection, drop
+connections to boxes that a later answer leaves out, and keep an answer for some
+seconds.  So an answer names boxes of the caller's own failure domain, as many
+as it may; the same ones each time it is asked; and some elsewhere where its
+domain has too few left to carry its callers.
+"""
+
+import math
+from collections import Counter
+from collections.abc import Collection, Iterable, Sequence
+from dataclasses import dataclass
+from typing import NewType
+
+from hitchdeck_core.hashing import ranked
+from hitchdeck_core.ids import Address, BoxName
+
+CallerKey = NewType('CallerKey', str)
+"""What is the same each time a caller asks, and differs between callers."""
+
+ELSEWHERE = 1
+"""Boxes of other domains in each answer: a caller that gets no new answer
+because its domain is lost has somewhere to go.  Each costs a part of the
+connections that cross domains, one in 41 where a domain has 40 boxes."""
+
+FEWEST = 4
+"""Boxes that an answer names at least, if the fleet has them: callers pass over
+the one that failed them, and the rest must carry what it did."""
+
+LEAST_PART = 0.5
+"""Part of a usual domain's boxes that a domain's callers get at least.  With
+half of its boxes lost a domain still carries its callers; with fewer, others
+take part."""
+
+ALONE_AT_LEAST = 8
+"""Boxes without a hub beside them that a domain must have before those with one
+are left out: a hub answers the fleet, on the same processor."""
+
+
+@dataclass(frozen=True, slots=True)
+class Door:
+    """An entry box that is ready: where callers reach it.
+
+    ``beside_hub`` tells whether a hub runs on the same machine.
+    """
+
+    address: Address
+    box: BoxName
+    domain: str
+    beside_hub: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """What a caller is told: boxes of its own domain, and others."""
+
+    near: tuple[Address, ...]
+    elsewhere: tuple[Address, ...]
+
+    @property
+    def addresses(self) -> list[Address]:
+        """Return all of them, in an order that says nothing."""
+        return sorted({*self.near, *self.elsewhere})
+
+
+def answer_for(
+    caller: CallerKey,
+    domain: str,
+    doors: Collection[Door],
+    most: int,
+) -> Answer:
+    """Return what a caller in a domain is told.
+
+    Parameters
+    ----------
+    caller
+        Who asks: it gets the same boxes each time, as far as they are ready.
+    domain
+        Its failure domain; one without boxes has all of them elsewhere.
+    doors
+        The boxes that are ready.
+    most
+        How many addresses an answer may hold.
+    """
+    near = _spared(door for door in doors if door.domain == domain)
+    far = [door for door in doors if door.domain != domain]
+    spare = max(ELSEWHERE, _enough(doors) - len(near))
+    return Answer(
+        near=_draw(caller, near, most - min(spare, len(far))),
+        elsewhere=_draw(caller, far, min(spare, most)),
+    )
+
+
+def _enough(doors: Collection[Door]) -> int:
+    """Return how many boxes can carry the callers of a usual domain."""
+    sizes = Counter(door.domain for door in doors)
+    usual = len(doors) / max(1, len(sizes))
+    return max(FEWEST, math.ceil(usual * LEAST_PART))
+
+
+def _spared(doors: Iterable[Door]) -> list[Door]:
+    """Return a domain's boxes, without those beside a hub if it has many."""
+    given = list(doors)
+    alone = [door for door in given if not door.beside_hub]
+    return alone if len(alone) >= ALONE_AT_LEAST else given
+
+
+def _draw(caller: CallerKey, doors: Sequence[Door], most: int) -> tuple[Address, ...]:
+    """Return some boxes by rendezvous: few change when one comes or goes."""
+    addresses = [door.address for door in doors]
+    if len(addresses) <= most:
+        return tuple(addresses)
+    return tuple(Address(one) for one in ranked(caller, addresses)[: max(0, most)])
--- a/packages/edge/src/hitchdeck_edge/hub/process.py
+++ b/packages/edge/src/hitchdeck_edge/hub/process.py
@@ -17,6 +17,7 @@
 from hitchdeck_core.ids import Address, BoxName
 from hitchdeck_core.supervisor import Supervisor
 from hitchdeck_edge.hub import formation
+from hitchdeck_edge.hub.directory import CallerKey, Door, answer_for
 from hitchdeck_edge.hub.documents import DocumentsService, Seat
 from hitchdeck_edge.hub.documents_client import DocumentsClient
 from hitchdeck_edge.hub.kept_file import KeptFile, document_file, upstreams_file
@@ -41,7 +42,11 @@
 
 @dataclass(slots=True)
 class Hub:
-    """A running hub."""
+    """A running hub.
+
+    ``told`` is how many boxes callers of each domain were told of last: of
+    their own domain, and of others.
+    """
 
     settings: HubSettings
     state: HubState
@@ -54,13 +59,15 @@
     links: Links
     servers: list[Server] = field(default_factory=list)
     started: float = field(default_factory=boot_seconds)
+    told: dict[str, tuple[int, int]] = field(default_factory=dict)
 
-    def entry_addresses(self) -> list[str]:
-        """Return where callers may go; nothing until boxes had time to attend."""
+    def entry_addresses(self, caller: CallerKey, domain: str, most: int) -> list[str]:
+        """Return where a caller may go; nothing until boxes had time to attend."""
         if boot_seconds() - self.started < GATHERING_SECONDS:
             return []
-        entries = self.state.attendees.entries()
-        return sorted({one.hello.entry_address for one in entries})
+        answer = answer_for(caller, domain, self._doors(), most)
+        self._log_change(domain, len(answer.near), len(answer.elsewhere))
+        return list(answer.addresses)
 
     def address_seconds(self) -> float:
         """Return how long callers may keep what ``entry_addresses`` told."""
@@ -91,6 +98,25 @@
         if self.replica is not None:
             self.replica.log.close()
 
+    def _doors(self) -> list[Door]:
+        """Return the entry boxes that are ready."""
+        attendees = self.state.attendees
+        hubs = {one.hello.box for one in attendees.hubs()} | {self.settings.box}
+        return [
+            Door(
+                Address(one.hello.entry_address),
+                BoxName(one.hello.box),
+                one.hello.domain,
+                beside_hub=one.hello.box in hubs,
+            )
+            for one in attendees.entries()
+        ]
+
+    def _log_change(self, domain: str, near: int, elsewhere: int) -> None:
+        if self.told.get(domain) != (near, elsewhere):
+            self.told[domain] = (near, elsewhere)
+            logs.info('addresses told', asked=domain, near=near, elsewhere=elsewhere)
+
 
 async def start_hub(settings: HubSettings, read: Callable[[bytes], Document]) -> Hub:
     """Start a hub; ``read`` decodes the operator's documents.
