Weigh a domain's boxes by their room, and keep an overloaded box in touch

Ruled out: engines (standing 0, others placed at once), the cut itself (the box refused on after it). Change: boxes report the part of their time in which they work (core/busyness.py: the loop's own waiting, so it holds for any share of a processor); callers of a domain whose boxes work over 0.6 of it are sent elsewhere too, in proportion, to boxes with room. A box whose own timer is late waits again instead of counting the scheduler as silent. A box without its hub goes by the last sum of the others for 5 s, then as before.

--- /dev/null
+++ b/packages/core/src/hitchdeck_core/busyness.py
@@ -0,0 +1,75 @@
+"""How busy a process is, seen from within: the part of time its loop worked.
+
+Where a box has a share of a processor, work takes as long as the share makes it
+take, so the time that the loop does not wait tells how much of the share is
+used, whatever its size.
+"""
+
+import asyncio
+import math
+import selectors
+from collections.abc import Callable
+from time import monotonic
+
+SMOOTHING_SECONDS = 1.0
+"""Span over which the part is smoothed: callers keep addresses for some seconds,
+and a single slow request is no load."""
+
+LEAST_SPAN_SECONDS = 0.2
+"""Shorter spans are not measured by themselves."""
+
+
+class Busyness:
+    """Part of the time that was not spent waiting, smoothed."""
+
+    def __init__(self, now: Callable[[], float] = monotonic) -> None:
+        self.now = now
+        self.waited = 0.0
+        self.seen = now()
+        self.smoothed = 0.0
+
+    def part(self) -> float:
+        """Return the part, from 0 (idle) to 1."""
+        span = self.now() - self.seen
+        if span < LEAST_SPAN_SECONDS:
+            return self.smoothed
+        busy = min(1, max(0, 1 - self.waited / span))
+        weight = 1 - math.exp(-span / SMOOTHING_SECONDS)
+        self.smoothed += weight * (busy - self.smoothed)
+        self.seen += span
+        self.waited = 0
+        return self.smoothed
+
+
+class _Selector(selectors.DefaultSelector):
+    """Selects as any, and notes how long it waited."""
+
+    def __init__(self, busyness: Busyness) -> None:
+        super().__init__()
+        self.busyness = busyness
+
+    def select(
+        self,
+        timeout: float | None = None,
+    ) -> list[tuple[selectors.SelectorKey, int]]:
+        """Wait for events."""
+        if timeout is not None and timeout <= 0:
+            return super().select(timeout)
+        began = self.busyness.now()
+        events = super().select(timeout)
+        self.busyness.waited += self.busyness.now() - began
+        return events
+
+
+class MeteredLoop(asyncio.SelectorEventLoop):
+    """An event loop that knows how busy it is."""
+
+    def __init__(self) -> None:
+        self.busyness = Busyness()
+        super().__init__(_Selector(self.busyness))
+
+
+def busy_part() -> float:
+    """Return how busy the running loop is, 0 if it does not know."""
+    loop = asyncio.get_running_loop()
+    return loop.busyness.part() if isinstance(loop, MeteredLoop) else 0
--- a/packages/daemon/src/hitchdeck_daemon/on_platform.py
+++ b/packages/daemon/src/hitchdeck_daemon/on_platform.py
@@ -13,6 +13,7 @@
 from pathlib import Path
 
 from hitchdeck_core import logs
+from hitchdeck_core.busyness import MeteredLoop
 from hitchdeck_core.errors import HitchdeckError, SettingsError
 from hitchdeck_core.ids import Address
 from hitchdeck_core.supervisor import Supervisor
@@ -54,7 +55,8 @@
     about = _about(settings)
     logs.set_up_stdout(box=about.box, domain=about.domain)
     try:
-        asyncio.run(_run(start, settings, path))
+        with asyncio.Runner(loop_factory=MeteredLoop) as runner:
+            runner.run(_run(start, settings, path))
     except (HitchdeckError, OSError) as error:
         logs.failure('stopped', error)
         sys.exit(FAILED)
--- a/packages/edge/src/hitchdeck_edge/hub/attendees.py
+++ b/packages/edge/src/hitchdeck_edge/hub/attendees.py
@@ -12,10 +12,12 @@
 ALIVE_SECONDS = 1.5
 """A box whose last frame is older counts as away: three idle frames."""
 
+PERCENT = 100
+
 
 @dataclass(slots=True)
 class Attendee:
-    """One box on one stream."""
+    """One box on one stream; ``busy`` is the part of its time that it works."""
 
     hello: Hello
     last_frame: float
@@ -23,6 +25,7 @@
     ready: bool = False
     reports_here: bool = False
     boxes: int = 0
+    busy: float = 0
     tally: Tally = field(default_factory=Tally)
 
 
@@ -58,6 +61,7 @@
         attendee.ready = frame.ready
         attendee.reports_here = frame.wants_reports
         attendee.boxes = int(frame.boxes)
+        attendee.busy = frame.busy_percent / PERCENT
         if frame.wants_reports or attendee.hello.hub_address:
             attendee.tally = tally_of(frame)
 
--- a/packages/edge/src/hitchdeck_edge/hub/directory.py
+++ b/packages/edge/src/hitchdeck_edge/hub/directory.py
@@ -4,7 +4,7 @@
 connections to boxes that a later answer leaves out, and keep an answer for some
 seconds.  So an answer names boxes of the caller's own failure domain, as many
 as it may; the same ones each time it is asked; and some elsewhere where its
-domain has too few left to carry its callers.
+domain has too few left, or has no room left, to carry its callers.
 """
 
 import math
@@ -33,6 +33,14 @@
 half of its boxes lost a domain still carries its callers; with fewer, others
 take part."""
 
+BUSY = 0.6
+"""Part of its time that a box works from which a domain's callers are sent
+elsewhere too: the rest carries what comes until they ask again."""
+
+MOST_ELSEWHERE = 4.0
+"""Boxes elsewhere for each at home where those have no room at all: a flood of a
+fifth of the callers is carried by all boxes then."""
+
 ALONE_AT_LEAST = 8
 """Boxes without a hub beside them that a domain must have before those with one
 are left out: a hub answers the fleet, on the same processor."""
@@ -42,13 +50,15 @@
 class Door:
     """An entry box that is ready: where callers reach it.
 
-    ``beside_hub`` tells whether a hub runs on the same machine.
+    ``beside_hub`` tells whether a hub runs on the same machine, ``busy`` which
+    part of its time the box worked of late, from 0 to 1.
     """
 
     address: Address
     box: BoxName
     domain: str
     beside_hub: bool
+    busy: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,11 +94,12 @@
         How many addresses an answer may hold.
     """
     near = _spared(door for door in doors if door.domain == domain)
-    far = [door for door in doors if door.domain != domain]
-    spare = max(ELSEWHERE, _enough(doors) - len(near))
+    far = _with_room(door for door in doors if door.domain != domain)
+    spare = max(ELSEWHERE, _enough(doors) - len(near), _relief(near))
+    shown = _shown_elsewhere(len(near), min(spare, len(far)), most)
     return Answer(
-        near=_draw(caller, near, most - min(spare, len(far))),
-        elsewhere=_draw(caller, far, min(spare, most)),
+        near=_draw(caller, near, most - shown),
+        elsewhere=_draw(caller, far, shown),
     )
 
 
@@ -99,6 +110,36 @@
     return max(FEWEST, math.ceil(usual * LEAST_PART))
 
 
+def _shown_elsewhere(near: int, far: int, most: int) -> int:
+    """Return how many boxes elsewhere fit, in the proportion that is wanted.
+
+    At least one of either kind is shown, if there is one and room for both.
+    """
+    if near + far <= most:
+        return far
+    if not near:
+        return most
+    part = round(most * far / (near + far))
+    return min(most - 1, max(min(far, ELSEWHERE), part))
+
+
+def _relief(near: Sequence[Door]) -> int:
+    """Return how many boxes elsewhere take part of a flood's load.
+
+    None while those at home have room, ``MOST_ELSEWHERE`` for each where they
+    have none, and in proportion between, so that what is sent away settles.
+    """
+    busy = sum(door.busy for door in near) / max(1, len(near))
+    over = max(0, busy - BUSY) / (1 - BUSY)
+    return round(len(near) * MOST_ELSEWHERE * over)
+
+
+def _with_room(doors: Iterable[Door]) -> list[Door]:
+    """Return the boxes that have room, or all of them if none has."""
+    given = list(doors)
+    return [door for door in given if door.busy < BUSY] or given
+
+
 def _spared(doors: Iterable[Door]) -> list[Door]:
     """Return a domain's boxes, without those beside a hub if it has many."""
     given = list(doors)
--- a/packages/edge/src/hitchdeck_edge/hub/process.py
+++ b/packages/edge/src/hitchdeck_edge/hub/process.py
@@ -108,6 +108,7 @@
                 BoxName(one.hello.box),
                 one.hello.domain,
                 beside_hub=one.hello.box in hubs,
+                busy=one.busy,
             )
             for one in attendees.entries()
         ]
--- a/packages/edge/src/hitchdeck_edge/links/entry.py
+++ b/packages/edge/src/hitchdeck_edge/links/entry.py
@@ -1,7 +1,9 @@
 """What an entry box says to hubs, and does with what they say."""
 
+import math
 import secrets
 
+from hitchdeck_core.busyness import busy_part
 from hitchdeck_core.ids import Address
 from hitchdeck_core.signals import Signal
 from hitchdeck_core.wire.spread_pb2 import BoxFrame, Hello, HubFrame
@@ -13,6 +15,14 @@
 from hitchdeck_edge.state.knowledge import Knowledge
 from hitchdeck_edge.state.tallies import Tally, tally_of
 
+PERCENT = 100
+
+DIGEST_SECONDS = 5.0
+"""How long a box goes by the last sum of what the others have open, when no hub
+passes it on.  Taking the others to do as itself, the only box in reach of a
+flooded domain expected 24 times its own queue and refused 74 of 100 requests
+while engines were free."""
+
 
 class EntryLink:
     """An entry box, as the hubs see it."""
@@ -30,6 +40,7 @@
         self.urgent = Signal()
         self.incarnation = secrets.token_hex(4)
         self.home: Address | None = None
+        self.heard = -math.inf
         self._count_alone()
 
     def attendance(self, book: HubBook) -> Attendance:
@@ -42,10 +53,12 @@
 
     def compose(self, hub: Address, home: bool, first: bool) -> BoxFrame:
         """Return the next frame for a hub."""
+        self._forget_others()
         frame = BoxFrame(
             version=self.known.documents.version,
             ready=self.ready,
             wants_reports=home,
+            busy_percent=round(PERCENT * busy_part()),
         )
         if first:
             frame.hello.CopyFrom(self._hello())
@@ -54,10 +67,10 @@
         return frame
 
     def lose(self, hub: Address) -> None:
-        """Count on this box's own books alone while its hub is away."""
+        """Go by what was last heard for a while, then by this box's own books."""
         if hub == self.home:
             self.home = None
-            self._count_alone()
+        self._forget_others()
 
     def announce(self, *, ready: bool) -> None:
         """Tell every hub at once whether callers may be sent here."""
@@ -70,10 +83,16 @@
         if not is_home:
             return
         self.home = hub
+        self.heard = self.known.books.now()
         if frame.boxes:
             self.budget.boxes = int(frame.boxes)
         self._count_others(tally_of(frame), alike=1)
 
+    def _forget_others(self) -> None:
+        """Stop to count on what the others had open too long ago."""
+        if self.known.books.now() - self.heard > DIGEST_SECONDS:
+            self._count_alone()
+
     def _count_alone(self) -> None:
         """Take the other boxes to do as this one, while nothing tells.
 
--- a/packages/edge/src/hitchdeck_edge/links/placing.py
+++ b/packages/edge/src/hitchdeck_edge/links/placing.py
@@ -36,6 +36,13 @@
 """For one answer; a round between failure domains takes some 5 ms, and a
 request that waits longer is better placed by its own box."""
 
+OWN_DELAY_SECONDS = 0.02
+"""Lateness of its own timer from which a box is the one that is slow: a box with
+no processor time left took its scheduler for lost and decided alone."""
+
+MOST_WAITS = 3
+"""Waits for one answer at most, of a box that is late itself."""
+
 MOST_UNANSWERED = 3
 """Answers missing in a row after which the scheduler counts as lost."""
 
@@ -91,18 +98,18 @@
         self.waiting[ticket] = answer
         self.outbox.ask(encode_wanted(ticket, wanted))
         try:
-            async with asyncio.timeout(ANSWER_SECONDS):
-                placed = await answer
-        except TimeoutError:
+            await self._wait_for(answer)
+        finally:
+            self.waiting.pop(ticket, None)
+        if not answer.done():
+            answer.cancel()
             self._count_unanswered(ticket)
             return None
-        except LinkError:
+        if answer.exception() is not None:
             # The loss was logged where the link was given up.
             return None
-        finally:
-            self.waiting.pop(ticket, None)
         self.unanswered = 0
-        return self._decision(placed)
+        return self._decision(answer.result())
 
     def track(self, ticket: int, upstream: UpstreamName, unread: int) -> int:
         """Note a request that is being sent; return its ticket.
@@ -139,6 +146,18 @@
             if hub is None or not await self._keep_attending(hub):
                 await self.book.changed.wait(RETRY_SECONDS)
 
+    async def _wait_for(self, answer: asyncio.Future[Placed]) -> None:
+        """Wait for an answer, and once more if this box itself was late.
+
+        What came meanwhile is read only when the box gets to run.
+        """
+        for _ in range(MOST_WAITS):
+            asked = self.now()
+            await asyncio.wait((answer,), timeout=ANSWER_SECONDS)
+            late = self.now() - asked - ANSWER_SECONDS
+            if answer.done() or late < OWN_DELAY_SECONDS:
+                return
+
     async def _keep_attending(self, hub: Address) -> bool:
         """Attend one scheduler; tell whether another takes its place at once."""
         channel = open_channel(hub, self.token)
--- /dev/null
+++ b/tests/cover/test_busyness.py
@@ -0,0 +1,65 @@
+"""How busy a process is, as it sees itself."""
+
+import asyncio
+import time
+
+import pytest
+
+from hitchdeck_core.busyness import Busyness, MeteredLoop, busy_part
+
+
+class Hand:
+    """A clock that is set by hand."""
+
+    seconds = 0.0
+
+    def __call__(self) -> float:
+        return self.seconds
+
+
+@pytest.mark.parametrize(('waited', 'busy'), [(0, 1), (0.25, 0.75), (1, 0)])
+def test_time_that_was_not_waited_is_work(waited: float, busy: float) -> None:
+    clock = Hand()
+    meter = Busyness(clock)
+    for _ in range(20):
+        clock.seconds += 1
+        meter.waited += waited
+        part = meter.part()
+    assert part == pytest.approx(busy, abs=0.01)
+
+
+def test_a_moment_of_work_is_no_load() -> None:
+    clock = Hand()
+    meter = Busyness(clock)
+    clock.seconds += 0.3
+    assert meter.part() < 0.3
+
+
+def test_asking_twice_at_once_changes_nothing() -> None:
+    clock = Hand()
+    meter = Busyness(clock)
+    clock.seconds += 1
+    first = meter.part()
+    clock.seconds += 0.01
+    assert meter.part() == pytest.approx(first)
+
+
+def test_a_loop_that_works_knows_it_and_one_that_waits_too() -> None:
+    async def work() -> tuple[float, float]:
+        until = time.monotonic() + 0.5
+        while time.monotonic() < until:
+            await asyncio.sleep(0)
+        worked = busy_part()
+        await asyncio.sleep(0.5)
+        return worked, busy_part()
+
+    with asyncio.Runner(loop_factory=MeteredLoop) as runner:
+        worked, rested = runner.run(work())
+    assert rested < worked
+
+
+def test_another_loop_is_not_known_to_be_busy() -> None:
+    async def ask() -> float:
+        return busy_part()
+
+    assert asyncio.run(ask()) == 0
--- /dev/null
+++ b/tests/edge/test_alone.py
@@ -0,0 +1,69 @@
+"""A box that no hub tells of the others: what it counts on, and for how long."""
+
+import pytest
+
+from hitchdeck_core.ids import Address, UpstreamName
+from hitchdeck_core.signals import Signal
+from hitchdeck_core.wire.spread_pb2 import HubFrame, Load
+from hitchdeck_edge.dispatch.budget import RepeatBudget
+from hitchdeck_edge.links.entry import DIGEST_SECONDS, EntryLink
+from hitchdeck_edge.links.hubs import HubBook
+from hitchdeck_edge.scheduling.books import Ticket
+from hitchdeck_edge.settings import EntrySettings
+from hitchdeck_edge.state.documents import Documents
+from hitchdeck_edge.state.knowledge import Knowledge
+from hitchdeck_platform.documents import read_document
+from tests.common.scheduling import FakeClock, scheduler_of
+
+HUB = Address('10.0.0.1:1')
+ENGINE = UpstreamName('e0')
+BOXES = 24
+OWN = 5
+TOGETHER = 8
+
+
+def link_of(clock: FakeClock) -> EntryLink:
+    """Return the link of a box that a hub has told of the others."""
+    scheduler = scheduler_of(clock, 1)
+    known = Knowledge(
+        Documents(read_document, Signal()),
+        scheduler.placement.registry,
+        scheduler.placement.books,
+        scheduler,
+    )
+    settings = EntrySettings(
+        box='box',
+        domain='a',
+        listen=Address('127.0.0.1:1'),
+        ready_listen=Address('127.0.0.1:2'),
+    )
+    link = EntryLink(settings, known, RepeatBudget(0.2, 50, 10, clock))
+    book = HubBook('box', 'a', [HUB], clock)
+    book.reach(HUB)
+    others = [Load(upstream=ENGINE, running=TOGETHER - OWN)]
+    link.attendance(book).accept(HUB, HubFrame(boxes=BOXES, loads=others))
+    return link
+
+
+@pytest.mark.parametrize(
+    ('seconds', 'running'),
+    [
+        (0, TOGETHER),
+        (DIGEST_SECONDS - 0.1, TOGETHER),
+        # Nothing is known of the others any more: they may do as this one does.
+        (DIGEST_SECONDS + 0.1, OWN * BOXES),
+    ],
+)
+def test_a_box_that_lost_its_hub_goes_by_the_last_sum_of_the_others(
+    seconds: float,
+    running: int,
+) -> None:
+    """The one box left of a flooded domain multiplied its own queue by the fleet."""
+    clock = FakeClock()
+    link = link_of(clock)
+    books = link.known.books
+    for _ in range(OWN):
+        Ticket(books, ENGINE, 100)
+    clock.seconds += seconds
+    link.lose(HUB)
+    assert books.running(ENGINE) == running
--- a/tests/edge/test_directory.py
+++ b/tests/edge/test_directory.py
@@ -1,6 +1,7 @@
 """Where callers are sent: near, evenly, and with little change."""
 
 from collections import Counter
+from dataclasses import replace
 
 import pytest
 from hypothesis import given
@@ -147,3 +148,38 @@
     answer = answer_for(CALLERS[0], domain, doors_of(sizes, hubs=1), most)
     assert 1 <= len(answer.addresses) <= most
     assert len(answer.addresses) == len(answer.near) + len(answer.elsewhere)
+
+
+@pytest.mark.parametrize(
+    ('busy', 'elsewhere'),
+    [(0.1, 1), (0.6, 1), (0.7, 5), (0.8, 10), (1, 20)],
+)
+def test_the_callers_of_boxes_without_room_are_sent_elsewhere_too(
+    busy: float,
+    elsewhere: int,
+) -> None:
+    """In a flooded domain two boxes refused two of three, beside 20 idle ones."""
+    doors = [
+        replace(door, busy=busy) if door.domain == 'd0' else door
+        for door in fleet(5, 5)
+    ]
+    answer = asked(doors)
+    assert len(answer.near) == 5
+    assert len(answer.elsewhere) == elsewhere
+
+
+def test_nobody_is_sent_to_boxes_elsewhere_that_have_no_room() -> None:
+    doors = [
+        replace(door, busy=0 if door.domain == 'd1' else 0.9) for door in fleet(3, 5)
+    ]
+    answer = asked(doors)
+    assert {one.split('.')[1] for one in answer.elsewhere} == {'1'}
+
+
+def test_a_flood_in_a_large_domain_is_shared_out_within_one_answer() -> None:
+    doors = [
+        replace(door, busy=1) if door.domain == 'd0' else door for door in fleet(5, 100)
+    ]
+    answer = asked(doors)
+    assert len(answer.addresses) == MOST
+    assert len(answer.near) == round(MOST / 5)
--- a/tests/edge/test_scheduler_link.py
+++ b/tests/edge/test_scheduler_link.py
@@ -1,22 +1,27 @@
 """A box's link to its scheduler, where the scheduler does not behave."""
 
 import asyncio
+import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager, suppress
 
 import pytest
 
+from hitchdeck_core.channels import fleet_only, serve
 from hitchdeck_core.clock import boot_seconds
 from hitchdeck_core.ids import Address, BoxName, UpstreamName
 from hitchdeck_core.signals import Signal
+from hitchdeck_edge.hub.placing import PlacingService
 from hitchdeck_edge.links import placing
 from hitchdeck_edge.links.hubs import HubBook
 from hitchdeck_edge.links.placing import PlacingLink
+from hitchdeck_edge.model.placing import Choice
 from hitchdeck_edge.scheduling.shares import Shares
 from hitchdeck_edge.state.registry import Registry
-from tests.common.scheduling import wanted
+from standins.ports import free_address
+from tests.common.scheduling import FakeClock, engine, scheduler_of, wanted
 
-Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+Serving = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
 
 async def read_on(reader: asyncio.StreamReader, _: asyncio.StreamWriter) -> None:
@@ -31,9 +36,9 @@
 
 
 @asynccontextmanager
-async def silent_hub(serve: Serve) -> AsyncIterator[Address]:
+async def silent_hub(serving: Serving) -> AsyncIterator[Address]:
     """Run a hub that answers nothing."""
-    server = await asyncio.start_server(serve, '127.0.0.1', 0)
+    server = await asyncio.start_server(serving, '127.0.0.1', 0)
     port = server.sockets[0].getsockname()[1]
     try:
         yield Address(f'127.0.0.1:{port}')
@@ -63,12 +68,14 @@
             await asyncio.sleep(0.01)
 
 
-@pytest.mark.parametrize('serve', [read_on, read_nothing])
-async def test_a_scheduler_that_is_lost_without_a_word_is_left(serve: Serve) -> None:
+@pytest.mark.parametrize('serving', [read_on, read_nothing])
+async def test_a_scheduler_that_is_lost_without_a_word_is_left(
+    serving: Serving,
+) -> None:
     # Accounts got unequal shares: four boxes waited 60 ms for each of 1,300
     # answers of a hub that had lost power, and each shared capacity by itself:
     # the call to leave the stream waited for the hub's first word.
-    async with silent_hub(serve) as hub, running_link(hub) as link:
+    async with silent_hub(serving) as hub, running_link(hub) as link:
         await reached(link, connected=True)
         link.book.lose(hub)
         await reached(link, connected=False)
@@ -86,9 +93,9 @@
         assert link.scheduler == hub
 
 
-@pytest.mark.parametrize('serve', [read_on, read_nothing])
-async def test_a_scheduler_that_does_not_answer_is_left(serve: Serve) -> None:
-    async with silent_hub(serve) as hub, running_link(hub) as link:
+@pytest.mark.parametrize('serving', [read_on, read_nothing])
+async def test_a_scheduler_that_does_not_answer_is_left(serving: Serving) -> None:
+    async with silent_hub(serving) as hub, running_link(hub) as link:
         await reached(link, connected=True)
         async with asyncio.timeout(15):
             while link.scheduler is not None:
@@ -110,3 +117,34 @@
         async with asyncio.timeout(15):
             while link.scheduler != second:
                 await asyncio.sleep(0.01)
+
+
+@asynccontextmanager
+async def prompt_hub() -> AsyncIterator[Address]:
+    """Run a hub that places every request on the engine ``e0``."""
+    clock = FakeClock()
+    service = PlacingService(scheduler_of(clock, 1))
+    address = free_address()
+    server = await serve([service], address, fleet_only('token'))
+    try:
+        yield address
+    finally:
+        server.close()
+
+
+@pytest.mark.parametrize('seconds', [0.15, 0.3])
+async def test_a_box_that_is_late_itself_does_not_take_its_scheduler_for_lost(
+    seconds: float,
+) -> None:
+    # A box in a flooded domain had no processor time left: it gave up answers
+    # that lay unread, and refused two of three requests by itself.
+    async with prompt_hub() as hub, running_link(hub) as link:
+        link.registry.merge(engine('e0'), 'test')
+        await reached(link, connected=True)
+        asked = asyncio.create_task(link.place(wanted()))
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        # The box does nothing for a while, as one whose share is used up.
+        time.sleep(seconds)
+        assert isinstance(await asked, Choice)
+        assert not link.unanswered
