Say nothing to hubs of other domains half as often

Cause: 200 boxes and 10 hubs exchange 8,500 frames a second, 2,000 streams with two idle frames a second each way (worked out), some 0.1 ms of processor at either end. Change: between a box and a hub of another domain an idle frame goes each second and not each half; three missing ones still end a link. News, readiness and the hubs of the own domain are as before: 5,300 frames a second there (worked out). Ruled out: boxes that attend fewer hubs; every hub would have to pass on who is ready and which hub schedules. It is the next step, not built.

--- a/packages/edge/src/hitchdeck_edge/hub/attendees.py
+++ b/packages/edge/src/hitchdeck_edge/hub/attendees.py
@@ -7,11 +7,9 @@
 from hitchdeck_core.clock import Clock
 from hitchdeck_core.ids import Address
 from hitchdeck_core.wire.spread_pb2 import BoxFrame, Hello
+from hitchdeck_edge.links.attend import SILENT_FRAMES, box_idle, hub_idle
 from hitchdeck_edge.state.tallies import Tally, tally_of, total_of
 
-ALIVE_SECONDS = 1.5
-"""A box whose last frame is older counts as away: three idle frames."""
-
 PERCENT = 100
 
 
@@ -36,8 +34,9 @@
 class Attendees:
     """All hubs and entry boxes that attend this hub."""
 
-    def __init__(self, now: Clock) -> None:
+    def __init__(self, now: Clock, domain: str) -> None:
         self.now = now
+        self.domain = domain
         self.boxes: dict[Place, Attendee] = {}
 
     def enter(self, hello: Hello) -> Attendee:
@@ -65,6 +64,11 @@
         if frame.wants_reports or attendee.hello.hub_address:
             attendee.tally = tally_of(frame)
 
+    def idle(self, attendee: Attendee) -> float:
+        """Return the seconds between idle frames of a box or hub and this hub."""
+        near = attendee.hello.domain == self.domain
+        return hub_idle(near) if attendee.hello.hub_address else box_idle(near)
+
     def entries(self) -> list[Attendee]:
         """Return the entry boxes that are alive and ready."""
         return [one for one in self._alive() if one.hello.entry_address and one.ready]
@@ -98,8 +102,12 @@
         )
 
     def _alive(self) -> Iterable[Attendee]:
-        horizon = self.now() - ALIVE_SECONDS
-        return [one for one in self.boxes.values() if one.last_frame >= horizon]
+        now = self.now()
+        return [
+            one
+            for one in self.boxes.values()
+            if now - one.last_frame <= SILENT_FRAMES * self.idle(one)
+        ]
 
 
 def _place(hello: Hello) -> Place:
--- a/packages/edge/src/hitchdeck_edge/hub/peers.py
+++ b/packages/edge/src/hitchdeck_edge/hub/peers.py
@@ -9,7 +9,7 @@
 from hitchdeck_edge.hub import formation
 from hitchdeck_edge.hub.liveness import Liveness
 from hitchdeck_edge.hub.spread import HubState
-from hitchdeck_edge.links.attend import Attendance, hub_pause
+from hitchdeck_edge.links.attend import Attendance, hub_idle, hub_pause
 from hitchdeck_edge.links.hubs import HubBook
 from hitchdeck_edge.links.intake import take_news
 from hitchdeck_edge.settings import HubSettings
@@ -46,6 +46,7 @@
             accept,
             self.forget,
             self.state.news,
+            hub_idle,
             hub_pause,
         )
 
--- a/packages/edge/src/hitchdeck_edge/hub/spread.py
+++ b/packages/edge/src/hitchdeck_edge/hub/spread.py
@@ -17,7 +17,7 @@
 from hitchdeck_core.wire.spread_grpc import SpreadBase
 from hitchdeck_core.wire.spread_pb2 import BoxFrame, HubFrame
 from hitchdeck_edge.hub.attendees import Attendee, Attendees
-from hitchdeck_edge.links.attend import IDLE_SECONDS, REPORT_SECONDS
+from hitchdeck_edge.links.attend import REPORT_SECONDS
 from hitchdeck_edge.links.records import encode_upstream
 from hitchdeck_edge.settings import HubSettings
 from hitchdeck_edge.state.documents import Documents, ReadDocument
@@ -49,7 +49,7 @@
         durable=settings.data_folder is not None,
         documents=Documents(read, news),
         registry=Registry(boot_seconds, news),
-        attendees=Attendees(boot_seconds),
+        attendees=Attendees(boot_seconds, settings.domain),
         news=news,
     )
 
@@ -99,12 +99,16 @@
         try:
             while True:
                 await stream.send_message(self._frame(attendee, sent))
-                pause = REPORT_SECONDS if attendee.reports_here else IDLE_SECONDS
-                await self.state.news.wait(pause)
+                await self.state.news.wait(self._pause(attendee))
         except TRANSPORT_ERRORS:
             # The receiving side sees the same end and logs that the box left.
             return
 
+    def _pause(self, attendee: Attendee) -> float:
+        if attendee.reports_here:
+            return REPORT_SECONDS
+        return self.state.attendees.idle(attendee)
+
     def _frame(self, attendee: Attendee, sent: _Sent) -> HubFrame:
         state = self.state
         frame = HubFrame()
--- a/packages/edge/src/hitchdeck_edge/links/attend.py
+++ b/packages/edge/src/hitchdeck_edge/links/attend.py
@@ -21,8 +21,8 @@
 from hitchdeck_core.wire.spread_pb2 import BoxFrame, HubFrame
 from hitchdeck_edge.links.hubs import HubBook
 
-SILENCE_SECONDS = 1.5
-"""Without a frame for so long a link counts as cut: three idle frames."""
+SILENT_FRAMES = 3
+"""Idle frames that must be missing before a link counts as cut."""
 
 CONNECT_SECONDS = 0.5
 """A hub in reach answers within some milliseconds."""
@@ -44,7 +44,13 @@
 """Between two frames from hub to hub: these cross failure domains."""
 
 IDLE_SECONDS = 0.5
-"""Between two frames to any other hub."""
+"""Between two frames to any other hub of the domain, and between hubs."""
+
+FAR_IDLE_SECONDS = 1.0
+"""Between two idle frames of a box and a hub of another domain.  Only frames
+that say nothing wait for it: news goes out at once.  Two hundred boxes and ten
+hubs in five domains exchange 5,300 frames a second in place of 8,500 (worked
+out), each some 0.1 ms of processor time at either end."""
 
 LINK_ERRORS = (LinkError, *TRANSPORT_ERRORS)
 
@@ -56,15 +62,18 @@
     """What a box says to hubs and does with what they say, as functions.
 
     ``compose`` gets whether the hub is the one that passes reports on, and
-    whether the frame is the first on its stream.  ``pause`` is the time in
-    seconds between two frames, given the former; ``urgent`` cuts it short.
+    whether the frame is the first on its stream.  ``idle`` is the time in
+    seconds between two frames that say nothing, on either side, given whether
+    the hub is of the box's domain; ``pause`` that between the box's own, given
+    the same and whether it reports there; ``urgent`` cuts it short.
     """
 
     compose: Callable[[Address, bool, bool], BoxFrame]
     accept: Callable[[Address, HubFrame], None]
     lost: Callable[[Address], None]
     urgent: Signal
-    pause: Callable[[bool], float]
+    idle: Callable[[bool], float]
+    pause: Callable[[bool, bool], float]
 
 
 class Attendant:
@@ -130,7 +139,8 @@
 
     async def _receive(self, address: Address, stream: Channels) -> None:
         while True:
-            async with asyncio.timeout(SILENCE_SECONDS):
+            near = self.book.is_near(address)
+            async with asyncio.timeout(SILENT_FRAMES * self.attendance.idle(near)):
                 frame = await stream.recv_message()
             if frame is None:
                 raise LinkError('the hub ended the stream')
@@ -145,16 +155,27 @@
     async def _send(self, address: Address, stream: Channels) -> None:
         while True:
             home = self.book.home() == address
-            await self.attendance.urgent.wait(self.attendance.pause(home))
+            pause = self.attendance.pause(self.book.is_near(address), home)
+            await self.attendance.urgent.wait(pause)
             frame = self.attendance.compose(address, home, False)
             await stream.send_message(frame)
 
 
-def box_pause(home: bool) -> float:
+def box_idle(near: bool) -> float:
+    """Return the time between idle frames of an entry box and a hub, in seconds."""
+    return IDLE_SECONDS if near else FAR_IDLE_SECONDS
+
+
+def box_pause(near: bool, home: bool) -> float:
     """Return the pause of an entry box, in seconds."""
-    return REPORT_SECONDS if home else IDLE_SECONDS
+    return REPORT_SECONDS if home else box_idle(near)
+
+
+def hub_idle(near: bool) -> float:
+    """Return the time between idle frames of two hubs, in seconds."""
+    return IDLE_SECONDS
 
 
-def hub_pause(home: bool) -> float:
+def hub_pause(near: bool, home: bool) -> float:
     """Return the pause of a hub, which passes reports on to every other."""
     return RELAY_SECONDS
--- a/packages/edge/src/hitchdeck_edge/links/entry.py
+++ b/packages/edge/src/hitchdeck_edge/links/entry.py
@@ -8,7 +8,7 @@
 from hitchdeck_core.signals import Signal
 from hitchdeck_core.wire.spread_pb2 import BoxFrame, Hello, HubFrame
 from hitchdeck_edge.dispatch.budget import RepeatBudget
-from hitchdeck_edge.links.attend import Attendance, box_pause
+from hitchdeck_edge.links.attend import Attendance, box_idle, box_pause
 from hitchdeck_edge.links.hubs import HubBook
 from hitchdeck_edge.links.intake import take_news
 from hitchdeck_edge.settings import EntrySettings
@@ -49,7 +49,9 @@
         def accept(address: Address, frame: HubFrame) -> None:
             self._accept(address, frame, is_home=book.home() == address)
 
-        return Attendance(self.compose, accept, self.lose, self.urgent, box_pause)
+        return Attendance(
+            self.compose, accept, self.lose, self.urgent, box_idle, box_pause
+        )
 
     def compose(self, hub: Address, home: bool, first: bool) -> BoxFrame:
         """Return the next frame for a hub."""
--- a/packages/edge/src/hitchdeck_edge/links/hubs.py
+++ b/packages/edge/src/hitchdeck_edge/links/hubs.py
@@ -53,6 +53,10 @@
         """Tell whether a hub answers."""
         return address in self.live
 
+    def is_near(self, address: Address) -> bool:
+        """Tell whether a hub is of the box's own failure domain, as far as known."""
+        return address in self.near
+
     def introduce(self, address: Address, domain: str, *, durable: bool) -> None:
         """Note a hub's failure domain, and whether it has a disk."""
         if domain == self.domain:
