Sum what boxes report once a tenth of a second

Change: the sum is kept for 0.1 s, a third of the time between reports, and each box gets it less its own. Ruled out: sums kept up to date by differences; a tally that is lost would stay in them. tests/edge: the suites of sharing, hubs and mechanisms pass unchanged.

--- a/packages/edge/src/hitchdeck_edge/hub/attendees.py
+++ b/packages/edge/src/hitchdeck_edge/hub/attendees.py
@@ -1,5 +1,6 @@
 """The boxes that attend this hub, and what each last reported."""
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -12,6 +13,11 @@
 
 PERCENT = 100
 
+SUM_SECONDS = 0.1
+"""How long the sum over the fleet is kept: a third of the time between reports.
+Made anew for each box's frame it took a sixth of a hub's processor time (profile
+of ten seconds, 88 boxes and 90 engines)."""
+
 
 @dataclass(slots=True)
 class Attendee:
@@ -38,6 +44,8 @@
         self.now = now
         self.domain = domain
         self.boxes: dict[Place, Attendee] = {}
+        self.sum = Tally()
+        self.summed_at = -math.inf
 
     def enter(self, hello: Hello) -> Attendee:
         """Start the record of a box; it replaces that of an earlier life."""
@@ -90,9 +98,15 @@
         return total_of(one.tally for one in self.own_boxes())
 
     def total(self) -> Tally:
-        """Return the sum over the fleet: own boxes and what hubs passed on."""
-        reporting = self.own_boxes() + self.hubs()
-        return total_of(one.tally for one in reporting)
+        """Return the sum over the fleet: own boxes and what hubs passed on.
+
+        Nobody may change it, and it is up to ``SUM_SECONDS`` old.
+        """
+        if self.now() - self.summed_at >= SUM_SECONDS:
+            reporting = self.own_boxes() + self.hubs()
+            self.sum = total_of(one.tally for one in reporting)
+            self.summed_at = self.now()
+        return self.sum
 
     def box_count(self) -> int:
         """Return how many entry boxes the fleet has, as far as known."""
--- a/packages/edge/src/hitchdeck_edge/hub/spread.py
+++ b/packages/edge/src/hitchdeck_edge/hub/spread.py
@@ -138,8 +138,7 @@
 
 
 def _add_reports(frame: HubFrame, attendee: Attendee, attendees: Attendees) -> None:
-    others = attendees.total()
-    others.subtract(attendee.tally)
+    others = attendees.total().without(attendee.tally)
     frame.loads.extend(others.loads())
     frame.demands.extend(others.demands())
     frame.boxes = attendees.box_count()
--- a/packages/edge/src/hitchdeck_edge/state/tallies.py
+++ b/packages/edge/src/hitchdeck_edge/state/tallies.py
@@ -26,11 +26,13 @@
         self.running.update(other.running)
         self.asked.update(other.asked)
 
-    def subtract(self, other: 'Tally') -> None:
-        """Take another tally off this one."""
-        self.waiting.subtract(other.waiting)
-        self.running.subtract(other.running)
-        self.asked.subtract(other.asked)
+    def without(self, other: 'Tally') -> 'Tally':
+        """Return this tally less another one."""
+        rest = Tally(self.waiting.copy(), self.running.copy(), self.asked.copy())
+        rest.waiting.subtract(other.waiting)
+        rest.running.subtract(other.running)
+        rest.asked.subtract(other.asked)
+        return rest
 
     def loads(self) -> list[Load]:
         """Return the open work as messages, without idle upstreams."""
