Learn nothing of engines from a box without time; send floods elsewhere sooner

The boxes themselves had no room before they were left: callers keep connections to addresses that stay in the answer. Change: a box that works over 0.7 of its time says so with the first events that it notes, and neither it nor the scheduler learns pace, slowness or run times from them. Callers are sent elsewhere from 0.15 of the time on, fully at 0.5. Test: test_nothing_is_learned_of_engines_from_a_box_without_time. Also: readiness and metrics are answered without tornado's web framework.

--- a/packages/edge/src/hitchdeck_edge/dispatch/sender.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/sender.py
@@ -3,11 +3,13 @@
 from http import HTTPStatus
 
 from hitchdeck_core import logs
+from hitchdeck_core.busyness import busy_part
 from hitchdeck_core.clock import Clock
 from hitchdeck_edge.dispatch.attempts import Attempt, Service, Verdict, verdict_on
 from hitchdeck_edge.dispatch.connections import Connections
 from hitchdeck_edge.dispatch.exchange import Connection, Head, Outgoing
 from hitchdeck_edge.errors import BrokenAnswerError, NotSentError
+from hitchdeck_edge.links.placing import SHORT_OF_TIME
 from hitchdeck_edge.model.dialect import Dialect, Forwarding
 from hitchdeck_edge.model.passage import Passage
 from hitchdeck_edge.model.placing import Choice
@@ -139,8 +141,8 @@
     def _note_start(self, passage: Passage, attempt: Attempt) -> None:
         attempt.ticket.start()
         self.link.start(attempt.number)
-        wanted = passage.wanted(self.domain)
-        self.placement.measure(attempt.ticket, wanted)
+        if busy_part() <= SHORT_OF_TIME:
+            self.placement.measure(attempt.ticket, passage.wanted(self.domain))
 
     async def _own_head(self, passage: Passage, connection: Connection) -> Head:
         """Return the head of the answer to this very request.
--- a/packages/edge/src/hitchdeck_edge/hub/directory.py
+++ b/packages/edge/src/hitchdeck_edge/hub/directory.py
@@ -33,9 +33,14 @@
 half of its boxes lost a domain still carries its callers; with fewer, others
 take part."""
 
-BUSY = 0.6
+BUSY = 0.15
 """Part of its time that a box works from which a domain's callers are sent
-elsewhere too: the rest carries what comes until they ask again."""
+elsewhere too.  A flood asks for five to ten times as much within a second, and
+callers keep what they were told for some: the rest has to carry it until then."""
+
+FULL = 0.5
+"""Part of its time from which a box is given as little as it can be: requests
+wait for each other in it, and its answers come late."""
 
 MOST_ELSEWHERE = 4.0
 """Boxes elsewhere for each at home where those have no room at all: a flood of a
@@ -130,14 +135,14 @@
     have none, and in proportion between, so that what is sent away settles.
     """
     busy = sum(door.busy for door in near) / max(1, len(near))
-    over = max(0, busy - BUSY) / (1 - BUSY)
+    over = min(1, max(0, busy - BUSY) / (FULL - BUSY))
     return round(len(near) * MOST_ELSEWHERE * over)
 
 
 def _with_room(doors: Iterable[Door]) -> list[Door]:
     """Return the boxes that have room, or all of them if none has."""
     given = list(doors)
-    return [door for door in given if door.busy < BUSY] or given
+    return [door for door in given if door.busy < FULL] or given
 
 
 def _spared(doors: Iterable[Door]) -> list[Door]:
--- a/packages/edge/src/hitchdeck_edge/hub/placing.py
+++ b/packages/edge/src/hitchdeck_edge/hub/placing.py
@@ -67,6 +67,8 @@
             self.scheduler.enter(key, UpstreamName(work.upstream), int(work.unread))
         for started in frame.started:
             self.scheduler.start((box.name, int(started)))
+        for started in frame.late_started:
+            self.scheduler.start((box.name, int(started)), learn=False)
         for ended in frame.ended:
             self.scheduler.end((box.name, int(ended)))
         for failed in frame.failed:
--- a/packages/edge/src/hitchdeck_edge/links/placing.py
+++ b/packages/edge/src/hitchdeck_edge/links/placing.py
@@ -6,6 +6,7 @@
 from grpclib.client import Channel, Stream
 
 from hitchdeck_core import logs
+from hitchdeck_core.busyness import busy_part
 from hitchdeck_core.channels import open_channel
 from hitchdeck_core.errors import LinkError
 from hitchdeck_core.ids import Address, UpstreamName
@@ -43,6 +44,12 @@
 MOST_WAITS = 3
 """Waits for one answer at most, of a box that is late itself."""
 
+SHORT_OF_TIME = 0.7
+"""Part of its time that a box works from which what it notes is late.  Boxes
+that had none left taught the fleet's scheduler that engines were slow, and it
+refused the requests of every domain (0.07 to 0.2 of what was owed was earned in
+the ten seconds after a flood of one domain, and 0.33 to 0.8 before it)."""
+
 MOST_UNANSWERED = 3
 """Answers missing in a row after which the scheduler counts as lost."""
 
@@ -128,7 +135,9 @@
         """Note the first event of a request."""
         if ticket in self.open:
             self.open[ticket].unread = 0
-            self._tell(PlacingFrame(started=[ticket]))
+            late = busy_part() > SHORT_OF_TIME
+            news = {'late_started' if late else 'started': [ticket]}
+            self._tell(PlacingFrame(**news))
 
     def end(self, ticket: int) -> None:
         """Note the end of a request."""
--- a/packages/edge/src/hitchdeck_edge/process.py
+++ b/packages/edge/src/hitchdeck_edge/process.py
@@ -4,7 +4,6 @@
 from dataclasses import dataclass, field
 
 from tornado.httpserver import HTTPServer
-from tornado.web import Application
 
 from hitchdeck_core import logs
 from hitchdeck_core.channels import split_address
@@ -23,12 +22,7 @@
 from hitchdeck_edge.model.dialect import Dialect
 from hitchdeck_edge.scheduling.chooser import Chooser
 from hitchdeck_edge.serving.admission import Admission
-from hitchdeck_edge.serving.doors import (
-    ReadyHandler,
-    listen,
-    metrics_application,
-    quiet,
-)
+from hitchdeck_edge.serving.doors import listen, metrics_page, ready_page
 from hitchdeck_edge.serving.front import FrontDoor
 from hitchdeck_edge.serving.stopping import Stopping
 from hitchdeck_edge.settings import EntrySettings
@@ -139,13 +133,10 @@
     settings = box.settings
     host, port = split_address(Address(settings.listen))
     box.door.server.add_socket(listening_socket(host, port))
-    ready = Application(
-        [('/.*', ReadyHandler, {'is_ready': box.is_ready})],
-        log_function=quiet,
-    )
+    ready = ready_page(box.is_ready)
     box.servers.append(listen(ready, Address(settings.ready_listen)))
     if settings.metrics_listen is not None:
-        figures = metrics_application(box.admission.gauges.text)
+        figures = metrics_page(box.admission.gauges.text)
         box.servers.append(listen(figures, Address(settings.metrics_listen)))
     attendance = box.link.attendance(box.book)
     attendant = Attendant(box.book, attendance, settings.fleet_token)
--- a/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
@@ -33,7 +33,10 @@
 
 @dataclass(slots=True)
 class Open:
-    """One request that is open at an engine."""
+    """One request that is open at an engine.
+
+    ``wanted`` is absent where nothing is to be learned of it.
+    """
 
     ticket: Ticket
     wanted: Wanted | None
@@ -92,12 +95,14 @@
         ticket = Ticket(self.placement.books, upstream, unread)
         self.open[key] = Open(ticket, wanted)
 
-    def start(self, key: BoxTicket) -> None:
-        """Note the first event of a request."""
+    def start(self, key: BoxTicket, *, learn: bool = True) -> None:
+        """Note the first event of a request; ``learn`` of its engine by it."""
         known = self.open.get(key)
         if known is None or not known.ticket.reading:
             return
         known.ticket.start()
+        if not learn:
+            known.wanted = None
         if known.wanted is not None:
             self.placement.measure(known.ticket, known.wanted)
 
--- a/tests/edge/test_scheduler_link.py
+++ b/tests/edge/test_scheduler_link.py
@@ -148,3 +148,38 @@
         time.sleep(seconds)
         assert isinstance(await asked, Choice)
         assert not link.unanswered
+
+
+@pytest.mark.parametrize(('busy', 'learned'), [(0.2, True), (0.95, False)])
+async def test_nothing_is_learned_of_engines_from_a_box_without_time(
+    monkeypatch: pytest.MonkeyPatch,
+    busy: float,
+    learned: bool,
+) -> None:
+    # A flooded box noted first events seconds late; the scheduler took every
+    # engine for slow and refused what other domains asked for.
+    monkeypatch.setattr(placing, 'busy_part', lambda: busy)
+    clock = FakeClock()
+    scheduler = scheduler_of(clock, 1)
+    service = PlacingService(scheduler)
+    address = free_address()
+    server = await serve([service], address, fleet_only('token'))
+    async with running_link(address) as link:
+        link.registry.merge(engine('e0'), 'test')
+        await reached(link, connected=True)
+        choice = await link.place(wanted(tokens=4000))
+        assert isinstance(choice, Choice)
+        clock.seconds += 3
+        link.track(choice.ticket, choice.upstream.name, choice.tokens)
+        link.start(choice.ticket)
+        async with asyncio.timeout(15):
+            while scheduler.placement.books.waiting(choice.upstream.name):
+                await asyncio.sleep(0.01)
+        link.end(choice.ticket)
+        async with asyncio.timeout(15):
+            while scheduler.open:
+                await asyncio.sleep(0.01)
+    server.close()
+    pace = scheduler.placement.pace
+    assert bool(pace.seconds) == learned
+    assert bool(pace.run_seconds) == learned
