--- a/packages/edge/src/hitchdeck_edge/links/placing.py
+++ b/packages/edge/src/hitchdeck_edge/links/placing.py
@@ -135,9 +135,10 @@
         """Note the first event of a request."""
         if ticket in self.open:
             self.open[ticket].unread = 0
+            news = PlacingFrame()
             late = busy_part() > SHORT_OF_TIME
-            news = {'late_started' if late else 'started': [ticket]}
-            self._tell(PlacingFrame(**news))
+            (news.late_started if late else news.started).append(ticket)
+            self._tell(news)
 
     def end(self, ticket: int) -> None:
         """Note the end of a request."""
--- a/packages/edge/src/hitchdeck_edge/scheduling/books.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/books.py
@@ -56,13 +56,13 @@
 
     def waiting(self, name: UpstreamName) -> int:
         """Return the tokens that wait to be read at an upstream."""
-        own = self.own.waiting[name] * self.alike
-        return max(0, own + self.others.waiting[name])
+        own = self.own.waiting.get(name, 0) * self.alike
+        return max(0, own + self.others.waiting.get(name, 0))
 
     def running(self, name: UpstreamName) -> int:
         """Return the requests that are open at an upstream."""
-        own = self.own.running[name] * self.alike
-        return max(0, own + self.others.running[name])
+        own = self.own.running.get(name, 0) * self.alike
+        return max(0, own + self.others.running.get(name, 0))
 
     def keep(self, names: set[UpstreamName]) -> None:
         """Drop all other upstreams at which nothing is open."""
--- a/packages/edge/src/hitchdeck_edge/scheduling/health.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/health.py
@@ -41,6 +41,7 @@
     def __init__(self, now: Clock) -> None:
         self.now = now
         self.records: dict[UpstreamName, Record] = {}
+        self.suspects: set[UpstreamName] = set()
 
     def record(self, name: UpstreamName) -> Record:
         """Return the record of an upstream."""
@@ -48,8 +49,15 @@
 
     def is_ejected(self, name: UpstreamName) -> bool:
         """Tell whether an upstream is to be passed over for now."""
-        known = self.records.get(name)
-        return known is not None and known.ejected_until > self.now()
+        return name in self.ejected()
+
+    def ejected(self) -> set[UpstreamName]:
+        """Return the upstreams that are to be passed over for now."""
+        now = self.now()
+        for name in list(self.suspects):
+            if self.record(name).ejected_until <= now:
+                self.suspects.discard(name)
+        return self.suspects
 
     def succeed(self, name: UpstreamName, seconds: float) -> None:
         """Note a whole answer, and how long it took."""
@@ -74,12 +82,12 @@
             FIRST_EJECTION_SECONDS * 2**doublings,
         )
         known.failures += 1
-        known.ejected_until = self.now() + pause
+        self._eject(name, pause)
         logs.info('upstream ejected', upstream=name, seconds=pause, reason=reason)
 
     def misplace(self, name: UpstreamName) -> None:
         """Note that another upstream answered in its place."""
-        self.record(name).ejected_until = self.now() + MISPLACED_SECONDS
+        self._eject(name, MISPLACED_SECONDS)
         logs.info('upstream misplaced', upstream=name, seconds=MISPLACED_SECONDS)
 
     def measure_slowness(self, name: UpstreamName, ratio: float) -> None:
@@ -91,3 +99,13 @@
         """Drop the records of all other upstreams."""
         for name in self.records.keys() - names:
             self.records.pop(name)
+            self.suspects.discard(name)
+
+    def slowness(self, name: UpstreamName) -> float:
+        """Return how much slower than expected an upstream was of late."""
+        known = self.records.get(name)
+        return 1 if known is None else known.slowness
+
+    def _eject(self, name: UpstreamName, seconds: float) -> None:
+        self.record(name).ejected_until = self.now() + seconds
+        self.suspects.add(name)
--- a/packages/edge/src/hitchdeck_edge/scheduling/memory.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/memory.py
@@ -1,6 +1,7 @@
 """Which parts of prompts an upstream's engine probably has in its cache."""
 
 from collections import OrderedDict
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from hitchdeck_core.clock import Clock
@@ -74,6 +75,19 @@
         horizon = self.now() - REMEMBERED_SECONDS
         return max(0, prompt.tokens - known.cached(prompt, horizon))
 
+    def uncached_at(self, names: Iterable[UpstreamName], prompt: Prompt) -> list[int]:
+        """Return how many tokens of a prompt each of some engines must read."""
+        horizon = self.now() - REMEMBERED_SECONDS
+        first = prompt.parts[0].part if prompt.parts else None
+        unread: list[int] = []
+        for name in names:
+            known = self.engines.get(name)
+            if known is None or first not in known.parts:
+                unread.append(prompt.tokens)
+            else:
+                unread.append(max(0, prompt.tokens - known.cached(prompt, horizon)))
+        return unread
+
     def note(self, name: UpstreamName, prompt: Prompt) -> None:
         """Note that a prompt is sent to an upstream, or has been read there."""
         engine = self.engines.setdefault(name, EngineMemory())
--- a/packages/edge/src/hitchdeck_edge/scheduling/placement.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/placement.py
@@ -85,18 +85,13 @@
 
     def candidates(self, wanted: Wanted) -> list[Upstream]:
         """Return those that may get a request, the doubtful ones only if need be."""
-        serving = [
-            one
-            for one in self.registry.serving(wanted.pool)
-            if one.name not in wanted.tried
-        ]
+        serving = self.registry.serving(wanted.pool)
+        if wanted.tried:
+            serving = [one for one in serving if one.name not in wanted.tried]
         if not self.mechanisms.ejection:
             return serving
-        trusted = [
-            one
-            for one in serving
-            if not one.silent and not self.health.is_ejected(one.name)
-        ]
+        ejected = self.health.ejected()
+        trusted = [one for one in serving if not one.silent and one.name not in ejected]
         return trusted or serving
 
     def measure(self, ticket: Ticket, wanted: Wanted) -> None:
@@ -145,7 +140,7 @@
         prompt: Prompt,
         candidates: list[Upstream],
     ) -> Choice:
-        unread = [self._unread(one, prompt) for one in candidates]
+        unread = self._unread_at(candidates, prompt)
         holder = self._holder(prompt, wanted, candidates, min(unread))
         own = prompt.parts[-1].tokens if prompt.parts else 0
         weighed = [
@@ -204,10 +199,12 @@
         tokens: int,
     ) -> tuple[float, int, Upstream]:
         again = max(0, tokens - prompt.parts[-1].tokens) if prompt.parts else 0
-        cost = float(self._wait(upstream.name) + tokens)
+        running = self.books.running(upstream.name)
+        waiting = self.books.waiting(upstream.name)
+        cost = float(waiting + RUNNING_TOKENS * running + tokens)
         if self.mechanisms.reading_again:
             cost += AGAIN_WEIGHT * again
-        if self._is_full(upstream, wanted):
+        if running >= wanted.slots:
             cost += FULL_TOKENS
         cost *= self._slowness(upstream)
         if self.mechanisms.near_first and upstream.domain == wanted.domain:
@@ -229,6 +226,12 @@
             return 0
         return ahead * self.pace.run_of(wanted.pool) / wanted.slots
 
+    def _unread_at(self, upstreams: list[Upstream], prompt: Prompt) -> list[int]:
+        """Return what of a prompt each engine must read, as far as known."""
+        if not self.mechanisms.prefix_memory:
+            return [prompt.tokens for _ in upstreams]
+        return self.memory.uncached_at([one.name for one in upstreams], prompt)
+
     def _unread(self, upstream: Upstream, prompt: Prompt) -> int:
         """Return how much of a prompt an engine must read, as far as known."""
         if not self.mechanisms.prefix_memory:
@@ -238,7 +241,7 @@
     def _slowness(self, upstream: Upstream) -> float:
         if not self.mechanisms.slowness:
             return 1
-        return self.health.record(upstream.name).slowness
+        return self.health.slowness(upstream.name)
 
     def _is_full(self, upstream: Upstream, wanted: Wanted) -> bool:
         return self.books.running(upstream.name) >= wanted.slots
--- a/packages/edge/src/hitchdeck_edge/state/registry.py
+++ b/packages/edge/src/hitchdeck_edge/state/registry.py
@@ -5,7 +5,7 @@
 keeps what it last knew while no hub can be reached.
 """
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 from dataclasses import replace
 
 from hitchdeck_core import logs
@@ -43,6 +43,8 @@
         self.holders: dict[Address, UpstreamName] = {}
         self.changes = 0
         self.changed = changed
+        self.listed: dict[PoolName, list[Upstream]] = {}
+        self.listed_at = 0
 
     def merge(self, record: Upstream, origin: str) -> bool:
         """Take a record if it is newer; tell whether anything changed."""
@@ -89,11 +91,23 @@
             if self.numbers[name] > number
         ]
 
-    def serving(self, pool: PoolName) -> Iterator[Upstream]:
-        """Yield the upstreams of a pool that may get new work."""
-        for record in self.records.values():
-            if record.pool == pool and record.phase is Phase.serving:
-                yield record
+    def serving(self, pool: PoolName) -> list[Upstream]:
+        """Return the upstreams of a pool that may get new work, not to be changed.
+
+        Kept until something changes: every request asks.
+        """
+        if self.listed_at != self.changes:
+            self.listed = {}
+            self.listed_at = self.changes
+        known = self.listed.get(pool)
+        if known is None:
+            known = [
+                record
+                for record in self.records.values()
+                if record.pool == pool and record.phase is Phase.serving
+            ]
+            self.listed[pool] = known
+        return known
 
     def silence(self, limit: float) -> None:
         """Mark upstreams that nobody heard of for ``limit`` seconds."""
@@ -150,6 +164,7 @@
     def _forget(self, record: Upstream) -> None:
         for known in (self.records, self.numbers, self.heard, self.stored):
             known.pop(record.name, None)
+        self.listed = {}
         if self.holders.get(record.address) == record.name:
             self.holders.pop(record.address)
 
