--- a/packages/edge/src/hitchdeck_edge/dispatch/dispatcher.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/dispatcher.py
@@ -14,6 +14,7 @@
 from hitchdeck_edge.dispatch.sender import Sender
 from hitchdeck_edge.model.dialect import Dialect
 from hitchdeck_edge.model.passage import Passage
+from hitchdeck_edge.model.placing import Choice
 from hitchdeck_edge.model.refusals import Refusal
 from hitchdeck_edge.scheduling.chooser import Chooser
 from hitchdeck_edge.serving.caller import Caller
@@ -62,13 +63,10 @@
     async def _serve(self, service: Service) -> None:
         passage = service.passage
         while True:
-            choice = await self.chooser.choose(passage)
+            choice = await self._choose(passage)
             if isinstance(choice, Refusal):
                 await self._give_up(service, choice)
                 return
-            if self.now() >= passage.ends:
-                # A box without processor time notes late that time is over.
-                raise TimeoutError
             passage.tried.add(choice.upstream.name)
             if not await self.sender.send(service, choice):
                 if service.unreached < UNREACHED_MOST:
@@ -83,6 +81,16 @@
                 await self._give_up(service, Refusal.no_attempt_left)
                 return
 
+    async def _choose(self, passage: Passage) -> Choice | Refusal:
+        """Return where to send a request, or why not; in time, by the clock.
+
+        A box without processor time gets word of its timers late.
+        """
+        choice = await self.chooser.choose(passage)
+        if self.now() >= passage.ends:
+            raise TimeoutError
+        return choice
+
     def _may_repeat(self, service: Service) -> bool:
         passage = service.passage
         if passage.sent >= passage.route.attempts:
