Let a busy box ask its callers to leave, and tell refusals apart

A caller takes the connection that is free first, and that of a box that refuses at once always is, so the box that turned most away got most. The log called it "stopping": two refusals with equal answers were one member of the enumeration under two names; so were no document and no upstream, and no attempt left and time over. Ruled out: the directory (16 addresses were told), a planned stop (no such line). Change: a box that works over half of its time closes with each answer; a refusal's text is its own, and no two are equal. Tests: test_a_busy_box_asks_its_callers_to_go_elsewhere, test_no_two_refusals_are_taken_for_each_other; both fail before.

--- a/packages/edge/src/hitchdeck_edge/dispatch/answers.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/answers.py
@@ -59,9 +59,8 @@
     headers = list(dialect.echo_headers(call)) if call else []
     if reply.retry_after:
         headers.append(('Retry-After', str(reply.retry_after)))
-    text = refusal.name.replace('_', ' ').encode()
     reason = HTTPStatus(reply.status).phrase
-    await caller.answer(reply.status, reason, headers, text)
+    await caller.answer(reply.status, reason, headers, reply.why.encode())
 
 
 class Answers:
--- a/packages/edge/src/hitchdeck_edge/model/refusals.py
+++ b/packages/edge/src/hitchdeck_edge/model/refusals.py
@@ -1,7 +1,7 @@
 """Why a box answers a request itself, and what it says."""
 
 from dataclasses import dataclass
-from enum import Enum
+from enum import Enum, unique
 from http import HTTPStatus
 
 UNAVAILABLE = HTTPStatus.SERVICE_UNAVAILABLE
@@ -26,23 +26,35 @@
 
 @dataclass(frozen=True, slots=True)
 class Reply:
-    """Status, and seconds after which another try makes sense (0: never)."""
+    """What a caller is told.
+
+    ``retry_after`` is the seconds after which another try makes sense (0:
+    never), ``why`` the answer's text, which no two share.
+    """
 
     status: int
     retry_after: float
+    why: str
 
 
+@unique
 class Refusal(Enum):
     """Why this box answers itself.  None of these has run."""
 
-    bad_request = Reply(HTTPStatus.BAD_REQUEST, 0)
-    no_key = Reply(HTTPStatus.UNAUTHORIZED, 0)
-    no_route = Reply(HTTPStatus.NOT_FOUND, 0)
-    over_share = Reply(HTTPStatus.TOO_MANY_REQUESTS, SHARE_RETRY_SECONDS)
-    no_document = Reply(UNAVAILABLE, STATE_RETRY_SECONDS)
-    no_upstream = Reply(UNAVAILABLE, STATE_RETRY_SECONDS)
-    no_attempt_left = Reply(UNAVAILABLE, AGAIN_RETRY_SECONDS)
-    overloaded = Reply(UNAVAILABLE, LOAD_RETRY_SECONDS)
-    stopping = Reply(UNAVAILABLE, ELSEWHERE_RETRY_SECONDS)
-    no_time_here = Reply(UNAVAILABLE, ELSEWHERE_RETRY_SECONDS)
-    time_over = Reply(UNAVAILABLE, AGAIN_RETRY_SECONDS)
+    bad_request = Reply(HTTPStatus.BAD_REQUEST, 0, 'request unreadable')
+    no_key = Reply(HTTPStatus.UNAUTHORIZED, 0, 'key unknown')
+    no_route = Reply(HTTPStatus.NOT_FOUND, 0, 'no route')
+    over_share = Reply(
+        HTTPStatus.TOO_MANY_REQUESTS,
+        SHARE_RETRY_SECONDS,
+        'over the share of the account',
+    )
+    no_document = Reply(UNAVAILABLE, STATE_RETRY_SECONDS, 'no document yet')
+    no_upstream = Reply(UNAVAILABLE, STATE_RETRY_SECONDS, 'no upstream')
+    no_attempt_left = Reply(UNAVAILABLE, AGAIN_RETRY_SECONDS, 'no attempt left')
+    overloaded = Reply(UNAVAILABLE, LOAD_RETRY_SECONDS, 'engines overloaded')
+    stopping = Reply(UNAVAILABLE, ELSEWHERE_RETRY_SECONDS, 'this box stops')
+    no_time_here = Reply(
+        UNAVAILABLE, ELSEWHERE_RETRY_SECONDS, 'this box has no time left'
+    )
+    time_over = Reply(UNAVAILABLE, AGAIN_RETRY_SECONDS, 'time over')
--- a/packages/edge/src/hitchdeck_edge/serving/caller.py
+++ b/packages/edge/src/hitchdeck_edge/serving/caller.py
@@ -7,7 +7,9 @@
 from tornado.httputil import HTTPHeaders, ResponseStartLine
 from tornado.iostream import StreamClosedError
 
+from hitchdeck_core.busyness import busy_part
 from hitchdeck_edge.errors import CallerGoneError
+from hitchdeck_edge.serving.overload import asks_to_leave
 
 AnswerHeaders = Iterable[tuple[str, str]]
 
@@ -80,6 +82,8 @@
         fields = HTTPHeaders()
         for name, text in headers:
             fields.add(name, text)
+        if asks_to_leave(busy_part()):
+            fields['Connection'] = 'close'
         self.started = True
         self.status = status
         start = ResponseStartLine('HTTP/1.1', status, reason)
--- a/packages/edge/src/hitchdeck_edge/serving/overload.py
+++ b/packages/edge/src/hitchdeck_edge/serving/overload.py
@@ -7,10 +7,21 @@
 
 import random
 
+CLOSING_FROM = 0.5
+"""Part of its time from which a box asks callers to leave with each answer.  A
+caller takes the connection that is free first, and that of a box that refuses at
+once always is: one of 24 boxes got a half of all requests in a flood, and turned
+away most of them."""
+
 ROOM_UP_TO = 0.9
 """Part of its time that a box may work and still take every request."""
 
 
+def asks_to_leave(busy: float) -> bool:
+    """Tell whether callers are to open their next connection anywhere else."""
+    return busy > CLOSING_FROM
+
+
 def takes_another(busy: float) -> bool:
     """Tell whether a box that works for so much of its time takes a request.
 
--- a/tests/cover/test_busyness.py
+++ b/tests/cover/test_busyness.py
@@ -7,7 +7,6 @@
 
 from hitchdeck_core.busyness import Busyness, MeteredLoop, busy_part
 
-
 AFTER_A_MOMENT = 0.3
 
 
--- a/tests/edge/test_passing.py
+++ b/tests/edge/test_passing.py
@@ -14,7 +14,7 @@
 from hitchdeck_edge.model.passage import Passage
 from hitchdeck_edge.model.placing import Choice
 from hitchdeck_edge.model.refusals import ELSEWHERE_RETRY_SECONDS, Refusal
-from hitchdeck_edge.serving import admission
+from hitchdeck_edge.serving import admission, caller
 from standins.platform_site import HOST, KEY, Site, document, running_site
 from standins.platform_worker import Fault, Worker
 
@@ -259,3 +259,31 @@
     assert not any(
         one.attempt == 'r1' for worker in site.workers for one in worker.seen
     )
+
+
+async def head_of(site: Site) -> str:
+    """Return the head of an answer on a connection that would be kept."""
+    host, _, port = site.boxes[0].settings.listen.rpartition(':')
+    reader, writer = await asyncio.open_connection(host, int(port))
+    lines = ('POST /u/ HTTP/1.1', f'Host: {HOST}', f'Authorization: Token {KEY}')
+    writer.write('\r\n'.join([*lines, 'Content-Length: 0', '', '']).encode())
+    head = await reader.readuntil(b'\r\n\r\n')
+    writer.close()
+    return head.decode()
+
+
+@pytest.mark.parametrize(
+    ('busy', 'asked'),
+    [(0.4, False), (0.6, True), (1.0, True)],
+)
+async def test_a_busy_box_asks_its_callers_to_go_elsewhere(
+    site: Site,
+    monkeypatch: pytest.MonkeyPatch,
+    busy: float,
+    asked: bool,
+) -> None:
+    # The connection to a box that refuses at once is always free: one of 24
+    # boxes got a half of all requests, and refused most of them.
+    monkeypatch.setattr(admission, 'busy_part', lambda: busy)
+    monkeypatch.setattr(caller, 'busy_part', lambda: busy)
+    assert ('Connection: close' in await head_of(site)) == asked
--- a/tests/edge/test_platform_requests.py
+++ b/tests/edge/test_platform_requests.py
@@ -4,6 +4,7 @@
 
 from hitchdeck_core.ids import AccountName
 from hitchdeck_edge.model.dialect import Forwarding
+from hitchdeck_edge.model.refusals import Refusal
 from hitchdeck_platform.requests import forward_headers, read_call
 from tests.common.scheduling import engine
 
@@ -97,3 +98,8 @@
 ) -> None:
     name, text = header
     assert (name.encode(), text.encode()) in forwarded(header)
+
+
+def test_no_two_refusals_are_taken_for_each_other() -> None:
+    # Equal answers made one name an alias of the other, and logs told the wrong one.
+    assert len(Refusal.__members__) == len(list(Refusal))
