--- a/packages/core/src/hitchdeck_core/busyness.py
+++ b/packages/core/src/hitchdeck_core/busyness.py
@@ -71,5 +71,9 @@
 
 def busy_part() -> float:
     """Return how busy the running loop is, 0 if it does not know."""
-    loop = asyncio.get_running_loop()
+    try:
+        loop = asyncio.get_running_loop()
+    except RuntimeError:
+        # What is played in virtual time has no loop, and no load of its own.
+        return 0
     return loop.busyness.part() if isinstance(loop, MeteredLoop) else 0
--- a/tests/edge/test_outside_numbers.py
+++ b/tests/edge/test_outside_numbers.py
@@ -189,7 +189,7 @@
 
 @given(name=st.sampled_from(BOUNDS), number=UNUSABLE)
 def test_a_bound_that_is_no_number_is_named(name: str, number: object) -> None:
-    with pytest.raises(FieldError, match=rf'bounds\.{name}|{name}'):
+    with pytest.raises(FieldError, match=rf'bounds\.{name}'):
         decode_settings(settings_fields({name: number}))
 
 
