--- a/packages/edge/src/hitchdeck_edge/model/refusals.py
+++ b/packages/edge/src/hitchdeck_edge/model/refusals.py
@@ -29,7 +29,8 @@
     """What a caller is told.
 
     ``retry_after`` is the seconds after which another try makes sense (0:
-    never), ``why`` the answer's text, which no two share.
+    never), ``why`` the answer's text: the refusal's name, so that no two are
+    equal, which an enumeration would take for one.
     """
 
     status: int
@@ -41,19 +42,19 @@
 class Refusal(Enum):
     """Why this box answers itself.  None of these has run."""
 
-    bad_request = Reply(HTTPStatus.BAD_REQUEST, 0, 'request unreadable')
-    no_key = Reply(HTTPStatus.UNAUTHORIZED, 0, 'key unknown')
+    bad_request = Reply(HTTPStatus.BAD_REQUEST, 0, 'bad request')
+    no_key = Reply(HTTPStatus.UNAUTHORIZED, 0, 'no key')
     no_route = Reply(HTTPStatus.NOT_FOUND, 0, 'no route')
     over_share = Reply(
         HTTPStatus.TOO_MANY_REQUESTS,
         SHARE_RETRY_SECONDS,
         'over the share of the account',
     )
-    no_document = Reply(UNAVAILABLE, STATE_RETRY_SECONDS, 'no document yet')
+    no_document = Reply(UNAVAILABLE, STATE_RETRY_SECONDS, 'no document')
     no_upstream = Reply(UNAVAILABLE, STATE_RETRY_SECONDS, 'no upstream')
     no_attempt_left = Reply(UNAVAILABLE, AGAIN_RETRY_SECONDS, 'no attempt left')
-    overloaded = Reply(UNAVAILABLE, LOAD_RETRY_SECONDS, 'engines overloaded')
-    stopping = Reply(UNAVAILABLE, ELSEWHERE_RETRY_SECONDS, 'this box stops')
+    overloaded = Reply(UNAVAILABLE, LOAD_RETRY_SECONDS, 'overloaded')
+    stopping = Reply(UNAVAILABLE, ELSEWHERE_RETRY_SECONDS, 'stopping')
     no_time_here = Reply(
         UNAVAILABLE, ELSEWHERE_RETRY_SECONDS, 'this box has no time left'
     )
