--- a/packages/edge/src/hitchdeck_edge/serving/overload.py
+++ b/packages/edge/src/hitchdeck_edge/serving/overload.py
@@ -17,12 +17,6 @@
 """Part of its time that a box may work and still take every request."""
 
 
-LEAST_TAKEN = 0.25
-"""Part of the requests that a box takes however busy it is.  Where what it turns
-away keeps it busy, it would serve nobody: an account that uses one box alone got
-nothing in six seconds in which another got 1.5 million tokens."""
-
-
 def asks_to_leave(busy: float) -> bool:
     """Tell whether callers are to open their next connection anywhere else."""
     return busy > CLOSING_FROM
@@ -31,8 +25,9 @@
 def takes_another(busy: float) -> bool:
     """Tell whether a box that works for so much of its time takes a request.
 
-    From ``ROOM_UP_TO`` on by chance, down to ``LEAST_TAKEN`` without any time
-    left: so its load settles between the two, and does not swing.
+    From ``ROOM_UP_TO`` on by chance, none at all without a pause: so its load
+    settles between the two, and does not swing.
     """
-    left = (1 - busy) / (1 - ROOM_UP_TO)
-    return random.random() < max(LEAST_TAKEN, left)
+    if busy <= ROOM_UP_TO:
+        return True
+    return random.random() < (1 - busy) / (1 - ROOM_UP_TO)
