Show that a request is sent on after its caller's close has come

The test fails on the code as it is, in both cases: the close is in the box's socket before an upstream is chosen, and the request is sent all the same.

Ruled out: the caller's time (six seconds of it were left).

--- /dev/null
+++ b/tests/edge/test_unread_closes.py
@@ -0,0 +1,90 @@
+"""A close that has reached the machine counts, though the loop has not read it.
+
+A box was seconds behind its sockets: its readiness check got no answer from
+15.487 s to 17.984 s, and of the tries that it should have answered 122 failed in
+one second.  A caller who had waited four seconds for the first event of its stream
+closed its connection at 21.971 s.  The box's log would have told it only later, for
+the close lay unread behind the work that it was to stop: the request reached an
+engine at 23.500 s, which ran it to its end at 24.144 s for nobody.  The caller's
+stated time went on for six more seconds, so no look at the clock helped.
+"""
+
+import asyncio
+import socket
+from collections.abc import AsyncIterator, Callable
+from pathlib import Path
+
+import pytest
+
+from hitchdeck_edge.model.passage import Passage
+from hitchdeck_edge.model.placing import Choice
+from hitchdeck_edge.model.refusals import Refusal
+from standins.platform_site import HOST, KEY, Site, running_site
+
+PROMPT = 'Model: m\r\nToken-Count: 300,40\r\nPrompt-Prefix: aa:100,bb:200\r\n'
+WARMING = 6
+"""Requests that leave a kept connection to each upstream of a pool."""
+
+
+@pytest.fixture
+async def site(tmp_path: Path) -> AsyncIterator[Site]:
+    """Return a site of one hub and one box, with kept connections."""
+    async with running_site(tmp_path) as running:
+        for number in range(WARMING):
+            await running.ask_model('/s/', f's{number}')
+            await running.ask('/u/', f'u{number}')
+        yield running
+
+
+def before_each_send(site: Site, act: Callable[[], None]) -> None:
+    """Have something happen between the choice of an upstream and the sending.
+
+    The loop does not turn in between, as in a box that is behind.
+    """
+    chooser = site.boxes[0].admission.dispatcher.chooser
+    choose = chooser.choose
+
+    async def choose_and_act(passage: Passage) -> Choice | Refusal:
+        choice = await choose(passage)
+        act()
+        return choice
+
+    chooser.choose = choose_and_act  # type: ignore[method-assign]
+
+
+def ask_and_keep(site: Site, path: str, fields: str) -> socket.socket:
+    """Send a request on a plain socket, and return the socket."""
+    host, _, port = site.boxes[0].settings.listen.rpartition(':')
+    caller = socket.create_connection((host, int(port)))
+    head = f'POST {path} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: left\r\n'
+    key = f'Authorization: Token {KEY}\r\nDeadline-Ms: 3000\r\n'
+    caller.sendall(f'{head}{key}{fields}Content-Length: 0\r\n\r\n'.encode())
+    return caller
+
+
+@pytest.mark.parametrize(('path', 'fields'), [('/u/', ''), ('/s/', PROMPT)])
+async def test_nothing_is_sent_for_a_caller_whose_close_is_not_read_yet(
+    site: Site,
+    path: str,
+    fields: str,
+) -> None:
+    caller = ask_and_keep(site, path, fields)
+    chosen = asyncio.Event()
+
+    def leave() -> None:
+        caller.close()
+        chosen.set()
+
+    before_each_send(site, leave)
+    async with asyncio.timeout(15):
+        await chosen.wait()
+        while site.boxes[0].admission.tasks:
+            await asyncio.sleep(0.01)
+    assert not any(
+        one.attempt == 'left' for worker in site.workers for one in worker.seen
+    )
+    # Nor does the scheduler take the place for taken.
+    scheduler = site.hubs[0].placing.scheduler
+    async with asyncio.timeout(15):
+        while scheduler.open:
+            await asyncio.sleep(0.01)
