Tell how long a box looked at no socket, and what it placed alone

Metrics: longest turn of the loop, busy part, requests placed without a scheduler; one log line each two seconds while a turn was longer than 0.25 s.

--- a/packages/core/src/hitchdeck_core/busyness.py
+++ b/packages/core/src/hitchdeck_core/busyness.py
@@ -23,13 +23,40 @@
 
 
 class Busyness:
-    """Part of the time that was not spent waiting, smoothed."""
+    """Part of the time that was not spent waiting, smoothed.
+
+    Attributes
+    ----------
+    longest_turn
+        Longest time since it was last taken in which the loop looked at no
+        socket, in seconds: whatever came meanwhile is known so much later.
+    """
 
     def __init__(self, now: Callable[[], float] = monotonic) -> None:
         self.now = now
         self.waited = 0.0
         self.seen = now()
         self.smoothed = 0.0
+        self.looked = now()
+        self.longest_turn = 0.0
+
+    def look(self) -> float:
+        """Note that the loop looks at its sockets; return when."""
+        now = self.now()
+        self.longest_turn = max(self.longest_turn, now - self.looked)
+        self.looked = now
+        return now
+
+    def went_on(self, began: float) -> None:
+        """Note that the loop goes on after a wait."""
+        self.looked = self.now()
+        self.waited += self.looked - began
+
+    def take_longest_turn(self) -> float:
+        """Return the longest turn since the last call, in seconds."""
+        longest = self.longest_turn
+        self.longest_turn = 0
+        return longest
 
     def part(self) -> float:
         """Return the part, from 0 (idle) to 1."""
@@ -56,11 +83,10 @@
         timeout: float | None = None,
     ) -> list[tuple[selectors.SelectorKey, int]]:
         """Wait for events."""
-        if timeout is not None and timeout <= 0:
-            return super().select(timeout)
-        began = self.busyness.now()
+        began = self.busyness.look()
         events = super().select(timeout)
-        self.busyness.waited += self.busyness.now() - began
+        if timeout is None or timeout > 0:
+            self.busyness.went_on(began)
         return events
 
 
@@ -74,9 +100,20 @@
 
 def busy_part() -> float:
     """Return how busy the running loop is, 0 if it does not know."""
+    meter = _running_meter()
+    return 0 if meter is None else meter.part()
+
+
+def take_longest_turn() -> float:
+    """Return the running loop's longest turn since the last call, in seconds."""
+    meter = _running_meter()
+    return 0 if meter is None else meter.take_longest_turn()
+
+
+def _running_meter() -> Busyness | None:
     try:
         loop = asyncio.get_running_loop()
     except RuntimeError:
         # What is played in virtual time has no loop, and no load of its own.
-        return 0
-    return loop.busyness.part() if isinstance(loop, MeteredLoop) else 0
+        return None
+    return loop.busyness if isinstance(loop, MeteredLoop) else None
--- a/packages/edge/src/hitchdeck_edge/model/passage.py
+++ b/packages/edge/src/hitchdeck_edge/model/passage.py
@@ -7,6 +7,9 @@
 from hitchdeck_edge.model.document import DocumentVersion, Pool, Repeat, Route
 from hitchdeck_edge.model.placing import Wanted
 
+THIS_BOX = 'this box'
+"""Who decided on a request for which no scheduler answered."""
+
 
 @dataclass(slots=True)
 class Passage:
--- a/packages/edge/src/hitchdeck_edge/process.py
+++ b/packages/edge/src/hitchdeck_edge/process.py
@@ -6,6 +6,7 @@
 from tornado.httpserver import HTTPServer
 
 from hitchdeck_core import logs
+from hitchdeck_core.busyness import PERCENT, busy_part, take_longest_turn
 from hitchdeck_core.channels import split_address
 from hitchdeck_core.clock import boot_seconds
 from hitchdeck_core.ids import Address, BoxName
@@ -34,6 +35,10 @@
 UPKEEP_SECONDS = 2.0
 """Between two looks for connections to upstreams that are gone."""
 
+BEHIND_SECONDS = 0.25
+"""A turn of the loop from which the log says that this box is behind: half of
+the time after which a caller's close must have stopped its work."""
+
 
 @dataclass(slots=True)
 class EntryBox:
@@ -75,8 +80,21 @@
                 known = self.link.known.documents.document is not None
                 self.link.announce(ready=known)
             self._close_gone()
+            self._note_turns()
             await self.link.known.documents.changed.wait(UPKEEP_SECONDS)
 
+    def _note_turns(self) -> None:
+        """Tell how long this box looked at no socket, where it was long."""
+        longest = take_longest_turn()
+        self.admission.gauges.longest_turn = longest
+        if longest > BEHIND_SECONDS:
+            logs.warning(
+                'behind its sockets',
+                longest_turn=round(longest, 3),
+                busy_percent=round(PERCENT * busy_part()),
+                open_requests=len(self.admission.tasks),
+            )
+
     def _close_gone(self) -> None:
         connections = self.admission.dispatcher.sender.connections
         for name in self.link.known.registry.gone():
--- a/packages/edge/src/hitchdeck_edge/scheduling/chooser.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/chooser.py
@@ -1,7 +1,7 @@
 """Who chooses: the scheduler if it answers, else this box by itself."""
 
 from hitchdeck_edge.links.placing import PlacingLink
-from hitchdeck_edge.model.passage import Passage
+from hitchdeck_edge.model.passage import THIS_BOX, Passage
 from hitchdeck_edge.model.placing import Choice
 from hitchdeck_edge.model.refusals import Refusal
 from hitchdeck_edge.scheduling.scheduler import Scheduler
@@ -28,7 +28,7 @@
         asks = self.local.mechanisms.scheduler
         decision = await self.link.place(wanted) if asks else None
         if decision is None:
-            passage.decided_by = 'this box'
+            passage.decided_by = THIS_BOX
             return self.local.decide(wanted)
         passage.decided_by = scheduler or ''
         # Count as if this box had decided: it may soon have to.
--- a/packages/edge/src/hitchdeck_edge/serving/gauges.py
+++ b/packages/edge/src/hitchdeck_edge/serving/gauges.py
@@ -2,10 +2,11 @@
 
 from collections import Counter
 
+from hitchdeck_core.busyness import PERCENT, busy_part
 from hitchdeck_core.clock import Clock
 from hitchdeck_core.histograms import Histograms
 from hitchdeck_edge.model.document import RouteName
-from hitchdeck_edge.model.passage import Passage
+from hitchdeck_edge.model.passage import THIS_BOX, Passage
 
 MS = 1000.0
 SERIES = 60
@@ -21,13 +22,19 @@
 
 
 class Gauges:
-    """What is served on the metrics address."""
+    """What is served on the metrics address.
+
+    ``longest_turn`` is the longest time without a look at any socket, of late,
+    in seconds; ``placed_alone`` counts what this box placed by itself.
+    """
 
     def __init__(self, now: Clock) -> None:
         self.histograms = Histograms(now, SERIES)
         self.outcomes: Counter[str] = Counter()
         self.accounts: Counter[tuple[str, str]] = Counter()
         self.durations: dict[RouteName, float] = {}
+        self.placed_alone = 0
+        self.longest_turn = 0.0
 
     def served(self, passage: Passage, outcome: str, seconds: float) -> None:
         """Count a request that was dispatched."""
@@ -35,6 +42,7 @@
         self.outcomes[outcome] += 1
         account = passage.account or ''
         self.accounts[(account, outcome)] += 1
+        self.placed_alone += passage.decided_by == THIS_BOX
         kind = 'stream' if passage.route.streams else 'call'
         self.histograms.record('request_ms', (kind,), seconds * MS)
 
@@ -54,9 +62,14 @@
     def text(self) -> str:
         """Return all figures in the Prometheus text form."""
         lines = [
+            f'hitchdeck_busy_percent {PERCENT * busy_part():.0f}',
+            f'hitchdeck_longest_turn_ms {MS * self.longest_turn:.0f}',
+            f'hitchdeck_placed_alone_total {self.placed_alone}',
+        ]
+        lines.extend(
             f'hitchdeck_requests_total{{outcome="{name}"}} {count}'
             for name, count in sorted(self.outcomes.items())
-        ]
+        )
         lines.extend(
             f'hitchdeck_account_requests_total'
             f'{{account="{account}",outcome="{outcome}"}} {count}'
--- a/tests/cover/test_busyness.py
+++ b/tests/cover/test_busyness.py
@@ -5,9 +5,15 @@
 
 import pytest
 
-from hitchdeck_core.busyness import Busyness, MeteredLoop, busy_part
+from hitchdeck_core.busyness import (
+    Busyness,
+    MeteredLoop,
+    busy_part,
+    take_longest_turn,
+)
 
 AFTER_A_MOMENT = 0.3
+HELD_UP_SECONDS = 0.2
 
 
 class Hand:
@@ -65,3 +71,17 @@
         return busy_part()
 
     assert asyncio.run(ask()) == 0
+
+
+def test_the_longest_turn_without_a_look_at_sockets_is_told_once() -> None:
+    async def work() -> tuple[float, float]:
+        await asyncio.sleep(0.01)
+        take_longest_turn()
+        time.sleep(HELD_UP_SECONDS)
+        await asyncio.sleep(0.01)
+        return take_longest_turn(), take_longest_turn()
+
+    with asyncio.Runner(loop_factory=MeteredLoop) as runner:
+        held_up, after = runner.run(work())
+    assert held_up >= HELD_UP_SECONDS
+    assert after < held_up
