Ask the caller's socket right before a request is sent

Cause: a close that lies in the box's socket is learned when the loop turns, and a box that is behind turns after it has sent. The class: a stop that arrives through the same queue as the work that it is to stop. Ruled out: a look at the clock, the caller's time had not ended. To ask takes 4.4 us (200,000 calls, one processor).

--- a/packages/core/src/hitchdeck_core/sockets.py
+++ b/packages/core/src/hitchdeck_core/sockets.py
@@ -37,3 +37,18 @@
     sock.setblocking(False)
     set_probes(sock)
     return sock
+
+
+def has_ended(sock: socket.socket) -> bool:
+    """Tell whether a peer has closed, by what the kernel holds at this moment.
+
+    An event loop tells it only at its next turn.  Bytes that are not read yet
+    hide a close behind them.
+    """
+    try:
+        return not sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        # A reset, or a socket that is closed here already: nobody is there.
+        return True
--- a/packages/edge/src/hitchdeck_edge/dispatch/connections.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/connections.py
@@ -56,7 +56,10 @@
             if self._idle_seconds(connection) < limit:
                 return connection
             connection.abort()
-        return await connect(upstream.address)
+        connection = await connect(upstream.address)
+        connection.idle_since = self.now()
+        connection.idle_limit = IDLE_SECONDS
+        return connection
 
     def give_back(
         self,
@@ -73,6 +76,10 @@
         connection.idle_since = self.now()
         self.idle[upstream.name].append(connection)
 
+    def put_back(self, upstream: UpstreamName, connection: Connection) -> None:
+        """Keep a connection that was taken, and over which nothing was sent."""
+        self.idle[upstream].append(connection)
+
     def drop(self, upstream: UpstreamName) -> None:
         """Close what is kept to an upstream."""
         for connection in self.idle.pop(upstream, []):
--- a/packages/edge/src/hitchdeck_edge/dispatch/sender.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/sender.py
@@ -8,7 +8,7 @@
 from hitchdeck_edge.dispatch.attempts import Attempt, Service, Verdict, verdict_on
 from hitchdeck_edge.dispatch.connections import Connections
 from hitchdeck_edge.dispatch.exchange import Connection, Head, Outgoing
-from hitchdeck_edge.errors import BrokenAnswerError, NotSentError
+from hitchdeck_edge.errors import BrokenAnswerError, CallerGoneError, NotSentError
 from hitchdeck_edge.links.placing import SHORT_OF_TIME
 from hitchdeck_edge.model.dialect import Dialect, Forwarding
 from hitchdeck_edge.model.passage import Passage
@@ -47,6 +47,7 @@
                 choice.upstream,
                 sure=not passage.repeatable,
             )
+            self._check_caller(service, choice, connection)
             connection.send(self._outgoing(passage, choice))
             self._note_sent(service, attempt)
             await self._receive(service, attempt, connection)
@@ -61,6 +62,19 @@
         self._judge(service, attempt)
         return True
 
+    def _check_caller(
+        self,
+        service: Service,
+        choice: Choice,
+        connection: Connection,
+    ) -> None:
+        """Send nothing for a caller who has left, and keep the connection."""
+        try:
+            service.caller.check_there()
+        except CallerGoneError:
+            self.connections.put_back(choice.upstream.name, connection)
+            raise
+
     def _open_attempt(self, passage: Passage, choice: Choice) -> Attempt:
         name = choice.upstream.name
         ticket = Ticket(self.placement.books, name, choice.tokens)
--- a/packages/edge/src/hitchdeck_edge/serving/caller.py
+++ b/packages/edge/src/hitchdeck_edge/serving/caller.py
@@ -8,6 +8,7 @@
 from tornado.iostream import StreamClosedError
 
 from hitchdeck_core.busyness import busy_part
+from hitchdeck_core.sockets import has_ended
 from hitchdeck_edge.errors import CallerGoneError
 from hitchdeck_edge.serving.overload import asks_to_leave
 
@@ -33,6 +34,16 @@
         self.on_gone: Callable[[], None] | None = None
         connection.set_close_callback(self._note_gone)
 
+    def check_there(self) -> None:
+        """Raise ``CallerGoneError`` if the caller has closed its connection.
+
+        A loop that is behind learns it too late: a request was sent 1.5 s after
+        its caller's close had come.  To ask takes 4.4 us (mean of 200,000).
+        """
+        stream = self.connection.stream
+        if self.gone or stream.closed() or has_ended(stream.socket):
+            raise CallerGoneError('closed before the request was sent')
+
     async def start(self, status: int, reason: str, headers: AnswerHeaders) -> None:
         """Send the head of an answer whose body follows in pieces."""
         await self._send_head(status, reason, headers, b'')
