Show that a kept connection is used after its close has come

The same cause as for callers, towards upstreams: the request may have run, is not repeated, and is answered 502.

--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -69,6 +69,7 @@
     sequence: int = 0
     state: str = 'ready'
     server: asyncio.Server | None = None
+    open: list[asyncio.StreamWriter] = field(default_factory=list)
 
     async def start(self) -> None:
         """Listen on loopback."""
@@ -103,6 +104,7 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         self.connections += 1
+        self.open.append(writer)
         going_on = True
         try:
             while going_on:
@@ -110,6 +112,7 @@
         except (ConnectionError, asyncio.IncompleteReadError):
             # The box closed the connection; there is nobody to answer.
             going_on = False
+        self.open.remove(writer)
         writer.close()
 
     async def _serve_one(
--- a/tests/edge/test_unread_closes.py
+++ b/tests/edge/test_unread_closes.py
@@ -88,3 +88,20 @@
     async with asyncio.timeout(15):
         while scheduler.open:
             await asyncio.sleep(0.01)
+
+
+async def test_a_kept_connection_whose_close_is_not_read_yet_is_not_used(
+    site: Site,
+) -> None:
+    # An upstream that lets idle connections go would leave it unknown whether
+    # such a request ran, and one that may not run twice would be lost.
+    before_each_send(site, lambda: end_idle_connections(site))
+    reply = await site.ask('/u/', 'whole')
+    assert reply.code == 200
+
+
+def end_idle_connections(site: Site) -> None:
+    """Have every plain worker close what it keeps, with no turn of the loop."""
+    for worker in site.workers:
+        for kept in worker.open if worker.pool == 'app' else ():
+            kept.get_extra_info('socket').shutdown(socket.SHUT_RDWR)
