Ask a kept connection for an unread close before it is used

Before: 502 for a request that may not run twice, after: served over another connection. To ask takes 1.6 us (200,000 calls); the caller's socket is asked the same way first.

--- a/packages/core/src/hitchdeck_core/sockets.py
+++ b/packages/core/src/hitchdeck_core/sockets.py
@@ -1,5 +1,6 @@
 """Sockets on which a peer that went silent without a word is noticed."""
 
+import select
 import socket
 
 KEEPALIVE_SECONDS = 1
@@ -39,12 +40,21 @@
     return sock
 
 
+def holds_unread(descriptor: int) -> bool:
+    """Tell whether bytes or a close wait to be read, at this moment."""
+    look = select.poll()
+    look.register(descriptor, select.POLLIN)
+    return bool(look.poll(0))
+
+
 def has_ended(sock: socket.socket) -> bool:
     """Tell whether a peer has closed, by what the kernel holds at this moment.
 
     An event loop tells it only at its next turn.  Bytes that are not read yet
     hide a close behind them.
     """
+    if not holds_unread(sock.fileno()):
+        return False
     try:
         return not sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
     except BlockingIOError:
--- a/packages/edge/src/hitchdeck_edge/dispatch/connections.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/connections.py
@@ -47,7 +47,7 @@
         kept = self.idle[upstream.name]
         while kept:
             connection = kept.pop()
-            if not connection.usable:
+            if not connection.rests():
                 connection.abort()
                 continue
             limit = connection.idle_limit
--- a/packages/edge/src/hitchdeck_edge/dispatch/exchange.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/exchange.py
@@ -12,7 +12,7 @@
 
 from hitchdeck_core.channels import split_address
 from hitchdeck_core.ids import Address
-from hitchdeck_core.sockets import set_probes
+from hitchdeck_core.sockets import holds_unread, set_probes
 from hitchdeck_edge.errors import BrokenAnswerError, NotSentError
 from hitchdeck_edge.model.calls import Header
 
@@ -97,6 +97,17 @@
         """Tell whether another request may go over this connection."""
         return not (self.spoiled or self.closed or self.busy)
 
+    def rests(self) -> bool:
+        """Tell whether nothing has come since the last answer, a close neither.
+
+        A loop that is behind learns it only after the next request was sent,
+        which then may have run or not.  To ask takes 1.6 us (mean of 200,000).
+        """
+        return self.usable and not (
+            self.transport is None
+            or holds_unread(self.transport.get_extra_info('socket').fileno())
+        )
+
     def send(self, outgoing: Outgoing) -> None:
         """Send a request; raise ``NotSentError`` if nothing can have gone out."""
         if self.closed or self.transport is None:
