Show how the refusal of a large body is lost

A caller that still sends when the router answers 413 and closes meets a reset: the known red case of the 2 MB body, the same each time with a slow caller.

--- a/tests/failures/test_answers.py
+++ b/tests/failures/test_answers.py
@@ -104,6 +104,7 @@
         )
 
 
+PIECE_BYTES = 50_000
 MESSAGE = [{'role': 'user', 'content': 'x'}]
 
 
@@ -150,6 +151,29 @@
     assert callers.runs_of(fleet) == runs
 
 
+def ask_slowly(port: int, body_bytes: int) -> bytes:
+    """Send a large body in pieces, whatever comes meanwhile; return what came."""
+    key = callers.KEYS['ann']
+    head = f'POST {CHAT} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {key}\r\n'
+    with socket.create_connection(('127.0.0.1', port), timeout=20) as connection:
+        connection.sendall(f'{head}Content-Length: {body_bytes}\r\n\r\n'.encode())
+        for _ in range(body_bytes // PIECE_BYTES):
+            time.sleep(0.01)
+            connection.sendall(b'x' * PIECE_BYTES)
+        return connection.recv(100_000)
+
+
+async def test_a_caller_that_is_refused_while_it_sends_gets_its_answer(
+    fleet: Fleet,
+) -> None:
+    # The router answered and closed with unread bytes of the body: the reset
+    # reached a caller that was still sending, which never read the answer.
+    port = fleet.routers[0].port
+    answer = await asyncio.to_thread(ask_slowly, port, 40 * PIECE_BYTES)
+    assert answer.startswith(b'HTTP/1.1 413')
+    assert b'too-large' in answer
+
+
 async def test_garbage_between_processes_harms_no_request(fleet: Fleet) -> None:
     text = (fleet.folder / 'router-0.toml').read_text()
     wire = int(text.partition('wire_listen = "127.0.0.1:')[2].partition('"')[0])
