--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -265,6 +265,22 @@
         await _stop(site, reporting)
 
 
+def _state_of(site: Site) -> str:
+    """Return how far each process is, for whoever waited for it in vain."""
+    told = []
+    for hub in site.hubs:
+        figures = ', '.join(hub.figures().replace('hitchdeck_', '').splitlines())
+        told.append(f'{hub.settings.box}: live {sorted(hub.book.live)}, {figures}')
+    for box in site.boxes:
+        known = box.link.known
+        names = sorted(known.registry.names())
+        told.append(
+            f'{box.settings.box}: hubs {sorted(box.book.live)}, '
+            f'document {known.documents.version}, upstreams {names}',
+        )
+    return '; '.join(told)
+
+
 async def _stop(site: Site, reporting: asyncio.Task[None] | None) -> None:
     if reporting is not None:
         reporting.cancel()
@@ -272,6 +288,14 @@
 
 
 async def _start(site: Site, hubs: int, boxes: int, disks_lost: int) -> None:
+    """Start everything; what takes too long is told with how far each part is."""
+    try:
+        await _start_all(site, hubs, boxes, disks_lost)
+    except TimeoutError as error:
+        raise TimeoutError(_state_of(site)) from error
+
+
+async def _start_all(site: Site, hubs: int, boxes: int, disks_lost: int) -> None:
     await site.start_hubs(hubs, disks_lost)
     for number in range(boxes):
         await site.start_box(number)
--- a/tests/cover/test_caller_left.py
+++ b/tests/cover/test_caller_left.py
@@ -44,7 +44,7 @@
         )
 
     fleet = SimpleNamespace(
-        now=lambda: 0.0,
+        now=float,
         lease=SimpleNamespace(is_live=lambda: True),
         view=SimpleNamespace(
             may_dispatch=lambda *_: True,
