Count what another scheduler decided neither as given nor as refused

A scheduler that takes over is told what was asked before, and not what was given: an account with most of the requests stood far over its share for a window and was refused while engines were idle (test, fails without this).

--- a/packages/edge/src/hitchdeck_edge/scheduling/shares.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/shares.py
@@ -76,6 +76,8 @@
         What the engines are stated to give, in tokens a second; 0 if unknown.
     asked, granted
         What this process was asked for, and what it let through.
+    recalled
+        What of ``asked`` was decided elsewhere, so that nothing is known of it.
     others
         What the other boxes were asked for; empty where one process decides.
     alike
@@ -91,6 +93,7 @@
         self.capacity = 0.0
         self.asked = WindowCount(window, now)
         self.granted = WindowCount(window, now)
+        self.recalled = WindowCount(window, now)
         self.others: Tally = Tally()
         self.alike = 1
         self.began = now()
@@ -112,6 +115,7 @@
         """
         self._note_span()
         self.asked.add(account, tokens)
+        self.recalled.add(account, tokens)
 
     def standing(self, account: AccountName) -> float:
         """Return what an account got, as a part of the even level.
@@ -124,6 +128,7 @@
             return 0
         self.asked.expire()
         self.granted.expire()
+        self.recalled.expire()
         asked = self._asked_by_all()
         if not asked.get(account):
             return 0
@@ -164,8 +169,8 @@
         """
         span = max(LEAST_SPAN, self.now() - self.began)
         stated = self.capacity * min(self.window, span)
-        others = asked / max(1, self.asked.total)
-        return min(stated, self.granted.total * others)
+        decided = self.asked.total - self.recalled.total
+        return min(stated, self.granted.total * asked / max(1, decided))
 
 
 def _count(count: WindowCount, wanted: Wanted) -> None:
--- a/tests/edge/test_scarce_engines.py
+++ b/tests/edge/test_scarce_engines.py
@@ -11,8 +11,17 @@
 
 import pytest
 
+from hitchdeck_edge.model.placing import Choice
 from hitchdeck_edge.scheduling.shares import even_level
-from tests.common.scheduling import account, played
+from tests.common.scheduling import (
+    FakeClock,
+    account,
+    arriving,
+    offer,
+    played,
+    scheduler_of,
+    wanted,
+)
 
 PACE = 20_000
 SECONDS = 40
@@ -34,3 +43,21 @@
     for name, amount in asked.items():
         assert granted[name] > 0.8 * min(level, amount)
     assert granted.total() > PACE * SECONDS * 0.95
+
+
+def test_a_scheduler_that_has_just_taken_over_refuses_nobody_for_what_others_gave() -> (
+    None
+):
+    # What was asked of the scheduler before is told to the next one, and what that
+    # one gave is not: it must not count as refused.
+    clock = FakeClock()
+    scheduler = scheduler_of(clock, 4)
+    offer(scheduler, 4 * PACE)
+    for name, tokens in (('large', 160_000), ('small', 8000), ('tiny', 4000)):
+        scheduler.shares.recall(account(name), tokens)
+    for number, name in enumerate(arriving({'large': 40, 'small': 2}, clock, 2)):
+        key = ('box', number)
+        assert isinstance(scheduler.place(key, wanted(name)), Choice)
+        scheduler.start(key)
+        scheduler.end(key)
+        assert scheduler.shares.standing(account(name)) <= 1
