--- a/packages/edge/src/hitchdeck_edge/model/dialect.py
+++ b/packages/edge/src/hitchdeck_edge/model/dialect.py
@@ -26,7 +26,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Dialect:
-    """Functions that speak a platform's wire forms.
+    """Functions and names that speak a platform's wire forms.
 
     ``read_call`` and ``read_document`` raise ``CallError`` and
     ``DocumentError``; ``request_field`` names the header with a request's id.
