Bound what is read of a body only once its refusal was sent

Found by reading the change: the bound on discarded bytes also closed a connection whose chunked body grew too large, for which no answer had been sent.

--- a/packages/router/src/hitchdeck_router/serving/base.py
+++ b/packages/router/src/hitchdeck_router/serving/base.py
@@ -28,9 +28,9 @@
 _INTERNAL_ERROR = 500
 _ID_BYTES = 12
 _MOST_DISCARDED = 16_777_216
-"""Bytes of a refused body that are read, so that the caller gets to its answer: a
-close with unread bytes resets the connection, and a caller that still sends then
-reads nothing."""
+"""Bytes that are read of a body whose refusal was sent, so that its caller gets to
+the answer: a close with unread bytes resets the connection, and a caller that still
+sends then reads nothing."""
 _RETRY_AFTER = 1.0
 
 
@@ -64,7 +64,7 @@
 
     def data_received(self, chunk: bytes) -> None:
         """Take in a part of the body."""
-        if self.too_large:
+        if self._headers_written:
             self._discard(chunk)
             return
         if len(self.received) + len(chunk) > self.context.settings.body_limit:
--- a/tests/failures/test_answers.py
+++ b/tests/failures/test_answers.py
@@ -174,6 +174,25 @@
     assert b'too-large' in answer
 
 
+def ask_in_chunks(port: int, pieces: int) -> bytes:
+    """Send a large body in chunks, without its length; return what came."""
+    key = callers.KEYS['ann']
+    head = f'POST {CHAT} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {key}\r\n'
+    with socket.create_connection(('127.0.0.1', port), timeout=20) as connection:
+        connection.sendall(f'{head}Transfer-Encoding: chunked\r\n\r\n'.encode())
+        for _ in range(pieces):
+            connection.sendall(b'%x\r\n%s\r\n' % (PIECE_BYTES, b'x' * PIECE_BYTES))
+        connection.sendall(b'0\r\n\r\n')
+        return connection.recv(100_000)
+
+
+async def test_a_body_that_grows_too_large_is_answered_at_its_end(fleet: Fleet) -> None:
+    # Nothing was answered before, so the connection must not be closed however
+    # much comes.
+    answer = await asyncio.to_thread(ask_in_chunks, fleet.routers[0].port, 400)
+    assert answer.startswith(b'HTTP/1.1 413')
+
+
 async def test_garbage_between_processes_harms_no_request(fleet: Fleet) -> None:
     text = (fleet.folder / 'router-0.toml').read_text()
     wire = int(text.partition('wire_listen = "127.0.0.1:')[2].partition('"')[0])
