Ask in one place whether a caller has left, without an error that is caught again

The router's doors and an entry box's caller now answer the same question under one name; behaviour as before.

--- a/packages/edge/src/hitchdeck_edge/dispatch/sender.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/sender.py
@@ -47,7 +47,9 @@
                 choice.upstream,
                 sure=not passage.repeatable,
             )
-            self._check_caller(service, choice, connection)
+            if service.caller.has_left():
+                self.connections.put_back(choice.upstream.name, connection)
+                raise CallerGoneError('closed before the request was sent')
             connection.send(self._outgoing(passage, choice))
             self._note_sent(service, attempt)
             await self._receive(service, attempt, connection)
@@ -62,19 +64,6 @@
         self._judge(service, attempt)
         return True
 
-    def _check_caller(
-        self,
-        service: Service,
-        choice: Choice,
-        connection: Connection,
-    ) -> None:
-        """Send nothing for a caller who has left, and keep the connection."""
-        try:
-            service.caller.check_there()
-        except CallerGoneError:
-            self.connections.put_back(choice.upstream.name, connection)
-            raise
-
     def _open_attempt(self, passage: Passage, choice: Choice) -> Attempt:
         name = choice.upstream.name
         ticket = Ticket(self.placement.books, name, choice.tokens)
--- a/packages/edge/src/hitchdeck_edge/serving/caller.py
+++ b/packages/edge/src/hitchdeck_edge/serving/caller.py
@@ -34,15 +34,14 @@
         self.on_gone: Callable[[], None] | None = None
         connection.set_close_callback(self._note_gone)
 
-    def check_there(self) -> None:
-        """Raise ``CallerGoneError`` if the caller has closed its connection.
+    def has_left(self) -> bool:
+        """Tell whether the caller has closed, by what its socket holds now.
 
         A loop that is behind learns it too late: a request was sent 1.5 s after
         its caller's close had come.  To ask takes 1 us (mean of 200,000).
         """
         stream = self.connection.stream
-        if self.gone or stream.closed() or has_ended(stream.socket):
-            raise CallerGoneError('closed before the request was sent')
+        return self.gone or stream.closed() or has_ended(stream.socket)
 
     async def start(self, status: int, reason: str, headers: AnswerHeaders) -> None:
         """Send the head of an answer whose body follows in pieces."""
