Name the content of a request in the log of an attempt that failed

Sight for the upstreams that ended one after the other: an id differs with each repeat, and a request without a prompt could not be told from others. Stand-in workers can end under a body.

--- /dev/null
+++ b/packages/core/src/hitchdeck_core/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Requests under which upstreams end, known by their content and kept away."""
--- a/packages/edge/src/hitchdeck_edge/dispatch/sender.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/sender.py
@@ -183,6 +183,7 @@
         logs.info(
             'attempt failed',
             request=service.passage.call.request,
+            content=service.passage.content.hex(),
             upstream=attempt.upstream,
             verdict=attempt.verdict.value,
             status=attempt.head.status if attempt.head else 0,
--- a/packages/edge/src/hitchdeck_edge/model/passage.py
+++ b/packages/edge/src/hitchdeck_edge/model/passage.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from hitchdeck_core.ids import AccountName, UpstreamName
+from hitchdeck_core.quarantine.fingerprints import Fingerprint, fingerprint_of
 from hitchdeck_edge.model.calls import Call
 from hitchdeck_edge.model.document import DocumentVersion, Pool, Repeat, Route
 from hitchdeck_edge.model.placing import Wanted
@@ -31,6 +32,8 @@
         Id of the last event of a stream that the caller has.
     decided_by
         The scheduler that decided on it last, or this box.
+    content
+        What is the same in each repeat of it, whatever the request's id.
     """
 
     call: Call
@@ -46,6 +49,18 @@
     may_have_run: bool = False
     last_event: str = ''
     decided_by: str = ''
+    content: Fingerprint = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Take the fingerprint of what the caller sent."""
+        call = self.call
+        self.content = fingerprint_of(
+            call.method,
+            call.host.encode(),
+            call.target,
+            (self.account or '').encode(),
+            self.body,
+        )
 
     def wanted(self, domain: str) -> Wanted:
         """Return what this request asks of a placement."""
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -162,7 +162,8 @@
         while True:
             await asyncio.sleep(REPORT_SECONDS)
             for worker in self.workers:
-                await self.tell(worker, worker.sequence + 1, worker.state)
+                if not worker.ended:
+                    await self.tell(worker, worker.sequence + 1, worker.state)
 
     async def publish(self, given: object, hub: int = 0) -> HTTPResponse:
         """Send a document to a hub."""
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -51,7 +51,8 @@
     """One worker and what it saw.
 
     ``gap`` is the time between two events of a stream, in seconds; ``cut_at``
-    the number of whole events before a stream that is cut.
+    the number of whole events before a stream that is cut; ``lethal`` a body
+    under which the worker ends, its port with it.
     """
 
     name: str
@@ -59,6 +60,8 @@
     gap: float = 0.005
     events: int = 5
     cut_at: int = 2
+    lethal: bytes = b''
+    ended: bool = False
     fault: Fault = Fault.none
     faults_left: int = 0
     seen: list[Seen] = field(default_factory=list)
@@ -82,6 +85,13 @@
         assert self.server is not None
         self.server.close()
 
+    async def end(self) -> None:
+        """End at once, as a process does that crashes."""
+        self.ended = True
+        await self.stop()
+        for writer in self.open:
+            writer.transport.abort()
+
     def misbehave(self, fault: Fault, times: int = 1) -> None:
         """Treat the next requests so."""
         self.fault = fault
@@ -126,6 +136,8 @@
         if request.headers.get('expect-instance') != self.name:
             peer.writer.write(_answer(request, '421 Misdirected', b''))
             return True
+        if self.lethal and request.body == self.lethal:
+            return await self._end_under(request, peer)
         serve = self._behaviour()
         return await serve(request, peer)
 
@@ -153,6 +165,14 @@
         )
         return True
 
+    async def _end_under(self, request: Seen, peer: Peer) -> bool:
+        self.ran.append(request.attempt)
+        head = _head(request, '200 OK', self.name)
+        peer.writer.write(f'{head}Transfer-Encoding: chunked\r\n\r\n'.encode())
+        await peer.writer.drain()
+        await self.end()
+        return False
+
     async def _answer_error(self, request: Seen, peer: Peer) -> bool:
         self.ran.append(request.attempt)
         peer.writer.write(_answer(request, '500 Oops', b'oops', seal=self.name))
