Keep a request away from upstreams once three have ended under it

Cause: whatever ends an upstream comes again under another id and at another box, and all that was noted was about upstreams, so each repeat went to the next best. The class: a fault that is charged to whom it befell and not to what brought it.

Hubs hear of it from every box, blame the content that was at most ends, and tell all; what was decided is on their disks.

Ruled out: counting broken answers alone (links are reset, answers lost), counting by upstream name, blame for all that were open (four of 74 bystanders were at two ends). A sound request met four ended upstreams and got 503; boxes tell hubs of an end, and it is doubted at once.

--- a/packages/core/src/hitchdeck_core/ids.py
+++ b/packages/core/src/hitchdeck_core/ids.py
@@ -14,6 +14,9 @@
 AccountName = NewType('AccountName', str)
 PoolName = NewType('PoolName', str)
 UpstreamName = NewType('UpstreamName', str)
+LifeId = NewType('LifeId', str)
+"""One life of an upstream, from one start to its end."""
+
 SessionName = NewType('SessionName', str)
 
 ShardId = NewType('ShardId', str)
--- a/packages/core/src/hitchdeck_core/wire/hitchdeck_grpc.py
+++ b/packages/core/src/hitchdeck_core/wire/hitchdeck_grpc.py
@@ -9,6 +9,7 @@
 if typing.TYPE_CHECKING:
     import grpclib.server
 
+import hitchdeck_core.wire.quarantine_pb2
 import hitchdeck_core.wire.hitchdeck_pb2
 
 
--- a/packages/edge/src/hitchdeck_edge/dispatch/connections.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/connections.py
@@ -8,6 +8,7 @@
 from hitchdeck_core.clock import Clock
 from hitchdeck_core.ids import UpstreamName
 from hitchdeck_edge.dispatch.exchange import Connection, connect
+from hitchdeck_edge.errors import NotSentError
 from hitchdeck_edge.model.calls import Header
 from hitchdeck_edge.model.upstreams import Upstream
 
@@ -56,10 +57,17 @@
             if self._idle_seconds(connection) < limit:
                 return connection
             connection.abort()
-        connection = await connect(upstream.address)
-        connection.idle_since = self.now()
-        connection.idle_limit = IDLE_SECONDS
-        return connection
+        return await self._open(upstream)
+
+    async def reaches(self, upstream: Upstream) -> bool:
+        """Tell whether an upstream takes connections; keep the new one."""
+        try:
+            connection = await self._open(upstream)
+        except NotSentError:
+            # What could not be reached is the answer.
+            return False
+        self.put_back(upstream.name, connection)
+        return True
 
     def give_back(
         self,
@@ -92,6 +100,12 @@
             for name in list(self.idle):
                 self._sweep_one(name)
 
+    async def _open(self, upstream: Upstream) -> Connection:
+        connection = await connect(upstream.address)
+        connection.idle_since = self.now()
+        connection.idle_limit = IDLE_SECONDS
+        return connection
+
     def _idle_seconds(self, connection: Connection) -> float:
         return self.now() - connection.idle_since
 
--- a/packages/edge/src/hitchdeck_edge/dispatch/dispatcher.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/dispatcher.py
@@ -58,6 +58,7 @@
             async with asyncio.timeout(service.passage.ends - self.now()):
                 await self._serve(service)
         except TimeoutError:
+            self._doubt(service)
             service.answers.run_out_of_time()
 
     async def _serve(self, service: Service) -> None:
@@ -86,6 +87,9 @@
 
         A box without processor time gets word of its timers late.
         """
+        # Ten engines ended in nine seconds under one content that came again.
+        if self.sender.quarantine.holds(passage.content):
+            return Refusal.quarantined
         choice = await self.chooser.choose(passage)
         if self.now() >= passage.ends:
             if isinstance(choice, Choice):
@@ -93,6 +97,12 @@
             raise TimeoutError
         return choice
 
+    def _doubt(self, service: Service) -> None:
+        """Ask whether the upstream has ended that still had a request at its end."""
+        last = service.last
+        if last is not None and last.verdict is Verdict.broken:
+            self.sender.doubt(service, last)
+
     def _may_repeat(self, service: Service) -> bool:
         passage = service.passage
         if passage.sent >= passage.route.attempts:
--- a/packages/edge/src/hitchdeck_edge/dispatch/sender.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/sender.py
@@ -1,10 +1,13 @@
 """Sending a request to one upstream, and what the attempt teaches."""
 
+from functools import partial
 from http import HTTPStatus
 
 from hitchdeck_core import logs
 from hitchdeck_core.busyness import busy_part
 from hitchdeck_core.clock import Clock
+from hitchdeck_core.quarantine.endings import Endings
+from hitchdeck_core.quarantine.quarantine import Quarantine
 from hitchdeck_edge.dispatch.attempts import Attempt, Service, Verdict, verdict_on
 from hitchdeck_edge.dispatch.connections import Connections
 from hitchdeck_edge.dispatch.exchange import Connection, Head, Outgoing
@@ -28,9 +31,12 @@
         dialect: Dialect,
         chooser: Chooser,
         connections: Connections,
+        quarantine: Quarantine,
         now: Clock,
     ) -> None:
         self.dialect = dialect
+        self.quarantine = quarantine
+        self.endings = Endings(quarantine, chooser.local.placement.registry.doubt)
         self.link = chooser.link
         self.placement = chooser.local.placement
         self.domain = chooser.domain
@@ -64,6 +70,15 @@
         self._judge(service, attempt)
         return True
 
+    def doubt(self, service: Service, attempt: Attempt) -> None:
+        """Find out whether an upstream that gave no whole answer has ended."""
+        upstream = attempt.choice.upstream
+        self.endings.note(
+            upstream.life,
+            service.passage.content,
+            partial(self.connections.reaches, upstream),
+        )
+
     def _open_attempt(self, passage: Passage, choice: Choice) -> Attempt:
         name = choice.upstream.name
         ticket = Ticket(self.placement.books, name, choice.tokens)
@@ -170,12 +185,15 @@
     def _judge(self, service: Service, attempt: Attempt) -> None:
         """Draw conclusions on the upstream, and on whether the request ran."""
         health = self.placement.health
+        if attempt.verdict in {Verdict.answered, Verdict.failed}:
+            self.quarantine.note_answer(service.passage.content)
         if attempt.verdict is Verdict.answered:
             health.succeed(attempt.upstream, self.now() - attempt.began)
             return
         if attempt.verdict is Verdict.broken:
             health.fail(attempt.upstream, attempt.reason)
             self.link.fail(attempt.upstream)
+            self.doubt(service, attempt)
         else:
             health.err(attempt.upstream)
         if attempt.verdict is Verdict.not_run:
--- a/packages/edge/src/hitchdeck_edge/hub/kept_file.py
+++ b/packages/edge/src/hitchdeck_edge/hub/kept_file.py
@@ -16,7 +16,10 @@
 from hitchdeck_control.storage.files import replace_file
 from hitchdeck_control.storage.records import Damage, frame, unframe
 from hitchdeck_core import logs
+from hitchdeck_core.quarantine.messages import decode_news, encode_news
+from hitchdeck_core.quarantine.quarantine import NOTHING, Quarantine
 from hitchdeck_core.signals import Signal
+from hitchdeck_core.wire.quarantine_pb2 import QuarantineNews
 from hitchdeck_core.wire.spread_pb2 import Document, HubFrame
 from hitchdeck_edge.links.records import decode_upstream, encode_upstream
 from hitchdeck_edge.model.document import DocumentVersion
@@ -127,6 +130,24 @@
     return KeptFile(folder / 'upstreams', kept, registry.changed)
 
 
+def quarantine_file(folder: Path, quarantine: Quarantine) -> KeptFile:
+    """Return the file of the verdicts on contents.
+
+    Without it three more upstreams would end after all hubs have lost power.
+    """
+
+    def compose() -> bytes:
+        news, _ = quarantine.news_since(NOTHING)
+        return encode_news(news, quarantine.now()).SerializeToString()
+
+    def recall(payload: bytes) -> None:
+        message = QuarantineNews.FromString(payload)
+        quarantine.take(decode_news(message, quarantine.now()), ORIGIN)
+
+    kept = Kept(lambda: quarantine.verdicts.changes, compose, recall)
+    return KeptFile(folder / 'quarantine', kept, quarantine.changed)
+
+
 async def _finished(work: Coroutine[Any, Any, None]) -> None:
     """Wait for a thread's work, also when cancelled: it goes on all the same."""
     task = asyncio.create_task(work)
--- a/packages/edge/src/hitchdeck_edge/hub/peers.py
+++ b/packages/edge/src/hitchdeck_edge/hub/peers.py
@@ -35,7 +35,8 @@
         """Return how this hub attends the others."""
 
         def accept(address: Address, frame: HubFrame) -> None:
-            take_news(address, frame, self.state.documents, self.state.registry)
+            state = self.state
+            take_news(address, frame, state.documents, state.registry, state.quarantine)
             if frame.founder:
                 self.state.founder = Address(frame.founder)
             if self.replica is not None:
--- a/packages/edge/src/hitchdeck_edge/hub/process.py
+++ b/packages/edge/src/hitchdeck_edge/hub/process.py
@@ -20,7 +20,12 @@
 from hitchdeck_edge.hub.directory import CallerKey, Door, answer_for
 from hitchdeck_edge.hub.documents import DocumentsService, Seat
 from hitchdeck_edge.hub.documents_client import DocumentsClient
-from hitchdeck_edge.hub.kept_file import KeptFile, document_file, upstreams_file
+from hitchdeck_edge.hub.kept_file import (
+    KeptFile,
+    document_file,
+    quarantine_file,
+    upstreams_file,
+)
 from hitchdeck_edge.hub.liveness import Liveness
 from hitchdeck_edge.hub.peers import HubPeer
 from hitchdeck_edge.hub.placing import PlacingService, placing_service
@@ -82,6 +87,7 @@
             'upstreams': len(self.state.registry.records),
             'entry_boxes_ready': len(attendees.entries()),
             'hubs_in_reach': len(attendees.hubs()),
+            'contents_judged': len(self.state.quarantine.verdicts.known),
             'term': replica.term if replica else 0,
             'commit_index': replica.commit_index if replica else 0,
             'voters': len(replica.voters()) if replica else 0,
@@ -166,6 +172,7 @@
     files = [
         document_file(folder, state.documents),
         upstreams_file(folder, state.registry),
+        quarantine_file(folder, state.quarantine),
     ]
     for file in files:
         file.recall()
--- a/packages/edge/src/hitchdeck_edge/hub/spread.py
+++ b/packages/edge/src/hitchdeck_edge/hub/spread.py
@@ -13,6 +13,8 @@
 from hitchdeck_core.channels import TRANSPORT_ERRORS
 from hitchdeck_core.clock import boot_seconds
 from hitchdeck_core.ids import Address, UpstreamName
+from hitchdeck_core.quarantine.messages import decode_news, encode_news
+from hitchdeck_core.quarantine.quarantine import NOTHING, Quarantine, Told
 from hitchdeck_core.signals import Signal
 from hitchdeck_core.wire.spread_grpc import SpreadBase
 from hitchdeck_core.wire.spread_pb2 import BoxFrame, HubFrame
@@ -36,6 +38,7 @@
     documents: Documents
     registry: Registry
     attendees: Attendees
+    quarantine: Quarantine
     founder: Address = Address('')
     news: Signal = field(default_factory=Signal)
 
@@ -50,6 +53,7 @@
         documents=Documents(read, news),
         registry=Registry(boot_seconds, news),
         attendees=Attendees(boot_seconds, settings.domain),
+        quarantine=Quarantine(boot_seconds, news),
         news=news,
     )
 
@@ -60,6 +64,7 @@
 
     document: int = 0
     change: int = 0
+    quarantine: Told = NOTHING
     hubs: frozenset[str] = frozenset()
     introduced: bool = False
 
@@ -77,7 +82,7 @@
             return
         attendees = self.state.attendees
         attendee = attendees.enter(first.hello)
-        attendees.note(attendee, first)
+        self._take(attendee, first)
         sender = asyncio.create_task(self._send(attendee, stream))
         try:
             await self._receive(attendee, stream)
@@ -90,9 +95,19 @@
             frame = await stream.recv_message()
             if frame is None:
                 return
-            self.state.attendees.note(attendee, frame)
-            for name in frame.heard:
-                self.state.registry.hear(UpstreamName(name))
+            self._take(attendee, frame)
+
+    def _take(self, attendee: Attendee, frame: BoxFrame) -> None:
+        state = self.state
+        state.attendees.note(attendee, frame)
+        for name in frame.heard:
+            state.registry.hear(UpstreamName(name))
+        if frame.HasField('quarantine'):
+            news = decode_news(frame.quarantine, state.quarantine.now())
+            lives = {one.life for one in news.casualties}
+            for life in lives:
+                state.registry.doubt(life)
+            state.quarantine.take(news, attendee.hello.box)
 
     async def _send(self, attendee: Attendee, stream: BoxStream) -> None:
         sent = _Sent()
@@ -123,6 +138,7 @@
             fresh = state.registry.since(sent.change)
             sent.change = state.registry.changes
             frame.upstreams.extend(encode_upstream(one) for one in fresh)
+        _add_verdicts(frame, sent, state.quarantine)
         self._add_hubs(frame, sent)
         if attendee.reports_here:
             _add_reports(frame, attendee, state.attendees)
@@ -137,6 +153,12 @@
             frame.hubs.extend(sorted(hubs))
 
 
+def _add_verdicts(frame: HubFrame, sent: _Sent, quarantine: Quarantine) -> None:
+    news, sent.quarantine = quarantine.news_since(sent.quarantine)
+    if news.verdicts:
+        frame.quarantine.CopyFrom(encode_news(news, quarantine.now()))
+
+
 def _add_reports(frame: HubFrame, attendee: Attendee, attendees: Attendees) -> None:
     others = attendees.total().without(attendee.tally)
     frame.loads.extend(others.loads())
--- a/packages/edge/src/hitchdeck_edge/links/entry.py
+++ b/packages/edge/src/hitchdeck_edge/links/entry.py
@@ -5,7 +5,8 @@
 
 from hitchdeck_core.busyness import PERCENT, busy_part
 from hitchdeck_core.ids import Address
-from hitchdeck_core.signals import Signal
+from hitchdeck_core.quarantine.messages import encode_news
+from hitchdeck_core.quarantine.quarantine import NOTHING, Told
 from hitchdeck_core.wire.spread_pb2 import BoxFrame, Hello, HubFrame
 from hitchdeck_edge.dispatch.budget import RepeatBudget
 from hitchdeck_edge.links.attend import Attendance, box_idle, box_pause
@@ -35,7 +36,8 @@
         self.known = known
         self.budget = budget
         self.ready = False
-        self.urgent = Signal()
+        self.urgent = known.quarantine.changed
+        self.told: dict[Address, Told] = {}
         self.incarnation = secrets.token_hex(4)
         self.home: Address | None = None
         self.heard = -math.inf
@@ -62,8 +64,10 @@
         )
         if first:
             frame.hello.CopyFrom(self._hello())
+            self.told.pop(hub, None)
         if home:
             self._report(frame)
+        self._tell_news(hub, frame)
         return frame
 
     def lose(self, hub: Address) -> None:
@@ -79,7 +83,8 @@
             self.urgent.notify()
 
     def _accept(self, hub: Address, frame: HubFrame, *, is_home: bool) -> None:
-        take_news(hub, frame, self.known.documents, self.known.registry)
+        known = self.known
+        take_news(hub, frame, known.documents, known.registry, known.quarantine)
         if not is_home:
             return
         self.home = hub
@@ -109,6 +114,14 @@
         books.alike = alike
         shares.alike = alike
 
+    def _tell_news(self, hub: Address, frame: BoxFrame) -> None:
+        """Add what a hub lacks of the ends and verdicts that this box knows."""
+        quarantine = self.known.quarantine
+        told = self.told.get(hub, NOTHING)
+        news, self.told[hub] = quarantine.news_since(told)
+        if news.casualties or news.verdicts:
+            frame.quarantine.CopyFrom(encode_news(news, quarantine.now()))
+
     def _report(self, frame: BoxFrame) -> None:
         frame.loads.extend(self.known.books.own.loads())
         frame.demands.extend(self.known.scheduler.shares.demands())
--- a/packages/edge/src/hitchdeck_edge/links/intake.py
+++ b/packages/edge/src/hitchdeck_edge/links/intake.py
@@ -1,6 +1,8 @@
 """What every box does with news from a hub."""
 
 from hitchdeck_core.ids import Address
+from hitchdeck_core.quarantine.messages import decode_news
+from hitchdeck_core.quarantine.quarantine import Quarantine
 from hitchdeck_core.wire.spread_pb2 import HubFrame
 from hitchdeck_edge.links.records import decode_upstream
 from hitchdeck_edge.model.document import DocumentVersion
@@ -13,10 +15,13 @@
     frame: HubFrame,
     documents: Documents,
     registry: Registry,
+    quarantine: Quarantine,
 ) -> None:
-    """Take a newer document and newer upstreams from a hub's frame."""
+    """Take newer documents, upstreams and verdicts from a hub's frame."""
     if frame.HasField('document'):
         version = DocumentVersion(int(frame.document.version))
         documents.offer(version, frame.document.body, hub)
     for record in frame.upstreams:
         registry.merge(decode_upstream(record), hub)
+    if frame.HasField('quarantine'):
+        quarantine.take(decode_news(frame.quarantine, quarantine.now()), hub)
--- a/packages/edge/src/hitchdeck_edge/model/refusals.py
+++ b/packages/edge/src/hitchdeck_edge/model/refusals.py
@@ -4,6 +4,8 @@
 from enum import Enum, unique
 from http import HTTPStatus
 
+from hitchdeck_core.quarantine.verdicts import QUARANTINE_SECONDS
+
 UNAVAILABLE = HTTPStatus.SERVICE_UNAVAILABLE
 
 SHARE_RETRY_SECONDS = 2.0
@@ -23,6 +25,9 @@
 ELSEWHERE_RETRY_SECONDS = 0.02
 """Only this box is in the way: another one serves at once."""
 
+QUARANTINE_RETRY_SECONDS = QUARANTINE_SECONDS
+"""Before it is over every box says the same."""
+
 
 @dataclass(frozen=True, slots=True)
 class Reply:
@@ -54,6 +59,11 @@
     no_upstream = Reply(UNAVAILABLE, STATE_RETRY_SECONDS, 'no upstream')
     no_attempt_left = Reply(UNAVAILABLE, AGAIN_RETRY_SECONDS, 'no attempt left')
     overloaded = Reply(UNAVAILABLE, LOAD_RETRY_SECONDS, 'overloaded')
+    quarantined = Reply(
+        UNAVAILABLE,
+        QUARANTINE_RETRY_SECONDS,
+        'upstreams ended under this request',
+    )
     stopping = Reply(UNAVAILABLE, ELSEWHERE_RETRY_SECONDS, 'stopping')
     no_time_here = Reply(
         UNAVAILABLE, ELSEWHERE_RETRY_SECONDS, 'this box has no time left'
--- a/packages/edge/src/hitchdeck_edge/model/upstreams.py
+++ b/packages/edge/src/hitchdeck_edge/model/upstreams.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from hitchdeck_core.ids import Address, PoolName, UpstreamName
+from hitchdeck_core.ids import Address, LifeId, PoolName, UpstreamName
 
 
 class Phase(Enum):
@@ -30,3 +30,8 @@
     phase: Phase
     sequence: int
     silent: bool = False
+
+    @property
+    def life(self) -> LifeId:
+        """Return what tells this life from every other one."""
+        return LifeId(self.name)
--- a/packages/edge/src/hitchdeck_edge/process.py
+++ b/packages/edge/src/hitchdeck_edge/process.py
@@ -143,7 +143,9 @@
         knowledge.scheduler.shares,
     )
     chooser = Chooser(settings.domain, knowledge.scheduler, link)
-    sender = Sender(dialect, chooser, Connections(boot_seconds), boot_seconds)
+    connections = Connections(boot_seconds)
+    quarantine = knowledge.quarantine
+    sender = Sender(dialect, chooser, connections, quarantine, boot_seconds)
     return Dispatcher(dialect, chooser, sender, budget, boot_seconds)
 
 
--- a/packages/edge/src/hitchdeck_edge/serving/admission.py
+++ b/packages/edge/src/hitchdeck_edge/serving/admission.py
@@ -212,6 +212,7 @@
             first_event=round(last.first_event, 3) if last else 0,
             goal=passage.route.goal,
             seconds=round(seconds, 3),
+            **_content_field(passage, service.answers.outcome),
             **_size_fields(passage.call),
         )
 
@@ -235,6 +236,13 @@
         )
 
 
+def _content_field(passage: Passage, outcome: str) -> dict[str, object]:
+    """Return what leads from a request that is kept away to the ends before it."""
+    if outcome != Refusal.quarantined.name:
+        return {}
+    return {'content': passage.content.hex()}
+
+
 def _size_fields(call: Call) -> dict[str, object]:
     """Return what the log says of a generation.
 
--- a/packages/edge/src/hitchdeck_edge/state/knowledge.py
+++ b/packages/edge/src/hitchdeck_edge/state/knowledge.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from hitchdeck_core.clock import boot_seconds
+from hitchdeck_core.quarantine.quarantine import Quarantine
 from hitchdeck_core.signals import Signal
 from hitchdeck_edge.model.dialect import Dialect
 from hitchdeck_edge.scheduling.books import Books
@@ -14,12 +15,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Knowledge:
-    """Configuration, upstreams, open work, and the box's own scheduler."""
+    """Configuration, upstreams, open work, and the box's own scheduler.
+
+    ``quarantine`` tells which requests may reach no upstream, and why.
+    """
 
     documents: Documents
     registry: Registry
     books: Books
     scheduler: Scheduler
+    quarantine: Quarantine
 
 
 def new_knowledge(settings: EntrySettings, dialect: Dialect) -> Knowledge:
@@ -28,4 +33,6 @@
     documents = Documents(dialect.read_document, news)
     registry = Registry(boot_seconds, news)
     scheduler = new_scheduler(settings, documents, registry)
-    return Knowledge(documents, registry, scheduler.placement.books, scheduler)
+    quarantine = Quarantine(boot_seconds, Signal())
+    books = scheduler.placement.books
+    return Knowledge(documents, registry, books, scheduler, quarantine)
--- a/packages/edge/src/hitchdeck_edge/state/registry.py
+++ b/packages/edge/src/hitchdeck_edge/state/registry.py
@@ -10,7 +10,7 @@
 
 from hitchdeck_core import logs
 from hitchdeck_core.clock import Clock
-from hitchdeck_core.ids import Address, PoolName, UpstreamName
+from hitchdeck_core.ids import Address, LifeId, PoolName, UpstreamName
 from hitchdeck_core.signals import Signal
 from hitchdeck_edge.model.upstreams import Phase, Upstream
 
@@ -118,6 +118,16 @@
                 logs.warning('upstream silent', upstream=name, seconds=limit)
                 self._store(replace(record, silent=True))
 
+    def doubt(self, life: LifeId) -> None:
+        """Mark a life that a box found to take no connections any more.
+
+        Only doubt: it clears itself with its next report.  A sound request met
+        four ended upstreams in a row, and was refused, where boxes told nobody.
+        """
+        for record in list(self.records.values()):
+            if record.life == life and record.phase is not Phase.gone:
+                self._store(replace(record, silent=True))
+
     def gone(self) -> set[UpstreamName]:
         """Return the upstreams whose end is known."""
         return {
--- /dev/null
+++ b/tests/cover/test_quarantine.py
@@ -0,0 +1,250 @@
+"""Contents under which upstreams end are told from those that were there by chance."""
+
+from itertools import count
+from typing import NamedTuple
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hitchdeck_core.ids import LifeId
+from hitchdeck_core.quarantine.casualties import (
+    MOST_REMEMBERED,
+    REMEMBERED_SECONDS,
+    Casualties,
+    Casualty,
+)
+from hitchdeck_core.quarantine.endings import Endings
+from hitchdeck_core.quarantine.fingerprints import Fingerprint, fingerprint_of
+from hitchdeck_core.quarantine.messages import decode_news, encode_news
+from hitchdeck_core.quarantine.quarantine import (
+    ANSWERED_SECONDS,
+    NOTHING,
+    News,
+    Quarantine,
+)
+from hitchdeck_core.quarantine.verdicts import (
+    MOST_VERDICTS,
+    QUARANTINE_SECONDS,
+    Standing,
+    Verdict,
+    Verdicts,
+)
+from hitchdeck_core.signals import Signal
+
+LETHAL = Fingerprint(b'lethal')
+SOUND = Fingerprint(b'sound')
+OTHER = Fingerprint(b'other')
+
+
+class ByHand:
+    """A clock that is moved by hand."""
+
+    def __init__(self) -> None:
+        self.seconds = 1000.0
+
+    def now(self) -> float:
+        return self.seconds
+
+
+def quarantine_by(clock: ByHand) -> Quarantine:
+    return Quarantine(clock.now, Signal())
+
+
+def end_lives(quarantine: Quarantine, *open_there: tuple[Fingerprint, ...]) -> None:
+    for number, there in enumerate(open_there):
+        quarantine.note_end(LifeId(f'e{number}'), there)
+
+
+def verdict_of(number: int, standing: Standing, since: float = 1000.0) -> Verdict:
+    return Verdict(LETHAL, number, standing, since)
+
+
+class Blame(NamedTuple):
+    """What was open at each end, and what is blamed."""
+
+    ends: tuple[tuple[Fingerprint, ...], ...]
+    blamed: set[Fingerprint]
+
+
+@pytest.mark.parametrize(
+    'case',
+    [
+        Blame(((LETHAL,), (LETHAL,)), set()),
+        Blame(((LETHAL,), (LETHAL,), (LETHAL,)), {LETHAL}),
+        Blame(((LETHAL, SOUND), (LETHAL, SOUND), (LETHAL, OTHER)), {LETHAL}),
+        # What was open beside a lethal one at later ends is not blamed for them.
+        Blame(((LETHAL,), *(((LETHAL, SOUND),) * 3)), {LETHAL}),
+        Blame(((LETHAL,), *(((SOUND, LETHAL),) * 3)), {LETHAL}),
+        # Nothing tells two apart that were at all the same ends.
+        Blame(((LETHAL, SOUND),) * 3, {LETHAL, SOUND}),
+        # Two lethal ones, with an end in common.
+        Blame(
+            ((LETHAL,), (LETHAL,), (LETHAL, OTHER), (OTHER,), (OTHER,), (OTHER,)),
+            {LETHAL, OTHER},
+        ),
+    ],
+)
+def test_blame_goes_to_what_was_at_most_ends(case: Blame) -> None:
+    quarantine = quarantine_by(ByHand())
+    end_lives(quarantine, *case.ends)
+    blamed = {one for one in (LETHAL, SOUND, OTHER) if quarantine.holds(one)}
+    assert blamed == case.blamed
+
+
+def test_one_end_counts_once_however_many_boxes_saw_it() -> None:
+    quarantine = quarantine_by(ByHand())
+    for _ in range(5):
+        quarantine.note_end(LifeId('e0'), [LETHAL])
+    assert not quarantine.holds(LETHAL)
+
+
+def test_ends_that_are_long_past_are_forgotten() -> None:
+    clock = ByHand()
+    quarantine = quarantine_by(clock)
+    end_lives(quarantine, (LETHAL,), (LETHAL,))
+    clock.seconds += REMEMBERED_SECONDS + 1
+    quarantine.note_end(LifeId('late'), [LETHAL])
+    assert not quarantine.holds(LETHAL)
+
+
+def test_what_is_remembered_of_ends_is_bounded() -> None:
+    casualties = Casualties(float)
+    for number in range(MOST_REMEMBERED + 100):
+        casualties.add(Casualty(Fingerprint(b'%d' % number), LifeId('e')))
+    assert len(casualties.order) == MOST_REMEMBERED
+    assert len(casualties.by_content) == MOST_REMEMBERED
+    assert len(casualties.by_life[LifeId('e')]) == MOST_REMEMBERED
+
+
+def test_verdicts_are_bounded() -> None:
+    verdicts = Verdicts(float)
+    for number in range(MOST_VERDICTS + 10):
+        verdicts.quarantine(Fingerprint(b'%d' % number))
+    assert len(verdicts.known) == len(verdicts.numbers) == MOST_VERDICTS
+
+
+@pytest.mark.parametrize(
+    ('seconds', 'held'),
+    [(0, True), (QUARANTINE_SECONDS - 1, True), (QUARANTINE_SECONDS, False)],
+)
+def test_a_quarantine_ends_after_its_time(seconds: float, held: bool) -> None:
+    clock = ByHand()
+    quarantine = quarantine_by(clock)
+    end_lives(quarantine, (LETHAL,), (LETHAL,), (LETHAL,))
+    clock.seconds += seconds
+    assert quarantine.holds(LETHAL) is held
+
+
+@pytest.mark.parametrize(
+    ('before', 'held'),
+    [(0.0, False), (ANSWERED_SECONDS - 1, False), (ANSWERED_SECONDS + 1, True)],
+)
+def test_an_answer_of_late_speaks_for_a_content(before: float, held: bool) -> None:
+    clock = ByHand()
+    quarantine = quarantine_by(clock)
+    quarantine.note_answer(SOUND)
+    clock.seconds += before
+    end_lives(quarantine, (SOUND,), (SOUND,), (SOUND,))
+    assert quarantine.holds(SOUND) is held
+
+
+def test_an_answer_elsewhere_clears_a_content_for_all() -> None:
+    clock = ByHand()
+    hub, box = quarantine_by(clock), quarantine_by(clock)
+    end_lives(hub, (SOUND,), (SOUND,), (SOUND,))
+    box.note_answer(SOUND)
+    news, _ = hub.news_since(NOTHING)
+    box.take(news, 'hub')
+    back, _ = box.news_since(NOTHING)
+    hub.take(back, 'box')
+    assert not box.holds(SOUND)
+    assert not hub.holds(SOUND)
+
+
+def test_a_content_that_was_cleared_is_not_blamed_for_the_same_ends_again() -> None:
+    clock = ByHand()
+    hub, box = quarantine_by(clock), quarantine_by(clock)
+    end_lives(box, (SOUND,), (SOUND,), (SOUND,))
+    box.note_answer(SOUND)
+    hub.take(box.news_since(NOTHING)[0], 'box')
+    assert not hub.holds(SOUND)
+
+
+def test_only_what_is_new_is_told() -> None:
+    quarantine = quarantine_by(ByHand())
+    end_lives(quarantine, (LETHAL,), (LETHAL,))
+    first, told = quarantine.news_since(NOTHING)
+    quarantine.note_end(LifeId('third'), [LETHAL])
+    second, told = quarantine.news_since(told)
+    third, _ = quarantine.news_since(told)
+    assert len(first.casualties) == 2
+    assert second.casualties == (Casualty(LETHAL, LifeId('third')),)
+    assert [one.standing for one in second.verdicts] == [Standing.quarantined]
+    assert third == News((), ())
+
+
+@given(
+    st.permutations(
+        [
+            verdict_of(0, Standing.quarantined),
+            verdict_of(1, Standing.cleared),
+            verdict_of(1, Standing.quarantined),
+            verdict_of(2, Standing.cleared),
+            verdict_of(0, Standing.cleared),
+            verdict_of(9, Standing.quarantined, since=1000 - QUARANTINE_SECONDS),
+        ],
+    ),
+    st.integers(1, 6),
+)
+def test_verdicts_end_alike_in_any_order(order: list[Verdict], again: int) -> None:
+    verdicts = Verdicts(ByHand().now)
+    heard = order + order[:again]
+    for verdict in heard:
+        verdicts.merge(verdict)
+    assert verdicts.known[LETHAL] == verdict_of(2, Standing.cleared)
+
+
+def test_news_comes_through_a_message_with_its_age() -> None:
+    quarantine = quarantine_by(ByHand())
+    end_lives(quarantine, (LETHAL, SOUND), (LETHAL,), (LETHAL,))
+    news, _ = quarantine.news_since(NOTHING)
+    decoded = decode_news(encode_news(news, 1002.5), 50.0)
+    assert decoded.casualties == news.casualties
+    assert [one.since for one in decoded.verdicts] == [47.5]
+
+
+@pytest.mark.parametrize(
+    ('parts', 'others'),
+    [
+        ((b'ab', b'c'), (b'a', b'bc')),
+        ((b'a', b''), (b'a',)),
+        ((b'a',), (b'b',)),
+    ],
+)
+def test_contents_that_differ_have_other_fingerprints(
+    parts: tuple[bytes, ...], others: tuple[bytes, ...]
+) -> None:
+    assert fingerprint_of(*parts) != fingerprint_of(*others)
+    assert fingerprint_of(*parts) == fingerprint_of(*parts)
+
+
+@pytest.mark.parametrize('reached', [False, True])
+async def test_an_upstream_is_asked_once_for_all_that_broke_off_there(
+    reached: bool,
+) -> None:
+    quarantine = quarantine_by(ByHand())
+    ended: list[LifeId] = []
+    asked = count()
+    endings = Endings(quarantine, ended.append)
+
+    async def reaches() -> bool:
+        next(asked)
+        return reached
+
+    endings.note(LifeId('e0'), LETHAL, reaches)
+    endings.note(LifeId('e0'), SOUND, reaches)
+    await endings.tasks.tasks['e0-1']
+    assert next(asked) == 1
+    assert ended == ([] if reached else ['e0'])
+    assert len(quarantine.seen) == (0 if reached else 2)
--- a/tests/edge/test_alone.py
+++ b/tests/edge/test_alone.py
@@ -3,6 +3,7 @@
 import pytest
 
 from hitchdeck_core.ids import Address, UpstreamName
+from hitchdeck_core.quarantine.quarantine import Quarantine
 from hitchdeck_core.signals import Signal
 from hitchdeck_core.wire.spread_pb2 import HubFrame, Load
 from hitchdeck_edge.dispatch.budget import RepeatBudget
@@ -30,6 +31,7 @@
         scheduler.placement.registry,
         scheduler.placement.books,
         scheduler,
+        Quarantine(clock, Signal()),
     )
     settings = EntrySettings(
         box='box',
--- a/tests/edge/test_recovery.py
+++ b/tests/edge/test_recovery.py
@@ -8,9 +8,16 @@
 import pytest
 
 from hitchdeck_core.clock import boot_seconds
-from hitchdeck_core.ids import Address, PoolName, UpstreamName
+from hitchdeck_core.ids import Address, LifeId, PoolName, UpstreamName
+from hitchdeck_core.quarantine.fingerprints import Fingerprint
+from hitchdeck_core.quarantine.quarantine import Quarantine
 from hitchdeck_core.signals import Signal
-from hitchdeck_edge.hub.kept_file import KeptFile, document_file, upstreams_file
+from hitchdeck_edge.hub.kept_file import (
+    KeptFile,
+    document_file,
+    quarantine_file,
+    upstreams_file,
+)
 from hitchdeck_edge.model.document import DocumentVersion
 from hitchdeck_edge.model.upstreams import Phase, Upstream
 from hitchdeck_edge.state.documents import Documents
@@ -73,6 +80,17 @@
     assert after.records[UpstreamName('lost')].silent
 
 
+async def test_a_quarantine_outlives_a_restart_of_everything(tmp_path: Path) -> None:
+    lethal = Fingerprint(b'lethal')
+    before = Quarantine(boot_seconds, Signal())
+    for number in range(3):
+        before.note_end(LifeId(f'e{number}'), [lethal])
+    await until_written(quarantine_file(tmp_path, before))
+    after = Quarantine(boot_seconds, Signal())
+    quarantine_file(tmp_path, after).recall()
+    assert after.holds(lethal)
+
+
 @pytest.mark.parametrize('content', [b'', b'no frame', b'\x00' * 40])
 @pytest.mark.parametrize('kept', ['document', 'upstreams'])
 def test_a_damaged_file_is_passed_over(
--- a/tools/generate_wire.py
+++ b/tools/generate_wire.py
@@ -9,6 +9,7 @@
 
 SOURCE_ROOT = Path(__file__).parent.parent / 'packages' / 'core' / 'src'
 PROTOS = (
+    'hitchdeck_core/wire/quarantine.proto',
     'hitchdeck_core/wire/hitchdeck.proto',
     'hitchdeck_core/wire/spread.proto',
 )
