--- a/standins/engine.py
+++ b/standins/engine.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import json
+import os
 from collections import OrderedDict
 from pathlib import Path
 from typing import Any
@@ -20,6 +21,7 @@
 _DEFAULT_TOKENS = 16
 _CHARACTERS_PER_TOKEN = 4
 _CONFLICT = 409
+_CRASHED = 9
 
 
 class Engine:
@@ -74,6 +76,9 @@
         session = self.request.headers.get('X-Session-Id', '')
         if session:
             self.engine.caches[session] = f'kv-of-{session}'
+        lethal = self.engine.faults.get('lethal')
+        if lethal and lethal in json.dumps(body):
+            os._exit(_CRASHED)
         self.set_header('Content-Type', 'text/event-stream')
         self.set_header('X-Request-Id', self.engine.faults.get('foreign_id', request))
         tokens, done = answer_tokens(body)
--- /dev/null
+++ b/tests/failures/test_lethal_requests.py
@@ -0,0 +1,52 @@
+"""A router keeps a request away from upstreams once three have ended under it.
+
+Entry boxes of the platform sent one content on to ten engines, which ended one after
+the other; routers judged each repeat anew in the same way.  Before they knew of each
+other's losses all six engines ended here, and the last four repeats met none.
+"""
+
+import asyncio
+from pathlib import Path
+
+from standins.fleet import Fleet, FleetSize, running_fleet
+from tests.common import callers
+
+LETHAL = 'words under which engines end'
+ENOUGH = 3
+ENGINES = 6
+SPREAD_SECONDS = 2.5
+SECONDS = 30.0
+
+
+async def ask(fleet: Fleet, router: int, prompt: str) -> callers.Reply:
+    return await callers.chat(fleet.routers[router % len(fleet.routers)], prompt)
+
+
+def running(fleet: Fleet) -> int:
+    return sum(engine.is_running() for engine in fleet.engines)
+
+
+async def end_engines(fleet: Fleet) -> None:
+    for engine in fleet.engines:
+        await callers.set_faults(engine, lethal=LETHAL)
+    asked = 0
+    async with asyncio.timeout(SECONDS):
+        while running(fleet) > ENGINES - ENOUGH:
+            await ask(fleet, asked, LETHAL)
+            asked += 1
+
+
+async def test_a_repeat_ends_no_further_engine(tmp_path: Path) -> None:
+    with running_fleet(tmp_path, FleetSize(routers=3, engines=ENGINES)) as fleet:
+        path = callers.write_resources(fleet)
+        fleet.hitchdeck('apply', str(path), '--wait')
+        await callers.until_ready(fleet)
+        await end_engines(fleet)
+        await asyncio.sleep(SPREAD_SECONDS)
+        left = running(fleet)
+        replies = [await ask(fleet, number, LETHAL) for number in range(6)]
+        assert [callers.text_of(reply) for reply in replies] == ['quarantined'] * 6
+        assert [reply.ran for reply in replies] == ['not-run'] * 6
+        assert running(fleet) == left
+        sound = await ask(fleet, 0, 'sound')
+        assert callers.text_of(sound) == callers.expected_text('sound')
