Keep such a request away from upstreams on the product's own path too

The same cause at the routers, which judged each repeat anew. The leader hears from every router of upstreams that ended, and tells all; routers tell the next leader what they know. An upstream of the product says nothing of its starts, so ends of one upstream ten seconds apart count as two lives.

--- a/packages/control/src/hitchdeck_control/fleet/leader.py
+++ b/packages/control/src/hitchdeck_control/fleet/leader.py
@@ -17,6 +17,7 @@
 from hitchdeck_core.commands import Command, Submission, command_codec, submission_codec
 from hitchdeck_core.ids import ShardId
 from hitchdeck_core.outcomes import Outcome
+from hitchdeck_core.quarantine.quarantine import Quarantine
 from hitchdeck_core.wire.hitchdeck_pb2 import ShardEntry
 
 _DUTY_PERIOD = 0.2
@@ -25,7 +26,7 @@
 
 
 class Leader:
-    """The leader's soft state; empty again with each new leadership."""
+    """The leader's soft state; all but verdicts is new with each leadership."""
 
     def __init__(
         self,
@@ -45,6 +46,8 @@
         self.routers = Routers(now, lease_seconds)
         self.usage = UsageTable()
         self.directory = DirectoryState()
+        # Kept from one leadership to the next: it binds whoever leads.
+        self.quarantine = Quarantine(now, machine.news)
 
     def check_leads(self) -> None:
         """Raise ``NotLeaderError`` unless this replica surely leads now."""
--- a/packages/control/src/hitchdeck_control/fleet/watch.py
+++ b/packages/control/src/hitchdeck_control/fleet/watch.py
@@ -10,6 +10,8 @@
 from hitchdeck_control.fleet.directory import DirectoryState, difference
 from hitchdeck_control.fleet.leader import Leader
 from hitchdeck_control.fleet.presence import Presence
+from hitchdeck_core.quarantine.messages import decode_news, encode_news
+from hitchdeck_core.quarantine.quarantine import NOTHING, Told
 from hitchdeck_core.wire.hitchdeck_pb2 import (
     ControlFrame,
     Lease,
@@ -30,6 +32,7 @@
 
     version: int
     directory: DirectoryState | None = None
+    quarantine: Told = NOTHING
     usage_position: int = 0
     usage_at: float = float('-inf')
     behind_since: float | None = None
@@ -72,6 +75,9 @@
 ) -> None:
     leader.check_leads()
     leader.usage.merge(presence.hello.incarnation, beat.usage)
+    if beat.HasField('quarantine'):
+        news = decode_news(beat.quarantine, leader.now())
+        leader.quarantine.take(news, presence.hello.router)
     leader.routers.acknowledge(presence, int(beat.version), beat.leaving)
     frame = _news(leader, presence, sent)
     if _may_have_lease(leader, presence, sent):
@@ -114,6 +120,9 @@
     if sent.directory is not directory:
         frame.directory.CopyFrom(difference(sent.directory, directory))
         sent.directory = directory
+    news, sent.quarantine = leader.quarantine.news_since(sent.quarantine)
+    if news.verdicts:
+        frame.quarantine.CopyFrom(encode_news(news, leader.now()))
     now = leader.now()
     if now - sent.usage_at >= _USAGE_PERIOD:
         frame.usage.extend(_service_elsewhere(leader, presence, sent))
--- a/packages/core/src/hitchdeck_core/quarantine/endings.py
+++ b/packages/core/src/hitchdeck_core/quarantine/endings.py
@@ -22,7 +22,7 @@
     def __init__(
         self,
         quarantine: Quarantine,
-        on_end: Callable[[LifeId], None],
+        on_end: Callable[[LifeId], object],
     ) -> None:
         self.quarantine = quarantine
         self.on_end = on_end
--- a/packages/router/src/hitchdeck_router/dispatch/attempts.py
+++ b/packages/router/src/hitchdeck_router/dispatch/attempts.py
@@ -9,6 +9,7 @@
 from hitchdeck_core.resources import Upstream
 from hitchdeck_router.context import RouterContext
 from hitchdeck_router.dispatch.caches import move_cache
+from hitchdeck_router.dispatch.ends import check_not_quarantined, doubt
 from hitchdeck_router.dispatch.ledger import KeptAnswer, Ran
 from hitchdeck_router.dispatch.requests import Admitted
 from hitchdeck_router.errors import (
@@ -82,6 +83,7 @@
         failed = False
         try:
             await _run_granted(context, admitted, progress, grant, run_once)
+            context.fleet.quarantine.note_answer(admitted.content)
             return
         except GrantLostError as error:
             _note_lost_grant(progress, error)
@@ -92,6 +94,7 @@
         except UpstreamBrokenError as error:
             failed = True
             progress.sent = True
+            _doubt(context, admitted, upstream)
             _note_failure(context, admitted, progress, upstream, error)
         finally:
             grant.release(failed=failed)
@@ -105,6 +108,7 @@
     now = context.fleet.now()
     ticket = admitted.ticket(now)
     try:
+        check_not_quarantined(context, admitted)
         grant = await context.finder.acquire(admitted.pool, ticket)
     except NotRunError as error:
         if progress.sent:
@@ -214,6 +218,16 @@
     ) from error
 
 
+def _doubt(
+    context: RouterContext,
+    admitted: Admitted,
+    name: UpstreamName,
+) -> None:
+    upstream = context.fleet.view.upstreams.get(name)
+    if upstream is not None:
+        doubt(context, admitted, upstream)
+
+
 def _settle(
     context: RouterContext,
     admitted: Admitted,
--- a/packages/router/src/hitchdeck_router/dispatch/calls.py
+++ b/packages/router/src/hitchdeck_router/dispatch/calls.py
@@ -184,11 +184,7 @@
     UpstreamBrokenError
         The connection broke while the request was sent.
     """
-    host, port = split_address(address)
-    try:
-        stream = await TCPClient().connect(host, port, timeout=CONNECT_SECONDS)
-    except (OSError, TimeoutError, StreamClosedError) as error:
-        raise UpstreamUnreachedError(f'{address}: {error}') from error
+    stream = await _connect(address)
     stream.set_nodelay(True)
     call = UpstreamCall(stream, request.silence)
     try:
@@ -197,3 +193,22 @@
         call.close()
         raise UpstreamBrokenError(f'{address}: {error}') from error
     return call
+
+
+async def takes_connections(address: Address) -> bool:
+    """Tell whether an upstream takes a connection."""
+    try:
+        stream = await _connect(address)
+    except UpstreamUnreachedError:
+        # That it could not be reached is the answer.
+        return False
+    stream.close()
+    return True
+
+
+async def _connect(address: Address) -> IOStream:
+    host, port = split_address(address)
+    try:
+        return await TCPClient().connect(host, port, timeout=CONNECT_SECONDS)
+    except (OSError, TimeoutError, StreamClosedError) as error:
+        raise UpstreamUnreachedError(f'{address}: {error}') from error
--- a/packages/router/src/hitchdeck_router/dispatch/requests.py
+++ b/packages/router/src/hitchdeck_router/dispatch/requests.py
@@ -8,6 +8,7 @@
 
 from hitchdeck_core.hashing import stable_hash
 from hitchdeck_core.ids import AccountName, PoolName, RequestId
+from hitchdeck_core.quarantine.fingerprints import Fingerprint, fingerprint_of
 from hitchdeck_core.resources import Urgency
 from hitchdeck_core.wire.hitchdeck_pb2 import Ticket
 
@@ -37,6 +38,10 @@
         Where it was sent last, for the log.
     has_left
         Tells whether its caller has closed the connection, as its socket has it.
+    target
+        Method and path, as they were asked for.
+    content
+        What is the same in each repeat of it, whatever its id.
     """
 
     request: RequestId
@@ -53,6 +58,13 @@
     avoid: set[str] = field(default_factory=set)
     upstream: str = ''
     has_left: Callable[[], bool] = bool
+    target: str = ''
+    content: Fingerprint = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Take the fingerprint of what the caller sent."""
+        target, account = self.target.encode(), self.account.encode()
+        self.content = fingerprint_of(target, account, self.body)
 
     @property
     def class_name(self) -> str:
--- a/packages/router/src/hitchdeck_router/dispatch/services.py
+++ b/packages/router/src/hitchdeck_router/dispatch/services.py
@@ -15,8 +15,9 @@
     open_call,
 )
 from hitchdeck_router.dispatch.chat import REQUEST_ID_HEADER
+from hitchdeck_router.dispatch.ends import doubt
 from hitchdeck_router.dispatch.requests import Admitted
-from hitchdeck_router.errors import UpstreamBrokenError, UpstreamError
+from hitchdeck_router.errors import AnswerCutError, UpstreamBrokenError
 from hitchdeck_router.scheduling.costs import SERVICE_CALL
 from hitchdeck_router.scheduling.holding import Slot
 
@@ -44,10 +45,6 @@
 DeliverBytes = Callable[[bytes], Awaitable[None]]
 
 
-class AnswerCutError(UpstreamError):
-    """Raised when an answer broke after part of it was passed on."""
-
-
 async def run_service(
     context: RouterContext,
     admitted: Admitted,
@@ -82,6 +79,9 @@
             _check_own(head, admitted)
             await deliver_head(head)
             await _pass_body(call, deliver_bytes)
+        except AnswerCutError:
+            doubt(context, admitted, upstream)
+            raise
         finally:
             call.close()
 
--- a/packages/router/src/hitchdeck_router/errors.py
+++ b/packages/router/src/hitchdeck_router/errors.py
@@ -47,6 +47,10 @@
     """Raised when an answer stopped short, or is not an answer to this call."""
 
 
+class AnswerCutError(UpstreamError):
+    """Raised when an answer broke after part of it was passed on."""
+
+
 class UpstreamRefusedError(UpstreamError):
     """Raised when an upstream answered with an error status."""
 
--- a/packages/router/src/hitchdeck_router/fleet/link.py
+++ b/packages/router/src/hitchdeck_router/fleet/link.py
@@ -3,15 +3,17 @@
 import asyncio
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from grpclib.client import Stream
 
 from hitchdeck_core import logs
 from hitchdeck_core.channels import TRANSPORT_ERRORS, open_channel
-from hitchdeck_core.clock import Clock
+from hitchdeck_core.clock import Clock, boot_seconds
 from hitchdeck_core.errors import LinkError
 from hitchdeck_core.ids import Address
+from hitchdeck_core.quarantine.messages import decode_news, encode_news
+from hitchdeck_core.quarantine.quarantine import NOTHING, Quarantine
 from hitchdeck_core.signals import Signal
 from hitchdeck_core.wire.hitchdeck_grpc import ControlStub
 from hitchdeck_core.wire.hitchdeck_pb2 import (
@@ -45,6 +47,9 @@
     directory: FleetDirectory
     traffic: Traffic
     now: Clock
+    quarantine: Quarantine = field(
+        default_factory=lambda: Quarantine(boot_seconds, Signal()),
+    )
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,7 +85,9 @@
         self.connected = False
         self.leader = Address('')
         self.leaving = False
-        self.beat_now = Signal()
+        # What this router learns of upstreams that ended goes out at once.
+        self.beat_now = fleet.quarantine.changed
+        self.told = NOTHING
 
     async def run(self) -> None:
         """Stay connected to the leader; for ever."""
@@ -129,6 +136,7 @@
     async def _converse(self, stream: WatchStream) -> None:
         # What was told to another leader may have died with it.
         self.usage.tell_all()
+        self.told = NOTHING
         await self._beat(stream, self.hello)
         beating = asyncio.create_task(self._beat_for_ever(stream))
         try:
@@ -164,9 +172,16 @@
             usage=self.usage.grown(),
             hello=hello,
         )
+        self._add_news(beat)
         self.fleet.traffic.count(_LINK, beat)
         await stream.send_message(beat)
 
+    def _add_news(self, beat: RouterBeat) -> None:
+        quarantine = self.fleet.quarantine
+        news, self.told = quarantine.news_since(self.told)
+        if news.casualties or news.verdicts:
+            beat.quarantine.CopyFrom(encode_news(news, quarantine.now()))
+
     def _take(self, frame: ControlFrame) -> None:
         self.connected = True
         self.fleet.traffic.count(_LINK, frame)
@@ -179,6 +194,10 @@
             self.fleet.directory.update(frame.directory)
         if frame.usage:
             self.usage.take(list(frame.usage), int(frame.term))
+        if frame.HasField('quarantine'):
+            quarantine = self.fleet.quarantine
+            news = decode_news(frame.quarantine, quarantine.now())
+            quarantine.take(news, _LINK)
         lease = frame.lease
         if frame.HasField('lease') and self.fleet.view.version >= lease.version:
             self.fleet.lease.granted(int(lease.sequence), lease.duration_ms / 1000)
--- a/packages/router/src/hitchdeck_router/serving/chat.py
+++ b/packages/router/src/hitchdeck_router/serving/chat.py
@@ -69,6 +69,7 @@
             key=admission.check_key(headers, self.request.path, raw),
             admitted_at=self.context.fleet.now(),
             has_left=self.has_left,
+            target=f'{self.request.method} {self.request.uri}',
         )
 
     async def _run(self, admitted: Admitted, body: dict[str, Any]) -> ChatAnswer:
--- a/packages/router/src/hitchdeck_router/serving/services.py
+++ b/packages/router/src/hitchdeck_router/serving/services.py
@@ -14,12 +14,11 @@
 )
 from hitchdeck_router.dispatch.requests import Admitted
 from hitchdeck_router.dispatch.services import (
-    AnswerCutError,
     ServiceAnswer,
     ServiceRequest,
     run_service,
 )
-from hitchdeck_router.errors import NotRunError
+from hitchdeck_router.errors import AnswerCutError, NotRunError
 from hitchdeck_router.scheduling.costs import SERVICE_CALL
 from hitchdeck_router.serving import admission
 from hitchdeck_router.serving.base import RAN_HEADER, Door
@@ -92,6 +91,7 @@
             key=admission.check_key(headers, self.request.uri or '', body),
             admitted_at=self.context.fleet.now(),
             has_left=self.has_left,
+            target=f'{self.request.method} {self.request.uri}',
         )
 
     def _repeatable(self, pool: PoolName) -> bool:
--- a/tests/cover/test_caller_left.py
+++ b/tests/cover/test_caller_left.py
@@ -13,7 +13,9 @@
 import pytest
 
 from hitchdeck_core.ids import AccountName, PoolName, RequestId
+from hitchdeck_core.quarantine.quarantine import Quarantine
 from hitchdeck_core.resources import Urgency
+from hitchdeck_core.signals import Signal
 from hitchdeck_router.dispatch.attempts import Progress, run_attempts
 from hitchdeck_router.dispatch.requests import Admitted
 from hitchdeck_router.errors import CallerLeftError
@@ -45,6 +47,7 @@
 
     fleet = SimpleNamespace(
         now=float,
+        quarantine=Quarantine(float, Signal()),
         lease=SimpleNamespace(is_live=lambda: True),
         view=SimpleNamespace(
             may_dispatch=lambda *_: True,
