Let time limits pass while a machine is suspended

Cause: timers of the event loop went by the steady clock, which a suspension does not count, while leases and ends of requests go by the clock since boot. Both now go by the latter, in every process; a wait for events lasts 0.25 s at most, since the kernel times it by the steady clock. The other clocks that stand still were looked at: the measure of how busy a loop is (right so) and the log's rate (harmless).

--- a/packages/core/src/hitchdeck_core/busyness.py
+++ b/packages/core/src/hitchdeck_core/busyness.py
@@ -1,4 +1,4 @@
-"""How busy a process is, seen from within: the part of time its loop worked.
+"""The processes' event loop: how busy it is, and what its timers go by.
 
 Where a box has a share of a processor, work takes as long as the share makes it
 take, so the time that the loop does not wait tells how much of the share is
@@ -11,6 +11,8 @@
 from collections.abc import Callable
 from time import monotonic
 
+from hitchdeck_core.clock import boot_seconds
+
 SMOOTHING_SECONDS = 1.0
 """Span over which the part is smoothed: callers keep addresses for some seconds,
 and a single slow request is no load."""
@@ -18,6 +20,10 @@
 PERCENT = 100
 """Messages tell the part in hundredths."""
 
+LONGEST_WAIT_SECONDS = 0.25
+"""Longest wait for an event.  A wait goes by the steady clock, and what is due by
+the other one must not be half a second late after a suspension."""
+
 LEAST_SPAN_SECONDS = 0.2
 """Shorter spans are not measured by themselves."""
 
@@ -33,6 +39,7 @@
     """
 
     def __init__(self, now: Callable[[], float] = monotonic) -> None:
+        # The steady clock: asleep a process neither works nor waits.
         self.now = now
         self.waited = 0.0
         self.seen = now()
@@ -82,21 +89,32 @@
         self,
         timeout: float | None = None,
     ) -> list[tuple[selectors.SelectorKey, int]]:
-        """Wait for events."""
+        """Wait for events, and not for long: no suspension ends a wait."""
         began = self.busyness.look()
-        events = super().select(timeout)
-        if timeout is None or timeout > 0:
+        wait = LONGEST_WAIT_SECONDS
+        if timeout is not None:
+            wait = min(wait, timeout)
+        events = super().select(wait)
+        if wait > 0:
             self.busyness.went_on(began)
         return events
 
 
 class MeteredLoop(asyncio.SelectorEventLoop):
-    """An event loop that knows how busy it is."""
+    """An event loop that knows how busy it is, with timers since boot."""
 
     def __init__(self) -> None:
         self.busyness = Busyness()
         super().__init__(_Selector(self.busyness))
 
+    def time(self) -> float:
+        """Return what timers go by: a suspended machine's time passes too.
+
+        On the steady clock a request whose time was over was held for as long
+        again as the machine had been suspended.
+        """
+        return boot_seconds()
+
 
 def busy_part() -> float:
     """Return how busy the running loop is, 0 if it does not know."""
--- a/packages/daemon/src/hitchdeck_daemon/main.py
+++ b/packages/daemon/src/hitchdeck_daemon/main.py
@@ -11,6 +11,7 @@
 
 from hitchdeck_control.process import ControlProcess, start_control
 from hitchdeck_core import logs
+from hitchdeck_core.busyness import MeteredLoop
 from hitchdeck_core.errors import HitchdeckError
 from hitchdeck_core.settings import Settings, load_settings
 from hitchdeck_router.process import RouterProcess, start_router
@@ -39,7 +40,8 @@
         return
     logs.set_up(box=checked.box, domain=checked.domain)
     try:
-        asyncio.run(_serve(checked))
+        with asyncio.Runner(loop_factory=MeteredLoop) as runner:
+            runner.run(_serve(checked))
     except (HitchdeckError, OSError) as error:
         logs.failure('stopped', error)
         sys.exit(_FAILED)
