Show that an upstream that starts again is taken for its earlier life

Fails on the code as it is: its reports are older than those known, a departure binds it for ever, and what was learned of the earlier life is held against it.

--- /dev/null
+++ b/tests/edge/test_lives.py
@@ -0,0 +1,222 @@
+"""An upstream that starts again under its name is another one.
+
+It holds nothing of before, and counts its reports anew: taken for the earlier life, its
+first reports were older than those that were known, its address stayed that of before,
+and after a departure no report of it counted any more.
+"""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hitchdeck_core.ids import PoolName, UpstreamName
+from hitchdeck_core.signals import Signal
+from hitchdeck_edge.hub.liveness import Liveness
+from hitchdeck_edge.links.records import decode_upstream as decode_record
+from hitchdeck_edge.links.records import encode_upstream
+from hitchdeck_edge.model.upstreams import Upstream
+from hitchdeck_edge.scheduling.books import Books
+from hitchdeck_edge.scheduling.placement import Placement
+from hitchdeck_edge.state.registry import GONE_KEPT_SECONDS, Registry
+from hitchdeck_platform.doors import decode_upstream
+from tests.common.scheduling import FakeClock, prompt
+
+NAME = 'e0'
+POOL = PoolName('llm')
+PERIOD = 1.2
+FIRST = 1_700_000_000_000
+SECOND = FIRST + 9_000
+OLD = '10.0.0.1:80'
+NEW = '10.0.0.2:80'
+
+
+def report(
+    born: int | None, sequence: int, address: str = OLD, **more: object
+) -> Upstream:
+    """Return a report as it comes to a hub's door."""
+    said = {} if born is None else {'born': born}
+    body = {
+        'service': POOL,
+        'address': address,
+        'slots': 4,
+        'state': 'ready',
+        'sequence': sequence,
+        **said,
+        **more,
+    }
+    return decode_upstream(NAME, body)
+
+
+class Hub:
+    """The part of a hub that hears upstreams."""
+
+    def __init__(self) -> None:
+        self.clock = FakeClock()
+        self.registry = Registry(self.clock, Signal())
+        self.liveness = Liveness(self.registry, self.clock, PERIOD)
+        self.placement = Placement(self.registry, Books(self.clock))
+
+    def hear(self, *reports: Upstream) -> None:
+        for one in reports:
+            self.liveness.report(one)
+
+    def used(self) -> list[str]:
+        return [one.address for one in self.registry.serving(POOL)]
+
+    def names(self) -> list[UpstreamName]:
+        return [one.name for one in self.registry.serving(POOL)]
+
+
+class Case(NamedTuple):
+    """What a hub hears, and which addresses get new work then."""
+
+    heard: tuple[Upstream, ...]
+    used: list[str]
+
+
+@pytest.mark.parametrize(
+    'case',
+    [
+        Case((report(FIRST, 50), report(SECOND, 1, NEW)), [NEW]),
+        # A late report of the earlier life, whatever it says.
+        Case((report(SECOND, 1, NEW), report(FIRST, 51)), [NEW]),
+        Case((report(SECOND, 1, NEW), report(FIRST, 51, state='draining')), [NEW]),
+        Case((report(FIRST, 50), report(SECOND, 1, NEW), report(FIRST, 51)), [NEW]),
+        Case(
+            (report(SECOND, 2, NEW, state='draining'), report(FIRST, 51)),
+            [],
+        ),
+        # A promise that was given for the earlier life binds that one only.
+        Case((report(FIRST, 50, state='draining'), report(SECOND, 1, NEW)), [NEW]),
+        # At its old address, as a process that is started again.
+        Case((report(FIRST, 50), report(SECOND, 1)), [OLD]),
+        # Upstreams that do not say when they started.
+        Case((report(None, 5), report(None, 4, NEW)), [OLD]),
+        Case((report(None, 5), report(SECOND, 1, NEW)), [NEW]),
+    ],
+)
+def test_the_later_life_counts_whatever_its_sequence(case: Case) -> None:
+    hub = Hub()
+    hub.hear(*case.heard)
+    assert hub.used() == case.used
+
+
+def test_a_departure_binds_the_life_that_left() -> None:
+    hub = Hub()
+    hub.hear(report(FIRST, 50))
+    hub.liveness.end(NAME)
+    hub.hear(report(FIRST, 51))
+    assert not hub.used()
+    hub.hear(report(SECOND, 1, NEW))
+    assert hub.used() == [NEW]
+
+
+def learn_memory(hub: Hub, name: UpstreamName) -> None:
+    hub.placement.memory.note(name, prompt())
+
+
+def learn_failures(hub: Hub, name: UpstreamName) -> None:
+    hub.placement.health.fail(name, 'test')
+
+
+def learn_slowness(hub: Hub, name: UpstreamName) -> None:
+    hub.placement.health.measure_slowness(name, 4.0)
+
+
+def learn_load(hub: Hub, name: UpstreamName) -> None:
+    hub.placement.books.own.running[name] += 3
+    hub.placement.books.own.waiting[name] += 900
+
+
+Learn = Callable[[Hub, UpstreamName], None]
+
+
+@pytest.mark.parametrize(
+    'learn',
+    [learn_memory, learn_failures, learn_slowness, learn_load],
+)
+def test_nothing_learned_of_a_life_is_held_against_the_next(learn: Learn) -> None:
+    hub = Hub()
+    hub.hear(report(FIRST, 50))
+    before = hub.names()[0]
+    learn(hub, before)
+    hub.hear(report(SECOND, 1))
+    after = hub.names()[0]
+    placement = hub.placement
+    assert placement.memory.uncached(after, prompt()) == prompt().tokens
+    assert not placement.health.is_ejected(after)
+    assert placement.health.slowness(after) == 1
+    assert placement.books.running(after) == 0
+    assert placement.books.waiting(after) == 0
+
+
+@given(
+    st.permutations(
+        [
+            report(FIRST, 3),
+            report(FIRST, 4, state='draining'),
+            report(SECOND, 1, NEW),
+            report(SECOND, 2, NEW),
+            report(FIRST, 5),
+        ],
+    ),
+    st.lists(st.integers(0, 4), max_size=6),
+)
+def test_all_that_hear_of_both_lives_end_alike(
+    order: list[Upstream],
+    again: list[int],
+) -> None:
+    registry = Registry(FakeClock(), Signal())
+    heard = order + [order[place] for place in again]
+    for one in heard:
+        # As it travels from hub to box.
+        registry.merge(decode_record(encode_upstream(one)), 'test')
+    assert [one.address for one in registry.serving(POOL)] == [NEW]
+    assert registry.serving(POOL)[0].sequence == 2
+
+
+SETTLED_SECONDS = 12.0
+"""More than a clock that went back is believed after."""
+
+
+def report_for(hub: Hub, seconds: float, born: int, address: str) -> None:
+    """Let a life report itself every period, and the others be silent."""
+    sequence = 1
+    until = hub.clock.seconds + seconds
+    while hub.clock.seconds < until:
+        hub.hear(report(born, sequence, address))
+        hub.registry.silence(4 * PERIOD)
+        hub.clock.seconds += PERIOD
+        sequence += 1
+
+
+def test_a_life_that_seems_earlier_counts_once_the_later_one_is_silent() -> None:
+    # The machine's clock was set back between the two starts.
+    hub = Hub()
+    hub.hear(report(SECOND, 50))
+    report_for(hub, PERIOD, FIRST, NEW)
+    assert hub.used() == [OLD]
+    report_for(hub, SETTLED_SECONDS, FIRST, NEW)
+    assert hub.used() == [NEW]
+
+
+def test_a_life_that_seems_earlier_does_not_count_beside_one_that_reports() -> None:
+    hub = Hub()
+    for sequence in range(20):
+        hub.hear(report(SECOND, sequence, NEW), report(FIRST, sequence, OLD))
+        hub.registry.silence(4 * PERIOD)
+        hub.clock.seconds += PERIOD
+    assert hub.used() == [NEW]
+
+
+def test_an_upstream_is_forgotten_with_its_last_life() -> None:
+    hub = Hub()
+    hub.hear(report(FIRST, 50), report(SECOND, 1, NEW))
+    hub.liveness.end(NAME)
+    hub.clock.seconds += GONE_KEPT_SECONDS + 1
+    hub.placement.forget_gone()
+    assert not hub.registry.records
+    assert not hub.registry.newest
