Tell the lives of an upstream apart by their start

Cause: an upstream was known by its name, and every start was taken to have a new one. Now the name that everything is held under is that of a life, decoded once from name and start, so registry, memory, health, books, connections and what spreads between processes need no care each. A later start ends the earlier lives; what waits at an address that a new life left is broken off; a life that seems earlier, as a clock was set back, is believed after 10 s beside a silent one.

Entries of other writers: reasons and names in them had no bound (100 kB in an answer and a log line), one record with an unknown phase ended a box's stream from a hub, a kept file that is whole but foreign ended a hub.

--- a/bench/lab/play.py
+++ b/bench/lab/play.py
@@ -9,7 +9,13 @@
 from bench.lab.judge import Verdict, judge
 from bench.lab.timeline import Timeline
 from bench.owed import SHARE_WINDOW
-from hitchdeck_core.ids import Address, PoolName, RequestId, UpstreamName
+from hitchdeck_core.ids import (
+    Address,
+    InstanceName,
+    PoolName,
+    RequestId,
+    UpstreamName,
+)
 from hitchdeck_core.signals import Signal
 from hitchdeck_edge.errors import DocumentError
 from hitchdeck_edge.model.calls import Part, PartId, Prompt
@@ -196,7 +202,7 @@
             self.timeline.after(fault.lasts, partial(self._end, name))
 
     def _end(self, name: UpstreamName) -> None:
-        self.registry.end(name, 'play')
+        self.registry.end(InstanceName(name), 'play')
 
     def _restart(self, fault: Fault) -> None:
         self.down_until = self.timeline.now + fault.lasts
--- a/packages/core/src/hitchdeck_core/checks.py
+++ b/packages/core/src/hitchdeck_core/checks.py
@@ -8,6 +8,7 @@
 import ipaddress
 import math
 import re
+import reprlib
 
 NAME_PATTERN = '^[a-z0-9]([a-z0-9._-]{0,61}[a-z0-9])?$'
 """What the name of a box or failure domain must match."""
@@ -16,26 +17,31 @@
 _PORT_DIGITS = 5
 
 
+def shown(given: object) -> str:
+    """Return how a value is told in an error: of any size, in few words."""
+    return reprlib.repr(given)
+
+
 def check_address(given: object) -> str:
     """Return ``IP:port`` text, or raise ``ValueError`` naming what is wrong."""
     text = check_text(given)
     host, colon, port = text.rpartition(':')
     digits = port.isascii() and port.isdecimal() and len(port) <= _PORT_DIGITS
     if not colon or not digits or int(port) > _LAST_PORT:
-        raise ValueError(f'{text!r} is not IP:port')
+        raise ValueError(f'{shown(text)} is not IP:port')
     try:
         ipaddress.ip_address(host.strip('[]'))
     except ValueError as error:
-        raise ValueError(f'{text!r} has no IP number: {error}') from error
+        raise ValueError(f'{shown(text)} has no IP number') from error
     return text
 
 
 def check_text(given: object, least: int = 1) -> str:
     """Return text of at least so many characters, or raise ``ValueError``."""
     if not isinstance(given, str):
-        raise ValueError(f'{given!r} is not text')
+        raise ValueError(f'{shown(given)} is not text')
     if len(given) < least:
-        raise ValueError(f'{given!r} has fewer than {least} characters')
+        raise ValueError(f'{shown(given)} has fewer than {least} characters')
     return given
 
 
@@ -43,7 +49,7 @@
     """Return the name of a box or failure domain, or raise ``ValueError``."""
     text = check_text(given)
     if not re.fullmatch(NAME_PATTERN, text):
-        raise ValueError(f'{text!r} is not a name: lower case, digits, . _ -')
+        raise ValueError(f'{shown(text)} is not a name: lower case, digits, . _ -')
     return text
 
 
@@ -64,18 +70,18 @@
         The number may be equal to these.
     """
     if isinstance(given, bool) or not isinstance(given, int | float):
-        raise ValueError(f'{given!r} is not a number')
+        raise ValueError(f'{shown(given)} is not a number')
     if isinstance(given, float) and not math.isfinite(given):
-        raise ValueError(f'{given!r} is not a finite number')
+        raise ValueError(f'{shown(given)} is not a finite number')
     if given <= above:
-        raise ValueError(f'{given!r} is not above {above}')
+        raise ValueError(f'{shown(given)} is not above {above}')
     if not least <= given <= most:
-        raise ValueError(f'{given!r} is not from {least} to {most}')
+        raise ValueError(f'{shown(given)} is not from {least} to {most}')
     return given
 
 
 def check_flag(given: object) -> bool:
     """Return a truth value, or raise ``ValueError``."""
     if not isinstance(given, bool):
-        raise ValueError(f'{given!r} is neither true nor false')
+        raise ValueError(f'{shown(given)} is neither true nor false')
     return given
--- a/packages/core/src/hitchdeck_core/ids.py
+++ b/packages/core/src/hitchdeck_core/ids.py
@@ -14,6 +14,9 @@
 AccountName = NewType('AccountName', str)
 PoolName = NewType('PoolName', str)
 UpstreamName = NewType('UpstreamName', str)
+InstanceName = NewType('InstanceName', str)
+"""What an upstream calls itself in its reports, in each of its lives."""
+
 LifeId = NewType('LifeId', str)
 """One life of an upstream, from one start to its end."""
 
--- a/packages/edge/src/hitchdeck_edge/dispatch/connections.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/connections.py
@@ -36,6 +36,7 @@
     def __init__(self, now: Clock) -> None:
         self.now = now
         self.idle: dict[UpstreamName, list[Connection]] = defaultdict(list)
+        self.busy: dict[UpstreamName, set[Connection]] = defaultdict(set)
 
     async def take(self, upstream: Upstream, *, sure: bool) -> Connection:
         """Return a connection that is open, a new one if need be.
@@ -93,6 +94,22 @@
         for connection in self.idle.pop(upstream, []):
             connection.abort()
 
+    def occupy(self, upstream: UpstreamName, connection: Connection) -> None:
+        """Note that an answer is awaited on a connection."""
+        self.busy[upstream].add(connection)
+
+    def release(self, upstream: UpstreamName, connection: Connection) -> None:
+        """Note that no answer is awaited on a connection any more."""
+        self.busy[upstream].discard(connection)
+        if not self.busy[upstream]:
+            self.busy.pop(upstream)
+
+    def cut(self, upstream: UpstreamName) -> None:
+        """Break off what waits for an upstream that can't answer any more."""
+        self.drop(upstream)
+        for connection in self.busy.get(upstream, ()):
+            connection.break_off()
+
     async def sweep(self) -> None:
         """Close connections that have rested too long; for ever."""
         while True:
--- a/packages/edge/src/hitchdeck_edge/dispatch/exchange.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/exchange.py
@@ -186,6 +186,12 @@
         if self.transport is not None and not self.closed:
             self.transport.resume_reading()
 
+    def break_off(self) -> None:
+        """Close at once, and let whoever waits for an answer know."""
+        self.failure = ConnectionAbortedError('the upstream is gone')
+        self.abort()
+        self._wake()
+
     def abort(self) -> None:
         """Close at once; an upstream drops the work of a closed connection."""
         self.spoiled = True
--- a/packages/edge/src/hitchdeck_edge/dispatch/sender.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/sender.py
@@ -16,6 +16,7 @@
 from hitchdeck_edge.model.dialect import Dialect, Forwarding
 from hitchdeck_edge.model.passage import Passage
 from hitchdeck_edge.model.placing import Choice
+from hitchdeck_edge.model.upstreams import Upstream
 from hitchdeck_edge.scheduling.books import Ticket
 from hitchdeck_edge.scheduling.chooser import Chooser
 
@@ -56,8 +57,7 @@
             if service.caller.has_left():
                 self.connections.put_back(choice.upstream.name, connection)
                 raise CallerGoneError('closed before the request was sent')
-            connection.send(self._outgoing(passage, choice))
-            self._note_sent(service, attempt)
+            self._send_on(service, attempt, connection)
             await self._receive(service, attempt, connection)
         except NotSentError as error:
             service.unreached += 1
@@ -79,6 +79,18 @@
             partial(self.connections.reaches, upstream),
         )
 
+    def leave(self, record: Upstream, newer: Upstream) -> None:
+        """Await nothing of a life that another one has replaced.
+
+        Where the address stayed the same, the new life's kernel resets what the
+        earlier one left open, and what is open to the new one goes on.
+        """
+        if record.address == newer.address:
+            self.connections.drop(record.name)
+        else:
+            self.connections.cut(record.name)
+        self.endings.confirm(record.life)
+
     def _open_attempt(self, passage: Passage, choice: Choice) -> Attempt:
         name = choice.upstream.name
         ticket = Ticket(self.placement.books, name, choice.tokens)
@@ -90,9 +102,22 @@
     def _close_attempt(self, attempt: Attempt, connection: Connection | None) -> None:
         attempt.ticket.close()
         self.link.end(attempt.number)
-        if connection is not None and connection.busy:
+        if connection is None:
+            return
+        self.connections.release(attempt.upstream, connection)
+        if connection.busy:
             connection.abort()
 
+    def _send_on(
+        self,
+        service: Service,
+        attempt: Attempt,
+        connection: Connection,
+    ) -> None:
+        self.connections.occupy(attempt.upstream, connection)
+        connection.send(self._outgoing(service.passage, attempt.choice))
+        self._note_sent(service, attempt)
+
     def _outgoing(self, passage: Passage, choice: Choice) -> Outgoing:
         forwarding = Forwarding(
             upstream=choice.upstream,
--- a/packages/edge/src/hitchdeck_edge/hub/kept_file.py
+++ b/packages/edge/src/hitchdeck_edge/hub/kept_file.py
@@ -13,6 +13,8 @@
 from pathlib import Path
 from typing import Any
 
+from google.protobuf.message import DecodeError
+
 from hitchdeck_control.storage.files import replace_file
 from hitchdeck_control.storage.records import Damage, frame, unframe
 from hitchdeck_core import logs
@@ -21,7 +23,7 @@
 from hitchdeck_core.signals import Signal
 from hitchdeck_core.wire.quarantine_pb2 import QuarantineNews
 from hitchdeck_core.wire.spread_pb2 import Document, HubFrame
-from hitchdeck_edge.links.records import decode_upstream, encode_upstream
+from hitchdeck_edge.links.records import decode_upstreams, encode_upstream
 from hitchdeck_edge.model.document import DocumentVersion
 from hitchdeck_edge.state.documents import Documents
 from hitchdeck_edge.state.registry import Registry
@@ -73,7 +75,7 @@
                     offset=payload.offset,
                 )
                 return
-            self.kept.recall(payload)
+            self._take_back(payload)
         self.written = self.kept.stamp()
 
     async def run(self) -> None:
@@ -83,6 +85,13 @@
                 await self._write()
             await self.changed.wait(RETRY_SECONDS)
 
+    def _take_back(self, payload: bytes) -> None:
+        try:
+            self.kept.recall(payload)
+        except (DecodeError, ValueError) as error:
+            # Whole on the disk, and yet not what this version writes.
+            logs.warning('kept file unreadable', file=self.path.name, reason=str(error))
+
     async def _write(self) -> None:
         stamp = self.kept.stamp()
         content = frame(self.kept.compose())
@@ -123,8 +132,8 @@
         return bytes(HubFrame(upstreams=records).SerializeToString())
 
     def recall(payload: bytes) -> None:
-        for record in HubFrame.FromString(payload).upstreams:
-            registry.merge(decode_upstream(record), ORIGIN)
+        for upstream in decode_upstreams(HubFrame.FromString(payload).upstreams):
+            registry.merge(upstream, ORIGIN)
 
     kept = Kept(lambda: registry.changes, compose, recall)
     return KeptFile(folder / 'upstreams', kept, registry.changed)
--- a/packages/edge/src/hitchdeck_edge/hub/liveness.py
+++ b/packages/edge/src/hitchdeck_edge/hub/liveness.py
@@ -3,7 +3,8 @@
 import asyncio
 
 from hitchdeck_core.clock import Clock
-from hitchdeck_core.ids import Address, UpstreamName
+from hitchdeck_core.ids import Address, InstanceName, UpstreamName
+from hitchdeck_edge.hub.rebirths import Rebirths
 from hitchdeck_edge.model.upstreams import Phase, Upstream
 from hitchdeck_edge.state.registry import Registry
 
@@ -29,17 +30,22 @@
         self.period = period
         self.direct: dict[UpstreamName, float] = {}
         self.told: dict[Address, float] = {}
+        self.rebirths = Rebirths(registry, now)
 
     def report(self, upstream: Upstream) -> None:
         """Take a report that an upstream sent to this hub."""
-        self.registry.merge(upstream, 'report')
-        self.registry.hear(upstream.name)
-        self.direct[upstream.name] = self.now()
+        counted = self.rebirths.settle(upstream)
+        if counted is None:
+            return
+        self.registry.merge(counted, 'report')
+        self.registry.hear(counted.name)
+        self.direct[counted.name] = self.now()
 
-    def end(self, name: UpstreamName) -> None:
-        """Take word that an upstream ends."""
-        self.registry.end(name, 'report')
-        self.direct.pop(name, None)
+    def end(self, instance: InstanceName, born: int = 0) -> None:
+        """Take word that an upstream ends; its latest life where it names none."""
+        self.registry.end(instance, 'report', born)
+        for name in self.registry.gone():
+            self.direct.pop(name, None)
 
     def heard_for(self, hub: Address) -> list[UpstreamName]:
         """Return whom this hub has heard since it last told another."""
--- a/packages/edge/src/hitchdeck_edge/links/records.py
+++ b/packages/edge/src/hitchdeck_edge/links/records.py
@@ -1,8 +1,10 @@
 """Upstreams as they travel between processes."""
 
+from collections.abc import Iterable
 from types import MappingProxyType
 
-from hitchdeck_core.ids import Address, PoolName, UpstreamName
+from hitchdeck_core import logs
+from hitchdeck_core.ids import Address, InstanceName, PoolName, UpstreamName
 from hitchdeck_core.wire.spread_pb2 import UpstreamPhase, UpstreamRecord
 from hitchdeck_edge.model.upstreams import Phase, Upstream
 
@@ -26,6 +28,8 @@
         phase=_PHASES[upstream.phase],
         sequence=upstream.sequence,
         silent=upstream.silent,
+        instance=upstream.instance,
+        born=upstream.born,
     )
 
 
@@ -40,4 +44,22 @@
         phase=Phase(int(record.phase)),
         sequence=int(record.sequence),
         silent=record.silent,
+        instance=InstanceName(record.instance),
+        born=int(record.born),
     )
+
+
+def decode_upstreams(records: Iterable[UpstreamRecord]) -> list[Upstream]:
+    """Return the upstreams of messages, without those that can't be read.
+
+    One record that another version wrote must not keep a box from the rest.
+    """
+    decoded: list[Upstream] = []
+    for record in records:
+        try:
+            decoded.append(decode_upstream(record))
+        except ValueError as error:
+            logs.warning(
+                'record unreadable', upstream=record.upstream, reason=str(error)
+            )
+    return decoded
--- a/packages/edge/src/hitchdeck_edge/process.py
+++ b/packages/edge/src/hitchdeck_edge/process.py
@@ -96,9 +96,12 @@
             )
 
     def _close_gone(self) -> None:
-        connections = self.admission.dispatcher.sender.connections
-        for name in self.link.known.registry.gone():
-            connections.drop(name)
+        sender = self.admission.dispatcher.sender
+        registry = self.link.known.registry
+        for name in registry.gone():
+            sender.connections.drop(name)
+        for record, newer in registry.replaced():
+            sender.leave(record, newer)
 
 
 async def start_entry(settings: EntrySettings, dialect: Dialect) -> EntryBox:
--- a/packages/edge/src/hitchdeck_edge/scheduling/health.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/health.py
@@ -10,7 +10,7 @@
 """After the first failure in a row; doubled with each further one."""
 
 LONGEST_EJECTION_SECONDS = 4.0
-"""A restarted upstream reports under a new name, so this only bounds how long
+"""Each life of an upstream has a record of its own, so this only bounds how long
 one that was merely out of reach goes unused."""
 
 MOST_DOUBLINGS = 16
--- a/packages/edge/src/hitchdeck_edge/state/registry.py
+++ b/packages/edge/src/hitchdeck_edge/state/registry.py
@@ -1,8 +1,9 @@
 """Upstreams as they reported themselves, merged from every source.
 
-Soft state: it needs no quorum.  Records are merged by their sequence, so
-any order of arrival over any path ends in the same state, and each box
-keeps what it last knew while no hub can be reached.
+Soft state: it needs no quorum.  Records of one life are merged by their sequence,
+and a later life of an instance ends the earlier ones, so any order of arrival over
+any path ends in the same state, and each box keeps what it last knew while no hub
+can be reached.
 """
 
 from collections.abc import Iterable
@@ -10,14 +11,16 @@
 
 from hitchdeck_core import logs
 from hitchdeck_core.clock import Clock
-from hitchdeck_core.ids import Address, LifeId, PoolName, UpstreamName
+from hitchdeck_core.ids import Address, InstanceName, LifeId, PoolName, UpstreamName
 from hitchdeck_core.signals import Signal
-from hitchdeck_edge.model.upstreams import Phase, Upstream
+from hitchdeck_edge.model.upstreams import Phase, Upstream, name_of_life
 
 GONE_KEPT_SECONDS = 120.0
 """How long the end of an upstream is remembered: far longer than a late
 report or a cut link may delay word of it; bounds the memory."""
 
+_NOBODY = UpstreamName('')
+
 
 class Registry:
     """All known upstreams.
@@ -32,6 +35,10 @@
         When each record last changed, likewise.
     holders
         The upstream that reported each address last.
+    newest
+        The latest life known of each instance, also when it has ended.
+    superseded
+        Lives that ended since a later one of their instance is known.
     """
 
     def __init__(self, now: Clock, changed: Signal) -> None:
@@ -41,6 +48,8 @@
         self.heard: dict[UpstreamName, float] = {}
         self.stored: dict[UpstreamName, float] = {}
         self.holders: dict[Address, UpstreamName] = {}
+        self.newest: dict[InstanceName, UpstreamName] = {}
+        self.superseded: set[UpstreamName] = set()
         self.changes = 0
         self.changed = changed
         self.listed: dict[PoolName, list[Upstream]] = {}
@@ -48,6 +57,8 @@
 
     def merge(self, record: Upstream, origin: str) -> bool:
         """Take a record if it is newer; tell whether anything changed."""
+        if self._is_of_earlier_life(record):
+            return False
         known = self.records.get(record.name)
         if known is not None and not _outranks(record, known):
             return False
@@ -66,7 +77,8 @@
             silent=record.silent,
             origin=origin,
         )
-        self._supersede(record)
+        self._end_earlier_lives(record)
+        self._doubt_holder(record)
         return True
 
     def hear(self, name: UpstreamName) -> None:
@@ -76,13 +88,29 @@
         if record is not None and record.silent:
             self._store(replace(record, silent=False))
 
-    def end(self, name: UpstreamName, origin: str) -> None:
-        """Note that an upstream ended, known or not."""
-        known = self.records.get(name)
-        if known is None:
-            known = Upstream(name, PoolName(''), Address(''), '', 0, Phase.gone, 0)
+    def end(self, instance: InstanceName, origin: str, born: int = 0) -> None:
+        """Note that a life ended, known or not; the latest where none is named."""
+        known = self.newest_life(instance)
+        if known is None or born > known.born:
+            known = Upstream(
+                name_of_life(instance, born),
+                PoolName(''),
+                Address(''),
+                '',
+                0,
+                Phase.gone,
+                0,
+                instance=instance,
+                born=born,
+            )
+        elif 0 < born < known.born:
+            return
         self.merge(replace(known, phase=Phase.gone), origin)
 
+    def newest_life(self, instance: InstanceName) -> Upstream | None:
+        """Return the latest life known of an instance, ended or not."""
+        return self.records.get(self.newest.get(instance, _NOBODY))
+
     def since(self, number: int) -> list[Upstream]:
         """Return the records that changed after a change number."""
         return [
@@ -134,6 +162,16 @@
             name for name, record in self.records.items() if record.phase is Phase.gone
         }
 
+    def replaced(self) -> list[tuple[Upstream, Upstream]]:
+        """Return lives that a later one has replaced, each with the latest."""
+        earlier = [self.records[name] for name in self.superseded]
+        latest = [self.newest_life(one.lineage) for one in earlier]
+        return [
+            (record, newer)
+            for record, newer in zip(earlier, latest, strict=True)
+            if newer is not None
+        ]
+
     def forget_ended(self) -> None:
         """Forget upstreams that have been gone or silent for long."""
         horizon = self.now() - GONE_KEPT_SECONDS
@@ -154,7 +192,22 @@
         self.heard.setdefault(record.name, self.now())
         self.changed.notify()
 
-    def _supersede(self, record: Upstream) -> None:
+    def _is_of_earlier_life(self, record: Upstream) -> bool:
+        newest = self.newest_life(record.lineage)
+        return newest is not None and record.age_rank < newest.age_rank
+
+    def _end_earlier_lives(self, record: Upstream) -> None:
+        """End what this life replaces: it holds and knows nothing of before."""
+        before = self.newest_life(record.lineage)
+        self.newest[record.lineage] = record.name
+        if before is None or before.name == record.name:
+            return
+        self.superseded.add(before.name)
+        logs.info('upstream restarted', upstream=before.name, now=record.name)
+        if before.phase is not Phase.gone:
+            self._store(replace(before, phase=Phase.gone))
+
+    def _doubt_holder(self, record: Upstream) -> None:
         """Doubt the earlier upstream at an address that another one reports.
 
         Only doubt: the report may be a late one of a life that has ended, and
@@ -174,6 +227,9 @@
     def _forget(self, record: Upstream) -> None:
         for known in (self.records, self.numbers, self.heard, self.stored):
             known.pop(record.name, None)
+        self.superseded.discard(record.name)
+        if self.newest.get(record.lineage) == record.name:
+            self.newest.pop(record.lineage)
         self.listed = {}
         if self.holders.get(record.address) == record.name:
             self.holders.pop(record.address)
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -130,9 +130,9 @@
         self.boxes.append(box)
         return box
 
-    async def start_worker(self, name: str, pool: str) -> Worker:
+    async def start_worker(self, name: str, pool: str, born: int = 0) -> Worker:
         """Start a worker and report it to the first hub."""
-        worker = Worker(name, pool)
+        worker = Worker(name, pool, born=born)
         await worker.start()
         self.workers.append(worker)
         await self.tell(worker, 1)
@@ -244,7 +244,7 @@
     def _is_settled(self, box: EntryBox, version: int) -> bool:
         known = box.link.known
         names = {str(name) for name in known.registry.names()}
-        told = all(worker.name in names for worker in self.workers)
+        told = all(worker.life in names for worker in self.workers if not worker.ended)
         return known.documents.version >= version and told
 
 
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -52,11 +52,13 @@
 
     ``gap`` is the time between two events of a stream, in seconds; ``cut_at``
     the number of whole events before a stream that is cut; ``lethal`` a body
-    under which the worker ends, its port with it.
+    under which the worker ends, its port with it; ``born`` the time of its
+    start in Unix ms, 0 where it does not say.
     """
 
     name: str
     pool: str
+    born: int = 0
     gap: float = 0.005
     events: int = 5
     cut_at: int = 2
@@ -74,6 +76,11 @@
     server: asyncio.Server | None = None
     open: list[asyncio.StreamWriter] = field(default_factory=list)
 
+    @property
+    def life(self) -> str:
+        """Return what tells this life from the worker's others."""
+        return f'{self.name}/{self.born}' if self.born else self.name
+
     async def start(self) -> None:
         """Listen on loopback."""
         self.server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
@@ -106,6 +113,7 @@
             'slots': 4,
             'state': state,
             'sequence': sequence,
+            **({'born': self.born} if self.born else {}),
         }
 
     async def _serve(
--- a/tests/cover/test_quarantine.py
+++ b/tests/cover/test_quarantine.py
@@ -14,7 +14,7 @@
     Casualties,
     Casualty,
 )
-from hitchdeck_core.quarantine.endings import Endings
+from hitchdeck_core.quarantine.endings import UNSURE_SECONDS, Endings
 from hitchdeck_core.quarantine.fingerprints import Fingerprint, fingerprint_of
 from hitchdeck_core.quarantine.messages import decode_news, encode_news
 from hitchdeck_core.quarantine.quarantine import (
@@ -248,3 +248,23 @@
     assert next(asked) == 1
     assert ended == ([] if reached else ['e0'])
     assert len(quarantine.seen) == (0 if reached else 2)
+
+
+@pytest.mark.parametrize(
+    ('seconds', 'counted'), [(1, True), (UNSURE_SECONDS + 1, False)]
+)
+async def test_a_life_replaced_at_once_at_its_address_has_ended(
+    seconds: float, counted: bool
+) -> None:
+    clock = ByHand()
+    quarantine = quarantine_by(clock)
+    endings = Endings(quarantine, str)
+
+    async def reaches() -> bool:
+        return True
+
+    endings.note(LifeId('e0'), LETHAL, reaches)
+    await endings.tasks.tasks['e0-1']
+    clock.seconds += seconds
+    endings.confirm(LifeId('e0'))
+    assert bool(quarantine.seen) is counted
--- a/tests/edge/test_lives.py
+++ b/tests/edge/test_lives.py
@@ -5,7 +5,9 @@
 and after a departure no report of it counted any more.
 """
 
+import asyncio
 from collections.abc import Callable
+from pathlib import Path
 from typing import NamedTuple
 
 import pytest
@@ -22,6 +24,8 @@
 from hitchdeck_edge.scheduling.placement import Placement
 from hitchdeck_edge.state.registry import GONE_KEPT_SECONDS, Registry
 from hitchdeck_platform.doors import decode_upstream
+from standins.platform_site import Site, running_site
+from standins.platform_worker import Fault, Worker
 from tests.common.scheduling import FakeClock, prompt
 
 NAME = 'e0'
@@ -178,6 +182,44 @@
     assert registry.serving(POOL)[0].sequence == 2
 
 
+async def test_nothing_waits_for_a_life_that_another_address_replaced(
+    tmp_path: Path,
+) -> None:
+    async with running_site(tmp_path) as site:
+        for worker in site.workers:
+            worker.misbehave(Fault.hang, 1)
+        asked = asyncio.create_task(site.ask_model('/s/x', 'r1', Deadline_Ms='9000'))
+        before = await holder_of(site, 'r1')
+        before.ended = True
+        for worker in site.workers:
+            worker.misbehave(Fault.none, 0)
+        await site.start_worker(before.name, 'llm', born=SECOND)
+        reply = await asked
+    assert reply.code == 200
+    assert sum(worker.ran.count('r1') for worker in site.workers) == 2
+
+
+async def holder_of(site: Site, attempt: str) -> Worker:
+    async with asyncio.timeout(10):
+        while True:
+            for worker in site.workers:
+                if attempt in worker.ran:
+                    return worker
+            await asyncio.sleep(0.01)
+
+
+async def test_a_life_is_used_and_named_as_it_reports_itself(tmp_path: Path) -> None:
+    async with running_site(tmp_path) as site:
+        for worker in list(site.workers):
+            await worker.end()
+            await site.start_worker(worker.name, worker.pool, born=SECOND)
+        await site.settle()
+        reply = await site.ask('/u/x', 'r1')
+    seen = [one for worker in site.workers for one in worker.seen]
+    assert reply.code == 200
+    assert [one.headers['expect-instance'] for one in seen] in (['p1'], ['p2'])
+
+
 SETTLED_SECONDS = 12.0
 """More than a clock that went back is believed after."""
 
