Let upstreams of the soak start again, strangers report, and a lethal request repeat

Workers end and come back under their names at their addresses, sequence anew; hubs get thirteen sorts of foreign entries; one content is repeated under which workers end.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -9,6 +9,7 @@
 import random
 import sys
 import tempfile
+import time
 from collections import Counter
 from pathlib import Path
 
@@ -16,15 +17,42 @@
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
 from tornado.simple_httpclient import HTTPStreamClosedError, HTTPTimeoutError
 
-from soak.faults import Faults
-from soak.fleet import Fleet
+from soak.faults import MS, Faults
+from soak.fleet import Fleet, Program
 from soak.promises import SUCCESS, Answer, History
 from soak.proxy import Proxy
 from standins.platform_site import HOST, KEY, document
 from standins.platform_worker import Worker
 
 START_SECONDS = 20.0
+CALLERS = 8
 PATHS = ('/s/', '/once/', '/u/', '/g/')
+LETHAL = 'lethal'
+CALM_SECONDS = 4.0
+"""Until all processes are in touch again and know what each other knows."""
+
+REPORTED_SECONDS = 0.8
+"""Until a worker that started again has reported itself."""
+
+FOREIGN = (
+    '',
+    '[',
+    '[' * 10_000,
+    'null',
+    '[1]',
+    '{}',
+    '{"service": "llm"}',
+    '{"service": 7, "address": "127.0.0.1:1", "state": "ready", "sequence": 1}',
+    '{"service": "llm", "address": "nowhere", "state": "ready", "sequence": 1}',
+    '{"service": "llm", "address": "127.0.0.1:1", "state": "odd", "sequence": 9e9}',
+    '{"service": "llm", "address": "127.0.0.1:1", "state": "ready", "sequence": "1"}',
+    '{"service": "llm", "address": "127.0.0.1:1", "state": "ready",'
+    ' "sequence": 99999, "born": "1700000000000"}',
+    '{"service": "llm", "address": "127.0.0.1:1", "state": "ready",'
+    ' "sequence": 99999, "born": null}',
+)
+"""What another writer may send in an upstream's name."""
+
 LOST = (HTTPClientError, HTTPStreamClosedError, HTTPTimeoutError, OSError)
 
 
@@ -58,6 +86,8 @@
             self.fleet.add(number, 'hub')
             self.fleet.add(number, 'box')
         for worker in self.workers:
+            worker.lethal = LETHAL.encode()
+            worker.born = int(time.time() * MS)
             await worker.start()
             worker.address = await self._proxy(worker.address)
         for box in self.fleet.boxes:
@@ -89,18 +119,42 @@
                 await asyncio.sleep(0.2)
         proxies = list(self.proxies.values())
         faults = Faults(self.fleet, self.workers, proxies, self.seed)
-        tasks = [asyncio.create_task(self._call()) for _ in range(8)]
-        tasks.append(asyncio.create_task(self._operate()))
-        tasks.append(asyncio.create_task(faults.run()))
+        await self._run_under(faults, seconds)
+        await self._calm_down(faults)
+        await _end([reporting])
+
+    async def _run_under(self, faults: Faults, seconds: float) -> None:
+        """Let callers, operators and strangers at the fleet, under faults."""
+        works = [self._call() for _ in range(CALLERS)]
+        works += [self._operate(), self._intrude(), self._repeat_lethal(), faults.run()]
+        tasks = [asyncio.create_task(work) for work in works]
         await asyncio.sleep(seconds)
-        tasks.append(reporting)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await _end(tasks)
+
+    async def _calm_down(self, faults: Faults) -> None:
+        """Let everything come back, then send the lethal request to each box."""
+        await faults.calm()
+        await asyncio.sleep(CALM_SECONDS)
+        self.history.lethal_before = self._lethal_runs()
+        for box in self.fleet.boxes * 2:
+            await self._ask(self._next(LETHAL), '/s/', LETHAL, box)
+            await faults.revive_ended()
+            await asyncio.sleep(REPORTED_SECONDS)
+        self.history.lethal_after = self._lethal_runs() - self.history.lethal_before
+
+    def _lethal_runs(self) -> int:
+        ran = [one for worker in self.workers for one in worker.ran]
+        return sum(one.startswith(LETHAL) for one in ran)
+
+    def _next(self, kind: str) -> str:
+        self.asked += 1
+        return f'{kind}{self.asked}'
 
     async def _report(self) -> None:
         while True:
             for worker in self.workers:
+                if worker.ended:
+                    continue
                 worker.sequence += 1
                 body = json.dumps(worker.report(worker.sequence))
                 hub = self.random.choice(self.fleet.hubs)
@@ -111,11 +165,32 @@
 
     async def _call(self) -> None:
         while True:
-            self.asked += 1
-            await self._ask(f'a{self.asked}', self.random.choice(PATHS))
+            await self._ask(self._next('a'), self.random.choice(PATHS))
             await asyncio.sleep(self.random.uniform(0, 0.05))
 
-    async def _ask(self, attempt: str, path: str) -> Answer:
+    async def _repeat_lethal(self) -> None:
+        """Send one content again and again under which workers end."""
+        while True:
+            await asyncio.sleep(self.random.uniform(0.5, 1.5))
+            await self._ask(self._next(LETHAL), '/s/', LETHAL)
+
+    async def _intrude(self) -> None:
+        """Send hubs what no upstream says."""
+        while True:
+            body = self.random.choice(FOREIGN)
+            hub = self.random.choice(self.fleet.hubs)
+            url = f'http://{self._through(self.fleet.control(hub))}/api/instances/w0'
+            status, _ = await self._fetch(HTTPRequest(url, 'PUT', body=body))
+            self.history.foreign.append((body, status))
+            await asyncio.sleep(self.random.uniform(0.05, 0.4))
+
+    async def _ask(
+        self,
+        attempt: str,
+        path: str,
+        body: str = 'b',
+        box: Program | None = None,
+    ) -> Answer:
         self.history.asked.add(attempt)
         headers = {'Host': HOST, 'Attempt-Id': attempt, 'Deadline-Ms': '2000'}
         headers['Authorization'] = f'Token {KEY}'
@@ -123,18 +198,17 @@
             prompt = f'x:100,{attempt}:100'
             model = {'Model': 'm', 'Token-Count': '200,20', 'Prompt-Prefix': prompt}
             headers.update(model)
-        box = self.random.choice(self.fleet.boxes)
-        url = f'http://{self._through(self.fleet.front(box))}{path}'
-        status, body = await self._fetch(
-            HTTPRequest(url, 'POST', headers=headers, body='b', request_timeout=5),
+        chosen = box or self.random.choice(self.fleet.boxes)
+        url = f'http://{self._through(self.fleet.front(chosen))}{path}'
+        status, answered = await self._fetch(
+            HTTPRequest(url, 'POST', headers=headers, body=body, request_timeout=5),
         )
-        answer = Answer(attempt, path, status, bool(status), body)
+        answer = Answer(attempt, path, status, bool(status), answered)
         self.history.answers.append(answer)
         return answer
 
     async def _serves(self) -> bool:
-        self.asked += 1
-        return (await self._ask(f'a{self.asked}', '/s/')).status == SUCCESS
+        return (await self._ask(self._next('a'), '/s/')).status == SUCCESS
 
     async def _publish(self) -> bool:
         hub = self.random.choice(self.fleet.hubs)
@@ -169,6 +243,12 @@
         return reply.code, reply.body.decode() if reply.body else ''
 
 
+async def _end(tasks: list[asyncio.Task[None]]) -> None:
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
 def main(seed: int = 1, seeds: int = 1, seconds: float = 15, keep: str = '') -> None:
     """Play seeds and print what each came to.
 
@@ -189,7 +269,9 @@
             run = Run(folder, number)
             broken = asyncio.run(run.play(seconds))
         served = sum(one.status == SUCCESS for one in run.history.answers)
-        told = f'{len(run.history.answers)} asked, {served} served'
+        history = run.history
+        told = f'{len(history.answers)} asked, {served} served'
+        told += f', {history.lethal_before} + {history.lethal_after} lethal'
         sys.stdout.write(f'seed {number}: {told}, {len(broken)} broken\n')
         sys.stdout.writelines(f'  {line}\n' for line in broken[:10])
         failed += bool(broken)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import signal
+import time
 from collections.abc import Awaitable, Callable
 
 from soak.fleet import Fleet, Program
@@ -12,6 +13,8 @@
 GRACE_SECONDS = 3.0
 """Between SIGTERM and SIGKILL, as the settings say."""
 
+MS = 1000
+
 Injection = Callable[[], Awaitable[None]]
 
 
@@ -47,18 +50,32 @@
             self.spoil_worker,
             self.spoil_worker,
             self.spoil_worker,
-            self.spoil_worker,
+            self.restart_worker,
+            self.restart_worker,
             self.disturb_link,
             self.disturb_link,
             self.reset_link,
         ]
         async with asyncio.TaskGroup() as group:
+            group.create_task(self.revive_workers())
             while True:
                 await asyncio.sleep(self.random.uniform(0.1, 0.6))
                 injection = self.random.choice(injections)
                 self.told.append(injection.__name__)
                 group.create_task(injection())
 
+    async def calm(self) -> None:
+        """Bring back everything that is away, and let all links be whole."""
+        for program in self.fleet.programs():
+            program.signal(signal.SIGCONT)
+            self.fleet.write_settings(program, first=False)
+            program.start()
+        for proxy in self.proxies:
+            await proxy.change(LinkState.whole)
+        for worker in self.workers:
+            worker.faults_left = 0
+        await self.revive_ended()
+
     async def kill_box(self) -> None:
         """Kill an entry box and start it again."""
         await self._kill(self.random.choice(self.fleet.boxes))
@@ -102,6 +119,24 @@
         fault = self.random.choice(list(Fault))
         worker.misbehave(fault, self.random.randint(1, 5))
 
+    async def restart_worker(self) -> None:
+        """End a worker as a crash does; it comes back under its name."""
+        worker = self.random.choice(self.workers)
+        if not worker.ended:
+            await worker.end()
+
+    async def revive_workers(self) -> None:
+        """Start workers again that have ended, whatever ended them; for ever."""
+        while True:
+            await asyncio.sleep(self.random.uniform(0.2, 1.5))
+            await self.revive_ended()
+
+    async def revive_ended(self) -> None:
+        """Start workers again that have ended."""
+        for worker in self.workers:
+            if worker.ended:
+                await worker.restart(int(time.time() * MS))
+
     async def disturb_link(self) -> None:
         """Slow a link down, hold one direction of it, or silence it, for a while."""
         proxy = self.random.choice(self.proxies)
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -5,6 +5,12 @@
 
 NOT_RUN = frozenset((429, 503))
 SUCCESS = 200
+REFUSALS = frozenset((0, *range(400, 500)))
+"""How an entry of another writer may be answered; 0 where no answer came."""
+
+ENOUGH_ENDS = 3
+MOST_LATE = 3
+"""Upstreams that a content may reach after enough have ended, all in touch."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,6 +35,9 @@
     answers: list[Answer] = field(default_factory=list)
     accepted: int = 0
     reads: list[tuple[int, int]] = field(default_factory=list)
+    foreign: list[tuple[str, int]] = field(default_factory=list)
+    lethal_before: int = 0
+    lethal_after: int = 0
 
     def broken(self, ran: Counter[str]) -> list[str]:
         """Return a line for each broken promise; ``ran`` counts by attempt."""
@@ -40,6 +49,13 @@
             for accepted, read in self.reads
             if read < accepted
         )
+        lines.extend(
+            f'foreign entry {body[:60]} was answered with {status}'
+            for body, status in self.foreign
+            if status not in REFUSALS
+        )
+        if self.lethal_before >= ENOUGH_ENDS and self.lethal_after > MOST_LATE:
+            lines.append(f'a lethal request ended {self.lethal_after} more when calm')
         return lines
 
 
