Ask an upstream twice before it counts as ended

A link that loses three packets in a hundred lost the one opening of such a question as often; the upstream was then passed over by all until its next report.

--- a/packages/edge/src/hitchdeck_edge/dispatch/connections.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/connections.py
@@ -24,6 +24,10 @@
 not run twice.  An upstream may drop an idle connection without a word, and
 then nobody knows whether such a request ran."""
 
+PROBES = 2
+"""Tries before an upstream counts as out of reach: a link that loses three packets
+in a hundred loses both openings once in a thousand."""
+
 SWEEP_SECONDS = 2.0
 """Between two closings of connections that have rested too long."""
 
@@ -62,13 +66,15 @@
 
     async def reaches(self, upstream: Upstream) -> bool:
         """Tell whether an upstream takes connections; keep the new one."""
-        try:
-            connection = await self._open(upstream)
-        except NotSentError:
-            # What could not be reached is the answer.
-            return False
-        self.put_back(upstream.name, connection)
-        return True
+        for _ in range(PROBES):
+            try:
+                connection = await self._open(upstream)
+            except NotSentError:
+                # Whether it can be reached is just what is asked.
+                continue
+            self.put_back(upstream.name, connection)
+            return True
+        return False
 
     def give_back(
         self,
--- a/tests/edge/test_lethal_requests.py
+++ b/tests/edge/test_lethal_requests.py
@@ -15,7 +15,11 @@
 import pytest
 from tornado.simple_httpclient import HTTPStreamClosedError
 
+from hitchdeck_edge.dispatch import connections
+from hitchdeck_edge.dispatch.exchange import Connection
+from hitchdeck_edge.errors import NotSentError
 from standins.platform_site import HOST, KEY, Site, running_site
+from tests.common.scheduling import engine
 
 LETHAL = b'a body under which engines end'
 ENOUGH = 3
@@ -81,3 +85,23 @@
         assert codes == [503] * 6
         assert ended(site) == ended_before
         assert await send(site, 0, path, 'sound', 'another body') == 200
+
+
+@pytest.mark.parametrize(('lost', 'reached'), [(0, True), (1, True), (2, False)])
+async def test_one_lost_packet_does_not_make_an_upstream_ended(
+    lost: int,
+    reached: bool,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    tries: list[str] = []
+
+    async def connect(address: str) -> Connection:
+        tries.append(address)
+        if len(tries) <= lost:
+            raise NotSentError('no answer to the opening packet')
+        return Connection()
+
+    monkeypatch.setattr(connections, 'connect', connect)
+    kept = connections.Connections(float)
+    assert await kept.reaches(engine('e0')) is reached
+    assert bool(kept.idle) is reached
