Doubt an upstream once for an end that a box tells again and again

Found by reading: a box names all ends of the last ten minutes each time that it comes to a hub, and an upstream that it had only been cut off from was passed over by all after each of these.

--- a/packages/core/src/hitchdeck_core/quarantine/quarantine.py
+++ b/packages/core/src/hitchdeck_core/quarantine/quarantine.py
@@ -103,11 +103,11 @@
             self.answered.popitem(last=False)
         self._clear(content)
 
-    def take(self, news: News, origin: str) -> None:
-        """Take what another process tells."""
+    def take(self, news: News, origin: str) -> set[LifeId]:
+        """Take what another process tells; return the lives whose end is news."""
         for verdict in news.verdicts:
             self._take_verdict(verdict, origin)
-        self._count(news.casualties)
+        return {one.life for one in self._count(news.casualties)}
 
     def news_since(self, told: Told) -> tuple[News, Told]:
         """Return what another process lacks, and what it has then.
@@ -125,12 +125,13 @@
         now_told = Told(self.seen_before + seen, self.verdicts.changes)
         return News(casualties, verdicts), now_told
 
-    def _count(self, casualties: Collection[Casualty]) -> None:
+    def _count(self, casualties: Collection[Casualty]) -> list[Casualty]:
         """Take ends, all of them before any content is judged by them."""
         fresh = [one for one in casualties if self.casualties.add(one)]
         named = {one.content for one in fresh}
         for content in named:
             self._judge(content)
+        return fresh
 
     def _judge(self, content: Fingerprint) -> None:
         if self.holds(content):
--- a/packages/edge/src/hitchdeck_edge/hub/spread.py
+++ b/packages/edge/src/hitchdeck_edge/hub/spread.py
@@ -104,10 +104,10 @@
             state.registry.hear(UpstreamName(name))
         if frame.HasField('quarantine'):
             news = decode_news(frame.quarantine, state.quarantine.now())
-            lives = {one.life for one in news.casualties}
-            for life in lives:
+            ended = state.quarantine.take(news, attendee.hello.box)
+            # Only what is news: a box tells all it knows each time that it comes.
+            for life in ended:
                 state.registry.doubt(life)
-            state.quarantine.take(news, attendee.hello.box)
 
     async def _send(self, attendee: Attendee, stream: BoxStream) -> None:
         sent = _Sent()
--- a/tests/cover/test_quarantine.py
+++ b/tests/cover/test_quarantine.py
@@ -171,6 +171,14 @@
     assert not hub.holds(SOUND)
 
 
+def test_an_end_that_is_told_again_is_no_news() -> None:
+    hub, box = quarantine_by(ByHand()), quarantine_by(ByHand())
+    end_lives(box, (LETHAL,), (LETHAL, SOUND))
+    news, _ = box.news_since(NOTHING)
+    assert hub.take(news, 'box') == {'e0', 'e1'}
+    assert hub.take(news, 'box') == set()
+
+
 def test_only_what_is_new_is_told() -> None:
     quarantine = quarantine_by(ByHand())
     end_lives(quarantine, (LETHAL,), (LETHAL,))
