Go on with a hub whose disk was full once, and end one whose disk failed

Cause: an error of storage was fatal to the task that syncs what a leader appends, and on the platform nobody waited for that failure: the task ended without a word, the hub lived on, and once elected it committed nothing while its heartbeats kept others from an election. A full disk now only restarts the task, which writes the log anew as soon as there is space; a disk that failed for good ends the process, as the product's own control processes always did.

--- a/packages/control/src/hitchdeck_control/errors.py
+++ b/packages/control/src/hitchdeck_control/errors.py
@@ -7,6 +7,10 @@
     """Raised when the data folder can't be read, written or trusted."""
 
 
+class DiskFailedError(StorageError):
+    """Raised when a disk failed for good: what it holds can't be known any more."""
+
+
 class DamagedLogError(StorageError):
     """Raised when a log file is damaged before its end.
 
--- a/packages/control/src/hitchdeck_control/process.py
+++ b/packages/control/src/hitchdeck_control/process.py
@@ -6,7 +6,7 @@
 
 from grpclib.server import Server
 
-from hitchdeck_control.errors import StorageError
+from hitchdeck_control.errors import DiskFailedError
 from hitchdeck_control.fleet.leader import Leader
 from hitchdeck_control.fleet.orders import OrderSender, WeightStore
 from hitchdeck_control.machine.machine import Machine, first_command
@@ -60,7 +60,8 @@
     replica, machine = _open_replica(settings, section)
     leader = Leader(replica, machine, section.router_lease)
     links = Links(settings.fleet_token, section.election_timeout)
-    supervisor = Supervisor('control', fatal=(StorageError,))
+    # A full disk is none of these: its task starts again until there is space.
+    supervisor = Supervisor('control', fatal=(DiskFailedError,))
     supervisor.permanent('election', lambda: watch_leader(replica, links))
     supervisor.permanent('replication', lambda: replication.replicate(replica, links))
     supervisor.permanent('log', lambda: replication.write_log(replica))
--- a/packages/control/src/hitchdeck_control/storage/log.py
+++ b/packages/control/src/hitchdeck_control/storage/log.py
@@ -13,7 +13,7 @@
 from io import FileIO
 from pathlib import Path
 
-from hitchdeck_control.errors import StorageError
+from hitchdeck_control.errors import DiskFailedError, StorageError
 from hitchdeck_control.storage.files import replace_file, sync_folder
 from hitchdeck_control.storage.records import frame
 from hitchdeck_control.storage.recovery import (
@@ -210,18 +210,18 @@
         *arguments: object,
     ) -> None:
         if self.failed is not None:
-            raise StorageError(f'disk failed earlier: {self.failed}')
+            raise DiskFailedError(f'disk failed earlier: {self.failed}')
         loop = asyncio.get_running_loop()
         try:
             await loop.run_in_executor(self.thread, work, *arguments)
         except OSError as error:
             if error.errno == errno.ENOSPC:
                 self.refused = True
-            else:
-                # After a failed sync the kernel may have dropped the pages: a
-                # second sync that succeeds proves nothing.
-                self.failed = error
-            raise StorageError(f'{self.folder}: {error}') from error
+                raise StorageError(f'{self.folder}: {error}') from error
+            # After a failed sync the kernel may have dropped the pages: a
+            # second sync that succeeds proves nothing.
+            self.failed = error
+            raise DiskFailedError(f'{self.folder}: {error}') from error
 
     async def _start_segment(self) -> None:
         record = LogRecord(term=self.term, vote=self.vote, entries=self.entries)
--- a/packages/daemon/src/hitchdeck_daemon/on_platform.py
+++ b/packages/daemon/src/hitchdeck_daemon/on_platform.py
@@ -34,9 +34,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Role:
-    """A running role: its book of hubs, and how it stops as planned."""
+    """A running role: its book of hubs, its tasks, and how it stops as planned."""
 
     book: HubBook
+    supervisor: Supervisor
     stop: Callable[[], Awaitable[None]]
 
 
@@ -81,12 +82,26 @@
     gc.freeze()
     watching = Supervisor('settings')
     watching.permanent('reload', lambda: _watch_settings(role, reload, path))
-    await stopping.wait()
+    await _wait_for_end(stopping, role)
     await watching.stop()
     await role.stop()
     logs.info('stopped')
 
 
+async def _wait_for_end(stopping: asyncio.Event, role: Role) -> None:
+    """Wait for a signal, or raise if a task failed for good.
+
+    A process whose disk failed ends at once, and is started again.
+    """
+    waits = [
+        asyncio.ensure_future(stopping.wait()),
+        asyncio.ensure_future(role.supervisor.wait_for_failure()),
+    ]
+    ended, _ = await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+    for one in ended:
+        one.result()
+
+
 async def _watch_settings(role: Role, reload: asyncio.Event, path: Path) -> None:
     """Take new seeds from changed settings; for ever."""
     known = _text_of(path)
--- a/packages/edge/src/hitchdeck_edge/hub/process.py
+++ b/packages/edge/src/hitchdeck_edge/hub/process.py
@@ -5,7 +5,7 @@
 
 from grpclib.server import Server
 
-from hitchdeck_control.errors import StorageError
+from hitchdeck_control.errors import DiskFailedError
 from hitchdeck_control.raft import replication
 from hitchdeck_control.raft.election import watch_leader
 from hitchdeck_control.raft.links import Links
@@ -147,7 +147,9 @@
         liveness=Liveness(state.registry, boot_seconds, settings.report_period),
         placing=placing_service(settings, state.documents, state.registry),
         replica=replica,
-        supervisor=Supervisor('hub', fatal=(StorageError,)),
+        # A full disk is none of these: the task that syncs ended for good with it,
+        # and the hub, once elected, committed nothing for 15 s and more.
+        supervisor=Supervisor('hub', fatal=(DiskFailedError,)),
         links=Links(settings.fleet_token, settings.election_timeout),
     )
     await _listen(hub, service)
