--- a/tests/edge/test_policies.py
+++ b/tests/edge/test_policies.py
@@ -98,6 +98,28 @@
     assert gauges.longest_seconds(route) > 4
 
 
+@pytest.mark.parametrize(
+    ('watched', 'finished', 'longest'),
+    [(1.1, 0.4, UNKNOWN_SECONDS), (1.1, 6.0, 6.0), (9, 0.4, 5.0), (11, 0.4, 0.4)],
+)
+def test_what_has_ended_so_far_says_little_of_a_route_just_begun(
+    watched: float, finished: float, longest: float
+) -> None:
+    """Only short requests have ended when a route has been used for a second.
+
+    A box that was to stop 1.0 s after its first requests took streams for 1.2 s more,
+    by those that had ended; two of them, asked for at 2.21 s, lasted longer than its
+    grace and were cut at 8.67 s (``stopped``, then ``caller gone`` after 6.452 s).
+    """
+    clock = FakeClock()
+    gauges = Gauges(clock)
+    route = RouteName('r')
+    gauges.opened(route)
+    clock.seconds += watched
+    gauges.note_duration(route, finished)
+    assert gauges.longest_seconds(route) == longest
+
+
 def test_a_slow_reader_of_the_log_costs_lines_and_never_time() -> None:
     reader, writer = os.pipe()
     output = BoundedOutput(writer, FakeClock())
