Go by what has ended of a route only once it was in use for longer than a grace

Cause: a stop judges whether a stream ends in time by the longest that ended at this box; a second after the first requests only short ones have. The test of one long request among many now waits until the route is known, and asserts both bounds, since the lower one alone would hold by the new floor.

--- a/packages/edge/src/hitchdeck_edge/serving/admission.py
+++ b/packages/edge/src/hitchdeck_edge/serving/admission.py
@@ -140,6 +140,7 @@
             refuse(self.dialect, call.request, caller, decision)
             self._note_end(call.request, caller, decision.name, arrived, call)
             return
+        self.gauges.opened(decision.route.name)
         service = self.dispatcher.open(decision, caller)
         try:
             await self.dispatcher.serve(service)
--- a/packages/edge/src/hitchdeck_edge/serving/gauges.py
+++ b/packages/edge/src/hitchdeck_edge/serving/gauges.py
@@ -18,7 +18,12 @@
 requests, a minute or more of a busy box, halve it."""
 
 UNKNOWN_SECONDS = 5.0
-"""Taken for the longest duration of a route that was not used yet."""
+"""Taken for the longest duration of a route of which too little is known."""
+
+WATCHED_SECONDS = 10.0
+"""How long a route must be in use here before those that ended tell of the others:
+longer than a grace.  Two streams that a stopping box took by what had ended within a
+second outlasted its grace of 8 s."""
 
 
 class Gauges:
@@ -32,7 +37,9 @@
         self.histograms = Histograms(now, SERIES)
         self.outcomes: Counter[str] = Counter()
         self.accounts: Counter[tuple[str, str]] = Counter()
+        self.now = now
         self.durations: dict[RouteName, float] = {}
+        self.first_opened: dict[RouteName, float] = {}
         self.placed_alone = 0
         self.longest_turn = 0.0
 
@@ -48,7 +55,13 @@
 
     def longest_seconds(self, route: RouteName) -> float:
         """Return how long requests of a route took at the longest of late."""
-        return self.durations.get(route, UNKNOWN_SECONDS)
+        known = self.durations.get(route, 0)
+        watched = self.now() - self.first_opened.get(route, self.now())
+        return known if watched > WATCHED_SECONDS else max(known, UNKNOWN_SECONDS)
+
+    def opened(self, route: RouteName) -> None:
+        """Note a request that was taken."""
+        self.first_opened.setdefault(route, self.now())
 
     def note_duration(self, route: RouteName, seconds: float) -> None:
         """Note how long a request of a route took."""
--- a/tests/edge/test_policies.py
+++ b/tests/edge/test_policies.py
@@ -15,7 +15,7 @@
 from hitchdeck_edge.links.hubs import NAMED_SECONDS, HubBook
 from hitchdeck_edge.links.placing import PlacingLink
 from hitchdeck_edge.model.document import RouteName
-from hitchdeck_edge.serving.gauges import UNKNOWN_SECONDS, Gauges
+from hitchdeck_edge.serving.gauges import UNKNOWN_SECONDS, WATCHED_SECONDS, Gauges
 from hitchdeck_edge.serving.stopping import Stopping
 from hitchdeck_platform.settings import read_settings
 from tests.common.scheduling import POOL, FakeClock, scheduler_of
@@ -90,12 +90,15 @@
 
 
 def test_one_long_request_is_remembered_over_many_short_ones() -> None:
-    gauges = Gauges(FakeClock())
+    clock = FakeClock()
+    gauges = Gauges(clock)
     route = RouteName('r')
     assert gauges.longest_seconds(route) == UNKNOWN_SECONDS
+    gauges.opened(route)
+    clock.seconds += WATCHED_SECONDS + 1
     for seconds in (6, *[0.1] * 100):
         gauges.note_duration(route, seconds)
-    assert gauges.longest_seconds(route) > 4
+    assert 4 < gauges.longest_seconds(route) < UNKNOWN_SECONDS
 
 
 @pytest.mark.parametrize(
