Tell in the log what an upstream asks for in an answer that is no success

The line of a failed attempt said 503 and no more: whether the upstream had asked for a pause, or said that it leaves, and who had chosen it could not be told, so neither could an answer that nobody reads from one that the scheduler is not told of.

--- a/packages/edge/src/hitchdeck_edge/dispatch/attempts.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/attempts.py
@@ -37,7 +37,8 @@
     ``number`` is the scheduler's for it; ``relayed`` says that the caller got
     the answer as it came; ``ran_before`` that the request may have run before
     this attempt; ``first_event`` is how long the first event of a stream took,
-    in seconds.
+    in seconds; ``pause`` for how long the upstream wants nothing from this box,
+    and ``leaving`` whether it said that it leaves.
     """
 
     choice: Choice
@@ -51,6 +52,8 @@
     reason: str = ''
     relayed: bool = False
     first_event: float = 0.0
+    pause: float = 0.0
+    leaving: bool = False
 
     @property
     def upstream(self) -> UpstreamName:
--- a/packages/edge/src/hitchdeck_edge/dispatch/sender.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/sender.py
@@ -152,6 +152,8 @@
         head = await self._own_head(service.passage, connection)
         attempt.head = head
         mark = self.dialect.read_answer(head.status, head.headers)
+        attempt.pause = mark.pause
+        attempt.leaving = mark.leaving
         if mark.other_life:
             self.placement.health.misplace(attempt.upstream)
         success = HTTPStatus.OK <= head.status < HTTPStatus.MULTIPLE_CHOICES
@@ -232,6 +234,9 @@
             status=attempt.head.status if attempt.head else 0,
             reason=attempt.reason,
             attempt=service.passage.sent,
+            pause=attempt.pause,
+            leaving=attempt.leaving,
+            decided_by=service.passage.decided_by,
         )
 
     def _note_unreached(
--- a/packages/edge/src/hitchdeck_edge/model/calls.py
+++ b/packages/edge/src/hitchdeck_edge/model/calls.py
@@ -65,10 +65,13 @@
 
     ``sealed`` says that the upstream vouches for it as its own; ``not_run``
     is its word that it did not run the request; ``other_life`` that another
-    upstream has the address by now.
+    upstream has the address by now.  ``pause`` is for how many seconds it wants
+    nothing from this box, 0 where it does not say; ``leaving`` that it leaves.
     """
 
     request: RequestId
     sealed: bool
     not_run: bool
     other_life: bool
+    pause: float = 0.0
+    leaving: bool = False
--- a/tests/edge/test_platform_requests.py
+++ b/tests/edge/test_platform_requests.py
@@ -3,9 +3,10 @@
 import pytest
 
 from hitchdeck_core.ids import AccountName
+from hitchdeck_core.retry_after import LONGEST_SECONDS
 from hitchdeck_edge.model.dialect import Forwarding
 from hitchdeck_edge.model.refusals import Refusal
-from hitchdeck_platform.requests import forward_headers, read_call
+from hitchdeck_platform.requests import forward_headers, read_answer, read_call
 from tests.common.scheduling import engine
 
 FORWARDING = Forwarding(engine('e0'), AccountName('ann'), 1.5, '', 0)
@@ -103,3 +104,52 @@
 def test_no_two_refusals_are_taken_for_each_other() -> None:
     # Equal answers made one name an alias of the other, and logs told the wrong one.
     assert len(Refusal.__members__) == len(list(Refusal))
+
+
+@pytest.mark.parametrize(
+    ('status', 'given', 'pause'),
+    [
+        (503, '3', 3),
+        (503, ' 0.25 ', 0.25),
+        (429, '2', 2),
+        (503, '0', 0),
+        (503, '-1', 0),
+        (503, '', 0),
+        (503, 'soon', 0),
+        (503, 'nan', 0),
+        (503, 'inf', LONGEST_SECONDS),
+        (503, '9' * 400, LONGEST_SECONDS),
+        (503, 'Thu, 01 Jan 1970 00:00:00 GMT', 0),
+        (503, 'Fri, 31 Dec 9999 23:59:59 GMT', LONGEST_SECONDS),
+        (500, '3', 0),
+        (200, '3', 0),
+        (421, '3', 0),
+    ],
+)
+def test_an_upstream_that_turns_a_request_away_says_for_how_long(
+    status: int,
+    given: str,
+    pause: float,
+) -> None:
+    mark = read_answer(status, [(b'retry-after', given.encode())])
+    assert mark.pause == pause
+
+
+@pytest.mark.parametrize(
+    ('status', 'headers', 'leaving'),
+    [
+        (200, [(b'Server-Leaving', b'1')], True),
+        (503, [(b'server-leaving', b' 1 ')], True),
+        (500, [(b'SERVER-LEAVING', b'1')], True),
+        (200, [(b'Server-Leaving', b'0')], False),
+        (200, [], False),
+        # Another upstream answers at this address.
+        (421, [(b'Server-Leaving', b'1')], False),
+    ],
+)
+def test_an_upstream_says_in_its_answers_that_it_leaves(
+    status: int,
+    headers: list[tuple[bytes, bytes]],
+    leaving: bool,
+) -> None:
+    assert read_answer(status, headers).leaving == leaving
