--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -53,7 +53,9 @@
     ``gap`` is the time between two events of a stream, in seconds; ``cut_at``
     the number of whole events before a stream that is cut; ``lethal`` a body
     under which the worker ends, its port with it; ``born`` the time of its
-    start in Unix ms, 0 where it does not say.
+    start in Unix ms, 0 where it does not say; ``pause`` what it says with a
+    request that it turns away, and ``leaving`` whether its answers say that it
+    leaves.
     """
 
     name: str
@@ -63,6 +65,8 @@
     events: int = 5
     cut_at: int = 2
     lethal: bytes = b''
+    pause: str = ''
+    leaving: bool = False
     ended: bool = False
     fault: Fault = Fault.none
     faults_left: int = 0
@@ -153,7 +157,7 @@
             return False
         self.seen.append(request)
         if request.headers.get('expect-instance') != self.name:
-            peer.writer.write(_answer(request, '421 Misdirected', b''))
+            peer.writer.write(self._answer(request, '421 Misdirected', b''))
             return True
         if self.lethal and request.body == self.lethal:
             return await self._end_under(request, peer)
@@ -180,13 +184,13 @@
         if request.headers.get('model'):
             return await self._stream(request, peer, self.events)
         peer.writer.write(
-            _answer(request, '200 OK', self._body(request), seal=self.name)
+            self._answer(request, '200 OK', self._body(request), seal=self.name)
         )
         return True
 
     async def _end_under(self, request: Seen, peer: Peer) -> bool:
         self.ran.append(request.attempt)
-        head = _head(request, '200 OK', self.name)
+        head = self._head(request, '200 OK', self.name)
         peer.writer.write(f'{head}Transfer-Encoding: chunked\r\n\r\n'.encode())
         await peer.writer.drain()
         await self.end()
@@ -194,12 +198,14 @@
 
     async def _answer_error(self, request: Seen, peer: Peer) -> bool:
         self.ran.append(request.attempt)
-        peer.writer.write(_answer(request, '500 Oops', b'oops', seal=self.name))
+        peer.writer.write(self._answer(request, '500 Oops', b'oops', seal=self.name))
         return True
 
     async def _shed(self, request: Seen, peer: Peer) -> bool:
         head = 'Not-Executed: 1\r\n'
-        peer.writer.write(_answer(request, '503 Full', b'full', extra=head))
+        if self.pause:
+            head = f'{head}Retry-After: {self.pause}\r\n'
+        peer.writer.write(self._answer(request, '503 Full', b'full', extra=head))
         return True
 
     async def _reset(self, request: Seen, peer: Peer) -> bool:
@@ -221,12 +227,12 @@
         peer: Peer,
     ) -> bool:
         self.ran.append(request.attempt)
-        peer.writer.write(_answer(request, '200 OK', self._body(request)))
+        peer.writer.write(self._answer(request, '200 OK', self._body(request)))
         return True
 
     async def _answer_stale(self, request: Seen, peer: Peer) -> bool:
         other = Seen(request.line, {'attempt-id': 'another'}, b'')
-        peer.writer.write(_answer(other, '200 OK', b'not yours', seal=self.name))
+        peer.writer.write(self._answer(other, '200 OK', b'not yours', seal=self.name))
         return await self._answer_well(request, peer)
 
     async def _answer_surplus(
@@ -235,7 +241,7 @@
         peer: Peer,
     ) -> bool:
         await self._answer_well(request, peer)
-        peer.writer.write(_answer(request, '200 OK', b'once more', seal=self.name))
+        peer.writer.write(self._answer(request, '200 OK', b'once more', seal=self.name))
         return True
 
     async def _hang(self, request: Seen, peer: Peer) -> bool:
@@ -253,7 +259,7 @@
         whole: bool = True,
     ) -> bool:
         first = int(request.headers.get('last-event-id', '0') or 0) + 1
-        head = _head(request, '200 OK', self.name)
+        head = self._head(request, '200 OK', self.name)
         peer.writer.write(f'{head}Transfer-Encoding: chunked\r\n\r\n'.encode())
         for number in range(first, last + 1):
             event = f'id: {number}\ndata: {number}\n\n'.encode()
@@ -270,6 +276,26 @@
     def _body(self, request: Seen) -> bytes:
         return json.dumps({'attempt': request.attempt, 'by': self.name}).encode()
 
+    def _head(self, request: Seen, status: str, seal: str = '') -> str:
+        lines = [f'HTTP/1.1 {status}', f'Attempt-Id: {request.attempt}']
+        if seal:
+            lines.append(f'Server-Seal: {seal}')
+        if self.leaving:
+            lines.append('Server-Leaving: 1')
+        return '\r\n'.join([*lines, ''])
+
+    def _answer(
+        self,
+        request: Seen,
+        status: str,
+        body: bytes,
+        *,
+        seal: str = '',
+        extra: str = '',
+    ) -> bytes:
+        head = self._head(request, status, seal)
+        return f'{head}{extra}Content-Length: {len(body)}\r\n\r\n'.encode() + body
+
 
 async def _read(reader: asyncio.StreamReader) -> Seen | None:
     head = await reader.readuntil(b'\r\n\r\n')
@@ -281,22 +307,3 @@
             headers[name.strip().lower()] = text.strip()
     body = await reader.readexactly(int(headers.get('content-length', '0')))
     return Seen(line, headers, body)
-
-
-def _head(request: Seen, status: str, seal: str = '') -> str:
-    lines = [f'HTTP/1.1 {status}', f'Attempt-Id: {request.attempt}']
-    if seal:
-        lines.append(f'Server-Seal: {seal}')
-    return '\r\n'.join([*lines, ''])
-
-
-def _answer(
-    request: Seen,
-    status: str,
-    body: bytes,
-    *,
-    seal: str = '',
-    extra: str = '',
-) -> bytes:
-    head = _head(request, status, seal)
-    return f'{head}{extra}Content-Length: {len(body)}\r\n\r\n'.encode() + body
