--- /dev/null
+++ b/tests/edge/test_leaving_answers.py
@@ -0,0 +1,117 @@
+"""A box sends nothing to an upstream that said in an answer that it leaves.
+
+Upstreams that leave say so in all their answers, with ``Server-Leaving: 1``.  A hub
+that is told of it by the upstream tells all boxes, but a box that reaches no hub, or is
+answered before the report is in, has only the answer to go by.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import pytest
+
+from hitchdeck_core.backpressure import Backpressure
+from hitchdeck_core.ids import UpstreamName
+from standins.platform_site import Site, running_site
+from standins.platform_worker import Fault, Worker
+from tests.common.scheduling import FakeClock
+
+PATHS = {'llm': ('/s/', '/once/'), 'app': ('/g/', '/u/')}
+
+
+@pytest.fixture
+async def site(tmp_path: Path) -> AsyncIterator[Site]:
+    """Return a site of one hub and one box."""
+    async with running_site(tmp_path) as running:
+        yield running
+
+
+async def ask_often(site: Site, pool: str, times: int, name: str) -> list[int]:
+    """Ask one after the other, on all routes to a pool; return the statuses."""
+    ask = site.ask_model if pool == 'llm' else site.ask
+    paths = PATHS[pool]
+    replies = [
+        await ask(paths[number % len(paths)], f'{name}{number}')
+        for number in range(times)
+    ]
+    return [reply.code for reply in replies]
+
+
+def of_pool(site: Site, pool: str) -> list[Worker]:
+    return [worker for worker in site.workers if worker.pool == pool]
+
+
+async def ask_until_seen(site: Site, worker: Worker) -> None:
+    async with asyncio.timeout(10):
+        while not worker.seen:
+            await ask_often(site, worker.pool, 1, 'first')
+
+
+@pytest.mark.parametrize('pool', ['llm', 'app'])
+@pytest.mark.parametrize('scheduled', [True, False])
+@pytest.mark.parametrize(
+    'fault',
+    [Fault.none, Fault.shed, Fault.error, Fault.cut, Fault.stale, Fault.unsealed],
+)
+async def test_an_upstream_that_says_it_leaves_gets_nothing_more(
+    site: Site,
+    pool: str,
+    scheduled: bool,
+    fault: Fault,
+) -> None:
+    if not scheduled:
+        await site.kill_hub(site.hubs[0])
+    leaver, other = of_pool(site, pool)
+    leaver.leaving = True
+    leaver.misbehave(fault)
+    await ask_until_seen(site, leaver)
+    statuses = await ask_often(site, pool, 12, 'more')
+    assert statuses == [200] * 12
+    assert len(leaver.seen) == 1
+    assert len(other.seen) >= 12
+
+
+async def test_reports_of_before_do_not_bring_a_leaving_upstream_back(
+    site: Site,
+) -> None:
+    leaver, _ = of_pool(site, 'app')
+    leaver.leaving = True
+    await ask_until_seen(site, leaver)
+    # It reports itself as serving, later than its answer.
+    await site.tell(leaver, leaver.sequence + 5)
+    await site.start_worker('p3', 'app')
+    await site.settle()
+    assert await ask_often(site, 'app', 12, 'more') == [200] * 12
+    assert len(leaver.seen) == 1
+
+
+async def test_what_another_upstream_says_at_an_address_is_not_taken_for_its_word(
+    site: Site,
+) -> None:
+    """An address may have gone to an upstream that leaves; it answers 421."""
+    named = of_pool(site, 'app')[0]
+    called = named.name
+    named.name, named.leaving = 'another', True
+    async with asyncio.timeout(10):
+        while not named.seen:
+            await ask_often(site, 'app', 1, 'first')
+    backpressure = site.boxes[0].admission.dispatcher.chooser.backpressure
+    assert UpstreamName(called) not in backpressure.closed()
+
+
+@pytest.mark.parametrize('earlier', [True, False])
+def test_the_next_life_of_an_upstream_that_left_is_sent_requests(
+    earlier: bool,
+) -> None:
+    left, newer = UpstreamName('e0/1'), UpstreamName('e0/2')
+    clock = FakeClock()
+    backpressure = Backpressure(clock)
+    backpressure.leave(left)
+    backpressure.pass_on(left, newer)
+    assert backpressure.closed() == {left}
+    backpressure.keep([left, newer] if earlier else [newer])
+    assert backpressure.wants_requests(left) != earlier
+    assert backpressure.wants_requests(newer)
+    clock.seconds += 1000
+    assert backpressure.wants_requests(left) != earlier
