Go by what upstreams say of their leaving in answers

A box that reached no hub, or was answered before the upstream's report was in, sent an upstream that was leaving all of 12 further requests; what it still had open when the upstream ended would have broken off for its callers.

Cause: the answer's field was read nowhere, as with the pause that it may ask for; word of leaving came by way of hubs alone. A box now notes it with whichever answer's head, before the answer is passed on, for as long as that life is known: a later report of it changes nothing. It does not go over to the next life, and what another upstream says at the same address (421) is not its word.

--- a/packages/core/src/hitchdeck_core/backpressure.py
+++ b/packages/core/src/hitchdeck_core/backpressure.py
@@ -5,7 +5,7 @@
 chooses the upstream, and forgets it when it ends.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Set
 
 from hitchdeck_core import logs
 from hitchdeck_core.clock import Clock
@@ -21,11 +21,14 @@
     ----------
     paused
         Until when each upstream wants nothing, on the given clock, in seconds.
+    leaving
+        Upstreams that leave, and want nothing any more.
     """
 
     def __init__(self, now: Clock) -> None:
         self.now = now
         self.paused: dict[UpstreamName, float] = {}
+        self.leaving: set[UpstreamName] = set()
 
     def pause(self, name: UpstreamName, seconds: float) -> None:
         """Note that an upstream wants nothing for so long; 0 is no wish."""
@@ -37,11 +40,18 @@
         if known <= self.now():
             logs.info('upstream paused', upstream=name, seconds=round(seconds, 3))
 
+    def leave(self, name: UpstreamName) -> None:
+        """Note that an upstream leaves: for good, whatever it reports later."""
+        if name not in self.leaving:
+            self.leaving.add(name)
+            logs.info('upstream leaves', upstream=name)
+
     def pass_on(self, earlier: UpstreamName, later: UpstreamName) -> None:
         """Hold a pause also for the life that has replaced an upstream's.
 
         It may be the one that asked: it answers for some time before this process
-        knows of it.
+        knows of it.  That a life leaves is not held against the next, for which it
+        would never end.
         """
         if earlier in self.paused:
             self.pause(later, self.paused[earlier] - self.now())
@@ -50,16 +60,18 @@
         """Tell whether an upstream may be sent a request."""
         return name not in self.closed()
 
-    def closed(self) -> frozenset[UpstreamName]:
+    def closed(self) -> Set[UpstreamName]:
         """Return the upstreams that must get nothing now."""
-        if not self.paused:
+        if not self.paused and not self.leaving:
             return _NOBODY
         self._expire()
-        return frozenset(self.paused)
+        return self.leaving.union(self.paused)
 
     def keep(self, names: Iterable[UpstreamName]) -> None:
         """Forget all other upstreams."""
-        for name in self.paused.keys() - set(names):
+        kept = set(names)
+        self.leaving &= kept
+        for name in self.paused.keys() - kept:
             self.paused.pop(name)
 
     def _expire(self) -> None:
--- a/packages/edge/src/hitchdeck_edge/dispatch/sender.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/sender.py
@@ -6,6 +6,7 @@
 from hitchdeck_core import logs
 from hitchdeck_core.busyness import busy_part
 from hitchdeck_core.clock import Clock
+from hitchdeck_core.ids import UpstreamName
 from hitchdeck_core.quarantine.endings import Endings
 from hitchdeck_core.quarantine.quarantine import Quarantine
 from hitchdeck_edge.dispatch.attempts import Attempt, Service, Verdict, verdict_on
@@ -18,6 +19,7 @@
     NotWantedError,
 )
 from hitchdeck_edge.links.placing import SHORT_OF_TIME
+from hitchdeck_edge.model.calls import AnswerMark
 from hitchdeck_edge.model.dialect import Dialect, Forwarding
 from hitchdeck_edge.model.passage import Passage
 from hitchdeck_edge.model.placing import Choice
@@ -133,7 +135,7 @@
         name = choice.upstream.name
         if not self.backpressure.wants_requests(name):
             self.connections.put_back(name, connection)
-            raise NotWantedError(f'{name} asked for a pause')
+            raise NotWantedError(f'{name} asked for a pause, or leaves')
 
     def _send_on(
         self,
@@ -229,9 +231,7 @@
         for _ in range(STALE_ANSWERS):
             head = await connection.read_head()
             mark = self.dialect.read_answer(head.status, head.headers)
-            # Said in an answer to whichever request: 438 went to upstreams that
-            # had asked this box for a pause, within five seconds of load.
-            self.backpressure.pause(attempt.upstream, mark.pause)
+            self._heed(attempt.upstream, mark)
             if mark.request in {'', passage.call.request}:
                 return head
             await connection.read_body()
@@ -244,6 +244,15 @@
                 break
         raise BrokenAnswerError('only answers to other requests came')
 
+    def _heed(self, name: UpstreamName, mark: AnswerMark) -> None:
+        """Keep to what an upstream asks for in an answer, to whichever request."""
+        # 438 requests went to upstreams that had asked this box for a pause,
+        # within five seconds of load.
+        self.backpressure.pause(name, mark.pause)
+        # A box in reach of no hub sent 12 of 12 further requests to one that left.
+        if mark.leaving:
+            self.backpressure.leave(name)
+
     def _judge(self, service: Service, attempt: Attempt) -> None:
         """Draw conclusions on the upstream, and on whether the request ran."""
         health = self.placement.health
--- a/packages/edge/src/hitchdeck_edge/scheduling/chooser.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/chooser.py
@@ -33,7 +33,7 @@
         wanted = passage.wanted(self.domain)
         closed = self.backpressure.closed()
         if closed:
-            wanted = replace(wanted, avoid=closed)
+            wanted = replace(wanted, avoid=frozenset(closed))
             if not self.local.placement.candidates(wanted):
                 return Refusal.no_upstream
         if not wanted.slots or wanted.prompt is None:
