--- a/tests/edge/test_backpressure.py
+++ b/tests/edge/test_backpressure.py
@@ -106,6 +106,23 @@
     assert [len(worker.seen) for worker in of_pool(site, pool)] == [1, 1]
 
 
+@pytest.mark.parametrize('pool', ['llm', 'app'])
+@pytest.mark.parametrize('times', [1, 2])
+async def test_a_caller_is_told_when_the_first_pause_is_over(
+    site: Site,
+    pool: str,
+    times: int,
+) -> None:
+    """Callers came back after 0.1 or 0.3 s, to a box that had nothing for them."""
+    first, last = of_pool(site, pool)
+    turn_away([first], PAUSE)
+    turn_away([last], PAUSE * 10)
+    ask = site.ask_model if pool == 'llm' else site.ask
+    replies = [await ask(PATHS[pool][0], f'r{number}') for number in range(times)]
+    assert [reply.code for reply in replies] == [503] * times
+    assert 1 < float(replies[-1].headers['Retry-After']) <= PAUSE
+
+
 @pytest.mark.parametrize('pool', ['llm', 'app'])
 async def test_an_upstream_gets_requests_again_after_its_pause(
     site: Site,
--- a/tests/edge/test_leaving_answers.py
+++ b/tests/edge/test_leaving_answers.py
@@ -5,8 +5,8 @@
 answered before the report is in, has only the answer to go by.
 
 The header was read nowhere, and passed on to the caller with the others.  A box whose
-hub was gone sent such an engine 12 further requests of 12, and a plain service 5; each was
-answered well, so no line of its log told of it.
+hub was gone sent such an engine 12 further requests of 12, and a plain service 5; each
+was answered well, so no line of its log told of it.
 """
 
 import asyncio
