Tell callers when the first pause is over, where all upstreams want one

Callers refused by a box whose upstreams had all asked it for a pause were asked to come back after 0.1 or 0.3 s, and used up their one return on the same answer.

Cause: what upstreams ask for ended at the box; its own answers had fixed times. The refusal has a name of its own now (paused) and the time until the first upstream takes something from this box again.

--- a/packages/core/src/hitchdeck_core/backpressure.py
+++ b/packages/core/src/hitchdeck_core/backpressure.py
@@ -67,6 +67,20 @@
         self._expire()
         return self.leaving.union(self.paused)
 
+    def seconds_left(self, names: Iterable[UpstreamName]) -> float:
+        """Return until when none of these upstreams wants anything, in seconds.
+
+        0 if one does now, or if all of them leave.
+        """
+        closed = self.closed()
+        now = self.now()
+        left = [
+            self.paused[name] - now if name in closed else 0
+            for name in names
+            if name not in self.leaving
+        ]
+        return min(left, default=0)
+
     def keep(self, names: Iterable[UpstreamName]) -> None:
         """Forget all other upstreams."""
         kept = set(names)
--- a/packages/edge/src/hitchdeck_edge/dispatch/answers.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/answers.py
@@ -4,6 +4,7 @@
 from http import HTTPStatus
 
 from hitchdeck_core.ids import RequestId
+from hitchdeck_core.retry_after import RETRY_AFTER
 from hitchdeck_edge.dispatch.exchange import Head
 from hitchdeck_edge.model.calls import Header
 from hitchdeck_edge.model.dialect import Dialect
@@ -54,9 +55,16 @@
     request: RequestId,
     caller: Caller,
     refusal: Refusal,
+    retry_after: float = 0,
 ) -> None:
     """Tell a caller that its request has not run and will not.
 
+    Parameters
+    ----------
+    retry_after
+        Seconds after which another try makes sense, where more is known than the
+        refusal says.
+
     Raises
     ------
     CallerGoneError
@@ -64,8 +72,9 @@
     """
     reply = refusal.value
     headers = echo_headers(dialect, request)
-    if reply.retry_after:
-        headers.append(('Retry-After', str(reply.retry_after)))
+    seconds = retry_after or reply.retry_after
+    if seconds:
+        headers.append((RETRY_AFTER, str(round(seconds, 3))))
     reason = HTTPStatus(reply.status).phrase
     caller.answer_briefly(reply.status, reason, headers, reply.why.encode())
 
@@ -94,15 +103,19 @@
             body,
         )
 
-    def give_up(self, refusal: Refusal) -> None:
-        """End a request for which no upstream can be tried any more."""
+    def give_up(self, refusal: Refusal, retry_after: float = 0) -> None:
+        """End a request for which no upstream can be tried any more.
+
+        ``retry_after`` is as for a refusal.
+        """
         self.outcome = refusal.name
         if self.caller.started:
             self.caller.break_off()
         elif self.passage.may_have_run:
             self._say(HTTPStatus.BAD_GATEWAY)
         else:
-            refuse(self.dialect, self.passage.call.request, self.caller, refusal)
+            request = self.passage.call.request
+            refuse(self.dialect, request, self.caller, refusal, retry_after)
 
     def run_out_of_time(self) -> None:
         """End a request whose time is over."""
--- a/packages/edge/src/hitchdeck_edge/dispatch/dispatcher.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/dispatcher.py
@@ -22,6 +22,9 @@
 UNREACHED_MOST = 4
 """Upstreams that may be out of reach in a row before a request is refused."""
 
+NOBODY_TAKES_IT = frozenset((Refusal.no_upstream, Refusal.no_attempt_left))
+"""Refusals for which another try makes sense only when some upstream takes it."""
+
 
 class Dispatcher:
     """Serves requests with what a box knows of its upstreams."""
@@ -128,4 +131,9 @@
             assert last is not None
             await self._deliver(service, last)
             return
+        # Callers came back after 0.1 s to a box with nothing for them for longer.
+        pause = self.chooser.pause_left(service.passage.pool.name)
+        if pause and refusal in NOBODY_TAKES_IT:
+            service.answers.give_up(Refusal.paused, pause)
+            return
         service.answers.give_up(refusal)
--- a/packages/edge/src/hitchdeck_edge/model/refusals.py
+++ b/packages/edge/src/hitchdeck_edge/model/refusals.py
@@ -57,6 +57,7 @@
     )
     no_document = Reply(UNAVAILABLE, STATE_RETRY_SECONDS, 'no document')
     no_upstream = Reply(UNAVAILABLE, STATE_RETRY_SECONDS, 'no upstream')
+    paused = Reply(UNAVAILABLE, LOAD_RETRY_SECONDS, 'all upstreams want a pause')
     no_attempt_left = Reply(UNAVAILABLE, AGAIN_RETRY_SECONDS, 'no attempt left')
     overloaded = Reply(UNAVAILABLE, LOAD_RETRY_SECONDS, 'overloaded')
     quarantined = Reply(
--- a/packages/edge/src/hitchdeck_edge/scheduling/chooser.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/chooser.py
@@ -3,6 +3,7 @@
 from dataclasses import replace
 
 from hitchdeck_core.backpressure import Backpressure
+from hitchdeck_core.ids import PoolName
 from hitchdeck_edge.links.placing import PlacingLink
 from hitchdeck_edge.model.passage import THIS_BOX, Passage
 from hitchdeck_edge.model.placing import Choice
@@ -28,6 +29,11 @@
         """Give back a place that is not used, so that nobody counts it as taken."""
         self.link.give_back(choice.ticket)
 
+    def pause_left(self, pool: PoolName) -> float:
+        """Return how long every upstream of a pool wants a pause, in seconds."""
+        serving = self.local.placement.registry.serving(pool)
+        return self.backpressure.seconds_left(one.name for one in serving)
+
     async def choose(self, passage: Passage) -> Choice | Refusal:
         """Return the upstream to send a request to, or why it is refused."""
         wanted = passage.wanted(self.domain)
