--- a/standins/engine.py
+++ b/standins/engine.py
@@ -21,6 +21,7 @@
 _DEFAULT_TOKENS = 16
 _CHARACTERS_PER_TOKEN = 4
 _CONFLICT = 409
+_UNAVAILABLE = 503
 _CRASHED = 9
 
 
@@ -46,6 +47,16 @@
         """Take the engine."""
         self.engine = engine
 
+    def turn_away(self) -> bool:
+        """Answer that a pause is wanted, if one is; tell whether it is."""
+        pause = self.engine.faults.get('pause')
+        if not pause:
+            return False
+        self.set_status(_UNAVAILABLE)
+        self.set_header('Retry-After', str(pause))
+        self.finish({})
+        return True
+
 
 class ChatHandler(Base):
     """Chat completions, always streamed."""
@@ -55,6 +66,8 @@
         body = json.loads(self.request.body)
         request = self.request.headers.get('X-Request-Id', '')
         self.engine.recorder.write('taken', request=request)
+        if self.turn_away():
+            return
         self.engine.running += 1
         self.closed = False
         outcome = 'cut'
@@ -140,6 +153,9 @@
 
     def get(self) -> None:
         """Say what is loaded, and the last fence seen."""
+        self.engine.recorder.write('order-asked')
+        if self.turn_away():
+            return
         self.finish(
             {'loaded': sorted(self.engine.loaded), 'fence': self.engine.fence},
         )
@@ -147,6 +163,9 @@
     def post(self) -> None:
         """Carry out an order unless its fence is old."""
         order = json.loads(self.request.body)
+        self.engine.recorder.write('order-taken', **order)
+        if self.turn_away():
+            return
         fence = (order['term'], order['sequence'])
         checks = not self.engine.faults.get('no_fence_check')
         if checks and fence < self.engine.fence:
@@ -168,10 +187,16 @@
 
     def get(self, session: str) -> None:
         """Export."""
+        self.engine.recorder.write('cache-asked', session=session)
+        if self.turn_away():
+            return
         self.finish({'session': session, 'cache': self.engine.caches.get(session, '')})
 
     def put(self, session: str) -> None:
         """Import."""
+        self.engine.recorder.write('cache-given', session=session)
+        if self.turn_away():
+            return
         self.engine.caches[session] = json.loads(self.request.body)['cache']
         self.engine.recorder.write('cache-import', session=session)
         self.finish({})
--- a/standins/service.py
+++ b/standins/service.py
@@ -1,4 +1,7 @@
-"""A plain service whose calls must not be repeated: confirmations."""
+"""A plain service whose calls must not be repeated: confirmations.
+
+A call with a ``pause`` in its body is turned away, and asks for that many seconds.
+"""
 
 import asyncio
 import json
@@ -9,6 +12,8 @@
 
 from standins.records import Recorder
 
+_UNAVAILABLE = 503
+
 
 class ConfirmHandler(RequestHandler):
     """Runs whatever it is asked to, as often as it is asked."""
@@ -22,6 +27,9 @@
         """Confirm."""
         request = self.request.headers.get('X-Request-Id', '')
         body = json.loads(self.request.body or b'{}')
+        if body.get('pause'):
+            self._turn_away(request, body['pause'])
+            return
         self.recorder.write('run', path=path, request=request, body=body)
         await asyncio.sleep(self.delay)
         self.set_header('X-Request-Id', request)
@@ -32,6 +40,12 @@
         await asyncio.sleep(self.delay)
         await self.finish({'looked_up': path, 'query': self.request.query})
 
+    def _turn_away(self, request: str, pause: float) -> None:
+        self.recorder.write('turned-away', request=request)
+        self.set_status(_UNAVAILABLE)
+        self.set_header('Retry-After', str(pause))
+        self.finish({})
+
 
 async def serve(port: int, log: str, delay: float = 0.01) -> None:
     """Serve on loopback until killed."""
--- a/tests/common/callers.py
+++ b/tests/common/callers.py
@@ -26,6 +26,7 @@
     status: int
     ran: str
     body: bytes
+    retry_after: str = ''
 
 
 def write_resources(fleet: Fleet) -> Path:
@@ -166,4 +167,5 @@
 
 def _reply(reply: HTTPResponse) -> Reply:
     ran = reply.headers.get('Hitchdeck-Ran', '')
-    return Reply(reply.code, ran, reply.body or b'')
+    retry_after = reply.headers.get('Retry-After', '')
+    return Reply(reply.code, ran, reply.body or b'', retry_after)
