Let routers send nothing to an upstream that asked them for a pause

Callers of the product's own interface were sent to engines that had asked for a pause; after a third attempt they got 502, as all engines had been tried, and a plain service's call went to the one that had just turned the last one away.

Cause: as at entry boxes: the answer's Retry-After was read by nobody. The scheduler keeps work from what has failed for half a second, whatever was asked for, and an upstream that a ticket should avoid is used where all are.

The router keeps what each upstream asked of it (the same class as at entry boxes), names those upstreams in its tickets, gives back a grant of one, and refuses at once, with the time that is left, while the whole pool wants a pause. A plain service's own Retry-After reaches the caller, like its other headers that concern it.

--- a/bench/ticket_cost.py
+++ b/bench/ticket_cost.py
@@ -115,7 +115,7 @@
         body=b'',
         prefix=(1, 2, 3),
     )
-    slot = await finder.acquire(_POOL, admitted.ticket(0))
+    slot = await finder.acquire(_POOL, admitted.ticket(0, frozenset()))
     await asyncio.sleep(_RUN_SECONDS)
     slot.spend(120)
     slot.release()
--- a/packages/router/src/hitchdeck_router/context.py
+++ b/packages/router/src/hitchdeck_router/context.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
+from hitchdeck_core.backpressure import Backpressure
 from hitchdeck_core.histograms import Histograms
 from hitchdeck_core.ids import Incarnation
 from hitchdeck_core.quarantine.endings import Endings
@@ -30,6 +31,7 @@
     histograms: Histograms
     supervisor: Supervisor
     endings: Endings
+    backpressure: Backpressure
     budget: RetryBudget = field(default_factory=RetryBudget)
     outcomes: Counter[tuple[str, str]] = field(default_factory=Counter)
     active: int = 0
--- a/packages/router/src/hitchdeck_router/dispatch/attempts.py
+++ b/packages/router/src/hitchdeck_router/dispatch/attempts.py
@@ -11,6 +11,7 @@
 from hitchdeck_router.dispatch.caches import move_cache
 from hitchdeck_router.dispatch.ends import check_not_quarantined, doubt
 from hitchdeck_router.dispatch.ledger import KeptAnswer, Ran
+from hitchdeck_router.dispatch.pauses import check_not_paused, check_wants_requests
 from hitchdeck_router.dispatch.requests import Admitted
 from hitchdeck_router.errors import (
     CallerLeftError,
@@ -106,9 +107,10 @@
     progress: Progress,
 ) -> Slot:
     now = context.fleet.now()
-    ticket = admitted.ticket(now)
+    ticket = admitted.ticket(now, context.backpressure.closed())
     try:
         check_not_quarantined(context, admitted)
+        check_not_paused(context, admitted.pool)
         grant = await context.finder.acquire(admitted.pool, ticket)
     except NotRunError as error:
         if progress.sent:
@@ -202,6 +204,7 @@
         raise GrantLostError('the configuration lease has run out')
     if not view.may_dispatch(admitted.pool, name):
         raise GrantLostError(f'{name} is leaving or gone')
+    check_wants_requests(context, name)
     return view.upstreams[name]
 
 
--- a/packages/router/src/hitchdeck_router/dispatch/chat.py
+++ b/packages/router/src/hitchdeck_router/dispatch/chat.py
@@ -14,7 +14,13 @@
 from hitchdeck_core.resources import Upstream
 from hitchdeck_router.context import RouterContext
 from hitchdeck_router.dispatch.attempts import Progress, run_attempts
-from hitchdeck_router.dispatch.calls import CallRequest, UpstreamCall, open_call
+from hitchdeck_router.dispatch.calls import (
+    CallRequest,
+    Head,
+    UpstreamCall,
+    open_call,
+)
+from hitchdeck_router.dispatch.pauses import heed
 from hitchdeck_router.dispatch.requests import Admitted
 from hitchdeck_router.dispatch.sse import DONE, EventReader, EventTooLongError
 from hitchdeck_router.errors import (
@@ -114,7 +120,10 @@
         request = _engine_request(admitted, body, answer)
         call = await open_call(upstream.address, request)
         try:
-            await _check_head(call, admitted)
+            head = await call.head()
+            check_own(head, admitted)
+            heed(context, upstream, head)
+            await _check_taken(head, call)
             await _read_stream(context, admitted, answer, grant, call, deliver)
         finally:
             call.close()
@@ -159,11 +168,14 @@
             engine_body[limit] = max(1, engine_body[limit] - answer.output_tokens)
 
 
-async def _check_head(call: UpstreamCall, admitted: Admitted) -> None:
-    head = await call.head()
+def check_own(head: Head, admitted: Admitted) -> None:
+    """Raise ``UpstreamBrokenError`` for an answer to another request."""
     echoed = head.headers.get(REQUEST_ID_HEADER, admitted.request)
     if echoed != admitted.request:
         raise UpstreamBrokenError(f'answer to {echoed}, not {admitted.request}')
+
+
+async def _check_taken(head: Head, call: UpstreamCall) -> None:
     if head.status == _OK:
         return
     if head.status >= _SERVER_ERRORS or head.status == _TOO_MANY:
--- /dev/null
+++ b/packages/router/src/hitchdeck_router/dispatch/pauses.py
@@ -0,0 +1,42 @@
+"""Upstreams that asked this router for a pause: spared, and told to callers."""
+
+from hitchdeck_core.ids import PoolName, UpstreamName
+from hitchdeck_core.resources import Upstream
+from hitchdeck_core.retry_after import RETRY_AFTER, read_retry_after
+from hitchdeck_router.context import RouterContext
+from hitchdeck_router.dispatch.calls import Head
+from hitchdeck_router.errors import GrantLostError, NotRunError
+
+_UNAVAILABLE = 503
+_TURNED_AWAY = frozenset((429, _UNAVAILABLE))
+"""Answers in which the header means a pause (RFC 9110, 10.2.3; RFC 6585, 4)."""
+
+
+def heed(context: RouterContext, upstream: Upstream, head: Head) -> None:
+    """Keep to the pause that an upstream asks for in an answer."""
+    if head.status in _TURNED_AWAY:
+        seconds = read_retry_after(head.headers.get(RETRY_AFTER, ''))
+        context.backpressure.pause(UpstreamName(upstream.name), seconds)
+
+
+def check_not_paused(context: RouterContext, pool: PoolName) -> None:
+    """Raise ``NotRunError`` while every upstream of a pool wants a pause."""
+    if not context.backpressure.closed():
+        return
+    in_service = context.fleet.view.in_service(pool)
+    names = [UpstreamName(one.name) for one in in_service]
+    left = context.backpressure.seconds_left(names)
+    if left:
+        raise NotRunError(
+            _UNAVAILABLE,
+            'upstreams-paused',
+            f'every upstream of pool {pool} wants a pause',
+            left,
+        )
+
+
+def check_wants_requests(context: RouterContext, name: UpstreamName) -> None:
+    """Raise ``GrantLostError`` if an upstream wants nothing for now."""
+    # Entry boxes sent up to 37 requests to one within the 3 s that it asked for.
+    if not context.backpressure.wants_requests(name):
+        raise GrantLostError(f'{name} wants a pause')
--- a/packages/router/src/hitchdeck_router/dispatch/requests.py
+++ b/packages/router/src/hitchdeck_router/dispatch/requests.py
@@ -2,12 +2,12 @@
 
 import hashlib
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Set
 from dataclasses import dataclass, field
 from typing import Any
 
 from hitchdeck_core.hashing import stable_hash
-from hitchdeck_core.ids import AccountName, PoolName, RequestId
+from hitchdeck_core.ids import AccountName, PoolName, RequestId, UpstreamName
 from hitchdeck_core.quarantine.fingerprints import Fingerprint, fingerprint_of
 from hitchdeck_core.resources import Urgency
 from hitchdeck_core.wire.hitchdeck_pb2 import Ticket
@@ -55,7 +55,7 @@
     prefix: tuple[int, ...] = ()
     key: Key | None = None
     admitted_at: float = 0.0
-    avoid: set[str] = field(default_factory=set)
+    avoid: set[UpstreamName] = field(default_factory=set)
     upstream: str = ''
     has_left: Callable[[], bool] = bool
     target: str = ''
@@ -71,8 +71,11 @@
         """Name of the class that histograms are kept for."""
         return self.urgency.name
 
-    def ticket(self, now: float) -> Ticket:
-        """Return a ticket for the scheduler; it gets its number there."""
+    def ticket(self, now: float, closed: Set[UpstreamName]) -> Ticket:
+        """Return a ticket for the scheduler; it gets its number there.
+
+        ``closed`` are the upstreams that want nothing from this router.
+        """
         left = 0
         if self.deadline:
             left = max(1, int((self.admitted_at + self.deadline - now) * 1000))
@@ -83,7 +86,7 @@
             cost_hint=round(self.hint),
             session=self.session,
             prefix=self.prefix,
-            avoid=sorted(self.avoid),
+            avoid=sorted(closed | self.avoid),
         )
 
 
--- a/packages/router/src/hitchdeck_router/dispatch/services.py
+++ b/packages/router/src/hitchdeck_router/dispatch/services.py
@@ -14,8 +14,9 @@
     UpstreamCall,
     open_call,
 )
-from hitchdeck_router.dispatch.chat import REQUEST_ID_HEADER
+from hitchdeck_router.dispatch.chat import REQUEST_ID_HEADER, check_own
 from hitchdeck_router.dispatch.ends import doubt
+from hitchdeck_router.dispatch.pauses import heed
 from hitchdeck_router.dispatch.requests import Admitted
 from hitchdeck_router.errors import AnswerCutError, UpstreamBrokenError
 from hitchdeck_router.scheduling.costs import SERVICE_CALL
@@ -76,7 +77,8 @@
         )
         try:
             head = await call.head()
-            _check_own(head, admitted)
+            check_own(head, admitted)
+            heed(context, upstream, head)
             await deliver_head(head)
             await _pass_body(call, deliver_bytes)
         except AnswerCutError:
@@ -94,9 +96,3 @@
             await deliver_bytes(chunk)
     except UpstreamBrokenError as error:
         raise AnswerCutError(str(error)) from error
-
-
-def _check_own(head: Head, admitted: Admitted) -> None:
-    echoed = head.headers.get(REQUEST_ID_HEADER, admitted.request)
-    if echoed != admitted.request:
-        raise UpstreamBrokenError(f'answer to {echoed}, not {admitted.request}')
--- a/packages/router/src/hitchdeck_router/process.py
+++ b/packages/router/src/hitchdeck_router/process.py
@@ -9,6 +9,7 @@
 from tornado.httpserver import HTTPServer
 
 from hitchdeck_core import logs
+from hitchdeck_core.backpressure import Backpressure
 from hitchdeck_core.channels import fleet_only, serve
 from hitchdeck_core.clock import boot_seconds
 from hitchdeck_core.control_client import ControlClient
@@ -144,6 +145,7 @@
         histograms=Histograms(boot_seconds),
         supervisor=supervisor,
         endings=endings_of(fleet.quarantine),
+        backpressure=Backpressure(boot_seconds),
     )
 
 
--- a/packages/router/src/hitchdeck_router/serving/services.py
+++ b/packages/router/src/hitchdeck_router/serving/services.py
@@ -27,7 +27,13 @@
 _BAD_REQUEST = 400
 _READS = frozenset(('GET', 'HEAD'))
 _PASSED_REQUEST_HEADERS = ('Content-Type', 'Accept', 'Accept-Language')
-_PASSED_ANSWER_HEADERS = ('Content-Type', 'Location', 'ETag', 'Last-Modified')
+_PASSED_ANSWER_HEADERS = (
+    'Content-Type',
+    'Location',
+    'ETag',
+    'Last-Modified',
+    'Retry-After',
+)
 _BODILESS = frozenset((204, 304))
 
 
