--- a/tests/cover/test_orders.py
+++ b/tests/cover/test_orders.py
@@ -1,5 +1,6 @@
 """Orders to upstreams that check no fence: one sender, and no repeats."""
 
+import asyncio
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import cast
@@ -23,6 +24,7 @@
 from tests.cover.test_machine import submit
 
 FLIGHT = 0.4
+PAUSE = 1.0
 
 
 @dataclass
@@ -117,6 +119,25 @@
     assert not site.sent()
 
 
+@pytest.mark.parametrize('checks_fences', [True, False])
+async def test_an_order_waits_for_the_pause_that_an_upstream_asks_for(
+    site: Site,
+    checks_fences: bool,
+) -> None:
+    """An upstream that asked for a pause was asked again after 0.2 s, ten times."""
+    kept = site.leader.machine.state.resources['upstream/e'].resource
+    assert isinstance(kept, Upstream)
+    upstream = Upstream(name='e', address=kept.address, checks_fences=checks_fences)
+    submit(site.leader.machine, Put(resource=upstream))
+    site.engine.faults['pause'] = PAUSE
+    asyncio.get_running_loop().call_later(PAUSE * 0.9, site.engine.faults.clear)
+    finished = await site.carry_out()
+    assert [one.state for one in finished] == ['done']
+    asked = [one['event'] for one in read_records(site.records)]
+    first = ['order-taken'] if checks_fences else ['order-asked']
+    assert asked == [*first, 'order-taken', 'order']
+
+
 def test_loads_share_the_rate_of_the_weight_store() -> None:
     store = WeightStore(rate=100)
     assert [store.reserve(200, now=10) for _ in range(3)] == [0, 2, 4]
