Let an order wait for the pause that its upstream asks for

Operators saw an order failed after 2 s whose upstream had only asked for 3 s: it was sent ten times, 0.2 s apart, and an upstream that checks no fence was asked for its state besides.

--- a/packages/control/src/hitchdeck_control/errors.py
+++ b/packages/control/src/hitchdeck_control/errors.py
@@ -32,7 +32,14 @@
 
 
 class OrderError(HitchdeckError):
-    """Raised when an upstream did not take an order; it may be sent again."""
+    """Raised when an upstream did not take an order; it may be sent again.
+
+    ``pause`` is for how many seconds the upstream wants nothing, by its word.
+    """
+
+    def __init__(self, reason: str, pause: float = 0) -> None:
+        super().__init__(reason)
+        self.pause = pause
 
 
 class MembershipError(HitchdeckError):
--- a/packages/control/src/hitchdeck_control/fleet/orders.py
+++ b/packages/control/src/hitchdeck_control/fleet/orders.py
@@ -23,6 +23,7 @@
 from hitchdeck_core import logs
 from hitchdeck_core.commands import FinishOrder
 from hitchdeck_core.resources import Upstream
+from hitchdeck_core.retry_after import RETRY_AFTER, pause_asked
 
 FLIGHT_SECONDS = 5.0
 """Longest time from sending an order to its end, or the call is given up."""
@@ -119,7 +120,8 @@
                 state = await _send(upstream, order, term, sequence)
             except OrderError as error:
                 problem = str(error)
-                await asyncio.sleep(_PERIOD)
+                # Ten tries 0.2 s apart gave up an order within a pause of 3 s.
+                await asyncio.sleep(max(_PERIOD, error.pause))
             else:
                 return FinishOrder(sequence=sequence, state=state)
         return FinishOrder(sequence=sequence, state='failed', detail=problem)
@@ -160,12 +162,19 @@
     except HTTPClientError as error:
         if error.code == _CONFLICT:
             return 'superseded'
-        raise OrderError(f'{upstream.name}: {error}') from error
+        raise OrderError(f'{upstream.name}: {error}', _pause_in(error)) from error
     except OSError as error:
         raise OrderError(f'{upstream.name}: {error}') from error
     return 'done'
 
 
+def _pause_in(error: HTTPClientError) -> float:
+    """Return for how long an upstream wants nothing that answered an error."""
+    if error.response is None:
+        return 0
+    return pause_asked(error.code, error.response.headers.get(RETRY_AFTER, ''))
+
+
 async def _has_it_already(upstream: Upstream, order: Order) -> bool:
     """Read an upstream's state, so as not to repeat what was done unseen."""
     request = HTTPRequest(
@@ -174,7 +183,10 @@
     )
     try:
         reply = await AsyncHTTPClient().fetch(request)
-    except (HTTPClientError, OSError):
+    except HTTPClientError as error:
+        await asyncio.sleep(_pause_in(error))
+        return False
+    except OSError:
         return False
     content = json.loads(reply.body)
     loaded = order.order.target in content.get('loaded', ())
--- a/packages/core/src/hitchdeck_core/retry_after.py
+++ b/packages/core/src/hitchdeck_core/retry_after.py
@@ -11,11 +11,19 @@
 
 RETRY_AFTER = 'Retry-After'
 
+TURNED_AWAY = frozenset((429, 503))
+"""Answers in which the header asks for a pause (RFC 9110, 10.2.3; RFC 6585, 4)."""
+
 LONGEST_SECONDS = 2_147_483_647.0
 """Cap on what is asked for: longer than any process runs, and a number that can
 be added to a clock."""
 
 
+def pause_asked(status: int, given: str) -> float:
+    """Return for how many seconds an answer asks to be sent nothing, 0 for none."""
+    return read_retry_after(given) if status in TURNED_AWAY else 0
+
+
 def read_retry_after(given: str, now: Clock = wall_seconds) -> float:
     """Return the seconds until another try is wanted, 0 where none are told.
 
--- a/packages/router/src/hitchdeck_router/dispatch/pauses.py
+++ b/packages/router/src/hitchdeck_router/dispatch/pauses.py
@@ -2,21 +2,18 @@
 
 from hitchdeck_core.ids import PoolName, UpstreamName
 from hitchdeck_core.resources import Upstream
-from hitchdeck_core.retry_after import RETRY_AFTER, read_retry_after
+from hitchdeck_core.retry_after import RETRY_AFTER, pause_asked
 from hitchdeck_router.context import RouterContext
 from hitchdeck_router.dispatch.calls import Head
 from hitchdeck_router.errors import GrantLostError, NotRunError
 
 _UNAVAILABLE = 503
-_TURNED_AWAY = frozenset((429, _UNAVAILABLE))
-"""Answers in which the header means a pause (RFC 9110, 10.2.3; RFC 6585, 4)."""
 
 
 def heed(context: RouterContext, upstream: Upstream, head: Head) -> None:
     """Keep to the pause that an upstream asks for in an answer."""
-    if head.status in _TURNED_AWAY:
-        seconds = read_retry_after(head.headers.get(RETRY_AFTER, ''))
-        context.backpressure.pause(UpstreamName(upstream.name), seconds)
+    seconds = pause_asked(head.status, head.headers.get(RETRY_AFTER, ''))
+    context.backpressure.pause(UpstreamName(upstream.name), seconds)
 
 
 def check_not_paused(context: RouterContext, pool: PoolName) -> None:
