Move no cache from or to an engine that asked for a pause

Each session that moved asked the same engine for its cache again, or gave it one, while that engine had turned the last one away and asked for a pause.

Both ends are looked at before a move, and what they answer is kept. The session's prompt is computed anew instead, as with any move that fails.

--- a/packages/router/src/hitchdeck_router/dispatch/attempts.py
+++ b/packages/router/src/hitchdeck_router/dispatch/attempts.py
@@ -140,7 +140,7 @@
     target = _check_usable(context, admitted, grant.upstream)
     if grant.moved_from:
         source = UpstreamName(grant.moved_from)
-        await move_cache(context.fleet.view, admitted.session, source, target)
+        await move_cache(context, admitted.session, source, target)
     claimed = await _claim(context, admitted, grant.upstream)
     upstream = _usable_after_claim(context, admitted, grant, claimed)
     admitted.upstream = upstream.name
--- a/packages/router/src/hitchdeck_router/dispatch/caches.py
+++ b/packages/router/src/hitchdeck_router/dispatch/caches.py
@@ -10,9 +10,14 @@
 from hitchdeck_core import logs
 from hitchdeck_core.ids import UpstreamName
 from hitchdeck_core.resources import Upstream
+from hitchdeck_router.context import RouterContext
 from hitchdeck_router.dispatch.calls import CallRequest, open_call
-from hitchdeck_router.errors import UpstreamError, UpstreamRefusedError
-from hitchdeck_router.fleet.view import FleetView
+from hitchdeck_router.dispatch.pauses import check_wants_requests, heed
+from hitchdeck_router.errors import (
+    GrantLostError,
+    UpstreamError,
+    UpstreamRefusedError,
+)
 
 _PATH = '/admin/cache/'
 _SILENCE = 2.0
@@ -20,7 +25,7 @@
 
 
 async def move_cache(
-    view: FleetView,
+    context: RouterContext,
     session: str,
     source: UpstreamName,
     target: Upstream,
@@ -32,15 +37,18 @@
     bool
         Whether the target has the cache now.
     """
-    origin = view.upstreams.get(source)
+    origin = context.fleet.view.upstreams.get(source)
     if origin is None:
         return False
     try:
-        content = await _call(origin, session, 'GET', b'')
+        # Each session's move asked engines again that had asked for a pause.
+        for end in (source, UpstreamName(target.name)):
+            check_wants_requests(context, end)
+        content = await _call(context, origin, session, 'GET', b'')
         if not json.loads(content).get('cache'):
             return False
-        await _call(target, session, 'PUT', content)
-    except (UpstreamError, ValueError) as error:
+        await _call(context, target, session, 'PUT', content)
+    except (GrantLostError, UpstreamError, ValueError) as error:
         logs.info('cache not moved', session=session, reason=str(error))
         return False
     logs.info('cache moved', session=session, source=source, target=target.name)
@@ -48,6 +56,7 @@
 
 
 async def _call(
+    context: RouterContext,
     upstream: Upstream,
     session: str,
     method: str,
@@ -63,6 +72,7 @@
     call = await open_call(upstream.address, request)
     try:
         head = await call.head()
+        heed(context, upstream, head)
         content = await call.whole_body()
     finally:
         call.close()
