Let upstreams of the soak ask for pauses, and count what unwilling ones get

Turned away requests carry pauses of all sorts, readable or not. At the end, when all is calm, two upstreams say in answers that they leave, then all ask for a pause; each may get one request from each box, by which that box is told.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -22,12 +22,17 @@
 from soak.promises import SUCCESS, Answer, History
 from soak.proxy import Proxy
 from standins.platform_site import HOST, KEY, document
-from standins.platform_worker import Worker
+from standins.platform_worker import Fault, Worker
 
 START_SECONDS = 20.0
 CALLERS = 8
 PATHS = ('/s/', '/once/', '/u/', '/g/')
 LETHAL = 'lethal'
+PAUSE = '60'
+"""Seconds, as a worker says them; longer than what is asked of it then."""
+
+ALWAYS = 10_000
+ROUNDS = 3
 CALM_SECONDS = 4.0
 """Until all processes are in touch again and know what each other knows."""
 
@@ -141,6 +146,27 @@
             await faults.revive_ended()
             await asyncio.sleep(REPORTED_SECONDS)
         self.history.lethal_after = self._lethal_runs() - self.history.lethal_before
+        await self._ask_unwilling()
+
+    async def _ask_unwilling(self) -> None:
+        """Ask of workers that say that they leave, then of all, which want a pause."""
+        leavers = [self.workers[0], self.workers[-1]]
+        for leaver in leavers:
+            leaver.leaving = True
+        await self._count_sent(leavers)
+        for worker in self.workers:
+            worker.pause = PAUSE
+            worker.misbehave(Fault.shed, ALWAYS)
+        await self._count_sent(self.workers)
+
+    async def _count_sent(self, unwilling: list[Worker]) -> None:
+        before = [len(worker.seen) for worker in unwilling]
+        for box in self.fleet.boxes * ROUNDS:
+            for path in PATHS:
+                await self._ask(self._next('a'), path, box=box)
+        most = len(self.fleet.boxes)
+        for worker, known in zip(unwilling, before, strict=True):
+            self.history.unwilling.append((worker.name, len(worker.seen) - known, most))
 
     def _lethal_runs(self) -> int:
         ran = [one for worker in self.workers for one in worker.ran]
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -15,6 +15,9 @@
 
 MS = 1000
 
+PAUSES = ('', '', '0.2', '1', 'soon', '-1', '1e-9')
+"""What a worker may say with a request that it turns away."""
+
 Injection = Callable[[], Awaitable[None]]
 
 
@@ -117,6 +120,7 @@
         """Let a worker misbehave on its next requests."""
         worker = self.random.choice(self.workers)
         fault = self.random.choice(list(Fault))
+        worker.pause = self.random.choice(PAUSES)
         worker.misbehave(fault, self.random.randint(1, 5))
 
     async def restart_worker(self) -> None:
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -28,7 +28,9 @@
 class History:
     """Everything seen in one run.
 
-    ``asked`` holds every request that was sent, answered or not.
+    ``asked`` holds every request that was sent, answered or not; ``unwilling`` what
+    calm upstreams got after they had said that they want nothing, and the most that
+    it may be: one request of each box, by which it is told.
     """
 
     asked: set[str] = field(default_factory=set)
@@ -38,6 +40,7 @@
     foreign: list[tuple[str, int]] = field(default_factory=list)
     lethal_before: int = 0
     lethal_after: int = 0
+    unwilling: list[tuple[str, int, int]] = field(default_factory=list)
 
     def broken(self, ran: Counter[str]) -> list[str]:
         """Return a line for each broken promise; ``ran`` counts by attempt."""
@@ -56,6 +59,11 @@
         )
         if self.lethal_before >= ENOUGH_ENDS and self.lethal_after > MOST_LATE:
             lines.append(f'a lethal request ended {self.lethal_after} more when calm')
+        lines.extend(
+            f'{name} got {sent} requests and wanted {most} at most'
+            for name, sent, most in self.unwilling
+            if sent > most
+        )
         return lines
 
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -48,3 +48,8 @@
 def test_a_read_that_goes_back_and_work_nobody_asked_for_are_told() -> None:
     history = History(accepted=4, reads=[(4, 3), (3, 3)])
     assert len(history.broken(Counter({'stranger': 1}))) == 2
+
+
+def test_requests_to_an_upstream_that_wants_none_are_told() -> None:
+    history = History(unwilling=[('w0', 3, 3), ('w1', 4, 3)])
+    assert len(history.broken(Counter())) == 1
