--- a/tests/edge/test_backpressure.py
+++ b/tests/edge/test_backpressure.py
@@ -24,6 +24,7 @@
 from hitchdeck_edge.model.upstreams import Upstream
 from standins.platform_site import Site, running_site
 from standins.platform_worker import Fault, Worker
+from tests.common.asking import PATHS, ask_often, of_pool
 from tests.common.scheduling import FakeClock
 
 PAUSE = 60.0
@@ -31,8 +32,6 @@
 
 ALWAYS = 1000
 
-PATHS = {'llm': ('/s/', '/once/'), 'app': ('/g/', '/u/')}
-
 
 @pytest.fixture
 async def site(tmp_path: Path) -> AsyncIterator[Site]:
@@ -41,27 +40,12 @@
         yield running
 
 
-def of_pool(site: Site, pool: str) -> list[Worker]:
-    return [worker for worker in site.workers if worker.pool == pool]
-
-
 def turn_away(workers: list[Worker], pause: float) -> None:
     for worker in workers:
         worker.pause = str(pause)
         worker.misbehave(Fault.shed, ALWAYS)
 
 
-async def ask_often(site: Site, pool: str, times: int, name: str) -> list[int]:
-    """Ask one after the other, on all routes to a pool; return the statuses."""
-    ask = site.ask_model if pool == 'llm' else site.ask
-    paths = PATHS[pool]
-    replies = [
-        await ask(paths[number % len(paths)], f'{name}{number}')
-        for number in range(times)
-    ]
-    return [reply.code for reply in replies]
-
-
 async def lose_scheduler(site: Site) -> None:
     """Have the boxes decide by themselves."""
     await site.kill_hub(site.hubs[0])
--- a/tests/edge/test_leaving_answers.py
+++ b/tests/edge/test_leaving_answers.py
@@ -19,10 +19,9 @@
 from hitchdeck_core.ids import UpstreamName
 from standins.platform_site import Site, running_site
 from standins.platform_worker import Fault, Worker
+from tests.common.asking import ask_often, of_pool
 from tests.common.scheduling import FakeClock
 
-PATHS = {'llm': ('/s/', '/once/'), 'app': ('/g/', '/u/')}
-
 
 @pytest.fixture
 async def site(tmp_path: Path) -> AsyncIterator[Site]:
@@ -31,21 +30,6 @@
         yield running
 
 
-async def ask_often(site: Site, pool: str, times: int, name: str) -> list[int]:
-    """Ask one after the other, on all routes to a pool; return the statuses."""
-    ask = site.ask_model if pool == 'llm' else site.ask
-    paths = PATHS[pool]
-    replies = [
-        await ask(paths[number % len(paths)], f'{name}{number}')
-        for number in range(times)
-    ]
-    return [reply.code for reply in replies]
-
-
-def of_pool(site: Site, pool: str) -> list[Worker]:
-    return [worker for worker in site.workers if worker.pool == pool]
-
-
 async def ask_until_seen(site: Site, worker: Worker) -> None:
     async with asyncio.timeout(10):
         while not worker.seen:
--- a/tests/edge/test_passing.py
+++ b/tests/edge/test_passing.py
@@ -20,6 +20,7 @@
 from hitchdeck_platform.requests import DIALECT
 from standins.platform_site import HOST, KEY, Site, document, running_site
 from standins.platform_worker import Fault, Worker
+from tests.common.asking import of_pool
 
 
 @pytest.fixture
@@ -29,10 +30,6 @@
         yield running
 
 
-def of_pool(site: Site, pool: str) -> list[Worker]:
-    return [worker for worker in site.workers if worker.pool == pool]
-
-
 def ran(site: Site, attempt: str) -> int:
     return sum(worker.ran.count(attempt) for worker in site.workers)
 
