--- a/tests/cover/test_caller_left.py
+++ b/tests/cover/test_caller_left.py
@@ -12,6 +12,7 @@
 
 import pytest
 
+from hitchdeck_core.backpressure import Backpressure
 from hitchdeck_core.ids import AccountName, PoolName, RequestId
 from hitchdeck_core.quarantine.quarantine import Quarantine
 from hitchdeck_core.resources import Urgency
@@ -55,6 +56,7 @@
         ),
     )
     return SimpleNamespace(
+        backpressure=Backpressure(float),
         budget=SimpleNamespace(earn=list),
         finder=SimpleNamespace(acquire=acquire),
         fleet=fleet,
