--- a/packages/edge/src/hitchdeck_edge/process.py
+++ b/packages/edge/src/hitchdeck_edge/process.py
@@ -103,6 +103,7 @@
         for record, newer in registry.replaced():
             sender.leave(record, newer)
         sender.backpressure.keep(registry.names())
+        self.admission.gauges.unwilling = len(sender.backpressure.closed())
 
 
 async def start_entry(settings: EntrySettings, dialect: Dialect) -> EntryBox:
--- a/packages/edge/src/hitchdeck_edge/serving/gauges.py
+++ b/packages/edge/src/hitchdeck_edge/serving/gauges.py
@@ -30,7 +30,8 @@
     """What is served on the metrics address.
 
     ``longest_turn`` is the longest time without a look at any socket, of late,
-    in seconds; ``placed_alone`` counts what this box placed by itself.
+    in seconds; ``placed_alone`` counts what this box placed by itself;
+    ``unwilling`` is how many upstreams want nothing from it.
     """
 
     def __init__(self, now: Clock) -> None:
@@ -42,6 +43,7 @@
         self.first_opened: dict[RouteName, float] = {}
         self.placed_alone = 0
         self.longest_turn = 0.0
+        self.unwilling = 0
 
     def served(self, passage: Passage, outcome: str, seconds: float) -> None:
         """Count a request that was dispatched."""
@@ -78,6 +80,7 @@
             f'hitchdeck_busy_percent {PERCENT * busy_part():.0f}',
             f'hitchdeck_longest_turn_ms {MS * self.longest_turn:.0f}',
             f'hitchdeck_placed_alone_total {self.placed_alone}',
+            f'hitchdeck_upstreams_unwilling {self.unwilling}',
         ]
         lines.extend(
             f'hitchdeck_requests_total{{outcome="{name}"}} {count}'
--- a/tests/edge/test_backpressure.py
+++ b/tests/edge/test_backpressure.py
@@ -155,6 +155,15 @@
     assert list(seen.values()) == [1]
 
 
+async def test_metrics_tell_how_many_upstreams_want_nothing(site: Site) -> None:
+    turn_away(of_pool(site, 'app'), PAUSE)
+    assert await ask_often(site, 'app', 1, 'r') == [503]
+    box = site.boxes[0]
+    async with asyncio.timeout(10):
+        while 'hitchdeck_upstreams_unwilling 2' not in box.admission.gauges.text():
+            await asyncio.sleep(0.02)
+
+
 FIRST, NEXT = UpstreamName('e0/1'), UpstreamName('e0/2')
 
 
