Show that an upstream that takes a connection while it ends counts as alive

Of the five ends the routers' logs name three; the two others had been asked right after their answers broke off, and no such line follows, which is so only where the upstream took the connection. With an upstream that does so the end is found by neither boxes nor routers.

Both tests are listed.

--- /dev/null
+++ b/tests/cover/test_ends_found.py
@@ -0,0 +1,67 @@
+"""An upstream that still takes a connection while it ends has ended.
+
+Three engines ended under one request, within 30 ms; the router that saw it found one
+of these ends.  Asked for a connection right after their answers had broken off, the
+other two still took it: the kernel closes what a process has open one after the other,
+and the port it listens on need not be first.  So the request was not kept away, and two
+more engines ended under it.
+"""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import replace
+from functools import partial
+
+import pytest
+
+from hitchdeck_core.clock import boot_seconds
+from hitchdeck_core.ids import Address, LifeId
+from hitchdeck_core.quarantine.endings import Endings, Reaches
+from hitchdeck_core.quarantine.fingerprints import fingerprint_of
+from hitchdeck_core.quarantine.quarantine import Quarantine
+from hitchdeck_core.signals import Signal
+from hitchdeck_edge.dispatch.connections import Connections
+from hitchdeck_router.dispatch.calls import takes_connections
+from tests.common.scheduling import engine
+
+SECONDS = 5.0
+
+
+class Ending:
+    """An upstream that ends as it takes its next connection."""
+
+    def __init__(self) -> None:
+        self.server: asyncio.Server | None = None
+
+    async def listen(self) -> Address:
+        """Listen on loopback; return where."""
+        self.server = await asyncio.start_server(self._end, '127.0.0.1', 0)
+        host, port = self.server.sockets[0].getsockname()
+        return Address(f'{host}:{port}')
+
+    async def _end(self, _: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        assert self.server is not None
+        self.server.close()
+        writer.transport.abort()
+
+
+def of_router(address: Address) -> Reaches:
+    return partial(takes_connections, address)
+
+
+def of_box(address: Address) -> Reaches:
+    upstream = replace(engine('e0'), address=address)
+    return partial(Connections(boot_seconds).reaches, upstream)
+
+
+@pytest.mark.parametrize('asker', [of_router, of_box])
+async def test_an_end_that_still_took_a_connection_is_found(
+    asker: Callable[[Address], Reaches],
+) -> None:
+    ended: list[LifeId] = []
+    endings = Endings(Quarantine(boot_seconds, Signal()), ended.append)
+    reaches = asker(await Ending().listen())
+    endings.note(LifeId('e0'), fingerprint_of(b'lethal'), reaches)
+    async with asyncio.timeout(SECONDS):
+        while not ended:
+            await asyncio.sleep(0.02)
