Rename the suspected crashes of upstreams in the quarantine

Names only, no change of behaviour: what a response that breaks off leaves open is a suspected crash, which expires after SUSPICION_TTL_SECONDS.

--- a/packages/core/src/hitchdeck_core/quarantine/endings.py
+++ b/packages/core/src/hitchdeck_core/quarantine/endings.py
@@ -16,16 +16,15 @@
 Reaches = Callable[[], Awaitable[bool]]
 """Tells whether an upstream takes connections."""
 
-UNSURE_SECONDS = 10.0
-"""How long a life stays in doubt that took a connection: it may be the next one that
-did, started at once at the same address, and that is told within some seconds."""
+SUSPICION_TTL_SECONDS = 10.0
+"""Time for a new incarnation at the same address to confirm a suspected crash."""
 
 
 @dataclass(frozen=True, slots=True)
-class Doubt:
-    """What was open at a life that may have ended, and when that was."""
+class SuspectedCrash:
+    """Requests in flight on an incarnation that may have crashed."""
 
-    there: frozenset[Fingerprint]
+    in_flight: frozenset[Fingerprint]
     since: float
 
 
@@ -40,7 +39,7 @@
         self.quarantine = quarantine
         self.on_end = on_end
         self.suspects: dict[LifeId, set[Fingerprint]] = defaultdict(set)
-        self.unsure: dict[LifeId, Doubt] = {}
+        self.suspected: dict[LifeId, SuspectedCrash] = {}
         self.tasks = Supervisor('endings')
 
     def note(self, life: LifeId, content: Fingerprint, reaches: Reaches) -> None:
@@ -52,10 +51,10 @@
 
     def confirm(self, life: LifeId) -> None:
         """Note that a life has surely ended, as its next one is known."""
-        self._forget_old()
-        doubt = self.unsure.pop(life, None)
-        if doubt is not None:
-            self.quarantine.note_end(life, doubt.there)
+        self._expire()
+        crash = self.suspected.pop(life, None)
+        if crash is not None:
+            self.quarantine.note_end(life, crash.in_flight)
 
     async def _ask(self, life: LifeId, reaches: Reaches) -> None:
         try:
@@ -63,19 +62,19 @@
         finally:
             there = self.suspects.pop(life)
         if alive:
-            self._doubt(life, there)
+            self._suspect(life, there)
             return
         self.on_end(life)
         self.quarantine.note_end(life, there)
 
-    def _doubt(self, life: LifeId, there: set[Fingerprint]) -> None:
-        self._forget_old()
-        before = self.unsure.pop(life, None)
-        known = before.there if before else frozenset()
-        self.unsure[life] = Doubt(known | there, self.quarantine.now())
-
-    def _forget_old(self) -> None:
-        horizon = self.quarantine.now() - UNSURE_SECONDS
-        for life, doubt in list(self.unsure.items()):
-            if doubt.since < horizon:
-                self.unsure.pop(life)
+    def _suspect(self, life: LifeId, there: set[Fingerprint]) -> None:
+        self._expire()
+        before = self.suspected.pop(life, None)
+        known = before.in_flight if before else frozenset()
+        self.suspected[life] = SuspectedCrash(known | there, self.quarantine.now())
+
+    def _expire(self) -> None:
+        horizon = self.quarantine.now() - SUSPICION_TTL_SECONDS
+        for life, crash in list(self.suspected.items()):
+            if crash.since < horizon:
+                self.suspected.pop(life)
--- a/tests/cover/test_quarantine.py
+++ b/tests/cover/test_quarantine.py
@@ -14,7 +14,7 @@
     Casualties,
     Casualty,
 )
-from hitchdeck_core.quarantine.endings import UNSURE_SECONDS, Endings
+from hitchdeck_core.quarantine.endings import SUSPICION_TTL_SECONDS, Endings
 from hitchdeck_core.quarantine.fingerprints import Fingerprint, fingerprint_of
 from hitchdeck_core.quarantine.messages import decode_news, encode_news
 from hitchdeck_core.quarantine.quarantine import (
@@ -259,7 +259,7 @@
 
 
 @pytest.mark.parametrize(
-    ('seconds', 'counted'), [(1, True), (UNSURE_SECONDS + 1, False)]
+    ('seconds', 'counted'), [(1, True), (SUSPICION_TTL_SECONDS + 1, False)]
 )
 async def test_a_life_replaced_at_once_at_its_address_has_ended(
     seconds: float, counted: bool
