Find a crashed upstream whose port still accepts connections

Callers saw: a request under which upstreams crash was sent on after three crashes, and two more engines crashed with all that was in flight on them.

Cause: right after a response had broken off, boxes and routers opened one connection and took an upstream that accepted it for alive. A process that exits closes its descriptors one after the other; where the listening port is last, that connection is accepted and then reset, which nobody looked at.

Ruled out: the counting of crashes (three that are found do quarantine), and the spread of the verdict (the test waits for it).

Fix: a probe keeps its connection open for a second and opens one that the upstream closes again; a refusal at any time means that it crashed. The crash of an incarnation that is replaced during the probe is recorded too. Both request paths use the same probe. The connection of the box's probe is kept for later requests, as before.

--- a/packages/core/src/hitchdeck_core/quarantine/endings.py
+++ b/packages/core/src/hitchdeck_core/quarantine/endings.py
@@ -1,20 +1,22 @@
 """Finding out whether an upstream ended, where a request's answer broke off.
 
-A broken answer alone says little: links are reset, answers get lost.  Whoever can't
-be connected to right after it has ended, together with all that was open there.
+A broken answer alone says little: links are reset, answers get lost.  A refused
+connection after a broken response means that the upstream crashed, with all requests
+in flight on it.
 """
 
 from collections import defaultdict
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
+from hitchdeck_core import logs
 from hitchdeck_core.ids import LifeId
 from hitchdeck_core.quarantine.fingerprints import Fingerprint
 from hitchdeck_core.quarantine.quarantine import Quarantine
 from hitchdeck_core.supervisor import Supervisor
 
 Reaches = Callable[[], Awaitable[bool]]
-"""Tells whether an upstream takes connections."""
+"""Tells whether an upstream accepts connections and goes on running."""
 
 SUSPICION_TTL_SECONDS = 10.0
 """Time for a new incarnation at the same address to confirm a suspected crash."""
@@ -53,15 +55,26 @@
         """Note that a life has surely ended, as its next one is known."""
         self._expire()
         crash = self.suspected.pop(life, None)
-        if crash is not None:
-            self.quarantine.note_end(life, crash.in_flight)
+        in_flight = crash.in_flight if crash else frozenset()
+        # A probe of this incarnation may still be running.
+        in_flight |= self.suspects.pop(life, set())
+        if in_flight:
+            self.quarantine.note_end(life, in_flight)
 
     async def _ask(self, life: LifeId, reaches: Reaches) -> None:
         try:
             alive = await reaches()
         finally:
-            there = self.suspects.pop(life)
+            there = self.suspects.pop(life, set())
+        if not there:
+            # Confirmed while the probe was running.
+            return
         if alive:
+            logs.info(
+                'upstream accepts connections after a broken response',
+                upstream=life,
+                contents=[one.hex() for one in there],
+            )
             self._suspect(life, there)
             return
         self.on_end(life)
--- /dev/null
+++ b/packages/core/src/hitchdeck_core/quarantine/probing.py
@@ -0,0 +1,48 @@
+"""Probing an upstream that may have crashed.
+
+A process that exits closes its descriptors one after the other, so its port may still
+accept a connection while its responses have already broken off.  Such a connection is
+closed when the exit completes, and the next attempt is refused.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+WATCH_SECONDS = 1.0
+"""Time for which a connection must stay open to count as accepted by a live process."""
+
+MOST_CONNECTIONS = 3
+"""Connections opened in one probe: a live upstream may close some when it is full."""
+
+REOPEN_SECONDS = 0.05
+"""Pause before a connection that was closed is opened again."""
+
+UntilClosed = Callable[[], Awaitable[None]]
+"""Waits until the peer closes or resets a connection."""
+
+Open = Callable[[], Awaitable[UntilClosed | None]]
+"""Opens a connection; returns ``None`` if the upstream can't be connected to."""
+
+
+async def stays_reachable(open_connection: Open) -> bool:
+    """Tell whether an upstream accepts a connection and goes on running.
+
+    Returns
+    -------
+    bool
+        False as soon as a connection is refused, also after an earlier one was
+        accepted; it takes up to ``WATCH_SECONDS`` to find a live upstream.
+    """
+    deadline = asyncio.get_running_loop().time() + WATCH_SECONDS
+    for _ in range(MOST_CONNECTIONS):
+        until_closed = await open_connection()
+        if until_closed is None:
+            return False
+        try:
+            async with asyncio.timeout_at(deadline):
+                await until_closed()
+        except TimeoutError:
+            # Still open: the process that accepted the connection lives.
+            return True
+        await asyncio.sleep(REOPEN_SECONDS)
+    return True
--- a/packages/edge/src/hitchdeck_edge/dispatch/connections.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/connections.py
@@ -7,6 +7,7 @@
 
 from hitchdeck_core.clock import Clock
 from hitchdeck_core.ids import UpstreamName
+from hitchdeck_core.quarantine.probing import UntilClosed, stays_reachable
 from hitchdeck_edge.dispatch.exchange import Connection, connect
 from hitchdeck_edge.errors import NotSentError
 from hitchdeck_edge.model.calls import Header
@@ -25,8 +26,8 @@
 then nobody knows whether such a request ran."""
 
 PROBES = 2
-"""Tries before an upstream counts as out of reach: a link that loses three packets
-in a hundred loses both openings once in a thousand."""
+"""Attempts to connect before an upstream counts as out of reach: one opening packet
+may be lost."""
 
 SWEEP_SECONDS = 2.0
 """Between two closings of connections that have rested too long."""
@@ -65,16 +66,25 @@
         return await self._open(upstream)
 
     async def reaches(self, upstream: Upstream) -> bool:
-        """Tell whether an upstream takes connections; keep the new one."""
-        for _ in range(PROBES):
-            try:
-                connection = await self._open(upstream)
-            except NotSentError:
-                # Whether it can be reached is just what is asked.
-                continue
-            self.put_back(upstream.name, connection)
-            return True
-        return False
+        """Tell whether an upstream accepts connections and goes on running.
+
+        The last connection of the probe is kept for later requests.
+        """
+        opened: list[Connection] = []
+
+        async def open_probe() -> UntilClosed | None:
+            connection = await self._open_probe(upstream)
+            if connection is None:
+                return None
+            opened.append(connection)
+            return connection.until_closed
+
+        try:
+            return await stays_reachable(open_probe)
+        finally:
+            for connection in opened:
+                if connection.usable:
+                    self.put_back(upstream.name, connection)
 
     def give_back(
         self,
@@ -129,6 +139,16 @@
         connection.idle_limit = IDLE_SECONDS
         return connection
 
+    async def _open_probe(self, upstream: Upstream) -> Connection | None:
+        refused = 0
+        while refused < PROBES:
+            try:
+                return await self._open(upstream)
+            except NotSentError:
+                # Whether it can be reached is just what is asked.
+                refused += 1
+        return None
+
     def _idle_seconds(self, connection: Connection) -> float:
         return self.now() - connection.idle_since
 
--- a/packages/edge/src/hitchdeck_edge/dispatch/exchange.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/exchange.py
@@ -157,6 +157,11 @@
             pieces.append(piece)
         return b''.join(pieces)
 
+    async def until_closed(self) -> None:
+        """Return when the upstream has closed or reset an idle connection."""
+        while not self.closed:
+            await self._wait()
+
     def expect_another_answer(self) -> bool:
         """Make ready to read once more, after an answer to an earlier request.
 
--- a/packages/router/src/hitchdeck_router/dispatch/calls.py
+++ b/packages/router/src/hitchdeck_router/dispatch/calls.py
@@ -22,6 +22,7 @@
 
 from hitchdeck_core.channels import split_address
 from hitchdeck_core.ids import Address
+from hitchdeck_core.quarantine.probing import UntilClosed, stays_reachable
 from hitchdeck_router.errors import UpstreamBrokenError, UpstreamUnreachedError
 
 CONNECT_SECONDS = 2.0
@@ -196,14 +197,30 @@
 
 
 async def takes_connections(address: Address) -> bool:
-    """Tell whether an upstream takes a connection."""
+    """Tell whether an upstream accepts connections and goes on running."""
+    opened: list[IOStream] = []
+
+    async def open_probe() -> UntilClosed | None:
+        try:
+            stream = await _connect(address)
+        except UpstreamUnreachedError:
+            # That it could not be reached is the answer.
+            return None
+        opened.append(stream)
+        closed = asyncio.Event()
+        stream.set_close_callback(closed.set)
+
+        async def until_closed() -> None:
+            if not stream.closed():
+                await closed.wait()
+
+        return until_closed
+
     try:
-        stream = await _connect(address)
-    except UpstreamUnreachedError:
-        # That it could not be reached is the answer.
-        return False
-    stream.close()
-    return True
+        return await stays_reachable(open_probe)
+    finally:
+        for stream in opened:
+            stream.close()
 
 
 async def _connect(address: Address) -> IOStream:
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -8,6 +8,7 @@
 import asyncio
 import json
 import os
+import time
 from collections import OrderedDict
 from pathlib import Path
 from typing import Any
@@ -23,6 +24,8 @@
 _CONFLICT = 409
 _UNAVAILABLE = 503
 _CRASHED = 9
+_PORT_LAST_SECONDS = 0.2
+"""Time for which the port of a crashing engine still accepts connections."""
 
 
 class Engine:
@@ -91,7 +94,7 @@
             self.engine.caches[session] = f'kv-of-{session}'
         lethal = self.engine.faults.get('lethal')
         if lethal and lethal in json.dumps(body):
-            os._exit(_CRASHED)
+            self._crash()
         self.set_header('Content-Type', 'text/event-stream')
         self.set_header('X-Request-Id', self.engine.faults.get('foreign_id', request))
         tokens, done = answer_tokens(body)
@@ -118,6 +121,13 @@
         await self.finish()
         return 'whole'
 
+    def _crash(self) -> None:
+        """Exit; with ``port_last`` the port still accepts after the break."""
+        if self.engine.faults.get('port_last'):
+            self.detach().close()
+            time.sleep(_PORT_LAST_SECONDS)
+        os._exit(_CRASHED)
+
     def _die(self) -> str:
         self.request.connection.stream.close()  # type: ignore[union-attr]
         return 'died'
--- a/tests/failures/test_lethal_requests.py
+++ b/tests/failures/test_lethal_requests.py
@@ -26,9 +26,9 @@
     return sum(engine.is_running() for engine in fleet.engines)
 
 
-async def end_engines(fleet: Fleet) -> None:
+async def end_engines(fleet: Fleet, *, port_last: bool = False) -> None:
     for engine in fleet.engines:
-        await callers.set_faults(engine, lethal=LETHAL)
+        await callers.set_faults(engine, lethal=LETHAL, port_last=port_last)
     asked = 0
     async with asyncio.timeout(SECONDS):
         while running(fleet) > ENGINES - ENOUGH:
@@ -50,3 +50,17 @@
         assert running(fleet) == left
         sound = await ask(fleet, 0, 'sound')
         assert callers.text_of(sound) == callers.expected_text('sound')
+
+
+async def test_crashes_are_found_where_the_port_closes_last(tmp_path: Path) -> None:
+    # Guards against probes that take a crashing engine for a live one.
+    with running_fleet(tmp_path, FleetSize(routers=3, engines=ENGINES)) as fleet:
+        path = callers.write_resources(fleet)
+        fleet.hitchdeck('apply', str(path), '--wait')
+        await callers.until_ready(fleet)
+        await end_engines(fleet, port_last=True)
+        await asyncio.sleep(SPREAD_SECONDS)
+        left = running(fleet)
+        replies = [await ask(fleet, number, LETHAL) for number in range(6)]
+        assert [callers.text_of(reply) for reply in replies] == ['quarantined'] * 6
+        assert running(fleet) == left
