--- a/packages/edge/src/hitchdeck_edge/dispatch/sender.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/sender.py
@@ -44,7 +44,7 @@
     ) -> None:
         self.dialect = dialect
         self.quarantine = quarantine
-        self.endings = Endings(quarantine, chooser.local.placement.registry.doubt)
+        self.endings = Endings(quarantine, chooser.local.placement.registry.suspect)
         self.link = chooser.link
         self.placement = chooser.local.placement
         self.backpressure = chooser.backpressure
--- a/packages/edge/src/hitchdeck_edge/hub/spread.py
+++ b/packages/edge/src/hitchdeck_edge/hub/spread.py
@@ -107,7 +107,7 @@
             ended = state.quarantine.take(news, attendee.hello.box)
             # Only what is news: a box tells all it knows each time that it comes.
             for life in ended:
-                state.registry.doubt(life)
+                state.registry.suspect(life)
 
     async def _send(self, attendee: Attendee, stream: BoxStream) -> None:
         sent = _Sent()
--- a/packages/edge/src/hitchdeck_edge/state/registry.py
+++ b/packages/edge/src/hitchdeck_edge/state/registry.py
@@ -78,7 +78,7 @@
             origin=origin,
         )
         self._end_earlier_lives(record)
-        self._doubt_holder(record)
+        self._suspect_holder(record)
         return True
 
     def hear(self, name: UpstreamName) -> None:
@@ -146,7 +146,7 @@
                 logs.warning('upstream silent', upstream=name, seconds=limit)
                 self._store(replace(record, silent=True))
 
-    def doubt(self, life: LifeId) -> None:
+    def suspect(self, life: LifeId) -> None:
         """Mark a life that a box found to take no connections any more.
 
         Only doubt: it clears itself with its next report.  A sound request met
@@ -208,7 +208,7 @@
         if before.phase is not Phase.gone:
             self._store(replace(before, phase=Phase.gone))
 
-    def _doubt_holder(self, record: Upstream) -> None:
+    def _suspect_holder(self, record: Upstream) -> None:
         """Doubt the earlier upstream at an address that another one reports.
 
         Only doubt: the report may be a late one of a life that has ended, and
@@ -220,9 +220,9 @@
         self.holders[record.address] = record.name
         if holder is None or holder == record.name or holder not in self.records:
             return
-        doubted = self.records[holder]
-        if doubted.phase is not Phase.gone and not doubted.silent:
-            self._store(replace(doubted, silent=True))
+        suspected = self.records[holder]
+        if suspected.phase is not Phase.gone and not suspected.silent:
+            self._store(replace(suspected, silent=True))
             logs.info('upstream superseded', upstream=holder, by=record.name)
 
     def _forget(self, record: Upstream) -> None:
