Give the suspicion of a crash an order, so that registries settle

Cause: a record's silent flag had no order of its own. A record of the same sequence was taken whenever the flag differed, so two processes that differed passed it back and forth without end, each turn to all boxes and into each log; the suspicion of an address's earlier holder was raised again by each such turn.

Fix: a suspicion is raised against the newest report that a hub knows, and carries the sequence of the first report that clears it; both are merged by their maximum. A hub that knows a later report answers with its record; boxes carry suspicions between hubs that are cut off from each other. A box that finds a crash avoids the upstream for 5 s by its own health records, where it used to mark a record that nobody cleared. Only processes that get reports suspect the earlier holder of an address, once for each incarnation.

Ruled out: that silent always wins (takes an upstream away for ever when one hub is cut off) and the time of the evidence (clocks jump): docs/design.

Tests: the field silent of a record is now derived, so two existing tables say cleared_by in its place and check the same. hitchdeck_upstream_changes_total counts changes.

--- a/packages/edge/src/hitchdeck_edge/dispatch/sender.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/sender.py
@@ -6,7 +6,7 @@
 from hitchdeck_core import logs
 from hitchdeck_core.busyness import busy_part
 from hitchdeck_core.clock import Clock
-from hitchdeck_core.ids import UpstreamName
+from hitchdeck_core.ids import LifeId, UpstreamName
 from hitchdeck_core.quarantine.endings import Endings
 from hitchdeck_core.quarantine.quarantine import Quarantine
 from hitchdeck_edge.dispatch.attempts import Attempt, Service, Verdict, verdict_on
@@ -44,9 +44,9 @@
     ) -> None:
         self.dialect = dialect
         self.quarantine = quarantine
-        self.endings = Endings(quarantine, chooser.local.placement.registry.suspect)
         self.link = chooser.link
         self.placement = chooser.local.placement
+        self.endings = Endings(quarantine, self._note_crash)
         self.backpressure = chooser.backpressure
         self.domain = chooser.domain
         self.connections = connections
@@ -109,6 +109,10 @@
         self.endings.confirm(record.life)
         self.backpressure.pass_on(record.name, newer.name)
 
+    def _note_crash(self, life: LifeId) -> None:
+        """Avoid an upstream here; hubs hear of its crash from the quarantine."""
+        self.placement.health.crash(UpstreamName(life))
+
     def _open_attempt(self, passage: Passage, choice: Choice) -> Attempt:
         name = choice.upstream.name
         ticket = Ticket(self.placement.books, name, choice.tokens)
--- a/packages/edge/src/hitchdeck_edge/hub/process.py
+++ b/packages/edge/src/hitchdeck_edge/hub/process.py
@@ -85,6 +85,7 @@
         figures = {
             'document_version': self.state.documents.version,
             'upstreams': len(self.state.registry.records),
+            'upstream_changes_total': self.state.registry.changes,
             'entry_boxes_ready': len(attendees.entries()),
             'hubs_in_reach': len(attendees.hubs()),
             'contents_judged': len(self.state.quarantine.verdicts.known),
--- a/packages/edge/src/hitchdeck_edge/hub/spread.py
+++ b/packages/edge/src/hitchdeck_edge/hub/spread.py
@@ -20,7 +20,7 @@
 from hitchdeck_core.wire.spread_pb2 import BoxFrame, HubFrame
 from hitchdeck_edge.hub.attendees import Attendee, Attendees
 from hitchdeck_edge.links.attend import REPORT_SECONDS
-from hitchdeck_edge.links.records import encode_upstream
+from hitchdeck_edge.links.records import decode_suspicion, encode_upstream
 from hitchdeck_edge.settings import HubSettings
 from hitchdeck_edge.state.documents import Documents, ReadDocument
 from hitchdeck_edge.state.registry import Registry
@@ -108,6 +108,8 @@
             # Only what is news: a box tells all it knows each time that it comes.
             for life in ended:
                 state.registry.suspect(life)
+        for record in frame.suspicions:
+            state.registry.merge_suspicion(decode_suspicion(record))
 
     async def _send(self, attendee: Attendee, stream: BoxStream) -> None:
         sent = _Sent()
--- a/packages/edge/src/hitchdeck_edge/links/entry.py
+++ b/packages/edge/src/hitchdeck_edge/links/entry.py
@@ -12,6 +12,7 @@
 from hitchdeck_edge.links.attend import Attendance, box_idle, box_pause
 from hitchdeck_edge.links.hubs import HubBook
 from hitchdeck_edge.links.intake import take_news
+from hitchdeck_edge.links.records import encode_suspicion
 from hitchdeck_edge.settings import EntrySettings
 from hitchdeck_edge.state.knowledge import Knowledge
 from hitchdeck_edge.state.tallies import Tally, tally_of
@@ -38,6 +39,7 @@
         self.ready = False
         self.urgent = known.quarantine.changed
         self.told: dict[Address, Told] = {}
+        self.told_changes: dict[Address, int] = {}
         self.incarnation = secrets.token_hex(4)
         self.home: Address | None = None
         self.heard = -math.inf
@@ -65,9 +67,11 @@
         if first:
             frame.hello.CopyFrom(self._hello())
             self.told.pop(hub, None)
+            self.told_changes.pop(hub, None)
         if home:
             self._report(frame)
         self._tell_news(hub, frame)
+        self._tell_suspicions(hub, frame)
         return frame
 
     def lose(self, hub: Address) -> None:
@@ -122,6 +126,19 @@
         if news.casualties or news.verdicts:
             frame.quarantine.CopyFrom(encode_news(news, quarantine.now()))
 
+    def _tell_suspicions(self, hub: Address, frame: BoxFrame) -> None:
+        """Add the suspected crashes that a hub may be able to clear.
+
+        The hub that raised one may be cut off from the one that gets the reports.
+        """
+        registry = self.known.registry
+        told = self.told_changes.get(hub, 0)
+        if registry.changes == told:
+            return
+        self.told_changes[hub] = registry.changes
+        fresh = registry.suspicions_since(told)
+        frame.suspicions.extend(encode_suspicion(one) for one in fresh)
+
     def _report(self, frame: BoxFrame) -> None:
         frame.loads.extend(self.known.books.own.loads())
         frame.demands.extend(self.known.scheduler.shares.demands())
--- a/packages/edge/src/hitchdeck_edge/links/records.py
+++ b/packages/edge/src/hitchdeck_edge/links/records.py
@@ -5,8 +5,12 @@
 
 from hitchdeck_core import logs
 from hitchdeck_core.ids import Address, InstanceName, PoolName, UpstreamName
-from hitchdeck_core.wire.spread_pb2 import UpstreamPhase, UpstreamRecord
-from hitchdeck_edge.model.upstreams import Phase, Upstream
+from hitchdeck_core.wire.spread_pb2 import (
+    SuspicionRecord,
+    UpstreamPhase,
+    UpstreamRecord,
+)
+from hitchdeck_edge.model.upstreams import Phase, Suspicion, Upstream
 
 _PHASES = MappingProxyType(
     {
@@ -27,7 +31,7 @@
         slots=upstream.slots,
         phase=_PHASES[upstream.phase],
         sequence=upstream.sequence,
-        silent=upstream.silent,
+        cleared_by=upstream.cleared_by,
         instance=upstream.instance,
         born=upstream.born,
     )
@@ -43,12 +47,22 @@
         slots=int(record.slots),
         phase=Phase(int(record.phase)),
         sequence=int(record.sequence),
-        silent=record.silent,
+        cleared_by=int(record.cleared_by),
         instance=InstanceName(record.instance),
         born=int(record.born),
     )
 
 
+def encode_suspicion(suspicion: Suspicion) -> SuspicionRecord:
+    """Return the message for a suspected crash."""
+    return SuspicionRecord(upstream=suspicion.upstream, cleared_by=suspicion.cleared_by)
+
+
+def decode_suspicion(record: SuspicionRecord) -> Suspicion:
+    """Return the suspected crash of a message."""
+    return Suspicion(UpstreamName(record.upstream), int(record.cleared_by))
+
+
 def decode_upstreams(records: Iterable[UpstreamRecord]) -> list[Upstream]:
     """Return the upstreams of messages, without those that can't be read.
 
--- a/packages/edge/src/hitchdeck_edge/model/upstreams.py
+++ b/packages/edge/src/hitchdeck_edge/model/upstreams.py
@@ -30,8 +30,9 @@
     ----------
     sequence
         Grows with every report of a life, so that a late one can be told.
-    silent
-        No hub has heard of it for a while.
+    cleared_by
+        Sequence of the first report that clears a suspected crash; 0 if there was
+        none.  A suspicion is raised against the newest report that a hub knows.
     instance
         What it calls itself, in each of its lives.
     born
@@ -46,10 +47,20 @@
     slots: int
     phase: Phase
     sequence: int
-    silent: bool = False
+    cleared_by: int = 0
     instance: InstanceName = InstanceName('')
     born: int = 0
 
+    @property
+    def silent(self) -> bool:
+        """Tell whether it is suspected to have crashed, and not heard of since."""
+        return self.sequence < self.cleared_by
+
+    @property
+    def rank(self) -> tuple[bool, int]:
+        """Return what is higher for the newer of two records of one incarnation."""
+        return (self.phase is Phase.gone, self.sequence)
+
     @property
     def lineage(self) -> InstanceName:
         """Return what all lives of this upstream have in common."""
@@ -66,6 +77,14 @@
         return LifeId(self.name)
 
 
+@dataclass(frozen=True, slots=True)
+class Suspicion:
+    """A suspected crash, and the sequence of the first report that clears it."""
+
+    upstream: UpstreamName
+    cleared_by: int
+
+
 def name_of_life(instance: InstanceName, born: int) -> UpstreamName:
     """Return the name of one life of an instance."""
     return UpstreamName(f'{instance}/{born}' if born else instance)
--- a/packages/edge/src/hitchdeck_edge/process.py
+++ b/packages/edge/src/hitchdeck_edge/process.py
@@ -104,6 +104,7 @@
             sender.leave(record, newer)
         sender.backpressure.keep(registry.names())
         self.admission.gauges.unwilling = len(sender.backpressure.closed())
+        self.admission.gauges.upstream_changes = registry.changes
 
 
 async def start_entry(settings: EntrySettings, dialect: Dialect) -> EntryBox:
--- a/packages/edge/src/hitchdeck_edge/scheduling/health.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/health.py
@@ -17,6 +17,9 @@
 """Far more than reach the longest ejection: after a thousand failures in a row
 the doubled pause no longer was a number, and the request ended in an error."""
 
+CRASHED_SECONDS = 5.0
+"""After a crash that this box found; hubs know of it within one exchange."""
+
 MISPLACED_SECONDS = 30.0
 """After another upstream answered at its address."""
 
@@ -90,6 +93,11 @@
         self._eject(name, MISPLACED_SECONDS)
         logs.info('upstream misplaced', upstream=name, seconds=MISPLACED_SECONDS)
 
+    def crash(self, name: UpstreamName) -> None:
+        """Note that an upstream refused a connection after a broken response."""
+        self._eject(name, CRASHED_SECONDS)
+        logs.info('upstream crashed', upstream=name, seconds=CRASHED_SECONDS)
+
     def measure_slowness(self, name: UpstreamName, ratio: float) -> None:
         """Note how long a first token took against what was expected."""
         known = self.record(name)
--- a/packages/edge/src/hitchdeck_edge/serving/gauges.py
+++ b/packages/edge/src/hitchdeck_edge/serving/gauges.py
@@ -31,7 +31,8 @@
 
     ``longest_turn`` is the longest time without a look at any socket, of late,
     in seconds; ``placed_alone`` counts what this box placed by itself;
-    ``unwilling`` is how many upstreams want nothing from it.
+    ``unwilling`` is how many upstreams want nothing from it; ``upstream_changes``
+    counts the changes of their records.
     """
 
     def __init__(self, now: Clock) -> None:
@@ -44,6 +45,7 @@
         self.placed_alone = 0
         self.longest_turn = 0.0
         self.unwilling = 0
+        self.upstream_changes = 0
 
     def served(self, passage: Passage, outcome: str, seconds: float) -> None:
         """Count a request that was dispatched."""
@@ -81,6 +83,7 @@
             f'hitchdeck_longest_turn_ms {MS * self.longest_turn:.0f}',
             f'hitchdeck_placed_alone_total {self.placed_alone}',
             f'hitchdeck_upstreams_unwilling {self.unwilling}',
+            f'hitchdeck_upstream_changes_total {self.upstream_changes}',
         ]
         lines.extend(
             f'hitchdeck_requests_total{{outcome="{name}"}} {count}'
--- a/packages/edge/src/hitchdeck_edge/state/knowledge.py
+++ b/packages/edge/src/hitchdeck_edge/state/knowledge.py
@@ -31,7 +31,7 @@
     """Return what an entry box knows when it starts: nothing of the fleet yet."""
     news = Signal()
     documents = Documents(dialect.read_document, news)
-    registry = Registry(boot_seconds, news)
+    registry = Registry(boot_seconds, news, hears_reports=False)
     scheduler = new_scheduler(settings, documents, registry)
     quarantine = Quarantine(boot_seconds, Signal())
     books = scheduler.placement.books
--- a/packages/edge/src/hitchdeck_edge/state/registry.py
+++ b/packages/edge/src/hitchdeck_edge/state/registry.py
@@ -1,19 +1,21 @@
 """Upstreams as they reported themselves, merged from every source.
 
-Soft state: it needs no quorum.  Records of one life are merged by their sequence,
-and a later life of an instance ends the earlier ones, so any order of arrival over
-any path ends in the same state, and each box keeps what it last knew while no hub
-can be reached.
+Soft state: it needs no quorum.  The newer record of an incarnation wins, a suspected
+crash is merged by the report that clears it, and a later incarnation of an instance
+ends the earlier ones.  Each is a maximum, so any order of arrival over any path ends in
+the same state after a bounded number of records, and each box keeps what it last knew
+while no hub can be reached.
 """
 
 from collections.abc import Iterable
 from dataclasses import replace
+from operator import attrgetter
 
 from hitchdeck_core import logs
 from hitchdeck_core.clock import Clock
 from hitchdeck_core.ids import Address, InstanceName, LifeId, PoolName, UpstreamName
 from hitchdeck_core.signals import Signal
-from hitchdeck_edge.model.upstreams import Phase, Upstream, name_of_life
+from hitchdeck_edge.model.upstreams import Phase, Suspicion, Upstream, name_of_life
 
 GONE_KEPT_SECONDS = 120.0
 """How long the end of an upstream is remembered: far longer than a late
@@ -39,10 +41,16 @@
         The latest life known of each instance, also when it has ended.
     superseded
         Lives that ended since a later one of their instance is known.
+    hears_reports
+        Whether upstreams report to this process.  Only such a process suspects the
+        earlier holder of an address: nobody would clear the suspicion of another.
     """
 
-    def __init__(self, now: Clock, changed: Signal) -> None:
+    def __init__(
+        self, now: Clock, changed: Signal, *, hears_reports: bool = True
+    ) -> None:
         self.now = now
+        self.hears_reports = hears_reports
         self.records: dict[UpstreamName, Upstream] = {}
         self.numbers: dict[UpstreamName, int] = {}
         self.heard: dict[UpstreamName, float] = {}
@@ -60,12 +68,17 @@
         if self._is_of_earlier_life(record):
             return False
         known = self.records.get(record.name)
-        if known is not None and not _outranks(record, known):
-            return False
-        if not _differs(record, known):
-            # A report that says nothing new is not passed on.
-            self.records[record.name] = record
+        if record == known:
             return False
+        if known is not None:
+            record = _join(record, known)
+            if record.sequence > known.sequence:
+                # Somebody has heard of it since.
+                self.heard[record.name] = self.now()
+            if not _differs(record, known):
+                # A report that says nothing new is not passed on.
+                self.records[record.name] = record
+                return False
         self._store(record)
         logs.info(
             'upstream known',
@@ -75,18 +88,17 @@
             phase=record.phase.name,
             sequence=record.sequence,
             silent=record.silent,
+            cleared_by=record.cleared_by,
             origin=origin,
         )
         self._end_earlier_lives(record)
-        self._suspect_holder(record)
+        if known is None or known.address != record.address:
+            self._suspect_holder(record)
         return True
 
     def hear(self, name: UpstreamName) -> None:
-        """Note that an upstream was heard of now."""
+        """Note that an upstream was heard of now; its reports clear suspicions."""
         self.heard[name] = self.now()
-        record = self.records.get(name)
-        if record is not None and record.silent:
-            self._store(replace(record, silent=False))
 
     def end(self, instance: InstanceName, origin: str, born: int = 0) -> None:
         """Note that a life ended, known or not; the latest where none is named."""
@@ -144,18 +156,32 @@
             last = self.heard.setdefault(name, self.now())
             if last < horizon and not record.silent and record.phase is not Phase.gone:
                 logs.warning('upstream silent', upstream=name, seconds=limit)
-                self._store(replace(record, silent=True))
+                self._raise_suspicion(record)
 
     def suspect(self, life: LifeId) -> None:
-        """Mark a life that a box found to take no connections any more.
+        """Suspect that an incarnation has crashed, until its next report."""
+        record = self.records.get(UpstreamName(life))
+        if record is not None:
+            self._raise_suspicion(record)
+
+    def suspicions_since(self, number: int) -> list[Suspicion]:
+        """Return the suspected crashes that changed after a change number."""
+        return [
+            Suspicion(record.name, record.cleared_by)
+            for record in self.since(number)
+            if record.silent and record.phase is not Phase.gone
+        ]
 
-        Only doubt: it clears itself with its next report.  A sound request met
-        four ended upstreams in a row, and was refused, where boxes told nobody.
+    def merge_suspicion(self, suspicion: Suspicion) -> None:
+        """Take a suspicion that another process has of an upstream.
+
+        Where a later report is known, the record that clears it is passed on.
         """
-        for record in list(self.records.values()):
-            ended = record.phase is Phase.gone or record.silent
-            if record.life == life and not ended:
-                self._store(replace(record, silent=True))
+        record = self.records.get(suspicion.upstream)
+        if record is None or record.phase is Phase.gone:
+            return
+        if suspicion.cleared_by > record.cleared_by:
+            self._store(replace(record, cleared_by=suspicion.cleared_by))
 
     def gone(self) -> set[UpstreamName]:
         """Return the upstreams whose end is known."""
@@ -209,10 +235,10 @@
             self._store(replace(before, phase=Phase.gone))
 
     def _suspect_holder(self, record: Upstream) -> None:
-        """Doubt the earlier upstream at an address that another one reports.
+        """Suspect the earlier upstream at an address that another one reports.
 
-        Only doubt: the report may be a late one of a life that has ended, and
-        then the upstream that is doubted clears itself with its next report.
+        The report may be a late one of an incarnation that has ended; then the
+        upstream that is suspected clears itself with its next report.
         """
         if record.phase is Phase.gone or not record.address:
             return
@@ -220,11 +246,15 @@
         self.holders[record.address] = record.name
         if holder is None or holder == record.name or holder not in self.records:
             return
-        suspected = self.records[holder]
-        if suspected.phase is not Phase.gone and not suspected.silent:
-            self._store(replace(suspected, silent=True))
+        if self.hears_reports and self._raise_suspicion(self.records[holder]):
             logs.info('upstream superseded', upstream=holder, by=record.name)
 
+    def _raise_suspicion(self, record: Upstream) -> bool:
+        if record.phase is Phase.gone or record.silent:
+            return False
+        self._store(replace(record, cleared_by=record.sequence + 1))
+        return True
+
     def _forget(self, record: Upstream) -> None:
         for known in (self.records, self.numbers, self.heard, self.stored):
             known.pop(record.name, None)
@@ -236,17 +266,23 @@
             self.holders.pop(record.address)
 
 
-def _outranks(record: Upstream, known: Upstream) -> bool:
-    if known.phase is Phase.gone:
-        return False
-    if record.phase is Phase.gone:
-        return True
-    if record.sequence == known.sequence:
-        return record.silent != known.silent
-    return record.sequence > known.sequence
+def _join(record: Upstream, known: Upstream) -> Upstream:
+    """Return what is known of one incarnation by two records."""
+    if record.rank == known.rank:
+        newer = max(record, known, key=_tie_break)
+    else:
+        newer = max(record, known, key=attrgetter('rank'))
+    cleared_by = max(record.cleared_by, known.cleared_by)
+    return replace(newer, cleared_by=cleared_by)
+
+
+def _tie_break(record: Upstream) -> str:
+    """Return the same order everywhere for two records of one report."""
+    return str(replace(record, cleared_by=0))
 
 
-def _differs(record: Upstream, known: Upstream | None) -> bool:
-    if known is None:
+def _differs(record: Upstream, known: Upstream) -> bool:
+    """Tell whether a record says more than that another report came."""
+    if record.silent != known.silent:
         return True
     return replace(record, sequence=known.sequence) != known
--- a/tests/edge/test_recovery.py
+++ b/tests/edge/test_recovery.py
@@ -28,8 +28,9 @@
 
 def upstream(name: str, phase: Phase, silent: bool = False) -> Upstream:
     address = Address(f'{name}:1')
+    cleared_by = 4 if silent else 0
     return Upstream(
-        UpstreamName(name), PoolName('llm'), address, 'a', 4, phase, 3, silent
+        UpstreamName(name), PoolName('llm'), address, 'a', 4, phase, 3, cleared_by
     )
 
 
--- a/tests/edge/test_registry.py
+++ b/tests/edge/test_registry.py
@@ -33,7 +33,7 @@
     assert bool(registry.holders) is known
 
 
-@pytest.mark.parametrize('change', [{'domain': 'b'}, {'slots': 3}, {'silent': True}])
+@pytest.mark.parametrize('change', [{'domain': 'b'}, {'slots': 3}, {'cleared_by': 9}])
 def test_whatever_changes_in_a_report_is_passed_on(change: dict[str, object]) -> None:
     # Found by reading: a change of domain or slots alone was kept back.
     registry = Registry(FakeClock(), Signal())
