--- a/packages/edge/src/hitchdeck_edge/serving/admission.py
+++ b/packages/edge/src/hitchdeck_edge/serving/admission.py
@@ -19,7 +19,7 @@
 from hitchdeck_edge.serving.caller import Caller
 from hitchdeck_edge.serving.front import Reading
 from hitchdeck_edge.serving.gauges import Gauges
-from hitchdeck_edge.serving.overload import takes_another
+from hitchdeck_edge.serving.overload import should_admit
 from hitchdeck_edge.serving.stopping import Stopping
 from hitchdeck_edge.state.knowledge import Knowledge
 
@@ -59,8 +59,8 @@
         """Start to serve a request that was read."""
         arrived = self.now()
         caller = Caller(reading.connection)
-        if not takes_another(busy_part()):
-            self._turn_away(reading, caller, arrived)
+        if not should_admit(busy_part()):
+            self._reject(reading, caller, arrived)
             return
         task = asyncio.get_running_loop().create_task(
             self._serve(reading, caller, arrived),
@@ -73,7 +73,7 @@
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    def _turn_away(self, reading: Reading, caller: Caller, arrived: float) -> None:
+    def _reject(self, reading: Reading, caller: Caller, arrived: float) -> None:
         """Refuse a request for which this box has no time, and spend none on it.
 
         Its head is not decoded, and no task is made: a refusal takes 0.38 ms of
--- a/packages/edge/src/hitchdeck_edge/serving/caller.py
+++ b/packages/edge/src/hitchdeck_edge/serving/caller.py
@@ -10,7 +10,7 @@
 from hitchdeck_core.busyness import busy_part
 from hitchdeck_core.sockets import has_ended
 from hitchdeck_edge.errors import CallerGoneError
-from hitchdeck_edge.serving.overload import asks_to_leave
+from hitchdeck_edge.serving.overload import should_close
 
 AnswerHeaders = Iterable[tuple[str, str]]
 
@@ -122,7 +122,7 @@
         fields = HTTPHeaders()
         for name, text in headers:
             fields.add(name, text)
-        if asks_to_leave(busy_part()):
+        if should_close(busy_part()):
             fields['Connection'] = 'close'
         self.started = True
         self.status = status
--- a/packages/edge/src/hitchdeck_edge/serving/overload.py
+++ b/packages/edge/src/hitchdeck_edge/serving/overload.py
@@ -17,12 +17,12 @@
 """Part of its time that a box may work and still take every request."""
 
 
-def asks_to_leave(busy: float) -> bool:
+def should_close(busy: float) -> bool:
     """Tell whether callers are to open their next connection anywhere else."""
     return busy > CLOSING_FROM
 
 
-def takes_another(busy: float) -> bool:
+def should_admit(busy: float) -> bool:
     """Tell whether a box that works for so much of its time takes a request.
 
     From ``ROOM_UP_TO`` on by chance, none at all without a pause: so its load
--- a/tests/edge/test_overload.py
+++ b/tests/edge/test_overload.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from hitchdeck_edge.serving.overload import ROOM_UP_TO, takes_another
+from hitchdeck_edge.serving.overload import ROOM_UP_TO, should_admit
 
 TRIES = 2000
 SWING = 0.2
@@ -19,7 +19,7 @@
     part: float,
 ) -> None:
     random.seed(1)
-    taken = sum(takes_another(busy) for _ in range(TRIES))
+    taken = sum(should_admit(busy) for _ in range(TRIES))
     assert taken / TRIES == pytest.approx(part, abs=0.04)
 
 
@@ -30,7 +30,7 @@
     busy = 0.0
     levels = []
     for _ in range(400):
-        taken = sum(takes_another(busy) for _ in range(100)) / 100
+        taken = sum(should_admit(busy) for _ in range(100)) / 100
         busy += 0.2 * (min(1, offered * taken) - busy)
         levels.append(busy)
     settled = levels[200:]
