Do not take this process's own delay for an upstream's

Callers saw: 503 'overloaded' from a box that was behind, while engines were free.

Cause: a connection to an upstream was given 0.4 s by the clock. A box whose event loop lags does not look at the socket for as long, and ejected sound upstreams ('upstream not reached', 19 to 20 times in 9 s of a flooded box).

Fix: the time given grows with the lag of the process's own loop. Routers give 2 s, and are left as they are.

test_an_upstream_is_reached_while_this_process_is_behind failed before.

--- a/packages/edge/src/hitchdeck_edge/dispatch/exchange.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/exchange.py
@@ -10,6 +10,7 @@
 
 import h11
 
+from hitchdeck_core.busyness import loop_lag
 from hitchdeck_core.channels import split_address
 from hitchdeck_core.ids import Address
 from hitchdeck_core.sockets import holds_unread, set_probes
@@ -20,6 +21,9 @@
 """An upstream in reach accepts within some milliseconds; a lost opening
 packet is sent again after a second by itself, so another try is faster."""
 
+CONNECT_TURNS = 4
+"""Turns of this process's own loop that a connection takes, beside that."""
+
 
 @dataclass(frozen=True, slots=True)
 class Outgoing:
@@ -254,8 +258,10 @@
     """Open a connection, or raise ``NotSentError``."""
     host, port = split_address(address)
     loop = asyncio.get_running_loop()
+    # A loop that is behind must not take its own delay for the upstream's.
+    patience = CONNECT_SECONDS + CONNECT_TURNS * loop_lag()
     try:
-        async with asyncio.timeout(CONNECT_SECONDS):
+        async with asyncio.timeout(patience):
             _, connection = await loop.create_connection(Connection, host, port)
     except (OSError, TimeoutError) as error:
         raise NotSentError(f'{address}: {error!r}') from error
