Limit the boxes of the flood by the processor time that they have used

The reproduction let each box run for 4 of each 50 ms. The share is read from the kernel now; the test and its bound are unchanged.

--- a/bench/flooded_box.py
+++ b/bench/flooded_box.py
@@ -42,9 +42,14 @@
 NETWORK = 240
 """Second byte of the loopback addresses: the soak uses lower ones."""
 
-RUN_SECONDS = 0.004
-STOPPED_SECONDS = 0.046
-"""A box runs for 4 of each 50 ms: a twelfth of a processor."""
+SHARE = 0.08
+"""Part of a processor that a box has."""
+
+BURST_SECONDS = 0.004
+"""Processor time that a box may save up while it is idle."""
+
+LOOK_SECONDS = 0.004
+NANOSECONDS = 10**9
 
 SUCCESS = b'HTTP/1.1 200'
 LAST_CHUNK = b'0\r\n\r\n'
@@ -52,26 +57,43 @@
 
 
 class Share:
-    """Lets a process run for a fixed share of the time, by its id."""
+    """Gives a process a fixed share of a processor, whatever else runs.
+
+    What it has used is read from the kernel, so that neither the load of the machine
+    nor a late look changes the share.
+    """
 
     def __init__(self, program: Program) -> None:
         self.program = program
         self.ended = threading.Event()
-        self.thread = threading.Thread(target=self._alternate)
+        self.thread = threading.Thread(target=self._limit)
 
     def __enter__(self) -> None:
+        """Begin to limit the process."""
         self.thread.start()
 
     def __exit__(self, *_: object) -> None:
+        """Let the process run freely again."""
         self.ended.set()
         self.thread.join()
-
-    def _alternate(self) -> None:
-        while not self.ended.is_set():
-            self.program.signal(signal.SIGSTOP)
-            time.sleep(STOPPED_SECONDS)
-            self.program.signal(signal.SIGCONT)
-            time.sleep(RUN_SECONDS)
+        self.program.signal(signal.SIGCONT)
+
+    def _limit(self) -> None:
+        looked, used = time.monotonic(), self._used()
+        left = 0.0
+        while not self.ended.wait(LOOK_SECONDS):
+            looked_before, used_before = looked, used
+            looked, used = time.monotonic(), self._used()
+            left += SHARE * (looked - looked_before) - (used - used_before)
+            left = min(left, BURST_SECONDS)
+            self.program.signal(signal.SIGCONT if left > 0 else signal.SIGSTOP)
+
+    def _used(self) -> float:
+        """Return the processor time of the process so far, in seconds."""
+        process = self.program.process
+        assert process is not None
+        text = Path(f'/proc/{process.pid}/schedstat').read_text()
+        return int(text.split()[0]) / NANOSECONDS
 
 
 @dataclass
