Close the listening socket of a box that stops

Found on reading: since the box accepts connections itself, its stop removed the handler and left the socket open, so that callers could still connect until the process was gone. test_a_box_that_has_stopped_accepts_no_connection failed before.

--- a/packages/core/src/hitchdeck_core/quarantine/endings.py
+++ b/packages/core/src/hitchdeck_core/quarantine/endings.py
@@ -31,7 +31,15 @@
 
 
 class Endings:
-    """Asks an upstream once, however many answers break off there at once."""
+    """Asks an upstream once, however many answers break off there at once.
+
+    Attributes
+    ----------
+    probed
+        Requests in flight on incarnations whose probe is running.
+    suspected
+        Incarnations that a probe found alive, and that may be the next ones.
+    """
 
     def __init__(
         self,
@@ -40,14 +48,14 @@
     ) -> None:
         self.quarantine = quarantine
         self.on_end = on_end
-        self.suspects: dict[LifeId, set[Fingerprint]] = defaultdict(set)
+        self.probed: dict[LifeId, set[Fingerprint]] = defaultdict(set)
         self.suspected: dict[LifeId, SuspectedCrash] = {}
         self.tasks = Supervisor('endings')
 
     def note(self, life: LifeId, content: Fingerprint, reaches: Reaches) -> None:
         """Note that no whole answer to a content came from an upstream."""
-        asked = life in self.suspects
-        self.suspects[life].add(content)
+        asked = life in self.probed
+        self.probed[life].add(content)
         if not asked:
             self.tasks.temporary(life, self._ask(life, reaches))
 
@@ -57,7 +65,7 @@
         crash = self.suspected.pop(life, None)
         in_flight = crash.in_flight if crash else frozenset()
         # A probe of this incarnation may still be running.
-        in_flight |= self.suspects.pop(life, set())
+        in_flight |= self.probed.pop(life, set())
         if in_flight:
             self.quarantine.note_end(life, in_flight)
 
@@ -65,7 +73,7 @@
         try:
             alive = await reaches()
         finally:
-            there = self.suspects.pop(life, set())
+            there = self.probed.pop(life, set())
         if not there:
             # Confirmed while the probe was running.
             return
--- a/packages/edge/src/hitchdeck_edge/serving/front.py
+++ b/packages/edge/src/hitchdeck_edge/serving/front.py
@@ -78,7 +78,7 @@
         self.shedder = shedder
         self.shedder.serve = self._serve_connection
         self.is_short = is_short
-        self.stop_accepting: Callable[[], None] | None = None
+        self.listening: list[tuple[socket.socket, Callable[[], None]]] = []
         self.server = HTTPServer(
             self,
             max_header_size=HEADER_BYTES,
@@ -99,7 +99,7 @@
 
     def listen(self, sock: socket.socket) -> None:
         """Accept connections on a listening socket."""
-        self.stop_accepting = add_accept_handler(sock, self._accept)
+        self.listening.append((sock, add_accept_handler(sock, self._accept)))
 
     def close_after_answers(self) -> None:
         """Have each further answer say that its connection ends with it."""
@@ -107,8 +107,10 @@
 
     def stop(self) -> None:
         """Accept no more connections; the open ones go on."""
-        if self.stop_accepting is not None:
-            self.stop_accepting()
+        for sock, stop_accepting in self.listening:
+            stop_accepting()
+            sock.close()
+        self.listening = []
         self.shedder.close()
 
     def _accept(self, connection: socket.socket, _: object) -> None:
--- a/tests/edge/test_shedding.py
+++ b/tests/edge/test_shedding.py
@@ -128,3 +128,12 @@
             while box.admission.shedder.waiting:
                 await asyncio.sleep(0.02)
         assert await site.ask('/g/x', 'r2')
+
+
+async def test_a_box_that_has_stopped_accepts_no_connection(tmp_path: Path) -> None:
+    async with running_site(tmp_path) as site:
+        box = site.boxes[0]
+        host, _, port = box.settings.listen.rpartition(':')
+        await box.stop()
+        with pytest.raises(ConnectionRefusedError):
+            await asyncio.open_connection(host, int(port))
