--- a/bench/flooded_box.py
+++ b/bench/flooded_box.py
@@ -7,6 +7,7 @@
 import asyncio
 import json
 import signal
+import socket
 import tempfile
 import threading
 import time
@@ -17,7 +18,7 @@
 
 import fire
 
-from soak.fleet import Fleet, Program
+from soak.fleet import FIRST_PORT, Fleet, Program
 from standins.platform_site import HOST, document
 from standins.platform_worker import Worker
 
@@ -39,8 +40,11 @@
 REPORT_SECONDS = 0.4
 BODY_BYTES = 12_000
 ENGINES = 3
-NETWORK = 240
-"""Second byte of the loopback addresses: the soak uses lower ones."""
+NETWORKS = range(211, 251)
+"""Second bytes of loopback addresses: the soak uses lower ones."""
+
+CLAIM_HOST = 254
+"""Machine of a network whose first port says that the network is in use."""
 
 SHARE = 0.08
 """Part of a processor that a box has."""
@@ -214,6 +218,20 @@
         await worker.stop()
 
 
+def claim_network() -> tuple[int, socket.socket]:
+    """Return a network that no other play on this machine uses, and what holds it."""
+    for network in NETWORKS:
+        claim = socket.socket()
+        try:
+            claim.bind((f'127.{network}.0.{CLAIM_HOST}', FIRST_PORT))
+        except OSError:
+            # Another play is using it.
+            claim.close()
+            continue
+        return network, claim
+    raise RuntimeError(f'all of {len(NETWORKS)} networks are in use')
+
+
 async def play(folder: Path, times: int) -> Site:
     """Play one flood; return what was asked and got in the counted seconds.
 
@@ -223,7 +241,8 @@
         How often the flooding account asks for each request of the other one.
     """
     workers = [Worker(f'w{one}', 'llm') for one in range(ENGINES)]
-    site = Site(Fleet(folder, NETWORK), workers)
+    network, claim = claim_network()
+    site = Site(Fleet(folder, network), workers)
     reporting = asyncio.create_task(site.report())
     try:
         await start(site)
@@ -236,6 +255,7 @@
             )
     finally:
         await stop(site, reporting)
+        claim.close()
     return site
 
 
