Let several fleets of the soak run on one machine

A fleet claims its network. The claim was added to the play of the flood alone; it belongs to the fleet, so that one serves both. Tests are unchanged.

--- a/bench/flooded_box.py
+++ b/bench/flooded_box.py
@@ -7,7 +7,6 @@
 import asyncio
 import json
 import signal
-import socket
 import tempfile
 import threading
 import time
@@ -18,7 +17,7 @@
 
 import fire
 
-from soak.fleet import FIRST_PORT, Fleet, Program
+from soak.fleet import Fleet, Program, claimed_fleet
 from standins.platform_site import HOST, document
 from standins.platform_worker import Worker
 
@@ -40,11 +39,6 @@
 REPORT_SECONDS = 0.4
 BODY_BYTES = 12_000
 ENGINES = 3
-NETWORKS = range(211, 251)
-"""Second bytes of loopback addresses: the soak uses lower ones."""
-
-CLAIM_HOST = 254
-"""Machine of a network whose first port says that the network is in use."""
 
 SHARE = 0.08
 """Part of a processor that a box has."""
@@ -218,20 +212,6 @@
         await worker.stop()
 
 
-def claim_network() -> tuple[int, socket.socket]:
-    """Return a network that no other play on this machine uses, and what holds it."""
-    for network in NETWORKS:
-        claim = socket.socket()
-        try:
-            claim.bind((f'127.{network}.0.{CLAIM_HOST}', FIRST_PORT))
-        except OSError:
-            # Another play is using it.
-            claim.close()
-            continue
-        return network, claim
-    raise RuntimeError(f'all of {len(NETWORKS)} networks are in use')
-
-
 async def play(folder: Path, times: int) -> Site:
     """Play one flood; return what was asked and got in the counted seconds.
 
@@ -241,8 +221,7 @@
         How often the flooding account asks for each request of the other one.
     """
     workers = [Worker(f'w{one}', 'llm') for one in range(ENGINES)]
-    network, claim = claim_network()
-    site = Site(Fleet(folder, network), workers)
+    site = Site(claimed_fleet(folder), workers)
     reporting = asyncio.create_task(site.report())
     try:
         await start(site)
@@ -255,7 +234,6 @@
             )
     finally:
         await stop(site, reporting)
-        claim.close()
     return site
 
 
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -18,7 +18,7 @@
 from tornado.simple_httpclient import HTTPStreamClosedError, HTTPTimeoutError
 
 from soak.faults import MS, Faults
-from soak.fleet import Fleet, Program
+from soak.fleet import Program, claimed_fleet
 from soak.promises import SUCCESS, Answer, History
 from soak.proxy import Proxy
 from standins.platform_site import HOST, KEY, document
@@ -67,7 +67,7 @@
     def __init__(self, folder: Path, seed: int) -> None:
         self.random = random.Random(seed)
         self.seed = seed
-        self.fleet = Fleet(folder, 10 + seed % 200)
+        self.fleet = claimed_fleet(folder, seed)
         pools = ('llm', 'llm', 'llm', 'app', 'app')
         self.workers = [Worker(f'w{at}', pool) for at, pool in enumerate(pools)]
         self.proxies: dict[str, Proxy] = {}
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -7,13 +7,22 @@
 import os
 import shutil
 import signal
+import socket
 import subprocess
 import sys
 from dataclasses import dataclass, field
+from itertools import chain
 from pathlib import Path
 from types import MappingProxyType
 
 FIRST_PORT = 21_400
+
+NETWORKS = range(10, 250)
+"""Second bytes of the loopback addresses that a fleet may use."""
+
+CLAIM_HOST = 254
+"""Machine of a network whose first port says that the network is in use."""
+
 SETTINGS = """
 nodeName = "{name}"
 serves = [{serves}]
@@ -98,10 +107,14 @@
 
 @dataclass(slots=True)
 class Fleet:
-    """All programs of one run."""
+    """All programs of one run.
+
+    ``claim`` keeps other fleets of this machine from the same addresses.
+    """
 
     folder: Path
     network: int
+    claim: socket.socket | None = None
     hubs: list[Program] = field(default_factory=list)
     boxes: list[Program] = field(default_factory=list)
 
@@ -168,3 +181,28 @@
             program.signal(signal.SIGCONT)
             program.signal(signal.SIGKILL)
             program.end(1)
+        if self.claim is not None:
+            self.claim.close()
+
+
+def claimed_fleet(folder: Path, first: int = 0) -> Fleet:
+    """Return a fleet on a network that no other fleet of this machine uses.
+
+    Parameters
+    ----------
+    folder
+        Where its programs keep their settings, data and logs.
+    first
+        Place in ``NETWORKS``, counted round, of the network that is tried first.
+    """
+    start = first % len(NETWORKS)
+    for network in chain(NETWORKS[start:], NETWORKS[:start]):
+        claim = socket.socket()
+        try:
+            claim.bind((f'127.{network}.0.{CLAIM_HOST}', FIRST_PORT))
+        except OSError:
+            # Another fleet is using it.
+            claim.close()
+            continue
+        return Fleet(folder, network, claim)
+    raise RuntimeError(f'all of {len(NETWORKS)} networks are in use')
