Make the head of a rejection once, and say four lines in the usual terms

Found on reading the change again: each rejection built a head that is always the same, with its reason phrase spelled out beside the status.

--- a/packages/control/src/hitchdeck_control/errors.py
+++ b/packages/control/src/hitchdeck_control/errors.py
@@ -34,7 +34,7 @@
 class OrderError(HitchdeckError):
     """Raised when an upstream did not take an order; it may be sent again.
 
-    ``pause`` is for how many seconds the upstream wants nothing, by its word.
+    ``pause`` is the upstream's ``Retry-After`` in seconds.
     """
 
     def __init__(self, reason: str, pause: float = 0) -> None:
--- a/packages/control/src/hitchdeck_control/fleet/orders.py
+++ b/packages/control/src/hitchdeck_control/fleet/orders.py
@@ -169,7 +169,7 @@
 
 
 def _pause_in(error: HTTPClientError) -> float:
-    """Return for how long an upstream wants nothing that answered an error."""
+    """Return the ``Retry-After`` of an error response in seconds."""
     if error.response is None:
         return 0
     return pause_asked(error.code, error.response.headers.get(RETRY_AFTER, ''))
--- a/packages/edge/src/hitchdeck_edge/hub/directory.py
+++ b/packages/edge/src/hitchdeck_edge/hub/directory.py
@@ -49,8 +49,8 @@
 fifth of the callers is carried by all boxes then."""
 
 UNEVEN = 1.2
-"""Box's utilization over the mean of an answer up to which every caller is told of
-the box."""
+"""Utilization of a box over the mean of an answer above which it is told to a part of
+the callers only."""
 
 DAMPING = 0.75
 """Exponent below 1, so that a box whose callers have left does not get all of them
@@ -63,7 +63,6 @@
 """Boxes without a hub beside them that a domain must have before those with one
 are left out: a hub answers the fleet, on the same processor."""
 
-
 _SPREAD = 'spread'
 
 
--- a/packages/edge/src/hitchdeck_edge/serving/shedding.py
+++ b/packages/edge/src/hitchdeck_edge/serving/shedding.py
@@ -10,11 +10,12 @@
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
+from http import HTTPStatus
 
 from hitchdeck_core import logs
 from hitchdeck_core.ids import RequestId
 from hitchdeck_core.retry_after import RETRY_AFTER
-from hitchdeck_edge.model.refusals import Refusal
+from hitchdeck_edge.model.refusals import Refusal, Reply
 
 PEEK_BYTES = 16_384
 """Longest head that is looked at; a longer one goes to the HTTP server."""
@@ -22,6 +23,7 @@
 READ_BYTES = 65_536
 """Bytes of a body that are read, and dropped, at once."""
 
+_END = b'\r\n' + Refusal.no_time_here.value.why.encode()
 _HEAD_END = b'\r\n\r\n'
 _LENGTH = re.compile(rb'\r\ncontent-length:[ \t]*(\d{1,9})[ \t]*\r\n')
 _FRAMED_OTHERWISE = re.compile(rb'\r\n(?:transfer-encoding|expect|upgrade)[ \t]*:')
@@ -61,6 +63,7 @@
         name = re.escape(id_field.lower().encode())
         self.id_line = re.compile(rb'\r\n%s:[ \t]*([^\r\n]*?)[ \t]*\r\n' % name, re.I)
         self.id_field = id_field.encode()
+        self.head = _head_of(Refusal.no_time_here.value)
         self.should_admit = should_admit
         self.serve: Serve = socket.socket.close
         self.rejected = rejected
@@ -142,17 +145,9 @@
         self._drop(connection)
 
     def _rejection(self, request: bytes) -> bytes:
-        reply = Refusal.no_time_here.value
-        why = reply.why.encode()
-        lines = [
-            b'HTTP/1.1 %d Service Unavailable' % reply.status,
-            b'%s: %s' % (RETRY_AFTER.encode(), str(reply.retry_after).encode()),
-            b'Content-Length: %d' % len(why),
-            b'Connection: close',
-        ]
-        if request:
-            lines.append(b'%s: %s' % (self.id_field, request))
-        return b'\r\n'.join([*lines, b'', why])
+        if not request:
+            return self.head + _END
+        return b'%s%s: %s\r\n%s' % (self.head, self.id_field, request, _END)
 
     def _drop(self, connection: socket.socket) -> None:
         self._release(connection)
@@ -163,5 +158,18 @@
         self.waiting.discard(connection)
 
 
+def _head_of(reply: Reply) -> bytes:
+    """Return the head of a rejection, without the request's id and its end."""
+    status = HTTPStatus(reply.status)
+    lines = (
+        f'HTTP/1.1 {status.value} {status.phrase}',
+        f'{RETRY_AFTER}: {reply.retry_after}',
+        f'Content-Length: {len(reply.why)}',
+        'Connection: close',
+        '',
+    )
+    return '\r\n'.join(lines).encode()
+
+
 def _id_of(request: Request) -> RequestId:
     return RequestId(request.id.decode('latin-1'))
--- a/packages/router/src/hitchdeck_router/dispatch/pauses.py
+++ b/packages/router/src/hitchdeck_router/dispatch/pauses.py
@@ -33,7 +33,7 @@
 
 
 def check_wants_requests(context: RouterContext, name: UpstreamName) -> None:
-    """Raise ``GrantLostError`` if an upstream wants nothing for now."""
+    """Raise ``GrantLostError`` during the backoff of an upstream."""
     # Entry boxes sent up to 37 requests to one within the 3 s that it asked for.
     if not context.backpressure.wants_requests(name):
         raise GrantLostError(f'{name} wants a pause')
