Write the request of a stand-in caller once

Two measurements spelled out the same head. Found on reading the change again; what they send is the same but for the body's bytes (zeros in both).

--- a/bench/flooded_box.py
+++ b/bench/flooded_box.py
@@ -18,7 +18,7 @@
 import fire
 
 from soak.fleet import Fleet, Program, claimed_fleet
-from standins.platform_site import HOST, document
+from standins.platform_site import document, generation
 from standins.platform_worker import Worker
 
 FLOODING = 'ann'
@@ -124,23 +124,14 @@
         """Send a request on a new connection, as a caller does after a rejection."""
         counted = self.counts
         self.asked[account] += counted * TOKENS
-        head = '\r\n'.join(
-            [
-                'POST /s/ HTTP/1.1',
-                f'Host: {HOST}',
-                f'Attempt-Id: {account}{number}',
-                f'Authorization: Token {KEYS[account]}',
-                'Deadline-Ms: 3000',
-                'Model: m',
-                'Token-Count: 200,20',
-                f'Prompt-Prefix: aa:100,{number:x}:100',
-                f'Content-Length: {BODY_BYTES}',
-                '\r\n',
-            ]
-        )
-        answer = await exchange(
-            self.fleet.front(box), head.encode() + b'b' * BODY_BYTES
+        request = generation(
+            f'{account}{number}',
+            KEYS[account],
+            f'aa:100,{number:x}:100',
+            '200,20',
+            BODY_BYTES,
         )
+        answer = await exchange(self.fleet.front(box), request)
         served = answer.startswith(SUCCESS) and answer.endswith(LAST_CHUNK)
         self.got[account] += counted * served * TOKENS
         return answer
--- a/bench/rejections.py
+++ b/bench/rejections.py
@@ -18,7 +18,7 @@
 from bench.common import append_row
 from hitchdeck_core.channels import split_address
 from hitchdeck_core.ids import Address
-from standins.platform_site import HOST, KEY, running_site
+from standins.platform_site import KEY, generation, running_site
 
 BODY_BYTES = 18_000
 """Mean of the longest kind of request."""
@@ -31,19 +31,8 @@
 
 def request_of(number: int) -> bytes:
     """Return a request with a body of the usual length."""
-    lines = (
-        'POST /s/ HTTP/1.1',
-        f'Host: {HOST}',
-        f'Attempt-Id: {number:016x}',
-        f'Authorization: Token {KEY}',
-        'Deadline-Ms: 3000',
-        'Model: m',
-        'Token-Count: 9190,51',
-        f'Prompt-Prefix: aa:2520,bb:3780,{number:x}:2890',
-        f'Content-Length: {BODY_BYTES}',
-        '\r\n',
-    )
-    return '\r\n'.join(lines).encode() + bytes(BODY_BYTES)
+    parts = f'aa:2520,bb:3780,{number:x}:2890'
+    return generation(f'{number:016x}', KEY, parts, '9190,51', BODY_BYTES)
 
 
 def send(address: str, count: int) -> None:
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -72,6 +72,31 @@
     }
 
 
+def generation(attempt: str, key: str, parts: str, tokens: str, body: int) -> bytes:
+    """Return a caller's generation as it goes over a connection.
+
+    Parameters
+    ----------
+    parts, tokens
+        The prompt's parts, and its count with the most that is generated.
+    body
+        Length of the body in bytes.
+    """
+    lines = (
+        'POST /s/ HTTP/1.1',
+        f'Host: {HOST}',
+        f'Attempt-Id: {attempt}',
+        f'Authorization: Token {key}',
+        'Deadline-Ms: 3000',
+        'Model: m',
+        f'Token-Count: {tokens}',
+        f'Prompt-Prefix: {parts}',
+        f'Content-Length: {body}',
+        '\r\n',
+    )
+    return '\r\n'.join(lines).encode() + bytes(body)
+
+
 @dataclass(slots=True)
 class Site:
     """A running stand-in deployment."""
