--- a/bench/settling.py
+++ b/bench/settling.py
@@ -1,8 +1,8 @@
 """How many records processes exchange until they agree on their upstreams.
 
-``python -m bench.settling`` lets every upstream be suspected at two hubs and report once,
-and tells how many records were sent until nobody has news, beside the bound of the design
-note, for fleets of several sizes.
+``python -m bench.settling`` lets every upstream be suspected at two hubs and report
+once, and tells how many records were sent until nobody has news, beside the bound of
+the design note, for fleets of several sizes.
 """
 
 from dataclasses import dataclass, field
