--- a/packages/core/src/hitchdeck_core/wire/spread_grpc.py
+++ b/packages/core/src/hitchdeck_core/wire/spread_grpc.py
@@ -75,6 +75,10 @@
     async def Publish(self, stream: 'grpclib.server.Stream[hitchdeck_core.wire.spread_pb2.PublishRequest, hitchdeck_core.wire.spread_pb2.PublishReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Evacuate(self, stream: 'grpclib.server.Stream[hitchdeck_core.wire.spread_pb2.EvacuateRequest, hitchdeck_core.wire.spread_pb2.EvacuateReply]') -> None:
+        pass
+
     @abc.abstractmethod
     async def Newest(self, stream: 'grpclib.server.Stream[hitchdeck_core.wire.spread_pb2.NewestRequest, hitchdeck_core.wire.spread_pb2.NewestReply]') -> None:
         pass
@@ -87,6 +91,12 @@
                 hitchdeck_core.wire.spread_pb2.PublishRequest,
                 hitchdeck_core.wire.spread_pb2.PublishReply,
             ),
+            '/hitchdeck_core.wire.Documents/Evacuate': grpclib.const.Handler(
+                self.Evacuate,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                hitchdeck_core.wire.spread_pb2.EvacuateRequest,
+                hitchdeck_core.wire.spread_pb2.EvacuateReply,
+            ),
             '/hitchdeck_core.wire.Documents/Newest': grpclib.const.Handler(
                 self.Newest,
                 grpclib.const.Cardinality.UNARY_UNARY,
@@ -105,6 +115,12 @@
             hitchdeck_core.wire.spread_pb2.PublishRequest,
             hitchdeck_core.wire.spread_pb2.PublishReply,
         )
+        self.Evacuate = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/hitchdeck_core.wire.Documents/Evacuate',
+            hitchdeck_core.wire.spread_pb2.EvacuateRequest,
+            hitchdeck_core.wire.spread_pb2.EvacuateReply,
+        )
         self.Newest = grpclib.client.UnaryUnaryMethod(
             channel,
             '/hitchdeck_core.wire.Documents/Newest',
--- a/packages/edge/src/hitchdeck_edge/dispatch/budget.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/budget.py
@@ -30,6 +30,10 @@
         self.requests: dict[PoolName, deque[float]] = defaultdict(deque)
         self.repeats: dict[PoolName, deque[float]] = defaultdict(deque)
 
+    def part_of_fleet(self) -> float:
+        """Return which part of the fleet's boxes this one is."""
+        return 1 / max(self.boxes, FEWEST_BOXES)
+
     def count(self, pool: PoolName) -> None:
         """Count a caller's request."""
         requests = self.requests[pool]
@@ -41,7 +45,7 @@
         horizon = self.now() - self.window
         requests = _recent(self.requests[pool], horizon)
         repeats = _recent(self.repeats[pool], horizon)
-        allowed = self.share * requests + self.extra / max(self.boxes, FEWEST_BOXES)
+        allowed = self.share * requests + self.extra * self.part_of_fleet()
         if repeats + 1 > allowed * CAUTION:
             return False
         self.repeats[pool].append(self.now())
--- a/packages/edge/src/hitchdeck_edge/dispatch/sender.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/sender.py
@@ -140,6 +140,9 @@
         if not self.backpressure.wants_requests(name):
             self.connections.put_back(name, connection)
             raise NotWantedError(f'{name} asked for a pause, or leaves')
+        if not self.placement.registry.takes_work(choice.upstream):
+            self.connections.put_back(name, connection)
+            raise NotWantedError(f'{name} may get no new work')
 
     def _send_on(
         self,
--- a/packages/edge/src/hitchdeck_edge/errors.py
+++ b/packages/edge/src/hitchdeck_edge/errors.py
@@ -15,6 +15,14 @@
     """Raised when the group can't give a sure answer in time."""
 
 
+class UnknownDomainError(HitchdeckError):
+    """Raised when an order names a failure domain that does not exist."""
+
+
+class SupersededError(UnavailableError):
+    """Raised when a later order is in force, so that this one has no effect."""
+
+
 class SchedulerMovedError(LinkError):
     """Raised when another hub has become the scheduler."""
 
--- a/packages/edge/src/hitchdeck_edge/hub/attendees.py
+++ b/packages/edge/src/hitchdeck_edge/hub/attendees.py
@@ -25,6 +25,7 @@
     hello: Hello
     last_frame: float
     version: int = 0
+    evacuations: int = 0
     ready: bool = False
     reports_here: bool = False
     boxes: int = 0
@@ -64,6 +65,7 @@
         """Take what a box reports."""
         attendee.last_frame = self.now()
         attendee.version = int(frame.version)
+        attendee.evacuations = int(frame.evacuations)
         attendee.ready = frame.ready
         attendee.reports_here = frame.wants_reports
         attendee.boxes = int(frame.boxes)
--- a/packages/edge/src/hitchdeck_edge/hub/directory.py
+++ b/packages/edge/src/hitchdeck_edge/hub/directory.py
@@ -9,7 +9,7 @@
 
 import math
 from collections import Counter
-from collections.abc import Collection, Iterable, Sequence
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import NewType
 
@@ -123,6 +123,31 @@
     )
 
 
+def doors_in_areas(
+    doors: Sequence[Door],
+    domain: str,
+    homes: frozenset[str],
+    areas: Mapping[str, str],
+) -> Sequence[Door]:
+    """Return the boxes for a host whose requests have homes, all where it has none.
+
+    Those of the caller's area and of homes; if none of them is ready, any box.
+
+    Parameters
+    ----------
+    domain
+        Failure domain of the caller.
+    homes
+        Areas in which requests to the host may be served; everywhere if empty.
+    areas
+        The area of each failure domain.
+    """
+    if not homes:
+        return doors
+    allowed = homes | {areas.get(domain)}
+    return [door for door in doors if areas.get(door.domain) in allowed] or doors
+
+
 def spread_load(
     caller: CallerKey, answer: Answer, doors: Iterable[Door]
 ) -> list[Address]:
--- a/packages/edge/src/hitchdeck_edge/hub/documents.py
+++ b/packages/edge/src/hitchdeck_edge/hub/documents.py
@@ -1,4 +1,4 @@
-"""Accepting documents, and reading the newest one: by the leader alone."""
+"""Accepting documents and orders, and reading the newest: by the leader alone."""
 
 from dataclasses import dataclass
 
@@ -10,12 +10,16 @@
 from hitchdeck_core.wire.spread_grpc import DocumentsBase
 from hitchdeck_core.wire.spread_pb2 import (
     Document,
+    EvacuateReply,
+    EvacuateRequest,
+    EvacuationOrder,
+    GroupEntry,
     NewestReply,
     NewestRequest,
     PublishReply,
     PublishRequest,
 )
-from hitchdeck_edge.errors import UnavailableError
+from hitchdeck_edge.errors import SupersededError, UnavailableError
 from hitchdeck_edge.state.documents import Documents
 
 
@@ -62,6 +66,12 @@
             return
         await stream.send_message(PublishReply(accepted=True))
 
+    async def Evacuate(self, stream: Stream[EvacuateRequest, EvacuateReply]) -> None:
+        """Commit an order on a failure domain."""
+        request = await stream.recv_message()
+        assert request is not None
+        await stream.send_message(await self._evacuate(request.order))
+
     async def Newest(self, stream: Stream[NewestRequest, NewestReply]) -> None:
         """Return the newest document, surely."""
         await stream.recv_message()
@@ -85,14 +95,48 @@
         OutcomeUnknownError
             It may or may not come into force.
         """
-        replica = self.seat.check_may_commit()
-        voters = len(replica.voters())
-        if voters < self.seat.voters_needed:
-            raise UnavailableError(f'{voters} voters, fewer than are safe')
-        await replica.propose(document.SerializeToString())
+        await self._commit(GroupEntry(version=document.version, body=document.body))
+
+    async def commit_order(self, order: EvacuationOrder) -> None:
+        """Commit an order as the leader.
+
+        Raises
+        ------
+        NotLeaderError
+            Nothing was done.
+        SupersededError
+            A later order on the domain was committed; this one has no effect.
+        UnavailableError
+            Too few voters to keep it safe.
+        OutcomeUnknownError
+            It may or may not come into force.
+        """
+        if not await self._commit(GroupEntry(order=order)):
+            raise SupersededError(f'a later order on {order.domain} is in force')
 
     def newest(self) -> Document:
         """Return the newest document, or raise ``NotLeaderError``."""
         replica = self.seat.check_may_commit()
         replica.check_leads()
         return self.documents.message()
+
+    async def _commit(self, entry: GroupEntry) -> bool:
+        """Commit an entry, and tell whether what it asks for holds."""
+        replica = self.seat.check_may_commit()
+        voters = len(replica.voters())
+        if voters < self.seat.voters_needed:
+            raise UnavailableError(f'{voters} voters, fewer than are safe')
+        return bool(await replica.propose(entry.SerializeToString()))
+
+    async def _evacuate(self, order: EvacuationOrder) -> EvacuateReply:
+        try:
+            await self.commit_order(order)
+        except NotLeaderError as error:
+            return EvacuateReply(leader_address=error.leader_address)
+        except SupersededError as error:
+            logs.info('order superseded', domain=order.domain, reason=str(error))
+            return EvacuateReply(superseded=True)
+        except (UnavailableError, OutcomeUnknownError) as error:
+            logs.warning('order not committed', domain=order.domain, reason=str(error))
+            return EvacuateReply()
+        return EvacuateReply(accepted=True)
--- a/packages/edge/src/hitchdeck_edge/hub/documents_client.py
+++ b/packages/edge/src/hitchdeck_edge/hub/documents_client.py
@@ -1,4 +1,4 @@
-"""Publishing and reading documents from any hub, by finding the leader."""
+"""Documents and orders at any hub: they are committed by finding the leader."""
 
 import asyncio
 import random
@@ -15,12 +15,15 @@
 from hitchdeck_core.wire.spread_grpc import DocumentsStub
 from hitchdeck_core.wire.spread_pb2 import (
     Document,
+    EvacuateReply,
+    EvacuateRequest,
+    EvacuationOrder,
     NewestReply,
     NewestRequest,
     PublishReply,
     PublishRequest,
 )
-from hitchdeck_edge.errors import UnavailableError
+from hitchdeck_edge.errors import SupersededError, UnavailableError
 from hitchdeck_edge.hub.documents import DocumentsService
 from hitchdeck_edge.hub.machine import pack
 from hitchdeck_edge.links.hubs import HubBook
@@ -37,6 +40,9 @@
 
 Answer = TypeVar('Answer')
 
+Request = PublishRequest | EvacuateRequest | NewestRequest
+Reply = PublishReply | EvacuateReply | NewestReply
+
 
 class DocumentsClient:
     """Does what operators ask of this hub: here if it leads, else at the leader."""
@@ -65,6 +71,18 @@
         document = pack(version, text)
         await self._until_answered(partial(self._publish_once, document))
 
+    async def evacuate(self, order: EvacuationOrder) -> None:
+        """Return once an order on a failure domain is committed.
+
+        Raises
+        ------
+        SupersededError
+            A later order on the domain is in force; this one has no effect.
+        UnavailableError
+            It may or may not come into force.
+        """
+        await self._until_answered(partial(self._evacuate_once, order))
+
     async def newest(self) -> tuple[DocumentVersion, bytes]:
         """Return version and text of the newest document.
 
@@ -95,20 +113,37 @@
         """Return ``True`` once it is committed, ``None`` while that is not sure."""
         if self.service.documents.version >= document.version:
             return True
+        commit = partial(self.service.commit, document)
+        request = PublishRequest(document=document)
+        return await self._commit_once(commit, request, ends)
+
+    async def _evacuate_once(self, order: EvacuationOrder, ends: float) -> bool | None:
+        commit = partial(self.service.commit_order, order)
+        return await self._commit_once(commit, EvacuateRequest(order=order), ends)
+
+    async def _commit_once(
+        self,
+        commit: Callable[[], Awaitable[None]],
+        request: PublishRequest | EvacuateRequest,
+        ends: float,
+    ) -> bool | None:
+        """Commit here if this hub leads, else at the leader; ``None`` if unsure."""
         try:
             async with asyncio.timeout(ends - self.now()):
-                await self.service.commit(document)
+                await commit()
         except NotLeaderError as error:
             self._hint(error.leader_address)
+        except SupersededError:
+            raise
         except (UnavailableError, OutcomeUnknownError, TimeoutError) as error:
-            logs.warning('document not committed', reason=repr(error))
+            logs.warning('not committed', reason=repr(error))
             return None
         else:
             return True
-        reply = await self._call(PublishRequest(document=document), ends)
-        if isinstance(reply, PublishReply) and reply.accepted:
-            return True
-        return None
+        reply = await self._call(request, ends)
+        if isinstance(reply, EvacuateReply) and reply.superseded:
+            raise SupersededError(f'a later order than {request} is in force')
+        return True if getattr(reply, 'accepted', False) else None
 
     async def _newest_once(self, ends: float) -> Document | None:
         try:
@@ -132,9 +167,9 @@
 
     async def _call(
         self,
-        request: PublishRequest | NewestRequest,
+        request: Request,
         ends: float,
-    ) -> PublishReply | NewestReply | None:
+    ) -> Reply | None:
         address = self._where()
         if address is None or self.now() >= ends:
             return None
@@ -154,16 +189,15 @@
     def _learn_leader(
         self,
         address: Address,
-        reply: PublishReply | NewestReply,
+        reply: Reply,
     ) -> None:
         taken = getattr(reply, 'accepted', False) or getattr(reply, 'certain', False)
         self.leader = address if taken else Address(reply.leader_address)
 
 
-async def _ask(
-    stub: DocumentsStub,
-    request: PublishRequest | NewestRequest,
-) -> PublishReply | NewestReply:
+async def _ask(stub: DocumentsStub, request: Request) -> Reply:
     if isinstance(request, PublishRequest):
         return await stub.Publish(request)
+    if isinstance(request, EvacuateRequest):
+        return await stub.Evacuate(request)
     return await stub.Newest(request)
--- a/packages/edge/src/hitchdeck_edge/hub/kept_file.py
+++ b/packages/edge/src/hitchdeck_edge/hub/kept_file.py
@@ -22,10 +22,11 @@
 from hitchdeck_core.quarantine.quarantine import NOTHING, Quarantine
 from hitchdeck_core.signals import Signal
 from hitchdeck_core.wire.quarantine_pb2 import QuarantineNews
-from hitchdeck_core.wire.spread_pb2 import Document, HubFrame
+from hitchdeck_core.wire.spread_pb2 import Document, EvacuationList, HubFrame
 from hitchdeck_edge.links.records import decode_upstreams, encode_upstream
 from hitchdeck_edge.model.document import DocumentVersion
 from hitchdeck_edge.state.documents import Documents
+from hitchdeck_edge.state.evacuations import Evacuations
 from hitchdeck_edge.state.registry import Registry
 
 RETRY_SECONDS = 1.0
@@ -128,7 +129,10 @@
     """
 
     def compose() -> bytes:
-        records = map(encode_upstream, registry.records.values())
+        left = registry.cold.seconds_left
+        records = [
+            encode_upstream(one, left(one.name)) for one in registry.records.values()
+        ]
         return bytes(HubFrame(upstreams=records).SerializeToString())
 
     def recall(payload: bytes) -> None:
@@ -139,6 +143,19 @@
     return KeptFile(folder / 'upstreams', kept, registry.changed)
 
 
+def evacuations_file(folder: Path, evacuations: Evacuations) -> KeptFile:
+    """Return the file of the newest committed orders on failure domains."""
+
+    def compose() -> bytes:
+        return bytes(evacuations.message().SerializeToString())
+
+    def recall(payload: bytes) -> None:
+        evacuations.offer(EvacuationList.FromString(payload), ORIGIN)
+
+    kept = Kept(lambda: evacuations.edition, compose, recall)
+    return KeptFile(folder / 'evacuations', kept, evacuations.changed)
+
+
 def quarantine_file(folder: Path, quarantine: Quarantine) -> KeptFile:
     """Return the file of the verdicts on contents.
 
--- a/packages/edge/src/hitchdeck_edge/hub/peers.py
+++ b/packages/edge/src/hitchdeck_edge/hub/peers.py
@@ -35,8 +35,7 @@
         """Return how this hub attends the others."""
 
         def accept(address: Address, frame: HubFrame) -> None:
-            state = self.state
-            take_news(address, frame, state.documents, state.registry, state.quarantine)
+            take_news(address, frame, self.state)
             if frame.founder:
                 self.state.founder = Address(frame.founder)
             if self.replica is not None:
@@ -56,6 +55,7 @@
         own = self.state.attendees.own_total()
         frame = BoxFrame(
             version=self.state.documents.version,
+            evacuations=self.state.evacuations.edition,
             loads=own.loads(),
             demands=own.demands(),
             boxes=len(self.state.attendees.own_boxes()),
--- a/packages/edge/src/hitchdeck_edge/hub/placing.py
+++ b/packages/edge/src/hitchdeck_edge/hub/placing.py
@@ -1,20 +1,26 @@
 """The scheduler's side of a box's stream."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from grpclib.server import Stream
 
 from hitchdeck_core import logs
+from hitchdeck_core.clock import Clock
 from hitchdeck_core.ids import AccountName, PoolName, UpstreamName
 from hitchdeck_core.wire.spread_grpc import PlacingBase
 from hitchdeck_core.wire.spread_pb2 import Placed, PlacedFrame, PlacingFrame
 from hitchdeck_core.wire.spread_pb2 import Wanted as WantedMessage
+from hitchdeck_edge.hub.attendees import Attendees
 from hitchdeck_edge.links.placing_messages import decode_wanted, encode_decision
 from hitchdeck_edge.scheduling.scheduler import Scheduler, new_scheduler
 from hitchdeck_edge.settings import HubSettings
 from hitchdeck_edge.state.documents import Documents
 from hitchdeck_edge.state.registry import Registry
 
+REMEMBERED_SECONDS = 30.0
+"""How long boxes that no longer attend count as part of the fleet."""
+
 
 @dataclass(frozen=True, slots=True)
 class _Box:
@@ -24,12 +30,36 @@
     domain: str
 
 
+class FleetSize:
+    """The largest number of entry boxes of late.
+
+    Boxes that are out of reach of a hub may be scheduled for by another one.
+    """
+
+    def __init__(self, count: Callable[[], int], now: Clock) -> None:
+        self.count = count
+        self.now = now
+        self.most = 0
+        self.counted_at = now()
+
+    def largest(self) -> int:
+        """Return the largest number of boxes in ``REMEMBERED_SECONDS``."""
+        count = self.count()
+        if count >= self.most or self.now() - self.counted_at > REMEMBERED_SECONDS:
+            self.most = count
+            self.counted_at = self.now()
+        return self.most
+
+
 class PlacingService(PlacingBase):
     """Serves the streams of all boxes that this hub schedules for."""
 
-    def __init__(self, scheduler: Scheduler) -> None:
+    def __init__(self, scheduler: Scheduler, fleet: FleetSize) -> None:
         self.scheduler = scheduler
+        self.fleet = fleet
         self.streams = 0
+        self.attending = 0
+        scheduler.placement.cold_budget.part = self.part
 
     async def Attend(self, stream: Stream[PlacingFrame, PlacedFrame]) -> None:
         """Serve one box until either side ends the stream."""
@@ -39,11 +69,17 @@
         self.streams += 1
         box = _Box(f'{first.box}#{self.streams}', first.domain)
         logs.info('box is scheduled for', attendee=box.name, open=len(first.open))
+        self.attending += 1
         try:
             await self._serve(box, first, stream)
         finally:
+            self.attending -= 1
             self.scheduler.leave(box.name)
 
+    def part(self) -> float:
+        """Return the part of the fleet's boxes that this hub schedules for."""
+        return min(1, self.attending / max(1, self.fleet.largest()))
+
     async def _serve(
         self,
         box: _Box,
@@ -88,6 +124,8 @@
     settings: HubSettings,
     documents: Documents,
     registry: Registry,
+    attendees: Attendees,
 ) -> PlacingService:
     """Return the service of a hub, with a scheduler of its own."""
-    return PlacingService(new_scheduler(settings, documents, registry))
+    scheduler = new_scheduler(settings, documents, registry)
+    return PlacingService(scheduler, FleetSize(attendees.box_count, scheduler.now))
--- a/packages/edge/src/hitchdeck_edge/hub/process.py
+++ b/packages/edge/src/hitchdeck_edge/hub/process.py
@@ -18,16 +18,24 @@
 from hitchdeck_core.ids import Address, BoxName
 from hitchdeck_core.supervisor import Supervisor
 from hitchdeck_edge.hub import formation
-from hitchdeck_edge.hub.directory import CallerKey, Door, answer_for, spread_load
+from hitchdeck_edge.hub.directory import (
+    CallerKey,
+    Door,
+    answer_for,
+    doors_in_areas,
+    spread_load,
+)
 from hitchdeck_edge.hub.documents import DocumentsService, Seat
 from hitchdeck_edge.hub.documents_client import DocumentsClient
 from hitchdeck_edge.hub.kept_file import (
     KeptFile,
     document_file,
+    evacuations_file,
     quarantine_file,
     upstreams_file,
 )
 from hitchdeck_edge.hub.liveness import Liveness
+from hitchdeck_edge.hub.orders import DomainOrders
 from hitchdeck_edge.hub.peers import HubPeer
 from hitchdeck_edge.hub.placing import PlacingService, placing_service
 from hitchdeck_edge.hub.replica import group_folder, open_replica
@@ -58,6 +66,7 @@
     state: HubState
     book: HubBook
     documents: DocumentsClient
+    orders: DomainOrders
     liveness: Liveness
     placing: PlacingService
     replica: Replica | None
@@ -68,12 +77,13 @@
     told: dict[str, tuple[int, int]] = field(default_factory=dict)
 
     def entry_addresses(
-        self, caller: CallerKey, domain: str, most: int
+        self, caller: CallerKey, domain: str, host: str, most: int
     ) -> list[Address]:
         """Return where a caller may go; nothing until boxes had time to attend."""
         if boot_seconds() - self.started < GATHERING_SECONDS:
             return []
-        doors = self._doors()
+        homes = self.state.documents.table.homes(host)
+        doors = doors_in_areas(self._doors(), domain, homes, self.settings.areas)
         answer = answer_for(caller, domain, doors, most)
         self._log_change(domain, len(answer.near), len(answer.elsewhere))
         return spread_load(caller, answer, doors)
@@ -88,6 +98,9 @@
         attendees = self.state.attendees
         figures = {
             'document_version': self.state.documents.version,
+            'evacuations_edition': self.state.evacuations.edition,
+            'evacuated_domains': len(self.state.registry.closed_domains),
+            'upstreams_cold': len(self.state.registry.cold.cold_now()),
             'upstreams': len(self.state.registry.records),
             'upstream_changes_total': self.state.registry.changes,
             'entry_boxes_ready': len(attendees.entries()),
@@ -139,18 +152,25 @@
         The data folder can't be used.
     """
     state = new_state(settings, read)
-    replica = open_replica(settings, state.documents)
+    replica = open_replica(settings, state.documents, state.evacuations)
     kept_files = _kept_files(settings, state)
     book = _book(settings)
     seat = Seat(replica, settings.voters_needed)
     service = DocumentsService(seat, state.documents)
+    client = DocumentsClient(service, book, settings.fleet_token, boot_seconds)
     hub = Hub(
         settings=settings,
         state=state,
         book=book,
-        documents=DocumentsClient(service, book, settings.fleet_token, boot_seconds),
+        documents=client,
+        orders=DomainOrders(client, state.evacuations, settings.areas),
         liveness=Liveness(state.registry, boot_seconds, settings.report_period),
-        placing=placing_service(settings, state.documents, state.registry),
+        placing=placing_service(
+            settings,
+            state.documents,
+            state.registry,
+            state.attendees,
+        ),
         replica=replica,
         # A full disk is none of these: the task that syncs ended for good with it,
         # and the hub, once elected, committed nothing for 15 s and more.
@@ -184,6 +204,7 @@
     folder = group_folder(settings.data_folder)
     files = [
         document_file(folder, state.documents),
+        evacuations_file(folder, state.evacuations),
         upstreams_file(folder, state.registry),
         quarantine_file(folder, state.quarantine),
     ]
--- a/packages/edge/src/hitchdeck_edge/hub/replica.py
+++ b/packages/edge/src/hitchdeck_edge/hub/replica.py
@@ -7,21 +7,30 @@
 from hitchdeck_control.storage.log import DurableLog
 from hitchdeck_core.clock import boot_seconds
 from hitchdeck_core.ids import Address, BoxName
-from hitchdeck_edge.hub.machine import DocumentMachine
+from hitchdeck_core.wire.spread_pb2 import EvacuationList
+from hitchdeck_edge.hub.machine import GroupMachine
 from hitchdeck_edge.model.document import DocumentVersion
 from hitchdeck_edge.settings import HubSettings
 from hitchdeck_edge.state.documents import Documents
+from hitchdeck_edge.state.evacuations import Evacuations
 
 SNAPSHOT_EVERY = 40
 """Log entries: each holds a whole document, and disks are small."""
 
+ORIGIN = 'log'
+"""Where the log says that committed news comes from."""
+
 
 def group_folder(data_folder: Path) -> Path:
     """Return where the group's files are."""
     return data_folder / 'group'
 
 
-def open_replica(settings: HubSettings, documents: Documents) -> Replica | None:
+def open_replica(
+    settings: HubSettings,
+    documents: Documents,
+    evacuations: Evacuations,
+) -> Replica | None:
     """Open the replica under the data folder; ``None`` without a disk.
 
     Raises
@@ -35,10 +44,13 @@
     folder = group_folder(settings.data_folder)
     identity = open_identity(folder, box)
 
-    def committed(version: DocumentVersion, packed: bytes) -> None:
-        documents.offer(version, packed, 'log')
+    def take_document(version: DocumentVersion, packed: bytes) -> None:
+        documents.offer(version, packed, ORIGIN)
+
+    def take_evacuations(message: EvacuationList) -> None:
+        evacuations.offer(message, ORIGIN)
 
-    machine = DocumentMachine(committed)
+    machine = GroupMachine(take_document, take_evacuations)
     return Replica(
         Self(identity, box, Address(settings.listen)),
         DurableLog(folder),
--- a/packages/edge/src/hitchdeck_edge/hub/spread.py
+++ b/packages/edge/src/hitchdeck_edge/hub/spread.py
@@ -23,6 +23,7 @@
 from hitchdeck_edge.links.records import decode_suspicion, encode_upstream
 from hitchdeck_edge.settings import HubSettings
 from hitchdeck_edge.state.documents import Documents, ReadDocument
+from hitchdeck_edge.state.evacuations import Evacuations, domain_closer
 from hitchdeck_edge.state.registry import Registry
 
 BoxStream = Stream[BoxFrame, HubFrame]
@@ -39,6 +40,7 @@
     registry: Registry
     attendees: Attendees
     quarantine: Quarantine
+    evacuations: Evacuations
     founder: Address = Address('')
     news: Signal = field(default_factory=Signal)
 
@@ -46,14 +48,17 @@
 def new_state(settings: HubSettings, read: ReadDocument) -> HubState:
     """Return what a hub knows when it starts; ``read`` decodes documents."""
     news = Signal()
+    documents = Documents(read, news)
+    registry = Registry(boot_seconds, news)
     return HubState(
         address=Address(settings.listen),
         domain=settings.domain,
         durable=settings.data_folder is not None,
-        documents=Documents(read, news),
-        registry=Registry(boot_seconds, news),
+        documents=documents,
+        registry=registry,
         attendees=Attendees(boot_seconds, settings.domain),
         quarantine=Quarantine(boot_seconds, news),
+        evacuations=Evacuations(domain_closer(registry, documents), news),
         news=news,
     )
 
@@ -63,6 +68,7 @@
     """What one stream has sent so far."""
 
     document: int = 0
+    evacuations: int = 0
     change: int = 0
     quarantine: Told = NOTHING
     hubs: frozenset[str] = frozenset()
@@ -136,10 +142,17 @@
         if state.documents.version > max(sent.document, attendee.version):
             sent.document = state.documents.version
             frame.document.CopyFrom(state.documents.message())
+        edition = state.evacuations.edition
+        if edition > max(sent.evacuations, attendee.evacuations):
+            sent.evacuations = edition
+            frame.evacuations.CopyFrom(state.evacuations.message())
         if state.registry.changes > sent.change:
             fresh = state.registry.since(sent.change)
             sent.change = state.registry.changes
-            frame.upstreams.extend(encode_upstream(one) for one in fresh)
+            left = state.registry.cold.seconds_left
+            frame.upstreams.extend(
+                encode_upstream(one, left(one.name)) for one in fresh
+            )
         _add_verdicts(frame, sent, state.quarantine)
         self._add_hubs(frame, sent)
         if attendee.reports_here:
--- a/packages/edge/src/hitchdeck_edge/links/entry.py
+++ b/packages/edge/src/hitchdeck_edge/links/entry.py
@@ -60,6 +60,7 @@
         self._forget_others()
         frame = BoxFrame(
             version=self.known.documents.version,
+            evacuations=self.known.evacuations.edition,
             ready=self.ready,
             wants_reports=home,
             busy_percent=round(PERCENT * busy_part()),
@@ -88,7 +89,7 @@
 
     def _accept(self, hub: Address, frame: HubFrame, *, is_home: bool) -> None:
         known = self.known
-        take_news(hub, frame, known.documents, known.registry, known.quarantine)
+        take_news(hub, frame, known)
         if not is_home:
             return
         self.home = hub
--- a/packages/edge/src/hitchdeck_edge/links/placing.py
+++ b/packages/edge/src/hitchdeck_edge/links/placing.py
@@ -29,7 +29,6 @@
 )
 from hitchdeck_edge.model.placing import Choice, Wanted
 from hitchdeck_edge.model.refusals import Refusal
-from hitchdeck_edge.model.upstreams import Phase
 from hitchdeck_edge.scheduling.shares import Shares
 from hitchdeck_edge.state.registry import Registry
 
@@ -276,9 +275,9 @@
         if refusal is not None:
             return refusal
         upstream = self.registry.records.get(UpstreamName(placed.upstream))
-        if upstream is None or upstream.phase is not Phase.serving:
+        if upstream is None or not self.registry.takes_work(upstream):
             # The scheduler knows one that this box has not heard of, or that
-            # it knows to leave.
+            # may get no work by what this box knows.
             self._tell_ended(placed.id)
             return None
         return decode_choice(placed, upstream)
--- a/packages/edge/src/hitchdeck_edge/links/placing_messages.py
+++ b/packages/edge/src/hitchdeck_edge/links/placing_messages.py
@@ -30,6 +30,7 @@
         goal_ms=int(wanted.goal * _MILLISECONDS),
         tried=wanted.tried,
         avoid=wanted.avoid,
+        areas=wanted.areas,
         resumes=wanted.resumes,
         request=wanted.request,
     )
@@ -57,6 +58,7 @@
         tried=frozenset(UpstreamName(one) for one in message.tried),
         resumes=message.resumes,
         avoid=frozenset(UpstreamName(one) for one in message.avoid),
+        areas=frozenset(message.areas),
     )
 
 
--- a/packages/edge/src/hitchdeck_edge/links/records.py
+++ b/packages/edge/src/hitchdeck_edge/links/records.py
@@ -21,8 +21,11 @@
 )
 
 
-def encode_upstream(upstream: Upstream) -> UpstreamRecord:
-    """Return the message for an upstream."""
+_MILLISECONDS = 1000
+
+
+def encode_upstream(upstream: Upstream, cold_left: float = 0.0) -> UpstreamRecord:
+    """Return the message for an upstream that remains cold for some seconds."""
     return UpstreamRecord(
         upstream=upstream.name,
         pool=upstream.pool,
@@ -34,6 +37,7 @@
         cleared_by=upstream.cleared_by,
         instance=upstream.instance,
         born=upstream.born,
+        cold_left_ms=round(cold_left * _MILLISECONDS),
     )
 
 
@@ -50,6 +54,7 @@
         cleared_by=int(record.cleared_by),
         instance=InstanceName(record.instance),
         born=int(record.born),
+        cold_left=record.cold_left_ms / _MILLISECONDS,
     )
 
 
--- a/packages/edge/src/hitchdeck_edge/model/document.py
+++ b/packages/edge/src/hitchdeck_edge/model/document.py
@@ -37,7 +37,8 @@
 
     ``time_limit`` is the longest a request may be held, ``goal`` the time in
     which its answer is worth most, ``gap_goal`` the longest pause between two
-    events of a stream that is still on time.
+    events of a stream that is still on time.  ``homes`` are the areas in which its
+    requests may be served; everywhere if empty.
     """
 
     name: RouteName
@@ -53,6 +54,7 @@
     gap_goal: float
     priority: int
     needs_key: bool
+    homes: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,11 +67,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Pool:
-    """A pool of upstreams; ``engine`` is absent for plain services."""
+    """A pool of upstreams; ``engine`` is absent for plain services.
+
+    ``cold_seconds`` is how long its upstreams are cold after a start during traffic,
+    ``cold_rate`` how many requests a second each bears meanwhile (0: as many as ever).
+    """
 
     name: PoolName
     connections: int
     engine: Engine | None
+    cold_seconds: float = 0.0
+    cold_rate: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,11 +97,12 @@
 
 @dataclass(frozen=True, slots=True)
 class AccountKeys:
-    """A client account and the keys that stand for it."""
+    """A client account, the keys that stand for it, and its homes; see ``Route``."""
 
     name: AccountName
     keys: tuple[str, ...]
     priority: int | None
+    homes: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,6 +116,30 @@
     accounts: tuple[AccountKeys, ...]
 
 
+def cold_seconds(document: Document | None, pool: PoolName) -> float:
+    """Return how long upstreams of a pool are cold after a start, in seconds."""
+    known = document.pools.get(pool) if document else None
+    return known.cold_seconds if known else 0
+
+
+def cold_rate(document: Document | None, pool: PoolName) -> float:
+    """Return the requests a second that a cold upstream bears, 0 where not limited."""
+    known = document.pools.get(pool) if document else None
+    return known.cold_rate if known else 0
+
+
+def common_homes(route: Route, account: AccountKeys | None) -> frozenset[str] | None:
+    """Return the areas in which a request may be served; everywhere if empty.
+
+    Where route and account both have homes, both bind; ``None`` if no area is left.
+    """
+    if account is None or not account.homes:
+        return route.homes
+    if not route.homes:
+        return account.homes
+    return route.homes & account.homes or None
+
+
 def check_document(document: Document) -> None:
     """Raise ``DocumentError`` unless the parts of a document fit together."""
     _check_routes(document)
--- a/packages/edge/src/hitchdeck_edge/model/passage.py
+++ b/packages/edge/src/hitchdeck_edge/model/passage.py
@@ -32,6 +32,8 @@
         Id of the last event of a stream that the caller has.
     decided_by
         The scheduler that decided on it last, or this box.
+    areas
+        Areas in which it may be served; everywhere if empty.
     content
         What is the same in each repeat of it, whatever the request's id.
     """
@@ -49,6 +51,7 @@
     may_have_run: bool = False
     last_event: str = ''
     decided_by: str = ''
+    areas: frozenset[str] = frozenset()
     content: Fingerprint = field(init=False)
 
     def __post_init__(self) -> None:
@@ -74,6 +77,7 @@
             prompt=self.call.prompt,
             tried=frozenset(self.tried),
             resumes=bool(self.sent or self.last_event),
+            areas=self.areas,
         )
 
     @property
--- a/packages/edge/src/hitchdeck_edge/model/placing.py
+++ b/packages/edge/src/hitchdeck_edge/model/placing.py
@@ -27,6 +27,8 @@
         It has begun before, so its account's share does not matter.
     avoid
         Upstreams that want nothing from the box that will send it.
+    areas
+        Areas in which it may be served; everywhere if empty.
     """
 
     request: RequestId
@@ -39,6 +41,7 @@
     tried: frozenset[UpstreamName]
     resumes: bool
     avoid: frozenset[UpstreamName] = frozenset()
+    areas: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/edge/src/hitchdeck_edge/model/upstreams.py
+++ b/packages/edge/src/hitchdeck_edge/model/upstreams.py
@@ -1,6 +1,6 @@
 """An upstream, as it reports itself to a hub."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 
 from hitchdeck_core.ids import (
@@ -38,6 +38,9 @@
     born
         Orders the lives of an instance: the time of its start in Unix ms, 0 where
         it does not say; a hub that believes a clock was set back sets it higher.
+    cold_left
+        Seconds that it remains cold, as of this report.  They pass, so two records
+        that differ in nothing else are equal.
     """
 
     name: UpstreamName
@@ -50,6 +53,7 @@
     cleared_by: int = 0
     instance: InstanceName = InstanceName('')
     born: int = 0
+    cold_left: float = field(default=0.0, compare=False)
 
     @property
     def silent(self) -> bool:
--- a/packages/edge/src/hitchdeck_edge/process.py
+++ b/packages/edge/src/hitchdeck_edge/process.py
@@ -149,6 +149,8 @@
         knowledge.scheduler.shares,
     )
     chooser = Chooser(settings.domain, knowledge.scheduler, link)
+    # A box that decides alone has the part of one box.
+    chooser.local.placement.cold_budget.part = budget.part_of_fleet
     connections = Connections(boot_seconds)
     quarantine = knowledge.quarantine
     sender = Sender(dialect, chooser, connections, quarantine, boot_seconds)
--- a/packages/edge/src/hitchdeck_edge/scheduling/chooser.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/chooser.py
@@ -6,7 +6,7 @@
 from hitchdeck_core.ids import PoolName
 from hitchdeck_edge.links.placing import PlacingLink
 from hitchdeck_edge.model.passage import THIS_BOX, Passage
-from hitchdeck_edge.model.placing import Choice
+from hitchdeck_edge.model.placing import Choice, Wanted
 from hitchdeck_edge.model.refusals import Refusal
 from hitchdeck_edge.scheduling.scheduler import Scheduler
 
@@ -43,7 +43,7 @@
             if not self.local.placement.candidates(wanted):
                 return Refusal.no_upstream
         if not wanted.slots or wanted.prompt is None:
-            return self.local.placement.choose(wanted) or Refusal.no_upstream
+            return self._choose_plain(wanted)
         scheduler = self.link.scheduler
         asks = self.local.mechanisms.scheduler
         decision = await self.link.place(wanted) if asks else None
@@ -56,3 +56,10 @@
         if isinstance(decision, Choice):
             self.local.shares.grant(wanted)
         return decision
+
+    def _choose_plain(self, wanted: Wanted) -> Choice | Refusal:
+        choice = self.local.placement.choose(wanted)
+        if choice is None:
+            return Refusal.no_upstream
+        self.local.placement.cold_budget.spend(choice.upstream)
+        return choice
--- a/packages/edge/src/hitchdeck_edge/scheduling/placement.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/placement.py
@@ -8,14 +8,17 @@
 """
 
 import random
+from collections.abc import Callable, Mapping
+from types import MappingProxyType
 
 from hitchdeck_core.hashing import ranked
-from hitchdeck_core.ids import UpstreamName
+from hitchdeck_core.ids import PoolName, UpstreamName
 from hitchdeck_edge.model.calls import Prompt
 from hitchdeck_edge.model.mechanisms import ALL, Mechanisms
 from hitchdeck_edge.model.placing import Choice, Wanted
 from hitchdeck_edge.model.upstreams import Upstream
 from hitchdeck_edge.scheduling.books import Books, Ticket
+from hitchdeck_edge.scheduling.cold_budget import ColdBudget
 from hitchdeck_edge.scheduling.health import Health
 from hitchdeck_edge.scheduling.memory import PrefixMemory
 from hitchdeck_edge.scheduling.pace import Pace
@@ -58,6 +61,16 @@
 for free."""
 
 
+Areas = Mapping[str, str]
+"""The area of each failure domain."""
+
+NO_AREAS: Areas = MappingProxyType({})
+
+
+def _no_limit(_pool: PoolName) -> float:
+    return 0
+
+
 class Placement:
     """Chooses upstreams from everything that a box knows."""
 
@@ -66,9 +79,13 @@
         registry: Registry,
         books: Books,
         mechanisms: Mechanisms = ALL,
+        areas: Areas = NO_AREAS,
+        cold_rate: Callable[[PoolName], float] = _no_limit,
     ) -> None:
         self.registry = registry
         self.books = books
+        self.areas = areas
+        self.cold_budget = ColdBudget(books.now, registry.cold, cold_rate)
         self.mechanisms = mechanisms
         self.health = Health(books.now)
         self.memory = PrefixMemory(books.now)
@@ -90,6 +107,9 @@
         if wanted.tried or wanted.avoid:
             passed_over = wanted.tried | wanted.avoid
             serving = [one for one in serving if one.name not in passed_over]
+        if wanted.areas:
+            serving = [one for one in serving if self._is_in(one, wanted.areas)]
+        serving = self.cold_budget.usable(serving)
         if not self.mechanisms.ejection:
             return serving
         ejected = self.health.ejected()
@@ -232,6 +252,9 @@
             return [prompt.tokens for _ in upstreams]
         return self.memory.uncached_at([one.name for one in upstreams], prompt)
 
+    def _is_in(self, upstream: Upstream, areas: frozenset[str]) -> bool:
+        return self.areas.get(upstream.domain) in areas
+
     def _slowness(self, upstream: Upstream) -> float:
         if not self.mechanisms.slowness:
             return 1
--- a/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
@@ -12,13 +12,14 @@
 
 from hitchdeck_core import logs
 from hitchdeck_core.clock import Clock, boot_seconds
-from hitchdeck_core.ids import UpstreamName
+from hitchdeck_core.ids import PoolName, UpstreamName
+from hitchdeck_edge.model.document import cold_rate
 from hitchdeck_edge.model.mechanisms import ALL, Mechanisms
 from hitchdeck_edge.model.placing import Choice, Wanted
 from hitchdeck_edge.model.refusals import Refusal
 from hitchdeck_edge.scheduling.books import Books, Ticket
 from hitchdeck_edge.scheduling.patience import longest_queue
-from hitchdeck_edge.scheduling.placement import Placement
+from hitchdeck_edge.scheduling.placement import NO_AREAS, Areas, Placement
 from hitchdeck_edge.scheduling.shares import Shares
 from hitchdeck_edge.settings import BoxSettings
 from hitchdeck_edge.state.documents import Documents
@@ -52,11 +53,18 @@
         shares: Shares,
         now: Clock,
         mechanisms: Mechanisms = ALL,
+        areas: Areas = NO_AREAS,
     ) -> None:
         self.documents = documents
         self.shares = shares
         self.mechanisms = mechanisms
-        self.placement = Placement(registry, Books(now), mechanisms)
+        self.placement = Placement(
+            registry,
+            Books(now),
+            mechanisms,
+            areas,
+            self._cold_rate,
+        )
         self.now = now
         self.open: dict[BoxTicket, Open] = {}
 
@@ -68,6 +76,7 @@
             return self._refuse(wanted, Refusal.no_upstream, standing, 0)
         accepted = self._accepted(wanted, choice, standing)
         if accepted is not None:
+            self.placement.cold_budget.spend(accepted.upstream)
             if self.documents.document is not None:
                 self.shares.grant(wanted)
             return accepted
@@ -127,6 +136,9 @@
             self.placement.forget_gone()
             await asyncio.sleep(CLEANUP_SECONDS)
 
+    def _cold_rate(self, pool: PoolName) -> float:
+        return cold_rate(self.documents.document, pool)
+
     def _accepted(
         self,
         wanted: Wanted,
@@ -199,4 +211,11 @@
 ) -> Scheduler:
     """Return a process's scheduler, which knows of no request yet."""
     shares = Shares(settings.share_window, boot_seconds)
-    return Scheduler(documents, registry, shares, boot_seconds, settings.mechanisms)
+    return Scheduler(
+        documents,
+        registry,
+        shares,
+        boot_seconds,
+        settings.mechanisms,
+        settings.areas,
+    )
--- a/packages/edge/src/hitchdeck_edge/serving/admission.py
+++ b/packages/edge/src/hitchdeck_edge/serving/admission.py
@@ -6,14 +6,14 @@
 from hitchdeck_core import logs
 from hitchdeck_core.busyness import busy_part, loop_lag
 from hitchdeck_core.clock import Clock
-from hitchdeck_core.ids import AccountName, PoolName, RequestId
+from hitchdeck_core.ids import PoolName, RequestId
 from hitchdeck_edge.dispatch.answers import refuse
 from hitchdeck_edge.dispatch.attempts import Service
 from hitchdeck_edge.dispatch.dispatcher import Dispatcher
 from hitchdeck_edge.errors import CallerGoneError, CallError
 from hitchdeck_edge.model.calls import Call
 from hitchdeck_edge.model.dialect import Dialect
-from hitchdeck_edge.model.document import Route
+from hitchdeck_edge.model.document import Route, common_homes
 from hitchdeck_edge.model.passage import Passage
 from hitchdeck_edge.model.refusals import Refusal
 from hitchdeck_edge.serving.caller import Caller
@@ -180,11 +180,12 @@
         route = table.route(call.host, call.path)
         if route is None:
             return Refusal.no_route
-        account: AccountName | None = None
-        if route.needs_key:
-            account = table.account(call.key)
-            if account is None:
-                return Refusal.no_key
+        account = table.account(call.key) if route.needs_key else None
+        if route.needs_key and account is None:
+            return Refusal.no_key
+        homes = common_homes(route, account)
+        if homes is None:
+            return Refusal.no_upstream
         if self._comes_too_late_to_stop(route):
             return Refusal.stopping
         pool = document.pools[_pool_of(route)]
@@ -194,11 +195,12 @@
             body=body,
             route=route,
             pool=pool,
-            account=account,
+            account=account.name if account else None,
             version=document.version,
             arrived=arrived,
             ends=arrived + patience,
             last_event=call.last_event,
+            areas=homes,
         )
 
     def _comes_too_late_to_stop(self, route: Route) -> bool:
--- a/packages/edge/src/hitchdeck_edge/settings.py
+++ b/packages/edge/src/hitchdeck_edge/settings.py
@@ -1,7 +1,7 @@
 """Settings of a hub and of an entry box; seconds, and addresses as IP:port."""
 
-from collections.abc import Callable
-from dataclasses import dataclass
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
 from functools import partial
 from pathlib import Path
 
@@ -56,6 +56,8 @@
         Name of this process in the fleet, and its failure domain.
     seeds
         Addresses of some hubs, for boxes; the others are learned from them.
+    areas
+        The area of each failure domain of the deployment, as far as stated.
     stop_grace
         How long a planned stop may take before the process is killed.
     address_ttl
@@ -78,6 +80,7 @@
     domain: str
     seeds: tuple[Address, ...] = ()
     metrics_listen: Address | None = None
+    areas: Mapping[str, str] = field(default_factory=dict)
     stop_grace: float = 8
     address_ttl: float = 5
     share_window: float = 4
--- a/packages/edge/src/hitchdeck_edge/state/knowledge.py
+++ b/packages/edge/src/hitchdeck_edge/state/knowledge.py
@@ -10,6 +10,7 @@
 from hitchdeck_edge.scheduling.scheduler import Scheduler, new_scheduler
 from hitchdeck_edge.settings import EntrySettings
 from hitchdeck_edge.state.documents import Documents
+from hitchdeck_edge.state.evacuations import Evacuations, domain_closer
 from hitchdeck_edge.state.registry import Registry
 
 
@@ -17,7 +18,8 @@
 class Knowledge:
     """Configuration, upstreams, open work, and the box's own scheduler.
 
-    ``quarantine`` tells which requests may reach no upstream, and why.
+    ``quarantine`` tells which requests may reach no upstream, and why, and
+    ``evacuations`` which failure domains get no new work.
     """
 
     documents: Documents
@@ -25,6 +27,7 @@
     books: Books
     scheduler: Scheduler
     quarantine: Quarantine
+    evacuations: Evacuations
 
 
 def new_knowledge(settings: EntrySettings, dialect: Dialect) -> Knowledge:
@@ -35,4 +38,5 @@
     scheduler = new_scheduler(settings, documents, registry)
     quarantine = Quarantine(boot_seconds, Signal())
     books = scheduler.placement.books
-    return Knowledge(documents, registry, books, scheduler, quarantine)
+    evacuations = Evacuations(domain_closer(registry, documents), news)
+    return Knowledge(documents, registry, books, scheduler, quarantine, evacuations)
--- a/packages/edge/src/hitchdeck_edge/state/registry.py
+++ b/packages/edge/src/hitchdeck_edge/state/registry.py
@@ -16,6 +16,7 @@
 from hitchdeck_core.ids import Address, InstanceName, LifeId, PoolName, UpstreamName
 from hitchdeck_core.signals import Signal
 from hitchdeck_edge.model.upstreams import Phase, Suspicion, Upstream, name_of_life
+from hitchdeck_edge.state.cold import ColdUpstreams
 
 GONE_KEPT_SECONDS = 120.0
 """How long the end of an upstream is remembered: far longer than a late
@@ -41,6 +42,10 @@
         The latest life known of each instance, also when it has ended.
     superseded
         Lives that ended since a later one of their instance is known.
+    cold
+        Which upstreams are cold.
+    closed_domains
+        Failure domains whose upstreams get no new work.
     hears_reports
         Whether upstreams report to this process.  Only such a process suspects the
         earlier holder of an address: nobody would clear the suspicion of another.
@@ -62,20 +67,23 @@
         self.changed = changed
         self.listed: dict[PoolName, list[Upstream]] = {}
         self.listed_at = 0
+        self.cold = ColdUpstreams(now)
+        self.closed_domains: frozenset[str] = frozenset()
 
     def merge(self, record: Upstream, origin: str) -> bool:
         """Take a record if it is newer; tell whether anything changed."""
         if self._is_of_earlier_life(record):
             return False
         known = self.records.get(record.name)
-        if record == known:
+        cools = self.cold.report(record.name, record.sequence, record.cold_left)
+        if record == known and not cools:
             return False
         if known is not None:
             record = _join(record, known)
             if record.sequence > known.sequence:
                 # Somebody has heard of it since.
                 self.heard[record.name] = self.now()
-            if not _differs(record, known):
+            if not cools and not _differs(record, known):
                 # A report that says nothing new is not passed on.
                 self.records[record.name] = record
                 return False
@@ -88,6 +96,7 @@
             phase=record.phase.name,
             sequence=record.sequence,
             silent=record.silent,
+            cold_left=round(self.cold.seconds_left(record.name), 3),
             cleared_by=record.cleared_by,
             origin=origin,
         )
@@ -144,11 +153,28 @@
             known = [
                 record
                 for record in self.records.values()
-                if record.pool == pool and record.phase is Phase.serving
+                if record.pool == pool and self.takes_work(record)
             ]
             self.listed[pool] = known
         return known
 
+    def takes_work(self, record: Upstream) -> bool:
+        """Tell whether an upstream may get new work."""
+        open_domain = record.domain not in self.closed_domains
+        return open_domain and record.phase is Phase.serving
+
+    def close_domains(self, domains: frozenset[str]) -> list[Upstream]:
+        """Send no new work to some failure domains.
+
+        Returns
+        -------
+        The upstreams of domains that were closed before and are open now.
+        """
+        reopened = self.closed_domains - domains
+        self.closed_domains = domains
+        self.listed = {}
+        return [one for one in self.records.values() if one.domain in reopened]
+
     def silence(self, limit: float) -> None:
         """Mark upstreams that nobody heard of for ``limit`` seconds."""
         horizon = self.now() - limit
@@ -259,6 +285,7 @@
         for known in (self.records, self.numbers, self.heard, self.stored):
             known.pop(record.name, None)
         self.superseded.discard(record.name)
+        self.cold.forget(record.name)
         if self.newest.get(record.lineage) == record.name:
             self.newest.pop(record.lineage)
         self.listed = {}
@@ -278,7 +305,7 @@
 
 def _tie_break(record: Upstream) -> str:
     """Return the same order everywhere for two records of one report."""
-    return str(replace(record, cleared_by=0))
+    return str(replace(record, cleared_by=0, cold_left=0))
 
 
 def _differs(record: Upstream, known: Upstream) -> bool:
--- a/packages/edge/src/hitchdeck_edge/state/routing.py
+++ b/packages/edge/src/hitchdeck_edge/state/routing.py
@@ -1,6 +1,5 @@
 """Finding the route and the client account of a request."""
 
-from hitchdeck_core.ids import AccountName
 from hitchdeck_edge.model.document import AccountKeys, Document, Route
 
 
@@ -32,7 +31,11 @@
             end -= 1
         return None
 
-    def account(self, key: str) -> AccountName | None:
+    def account(self, key: str) -> AccountKeys | None:
         """Return the client account that holds a key, if any."""
-        found = self.accounts.get(key)
-        return found.name if found else None
+        return self.accounts.get(key)
+
+    def homes(self, host: str) -> frozenset[str]:
+        """Return the areas that are homes of some route of a host."""
+        routes = self.routes.get(host, {}).values()
+        return frozenset().union(*(route.homes for route in routes))
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -102,6 +102,7 @@
     """A running stand-in deployment."""
 
     folder: Path
+    areas: dict[str, str] = field(default_factory=dict)
     hubs: list[Hub] = field(default_factory=list)
     doors: dict[str, list[HTTPServer]] = field(default_factory=dict)
     boxes: list[EntryBox] = field(default_factory=list)
@@ -124,6 +125,7 @@
                 data_folder=self.folder / f'hub-{number}',
                 may_found=True,
                 disks_lost=disks_lost,
+                areas=self.areas,
             )
             await self.start_hub(settings)
 
@@ -150,14 +152,28 @@
             listen=free_address(),
             ready_listen=free_address(),
             stop_grace=2,
+            areas=self.areas,
         )
         box = await start_entry(settings, DIALECT)
         self.boxes.append(box)
         return box
 
-    async def start_worker(self, name: str, pool: str, born: int = 0) -> Worker:
+    async def start_worker(
+        self,
+        name: str,
+        pool: str,
+        domain: str = 'a',
+        born: int = 0,
+        cold_left_ms: float = 0,
+    ) -> Worker:
         """Start a worker and report it to the first hub."""
-        worker = Worker(name, pool, born=born)
+        worker = Worker(
+            name,
+            pool,
+            domain=domain,
+            born=born,
+            cold_left_ms=cold_left_ms,
+        )
         await worker.start()
         self.workers.append(worker)
         await self.tell(worker, 1)
@@ -196,6 +212,19 @@
         text = given if isinstance(given, str) else json.dumps(given)
         return await self.call('PUT', control, '/api/config', text)
 
+    async def evacuate(
+        self,
+        domain: str,
+        hub: int = 0,
+        *,
+        active: bool = True,
+        body: str | None = None,
+    ) -> HTTPResponse:
+        """Send an order on a failure domain to a hub."""
+        control = self.hubs[hub].settings.control_listen
+        method = 'POST' if active else 'DELETE'
+        return await self.call(method, control, f'/api/evacuations/{domain}', body)
+
     async def read(self, hub: int = 0) -> HTTPResponse:
         """Ask a hub for the newest document."""
         control = self.hubs[hub].settings.control_listen
@@ -279,9 +308,10 @@
     hubs: int = 1,
     boxes: int = 1,
     disks_lost: int = 0,
+    areas: dict[str, str] | None = None,
 ) -> AsyncIterator[Site]:
     """Run a site with two engines and two plain workers, document 1 in force."""
-    site = Site(folder)
+    site = Site(folder, areas or {})
     reporting: asyncio.Task[None] | None = None
     try:
         await _start(site, hubs, boxes, disks_lost)
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -60,6 +60,8 @@
 
     name: str
     pool: str
+    domain: str = 'a'
+    cold_left_ms: float = 0
     born: int = 0
     gap: float = 0.005
     events: int = 5
@@ -124,10 +126,11 @@
         return {
             'service': self.pool,
             'address': self.address,
-            'zone': 'a',
+            'zone': self.domain,
             'slots': 4,
             'state': state,
             'sequence': sequence,
+            'coldLeftMs': self.cold_left_ms,
             **({'born': self.born} if self.born else {}),
         }
 
--- a/tests/common/scheduling.py
+++ b/tests/common/scheduling.py
@@ -100,9 +100,12 @@
     return Upstream(UpstreamName(name), POOL, Address(f'{name}:1'), 'a', 8, phase, 1)
 
 
-def offer(scheduler: Scheduler, tokens_per_second: int) -> None:
-    """Put a document in force that states the engines' capacity."""
-    text = json.dumps(document(1, limits={'tokensPerS': tokens_per_second})).encode()
+def offer(scheduler: Scheduler, tokens_per_second: int, **pool: float) -> None:
+    """Put a document in force that states the engines' capacity, and their pool."""
+    engines = {'name': POOL, 'engine': {'slots': 8, 'kvCapacity': 100_000}, **pool}
+    given = document(1, limits={'tokensPerS': tokens_per_second})
+    given['services'] = [engines, {'name': 'app'}]
+    text = json.dumps(given).encode()
     scheduler.documents.offer(DocumentVersion(1), zlib.compress(text), 'test')
 
 
--- a/tests/edge/test_alone.py
+++ b/tests/edge/test_alone.py
@@ -12,6 +12,7 @@
 from hitchdeck_edge.scheduling.books import Ticket
 from hitchdeck_edge.settings import EntrySettings
 from hitchdeck_edge.state.documents import Documents
+from hitchdeck_edge.state.evacuations import Evacuations
 from hitchdeck_edge.state.knowledge import Knowledge
 from hitchdeck_platform.documents import read_document
 from tests.common.scheduling import FakeClock, scheduler_of
@@ -32,6 +33,7 @@
         scheduler.placement.books,
         scheduler,
         Quarantine(clock, Signal()),
+        Evacuations(lambda _domains: None, Signal()),
     )
     settings = EntrySettings(
         box='box',
--- a/tests/edge/test_scheduler_link.py
+++ b/tests/edge/test_scheduler_link.py
@@ -11,7 +11,7 @@
 from hitchdeck_core.clock import boot_seconds
 from hitchdeck_core.ids import Address, BoxName, UpstreamName
 from hitchdeck_core.signals import Signal
-from hitchdeck_edge.hub.placing import PlacingService
+from hitchdeck_edge.hub.placing import FleetSize, PlacingService
 from hitchdeck_edge.links import placing
 from hitchdeck_edge.links.hubs import HubBook
 from hitchdeck_edge.links.placing import PlacingLink
@@ -123,7 +123,7 @@
 async def prompt_hub() -> AsyncIterator[Address]:
     """Run a hub that places every request on the engine ``e0``."""
     clock = FakeClock()
-    service = PlacingService(scheduler_of(clock, 1))
+    service = PlacingService(scheduler_of(clock, 1), FleetSize(lambda: 1, clock))
     address = free_address()
     server = await serve([service], address, fleet_only('token'))
     try:
@@ -161,7 +161,7 @@
     monkeypatch.setattr(placing, 'busy_part', lambda: busy)
     clock = FakeClock()
     scheduler = scheduler_of(clock, 1)
-    service = PlacingService(scheduler)
+    service = PlacingService(scheduler, FleetSize(lambda: 1, scheduler.now))
     address = free_address()
     server = await serve([service], address, fleet_only('token'))
     async with running_link(address) as link:
