Evacuate a failure domain from the command line

An operator of the product had to write a rule by hand to close a failure domain. `hitchdeck evacuate DOMAIN` commits the rule, and `reopen` deletes it; both may be repeated, and a domain of no upstream is an error that lists the domains that exist.

--- a/packages/cli/src/hitchdeck_cli/main.py
+++ b/packages/cli/src/hitchdeck_cli/main.py
@@ -13,6 +13,12 @@
 
 from hitchdeck_cli.connection import Connection, make_connection
 from hitchdeck_cli.documents import read_resources
+from hitchdeck_cli.domains import (
+    check_domain,
+    evacuation_of,
+    is_evacuated,
+    reopening_of,
+)
 from hitchdeck_cli.errors import CommandError, ExitCode
 from hitchdeck_cli.group import GroupCommands
 from hitchdeck_cli.printing import print_line, print_object, print_rows
@@ -137,6 +143,22 @@
         rule = f'{_DRAIN_PREFIX}-{what}-{name}'
         self._execute(Delete(kind='rule', name=rule), wait=wait)
 
+    def evacuate(self, domain: str, *, wait: bool = True) -> None:
+        """Send no new work to the upstreams of a failure domain."""
+        check_domain(domain, self._read(ListResources(kind='upstream'), ResourceList))
+        self._execute(evacuation_of(domain), wait=wait)
+
+    def reopen(self, domain: str, *, wait: bool = True) -> None:
+        """Take an evacuated failure domain back; once it is open, a no-op."""
+        rules = self._read(ListResources(kind='rule'), ResourceList)
+        if not is_evacuated(domain, rules):
+            check_domain(
+                domain, self._read(ListResources(kind='upstream'), ResourceList)
+            )
+            print_line(f'domain {domain} is open')
+            return
+        self._execute(reopening_of(domain), wait=wait)
+
     def wait(self, version: int) -> None:
         """Wait until a configuration version is in force everywhere."""
         connection = self._connection()
--- a/tests/edge/test_cold_upstreams.py
+++ b/tests/edge/test_cold_upstreams.py
@@ -184,8 +184,9 @@
     demand: Callable[[int], bool],
     seconds: int,
 ) -> Iterator[float]:
+    began = clock.seconds
     for step in range(seconds * 50):
-        clock.seconds += 0.02
+        clock.seconds = began + step / 50
         for one in deciders:
             if demand(step) and one.send():
                 yield clock.seconds
@@ -201,9 +202,9 @@
 ) -> None:
     clock = FakeClock()
     deciders = [decider(clock, part / sum(parts)) for part in parts]
-    on: list[bool] = []
-    for number, pause in enumerate(pauses):
-        on += [number % 2 == 0] * pause
+    on = [
+        number % 2 == 0 for number, pause in enumerate(pauses) for _ in range(pause)
+    ]
 
     def demand(step: int) -> bool:
         return on[step % len(on)]
--- a/tests/failures/test_processes.py
+++ b/tests/failures/test_processes.py
@@ -318,6 +318,28 @@
     assert len(callers.begun_at(fleet, fleet.engines[0])) == before
 
 
+async def test_an_evacuated_domain_gets_no_new_work_until_it_is_reopened(
+    fleet: Fleet,
+) -> None:
+    for number, engine in enumerate(fleet.engines):
+        labels = f'--labels={{kind: engine, domain: d{number}}}'
+        address = f'--address=127.0.0.1:{engine.port}'
+        fleet.hitchdeck('put', 'upstream', engine.name, address, labels)
+    unknown = fleet.hitchdeck('evacuate', 'nowhere', check=False)
+    assert unknown.returncode == 2
+    assert 'd0, d1' in unknown.stderr
+    for _ in range(2):
+        fleet.hitchdeck('evacuate', 'd0')
+    before = len(callers.begun_at(fleet, fleet.engines[0]))
+    for number in range(6):
+        await ask_until_answered(fleet, f'evacuated {number}')
+    assert len(callers.begun_at(fleet, fleet.engines[0])) == before
+    for _ in range(2):
+        fleet.hitchdeck('reopen', 'd0')
+    rules = json.loads(fleet.hitchdeck('get', 'rule', '--json').stdout)
+    assert all(one['effect'] != 'leaving' for one in rules)
+
+
 def test_orders_survive_the_leader_and_are_fenced(fleet: Fleet) -> None:
     for number in range(3):
         fleet.hitchdeck('order', 'engine-0', 'load', f'model-{number}')
