--- a/tests/edge/test_cold_upstreams.py
+++ b/tests/edge/test_cold_upstreams.py
@@ -202,9 +202,7 @@
 ) -> None:
     clock = FakeClock()
     deciders = [decider(clock, part / sum(parts)) for part in parts]
-    on = [
-        number % 2 == 0 for number, pause in enumerate(pauses) for _ in range(pause)
-    ]
+    on = [number % 2 == 0 for number, pause in enumerate(pauses) for _ in range(pause)]
 
     def demand(step: int) -> bool:
         return on[step % len(on)]
