--- a/packages/edge/src/hitchdeck_edge/hub/attendees.py
+++ b/packages/edge/src/hitchdeck_edge/hub/attendees.py
@@ -3,6 +3,7 @@
 import math
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from operator import attrgetter
 
 from hitchdeck_core import logs
 from hitchdeck_core.busyness import PERCENT
@@ -33,6 +34,15 @@
     tally: Tally = field(default_factory=Tally)
 
 
+RELIEF_FROM = 0.5
+"""Utilization from which a box is told of others that have time."""
+
+RELIEF_UP_TO = 0.35
+"""Utilization up to which a box takes connections from others."""
+
+MOST_RELIEF = 8
+"""Boxes that one is told of."""
+
 Place = tuple[str, bool]
 """A machine's name, and whether its hub or its entry box is meant."""
 
@@ -82,6 +92,20 @@
         """Return the entry boxes that are alive and ready."""
         return [one for one in self._alive() if one.hello.entry_address and one.ready]
 
+    def relief_for(self, attendee: Attendee) -> list[Address]:
+        """Return boxes that take connections from one that is short of time."""
+        if attendee.busy <= RELIEF_FROM or not attendee.hello.relief_address:
+            return []
+        able = [
+            one
+            for one in self.entries()
+            if one.hello.relief_address
+            and one.hello.domain == attendee.hello.domain
+            and one.busy < RELIEF_UP_TO
+        ]
+        able.sort(key=attrgetter('busy'))
+        return [Address(one.hello.relief_address) for one in able[:MOST_RELIEF]]
+
     def hubs(self) -> list[Attendee]:
         """Return the hubs that are alive."""
         return [one for one in self._alive() if one.hello.hub_address]
--- a/packages/edge/src/hitchdeck_edge/hub/directory.py
+++ b/packages/edge/src/hitchdeck_edge/hub/directory.py
@@ -59,18 +59,11 @@
 FEWEST_KEPT = 3
 """Boxes that an answer still names when overloaded ones are left out."""
 
-FEWEST_SAMPLED = 8
-"""Addresses that a sample of an answer holds at least."""
-
-SAMPLED_PART = 0.25
-"""Part of an answer's addresses that a sample holds."""
-
 ALONE_AT_LEAST = 8
 """Boxes without a hub beside them that a domain must have before those with one
 are left out: a hub answers the fleet, on the same processor."""
 
 _SPREAD = 'spread'
-_SAMPLE = 'sample'
 
 
 @dataclass(frozen=True, slots=True)
@@ -179,19 +172,6 @@
     return told
 
 
-def sample_for(caller: CallerKey, addresses: Sequence[Address]) -> list[Address]:
-    """Return a part of an answer's addresses, a different one for each caller.
-
-    Callers that all choose alike, such as those of one account, then use several boxes
-    from their first request on, before any of them is overloaded.
-    """
-    count = max(FEWEST_SAMPLED, math.ceil(len(addresses) * SAMPLED_PART))
-    if len(addresses) <= count:
-        return list(addresses)
-    drawn = sorted(addresses, key=lambda one: stable_hash(_SAMPLE, caller, one))
-    return sorted(drawn[:count])
-
-
 def _draw_part(caller: CallerKey, address: Address) -> float:
     """Return a number from 0 to 1, always the same for a caller and a box."""
     # Not the hash by which boxes are drawn: those drawn all rank high by it.
--- a/packages/edge/src/hitchdeck_edge/hub/process.py
+++ b/packages/edge/src/hitchdeck_edge/hub/process.py
@@ -23,7 +23,6 @@
     Door,
     answer_for,
     doors_in_areas,
-    sample_for,
     spread_load,
 )
 from hitchdeck_edge.hub.documents import DocumentsService, Seat
@@ -87,7 +86,7 @@
         doors = doors_in_areas(self._doors(), domain, homes, self.settings.areas)
         answer = answer_for(caller, domain, doors, most)
         self._log_change(domain, len(answer.near), len(answer.elsewhere))
-        return sample_for(caller, spread_load(caller, answer, doors))
+        return spread_load(caller, answer, doors)
 
     def address_seconds(self) -> float:
         """Return how long callers may keep what ``entry_addresses`` told."""
--- a/packages/edge/src/hitchdeck_edge/hub/spread.py
+++ b/packages/edge/src/hitchdeck_edge/hub/spread.py
@@ -155,6 +155,7 @@
             )
         _add_verdicts(frame, sent, state.quarantine)
         self._add_hubs(frame, sent)
+        frame.relief.extend(state.attendees.relief_for(attendee))
         if attendee.reports_here:
             _add_reports(frame, attendee, state.attendees)
         return frame
--- a/packages/edge/src/hitchdeck_edge/links/entry.py
+++ b/packages/edge/src/hitchdeck_edge/links/entry.py
@@ -15,6 +15,7 @@
 from hitchdeck_edge.links.records import encode_suspicion
 from hitchdeck_edge.settings import EntrySettings
 from hitchdeck_edge.state.knowledge import Knowledge
+from hitchdeck_edge.state.relief import ReliefTargets
 from hitchdeck_edge.state.tallies import Tally, tally_of
 
 DIGEST_SECONDS = 5.0
@@ -32,10 +33,12 @@
         settings: EntrySettings,
         known: Knowledge,
         budget: RepeatBudget,
+        targets: ReliefTargets,
     ) -> None:
         self.settings = settings
         self.known = known
         self.budget = budget
+        self.targets = targets
         self.ready = False
         self.urgent = known.quarantine.changed
         self.told: dict[Address, Told] = {}
@@ -90,6 +93,7 @@
     def _accept(self, hub: Address, frame: HubFrame, *, is_home: bool) -> None:
         known = self.known
         take_news(hub, frame, known)
+        self.targets.offer(frame.relief)
         if not is_home:
             return
         self.home = hub
@@ -150,4 +154,5 @@
             incarnation=self.incarnation,
             domain=self.settings.domain,
             entry_address=self.settings.listen,
+            relief_address=self.settings.relief_listen or '',
         )
--- a/packages/edge/src/hitchdeck_edge/process.py
+++ b/packages/edge/src/hitchdeck_edge/process.py
@@ -25,9 +25,11 @@
 from hitchdeck_edge.serving.admission import Admission
 from hitchdeck_edge.serving.doors import listen, metrics_page, ready_page
 from hitchdeck_edge.serving.front import FrontDoor
+from hitchdeck_edge.serving.handoff import Handoff
 from hitchdeck_edge.serving.stopping import Stopping
 from hitchdeck_edge.settings import EntrySettings
 from hitchdeck_edge.state.knowledge import Knowledge, new_knowledge
+from hitchdeck_edge.state.relief import ReliefTargets
 
 STOP_POLL_SECONDS = 0.1
 """Between two looks whether a stopping box may end."""
@@ -59,7 +61,7 @@
         self.link.announce(ready=False)
         self.door.close_after_answers()
         logs.info('stopping', open_requests=len(self.admission.tasks))
-        while not self.stopping.may_end(idle=not self.admission.tasks):
+        while not self.stopping.may_end(idle=self._is_idle()):
             await asyncio.sleep(STOP_POLL_SECONDS)
 
     async def stop(self) -> None:
@@ -83,6 +85,9 @@
             self._note_turns()
             await self.link.known.documents.changed.wait(UPKEEP_SECONDS)
 
+    def _is_idle(self) -> bool:
+        return not (self.admission.tasks or self.door.handoff.open)
+
     def _note_turns(self) -> None:
         """Tell how long this box looked at no socket, where it was long."""
         longest = take_longest_turn()
@@ -115,12 +120,18 @@
     dispatcher = _dispatcher(settings, dialect, knowledge, book)
     stopping = Stopping(settings.stop_grace, boot_seconds)
     admission = Admission(dialect, knowledge, dispatcher, stopping, boot_seconds)
+    targets = ReliefTargets(boot_seconds)
     box = EntryBox(
         settings=settings,
-        link=EntryLink(settings, knowledge, dispatcher.budget),
+        link=EntryLink(settings, knowledge, dispatcher.budget, targets),
         book=book,
         admission=admission,
-        door=FrontDoor(admission.take, admission.shedder, admission.is_short_of_time),
+        door=FrontDoor(
+            admission.take,
+            admission.shedder,
+            Handoff(targets),
+            admission.is_short_of_time,
+        ),
         stopping=stopping,
         supervisor=Supervisor('entry'),
     )
@@ -161,6 +172,9 @@
     settings = box.settings
     host, port = split_address(Address(settings.listen))
     box.door.listen(listening_socket(host, port))
+    if settings.relief_listen is not None:
+        relief = listening_socket(*split_address(settings.relief_listen))
+        box.door.listen_for_relief(relief)
     ready = ready_page(box.is_ready)
     box.servers.append(listen(ready, Address(settings.ready_listen)))
     if settings.metrics_listen is not None:
--- a/packages/edge/src/hitchdeck_edge/serving/front.py
+++ b/packages/edge/src/hitchdeck_edge/serving/front.py
@@ -17,6 +17,8 @@
 from tornado.netutil import add_accept_handler
 
 from hitchdeck_core import logs
+from hitchdeck_core.busyness import busy_part
+from hitchdeck_edge.serving.handoff import Handoff, should_hand_off
 from hitchdeck_edge.serving.shedding import Shedder
 
 HEADER_BYTES = 65_536
@@ -73,10 +75,18 @@
 class FrontDoor(HTTPServerConnectionDelegate):
     """Accepts callers' connections."""
 
-    def __init__(self, serve: Serve, shedder: Shedder, is_short: IsShort) -> None:
+    def __init__(
+        self,
+        serve: Serve,
+        shedder: Shedder,
+        handoff: Handoff,
+        is_short: IsShort,
+    ) -> None:
         self.serve = serve
         self.shedder = shedder
         self.shedder.serve = self._serve_connection
+        self.handoff = handoff
+        self.handoff.serve = self._serve_here
         self.is_short = is_short
         self.listening: list[tuple[socket.socket, Callable[[], None]]] = []
         self.server = HTTPServer(
@@ -84,6 +94,13 @@
             max_header_size=HEADER_BYTES,
             max_body_size=BODY_BYTES,
         )
+        # A connection that another box relays ends with its answer.
+        self.relief_server = HTTPServer(
+            self,
+            no_keep_alive=True,
+            max_header_size=HEADER_BYTES,
+            max_body_size=BODY_BYTES,
+        )
 
     def start_request(
         self,
@@ -101,6 +118,10 @@
         """Accept connections on a listening socket."""
         self.listening.append((sock, add_accept_handler(sock, self._accept)))
 
+    def listen_for_relief(self, sock: socket.socket) -> None:
+        """Accept connections that other boxes hand on."""
+        self.listening.append((sock, add_accept_handler(sock, self._accept_relief)))
+
     def close_after_answers(self) -> None:
         """Have each further answer say that its connection ends with it."""
         self.server.conn_params.no_keep_alive = True
@@ -112,17 +133,33 @@
             sock.close()
         self.listening = []
         self.shedder.close()
+        self.handoff.close()
 
     def _accept(self, connection: socket.socket, _: object) -> None:
         connection.setblocking(False)
+        if should_hand_off(busy_part()) and self.handoff.take(connection):
+            return
+        self._serve_here(connection)
+
+    def _accept_relief(self, connection: socket.socket, _: object) -> None:
+        connection.setblocking(False)
+        self._serve_connection(connection, self.relief_server)
+
+    def _serve_here(self, connection: socket.socket) -> None:
         if self.is_short():
             self.shedder.take(connection)
         else:
             self._serve_connection(connection)
 
-    def _serve_connection(self, connection: socket.socket) -> None:
+    def _serve_connection(
+        self,
+        connection: socket.socket,
+        server: HTTPServer | None = None,
+    ) -> None:
         try:
-            self.server.handle_stream(IOStream(connection), connection.getpeername())
+            (server or self.server).handle_stream(
+                IOStream(connection), connection.getpeername()
+            )
         except OSError as error:
             logs.info('connection closed before it was served', reason=repr(error))
             connection.close()
--- a/packages/edge/src/hitchdeck_edge/settings.py
+++ b/packages/edge/src/hitchdeck_edge/settings.py
@@ -100,15 +100,19 @@
 
 @dataclass(frozen=True, kw_only=True)
 class EntrySettings(BoxSettings):
-    """An entry box: where callers and readiness checks reach it."""
+    """An entry box: where callers and readiness checks reach it.
+
+    ``relief_listen`` is where other boxes hand connections on to it, if anywhere.
+    """
 
     listen: Address
     ready_listen: Address
+    relief_listen: Address | None = None
 
     def __post_init__(self) -> None:
         """Raise ``SettingsError``, naming the field, for what can't be used."""
         super().__post_init__()
-        _check_addresses(self, 'listen', 'ready_listen')
+        _check_addresses(self, 'listen', 'ready_listen', 'relief_listen')
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -151,6 +151,7 @@
             seeds=tuple(hub.settings.listen for hub in self.hubs[:3]),
             listen=free_address(),
             ready_listen=free_address(),
+            relief_listen=free_address(),
             stop_grace=2,
             areas=self.areas,
         )
--- a/tests/edge/test_alone.py
+++ b/tests/edge/test_alone.py
@@ -14,6 +14,7 @@
 from hitchdeck_edge.state.documents import Documents
 from hitchdeck_edge.state.evacuations import Evacuations
 from hitchdeck_edge.state.knowledge import Knowledge
+from hitchdeck_edge.state.relief import ReliefTargets
 from hitchdeck_platform.documents import read_document
 from tests.common.scheduling import FakeClock, scheduler_of
 
@@ -41,7 +42,12 @@
         listen=Address('127.0.0.1:1'),
         ready_listen=Address('127.0.0.1:2'),
     )
-    link = EntryLink(settings, known, RepeatBudget(0.2, 50, 10, clock))
+    link = EntryLink(
+        settings,
+        known,
+        RepeatBudget(0.2, 50, 10, clock),
+        ReliefTargets(clock),
+    )
     book = HubBook('box', 'a', [HUB], clock)
     book.reach(HUB)
     others = [Load(upstream=ENGINE, running=TOGETHER - OWN)]
--- a/tests/edge/test_directory.py
+++ b/tests/edge/test_directory.py
@@ -13,12 +13,10 @@
     ALONE_AT_LEAST,
     ELSEWHERE,
     FEWEST,
-    FEWEST_SAMPLED,
     Answer,
     CallerKey,
     Door,
     answer_for,
-    sample_for,
     spread_load,
 )
 
@@ -258,41 +256,3 @@
     for caller in CALLERS:
         answer = asked(doors, caller=caller)
         assert spread_load(caller, answer, doors) == answer.addresses
-
-
-@pytest.mark.parametrize('size', [11, 20, 40, 100])
-def test_callers_that_choose_alike_use_several_boxes_from_the_first_request(
-    size: int,
-) -> None:
-    """All 4,681 requests of an account came to one of 32 boxes, the rest idle."""
-    doors = fleet(3, size)
-    used: Counter[str] = Counter()
-    for caller in CALLERS:
-        told = sample_for(caller, asked(doors, caller=caller).addresses)
-        used[ranked('account', told)[0]] += 1
-    assert max(used.values()) <= 0.6 * len(CALLERS)
-    assert len(used) > 3
-
-
-@given(
-    st.dictionaries(st.sampled_from('abcdef'), st.integers(1, 90), min_size=1),
-    st.sampled_from(CALLERS),
-)
-def test_a_sample_is_the_same_each_time_and_never_small(
-    sizes: dict[str, int], caller: CallerKey
-) -> None:
-    told = answer_for(caller, 'a', doors_of(sizes), MOST).addresses
-    sample = sample_for(caller, told)
-    assert sample == sample_for(caller, told)
-    assert set(sample) <= set(told)
-    assert len(sample) >= min(len(told), FEWEST_SAMPLED)
-
-
-def test_samples_use_all_boxes_evenly() -> None:
-    doors = fleet(3, 40)
-    used: Counter[Address] = Counter()
-    for caller in CALLERS:
-        used.update(sample_for(caller, asked(doors, caller=caller).addresses))
-    at_home = [used[door.address] for door in doors if door.domain == 'd0']
-    assert max(at_home) <= 1.6 * sum(at_home) / len(at_home)
-    assert sum(at_home) >= 0.95 * used.total()
--- /dev/null
+++ b/tests/edge/test_handoff.py
@@ -0,0 +1,157 @@
+"""A box short of processor time hands connections on to boxes that have some."""
+
+import asyncio
+from collections import Counter
+from collections.abc import AsyncIterator, Callable
+from pathlib import Path
+
+import pytest
+
+from hitchdeck_core.ids import Address
+from hitchdeck_core.wire.spread_pb2 import BoxFrame, Hello
+from hitchdeck_edge.hub.attendees import (
+    MOST_RELIEF,
+    RELIEF_FROM,
+    RELIEF_UP_TO,
+    Attendee,
+    Attendees,
+)
+from hitchdeck_edge.process import EntryBox
+from hitchdeck_edge.serving import front
+from hitchdeck_edge.serving.handoff import (
+    HANDOFF_ALL,
+    HANDOFF_FROM,
+    should_hand_off,
+)
+from hitchdeck_edge.state.relief import (
+    DISTRUST_SECONDS,
+    TARGETS_TTL_SECONDS,
+    ReliefTargets,
+)
+from standins.platform_site import Site, generation, running_site
+from standins.ports import free_address
+from tests.common.scheduling import FakeClock
+
+WAIT_SECONDS = 15.0
+
+
+@pytest.fixture
+async def site(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> AsyncIterator[Site]:
+    """Return a site whose first box hands every connection on, if it can."""
+    monkeypatch.setattr(front, 'should_hand_off', lambda _busy: True)
+    async with running_site(tmp_path, hubs=1, boxes=2) as running:
+        yield running
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    async with asyncio.timeout(WAIT_SECONDS):
+        while not condition():
+            await asyncio.sleep(0.02)
+
+
+def hand_on(site: Site) -> tuple[EntryBox, EntryBox]:
+    """Let the first box know of the second; return both."""
+    first, second = site.boxes
+    first.door.handoff.targets.offer([second.settings.relief_listen or ''])
+    return first, second
+
+
+def outcomes(box: EntryBox) -> Counter[str]:
+    return box.admission.gauges.outcomes
+
+
+async def test_requests_that_are_handed_on_are_served_elsewhere(site: Site) -> None:
+    first, second = hand_on(site)
+    for number in range(4):
+        reply = await site.ask_model('/s/x', f's{number}')
+        assert reply.code == 200
+        assert reply.headers['Connection'] == 'close'
+        assert (await site.ask('/u/x', f'u{number}')).code == 200
+    assert not outcomes(first)
+    assert outcomes(second).total() == 8
+    await until(lambda: not first.door.handoff.open)
+    assert first.door.handoff.handed == 8
+
+
+async def test_a_box_out_of_reach_is_passed_by_and_the_request_served(
+    site: Site,
+) -> None:
+    first, second = site.boxes
+    gone = free_address()
+    first.door.handoff.targets.offer([gone])
+    assert (await site.ask('/u/x', 'here')).code == 200
+    assert outcomes(first)['answered'] == 1
+    assert not outcomes(second)
+    assert first.door.handoff.targets.choose() is None
+
+
+async def test_a_caller_that_leaves_ends_its_request_at_the_other_box(
+    site: Site,
+) -> None:
+    first, second = hand_on(site)
+    for worker in site.workers:
+        worker.gap = 0.5
+    host, port = first.settings.listen.split(':')
+    _, writer = await asyncio.open_connection(host, int(port))
+    writer.write(generation('left', 'key-of-ann', 'aa:10', '10,10', 4))
+    await until(lambda: bool(second.admission.tasks))
+    writer.transport.abort()
+    await until(lambda: not second.admission.tasks)
+    await until(lambda: not first.door.handoff.open)
+
+
+async def test_a_box_that_stops_waits_for_what_it_relays(site: Site) -> None:
+    first, _ = hand_on(site)
+    for worker in site.workers:
+        worker.gap = 0.1
+    asking = asyncio.create_task(site.ask_model('/once/x', 'slow'))
+    await until(lambda: bool(first.door.handoff.open))
+    await first.drain()
+    await first.stop()
+    assert (await asking).code == 200
+
+
+@pytest.mark.parametrize(
+    ('busy', 'chance'), [(0, 0), (HANDOFF_FROM, 0), (HANDOFF_ALL, 1), (1, 1)]
+)
+def test_connections_are_handed_on_by_utilization(busy: float, chance: int) -> None:
+    assert sum(should_hand_off(busy) for _ in range(50)) == 50 * chance
+
+
+def test_boxes_that_nobody_names_any_more_are_not_used() -> None:
+    clock = FakeClock()
+    targets = ReliefTargets(clock)
+    assert targets.choose() is None
+    targets.offer(['a:1'])
+    targets.offer([])
+    assert targets.choose() == 'a:1'
+    targets.distrust(Address('a:1'))
+    assert targets.choose() is None
+    clock.seconds += DISTRUST_SECONDS
+    targets.offer(['a:1'])
+    clock.seconds += TARGETS_TTL_SECONDS / 2
+    assert targets.choose() == 'a:1'
+    clock.seconds += TARGETS_TTL_SECONDS
+    assert targets.choose() is None
+
+
+def attending(attendees: Attendees, name: str, domain: str, busy: float) -> Attendee:
+    hello = Hello(
+        box=name, domain=domain, entry_address=f'{name}:1', relief_address=f'{name}:2'
+    )
+    attendee = attendees.enter(hello)
+    attendees.note(attendee, BoxFrame(ready=True, busy_percent=round(100 * busy)))
+    return attendee
+
+
+def test_a_busy_box_is_told_of_the_idlest_of_its_domain() -> None:
+    attendees = Attendees(FakeClock(), 'a')
+    for number in range(20):
+        attending(attendees, f'a{number}', 'a', number / 100)
+    attending(attendees, 'full', 'a', RELIEF_UP_TO + 0.1)
+    attending(attendees, 'far', 'b', 0)
+    calm = attending(attendees, 'calm', 'a', RELIEF_FROM)
+    busy = attending(attendees, 'busy', 'a', RELIEF_FROM + 0.1)
+    assert not attendees.relief_for(calm)
+    relief = attendees.relief_for(busy)
+    assert relief == [f'a{number}:2' for number in range(MOST_RELIEF)]
