Compose a hub's frames without a look at every box

Each frame of a hub asked all boxes that attend it which of them are hubs, and each report asked them twice more for the size of the fleet: the cost of a frame grew with the fleet, and that of a second with its square. In a profile of 6 hubs and 40 boxes this was the most expensive function. Hubs have a list of their own, the size is kept for 0.1 s like the sum beside it, and hashes of recent members are kept.

--- a/packages/core/src/hitchdeck_core/hashing.py
+++ b/packages/core/src/hitchdeck_core/hashing.py
@@ -2,13 +2,16 @@
 
 import hashlib
 from collections.abc import Iterable
+from functools import lru_cache
 
 _WORD_BYTES = 8
+_CACHED_HASHES = 4096
 
 HASH_VALUES: int = 2 ** (8 * _WORD_BYTES)
 """Number of values that a stable hash may have."""
 
 
+@lru_cache(maxsize=_CACHED_HASHES)
 def stable_hash(*parts: str) -> int:
     """Return a 64-bit hash that is the same in every process."""
     joined = '\x1f'.join(parts).encode()
--- a/packages/edge/src/hitchdeck_edge/hub/attendees.py
+++ b/packages/edge/src/hitchdeck_edge/hub/attendees.py
@@ -1,7 +1,7 @@
 """The boxes that attend this hub, and what each last reported."""
 
 import math
-from collections.abc import Iterable
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from operator import attrgetter
 
@@ -54,13 +54,18 @@
         self.now = now
         self.domain = domain
         self.boxes: dict[Place, Attendee] = {}
+        self.hub_boxes: dict[Place, Attendee] = {}
         self.sum = Tally()
         self.summed_at = -math.inf
+        self.count = 0
+        self.counted_at = -math.inf
 
     def enter(self, hello: Hello) -> Attendee:
         """Start the record of a box; it replaces that of an earlier life."""
         attendee = Attendee(hello, self.now())
         self.boxes[_place(hello)] = attendee
+        if hello.hub_address:
+            self.hub_boxes[_place(hello)] = attendee
         logs.info('box attends', attendee=hello.box, entry=hello.entry_address)
         return attendee
 
@@ -69,6 +74,7 @@
         place = _place(attendee.hello)
         if self.boxes.get(place) is attendee:
             self.boxes.pop(place)
+            self.hub_boxes.pop(place, None)
             logs.info('box left', attendee=attendee.hello.box)
 
     def note(self, attendee: Attendee, frame: BoxFrame) -> None:
@@ -108,7 +114,8 @@
 
     def hubs(self) -> list[Attendee]:
         """Return the hubs that are alive."""
-        return [one for one in self._alive() if one.hello.hub_address]
+        # Asked for with every frame: it must not look at every box.
+        return self._alive(self.hub_boxes)
 
     def hub_addresses(self) -> set[Address]:
         """Return the addresses of the hubs that are alive."""
@@ -134,17 +141,22 @@
         return self.sum
 
     def box_count(self) -> int:
-        """Return how many entry boxes the fleet has, as far as known."""
-        return max(
-            len(self.own_boxes()) + sum(one.boxes for one in self.hubs()),
-            len(self.entries()),
-        )
+        """Return how many entry boxes the fleet has, as far as known.
 
-    def _alive(self) -> Iterable[Attendee]:
+        It is up to ``SUM_SECONDS`` old.
+        """
+        if self.now() - self.counted_at >= SUM_SECONDS:
+            reported = sum(one.boxes for one in self.hubs())
+            self.count = max(len(self.own_boxes()) + reported, len(self.entries()))
+            self.counted_at = self.now()
+        return self.count
+
+    def _alive(self, boxes: Mapping[Place, Attendee] | None = None) -> list[Attendee]:
         now = self.now()
+        known = self.boxes if boxes is None else boxes
         return [
             one
-            for one in self.boxes.values()
+            for one in known.values()
             if now - one.last_frame <= SILENT_FRAMES * self.idle(one)
         ]
 
--- a/tests/edge/test_hubs.py
+++ b/tests/edge/test_hubs.py
@@ -13,7 +13,7 @@
 from hitchdeck_core.ids import Address, PoolName, UpstreamName
 from hitchdeck_core.signals import Signal
 from hitchdeck_core.wire.spread_pb2 import BoxFrame, Hello
-from hitchdeck_edge.hub.attendees import Attendees
+from hitchdeck_edge.hub.attendees import Attendee, Attendees
 from hitchdeck_edge.hub.process import Hub
 from hitchdeck_edge.model.upstreams import Phase, Upstream
 from hitchdeck_edge.settings import HubSettings
@@ -312,3 +312,28 @@
     registry.merge(upstream('new', 2), 'test')
     assert not registry.records[UpstreamName('new')].silent
     assert registry.records[UpstreamName('new')].phase is Phase.serving
+
+
+def test_the_cost_of_a_frame_does_not_grow_with_the_fleet(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    looks: list[str] = []
+    attendees = Attendees(FakeClock(), 'a')
+    idle = attendees.idle
+
+    def counted(attendee: Attendee) -> float:
+        looks.append(attendee.hello.box)
+        return idle(attendee)
+
+    monkeypatch.setattr(attendees, 'idle', counted)
+    for number in range(300):
+        hello = Hello(box=f'b{number}', entry_address=f'b{number}:1', domain='a')
+        attendees.note(attendees.enter(hello), BoxFrame(ready=True))
+    for number in range(5):
+        attendees.enter(Hello(box=f'h{number}', hub_address=f'h{number}:1'))
+    assert attendees.box_count() == 300
+    looks.clear()
+    for _ in range(10):
+        assert len(attendees.hub_addresses()) == 5
+        assert attendees.box_count() == 300
+    assert len(looks) == 50
