Prefer engines nearby by what crosses, as long as they have room

A body and the answer that is expected count 0.7 tokens a byte in favour of an engine nearby, less the longer the wait there: nothing from 0.15 of the request's goal on, so a domain's flood still spreads over all engines. What no engine holds yet is read nearby.

--- a/packages/edge/src/hitchdeck_edge/links/placing_messages.py
+++ b/packages/edge/src/hitchdeck_edge/links/placing_messages.py
@@ -31,6 +31,7 @@
         tried=wanted.tried,
         avoid=wanted.avoid,
         areas=wanted.areas,
+        body_bytes=wanted.body_bytes,
         resumes=wanted.resumes,
         request=wanted.request,
     )
@@ -59,6 +60,7 @@
         resumes=message.resumes,
         avoid=frozenset(UpstreamName(one) for one in message.avoid),
         areas=frozenset(message.areas),
+        body_bytes=int(message.body_bytes),
     )
 
 
--- a/packages/edge/src/hitchdeck_edge/model/passage.py
+++ b/packages/edge/src/hitchdeck_edge/model/passage.py
@@ -78,6 +78,7 @@
             tried=frozenset(self.tried),
             resumes=bool(self.sent or self.last_event),
             areas=self.areas,
+            body_bytes=len(self.body),
         )
 
     @property
--- a/packages/edge/src/hitchdeck_edge/model/placing.py
+++ b/packages/edge/src/hitchdeck_edge/model/placing.py
@@ -29,6 +29,8 @@
         Upstreams that want nothing from the box that will send it.
     areas
         Areas in which it may be served; everywhere if empty.
+    body_bytes
+        Size of its body.
     """
 
     request: RequestId
@@ -42,6 +44,7 @@
     resumes: bool
     avoid: frozenset[UpstreamName] = frozenset()
     areas: frozenset[str] = frozenset()
+    body_bytes: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/edge/src/hitchdeck_edge/scheduling/placement.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/placement.py
@@ -41,11 +41,18 @@
 """Cap on one measurement of slowness: a single late answer says little."""
 
 NEAR_TOKENS = 250
-"""Taken off within the failure domain: bytes between domains have a price.  Not
-more: accounts stick to domains, and a flood of one would fill its engines alone.
-With 1,500, and new parts read in the domain that they come from, 0.69 and 0.63 of
-what was owed was earned in the worst four seconds of a flood, and 0.88 and 0.77
-without (39 engines in five domains, one play each; other changes took part)."""
+"""Taken off within the failure domain, however long the wait there.  Not more:
+accounts stick to domains, and a flood of one would fill its engines alone."""
+
+FAR_TOKENS_PER_BYTE = 0.7
+"""What a byte that crosses failure domains counts for, in tokens to be read."""
+
+MADE_BYTES = 20
+"""Bytes of an answer for each token made, with its framing."""
+
+NEAR_WAIT_PART = 0.15
+"""Part of a request's goal: an engine nearby with a longer wait is preferred only by
+``NEAR_TOKENS``, so that a domain's flood spreads over all engines."""
 
 FAILURE_WEIGHT = 4.0
 """How much a failing plain service counts as slower than it is."""
@@ -165,7 +172,7 @@
         candidates: list[Upstream],
     ) -> Choice:
         unread = self._unread_at(candidates, prompt)
-        holder = self._holder(prompt, candidates, min(unread))
+        holder = self._holder(prompt, self._nearby(candidates, wanted), min(unread))
         own = prompt.parts[-1].tokens if prompt.parts else 0
         weighed = [
             self._weigh(one, prompt, wanted, min(own, tokens))
@@ -192,6 +199,12 @@
             reading=tokens * seconds,
         )
 
+    def _nearby(self, candidates: list[Upstream], wanted: Wanted) -> list[Upstream]:
+        """Return the engines of the request's domain, all where it has none."""
+        if not self.mechanisms.near_first:
+            return candidates
+        return [one for one in candidates if one.domain == wanted.domain] or candidates
+
     def _holder(
         self,
         prompt: Prompt,
@@ -228,9 +241,16 @@
             cost += FULL_TOKENS
         cost *= self._slowness(upstream)
         if self.mechanisms.near_first and upstream.domain == wanted.domain:
-            cost -= NEAR_TOKENS
+            cost -= self._near_tokens(wanted, prompt, self._wait(upstream.name))
         return cost, tokens, upstream
 
+    def _near_tokens(self, wanted: Wanted, prompt: Prompt, wait: int) -> float:
+        """Return what an engine nearby with some tokens before it has in its favour."""
+        limit = NEAR_WAIT_PART * wanted.goal * self.pace.of(wanted.pool)
+        idle_part = max(0, 1 - wait / max(1, limit))
+        crossing = wanted.body_bytes + MADE_BYTES * prompt.expected_made
+        return NEAR_TOKENS + idle_part * FAR_TOKENS_PER_BYTE * crossing
+
     def _wait(self, name: UpstreamName) -> int:
         """Return what is before a new request at an engine, in tokens."""
         return self.books.waiting(name) + RUNNING_TOKENS * self.books.running(name)
