Soak evacuations and a cold upstream

An operator evacuates and reopens a domain under faults. When calm, a cold upstream gets at most 1.5 times its stated rate and 5 in a second of a flood; after an accepted order no upstream of the domain gets a request, also after every program was killed and started again.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -7,6 +7,7 @@
 import asyncio
 import json
 import random
+import signal
 import sys
 import tempfile
 import time
@@ -19,6 +20,7 @@
 
 from soak.faults import MS, Faults
 from soak.fleet import Program, claimed_fleet
+from soak.places import COLD_PER_SECOND, Places
 from soak.promises import SUCCESS, Answer, History
 from soak.proxy import Proxy
 from standins.platform_site import HOST, KEY, document
@@ -39,6 +41,17 @@
 REPORTED_SECONDS = 0.8
 """Until a worker that started again has reported itself."""
 
+SERVICES = (
+    {
+        'name': 'llm',
+        'maxConns': 50,
+        'engine': {'slots': 8, 'kvCapacity': 100_000},
+        'coldS': 1.0,
+        'coldPerS': COLD_PER_SECOND,
+    },
+    {'name': 'app', 'maxConns': 50},
+)
+
 FOREIGN = (
     '',
     '[',
@@ -69,10 +82,13 @@
         self.seed = seed
         self.fleet = claimed_fleet(folder, seed)
         pools = ('llm', 'llm', 'llm', 'app', 'app')
-        self.workers = [Worker(f'w{at}', pool) for at, pool in enumerate(pools)]
+        self.workers = [
+            Worker(f'w{at}', pool, domain='ab'[at % 2]) for at, pool in enumerate(pools)
+        ]
         self.proxies: dict[str, Proxy] = {}
         self.history = History()
         self.client = AsyncHTTPClient(force_instance=True, max_clients=200)
+        self.places = Places(self.workers, self.history, self._fetch, self._control)
         self.asked = 0
         self.version = 1
 
@@ -114,13 +130,10 @@
         self.proxies[target] = proxy
         return proxy.address
 
-    def _through(self, target: str) -> str:
-        return self.proxies[target].address
-
     async def _play(self, seconds: float) -> None:
         reporting = asyncio.create_task(self._report())
         async with asyncio.timeout(START_SECONDS):
-            while not await self._publish() or not await self._serves():
+            while not await self._publish() or not await self._ask_once():
                 await asyncio.sleep(0.2)
         proxies = list(self.proxies.values())
         faults = Faults(self.fleet, self.workers, proxies, self.seed)
@@ -132,14 +145,15 @@
         """Let callers, operators and strangers at the fleet, under faults."""
         works = [self._call() for _ in range(CALLERS)]
         works += [self._operate(), self._intrude(), self._repeat_lethal(), faults.run()]
+        works.append(self.places.operate(self.random))
         tasks = [asyncio.create_task(work) for work in works]
         await asyncio.sleep(seconds)
         await _end(tasks)
 
     async def _calm_down(self, faults: Faults) -> None:
         """Let everything come back, then send the lethal request to each box."""
-        await faults.calm()
-        await asyncio.sleep(CALM_SECONDS)
+        await self._become_calm(faults)
+        await self.places.check(self._ask_each, self._restart_all)
         self.history.lethal_before = self._lethal_runs()
         for box in self.fleet.boxes * 2:
             await self._ask(self._next(LETHAL), '/s/', LETHAL, box)
@@ -148,6 +162,24 @@
         self.history.lethal_after = self._lethal_runs() - self.history.lethal_before
         await self._ask_unwilling()
 
+    async def _become_calm(self, faults: Faults) -> None:
+        await faults.calm()
+        await asyncio.sleep(CALM_SECONDS)
+
+    async def _restart_all(self) -> None:
+        for program in self.fleet.programs():
+            program.signal(signal.SIGKILL)
+        for program in self.fleet.programs():
+            program.end(1)
+            self.fleet.write_settings(program, first=False)
+            program.start()
+        await asyncio.sleep(CALM_SECONDS)
+
+    async def _ask_each(self) -> None:
+        for box in self.fleet.boxes * ROUNDS:
+            for path in PATHS:
+                await self._ask(self._next('a'), path, box=box)
+
     async def _ask_unwilling(self) -> None:
         """Ask of workers that say that they leave, then of all, which want a pause."""
         leavers = [self.workers[0], self.workers[-1]]
@@ -161,9 +193,7 @@
 
     async def _count_sent(self, unwilling: list[Worker]) -> None:
         before = [len(worker.seen) for worker in unwilling]
-        for box in self.fleet.boxes * ROUNDS:
-            for path in PATHS:
-                await self._ask(self._next('a'), path, box=box)
+        await self._ask_each()
         most = len(self.fleet.boxes)
         for worker, known in zip(unwilling, before, strict=True):
             self.history.unwilling.append((worker.name, len(worker.seen) - known, most))
@@ -184,14 +214,18 @@
                 worker.sequence += 1
                 body = json.dumps(worker.report(worker.sequence))
                 hub = self.random.choice(self.fleet.hubs)
-                control = self._through(self.fleet.control(hub))
+                control = self.proxies[self.fleet.control(hub)].address
                 url = f'http://{control}/api/instances/{worker.name}'
                 await self._fetch(HTTPRequest(url, 'PUT', body=body))
             await asyncio.sleep(0.4)
 
+    async def _ask_once(self) -> bool:
+        answer = await self._ask(self._next('a'), self.random.choice(PATHS))
+        return answer.status == SUCCESS
+
     async def _call(self) -> None:
         while True:
-            await self._ask(self._next('a'), self.random.choice(PATHS))
+            await self._ask_once()
             await asyncio.sleep(self.random.uniform(0, 0.05))
 
     async def _repeat_lethal(self) -> None:
@@ -204,8 +238,7 @@
         """Send hubs what no upstream says."""
         while True:
             body = self.random.choice(FOREIGN)
-            hub = self.random.choice(self.fleet.hubs)
-            url = f'http://{self._through(self.fleet.control(hub))}/api/instances/w0'
+            url = f'http://{self._control()}/api/instances/w0'
             status, _ = await self._fetch(HTTPRequest(url, 'PUT', body=body))
             self.history.foreign.append((body, status))
             await asyncio.sleep(self.random.uniform(0.05, 0.4))
@@ -225,7 +258,7 @@
             model = {'Model': 'm', 'Token-Count': '200,20', 'Prompt-Prefix': prompt}
             headers.update(model)
         chosen = box or self.random.choice(self.fleet.boxes)
-        url = f'http://{self._through(self.fleet.front(chosen))}{path}'
+        url = f'http://{self.proxies[self.fleet.front(chosen)].address}{path}'
         status, answered = await self._fetch(
             HTTPRequest(url, 'POST', headers=headers, body=body, request_timeout=5),
         )
@@ -233,13 +266,14 @@
         self.history.answers.append(answer)
         return answer
 
-    async def _serves(self) -> bool:
-        return (await self._ask(self._next('a'), '/s/')).status == SUCCESS
+    def _control(self) -> str:
+        """Return where some hub takes orders."""
+        hub = self.random.choice(self.fleet.hubs)
+        return self.proxies[self.fleet.control(hub)].address
 
     async def _publish(self) -> bool:
-        hub = self.random.choice(self.fleet.hubs)
-        url = f'http://{self._through(self.fleet.control(hub))}/api/config'
-        body = json.dumps(document(self.version))
+        url = f'http://{self._control()}/api/config'
+        body = json.dumps(document(self.version, services=SERVICES))
         status, _ = await self._fetch(HTTPRequest(url, 'PUT', body=body))
         if status == SUCCESS:
             self.history.accepted = max(self.history.accepted, self.version)
@@ -250,8 +284,7 @@
             self.version += 1
             await self._publish()
             accepted = self.history.accepted
-            hub = self.random.choice(self.fleet.hubs)
-            url = f'http://{self._through(self.fleet.control(hub))}/api/config'
+            url = f'http://{self._control()}/api/config'
             status, body = await self._fetch(HTTPRequest(url))
             if status == SUCCESS:
                 read = int(json.loads(body)['version'])
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -33,6 +33,9 @@
 firstStart = {first}
 dataDir = "{data}"
 heartbeatMs = 500
+[zones]
+a = "north"
+b = "north"
 [listen]
 front = "{ip}:{front}"
 ready = "{ip}:{ready}"
