Hand nothing on to a box that stands still

A kernel accepts connections for a frozen process. Requests that a box in good order had handed on to it would have had no answer at their route's time limit; at 150 requests a second over eight boxes some 28 within the 1.5 s until hubs name it no more.

The receiving box greets with one byte, and nothing is sent to it before.

Found by thinking through a freeze; both tests fail on the code before.

--- a/packages/edge/src/hitchdeck_edge/serving/front.py
+++ b/packages/edge/src/hitchdeck_edge/serving/front.py
@@ -18,7 +18,7 @@
 
 from hitchdeck_core import logs
 from hitchdeck_core.busyness import busy_part
-from hitchdeck_edge.serving.handoff import Handoff, should_hand_off
+from hitchdeck_edge.serving.handoff import GREETING, Handoff, should_hand_off
 from hitchdeck_edge.serving.shedding import Shedder
 
 HEADER_BYTES = 65_536
@@ -143,6 +143,12 @@
 
     def _accept_relief(self, connection: socket.socket, _: object) -> None:
         connection.setblocking(False)
+        try:
+            connection.send(GREETING)
+        except OSError as error:
+            logs.info('box left before it was greeted', reason=repr(error))
+            connection.close()
+            return
         self._serve_connection(connection, self.relief_server)
 
     def _serve_here(self, connection: socket.socket) -> None:
--- a/tests/edge/test_handoff.py
+++ b/tests/edge/test_handoff.py
@@ -1,11 +1,13 @@
 """A box short of processor time hands connections on to boxes that have some."""
 
 import asyncio
+import socket
 from collections import Counter
 from collections.abc import AsyncIterator, Callable
 from pathlib import Path
 
 import pytest
+from tornado.httpclient import HTTPClientError
 
 from hitchdeck_core.ids import Address
 from hitchdeck_core.wire.spread_pb2 import BoxFrame, Hello
@@ -19,8 +21,10 @@
 from hitchdeck_edge.process import EntryBox
 from hitchdeck_edge.serving import front
 from hitchdeck_edge.serving.handoff import (
+    GREETING,
     HANDOFF_ALL,
     HANDOFF_FROM,
+    VERDICT_SECONDS,
     should_hand_off,
 )
 from hitchdeck_edge.state.relief import (
@@ -33,6 +37,7 @@
 from tests.common.scheduling import FakeClock
 
 WAIT_SECONDS = 15.0
+LOST = (OSError, HTTPClientError)
 
 
 @pytest.fixture
@@ -111,6 +116,44 @@
     assert (await asking).code == 200
 
 
+async def test_nothing_is_sent_to_a_box_that_stands_still(site: Site) -> None:
+    first, _ = site.boxes
+    with listening() as frozen:
+        first.door.handoff.targets.offer([address_of(frozen)])
+        assert (await site.ask('/u/x', 'here')).code == 200
+        assert outcomes(first)['answered'] == 1
+        accepted, _ = frozen.accept()
+        with accepted:
+            assert not accepted.recv(1)
+
+
+async def test_callers_do_not_wait_for_a_box_that_has_stopped_to_answer(
+    site: Site,
+) -> None:
+    first, _ = site.boxes
+    with listening() as frozen:
+        targets = first.door.handoff.targets
+        targets.offer([address_of(frozen)])
+        asking = asyncio.create_task(site.ask('/u/x', 'stuck'))
+        accepted, _ = await asyncio.to_thread(frozen.accept)
+        with accepted:
+            accepted.send(GREETING)
+            await until(lambda: len(first.door.handoff.open) > 1)
+            assert (await site.ask('/u/x', 'next')).code == 200
+            with pytest.raises(LOST):
+                await asyncio.wait_for(asking, 2 * VERDICT_SECONDS)
+    assert not first.door.handoff.open
+
+
+def listening() -> socket.socket:
+    return socket.create_server(('127.0.0.1', 0))
+
+
+def address_of(sock: socket.socket) -> str:
+    host, port = sock.getsockname()
+    return f'{host}:{port}'
+
+
 @pytest.mark.parametrize(
     ('busy', 'chance'), [(0, 0), (HANDOFF_FROM, 0), (HANDOFF_ALL, 1), (1, 1)]
 )
