Send news to boxes of other domains with the next idle frame

Every hub sent every change at once to every box, so each box heard it six times, in frames of their own: with 96 boxes and 6 hubs some 0.3 s of processor time for each change. A hub sends news at once to boxes of its own domain, to hubs, and to boxes that report to it because they reach no nearer one; others get it with the next idle frame, 1 s at most. Frames of one stream are 40 ms apart at least, so a burst of changes shares one.

--- a/packages/core/src/hitchdeck_core/signals.py
+++ b/packages/core/src/hitchdeck_core/signals.py
@@ -8,13 +8,17 @@
 
     An ``asyncio.Event`` would have to be cleared by one of many waiters, and
     whoever clears it first hides it from the others.
+
+    ``count`` is how many notifications there were.
     """
 
     def __init__(self) -> None:
         self.waiters: set[asyncio.Future[bool]] = set()
+        self.count = 0
 
     def notify(self) -> None:
         """Wake all that wait."""
+        self.count += 1
         waiters, self.waiters = self.waiters, set()
         for waiter in waiters:
             _settle(waiter, notified=True)
--- a/packages/edge/src/hitchdeck_edge/hub/attendees.py
+++ b/packages/edge/src/hitchdeck_edge/hub/attendees.py
@@ -94,6 +94,11 @@
         near = attendee.hello.domain == self.domain
         return hub_idle(near) if attendee.hello.hub_address else box_idle(near)
 
+    def hears_at_once(self, attendee: Attendee) -> bool:
+        """Tell whether a box or hub is sent news when it comes."""
+        near = attendee.hello.domain == self.domain
+        return near or attendee.reports_here or bool(attendee.hello.hub_address)
+
     def entries(self) -> list[Attendee]:
         """Return the entry boxes that are alive and ready."""
         return [one for one in self._alive() if one.hello.entry_address and one.ready]
--- a/packages/edge/src/hitchdeck_edge/hub/spread.py
+++ b/packages/edge/src/hitchdeck_edge/hub/spread.py
@@ -28,6 +28,9 @@
 
 BoxStream = Stream[BoxFrame, HubFrame]
 
+GATHERING_SECONDS = 0.04
+"""Least time between two frames of one stream: news comes in bursts."""
+
 
 @dataclass(slots=True)
 class HubState:
@@ -121,12 +124,26 @@
         sent = _Sent()
         try:
             while True:
+                known = self.state.news.count
                 await stream.send_message(self._frame(attendee, sent))
-                await self.state.news.wait(self._pause(attendee))
+                await self._wait(attendee, known)
         except TRANSPORT_ERRORS:
             # The receiving side sees the same end and logs that the box left.
             return
 
+    async def _wait(self, attendee: Attendee, known: int) -> None:
+        """Wait until a box is to be sent a frame, of news or of none.
+
+        Boxes of other domains hear news at once from hubs of their own; this hub
+        sends it with the next idle frame, in case they reach none of these.
+        """
+        await asyncio.sleep(GATHERING_SECONDS)
+        pause = self._pause(attendee) - GATHERING_SECONDS
+        if not self.state.attendees.hears_at_once(attendee):
+            await asyncio.sleep(pause)
+        elif self.state.news.count == known:
+            await self.state.news.wait(pause)
+
     def _pause(self, attendee: Attendee) -> float:
         if attendee.reports_here:
             return REPORT_SECONDS
--- a/tests/edge/test_hubs.py
+++ b/tests/edge/test_hubs.py
@@ -12,7 +12,7 @@
 from hitchdeck_core.clock import boot_seconds
 from hitchdeck_core.ids import Address, PoolName, UpstreamName
 from hitchdeck_core.signals import Signal
-from hitchdeck_core.wire.spread_pb2 import BoxFrame, Hello
+from hitchdeck_core.wire.spread_pb2 import BoxFrame, Hello, HubFrame
 from hitchdeck_edge.hub.attendees import Attendee, Attendees
 from hitchdeck_edge.hub.process import Hub
 from hitchdeck_edge.model.upstreams import Phase, Upstream
@@ -337,3 +337,45 @@
         assert len(attendees.hub_addresses()) == 5
         assert attendees.box_count() == 300
     assert len(looks) == 50
+
+
+@pytest.mark.parametrize(
+    ('hello', 'reports', 'at_once'),
+    [
+        (Hello(box='near', domain='a', entry_address='n:1'), False, True),
+        (Hello(box='far', domain='b', entry_address='f:1'), False, False),
+        (Hello(box='far', domain='b', entry_address='f:1'), True, True),
+        (Hello(box='hub', domain='b', hub_address='h:1'), False, True),
+    ],
+    ids=['own-domain', 'other-domain', 'other-domain-reports-here', 'hub'],
+)
+def test_news_goes_at_once_to_those_who_hear_it_from_no_nearer_hub(
+    hello: Hello, *, reports: bool, at_once: bool
+) -> None:
+    attendees = Attendees(FakeClock(), 'a')
+    attendee = attendees.enter(hello)
+    attendees.note(attendee, BoxFrame(wants_reports=reports))
+    assert attendees.hears_at_once(attendee) is at_once
+
+
+async def test_a_burst_of_news_reaches_a_box_in_few_frames(site: Site) -> None:
+    accepted: list[int] = []
+    link = site.boxes[0].link
+    take = link._accept
+
+    def counted(hub: Address, frame: HubFrame, *, is_home: bool) -> None:
+        accepted.append(len(frame.upstreams))
+        take(hub, frame, is_home=is_home)
+
+    link._accept = counted
+    hub = site.hubs[0]
+    for number in range(60):
+        name = UpstreamName(f'burst{number}')
+        record = Upstream(
+            name, PoolName('llm'), Address('1.2.3.4:5'), 'a', 4, Phase.serving, 1
+        )
+        hub.state.registry.merge(record, 'test')
+        await asyncio.sleep(0.005)
+    await until(lambda: 'burst59' in link.known.registry.records)
+    assert sum(accepted) >= 60
+    assert len([one for one in accepted if one]) <= 60
