Place a request elsewhere rather than refuse it for the wait nearby

Before a request is refused it is placed once more without the preference. The test failed on the code before.

--- a/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
@@ -8,7 +8,7 @@
 """
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from hitchdeck_core import logs
 from hitchdeck_core.clock import Clock, boot_seconds
@@ -147,12 +147,15 @@
     ) -> Choice | None:
         """Return where a request may go within its time, if anywhere.
 
-        The cheapest engine may be one with a long wait, for what it has
-        cached.  Rather than refuse a request within its share, another one
-        reads that again.
+        The cheapest engine may be one with a long wait, for being nearby or for what
+        it has cached.  Rather than refuse a request, it goes to another domain; within
+        its share, another engine reads again what is cached.
         """
         if wanted.resumes or self._begins_in_time(wanted, choice, standing):
             return choice
+        anywhere = self.placement.choose(replace(wanted, domain=''))
+        if anywhere and self._begins_in_time(wanted, anywhere, standing):
+            return anywhere
         if standing > 1 or not self.mechanisms.another_engine:
             return None
         soonest = self.placement.soonest(wanted)
--- a/tests/edge/test_near_engines.py
+++ b/tests/edge/test_near_engines.py
@@ -14,7 +14,7 @@
 from hitchdeck_edge.state.documents import Documents
 from hitchdeck_edge.state.registry import Registry
 from hitchdeck_platform.documents import read_document
-from tests.common.scheduling import FakeClock, engine, wanted
+from tests.common.scheduling import FakeClock, engine, offer, wanted
 
 DOMAINS = ('a', 'b', 'c')
 ENGINES = 4
@@ -93,6 +93,26 @@
         assert place(scheduler, asked(subject, domain)).upstream == first.upstream
 
 
+@pytest.mark.parametrize('had', [0, 40])
+def test_a_request_goes_elsewhere_rather_than_be_refused(had: int) -> None:
+    """A wait nearby that is no reason to go far was one to refuse a request."""
+    scheduler = fleet()
+    offer(scheduler, 40_000)
+    for number in range(had):
+        others = ('ann', 'bob')
+        for name in others:
+            one = replace(wanted(name, subject=str(number), tokens=2000), domain='c')
+            scheduler.place((name, number), one)
+            scheduler.end((name, number))
+    one = replace(wanted('ann', subject='known'), domain='a', body_bytes=40_000)
+    assert one.prompt is not None
+    for name in scheduler.placement.registry.names():
+        scheduler.placement.memory.note(name, one.prompt)
+        if name.startswith('a'):
+            scheduler.enter((name, 0), name, 2500)
+    assert isinstance(scheduler.place(('box', 0), one), Choice)
+
+
 def test_a_full_domain_is_left_for_one_with_room() -> None:
     scheduler = fleet()
     for number in range(ENGINES):
