--- a/packages/edge/src/hitchdeck_edge/process.py
+++ b/packages/edge/src/hitchdeck_edge/process.py
@@ -110,6 +110,7 @@
         sender.backpressure.keep(registry.names())
         self.admission.gauges.unwilling = len(sender.backpressure.closed())
         self.admission.gauges.upstream_changes = registry.changes
+        self.admission.gauges.handed_on = self.door.handoff.handed
 
 
 async def start_entry(settings: EntrySettings, dialect: Dialect) -> EntryBox:
--- a/packages/edge/src/hitchdeck_edge/serving/gauges.py
+++ b/packages/edge/src/hitchdeck_edge/serving/gauges.py
@@ -32,7 +32,8 @@
     ``longest_turn`` is the longest time without a look at any socket, of late,
     in seconds; ``placed_alone`` counts what this box placed by itself;
     ``unwilling`` is how many upstreams want nothing from it; ``upstream_changes``
-    counts the changes of their records.
+    counts the changes of their records, ``handed_on`` the connections that another
+    box took.
     """
 
     def __init__(self, now: Clock) -> None:
@@ -46,6 +47,7 @@
         self.longest_turn = 0.0
         self.unwilling = 0
         self.upstream_changes = 0
+        self.handed_on = 0
 
     def served(self, passage: Passage, outcome: str, seconds: float) -> None:
         """Count a request that was dispatched."""
@@ -84,6 +86,7 @@
             f'hitchdeck_placed_alone_total {self.placed_alone}',
             f'hitchdeck_upstreams_unwilling {self.unwilling}',
             f'hitchdeck_upstream_changes_total {self.upstream_changes}',
+            f'hitchdeck_handed_on_total {self.handed_on}',
         ]
         lines.extend(
             f'hitchdeck_requests_total{{outcome="{name}"}} {count}'
