Notice a box without power that connections were handed on to

The connection to the receiving box had no keep-alive probes: callers would have waited for a box that lost its power until their time was over. Found by reading; the test failed before.

--- a/packages/edge/src/hitchdeck_edge/serving/handoff.py
+++ b/packages/edge/src/hitchdeck_edge/serving/handoff.py
@@ -18,6 +18,7 @@
 from hitchdeck_core import logs
 from hitchdeck_core.channels import split_address
 from hitchdeck_core.ids import Address
+from hitchdeck_core.sockets import set_probes
 from hitchdeck_edge.state.relief import ReliefTargets
 
 HANDOFF_FROM = 0.55
@@ -105,6 +106,11 @@
         self.target = target
         self.greeted: asyncio.Future[None] = asyncio.get_running_loop().create_future()
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the transport, and notice a box that has lost its power."""
+        super().connection_made(transport)
+        set_probes(transport.get_extra_info('socket'))
+
     def data_received(self, data: bytes) -> None:
         """Take the greeting, then pass bytes on."""
         if self.greeted.done():
@@ -193,6 +199,7 @@
     def _give_up(self, far: FarPump, error: Exception) -> None:
         """Use a box no more for a while; find out whether it has stopped to answer."""
         logs.info('box not reached', box_address=far.target, reason=repr(error))
+        far.greeted.cancel()
         _abort(far)
         self.targets.distrust(far.target)
         loop = asyncio.get_running_loop()
--- a/tests/edge/test_handoff.py
+++ b/tests/edge/test_handoff.py
@@ -25,6 +25,7 @@
     HANDOFF_ALL,
     HANDOFF_FROM,
     VERDICT_SECONDS,
+    FarPump,
     should_hand_off,
 )
 from hitchdeck_edge.state.relief import (
@@ -61,6 +62,10 @@
     return first, second
 
 
+def far_ends(box: EntryBox) -> list[FarPump]:
+    return [one for one in box.door.handoff.open if isinstance(one, FarPump)]
+
+
 def outcomes(box: EntryBox) -> Counter[str]:
     return box.admission.gauges.outcomes
 
@@ -110,7 +115,9 @@
     for worker in site.workers:
         worker.gap = 0.1
     asking = asyncio.create_task(site.ask_model('/once/x', 'slow'))
-    await until(lambda: bool(first.door.handoff.open))
+    await until(lambda: len(far_ends(first)) == 1)
+    sock = far_ends(first)[0].transport.get_extra_info('socket')
+    assert sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
     await first.drain()
     await first.stop()
     assert (await asking).code == 200
