Ask the scheduler where the box itself may send nothing to cold engines

A box that some upstream had asked for a pause looked for another one among those that it might use by its own part of the cold budget, which is next to nothing while a scheduler decides. With all others cold it refused requests that the scheduler had room for. Found by reading; the test failed before.

--- a/packages/edge/src/hitchdeck_edge/hub/attendees.py
+++ b/packages/edge/src/hitchdeck_edge/hub/attendees.py
@@ -35,13 +35,13 @@
 
 
 RELIEF_FROM = 0.5
-"""Utilization from which a box is told of others that have time."""
+"""Utilization from which a box is sent addresses of idle boxes of its domain."""
 
 RELIEF_UP_TO = 0.35
 """Utilization up to which a box takes connections from others."""
 
 MOST_RELIEF = 8
-"""Boxes that one is told of."""
+"""Addresses that it is sent."""
 
 Place = tuple[str, bool]
 """A machine's name, and whether its hub or its entry box is meant."""
--- a/packages/edge/src/hitchdeck_edge/scheduling/chooser.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/chooser.py
@@ -40,7 +40,7 @@
         closed = self.backpressure.closed()
         if closed:
             wanted = replace(wanted, avoid=frozenset(closed))
-            if not self.local.placement.candidates(wanted):
+            if not self.local.placement.eligible(wanted):
                 return Refusal.no_upstream
         if not wanted.slots or wanted.prompt is None:
             return self._choose_plain(wanted)
--- a/packages/edge/src/hitchdeck_edge/scheduling/placement.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/placement.py
@@ -108,15 +108,19 @@
             return Choice(best, 0, 0)
         return self._choose_engine(wanted, wanted.prompt, candidates)
 
-    def candidates(self, wanted: Wanted) -> list[Upstream]:
-        """Return those that may get a request, the doubtful ones only if need be."""
+    def eligible(self, wanted: Wanted) -> list[Upstream]:
+        """Return the upstreams that were not tried and are not ruled out."""
         serving = self.registry.serving(wanted.pool)
         if wanted.tried or wanted.avoid:
             passed_over = wanted.tried | wanted.avoid
             serving = [one for one in serving if one.name not in passed_over]
         if wanted.areas:
             serving = [one for one in serving if self._is_in(one, wanted.areas)]
-        serving = self.cold_budget.usable(serving)
+        return serving
+
+    def candidates(self, wanted: Wanted) -> list[Upstream]:
+        """Return those that may get a request now, suspected ones only if need be."""
+        serving = self.cold_budget.usable(self.eligible(wanted))
         if not self.mechanisms.ejection:
             return serving
         ejected = self.health.ejected()
--- a/tests/edge/test_cold_upstreams.py
+++ b/tests/edge/test_cold_upstreams.py
@@ -1,9 +1,10 @@
-"""Cold upstreams get no more than they bear, whoever decides."""
+"""Cold upstreams get no more requests than they bear, over all processes."""
 
 import random
 from collections import Counter, deque
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, replace
+from types import SimpleNamespace
 
 import pytest
 from hypothesis import given, settings
@@ -13,8 +14,9 @@
 from hitchdeck_core.signals import Signal
 from hitchdeck_edge.hub.placing import REMEMBERED_SECONDS, FleetSize
 from hitchdeck_edge.links.records import decode_upstream, encode_upstream
-from hitchdeck_edge.model.placing import Choice
+from hitchdeck_edge.model.placing import Choice, Wanted
 from hitchdeck_edge.model.refusals import Refusal
+from hitchdeck_edge.scheduling.chooser import Chooser
 from hitchdeck_edge.scheduling.cold_budget import ColdBudget
 from hitchdeck_edge.state.cold import LONGEST_COLD_SECONDS, ColdUpstreams
 from hitchdeck_edge.state.documents import Documents
@@ -135,6 +137,34 @@
     assert decisions[1:] == [Refusal.no_upstream, Refusal.no_upstream]
 
 
+class Answering:
+    """A link to a scheduler that has room at every engine."""
+
+    def __init__(self, clock: FakeClock, choice: Choice) -> None:
+        self.now = clock
+        self.scheduler = 'hub'
+        self.choice = choice
+
+    async def place(self, _wanted: Wanted) -> Choice:
+        return self.choice
+
+
+async def test_a_box_asks_the_scheduler_where_it_may_send_nothing_itself() -> None:
+    clock = FakeClock()
+    local = scheduler_of(clock, 2)
+    offer(local, 10_000_000, coldS=3.0, coldPerS=RATE)
+    cold = local.placement.registry.cold
+    cold.report(NAME, 9, 10.0)
+    local.placement.cold_budget.part = float
+    choice = Choice(engine('e0'), 0, 0)
+    chooser = Chooser('a', local, Answering(clock, choice))
+    chooser.backpressure.pause(UpstreamName('e1'), 5.0)
+    call = replace(wanted(), avoid=frozenset((UpstreamName('e1'),)))
+    assert not local.placement.candidates(call)
+    passage = SimpleNamespace(wanted=lambda _domain: wanted(), decided_by='')
+    assert await chooser.choose(passage) == choice
+
+
 @dataclass
 class Decider:
     """One of many processes that decide without a word to each other."""
