Keep the tests of evacuations and of handing on free of timing

A bound of one second on an answer, and of 0.3 s on a greeting, would fail beside other work. That a request is refused for want of an upstream, and not because its time is over, is asked of the box's count of outcomes; a caller that is broken off is told from one that ran out of time by its error.

--- a/tests/edge/test_evacuations.py
+++ b/tests/edge/test_evacuations.py
@@ -75,17 +75,18 @@
     await until(closed_everywhere(site, set()))
 
 
-async def test_a_request_is_refused_at_once_where_every_domain_is_evacuated(
+async def test_a_request_is_refused_where_every_domain_is_evacuated(
     site: Site,
 ) -> None:
     await order(site, 'a', 1, active=True)
     await until(closed_everywhere(site, {'a'}))
     for path in ('/once/x', '/u/x', '/g/x'):
-        began = asyncio.get_running_loop().time()
         reply = await site.ask_model(path, f'r{path}')
         assert reply.code == 503
-        assert asyncio.get_running_loop().time() - began < 1
     assert not any(worker.ran for worker in site.workers)
+    # Refused for want of an upstream, not because its time was over.
+    outcomes = site.boxes[0].admission.gauges.outcomes
+    assert outcomes == {'no_upstream': 3}
 
 
 async def test_accepted_orders_survive_the_loss_of_the_leader_and_its_disk(
--- a/tests/edge/test_handoff.py
+++ b/tests/edge/test_handoff.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 import pytest
-from tornado.httpclient import HTTPClientError
+from tornado.simple_httpclient import HTTPStreamClosedError
 
 from hitchdeck_core.ids import Address
 from hitchdeck_core.wire.spread_pb2 import BoxFrame, Hello
@@ -19,12 +19,11 @@
     Attendees,
 )
 from hitchdeck_edge.process import EntryBox
-from hitchdeck_edge.serving import front
+from hitchdeck_edge.serving import front, handoff
 from hitchdeck_edge.serving.handoff import (
     GREETING,
     HANDOFF_ALL,
     HANDOFF_FROM,
-    VERDICT_SECONDS,
     FarPump,
     should_hand_off,
 )
@@ -38,13 +37,16 @@
 from tests.common.scheduling import FakeClock
 
 WAIT_SECONDS = 15.0
-LOST = (OSError, HTTPClientError)
+SHORT_SECONDS = 0.1
+LOST = (OSError, HTTPStreamClosedError)
 
 
 @pytest.fixture
 async def site(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> AsyncIterator[Site]:
     """Return a site whose first box hands every connection on, if it can."""
     monkeypatch.setattr(front, 'should_hand_off', lambda _busy: True)
+    # Beside other work a box that runs may take longer to greet.
+    monkeypatch.setattr(handoff, 'CONNECT_SECONDS', WAIT_SECONDS)
     async with running_site(tmp_path, hubs=1, boxes=2) as running:
         yield running
 
@@ -123,7 +125,10 @@
     assert (await asking).code == 200
 
 
-async def test_nothing_is_sent_to_a_box_that_stands_still(site: Site) -> None:
+async def test_nothing_is_sent_to_a_box_that_stands_still(
+    site: Site, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(handoff, 'CONNECT_SECONDS', SHORT_SECONDS)
     first, _ = site.boxes
     with listening() as frozen:
         first.door.handoff.targets.offer([address_of(frozen)])
@@ -135,7 +140,7 @@
 
 
 async def test_callers_do_not_wait_for_a_box_that_has_stopped_to_answer(
-    site: Site,
+    site: Site, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     first, _ = site.boxes
     with listening() as frozen:
@@ -145,10 +150,11 @@
         accepted, _ = await asyncio.to_thread(frozen.accept)
         with accepted:
             accepted.send(GREETING)
-            await until(lambda: len(first.door.handoff.open) > 1)
+            await until(lambda: len(far_ends(first)) == 1)
+            monkeypatch.setattr(handoff, 'CONNECT_SECONDS', SHORT_SECONDS)
             assert (await site.ask('/u/x', 'next')).code == 200
             with pytest.raises(LOST):
-                await asyncio.wait_for(asking, 2 * VERDICT_SECONDS)
+                await asyncio.wait_for(asking, WAIT_SECONDS)
     assert not first.door.handoff.open
 
 
