--- a/packages/edge/src/hitchdeck_edge/model/mechanisms.py
+++ b/packages/edge/src/hitchdeck_edge/model/mechanisms.py
@@ -22,7 +22,8 @@
     reading_again
         To read a shared part once more weighs more than the time it takes.
     another_engine
-        What is within a share goes to another engine rather than be refused.
+        Requests go to another engine, of another domain or that reads again what is
+        cached, rather than be refused.
     places
         The expected wait counts the places that are taken.
     slowness
--- a/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
@@ -153,16 +153,25 @@
         """
         if wanted.resumes or self._begins_in_time(wanted, choice, standing):
             return choice
-        anywhere = self.placement.choose(replace(wanted, domain=''))
-        if anywhere and self._begins_in_time(wanted, anywhere, standing):
-            return anywhere
-        if standing > 1 or not self.mechanisms.another_engine:
+        if not self.mechanisms.another_engine:
+            return None
+        far = self._choose_far(wanted, choice)
+        if far is not None and self._begins_in_time(wanted, far, standing):
+            return far
+        if standing > 1:
             return None
         soonest = self.placement.soonest(wanted)
         if soonest is None or not self._begins_in_time(wanted, soonest, standing):
             return None
         return soonest
 
+    def _choose_far(self, wanted: Wanted, choice: Choice) -> Choice | None:
+        """Return the best engine of another domain, if only nearness ruled it out."""
+        far = self.placement.choose(replace(wanted, domain=''))
+        if far is None or far.upstream.domain == choice.upstream.domain:
+            return None
+        return far
+
     def _begins_in_time(
         self,
         wanted: Wanted,
