Keep engines in use that lose some of their answers

Cause: the scheduler hears of failed requests but not of successful ones, so it counted every failure of an engine as consecutive, and ejected it for 4 s from the fourth one on.

Change: the first event of any request clears the failures of its engine and ends its ejection, unless a crash or another upstream at its address was found. The failure rate of an engine adds to its cost, so that sound engines with room are preferred.

--- a/packages/edge/src/hitchdeck_edge/scheduling/health.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/health.py
@@ -45,6 +45,9 @@
         Moving average of the time to the first token, relative to the expected time.
     seconds
         Moving average of the duration of successful requests.
+    confirmed
+        Whether the ejection follows a crash or another upstream at the address, which
+        an event of an earlier request does not disprove.
     """
 
     failures: int = 0
@@ -52,6 +55,7 @@
     failure_rate: float = 0.0
     slowness: float = 1.0
     seconds: float = 0.0
+    confirmed: bool = False
 
 
 class Health:
@@ -92,6 +96,25 @@
         known.failure_rate *= 1 - SMOOTHING
         known.seconds += SMOOTHING * (seconds - known.seconds)
 
+    def record_sign_of_life(self, name: UpstreamName) -> None:
+        """Record the first event of a stream: the upstream runs and can be reached.
+
+        It ends an ejection for failures, so that an upstream which only loses some
+        of its answers stays in use, at a cost by its failure rate.
+        """
+        known = self.records.get(name)
+        if known is None:
+            return
+        known.failures = 0
+        known.failure_rate *= 1 - SMOOTHING
+        if not known.confirmed:
+            known.ejected_until = 0
+
+    def failure_rate(self, name: UpstreamName) -> float:
+        """Return the recent fraction of requests that failed, from 0 to 1."""
+        known = self.records.get(name)
+        return 0 if known is None else known.failure_rate
+
     def record_error(self, name: UpstreamName) -> None:
         """Record a response with an error status."""
         known = self.record(name)
@@ -107,11 +130,13 @@
             FIRST_EJECTION_SECONDS * 2**doublings,
         )
         known.failures += 1
+        known.confirmed = known.confirmed and known.ejected_until > self.now()
         self._eject(name, pause)
         logs.info('upstream ejected', upstream=name, seconds=pause, reason=reason)
 
     def record_wrong_upstream(self, name: UpstreamName) -> None:
         """Record that another upstream responded at the address of this one."""
+        self.record(name).confirmed = True
         self._eject(name, WRONG_UPSTREAM_SECONDS)
         logs.info(
             'another upstream responded at its address',
@@ -121,6 +146,7 @@
 
     def record_crash(self, name: UpstreamName) -> None:
         """Record that an upstream refused a connection after a broken response."""
+        self.record(name).confirmed = True
         self._eject(name, CRASHED_SECONDS)
         logs.info('upstream crashed', upstream=name, seconds=CRASHED_SECONDS)
 
--- a/packages/edge/src/hitchdeck_edge/scheduling/placement.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/placement.py
@@ -33,6 +33,10 @@
 """Cost, in tokens to be read, of an engine whose slots are all occupied: about the time
 until one becomes free."""
 
+FAILURE_TOKENS = 20_000
+"""Cost of a lost answer, in tokens to be read.  A request that may be repeated waits
+for another engine and is read again there; the others fail."""
+
 REREAD_WEIGHT = 8
 """Cost of each token of a shared part that is read again, relative to a token that
 waits.  Besides its own time, rereading delays all other requests and evicts other parts
@@ -257,6 +261,7 @@
         if running >= query.slots:
             cost += FULL_TOKENS
         cost *= self._slowness(upstream)
+        cost += FAILURE_TOKENS * self.health.failure_rate(upstream.name)
         if self.mechanisms.near_first and upstream.domain == query.domain:
             cost -= self._near_tokens(query, prompt, self._tokens_ahead(upstream.name))
         return cost, tokens, upstream
--- a/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
@@ -129,6 +129,7 @@
         if known is None or not known.entry.reading:
             return
         known.entry.start()
+        self.placement.health.record_sign_of_life(known.entry.upstream)
         if not learn:
             known.query = None
         if known.query is not None:
