Import the modules of a platform program from one bundle

The build compiles the packages and writes the modules that each program imports into one bundle. Collections of garbage begin once a role has started.

--- a/packages/daemon/src/hitchdeck_daemon/on_platform.py
+++ b/packages/daemon/src/hitchdeck_daemon/on_platform.py
@@ -1,7 +1,7 @@
 """Shared startup and shutdown of the programs for the platform's two roles.
 
 Each role is a separate program, so that an entry box does not import the
-hub's modules: ``platform_entry`` and ``platform_hub``.
+hub's modules: ``platform_entry`` runs ``entry_role``, ``platform_hub`` ``hub_role``.
 """
 
 import asyncio
@@ -79,8 +79,9 @@
     loop.add_signal_handler(signal.SIGHUP, reload.set)
     role = await start(settings)
     # Objects created during startup live until exit; keep them out of later
-    # garbage collections.
+    # garbage collections, which begin now: see ``run_program``.
     gc.freeze()
+    gc.enable()
     watching = Supervisor('settings')
     watching.permanent('reload', lambda: _watch_settings(role, reload, path))
     await _wait_for_stop(stopping, role)
--- a/packages/daemon/src/hitchdeck_daemon/platform_hub.py
+++ b/packages/daemon/src/hitchdeck_daemon/platform_hub.py
@@ -1,33 +1,6 @@
 """A hub on the platform: ``python3 -m hitchdeck_daemon.platform_hub``."""
 
-import asyncio
-
-from hitchdeck_core.errors import SettingsError
-from hitchdeck_daemon.on_platform import Role, run_role
-from hitchdeck_edge.hub.process import start_hub
-from hitchdeck_platform.documents import read_document
-from hitchdeck_platform.hub_api import start_servers
-from hitchdeck_platform.settings import PlatformSettings
-
-STOP_SECONDS = 0.5
-"""Time that a hub which shuts down leaves for calls in flight."""
-
-
-async def start(settings: PlatformSettings) -> Role:
-    """Start the hub that the settings configure."""
-    if settings.hub is None:
-        raise SettingsError('settings configure no hub')
-    hub = await start_hub(settings.hub, read_document)
-    servers = start_servers(hub)
-
-    async def stop() -> None:
-        await asyncio.sleep(STOP_SECONDS)
-        for server in servers:
-            server.stop()
-        await hub.stop()
-
-    return Role(hub.known_hubs, hub.supervisor, stop)
-
+from hitchdeck_daemon.startup import run_program
 
 if __name__ == '__main__':
-    run_role(start)
+    run_program('hitchdeck_daemon.hub_role')
