Let boxes set the pace of frames, and hubs answer them

A hub needed two timers for each frame, and a box one timer per hub. Frames of a box are now due together, and each is answered.

--- a/packages/core/src/hitchdeck_core/signals.py
+++ b/packages/core/src/hitchdeck_core/signals.py
@@ -39,6 +39,18 @@
             self.waiters.discard(waiter)
 
 
+async def wait_for_either(first: Signal, second: Signal) -> None:
+    """Wait for the next notification of either signal."""
+    waiter: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+    first.waiters.add(waiter)
+    second.waiters.add(waiter)
+    try:
+        await waiter
+    finally:
+        first.waiters.discard(waiter)
+        second.waiters.discard(waiter)
+
+
 def _resolve(waiter: asyncio.Future[bool], notified: bool) -> None:
     if not waiter.done():
         waiter.set_result(notified)
--- a/packages/edge/src/hitchdeck_edge/hub/connected_boxes.py
+++ b/packages/edge/src/hitchdeck_edge/hub/connected_boxes.py
@@ -9,6 +9,7 @@
 from hitchdeck_core.clock import Clock
 from hitchdeck_core.ids import Address
 from hitchdeck_core.loop_load import PERCENT
+from hitchdeck_core.signals import Signal
 from hitchdeck_core.wire.spread_pb2 import BoxFrame, Hello
 from hitchdeck_edge.links.hub_streams import (
     MAX_MISSED_FRAMES,
@@ -49,6 +50,8 @@
         Fraction of its time for which the box is busy, from 0 to 1.
     tally
         Load and demand that it last reported.
+    arrived
+        Notified when a frame of the box has arrived.
     """
 
     hello: Hello
@@ -60,6 +63,7 @@
     reported_boxes: int = 0
     utilization: float = 0
     tally: Tally = field(default_factory=Tally)
+    arrived: Signal = field(default_factory=Signal)
 
 
 RELIEF_UTILIZATION = 0.5
--- a/packages/edge/src/hitchdeck_edge/hub/spread.py
+++ b/packages/edge/src/hitchdeck_edge/hub/spread.py
@@ -2,7 +2,8 @@
 
 Each frame carries what the peer lacks: the newest document, upstreams that changed
 since the last frame, and, for boxes that report to this hub, the total load and demand
-of the rest of the fleet.  Updates are sent at once, totals at intervals.
+of the rest of the fleet.  Updates are sent at once.  Without updates, each frame of a
+box is answered: the boxes set the pace, and a hub needs no timers for its frames.
 """
 
 import asyncio
@@ -15,11 +16,10 @@
 from hitchdeck_core.ids import Address, UpstreamName
 from hitchdeck_core.quarantine.messages import decode_update, encode_update
 from hitchdeck_core.quarantine.quarantine import SYNC_START, Quarantine, SyncPosition
-from hitchdeck_core.signals import Signal
+from hitchdeck_core.signals import Signal, wait_for_either
 from hitchdeck_core.wire.spread_grpc import SpreadBase
 from hitchdeck_core.wire.spread_pb2 import BoxFrame, HubFrame
 from hitchdeck_edge.hub.connected_boxes import ConnectedBox, ConnectedBoxes
-from hitchdeck_edge.links.hub_streams import REPORT_INTERVAL_SECONDS
 from hitchdeck_edge.links.records import decode_suspicion, encode_upstream
 from hitchdeck_edge.settings import HubSettings
 from hitchdeck_edge.state.documents import Documents, ReadDocument
@@ -115,6 +115,7 @@
             if frame is None:
                 return
             self._apply_frame(connected_box, frame)
+            connected_box.arrived.notify()
 
     def _apply_frame(self, connected_box: ConnectedBox, frame: BoxFrame) -> None:
         state = self.state
@@ -132,32 +133,36 @@
 
     async def _send(self, connected_box: ConnectedBox, stream: BoxStream) -> None:
         sent = _Sent()
+        changed, arrived = self.state.changed, connected_box.arrived
         try:
             while True:
-                seen = self.state.changed.count
+                changes, frames = changed.count, arrived.count
+                sent_at = boot_seconds()
                 await stream.send_message(self._next_frame(connected_box, sent))
-                await self._wait(connected_box, seen)
+                await self._wait(connected_box, changes, frames)
+                early = sent_at + FRAME_INTERVAL_SECONDS - boot_seconds()
+                if early > 0:
+                    await asyncio.sleep(early)
         except TRANSPORT_ERRORS:
             # The receiver sees the same error, and the box is then unregistered.
             return
 
-    async def _wait(self, connected_box: ConnectedBox, seen: int) -> None:
-        """Wait until the next frame of a stream is due, with updates or without.
+    async def _wait(
+        self, connected_box: ConnectedBox, changes: int, frames: int
+    ) -> None:
+        """Wait for a frame of the box, which is answered, or for updates.
 
         Boxes of other domains get updates at once from hubs of their own domain.  This
-        hub sends them with the next idle frame, in case they reach none of those.
+        hub sends them with the next answer, in case they reach none of those.
         """
-        await asyncio.sleep(FRAME_INTERVAL_SECONDS)
-        interval = self._send_interval(connected_box) - FRAME_INTERVAL_SECONDS
-        if not self.state.connected_boxes.gets_updates_at_once(connected_box):
-            await asyncio.sleep(interval)
-        elif self.state.changed.count == seen:
-            await self.state.changed.wait(interval)
-
-    def _send_interval(self, connected_box: ConnectedBox) -> float:
-        if connected_box.reports_to_this_hub:
-            return REPORT_INTERVAL_SECONDS
-        return self.state.connected_boxes.idle_interval(connected_box)
+        changed, arrived = self.state.changed, connected_box.arrived
+        while arrived.count == frames:
+            if not self.state.connected_boxes.gets_updates_at_once(connected_box):
+                await arrived.wait()
+            elif changed.count == changes:
+                await wait_for_either(changed, arrived)
+            else:
+                return
 
     def _next_frame(self, connected_box: ConnectedBox, sent: _Sent) -> HubFrame:
         state = self.state
--- a/packages/edge/src/hitchdeck_edge/links/hub_streams.py
+++ b/packages/edge/src/hitchdeck_edge/links/hub_streams.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import random
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -12,6 +13,7 @@
 
 from hitchdeck_core import logs
 from hitchdeck_core.channels import TRANSPORT_ERRORS, open_channel
+from hitchdeck_core.clock import boot_seconds
 from hitchdeck_core.errors import LinkError
 from hitchdeck_core.ids import Address
 from hitchdeck_core.signals import Signal
@@ -55,6 +57,9 @@
 Of a box's frames only idle ones wait for it: updates are sent at once.
 """
 
+MIN_WAIT_SECONDS = 0.05
+"""Minimum time between two frames without updates: timers may fire a little early."""
+
 LINK_ERRORS = (LinkError, *TRANSPORT_ERRORS)
 
 HubStream = Stream[BoxFrame, HubFrame]
@@ -101,6 +106,8 @@
         self.stream_handlers = stream_handlers
         self.token = token
         self.tasks = Supervisor('hubs')
+        # Boxes that ticked together would all burden a hub in the same moment.
+        self.phase = random.random()
 
     async def run(self) -> None:
         """Keep one task per known hub; runs forever."""
@@ -181,11 +188,24 @@
             send_interval = self.stream_handlers.send_interval(
                 self.known_hubs.is_same_domain(address), is_report_hub
             )
-            await self.stream_handlers.wake.wait(send_interval)
+            await self.stream_handlers.wake.wait(
+                until_next_tick(boot_seconds(), self.phase, send_interval)
+            )
             frame = self.stream_handlers.next_frame(address, is_report_hub, False)
             await stream.send_message(frame)
 
 
+def until_next_tick(now: float, phase: float, interval: float) -> float:
+    """Return the seconds until a frame is due.
+
+    Frames to all hubs are due at multiples of their intervals after the same phase, so
+    that one turn of the event loop sends them, and few turns receive the answers: with
+    a timer per hub, a box took three times as many turns.
+    """
+    wait = interval - (now - phase) % interval
+    return wait if wait > MIN_WAIT_SECONDS else wait + interval
+
+
 def box_idle_interval(same_domain: bool) -> float:
     """Return the interval of idle frames between an entry box and a hub, in seconds."""
     return IDLE_INTERVAL_SECONDS if same_domain else OTHER_DOMAIN_IDLE_INTERVAL_SECONDS
