--- a/packages/control/src/hitchdeck_control/raft/replica.py
+++ b/packages/control/src/hitchdeck_control/raft/replica.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import field
 from enum import Enum
 from typing import Any
 
@@ -12,6 +12,7 @@
 from hitchdeck_core import logs
 from hitchdeck_core.clock import Clock
 from hitchdeck_core.ids import Address, BoxName, ReplicaId
+from hitchdeck_core.lazy_dataclasses import dataclass
 from hitchdeck_core.signals import Signal
 from hitchdeck_core.wire.hitchdeck_pb2 import Entry, Member, Snapshot
 
--- a/packages/control/src/hitchdeck_control/storage/records.py
+++ b/packages/control/src/hitchdeck_control/storage/records.py
@@ -7,7 +7,8 @@
 import struct
 import zlib
 from collections.abc import Iterator
-from dataclasses import dataclass
+
+from hitchdeck_core.lazy_dataclasses import dataclass
 
 _HEADER = struct.Struct('<II')
 _MAX_RECORD_BYTES = 1024 * 1024 * 1024
--- a/packages/control/src/hitchdeck_control/storage/recovery.py
+++ b/packages/control/src/hitchdeck_control/storage/recovery.py
@@ -1,7 +1,7 @@
 """Recovery of a data folder at startup: reading, truncation and corruption."""
 
 import os
-from dataclasses import dataclass, field
+from dataclasses import field
 from io import FileIO
 from pathlib import Path
 
@@ -9,6 +9,7 @@
 from hitchdeck_control.storage.files import sync_folder
 from hitchdeck_control.storage.records import Damage, frame, unframe
 from hitchdeck_core import logs
+from hitchdeck_core.lazy_dataclasses import dataclass
 from hitchdeck_core.wire.hitchdeck_pb2 import Entry, LogRecord, Snapshot
 
 SNAPSHOT_FILE = 'snapshot'
--- a/packages/core/src/hitchdeck_core/histograms.py
+++ b/packages/core/src/hitchdeck_core/histograms.py
@@ -5,10 +5,11 @@
 """
 
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass
 
 from hdrh.histogram import HdrHistogram
 
+from hitchdeck_core.lazy_dataclasses import dataclass
+
 _LOWEST = 1
 _HIGHEST = 10_000_000
 _DIGITS = 2
--- a/packages/core/src/hitchdeck_core/quarantine/crash_detector.py
+++ b/packages/core/src/hitchdeck_core/quarantine/crash_detector.py
@@ -7,10 +7,10 @@
 
 from collections import defaultdict
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 
 from hitchdeck_core import logs
 from hitchdeck_core.ids import UpstreamIncarnation
+from hitchdeck_core.lazy_dataclasses import dataclass
 from hitchdeck_core.quarantine.fingerprints import Fingerprint
 from hitchdeck_core.quarantine.quarantine import Quarantine
 from hitchdeck_core.supervisor import Supervisor
--- a/packages/core/src/hitchdeck_core/quarantine/crash_history.py
+++ b/packages/core/src/hitchdeck_core/quarantine/crash_history.py
@@ -4,10 +4,10 @@
 """
 
 from collections import defaultdict, deque
-from dataclasses import dataclass
 
 from hitchdeck_core.clock import Clock
 from hitchdeck_core.ids import UpstreamIncarnation
+from hitchdeck_core.lazy_dataclasses import dataclass
 from hitchdeck_core.quarantine.fingerprints import Fingerprint
 
 MIN_CRASHES = 3
--- a/packages/core/src/hitchdeck_core/quarantine/quarantine.py
+++ b/packages/core/src/hitchdeck_core/quarantine/quarantine.py
@@ -9,11 +9,11 @@
 
 from collections import OrderedDict, deque
 from collections.abc import Collection
-from dataclasses import dataclass
 
 from hitchdeck_core import logs
 from hitchdeck_core.clock import Clock
 from hitchdeck_core.ids import UpstreamIncarnation
+from hitchdeck_core.lazy_dataclasses import dataclass
 from hitchdeck_core.quarantine.crash_history import (
     MAX_CRASH_RECORDS,
     CrashHistory,
--- a/packages/core/src/hitchdeck_core/quarantine/verdicts.py
+++ b/packages/core/src/hitchdeck_core/quarantine/verdicts.py
@@ -4,10 +4,10 @@
 wins, and within a round the stricter status.
 """
 
-from dataclasses import dataclass
 from enum import Enum
 
 from hitchdeck_core.clock import Clock
+from hitchdeck_core.lazy_dataclasses import dataclass
 from hitchdeck_core.quarantine.fingerprints import Fingerprint
 
 QUARANTINE_SECONDS = 600.0
--- a/packages/daemon/src/hitchdeck_daemon/on_platform.py
+++ b/packages/daemon/src/hitchdeck_daemon/on_platform.py
@@ -9,12 +9,12 @@
 import signal
 import sys
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 from pathlib import Path
 
 from hitchdeck_core import logs
 from hitchdeck_core.errors import HitchdeckError, SettingsError
 from hitchdeck_core.ids import Address
+from hitchdeck_core.lazy_dataclasses import dataclass
 from hitchdeck_core.loop_load import MeteredLoop
 from hitchdeck_core.supervisor import Supervisor
 from hitchdeck_edge.links.known_hubs import KnownHubs
--- a/packages/edge/src/hitchdeck_edge/dispatch/attempts.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/attempts.py
@@ -1,10 +1,10 @@
 """A request that is being served, and its attempts."""
 
-from dataclasses import dataclass
 from enum import Enum
 from http import HTTPStatus
 
 from hitchdeck_core.ids import UpstreamName
+from hitchdeck_core.lazy_dataclasses import dataclass
 from hitchdeck_edge.dispatch.relay import StreamRelay
 from hitchdeck_edge.dispatch.responses import FinalResponse
 from hitchdeck_edge.dispatch.upstream_connection import ResponseHead
--- a/packages/edge/src/hitchdeck_edge/hub/connected_boxes.py
+++ b/packages/edge/src/hitchdeck_edge/hub/connected_boxes.py
@@ -2,12 +2,13 @@
 
 import math
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import field
 from operator import attrgetter
 
 from hitchdeck_core import logs
 from hitchdeck_core.clock import Clock
 from hitchdeck_core.ids import Address
+from hitchdeck_core.lazy_dataclasses import dataclass
 from hitchdeck_core.loop_load import PERCENT
 from hitchdeck_core.signals import Signal
 from hitchdeck_core.wire.spread_pb2 import BoxFrame, Hello
--- a/packages/edge/src/hitchdeck_edge/hub/documents.py
+++ b/packages/edge/src/hitchdeck_edge/hub/documents.py
@@ -1,12 +1,11 @@
 """gRPC service of the leader: commits documents and orders, reads the newest."""
 
-from dataclasses import dataclass
-
 from grpclib.server import Stream
 
 from hitchdeck_control.errors import NotLeaderError, OutcomeUnknownError
 from hitchdeck_control.raft.replica import Replica
 from hitchdeck_core import logs
+from hitchdeck_core.lazy_dataclasses import dataclass
 from hitchdeck_core.wire.spread_grpc import DocumentsBase
 from hitchdeck_core.wire.spread_pb2 import (
     Document,
--- a/packages/edge/src/hitchdeck_edge/hub/incarnation_order.py
+++ b/packages/edge/src/hitchdeck_edge/hub/incarnation_order.py
@@ -6,11 +6,12 @@
 ``CONFIRMATION_SECONDS`` while the seemingly later incarnation is unresponsive or gone.
 """
 
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from hitchdeck_core import logs
 from hitchdeck_core.clock import Clock
 from hitchdeck_core.ids import UpstreamName
+from hitchdeck_core.lazy_dataclasses import dataclass
 from hitchdeck_edge.model.upstreams import Phase, Upstream
 from hitchdeck_edge.state.registry import Registry
 
--- a/packages/edge/src/hitchdeck_edge/hub/orders.py
+++ b/packages/edge/src/hitchdeck_edge/hub/orders.py
@@ -1,9 +1,9 @@
 """Evacuation orders of operators on failure domains."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass
 
 from hitchdeck_core.checks import abbreviated
+from hitchdeck_core.lazy_dataclasses import dataclass
 from hitchdeck_core.wire.spread_pb2 import EvacuationOrder
 from hitchdeck_edge.errors import UnknownDomainError
 from hitchdeck_edge.hub.documents_client import DocumentsClient
--- a/packages/edge/src/hitchdeck_edge/hub/spread.py
+++ b/packages/edge/src/hitchdeck_edge/hub/spread.py
@@ -7,13 +7,14 @@
 """
 
 import asyncio
-from dataclasses import dataclass, field
+from dataclasses import field
 
 from grpclib.server import Stream
 
 from hitchdeck_core.channels import TRANSPORT_ERRORS
 from hitchdeck_core.clock import boot_seconds
 from hitchdeck_core.ids import Address, UpstreamName
+from hitchdeck_core.lazy_dataclasses import dataclass
 from hitchdeck_core.quarantine.messages import decode_update, encode_update
 from hitchdeck_core.quarantine.quarantine import SYNC_START, Quarantine, SyncPosition
 from hitchdeck_core.signals import Signal, wait_for_either
--- a/packages/edge/src/hitchdeck_edge/hub/state_file.py
+++ b/packages/edge/src/hitchdeck_edge/hub/state_file.py
@@ -8,7 +8,6 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
-from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
@@ -17,6 +16,7 @@
 from hitchdeck_control.storage.files import replace_file
 from hitchdeck_control.storage.records import Damage, frame, unframe
 from hitchdeck_core import logs
+from hitchdeck_core.lazy_dataclasses import dataclass
 from hitchdeck_core.quarantine.messages import decode_update, encode_update
 from hitchdeck_core.quarantine.quarantine import SYNC_START, Quarantine
 from hitchdeck_core.signals import Signal
--- a/packages/edge/src/hitchdeck_edge/links/hub_streams.py
+++ b/packages/edge/src/hitchdeck_edge/links/hub_streams.py
@@ -6,7 +6,6 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from grpclib.client import Channel, Stream
 
@@ -15,6 +14,7 @@
 from hitchdeck_core.clock import boot_seconds
 from hitchdeck_core.errors import LinkError
 from hitchdeck_core.ids import Address
+from hitchdeck_core.lazy_dataclasses import dataclass
 from hitchdeck_core.signals import Signal
 from hitchdeck_core.supervisor import Supervisor, TaskFunction
 from hitchdeck_core.wire.spread_grpc import SpreadStub
--- a/packages/edge/src/hitchdeck_edge/model/adapter.py
+++ b/packages/edge/src/hitchdeck_edge/model/adapter.py
@@ -1,9 +1,9 @@
 """Interface of a platform adapter: a platform's names and formats, as functions."""
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
 
 from hitchdeck_core.ids import AccountName
+from hitchdeck_core.lazy_dataclasses import dataclass
 from hitchdeck_edge.model.calls import Call, Header, ResponseMarks
 from hitchdeck_edge.model.document import Document
 from hitchdeck_edge.model.upstreams import Upstream
--- a/packages/edge/src/hitchdeck_edge/model/calls.py
+++ b/packages/edge/src/hitchdeck_edge/model/calls.py
@@ -1,9 +1,9 @@
 """Decoded requests of callers, and decoded marks of upstream responses."""
 
-from dataclasses import dataclass
 from typing import NewType
 
 from hitchdeck_core.ids import RequestId
+from hitchdeck_core.lazy_dataclasses import dataclass
 
 PartId = NewType('PartId', str)
 """Id of a part of a prompt; parts with equal content have equal ids."""
--- a/packages/edge/src/hitchdeck_edge/model/document.py
+++ b/packages/edge/src/hitchdeck_edge/model/document.py
@@ -1,10 +1,10 @@
 """Configuration document: the whole configuration, under one version."""
 
-from dataclasses import dataclass
 from enum import Enum
 from typing import NewType
 
 from hitchdeck_core.ids import AccountName, PoolName
+from hitchdeck_core.lazy_dataclasses import dataclass
 from hitchdeck_edge.errors import DocumentError
 
 DocumentVersion = NewType('DocumentVersion', int)
--- a/packages/edge/src/hitchdeck_edge/model/evacuations.py
+++ b/packages/edge/src/hitchdeck_edge/model/evacuations.py
@@ -1,8 +1,8 @@
 """Orders by which operators close a failure domain to new work, or reopen it."""
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
 
+from hitchdeck_core.lazy_dataclasses import dataclass
 from hitchdeck_core.wire.spread_pb2 import Evacuation, EvacuationList
 
 
--- a/packages/edge/src/hitchdeck_edge/model/mechanisms.py
+++ b/packages/edge/src/hitchdeck_edge/model/mechanisms.py
@@ -1,8 +1,9 @@
 """Switches for the mechanisms of placement and admission."""
 
-from dataclasses import dataclass, fields
+from dataclasses import fields
 
 from hitchdeck_core.checks import check_boolean
+from hitchdeck_core.lazy_dataclasses import dataclass
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/edge/src/hitchdeck_edge/model/placing.py
+++ b/packages/edge/src/hitchdeck_edge/model/placing.py
@@ -1,8 +1,7 @@
 """Placement queries and their results."""
 
-from dataclasses import dataclass
-
 from hitchdeck_core.ids import AccountName, PoolName, RequestId, UpstreamName
+from hitchdeck_core.lazy_dataclasses import dataclass
 from hitchdeck_edge.model.calls import Prompt
 from hitchdeck_edge.model.upstreams import Upstream
 
--- a/packages/edge/src/hitchdeck_edge/model/request_context.py
+++ b/packages/edge/src/hitchdeck_edge/model/request_context.py
@@ -1,8 +1,9 @@
 """State of a caller's request within an entry box."""
 
-from dataclasses import dataclass, field
+from dataclasses import field
 
 from hitchdeck_core.ids import AccountName, UpstreamName
+from hitchdeck_core.lazy_dataclasses import dataclass
 from hitchdeck_core.quarantine.fingerprints import Fingerprint, fingerprint_of
 from hitchdeck_edge.model.calls import Call
 from hitchdeck_edge.model.document import DocumentVersion, Pool, RepeatPolicy, Route
--- a/packages/edge/src/hitchdeck_edge/model/upstreams.py
+++ b/packages/edge/src/hitchdeck_edge/model/upstreams.py
@@ -1,6 +1,6 @@
 """Records of upstreams, as they report themselves to a hub."""
 
-from dataclasses import dataclass, field
+from dataclasses import field
 from enum import Enum
 
 from hitchdeck_core.ids import (
@@ -10,6 +10,7 @@
     UpstreamIncarnation,
     UpstreamName,
 )
+from hitchdeck_core.lazy_dataclasses import dataclass
 
 
 class Phase(Enum):
--- a/packages/edge/src/hitchdeck_edge/process.py
+++ b/packages/edge/src/hitchdeck_edge/process.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from dataclasses import dataclass, field
+from dataclasses import field
 
 from tornado.httpserver import HTTPServer
 
@@ -10,6 +10,7 @@
 from hitchdeck_core.channels import split_address
 from hitchdeck_core.clock import boot_seconds
 from hitchdeck_core.ids import Address, BoxName
+from hitchdeck_core.lazy_dataclasses import dataclass
 from hitchdeck_core.loop_load import PERCENT, loop_utilization, take_longest_turn
 from hitchdeck_core.sockets import listening_socket
 from hitchdeck_core.supervisor import Supervisor
--- a/packages/edge/src/hitchdeck_edge/settings.py
+++ b/packages/edge/src/hitchdeck_edge/settings.py
@@ -4,7 +4,7 @@
 """
 
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import field
 from functools import partial
 from pathlib import Path
 
@@ -17,6 +17,7 @@
 )
 from hitchdeck_core.errors import SettingsError
 from hitchdeck_core.ids import Address
+from hitchdeck_core.lazy_dataclasses import dataclass
 from hitchdeck_edge.model.mechanisms import ALL_MECHANISMS, Mechanisms
 
 MIN_TOKEN_LENGTH = 8
--- a/packages/edge/src/hitchdeck_edge/state/cold.py
+++ b/packages/edge/src/hitchdeck_edge/state/cold.py
@@ -6,10 +6,10 @@
 """
 
 import math
-from dataclasses import dataclass
 
 from hitchdeck_core.clock import Clock
 from hitchdeck_core.ids import UpstreamName
+from hitchdeck_core.lazy_dataclasses import dataclass
 
 MIN_CHANGE_SECONDS = 0.3
 """Smaller changes are caused by the delay of reports and are not propagated."""
--- a/packages/edge/src/hitchdeck_edge/state/fleet_state.py
+++ b/packages/edge/src/hitchdeck_edge/state/fleet_state.py
@@ -1,8 +1,7 @@
 """State of the fleet that an entry box holds."""
 
-from dataclasses import dataclass
-
 from hitchdeck_core.clock import boot_seconds
+from hitchdeck_core.lazy_dataclasses import dataclass
 from hitchdeck_core.quarantine.quarantine import Quarantine
 from hitchdeck_core.signals import Signal
 from hitchdeck_edge.model.adapter import PlatformAdapter
--- a/packages/edge/src/hitchdeck_edge/state/tallies.py
+++ b/packages/edge/src/hitchdeck_edge/state/tallies.py
@@ -2,9 +2,10 @@
 
 from collections import Counter
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import field
 
 from hitchdeck_core.ids import AccountName, UpstreamName
+from hitchdeck_core.lazy_dataclasses import dataclass
 from hitchdeck_core.wire.spread_pb2 import BoxFrame, Demand, HubFrame, Load
 
 MAX_UINT32 = 4_294_967_295
