--- a/packages/core/src/hitchdeck_core/lazy_dataclasses.py
+++ b/packages/core/src/hitchdeck_core/lazy_dataclasses.py
@@ -20,7 +20,7 @@
 
     def decorate(cls: type) -> type:
         own = frozenset(cls.__dict__)
-        lazy = dataclasses.dataclass(
+        lazy: type = dataclasses.dataclass(
             init=False, repr=False, eq=False, slots=slots, kw_only=kw_only
         )(cls)
         for name in _GENERATED:
