Do not count a flooded box's own delay as that of handoff targets

A box that was flooded noticed greetings of targets after CONNECT_SECONDS because its own event loop was late, and marked every target unreachable. The relay pump polls all relayed connections together, and checks the timeout only after it has read what has arrived.

Tests: test_handoff reads relays instead of transports; the bounds are the same.

--- a/bench/flooded_box.py
+++ b/bench/flooded_box.py
@@ -2,6 +2,7 @@
 
 ``python -m bench.flooded_box`` plays hubs and boxes as processes on loopback, the boxes
 with a fixed share of a processor, and tells what each account asked and got, in tokens.
+``--spare N`` adds boxes of the flooded box's failure domain that no account uses.
 """
 
 import asyncio
@@ -11,6 +12,7 @@
 import threading
 import time
 from collections import Counter
+from contextlib import ExitStack
 from dataclasses import dataclass, field
 from pathlib import Path
 from types import MappingProxyType
@@ -40,6 +42,10 @@
 BODY_BYTES = 12_000
 ENGINES = 3
 
+FLOODED_NUMBER, OTHER_NUMBER, FIRST_SPARE_NUMBER = 1, 0, 3
+"""Numbers of machines.  The failure domain of the flooded box is that of the spare
+ones, and not that of the other box."""
+
 SHARE = 0.08
 """Part of a processor that a box has."""
 
@@ -175,11 +181,13 @@
     return answer
 
 
-async def start(site: Site) -> None:
-    """Start everything, and wait until both boxes serve."""
+async def start(site: Site, spare: int) -> None:
+    """Start everything, and wait until all boxes serve."""
     for number in range(3):
         site.fleet.add(number, 'hub')
-    for number in range(2):
+    for number in (FLOODED_NUMBER, OTHER_NUMBER):
+        site.fleet.add(number, 'box')
+    for number in range(FIRST_SPARE_NUMBER, FIRST_SPARE_NUMBER + spare):
         site.fleet.add(number, 'box')
     for worker in site.workers:
         await worker.start()
@@ -203,21 +211,25 @@
         await worker.stop()
 
 
-async def play(folder: Path, times: int) -> Site:
+async def play(folder: Path, times: int, spare: int = 0) -> Site:
     """Play one flood; return what was asked and got in the counted seconds.
 
     Parameters
     ----------
     times
         How often the flooding account asks for each request of the other one.
+    spare
+        Number of boxes in the flooded box's failure domain that no account uses.
     """
     workers = [Worker(f'w{one}', 'llm') for one in range(ENGINES)]
     site = Site(claimed_fleet(folder), workers)
     reporting = asyncio.create_task(site.report())
     try:
-        await start(site)
-        flooded, other = site.fleet.boxes
-        with Share(flooded), Share(other):
+        await start(site, spare)
+        flooded, other, *_ = site.fleet.boxes
+        with ExitStack() as shares:
+            for box in site.fleet.boxes:
+                shares.enter_context(Share(box))
             await asyncio.gather(
                 site.keep_asking(FLOODING, flooded, times * RATE),
                 site.keep_asking(OTHER, other, RATE),
@@ -228,10 +240,10 @@
     return site
 
 
-def main(times: int = 10) -> None:
+def main(times: int = 10, spare: int = 0) -> None:
     """Play one flood and print it."""
     with tempfile.TemporaryDirectory() as folder:
-        site = asyncio.run(play(Path(folder), times))
+        site = asyncio.run(play(Path(folder), times, spare))
     for account in KEYS:
         print(f'{account}: asked {site.asked[account]}, got {site.got[account]} tokens')
 
--- /dev/null
+++ b/packages/edge/src/hitchdeck_edge/serving/relay_pump.py
@@ -0,0 +1,251 @@
+"""Relaying the bytes of many connections at a bounded processor cost.
+
+Events of a stream are some milliseconds apart.  With one turn of the event loop for
+each, relaying a stream costs nearly as much as serving it.  The pump polls all relayed
+connections together, at an interval that is short against the goals of callers, so that
+one turn forwards what has arrived on all of them.
+"""
+
+import asyncio
+import errno
+import os
+import select
+import socket
+from collections.abc import Callable
+
+from hitchdeck_core.channels import split_address
+from hitchdeck_core.clock import Clock
+from hitchdeck_core.ids import Address
+from hitchdeck_core.sockets import enable_keepalive
+
+POLL_SECONDS = 0.01
+"""Interval of polls.  A relayed request takes three of them (greeting, request and
+response), a fifth of the shortest goal of a call, 145 ms."""
+
+READ_BYTES = 65_536
+"""Maximum number of bytes that a connection holds in each direction: no more are read
+until all of them are written."""
+
+
+class Relay:
+    """A connection of a caller, and the connection to the box that serves it.
+
+    Attributes
+    ----------
+    started
+        When the connection to the target was begun, in seconds.
+    greeted
+        Whether the target has sent its greeting.
+    to_caller, to_target
+        Bytes that were read and could not be written yet.
+    """
+
+    __slots__ = (
+        'address',
+        'caller',
+        'greeted',
+        'started',
+        'target',
+        'to_caller',
+        'to_target',
+    )
+
+    def __init__(
+        self, caller: socket.socket, target: socket.socket, address: Address, now: float
+    ) -> None:
+        self.caller = caller
+        self.target = target
+        self.address = address
+        self.started = now
+        self.greeted = False
+        self.to_caller = b''
+        self.to_target = b''
+
+    def held(self, *, to_caller: bool) -> bytes:
+        """Return the bytes that were read for one of the two connections."""
+        return self.to_caller if to_caller else self.to_target
+
+    def interest(self, *, of_caller: bool) -> int:
+        """Return the events to poll for on one of the two connections."""
+        writes = select.EPOLLOUT if self.held(to_caller=of_caller) else 0
+        reads = 0 if self.held(to_caller=not of_caller) else select.EPOLLIN
+        return writes | reads
+
+
+OnGreeted = Callable[[Relay], None]
+OnReceived = Callable[[Relay], None]
+
+OnFailed = Callable[[Relay, OSError], None]
+"""Called if a target does not greet; nothing was read from the caller, whose connection
+is left open."""
+
+
+class RelayPump:
+    """Connects to targets, and forwards bytes between callers and targets.
+
+    Attributes
+    ----------
+    greeting_seconds
+        Timeout of the connection to a target and its greeting.
+    open
+        All relays.
+    relays
+        The same by the descriptors of their connections.
+    pending
+        The relays whose target has not greeted yet, oldest first.
+    """
+
+    def __init__(
+        self,
+        now: Clock,
+        on_greeted: OnGreeted,
+        on_received: OnReceived,
+        on_failed: OnFailed,
+    ) -> None:
+        self.now = now
+        self.on_greeted = on_greeted
+        self.on_received = on_received
+        self.on_failed = on_failed
+        self.greeting_seconds = 0.0
+        self.open: set[Relay] = set()
+        self.relays: dict[int, Relay] = {}
+        self.pending: dict[Relay, None] = {}
+        self.poller: select.epoll | None = None
+
+    def start(self, caller: socket.socket, address: Address) -> Relay:
+        """Begin to connect to a target."""
+        host, port = split_address(address)
+        target = socket.socket(socket.AF_INET6 if ':' in host else socket.AF_INET)
+        relay = Relay(caller, target, address, self.now())
+        target.setblocking(False)
+        enable_keepalive(target)
+        error = target.connect_ex((host, port))
+        if error not in {0, errno.EINPROGRESS}:
+            target.close()
+            raise OSError(error, os.strerror(error))
+        self.open.add(relay)
+        self.pending[relay] = None
+        self._register(target, relay)
+        return relay
+
+    def abort(self, relay: Relay) -> None:
+        """Close both connections of a relay, and discard what they hold."""
+        self._forget(relay)
+        relay.caller.close()
+        relay.target.close()
+
+    def close(self) -> None:
+        """Abort all relays."""
+        for relay in list(self.open):
+            self.abort(relay)
+
+    def _register(self, sock: socket.socket, relay: Relay) -> None:
+        if self.poller is None:
+            self.poller = select.epoll()
+            asyncio.get_running_loop().call_later(POLL_SECONDS, self._poll)
+        self.relays[sock.fileno()] = relay
+        self.poller.register(sock, select.EPOLLIN)
+
+    def _forget(self, relay: Relay) -> None:
+        self.open.discard(relay)
+        self.pending.pop(relay, None)
+        for sock in (relay.caller, relay.target):
+            if self.relays.pop(sock.fileno(), None) and self.poller is not None:
+                self.poller.unregister(sock)
+
+    def _poll(self) -> None:
+        """Forward what has arrived, and poll again later if any relay is left."""
+        assert self.poller is not None
+        for descriptor, events in self.poller.poll(0):
+            relay = self.relays.get(descriptor)
+            if relay is not None:
+                self._process(relay, descriptor, events)
+        # After the poll: a delay of this process must not count as the target's.
+        self._expire()
+        if self.relays:
+            asyncio.get_running_loop().call_later(POLL_SECONDS, self._poll)
+        else:
+            self.poller.close()
+            self.poller = None
+
+    def _process(self, relay: Relay, descriptor: int, events: int) -> None:
+        of_caller = descriptor == relay.caller.fileno()
+        try:
+            if not relay.greeted:
+                self._greet(relay)
+                return
+            if events & select.EPOLLOUT:
+                self._flush(relay, to_caller=of_caller)
+                if not relay.held(to_caller=of_caller):
+                    self._update_interest(relay)
+            if events & ~select.EPOLLOUT:
+                self._forward(relay, from_caller=of_caller)
+        except BlockingIOError:
+            return
+        except OSError:
+            self.abort(relay)
+
+    def _greet(self, relay: Relay) -> None:
+        """Read the greeting, then forward what the caller has sent until now."""
+        try:
+            if not relay.target.recv(1):
+                raise ConnectionAbortedError('no greeting')
+        except BlockingIOError:
+            return
+        except OSError as error:
+            self._fail(relay, error)
+            return
+        relay.greeted = True
+        self.pending.pop(relay)
+        self.on_received(relay)
+        self.on_greeted(relay)
+        self._register(relay.caller, relay)
+        self._forward(relay, from_caller=True)
+
+    def _forward(self, relay: Relay, *, from_caller: bool) -> None:
+        """Read from one connection, and write to the other as much as it takes."""
+        if relay.held(to_caller=not from_caller):
+            return
+        received = (relay.caller if from_caller else relay.target).recv(READ_BYTES)
+        if not received:
+            # All that was read has been written; the kernel sends the rest.
+            self.abort(relay)
+            return
+        if from_caller:
+            relay.to_target = received
+        else:
+            relay.to_caller = received
+            self.on_received(relay)
+        self._flush(relay, to_caller=not from_caller)
+        if relay.held(to_caller=not from_caller):
+            self._update_interest(relay)
+
+    def _flush(self, relay: Relay, *, to_caller: bool) -> None:
+        """Write held bytes; while some are left, nothing more is read for them."""
+        sink = relay.caller if to_caller else relay.target
+        held = relay.held(to_caller=to_caller)
+        try:
+            left = held[sink.send(held) :]
+        except BlockingIOError:
+            left = held
+        if to_caller:
+            relay.to_caller = left
+        else:
+            relay.to_target = left
+
+    def _update_interest(self, relay: Relay) -> None:
+        assert self.poller is not None
+        self.poller.modify(relay.caller, relay.interest(of_caller=True))
+        self.poller.modify(relay.target, relay.interest(of_caller=False))
+
+    def _expire(self) -> None:
+        latest = self.now() - self.greeting_seconds
+        for relay in list(self.pending):
+            if relay.started > latest:
+                return
+            self._fail(relay, TimeoutError('no greeting in time'))
+
+    def _fail(self, relay: Relay, error: OSError) -> None:
+        self._forget(relay)
+        relay.target.close()
+        self.on_failed(relay, error)
--- a/tests/edge/test_handoff.py
+++ b/tests/edge/test_handoff.py
@@ -2,13 +2,16 @@
 
 import asyncio
 import socket
+import time
 from collections import Counter
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Iterator
+from contextlib import contextmanager
 from pathlib import Path
 
 import pytest
 from tornado.simple_httpclient import HTTPStreamClosedError
 
+from hitchdeck_core.clock import boot_seconds
 from hitchdeck_core.ids import Address
 from hitchdeck_core.wire.spread_pb2 import BoxFrame, Hello
 from hitchdeck_edge.hub.connected_boxes import (
@@ -24,9 +27,10 @@
     GREETING,
     HANDOFF_FULL,
     HANDOFF_START,
-    TargetEnd,
+    Handoff,
     should_hand_off,
 )
+from hitchdeck_edge.serving.relay_pump import READ_BYTES, Relay
 from hitchdeck_edge.state.relief import (
     TARGETS_TTL_SECONDS,
     UNREACHABLE_SECONDS,
@@ -38,6 +42,7 @@
 
 WAIT_SECONDS = 15.0
 SHORT_SECONDS = 0.1
+SLOW_BYTES = 20_000_000
 CONNECTION_LOST = (OSError, HTTPStreamClosedError)
 
 
@@ -64,8 +69,8 @@
     return first, second
 
 
-def target_ends(box: EntryBox) -> list[TargetEnd]:
-    return [one for one in box.caller_server.handoff.open if isinstance(one, TargetEnd)]
+def relays(box: EntryBox) -> list[Relay]:
+    return [one for one in box.caller_server.handoff.open if one.greeted]
 
 
 def outcomes(box: EntryBox) -> Counter[str]:
@@ -117,8 +122,8 @@
     for worker in site.workers:
         worker.gap = 0.1
     asking = asyncio.create_task(site.ask_model('/once/x', 'slow'))
-    await until(lambda: len(target_ends(first)) == 1)
-    sock = target_ends(first)[0].transport.get_extra_info('socket')
+    await until(lambda: len(relays(first)) == 1)
+    sock = relays(first)[0].target
     assert sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
     await first.drain()
     await first.stop()
@@ -150,7 +155,7 @@
         accepted, _ = await asyncio.to_thread(frozen.accept)
         with accepted:
             accepted.send(GREETING)
-            await until(lambda: len(target_ends(first)) == 1)
+            await until(lambda: len(relays(first)) == 1)
             monkeypatch.setattr(handoff, 'CONNECT_SECONDS', SHORT_SECONDS)
             assert (await site.ask('/u/x', 'next')).code == 200
             with pytest.raises(CONNECTION_LOST):
@@ -158,6 +163,59 @@
     assert not first.caller_server.handoff.open
 
 
+async def test_the_delay_of_the_box_itself_does_not_count_as_the_targets(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against a flooded box that marks every target unreachable.
+    monkeypatch.setattr(handoff, 'CONNECT_SECONDS', SHORT_SECONDS)
+    with listening() as target, handing_off(target) as (handing, caller):
+        await asyncio.sleep(SHORT_SECONDS / 5)
+        accepted, _ = target.accept()
+        with accepted:
+            accepted.send(GREETING)
+            # Blocks the event loop for longer than a target may take.
+            time.sleep(3 * SHORT_SECONDS)
+            await until(lambda: handing.handed_off == 1)
+            caller.send(b'x')
+            assert await asyncio.to_thread(accepted.recv, 1) == b'x'
+        assert handing.targets.choose() is not None
+
+
+async def test_a_caller_that_reads_nothing_holds_a_bounded_number_of_bytes() -> None:
+    with listening() as target, handing_off(target) as (handing, caller):
+        accepted, _ = await asyncio.to_thread(target.accept)
+        sent = GREETING + bytes(SLOW_BYTES)
+        sending = asyncio.create_task(asyncio.to_thread(accepted.sendall, sent))
+        await asyncio.sleep(3 * SHORT_SECONDS)
+        held = [len(relay.to_caller) for relay in handing.open]
+        assert 0 < sum(held) <= READ_BYTES
+        assert not sending.done()
+        read = await asyncio.to_thread(read_all, caller, SLOW_BYTES)
+        accepted.close()
+        assert read == SLOW_BYTES
+        await until(lambda: not handing.open)
+
+
+@contextmanager
+def handing_off(target: socket.socket) -> Iterator[tuple[Handoff, socket.socket]]:
+    """Hand off one connection to a listening socket; yield the caller's end too."""
+    handing = Handoff(ReliefTargets(boot_seconds))
+    handing.targets.offer([address_of(target)])
+    caller, connection = socket.socketpair()
+    connection.setblocking(False)
+    with caller:
+        assert handing.try_relay(connection)
+        yield handing, caller
+        handing.close()
+
+
+def read_all(sock: socket.socket, size: int) -> int:
+    received = 0
+    while received < size:
+        received += len(sock.recv(READ_BYTES))
+    return received
+
+
 def listening() -> socket.socket:
     return socket.create_server(('127.0.0.1', 0))
 
