--- a/packages/edge/src/hitchdeck_edge/hub/connected_boxes.py
+++ b/packages/edge/src/hitchdeck_edge/hub/connected_boxes.py
@@ -9,12 +9,13 @@
 from hitchdeck_core.clock import Clock
 from hitchdeck_core.ids import Address
 from hitchdeck_core.loop_load import PERCENT
-from hitchdeck_core.wire.spread_pb2 import BoxFrame, Hello
+from hitchdeck_core.wire.spread_pb2 import BoxFrame, Hello, HubFrame
 from hitchdeck_edge.links.hub_streams import (
     MAX_MISSED_FRAMES,
     box_idle_interval,
     hub_idle_interval,
 )
+from hitchdeck_edge.state.headroom import capacity_percent, headroom
 from hitchdeck_edge.state.tallies import Tally, tally_of, total_of
 
 TOTAL_CACHE_SECONDS = 0.1
@@ -61,10 +62,24 @@
     utilization: float = 0
     tally: Tally = field(default_factory=Tally)
 
+    @property
+    def capacity(self) -> float:
+        """Return its processor time in reference cores, 0 if it states none."""
+        return self.hello.capacity_percent / PERCENT
+
+    @property
+    def relief_headroom(self) -> float:
+        """Return the processor time that it has for connections handed off to it."""
+        return headroom(self.capacity, self.utilization, RELIEF_TARGET_UTILIZATION)
+
 
 RELIEF_UTILIZATION = 0.5
 """A box above this utilization gets addresses of less busy boxes of its domain."""
 
+EARLY_RELIEF_UTILIZATION = 0.25
+"""The same for a box that states its capacity.  A flood fills a box within a second,
+and frames are up to a second apart: it needs the addresses when handoff begins."""
+
 RELIEF_TARGET_UTILIZATION = 0.35
 """A box below this utilization accepts connections handed off by other boxes."""
 
@@ -141,20 +156,18 @@
 
     def relief_targets_for(self, connected_box: ConnectedBox) -> list[Address]:
         """Return boxes to which an overloaded box may hand off connections."""
-        if (
-            connected_box.utilization <= RELIEF_UTILIZATION
-            or not connected_box.hello.relief_address
-        ):
-            return []
-        able = [
-            one
-            for one in self.ready_entries()
-            if one.hello.relief_address
-            and one.hello.domain == connected_box.hello.domain
-            and one.utilization < RELIEF_TARGET_UTILIZATION
+        return [
+            Address(one.hello.relief_address) for one in self._relief_for(connected_box)
         ]
-        able.sort(key=attrgetter('utilization'))
-        return [Address(one.hello.relief_address) for one in able[:MAX_RELIEF_TARGETS]]
+
+    def add_relief_targets(self, frame: HubFrame, connected_box: ConnectedBox) -> None:
+        """Add these boxes to a frame, with headroom if the box states its capacity."""
+        targets = self._relief_for(connected_box)
+        frame.relief.extend(one.hello.relief_address for one in targets)
+        if connected_box.capacity:
+            frame.relief_headroom_percent.extend(
+                capacity_percent(one.relief_headroom) for one in targets
+            )
 
     def hubs(self) -> list[ConnectedBox]:
         """Return the live hubs."""
@@ -197,6 +210,22 @@
             self.counted_at = self.now()
         return self.count
 
+    def _relief_for(self, connected_box: ConnectedBox) -> list[ConnectedBox]:
+        level = (
+            EARLY_RELIEF_UTILIZATION if connected_box.capacity else RELIEF_UTILIZATION
+        )
+        if connected_box.utilization <= level or not connected_box.hello.relief_address:
+            return []
+        able = [
+            one
+            for one in self.ready_entries()
+            if one.hello.relief_address
+            and one.hello.domain == connected_box.hello.domain
+            and one.utilization < RELIEF_TARGET_UTILIZATION
+        ]
+        able.sort(key=attrgetter('relief_headroom'), reverse=True)
+        return able[:MAX_RELIEF_TARGETS]
+
     def _alive(
         self, boxes: Mapping[BoxKey, ConnectedBox] | None = None
     ) -> list[ConnectedBox]:
--- a/packages/edge/src/hitchdeck_edge/hub/directory.py
+++ b/packages/edge/src/hitchdeck_edge/hub/directory.py
@@ -15,6 +15,7 @@
 
 from hitchdeck_core.hashing import HASH_VALUES, ranked, stable_hash
 from hitchdeck_core.ids import Address, BoxName
+from hitchdeck_edge.state.headroom import REFERENCE_CAPACITY
 
 CallerKey = NewType('CallerKey', str)
 """Key that identifies a caller: stable over its requests, unique among callers."""
@@ -99,6 +100,8 @@
         Whether a hub runs on the same machine.
     utilization
         Fraction of its time for which the box was busy recently, from 0 to 1.
+    capacity
+        Processor time of the box in reference cores; 0 if it states none.
     """
 
     address: Address
@@ -106,6 +109,7 @@
     domain: str
     shares_machine_with_hub: bool
     utilization: float = 0.0
+    capacity: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -185,28 +189,56 @@
 
 
 def without_overloaded(
-    caller: CallerKey, selection: AddressSelection, entries: Iterable[ReadyEntry]
+    caller: CallerKey, selection: AddressSelection, entries: Collection[ReadyEntry]
 ) -> list[Address]:
-    """Return the addresses of a selection without some of the overloaded boxes.
+    """Return the addresses of a selection without some overloaded and small boxes.
 
     Some callers keep using a single address, the same one for all callers of a client
     account.  A box that is busier than the others is therefore returned to a fraction
     of the callers only, always the same ones, so that the others use another box.
+
+    Callers use the boxes that they are given alike.  Of boxes that differ in capacity,
+    each is therefore returned to a fraction of the callers in proportion to its own.
     """
     utilization = {entry.address: entry.utilization for entry in entries}
     addresses = selection.addresses
     mean = sum(utilization[one] for one in addresses) / max(1, len(addresses))
     level = max(BUSY_UTILIZATION, IMBALANCE_RATIO * mean)
+    parts = _capacity_fractions(set(addresses), entries)
+    uneven = any(part < 1 for part in parts.values())
+    for address in addresses:
+        if utilization[address] > level:
+            parts[address] *= math.pow(level / utilization[address], DAMPING_EXPONENT)
     kept = [
         address
         for address in addresses
-        if utilization[address] <= level
-        or _thinning_fraction(caller, address)
-        < math.pow(level / utilization[address], DAMPING_EXPONENT)
+        if parts[address] >= 1 or _thinning_fraction(caller, address) < parts[address]
     ]
     if len(kept) >= min(MIN_KEPT, len(addresses)):
         return kept
-    return addresses
+    return _least_thinned(caller, parts) if uneven else addresses
+
+
+def _capacity_fractions(
+    selected: Collection[Address], entries: Iterable[ReadyEntry]
+) -> dict[Address, float]:
+    """Return the fraction of callers for each selected box: 1 for the largest ones."""
+    capacity = {
+        entry.address: entry.capacity or REFERENCE_CAPACITY
+        for entry in entries
+        if entry.address in selected
+    }
+    largest = max(capacity.values(), default=REFERENCE_CAPACITY)
+    return {address: known / largest for address, known in capacity.items()}
+
+
+def _least_thinned(caller: CallerKey, parts: Mapping[Address, float]) -> list[Address]:
+    """Return ``MIN_KEPT`` addresses: those next to be returned to this caller."""
+
+    def excess(address: Address) -> float:
+        return _thinning_fraction(caller, address) / parts[address]
+
+    return sorted(sorted(parts, key=excess)[:MIN_KEPT])
 
 
 def _thinning_fraction(caller: CallerKey, address: Address) -> float:
@@ -242,9 +274,12 @@
     ``SATURATED_UTILIZATION``, and linear between them, so that the load converges
     instead of oscillating between domains.
     """
-    utilization = sum(entry.utilization for entry in same_domain) / max(
-        1, len(same_domain)
+    capacity = sum(entry.capacity or REFERENCE_CAPACITY for entry in same_domain)
+    used = sum(
+        entry.utilization * (entry.capacity or REFERENCE_CAPACITY)
+        for entry in same_domain
     )
+    utilization = used / capacity if capacity else 0
     over = min(
         1,
         max(0, utilization - BUSY_UTILIZATION)
--- a/packages/edge/src/hitchdeck_edge/hub/process.py
+++ b/packages/edge/src/hitchdeck_edge/hub/process.py
@@ -147,6 +147,7 @@
                 one.hello.domain,
                 shares_machine_with_hub=one.hello.box in hubs,
                 utilization=one.utilization,
+                capacity=one.capacity,
             )
             for one in connected_boxes.ready_entries()
         ]
--- a/packages/edge/src/hitchdeck_edge/hub/spread.py
+++ b/packages/edge/src/hitchdeck_edge/hub/spread.py
@@ -182,7 +182,7 @@
             )
         _add_verdicts(frame, sent, state.quarantine)
         self._add_hubs(frame, sent)
-        frame.relief.extend(state.connected_boxes.relief_targets_for(connected_box))
+        state.connected_boxes.add_relief_targets(frame, connected_box)
         if connected_box.reports_to_this_hub:
             _add_reports(frame, connected_box, state.connected_boxes)
         return frame
--- a/packages/edge/src/hitchdeck_edge/links/entry.py
+++ b/packages/edge/src/hitchdeck_edge/links/entry.py
@@ -19,6 +19,7 @@
 from hitchdeck_edge.links.records import encode_suspicion
 from hitchdeck_edge.settings import EntrySettings
 from hitchdeck_edge.state.fleet_state import FleetState
+from hitchdeck_edge.state.headroom import capacity_percent
 from hitchdeck_edge.state.relief import ReliefTargets
 from hitchdeck_edge.state.tallies import Tally, tally_of
 
@@ -124,7 +125,7 @@
     ) -> None:
         known = self.known
         apply_hub_frame(hub, frame, known)
-        self.targets.offer(frame.relief)
+        self.targets.offer(frame.relief, frame.relief_headroom_percent)
         if not is_report_hub:
             return
         self.report_hub = hub
@@ -186,4 +187,5 @@
             domain=self.settings.domain,
             entry_address=self.settings.listen,
             relief_address=self.settings.relief_listen or '',
+            capacity_percent=capacity_percent(self.settings.capacity),
         )
--- a/packages/edge/src/hitchdeck_edge/process.py
+++ b/packages/edge/src/hitchdeck_edge/process.py
@@ -130,7 +130,7 @@
         caller_server=CallerServer(
             admission.start_serving,
             admission.shedder,
-            Handoff(targets),
+            Handoff(targets, heeds_lag=settings.capacity > 0),
             admission.is_overloaded,
         ),
         graceful_stop=graceful_stop,
--- a/packages/edge/src/hitchdeck_edge/serving/caller_server.py
+++ b/packages/edge/src/hitchdeck_edge/serving/caller_server.py
@@ -17,7 +17,7 @@
 from tornado.netutil import add_accept_handler
 
 from hitchdeck_core import logs
-from hitchdeck_core.loop_load import loop_utilization
+from hitchdeck_core.loop_load import loop_lag, loop_utilization
 from hitchdeck_edge.serving.handoff import GREETING, Handoff, should_hand_off
 from hitchdeck_edge.serving.shedding import Shedder
 
@@ -141,7 +141,8 @@
 
     def _accept(self, connection: socket.socket, _: object) -> None:
         connection.setblocking(False)
-        if should_hand_off(loop_utilization()) and self.handoff.try_relay(connection):
+        wanted = should_hand_off(loop_utilization()) or self.handoff.is_late(loop_lag())
+        if wanted and self.handoff.try_relay(connection):
             return
         self._serve_here(connection)
 
--- a/packages/edge/src/hitchdeck_edge/serving/handoff.py
+++ b/packages/edge/src/hitchdeck_edge/serving/handoff.py
@@ -18,6 +18,7 @@
 
 from hitchdeck_core import logs
 from hitchdeck_core.ids import Address
+from hitchdeck_edge.serving.overload import is_overloaded
 from hitchdeck_edge.serving.relay_pump import Relay, RelayPump
 from hitchdeck_edge.state.relief import ReliefTargets
 
@@ -66,12 +67,15 @@
     serve
         Serves a connection here if the target box can't be reached; nothing was read
         from it.
+    heeds_lag
+        Whether connections are also handed off by the lag of the event loop.
     last_received
         When bytes were last received from each target box, in seconds.
     """
 
-    def __init__(self, targets: ReliefTargets) -> None:
+    def __init__(self, targets: ReliefTargets, *, heeds_lag: bool = False) -> None:
         self.targets = targets
+        self.heeds_lag = heeds_lag
         self.last_received: dict[Address, float] = {}
         self.serve: ServeConnection = socket.socket.close
         self.pump = RelayPump(
@@ -85,6 +89,13 @@
         """Return the relayed connections, and the pending handoffs."""
         return self.pump.open
 
+    def is_late(self, lag: float) -> bool:
+        """Tell whether the lag of the event loop calls for a handoff.
+
+        A flood delays the event loop before the mean utilization shows it.
+        """
+        return self.heeds_lag and is_overloaded(0, lag)
+
     def try_relay(self, connection: socket.socket) -> bool:
         """Relay a connection to another box; return ``False`` if there is none."""
         target = self.targets.choose()
--- a/packages/edge/src/hitchdeck_edge/settings.py
+++ b/packages/edge/src/hitchdeck_edge/settings.py
@@ -38,6 +38,9 @@
     ('retry_share', _not_negative),
     ('retry_extra', _not_negative),
     ('retry_window', _not_negative),
+    ('capacity', _not_negative),
+    ('memory_limit', _not_negative),
+    ('descriptor_limit', _not_negative),
     ('fleet_token', partial(check_text, min_length=MIN_TOKEN_LENGTH)),
 )
 _HUB_CHECKS: tuple[tuple[str, Check], ...] = (
@@ -77,6 +80,12 @@
     mechanisms
         Mechanisms that take part in placing requests.  Some are disabled only for
         measurements.
+    capacity
+        Processor time of this process in reference cores; 0 if it is not stated.
+    memory_limit
+        Memory above which this process is killed, in bytes; 0 if it is not stated.
+    descriptor_limit
+        Maximum number of open descriptors; 0 if it is not stated.
     fleet_token
         Shared secret by which the processes of the fleet authenticate one another.
         The default protects only where the network admits no other processes.
@@ -94,6 +103,9 @@
     retry_extra: float = 50
     retry_window: float = 10
     mechanisms: Mechanisms = ALL_MECHANISMS
+    capacity: float = 0
+    memory_limit: float = 0
+    descriptor_limit: float = 0
     fleet_token: str = 'hitchdeck-fleet'
 
     def __post_init__(self) -> None:
--- a/tests/edge/test_directory.py
+++ b/tests/edge/test_directory.py
@@ -253,6 +253,55 @@
     assert sum(shares[10:]) / 10 <= most
 
 
+def stated(entries: list[ReadyEntry], capacities: list[float]) -> list[ReadyEntry]:
+    """Return the boxes with capacities, in turn."""
+    return [
+        replace(entry, capacity=capacities[number % len(capacities)])
+        for number, entry in enumerate(entries)
+    ]
+
+
+def listed_for(caller: CallerKey, entries: list[ReadyEntry]) -> list[Address]:
+    return without_overloaded(caller, answer_for(entries, caller=caller), entries)
+
+
+@pytest.mark.parametrize('size', [6, 20])
+def test_callers_are_shared_out_in_proportion_to_capacity(size: int) -> None:
+    # Guards against small boxes that are full while large ones are idle.
+    entries = [
+        entry
+        for entry in stated(fleet(4, size), [0.387, 1.29, 0.688])
+        if entry.domain == 'd0'
+    ]
+    callers = [CallerKey(f'10.0.{one}.7 host') for one in range(2000)]
+    load: Counter[Address] = Counter()
+    for caller in callers:
+        listed = listed_for(caller, entries)
+        for address in listed:
+            load[address] += 1 / len(listed)  # type: ignore[assignment]
+    capacity = sum(entry.capacity for entry in entries)
+    for entry in entries:
+        owed = len(callers) * entry.capacity / capacity
+        assert load[entry.address] == pytest.approx(owed, rel=0.25)
+
+
+@given(
+    st.sampled_from(CALLERS),
+    st.lists(st.floats(0, 1), min_size=1, max_size=20),
+    st.floats(0.1, 4),
+)
+def test_capacities_that_are_all_the_same_change_no_answer(
+    caller: CallerKey, busy: list[float], capacity: float
+) -> None:
+    entries = [
+        replace(entry, utilization=busy[number % len(busy)])
+        for number, entry in enumerate(fleet(3, 10))
+    ]
+    assert listed_for(caller, stated(entries, [capacity])) == listed_for(
+        caller, entries
+    )
+
+
 def test_equally_busy_boxes_are_listed_for_every_caller() -> None:
     entries = [replace(entry, utilization=0.7) for entry in fleet(2, 20)]
     for caller in CALLERS:
--- a/tests/edge/test_handoff.py
+++ b/tests/edge/test_handoff.py
@@ -1,11 +1,13 @@
 """A box short of processor time hands off connections to boxes with spare time."""
 
 import asyncio
+import random
 import socket
 import time
 from collections import Counter
 from collections.abc import AsyncIterator, Callable, Iterator
 from contextlib import contextmanager
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
@@ -13,7 +15,7 @@
 
 from hitchdeck_core.clock import boot_seconds
 from hitchdeck_core.ids import Address
-from hitchdeck_core.wire.spread_pb2 import BoxFrame, Hello
+from hitchdeck_core.wire.spread_pb2 import BoxFrame, Hello, HubFrame
 from hitchdeck_edge.hub.connected_boxes import (
     MAX_RELIEF_TARGETS,
     RELIEF_TARGET_UTILIZATION,
@@ -30,7 +32,9 @@
     Handoff,
     should_hand_off,
 )
+from hitchdeck_edge.serving.overload import REJECT_LAG_SECONDS
 from hitchdeck_edge.serving.relay_pump import READ_BYTES, Relay
+from hitchdeck_edge.state.headroom import capacity_percent
 from hitchdeck_edge.state.relief import (
     TARGETS_TTL_SECONDS,
     UNREACHABLE_SECONDS,
@@ -250,10 +254,18 @@
 
 
 def connect_box(
-    connected_boxes: ConnectedBoxes, name: str, domain: str, busy: float
+    connected_boxes: ConnectedBoxes,
+    name: str,
+    domain: str,
+    busy: float,
+    capacity: float = 0,
 ) -> ConnectedBox:
     hello = Hello(
-        box=name, domain=domain, entry_address=f'{name}:1', relief_address=f'{name}:2'
+        box=name,
+        domain=domain,
+        entry_address=f'{name}:1',
+        relief_address=f'{name}:2',
+        capacity_percent=capacity_percent(capacity),
     )
     connected_box = connected_boxes.register(hello)
     connected_boxes.record_frame(
@@ -273,3 +285,44 @@
     assert not connected_boxes.relief_targets_for(calm)
     relief = connected_boxes.relief_targets_for(busy)
     assert relief == [f'a{number}:2' for number in range(MAX_RELIEF_TARGETS)]
+
+
+def test_boxes_that_state_their_capacity_get_targets_by_headroom_and_early() -> None:
+    connected_boxes = ConnectedBoxes(FakeClock(), 'a')
+    connect_box(connected_boxes, 'small', 'a', 0.05, 0.4)
+    connect_box(connected_boxes, 'large', 'a', 0.15, 1.3)
+    busy = RELIEF_UTILIZATION - 0.1
+    unstated = connect_box(connected_boxes, 'unstated', 'a', busy)
+    stated = connect_box(connected_boxes, 'stated', 'a', busy, 0.4)
+    assert not connected_boxes.relief_targets_for(unstated)
+    frame = HubFrame()
+    connected_boxes.add_relief_targets(frame, stated)
+    assert frame.relief == ['large:2', 'small:2']
+    assert frame.relief_headroom_percent == [26, 12]
+
+
+def test_connections_are_handed_off_in_proportion_to_headroom() -> None:
+    random.seed(1)
+    targets = ReliefTargets(FakeClock())
+    targets.offer(['large:2', 'small:2'], [90, 10])
+    chosen = Counter(targets.choose() for _ in range(1000))
+    assert chosen[Address('large:2')] == pytest.approx(900, abs=40)
+    # A hub that does not state the headroom of its list.
+    targets.offer(['large:2', 'small:2'])
+    chosen = Counter(targets.choose() for _ in range(1000))
+    assert chosen[Address('large:2')] == pytest.approx(500, abs=60)
+
+
+@pytest.mark.parametrize('heeds_lag', [False, True])
+def test_lag_calls_for_a_handoff_only_where_capacity_is_stated(heeds_lag: bool) -> None:
+    handing = Handoff(ReliefTargets(FakeClock()), heeds_lag=heeds_lag)
+    assert handing.is_late(REJECT_LAG_SECONDS + 0.01) is heeds_lag
+    assert not handing.is_late(REJECT_LAG_SECONDS)
+
+
+async def test_a_box_reports_the_capacity_of_its_settings(site: Site) -> None:
+    link = site.boxes[0].link
+    hub = Address(site.hubs[0].settings.listen)
+    assert link.next_frame(hub, False, True).hello.capacity_percent == 0
+    link.settings = replace(link.settings, capacity=0.387)
+    assert link.next_frame(hub, False, True).hello.capacity_percent == 39
--- a/tests/edge/test_outside_numbers.py
+++ b/tests/edge/test_outside_numbers.py
@@ -182,6 +182,36 @@
     assert settings.entry.retry_extra == pytest.approx(36.666666666666664)
 
 
+@pytest.mark.parametrize(
+    ('limits', 'expected'),
+    [
+        ({}, (0, 0, 0)),
+        ({'cpuShare': 0.5}, (0.5, 0, 0)),
+        ({'cores': 2}, (2, 0, 0)),
+        (
+            {'cpuShare': 0.344, 'cores': 2, 'memoryMb': 200, 'maxFds': 4100, 'x': 'y'},
+            (0.688, 200e6, 4100),
+        ),
+    ],
+)
+def test_the_limits_of_a_process_are_read(
+    limits: dict[str, Any], expected: tuple[float, ...]
+) -> None:
+    settings = decode_settings({**settings_fields(), 'limits': limits}).entry
+    assert settings is not None
+    known = (settings.capacity, settings.memory_limit, settings.descriptor_limit)
+    assert known == pytest.approx(expected)
+
+
+@given(
+    name=st.sampled_from(['cpuShare', 'cores', 'memoryMb', 'maxFds']),
+    number=UNUSABLE,
+)
+def test_a_limit_that_is_no_number_is_named(name: str, number: object) -> None:
+    with pytest.raises(FieldError, match=rf'limits\.{name}'):
+        decode_settings({**settings_fields(), 'limits': {name: number}})
+
+
 def _plain() -> dict[str, Any]:
     fields = settings_fields()
     return {name: fields[name] for name in fields if not isinstance(fields[name], dict)}
