Keep a process within budgets of bytes and descriptors

Where memoryMb or maxFds is stated: bodies are counted by account while they are read, reading stops at half of the budget, streams are spooled for slow callers, and the account that holds most gives way. Idle caller connections are closed before descriptors run out; if there are none, requests are rejected.

--- a/packages/core/src/hitchdeck_core/sockets.py
+++ b/packages/core/src/hitchdeck_core/sockets.py
@@ -12,6 +12,16 @@
 USER_TIMEOUT_MS = 3000
 """Time after which unacknowledged data ends a connection, in milliseconds."""
 
+SLOW_USER_TIMEOUT_MS = 20_000
+"""The same for callers that may read slowly, longer than any request may take.
+
+A peer whose receive buffer is full acknowledges no data.  With ``USER_TIMEOUT_MS``, the
+kernel closed the connection of a caller that had read nothing for 3.6 s.
+"""
+
+RECEIVE_BUFFER_BYTES = 65_536
+"""Unread bytes that the kernel holds for a connection of such a caller."""
+
 BACKLOG = 1024
 """Connections that may wait to be accepted: callers connect in bursts, and a SYN
 that is dropped from a full backlog is retransmitted only after a second."""
@@ -40,6 +50,17 @@
     return sock
 
 
+def prepare_for_slow_callers(listener: socket.socket) -> None:
+    """Let the connections of a listener stay open while callers read nothing.
+
+    What callers send and is not read yet takes memory too, so it is limited.
+    """
+    listener.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SLOW_USER_TIMEOUT_MS
+    )
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+
+
 def has_unread_input(descriptor: int) -> bool:
     """Return whether data or the end of the stream can be read now."""
     poller = select.poll()
--- a/packages/edge/src/hitchdeck_edge/dispatch/dispatcher.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/dispatcher.py
@@ -12,11 +12,13 @@
 from hitchdeck_edge.dispatch.relay import StreamRelay
 from hitchdeck_edge.dispatch.responses import FinalResponse
 from hitchdeck_edge.dispatch.sender import Sender
+from hitchdeck_edge.dispatch.spool import CallerSpool
 from hitchdeck_edge.model.adapter import PlatformAdapter
 from hitchdeck_edge.model.placing import Choice
 from hitchdeck_edge.model.refusals import Refusal
 from hitchdeck_edge.model.request_context import RequestContext
 from hitchdeck_edge.scheduling.chooser import Chooser
+from hitchdeck_edge.serving.budgets import ByteBudget
 from hitchdeck_edge.serving.caller import CallerConnection
 
 MAX_UNREACHED = 4
@@ -36,7 +38,9 @@
         sender: Sender,
         budget: RetryBudget,
         now: Clock,
+        held_bytes: ByteBudget | None = None,
     ) -> None:
+        self.held_bytes = held_bytes or ByteBudget(0)
         self.adapter = adapter
         self.chooser = chooser
         self.sender = sender
@@ -47,7 +51,8 @@
         """Return the state of a request to serve; count it for the retry budget."""
         response = FinalResponse(self.adapter, context, caller)
         self.budget.count_request(context.pool.name)
-        return ActiveRequest(context, caller, response, StreamRelay(context, caller))
+        relay = StreamRelay(context, caller, self._spool(context, caller))
+        return ActiveRequest(context, caller, response, relay)
 
     async def serve(self, active: ActiveRequest) -> None:
         """Send the final response to a request before its deadline.
@@ -63,6 +68,17 @@
         except TimeoutError:
             self._check_last_for_crash(active)
             active.response.time_out()
+        finally:
+            active.relay.close()
+
+    def _spool(
+        self, context: RequestContext, caller: CallerConnection
+    ) -> CallerSpool | None:
+        """Return a spool for a stream if the memory of this process is limited."""
+        if not self.held_bytes.limit or not context.route.streams:
+            return None
+        account = context.account or ''
+        return CallerSpool(caller, self.held_bytes, context.call.request, account)
 
     async def _serve(self, active: ActiveRequest) -> None:
         context = active.context
@@ -124,6 +140,7 @@
 
     async def _deliver(self, active: ActiveRequest, attempt: Attempt) -> None:
         if attempt.streamed:
+            await active.relay.complete()
             active.response.outcome = 'streamed'
             return
         assert attempt.head is not None
--- a/packages/edge/src/hitchdeck_edge/dispatch/relay.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/relay.py
@@ -4,6 +4,7 @@
 
 from hitchdeck_edge.dispatch.events import EventSplitter
 from hitchdeck_edge.dispatch.responses import response_headers
+from hitchdeck_edge.dispatch.spool import CallerSpool
 from hitchdeck_edge.dispatch.upstream_connection import Connection, ResponseHead
 from hitchdeck_edge.model.request_context import RequestContext
 from hitchdeck_edge.serving.caller import CallerConnection
@@ -16,9 +17,15 @@
     last complete event that the caller received.
     """
 
-    def __init__(self, context: RequestContext, caller: CallerConnection) -> None:
+    def __init__(
+        self,
+        context: RequestContext,
+        caller: CallerConnection,
+        spool: CallerSpool | None = None,
+    ) -> None:
         self.context = context
         self.caller = caller
+        self.spool = spool
         self.splitter = EventSplitter(context.last_event)
 
     async def forward(
@@ -29,6 +36,8 @@
     ) -> None:
         """Forward one upstream's part; return when the stream is complete.
 
+        With a spool, the caller may not have read all of it yet.
+
         Raises
         ------
         IncompleteResponseError
@@ -48,10 +57,22 @@
                 self.context.last_event = self.splitter.last_id
         if self.splitter.remainder:
             await self._write(connection, self.splitter.remainder)
-        self.caller.finish()
+        if self.spool is None:
+            self.caller.finish()
+
+    async def complete(self) -> None:
+        """Mark the stream as complete once the caller has read what is spooled."""
+        if self.spool is not None:
+            await self.spool.drain()
+            self.caller.finish()
+
+    def close(self) -> None:
+        """Discard what is spooled."""
+        if self.spool is not None:
+            self.spool.close()
 
     async def _write(self, connection: Connection, data: bytes) -> None:
-        pending = self.caller.write(data)
+        pending = (self.spool or self.caller).write(data)
         if pending is None:
             return
         connection.pause()
--- a/packages/edge/src/hitchdeck_edge/model/adapter.py
+++ b/packages/edge/src/hitchdeck_edge/model/adapter.py
@@ -45,6 +45,8 @@
         Decodes the marks in the status and headers of a response.
     request_field
         Name of the header with the id of a request.
+    account_field
+        Name of the header with the key of a client account.
     read_document
         Decodes a configuration document; raises ``DocumentError``.
     """
@@ -53,4 +55,5 @@
     forward_headers: Callable[[Call, Forwarding], list[Header]]
     read_answer: Callable[[int, Iterable[Header]], ResponseMarks]
     request_field: str
+    account_field: str
     read_document: Callable[[bytes], Document]
--- a/packages/edge/src/hitchdeck_edge/process.py
+++ b/packages/edge/src/hitchdeck_edge/process.py
@@ -1,6 +1,7 @@
 """Builds and runs the process of an entry box."""
 
 import asyncio
+import socket
 from dataclasses import dataclass, field
 
 from tornado.httpserver import HTTPServer
@@ -10,7 +11,7 @@
 from hitchdeck_core.clock import boot_seconds
 from hitchdeck_core.ids import Address, BoxName
 from hitchdeck_core.loop_load import PERCENT, loop_utilization, take_longest_turn
-from hitchdeck_core.sockets import listening_socket
+from hitchdeck_core.sockets import listening_socket, prepare_for_slow_callers
 from hitchdeck_core.supervisor import Supervisor
 from hitchdeck_edge.dispatch.budget import RetryBudget
 from hitchdeck_edge.dispatch.connections import ConnectionPool
@@ -23,6 +24,7 @@
 from hitchdeck_edge.model.adapter import PlatformAdapter
 from hitchdeck_edge.scheduling.chooser import Chooser
 from hitchdeck_edge.serving.admission import Admission
+from hitchdeck_edge.serving.budgets import budgets_of
 from hitchdeck_edge.serving.caller_server import CallerServer
 from hitchdeck_edge.serving.graceful_stop import GracefulStop
 from hitchdeck_edge.serving.handoff import Handoff
@@ -110,6 +112,8 @@
         sender.backpressure.retain(registry.names())
         self.admission.metrics.unwilling_upstreams = len(sender.backpressure.blocked())
         self.admission.metrics.upstream_changes = registry.changes
+        self.admission.metrics.gave_way = self.admission.budgets.bytes.gave_way
+        self.admission.metrics.held_bytes = self.admission.budgets.bytes.held
         self.admission.metrics.handed_off = self.caller_server.handoff.handed_off
 
 
@@ -118,9 +122,13 @@
     fleet_state = new_fleet_state(settings, adapter)
     seeds = map(Address, settings.seeds)
     known_hubs = KnownHubs(BoxName(settings.box), settings.domain, seeds, boot_seconds)
+    budgets = budgets_of(settings.memory_limit, settings.descriptor_limit)
     dispatcher = _dispatcher(settings, adapter, fleet_state, known_hubs)
+    dispatcher.held_bytes = budgets.bytes
     graceful_stop = GracefulStop(settings.stop_grace, boot_seconds)
-    admission = Admission(adapter, fleet_state, dispatcher, graceful_stop, boot_seconds)
+    admission = Admission(
+        adapter, fleet_state, dispatcher, graceful_stop, boot_seconds, budgets
+    )
     targets = ReliefTargets(boot_seconds)
     box = EntryBox(
         settings=settings,
@@ -130,8 +138,10 @@
         caller_server=CallerServer(
             admission.start_serving,
             admission.shedder,
-            Handoff(targets, heeds_lag=settings.capacity > 0),
+            Handoff(targets, budgets.descriptors, heeds_lag=settings.capacity > 0),
             admission.is_overloaded,
+            budgets,
+            adapter.account_field,
         ),
         graceful_stop=graceful_stop,
         supervisor=Supervisor('entry'),
@@ -172,10 +182,9 @@
 
 def _start(box: EntryBox) -> None:
     settings = box.settings
-    host, port = split_address(Address(settings.listen))
-    box.caller_server.listen(listening_socket(host, port))
+    box.caller_server.listen(_caller_socket(settings, Address(settings.listen)))
     if settings.relief_listen is not None:
-        relief = listening_socket(*split_address(settings.relief_listen))
+        relief = _caller_socket(settings, settings.relief_listen)
         box.caller_server.listen_for_relief(relief)
     ready = ready_page(box.is_ready)
     box.servers.append(listen(ready, Address(settings.ready_listen)))
@@ -191,3 +200,10 @@
     chooser = box.admission.dispatcher.chooser
     box.supervisor.permanent('shares', chooser.local.run)
     box.supervisor.permanent('scheduler', chooser.link.run)
+
+
+def _caller_socket(settings: EntrySettings, address: Address) -> socket.socket:
+    listener = listening_socket(*split_address(address))
+    if settings.memory_limit:
+        prepare_for_slow_callers(listener)
+    return listener
--- a/packages/edge/src/hitchdeck_edge/serving/admission.py
+++ b/packages/edge/src/hitchdeck_edge/serving/admission.py
@@ -16,6 +16,7 @@
 from hitchdeck_edge.model.document import Route, common_areas
 from hitchdeck_edge.model.refusals import Refusal
 from hitchdeck_edge.model.request_context import RequestContext
+from hitchdeck_edge.serving.budgets import Budgets
 from hitchdeck_edge.serving.caller import CallerConnection
 from hitchdeck_edge.serving.caller_server import IncomingRequest
 from hitchdeck_edge.serving.graceful_stop import GracefulStop
@@ -49,7 +50,9 @@
         dispatcher: Dispatcher,
         graceful_stop: GracefulStop,
         now: Clock,
+        budgets: Budgets | None = None,
     ) -> None:
+        self.budgets = budgets or Budgets()
         self.adapter = adapter
         self.documents = fleet_state.documents
         self.dispatcher = dispatcher
@@ -79,12 +82,15 @@
         caller.on_disconnect = cancel_task
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
+        task.add_done_callback(lambda _: incoming.release())
 
     def is_overloaded(self) -> bool:
         """Tell whether this box may have to reject requests."""
         return is_overloaded(loop_utilization(), loop_lag())
 
     def _should_admit(self) -> bool:
+        if self.budgets.descriptors.exhausted:
+            return False
         return should_admit(loop_utilization(), loop_lag())
 
     def _reject(self, incoming: IncomingRequest, caller: CallerConnection) -> None:
@@ -92,6 +98,7 @@
 
         To keep this cheap, the head is not decoded and no task is created.
         """
+        incoming.release()
         request = RequestId(incoming.headers.get(self.adapter.request_field, ''))
         try:
             send_refusal(self.adapter, request, caller, Refusal.no_time_here)
@@ -110,7 +117,7 @@
         call: Call | None = None
         try:
             call = self._decode(incoming)
-            await self._decide(call, incoming.body, caller, arrived)
+            await self._decide(call, incoming, caller, arrived)
         except (CallerDisconnectedError, asyncio.CancelledError):
             request = call.request if call else _NO_ID
             self._record_end(request, caller, CALLER_DISCONNECTED, arrived, call)
@@ -125,12 +132,12 @@
     async def _decide(
         self,
         call: Call | None,
-        body: bytes,
+        incoming: IncomingRequest,
         caller: CallerConnection,
         arrived: float,
     ) -> None:
         if call is not None:
-            await self._dispatch(call, body, caller, arrived)
+            await self._dispatch(call, incoming, caller, arrived)
             return
         send_refusal(self.adapter, _NO_ID, caller, Refusal.bad_request)
         self._record_end(_NO_ID, caller, Refusal.bad_request.name, arrived)
@@ -148,16 +155,17 @@
     async def _dispatch(
         self,
         call: Call,
-        body: bytes,
+        incoming: IncomingRequest,
         caller: CallerConnection,
         arrived: float,
     ) -> None:
         await self._wait_for_document(call, arrived)
-        decision = self._admit(call, body, arrived)
+        decision = self._admit(call, incoming.body, arrived)
         if isinstance(decision, Refusal):
             send_refusal(self.adapter, call.request, caller, decision)
             self._record_end(call.request, caller, decision.name, arrived, call)
             return
+        incoming.assign(decision.account or '')
         self.metrics.record_admitted(decision.route.name)
         active = self.dispatcher.open(decision, caller)
         try:
--- /dev/null
+++ b/packages/edge/src/hitchdeck_edge/serving/budgets.py
@@ -0,0 +1,226 @@
+"""Budgets of the bytes and descriptors of a process, from its stated limits.
+
+Load: callers and upstreams that are slow to read, and large bodies.  When the budget of
+bytes runs short, reading stops first.  If that does not suffice, the account that holds
+most gives way, with its largest holding.
+"""
+
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from hitchdeck_core import logs
+from hitchdeck_core.signals import Signal
+
+PROCESS_BYTES = 80_000_000
+"""Memory of a process that holds nothing, with room for its own state."""
+
+COPIES = 3
+"""Copies of a body: the chunks read, the body, and the message to an upstream."""
+
+MIN_BYTES = 16_777_216
+"""Smallest budget: one body of the maximum size must fit."""
+
+READ_FRACTION = 0.5
+"""Part of the budget above which reading stops: the other half is for the oldest
+requests, which are read on so that the others can follow."""
+
+STALL_SECONDS = 1.0
+"""Time without room after which an account gives way.  Callers drop a request that was
+not read within a second."""
+
+SPOOL_BYTES = 262_144
+"""Maximum size of the spool of one response, more than a response of 20,000 tokens."""
+
+FILE_DESCRIPTORS = 200
+"""Descriptors that are for files."""
+
+RESERVED_DESCRIPTORS = 64
+"""Descriptors for listeners, links to hubs, and connections accepted in one turn."""
+
+MAX_RELAYS = 500
+"""Maximum number of relayed connections; each takes two descriptors."""
+
+RELAY_FRACTION = 0.25
+"""Part of the descriptors that relayed connections may take."""
+
+GiveWay = Callable[[], None]
+"""Releases what a holding holds."""
+
+
+@dataclass(eq=False, slots=True)
+class Holding:
+    """Bytes held for one request.
+
+    Attributes
+    ----------
+    account
+        Identifies the client account; it may be a key, so it is not logged.
+    size
+        Number of bytes.
+    give_way
+        Releases them; ``None`` if that is not possible now.
+    is_being_read
+        Whether the request was not read in full yet.
+    """
+
+    account: str
+    size: int = 0
+    give_way: GiveWay | None = None
+    is_being_read: bool = False
+
+
+class ByteBudget:
+    """Bytes that a process holds for callers and upstreams.
+
+    Attributes
+    ----------
+    limit
+        Maximum of their sum; 0 if there is none.
+    held
+        Their sum.
+    holdings
+        All holdings, oldest first.
+    changed
+        Notified when bytes are released.
+    gave_way
+        Number of holdings that gave way so far.
+    """
+
+    def __init__(self, limit: float) -> None:
+        self.limit = limit
+        self.held = 0
+        self.holdings: dict[Holding, None] = {}
+        self.changed = Signal()
+        self.gave_way = 0
+
+    @property
+    def has_room(self) -> bool:
+        """Tell whether any request may be read."""
+        return not self.limit or self.held < READ_FRACTION * self.limit
+
+    def open(self, account: str, give_way: GiveWay | None = None) -> Holding:
+        """Return a new holding."""
+        holding = Holding(account, give_way=give_way)
+        self.holdings[holding] = None
+        return holding
+
+    def resize(self, holding: Holding, size: int) -> None:
+        """Set the size of a holding; have others give way if the limit is exceeded."""
+        if holding not in self.holdings:
+            return
+        self.held += size - holding.size
+        shrunk = size < holding.size
+        holding.size = size
+        if shrunk:
+            self.changed.notify()
+        if self.limit and self.held > self.limit:
+            self.make_room()
+
+    def close(self, holding: Holding) -> None:
+        """Release a holding."""
+        self.resize(holding, 0)
+        self.holdings.pop(holding, None)
+
+    def may_read(self, holding: Holding) -> bool:
+        """Tell whether more may be read for a holding.
+
+        The oldest request that is being read may be, up to the limit.
+        """
+        if self.has_room:
+            return True
+        reading = (one for one in self.holdings if one.is_being_read)
+        return next(reading, None) is holding
+
+    def may_spool(self, holding: Holding) -> bool:
+        """Tell whether more of a response may be read than its caller takes."""
+        return bool(self.limit) and holding.size < SPOOL_BYTES and self.has_room
+
+    async def wait_to_read(self, holding: Holding) -> None:
+        """Wait until more may be read for a holding."""
+        while holding in self.holdings and not self.may_read(holding):
+            seen = self.changed.count
+            await self.changed.wait(STALL_SECONDS)
+            if self.changed.count == seen:
+                self.make_room()
+
+    def make_room(self) -> None:
+        """Have the largest holding of the account that holds most give way."""
+        largest = self.next_to_give_way()
+        if largest is None or largest.give_way is None:
+            return
+        give_way, size = largest.give_way, largest.size
+        self.close(largest)
+        self.gave_way += 1
+        logs.warning(
+            'request gives way for lack of memory',
+            bytes=size,
+            held=self.held,
+            limit=round(self.limit),
+        )
+        give_way()
+
+    def next_to_give_way(self) -> Holding | None:
+        """Return the holding that gives way first, if any can."""
+        able = [one for one in self.holdings if one.give_way is not None and one.size]
+        by_account: Counter[str] = Counter()
+        for holding in self.holdings:
+            by_account[holding.account] += holding.size
+        return max(
+            able, key=lambda one: (by_account[one.account], one.size), default=None
+        )
+
+
+class DescriptorBudget:
+    """Descriptors of a process.
+
+    A new descriptor is the lowest free one, so its number shows how many are open.
+
+    Attributes
+    ----------
+    usable
+        Number of descriptors for connections; 0 if no limit is stated.
+    scarce
+        Whether nearly all of them were open when the last connection was accepted.
+    exhausted
+        Whether no idle connection could be closed then: new requests are rejected.
+    """
+
+    def __init__(self, limit: float) -> None:
+        usable = int(limit) - FILE_DESCRIPTORS - RESERVED_DESCRIPTORS
+        self.usable = max(1, usable) if limit else 0
+        self.scarce = False
+        self.exhausted = False
+
+    def record_accepted(self, descriptor: int) -> None:
+        """Update the state by the descriptor of a connection that was accepted."""
+        self.scarce = bool(self.usable) and descriptor >= self.usable
+        self.exhausted = False
+
+    def record_closed(self, connections: int) -> None:
+        """Update the state by the number of idle connections that were closed."""
+        self.exhausted = self.scarce and not connections
+
+    def may_relay(self, relays: int) -> bool:
+        """Tell whether another connection may be relayed."""
+        if self.scarce:
+            return False
+        if not self.usable:
+            return relays < MAX_RELAYS
+        return relays < min(MAX_RELAYS, RELAY_FRACTION * self.usable / 2)
+
+
+@dataclass(frozen=True, slots=True)
+class Budgets:
+    """Budgets of one process; without limits by default."""
+
+    bytes: ByteBudget = field(default_factory=lambda: ByteBudget(0))
+    descriptors: DescriptorBudget = field(default_factory=lambda: DescriptorBudget(0))
+
+
+def budgets_of(memory_limit: float, descriptor_limit: float) -> Budgets:
+    """Return the budgets for stated limits; 0 for a limit that is not stated."""
+    usable = max(MIN_BYTES, (memory_limit - PROCESS_BYTES) / COPIES)
+    return Budgets(
+        ByteBudget(usable if memory_limit else 0), DescriptorBudget(descriptor_limit)
+    )
--- a/packages/edge/src/hitchdeck_edge/serving/caller_server.py
+++ b/packages/edge/src/hitchdeck_edge/serving/caller_server.py
@@ -1,9 +1,9 @@
 """The HTTP server for callers: reads requests in full and has them served."""
 
 import socket
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
-from tornado.http1connection import HTTP1Connection
+from tornado.http1connection import HTTP1Connection, HTTP1ServerConnection
 from tornado.httpserver import HTTPServer
 from tornado.httputil import (
     HTTPConnection,
@@ -18,6 +18,7 @@
 
 from hitchdeck_core import logs
 from hitchdeck_core.loop_load import loop_lag, loop_utilization
+from hitchdeck_edge.serving.budgets import Budgets, Holding
 from hitchdeck_edge.serving.handoff import GREETING, Handoff, should_hand_off
 from hitchdeck_edge.serving.shedding import Shedder
 
@@ -25,6 +26,9 @@
 """Maximum size of a request's head: well above the limits of all configuration
 documents seen, so that no request within those is rejected."""
 
+MAX_CLOSED_IDLE = 8
+"""Maximum number of idle connections that are closed for one that is accepted."""
+
 BODY_BYTES = 16_777_216
 """Maximum size of a request's body, for the same reason."""
 
@@ -37,9 +41,10 @@
 class IncomingRequest(HTTPMessageDelegate):
     """Collects one request while it is read."""
 
-    def __init__(self, connection: HTTP1Connection, serve: Serve) -> None:
+    def __init__(self, connection: HTTP1Connection, server: 'CallerServer') -> None:
         self.connection = connection
-        self.serve = serve
+        self.server = server
+        self.holding: Holding | None = None
         self.start_line: RequestStartLine | None = None
         self.headers = HTTPHeaders()
         self.chunks: list[bytes] = []
@@ -49,22 +54,49 @@
         start_line: RequestStartLine | ResponseStartLine,
         headers: HTTPHeaders,
     ) -> None:
-        """Store the head."""
+        """Store the head; from now on, bytes of the body are counted."""
+        self.server.mark_busy(self.connection)
+        held_bytes = self.server.budgets.bytes
+        if held_bytes.limit:
+            account = headers.get(self.server.account_field, '')
+            self.holding = held_bytes.open(account, self.connection.stream.close)
+            self.holding.is_being_read = True
         assert isinstance(start_line, RequestStartLine)
         self.start_line = start_line
         self.headers = headers
 
-    def data_received(self, chunk: bytes) -> None:
-        """Store a chunk of the body."""
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
+        """Store a chunk of the body; the next one is read after what is returned."""
         self.chunks.append(chunk)
+        if self.holding is None:
+            return None
+        held_bytes = self.server.budgets.bytes
+        held_bytes.resize(self.holding, self.holding.size + len(chunk))
+        if held_bytes.may_read(self.holding):
+            return None
+        return held_bytes.wait_to_read(self.holding)
 
     def finish(self) -> None:
         """Have the complete request served."""
-        self.serve(self)
+        if self.holding is not None:
+            self.holding.give_way = None
+            self.holding.is_being_read = False
+        self.server.serve(self)
 
     def on_connection_close(self) -> None:
         """Discard a request whose caller disconnected before it was complete."""
         self.chunks = []
+        self.release()
+
+    def assign(self, account: str) -> None:
+        """Count the body for an account from now on."""
+        if self.holding is not None:
+            self.holding.account = account
+
+    def release(self) -> None:
+        """Stop counting the body."""
+        if self.holding is not None:
+            self.server.budgets.bytes.close(self.holding)
 
     @property
     def body(self) -> bytes:
@@ -72,11 +104,29 @@
         return b''.join(self.chunks)
 
 
+class ClosingServer(HTTPServer):
+    """An HTTP server that also tells its delegate when a connection ends."""
+
+    def on_close(self, server_conn: object) -> None:
+        """Forget a connection, and have the delegate forget it."""
+        super().on_close(server_conn)
+        assert isinstance(self.request_callback, HTTPServerConnectionDelegate)
+        self.request_callback.on_close(server_conn)
+
+
 class CallerServer(HTTPServerConnectionDelegate):
     """Accepts connections of callers, and those that other boxes hand off.
 
     A new connection is handed off, watched by the shedder, or served here, depending on
     the load of this box.
+
+    Attributes
+    ----------
+    account_field
+        Name of the header that identifies the account of a request.
+    idle
+        Connections on which no request is being read or served, longest idle first, if
+        descriptors are limited.
     """
 
     def __init__(
@@ -85,7 +135,12 @@
         shedder: Shedder,
         handoff: Handoff,
         is_overloaded: IsOverloaded,
+        budgets: Budgets | None = None,
+        account_field: str = '',
     ) -> None:
+        self.budgets = budgets or Budgets()
+        self.account_field = account_field
+        self.idle: dict[IOStream, None] = {}
         self.serve = serve
         self.shedder = shedder
         self.shedder.serve = self._serve_connection
@@ -93,13 +148,13 @@
         self.handoff.serve = self._serve_here
         self.is_overloaded = is_overloaded
         self.listeners: list[tuple[socket.socket, Callable[[], None]]] = []
-        self.server = HTTPServer(
+        self.server = ClosingServer(
             self,
             max_header_size=HEADER_BYTES,
             max_body_size=BODY_BYTES,
         )
         # A connection that another box relays carries one request only.
-        self.relief_server = HTTPServer(
+        self.relief_server = ClosingServer(
             self,
             no_keep_alive=True,
             max_header_size=HEADER_BYTES,
@@ -113,10 +168,18 @@
     ) -> HTTPMessageDelegate:
         """Return the delegate that reads the next request of a connection."""
         assert isinstance(request_conn, HTTP1Connection)
-        return IncomingRequest(request_conn, self.serve)
+        if self.budgets.descriptors.usable:
+            self.idle[request_conn.stream] = None
+        return IncomingRequest(request_conn, self)
 
     def on_close(self, server_conn: object) -> None:
-        """Do nothing: the end of a connection needs no cleanup."""
+        """Forget a connection that ended."""
+        assert isinstance(server_conn, HTTP1ServerConnection)
+        self.idle.pop(server_conn.stream, None)
+
+    def mark_busy(self, connection: HTTP1Connection) -> None:
+        """Record that a request arrives on a connection."""
+        self.idle.pop(connection.stream, None)
 
     def listen(self, sock: socket.socket) -> None:
         """Accept connections on a listening socket."""
@@ -141,11 +204,27 @@
 
     def _accept(self, connection: socket.socket, _: object) -> None:
         connection.setblocking(False)
+        self._spare_descriptors(connection)
         wanted = should_hand_off(loop_utilization()) or self.handoff.is_late(loop_lag())
         if wanted and self.handoff.try_relay(connection):
             return
         self._serve_here(connection)
 
+    def _spare_descriptors(self, connection: socket.socket) -> None:
+        """Close connections that wait for a request if descriptors are scarce.
+
+        Callers open new ones; without descriptors, no connection could be accepted.
+        """
+        self.budgets.descriptors.record_accepted(connection.fileno())
+        if not self.budgets.descriptors.scarce:
+            return
+        closing = list(self.idle)[:MAX_CLOSED_IDLE]
+        self.budgets.descriptors.record_closed(len(closing))
+        logs.warning('descriptors are scarce', closed=len(closing))
+        for stream in closing:
+            self.idle.pop(stream, None)
+            stream.close()
+
     def _accept_relief(self, connection: socket.socket, _: object) -> None:
         connection.setblocking(False)
         try:
--- a/packages/edge/src/hitchdeck_edge/serving/handoff.py
+++ b/packages/edge/src/hitchdeck_edge/serving/handoff.py
@@ -18,6 +18,7 @@
 
 from hitchdeck_core import logs
 from hitchdeck_core.ids import Address
+from hitchdeck_edge.serving.budgets import DescriptorBudget
 from hitchdeck_edge.serving.overload import is_overloaded
 from hitchdeck_edge.serving.relay_pump import Relay, RelayPump
 from hitchdeck_edge.state.relief import ReliefTargets
@@ -41,9 +42,6 @@
 GREETING = b'+'
 """Sent by the target box as soon as it accepts a relayed connection."""
 
-MAX_OPEN = 500
-"""Maximum number of relayed connections; each takes two descriptors."""
-
 LOG_DELAY_SECONDS = 0.5
 """Maximum delay from a handoff to the log line that counts it."""
 
@@ -73,8 +71,15 @@
         When bytes were last received from each target box, in seconds.
     """
 
-    def __init__(self, targets: ReliefTargets, *, heeds_lag: bool = False) -> None:
+    def __init__(
+        self,
+        targets: ReliefTargets,
+        descriptors: DescriptorBudget | None = None,
+        *,
+        heeds_lag: bool = False,
+    ) -> None:
         self.targets = targets
+        self.descriptors = descriptors or DescriptorBudget(0)
         self.heeds_lag = heeds_lag
         self.last_received: dict[Address, float] = {}
         self.serve: ServeConnection = socket.socket.close
@@ -99,7 +104,7 @@
     def try_relay(self, connection: socket.socket) -> bool:
         """Relay a connection to another box; return ``False`` if there is none."""
         target = self.targets.choose()
-        if target is None or len(self.open) >= MAX_OPEN:
+        if target is None or not self.descriptors.may_relay(len(self.open)):
             return False
         self.pump.greeting_seconds = CONNECT_SECONDS
         try:
--- a/packages/edge/src/hitchdeck_edge/serving/metrics.py
+++ b/packages/edge/src/hitchdeck_edge/serving/metrics.py
@@ -41,6 +41,10 @@
         Changes of upstream records so far.
     handed_off
         Connections that were handed off to other boxes.
+    held_bytes
+        Bytes that this box holds for callers and upstreams.
+    gave_way
+        Requests and responses that were broken off for lack of memory.
     """
 
     def __init__(self, now: Clock) -> None:
@@ -55,6 +59,8 @@
         self.unwilling_upstreams = 0
         self.upstream_changes = 0
         self.handed_off = 0
+        self.held_bytes = 0
+        self.gave_way = 0
 
     def record_served(
         self, context: RequestContext, outcome: str, seconds: float
@@ -100,6 +106,8 @@
             f'hitchdeck_upstreams_unwilling {self.unwilling_upstreams}',
             f'hitchdeck_upstream_changes_total {self.upstream_changes}',
             f'hitchdeck_handed_on_total {self.handed_off}',
+            f'hitchdeck_held_bytes {self.held_bytes}',
+            f'hitchdeck_gave_way_total {self.gave_way}',
         ]
         lines.extend(
             f'hitchdeck_requests_total{{outcome="{name}"}} {count}'
--- a/packages/edge/src/hitchdeck_edge/serving/relay_pump.py
+++ b/packages/edge/src/hitchdeck_edge/serving/relay_pump.py
@@ -22,7 +22,7 @@
 """Interval of polls.  A relayed request takes three of them (greeting, request and
 response), a fifth of the shortest goal of a call, 145 ms."""
 
-READ_BYTES = 65_536
+READ_BYTES = 16_384
 """Maximum number of bytes that a connection holds in each direction: no more are read
 until all of them are written."""
 
--- /dev/null
+++ b/tests/edge/test_budgets.py
@@ -0,0 +1,252 @@
+"""Budgets of bytes and descriptors: reading stops first, then an account gives way."""
+
+import asyncio
+import socket
+from collections.abc import Callable
+from itertools import pairwise
+from pathlib import Path
+from typing import cast
+
+import pytest
+
+from hitchdeck_core.sockets import listening_socket, prepare_for_slow_callers
+from hitchdeck_edge.dispatch.spool import CallerSpool
+from hitchdeck_edge.errors import CallerDisconnectedError
+from hitchdeck_edge.serving import budgets
+from hitchdeck_edge.serving.budgets import (
+    FILE_DESCRIPTORS,
+    MAX_RELAYS,
+    READ_FRACTION,
+    RESERVED_DESCRIPTORS,
+    SPOOL_BYTES,
+    Budgets,
+    ByteBudget,
+    DescriptorBudget,
+    Holding,
+    budgets_of,
+)
+from hitchdeck_edge.serving.caller import CallerConnection
+from standins.platform_site import Site, generation, running_site
+
+LIMIT = 1000
+WAIT_SECONDS = 15.0
+SHORT_SECONDS = 0.1
+
+
+def reading(budget: ByteBudget, account: str, size: int = 0) -> Holding:
+    """Return a holding for a request that is being read, and can give way."""
+    holding = budget.open(account, lambda: None)
+    holding.is_being_read = True
+    budget.resize(holding, size)
+    return holding
+
+
+def test_reading_stops_at_part_of_the_budget_but_for_the_oldest_request() -> None:
+    # Guards against requests that were read in part and wait for one another.
+    budget = ByteBudget(LIMIT)
+    oldest, next_one = reading(budget, 'a', 100), reading(budget, 'b', 100)
+    assert budget.may_read(next_one)
+    budget.resize(next_one, int(READ_FRACTION * LIMIT))
+    assert not budget.may_read(next_one)
+    assert budget.may_read(oldest)
+    oldest.is_being_read = False
+    assert budget.may_read(next_one)
+
+
+def test_the_account_that_holds_most_gives_way_with_its_largest_request() -> None:
+    gone: list[str] = []
+    budget = ByteBudget(LIMIT)
+    for account, size in (('a', 300), ('b', 200), ('b', 250), ('a', 10)):
+        holding = budget.open(
+            account, lambda name=f'{account}{size}': gone.append(name)
+        )
+        budget.resize(holding, size)
+    budget.resize(budget.open('c'), LIMIT - budget.held)
+    assert not gone
+    budget.resize(holding, 11)
+    assert gone == ['b250']
+    assert budget.held == LIMIT + 1 - 250
+
+
+def test_nothing_gives_way_without_a_limit() -> None:
+    budget = ByteBudget(0)
+    holding = reading(budget, 'a', 10**12)
+    assert budget.may_read(holding)
+    assert not budget.may_spool(holding)
+    assert holding in budget.holdings
+
+
+async def test_a_request_whose_rest_does_not_come_gives_way(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against a caller that sends half of a large body and then nothing.
+    monkeypatch.setattr(budgets, 'STALL_SECONDS', SHORT_SECONDS)
+    budget = ByteBudget(LIMIT)
+    stuck, waiting = reading(budget, 'a', 500), reading(budget, 'b', 100)
+    async with asyncio.timeout(WAIT_SECONDS):
+        await budget.wait_to_read(waiting)
+    assert stuck not in budget.holdings
+    assert waiting in budget.holdings
+
+
+def test_descriptors_are_scarce_before_all_are_open() -> None:
+    descriptors = DescriptorBudget(1638)
+    most = 1638 - FILE_DESCRIPTORS - RESERVED_DESCRIPTORS
+    for descriptor, scarce in ((most - 1, False), (most, True), (5, False)):
+        descriptors.record_accepted(descriptor)
+        assert descriptors.scarce is scarce
+    assert descriptors.may_relay(100)
+    assert not descriptors.may_relay(most // 8 + 1)
+
+
+def test_descriptors_without_a_limit_are_never_scarce() -> None:
+    descriptors = DescriptorBudget(0)
+    descriptors.record_accepted(10**6)
+    assert not descriptors.scarce
+    assert descriptors.may_relay(MAX_RELAYS - 1)
+    assert not descriptors.may_relay(MAX_RELAYS)
+
+
+def test_budgets_grow_with_the_limits_and_are_off_without_them() -> None:
+    sizes = [budgets_of(memory, 0).bytes.limit for memory in (1e6, 160e6, 200e6, 440e6)]
+    assert all(smaller < larger for smaller, larger in pairwise(sizes))
+    assert budgets_of(0, 0).bytes.limit == 0
+    assert not budgets_of(0, 0).descriptors.usable
+
+
+class SlowCaller:
+    """A caller that reads only when told to."""
+
+    def __init__(self) -> None:
+        self.written: list[bytes] = []
+        self.pending: asyncio.Future[None] | None = None
+        self.aborted = False
+
+    def write(self, data: bytes) -> asyncio.Future[None]:
+        self.written.append(data)
+        self.pending = asyncio.get_running_loop().create_future()
+        return self.pending
+
+    def abort(self) -> None:
+        self.aborted = True
+
+    def read(self) -> None:
+        assert self.pending is not None
+        self.pending.set_result(None)
+
+
+def spool_of(caller: SlowCaller, budget: ByteBudget) -> CallerSpool:
+    return CallerSpool(cast(CallerConnection, caller), budget, 'r', 'ann')
+
+
+async def test_a_spool_takes_a_stream_that_its_caller_does_not_read() -> None:
+    caller = SlowCaller()
+    budget = ByteBudget(4 * SPOOL_BYTES)
+    spool = spool_of(caller, budget)
+    for part in (b'a', b'b', b'c'):
+        assert spool.write(part) is None
+    assert budget.held == 3
+    draining = asyncio.create_task(spool.drain())
+    for _ in range(2):
+        caller.read()
+        await asyncio.sleep(0)
+    await draining
+    assert caller.written == [b'a', b'bc']
+    assert budget.held == 0
+
+
+async def test_a_full_spool_stops_reading_from_the_upstream() -> None:
+    caller = SlowCaller()
+    spool = spool_of(caller, ByteBudget(4 * SPOOL_BYTES))
+    assert spool.write(bytes(SPOOL_BYTES - 1)) is None
+    pending = spool.write(b'bb')
+    assert pending is not None
+    waiting = asyncio.ensure_future(pending)
+    await asyncio.sleep(0)
+    assert not waiting.done()
+    caller.read()
+    async with asyncio.timeout(WAIT_SECONDS):
+        await waiting
+
+
+async def test_a_spool_that_gives_way_breaks_its_response_off() -> None:
+    # Guards against a response that looks complete although its end was discarded.
+    caller = SlowCaller()
+    budget = ByteBudget(LIMIT)
+    spool = spool_of(caller, budget)
+    spool.write(bytes(100))
+    budget.resize(budget.open('bob'), LIMIT)
+    assert caller.aborted
+    assert budget.gave_way == 1
+    with pytest.raises(CallerDisconnectedError):
+        spool.write(b'more')
+    caller.read()
+    with pytest.raises(CallerDisconnectedError):
+        await spool.drain()
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    async with asyncio.timeout(WAIT_SECONDS):
+        while not condition():
+            await asyncio.sleep(0.02)
+
+
+def limit(site: Site, size: float) -> ByteBudget:
+    """Limit the bytes that the first box holds."""
+    known = Budgets(ByteBudget(size))
+    box = site.boxes[0]
+    box.caller_server.budgets = known
+    box.admission.budgets = known
+    box.admission.dispatcher.held_bytes = known.bytes
+    return known.bytes
+
+
+async def test_bytes_of_served_requests_are_released(tmp_path: Path) -> None:
+    async with running_site(tmp_path) as site:
+        budget = limit(site, 10**6)
+        for number in range(3):
+            assert (await site.ask_model('/s/x', f's{number}')).code == 200
+            assert (await site.ask('/u/x', f'u{number}')).code == 200
+        await until(lambda: not budget.holdings)
+        assert budget.held == 0
+
+
+async def test_a_body_that_does_not_fit_is_not_read(tmp_path: Path) -> None:
+    # Guards against a process that ends for lack of memory under large bodies.
+    async with running_site(tmp_path) as site:
+        budget = limit(site, 10**6)
+        host, port = site.boxes[0].settings.listen.split(':')
+        _, writer = await asyncio.open_connection(host, int(port))
+        sent = generation('large', 'key-of-ann', 'aa:10', '10,10', 10_000_000)
+        writer.write(sent)
+        await until(lambda: budget.gave_way == 1)
+        assert budget.held == 0
+        assert (await site.ask('/u/x', 'next')).code == 200
+        writer.close()
+
+
+async def test_idle_connections_are_closed_before_requests_are_rejected(
+    tmp_path: Path,
+) -> None:
+    # Guards against a process without descriptors that accepts no connection.
+    async with running_site(tmp_path) as site:
+        limit(site, 10**6)
+        site.boxes[0].admission.budgets.descriptors.usable = 1
+        server = site.boxes[0].caller_server
+        host, port = site.boxes[0].settings.listen.split(':')
+        idle, _ = await asyncio.open_connection(host, int(port))
+        await until(lambda: len(server.idle) == 1)
+        assert (await site.ask('/u/x', 'spared')).code == 200
+        async with asyncio.timeout(WAIT_SECONDS):
+            assert await idle.read() == b''
+        await until(lambda: not server.idle)
+        assert (await site.ask('/u/x', 'rejected')).code == 503
+
+
+def test_callers_may_read_nothing_for_longer_than_a_lost_host_is_kept() -> None:
+    with listening_socket('127.0.0.1', 0) as listener:
+        before = listener.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+        prepare_for_slow_callers(listener)
+        after = listener.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+        assert before < 15_000
+        assert after > 15_000
