--- a/packages/edge/src/hitchdeck_edge/settings.py
+++ b/packages/edge/src/hitchdeck_edge/settings.py
@@ -29,6 +29,7 @@
 
 _positive = partial(check_number, above=0)
 _not_negative = partial(check_number, minimum=0)
+_LIMITS = ('capacity', 'memory_limit', 'descriptor_limit')
 _BOX_CHECKS: tuple[tuple[str, Check], ...] = (
     ('box', check_name),
     ('domain', check_name),
@@ -111,6 +112,9 @@
     def __post_init__(self) -> None:
         """Raise ``SettingsError``, naming the field, if a field is invalid."""
         _check_fields(self, _BOX_CHECKS)
+        if not self.mechanisms.box_resources:
+            for name in _LIMITS:
+                object.__setattr__(self, name, 0)
         for seed in self.seeds:
             _check_field('seeds', seed, check_address)
         _check_addresses(self, 'metrics_listen')
--- a/tests/edge/test_budgets.py
+++ b/tests/edge/test_budgets.py
@@ -225,6 +225,26 @@
         writer.close()
 
 
+async def test_reading_of_bodies_stops_while_the_budget_is_used(
+    tmp_path: Path,
+) -> None:
+    async with running_site(tmp_path) as site:
+        budget = limit(site, 10**6)
+        oldest = reading(budget, 'bob', 500_000)
+        host, port = site.boxes[0].settings.listen.split(':')
+        _, writer = await asyncio.open_connection(host, int(port))
+        writer.write(generation('large', 'key-of-ann', 'aa:10', '10,10', 400_000))
+        await until(lambda: len(budget.holdings) == 2)
+        await asyncio.sleep(SHORT_SECONDS)
+        assert not site.boxes[0].admission.tasks
+        read = budget.held - oldest.size
+        assert 0 < read < 400_000
+        budget.close(oldest)
+        await until(lambda: not budget.holdings)
+        assert budget.gave_way == 0
+        writer.close()
+
+
 async def test_idle_connections_are_closed_before_requests_are_rejected(
     tmp_path: Path,
 ) -> None:
--- a/tests/edge/test_mechanisms.py
+++ b/tests/edge/test_mechanisms.py
@@ -10,6 +10,7 @@
 from hitchdeck_edge.model.placing import PlacementQuery
 from hitchdeck_edge.model.refusals import Refusal
 from hitchdeck_edge.scheduling.scheduler import Scheduler
+from hitchdeck_edge.settings import EntrySettings
 from tests.common.scheduling import FakeClock, engine, offer, scheduler_of, wanted
 
 FIRST = UpstreamName('e0')
@@ -126,3 +127,19 @@
 def test_a_mechanism_is_on_or_off_and_nothing_else() -> None:
     with pytest.raises(ValueError, match='maybe'):
         Mechanisms(shares='maybe')  # type: ignore[arg-type]
+
+
+@pytest.mark.parametrize(('heeded', 'stated'), [(True, 0.4), (False, 0)])
+def test_limits_are_heeded_only_while_the_mechanism_is_on(
+    heeded: bool, stated: float
+) -> None:
+    address = '127.0.0.1:1'
+    settings = EntrySettings(
+        box='b',
+        domain='a',
+        listen=address,
+        ready_listen=address,
+        capacity=0.4,
+        mechanisms=Mechanisms(box_resources=heeded),
+    )
+    assert settings.capacity == stated
--- a/tools/switch_off.py
+++ b/tools/switch_off.py
@@ -18,6 +18,7 @@
 
 _ROOT = Path(__file__).parent.parent
 _CONTROL = 'packages/control/src/hitchdeck_control'
+_EDGE = 'packages/edge/src/hitchdeck_edge'
 _ROUTER = 'packages/router/src/hitchdeck_router'
 _TEST_SECONDS = 120
 
@@ -169,6 +170,28 @@
         'idle = _wait_until(lambda: True)\n',
         'test_rolling_restart_cuts_nothing',
     ),
+    Mechanism(
+        'handoff targets not charged with own delay',
+        f'{_EDGE}/serving/relay_pump.py',
+        '        for descriptor, events in self.poller.poll(0):\n',
+        '        self._expire()\n'
+        '        for descriptor, events in self.poller.poll(0):\n',
+        'test_the_delay_of_the_box_itself_does_not_count_as_the_targets',
+    ),
+    Mechanism(
+        'callers shared out by capacity of boxes',
+        f'{_EDGE}/hub/directory.py',
+        'parts = _capacity_fractions(set(addresses), entries)',
+        'parts = dict.fromkeys(addresses, 1.0)',
+        'test_callers_are_shared_out_in_proportion_to_capacity',
+    ),
+    Mechanism(
+        'bodies not read beyond the budget of bytes',
+        f'{_EDGE}/serving/caller_server.py',
+        'if held_bytes.may_read(self.holding):',
+        'if held_bytes.limit:',
+        'test_reading_of_bodies_stops_while_the_budget_is_used',
+    ),
 )
 
 
