--- a/packages/edge/src/hitchdeck_edge/serving/budgets.py
+++ b/packages/edge/src/hitchdeck_edge/serving/budgets.py
@@ -13,7 +13,8 @@
 from hitchdeck_core.signals import Signal
 
 PROCESS_BYTES = 80_000_000
-"""Memory of a process that holds nothing, with room for its own state."""
+"""Memory of a process that holds nothing (37 MB after its start), with room for its
+own state and for relayed connections (16 MB at most)."""
 
 COPIES = 3
 """Copies of a body: the chunks read, the body, and the message to an upstream."""
--- a/packages/edge/src/hitchdeck_edge/serving/handoff.py
+++ b/packages/edge/src/hitchdeck_edge/serving/handoff.py
@@ -160,5 +160,6 @@
             count=self.unlogged,
             open=len(self.open),
             targets=self.targets.addresses,
+            listed_seconds=round(self.targets.now() - self.targets.named_at, 1),
         )
         self.unlogged = 0
--- a/packages/edge/src/hitchdeck_edge/serving/relay_pump.py
+++ b/packages/edge/src/hitchdeck_edge/serving/relay_pump.py
@@ -22,6 +22,9 @@
 """Interval of polls.  A relayed request takes three of them (greeting, request and
 response), a fifth of the shortest goal of a call, 145 ms."""
 
+MAX_READS = 16
+"""Reads in one poll of a connection on which more has arrived than one read takes."""
+
 READ_BYTES = 16_384
 """Maximum number of bytes that a connection holds in each direction: no more are read
 until all of them are written."""
@@ -179,7 +182,7 @@
                 if not relay.held(to_caller=of_caller):
                     self._update_interest(relay)
             if events & ~select.EPOLLOUT:
-                self._forward(relay, from_caller=of_caller)
+                self._forward_all(relay, from_caller=of_caller)
         except BlockingIOError:
             return
         except OSError:
@@ -200,17 +203,23 @@
         self.on_received(relay)
         self.on_greeted(relay)
         self._register(relay.caller, relay)
-        self._forward(relay, from_caller=True)
+        self._forward_all(relay, from_caller=True)
 
-    def _forward(self, relay: Relay, *, from_caller: bool) -> None:
-        """Read from one connection, and write to the other as much as it takes."""
-        if relay.held(to_caller=not from_caller):
-            return
+    def _forward_all(self, relay: Relay, *, from_caller: bool) -> None:
+        """Forward what has arrived on one connection, as much as the other takes."""
+        for _ in range(MAX_READS):
+            if relay.held(to_caller=not from_caller):
+                return
+            if self._forward(relay, from_caller=from_caller) < READ_BYTES:
+                return
+
+    def _forward(self, relay: Relay, *, from_caller: bool) -> int:
+        """Read from one connection once; return the number of bytes."""
         received = (relay.caller if from_caller else relay.target).recv(READ_BYTES)
         if not received:
             # All that was read has been written; the kernel sends the rest.
             self.abort(relay)
-            return
+            return 0
         if from_caller:
             relay.to_target = received
         else:
@@ -219,6 +228,7 @@
         self._flush(relay, to_caller=not from_caller)
         if relay.held(to_caller=not from_caller):
             self._update_interest(relay)
+        return len(received)
 
     def _flush(self, relay: Relay, *, to_caller: bool) -> None:
         """Write held bytes; while some are left, nothing more is read for them."""
