--- a/bench/lab/arrivals.py
+++ b/bench/lab/arrivals.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from random import Random
 
-from bench.lab.deployment import Deployment, Kind, Shared
+from bench.lab.deployment import Deployment, Kind, Shared, Waves
 from hitchdeck_core.ids import AccountName
 
 
@@ -23,6 +23,8 @@
         What its answer was worth.
     tries
         How often it came.
+    charges
+        Parts of its worth that its refusals cost.
     """
 
     kind: Kind
@@ -36,6 +38,7 @@
     tries: int = 0
     outcome: str = ''
     first: float = 0.0
+    charges: float = 0.0
 
     @property
     def read(self) -> int:
@@ -66,7 +69,7 @@
     asked = [
         _ask(deployment, kind, shares, at, random)
         for kind in deployment.kinds
-        for at in _times(deployment, kind.per_second, random)
+        for at in _times(deployment, kind.per_second, shares, random)
     ]
     asked.sort(key=lambda one: one.at)
     return asked
@@ -77,14 +80,31 @@
     return [weight / sum(weights) for weight in weights]
 
 
-def _times(deployment: Deployment, rate: float, random: Random) -> Iterator[float]:
-    """Yield the moments of a Poisson process."""
+def _times(
+    deployment: Deployment,
+    rate: float,
+    shares: list[float],
+    random: Random,
+) -> Iterator[float]:
+    """Yield the moments of a Poisson process; waves make its rate rise and fall."""
+    waves = deployment.waves
+    if waves is not None:
+        rate *= 1 + waves.swing
     at = random.expovariate(rate)
     while at < deployment.seconds:
-        yield at
+        if waves is None or random.random() < _height(waves, shares, at):
+            yield at
         at += random.expovariate(rate)
 
 
+def _height(waves: Waves, shares: list[float], at: float) -> float:
+    """Return the traffic of all accounts, as a part of the most that it can be."""
+    traffic = sum(
+        share * _wave(waves, account, at) for account, share in enumerate(shares)
+    )
+    return traffic / (1 + waves.swing)
+
+
 def _draw_account(
     deployment: Deployment,
     shares: list[float],
@@ -103,9 +123,19 @@
     for flood in deployment.floods:
         if flood.account == account and 0 <= at - flood.begins < flood.lasts:
             factor = max(factor, flood.factor)
+    for burst in deployment.bursts:
+        if 0 <= at - burst.begins < burst.lasts:
+            factor = burst.factor if account in burst.accounts else burst.rest
+    if deployment.waves is not None:
+        factor *= _wave(deployment.waves, account, at)
     return factor
 
 
+def _wave(waves: Waves, account: int, at: float) -> float:
+    turns = at / waves.period + account % waves.groups / waves.groups
+    return 1 + waves.swing * math.sin(2 * math.pi * turns)
+
+
 def _ask(
     deployment: Deployment,
     kind: Kind,
--- a/bench/lab/deployment.py
+++ b/bench/lab/deployment.py
@@ -15,7 +15,7 @@
     A step takes ``step``, ``per_place`` for each running request,
     ``per_context`` for each thousand tokens in memory, ``1 / read`` for each
     token read in it, and ``pairs`` for each million of pairs of a token read
-    and one before it.
+    and one before it.  ``first_delay`` passes before each first event.
     """
 
     places: int
@@ -26,6 +26,18 @@
     read: float
     pairs: float
     chunk: int = 2048
+    first_delay: float = 0.0
+
+    def slower(self, factor: float) -> 'EngineSheet':
+        """Return the sheet of an engine that takes ``factor`` times as long."""
+        return replace(
+            self,
+            step=self.step * factor,
+            per_place=self.per_place * factor,
+            per_context=self.per_context * factor,
+            read=self.read / factor,
+            pairs=self.pairs * factor,
+        )
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,6 +87,38 @@
     lasts: float
 
 
+@dataclass(frozen=True, slots=True)
+class Burst:
+    """Some accounts send ``factor`` times their usual, the others ``rest`` times."""
+
+    accounts: frozenset[int]
+    factor: float
+    rest: float
+    begins: float
+    lasts: float
+
+
+@dataclass(frozen=True, slots=True)
+class Waves:
+    """Traffic that rises and falls by ``swing``, in groups of accounts.
+
+    Group ``n`` of ``groups`` is ``n / groups`` of a ``period`` behind the first.
+    """
+
+    swing: float
+    period: float
+    groups: int
+
+
+@dataclass(frozen=True, slots=True)
+class Stalls:
+    """Each engine is ``factor`` times as slow for ``lasts``, some ``every`` seconds."""
+
+    factor: float
+    lasts: float
+    every: float
+
+
 class FaultKind(Enum):
     """What happens at a moment."""
 
@@ -97,7 +141,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Deployment:
-    """Everything that a play needs to know; rates are for the whole fleet."""
+    """Everything that a play needs to know; rates are for the whole fleet.
+
+    Attributes
+    ----------
+    slower
+        Factors by which engines in turn take longer than ``sheet``.
+    charged
+        Whether refusals and waits are charged as the page of the work states.
+    """
 
     engines: int
     sheet: EngineSheet
@@ -110,6 +162,11 @@
     again_price: float
     floods: tuple[Flood, ...]
     faults: tuple[Fault, ...]
+    bursts: tuple[Burst, ...] = ()
+    waves: Waves | None = None
+    slower: tuple[float, ...] = (1,)
+    stalls: Stalls | None = None
+    charged: bool = False
 
     def with_load(self, factor: float) -> 'Deployment':
         """Return the same deployment with all rates multiplied."""
--- a/bench/lab/judge.py
+++ b/bench/lab/judge.py
@@ -12,6 +12,9 @@
 SHOWN_WINDOW = 2.0
 """Seconds of the windows of which the two worst count by themselves."""
 
+STARVED_WINDOW = 6
+"""Seconds in which an account may not get under half of what others get."""
+
 LARGEST_PARTS = (0.1, 0.3)
 """The largest tenth of a kind, and the fifth below it, are classes too."""
 
@@ -23,8 +26,10 @@
 class Verdict:
     """Worth of a play and its parts.
 
-    ``again`` is the price of tokens read again, ``all`` what was earned of all
-    that was asked for, owed or not.
+    ``again`` is the price of tokens read again, ``charges`` what refusals and waits
+    cost, ``all`` what was earned of all that was asked for, owed or not, and
+    ``least`` the least that an account got in six seconds, as a part of the lesser
+    of what it asked for and of what the best served account got.
     """
 
     worth: float
@@ -33,7 +38,9 @@
     kinds: float
     accounts: float
     again: float
+    charges: float
     all: float
+    least: float
     late: int
     refused: int
     failed: int
@@ -62,14 +69,20 @@
     parts = (whole, windows, kinds, accounts)
     worth = sum(weight * part for weight, part in zip(WEIGHTS, parts, strict=True))
     outcomes = Counter(one.outcome for one in asked)
+    charges = 0.0
+    if deployment.charged:
+        charges = sum(one.worth * one.charges * owed_of[_cell(one)] for one in asked)
+        charges /= owed
     return Verdict(
-        worth=worth - price,
+        worth=worth - price - charges,
         whole=whole,
         windows=windows,
         kinds=kinds,
         accounts=accounts,
         again=price,
+        charges=charges,
         all=sum(one.earned for one in asked) / sum(one.worth for one in asked),
+        least=_least_served(asked),
         late=outcomes['late'],
         refused=outcomes['refused'],
         failed=outcomes['failed'],
@@ -77,6 +90,23 @@
     )
 
 
+def _least_served(asked: Iterable[Asked]) -> float:
+    """Return the least part that an account got beside the best served one."""
+    wanted: dict[int, Counter[str]] = defaultdict(Counter)
+    served: dict[int, Counter[str]] = defaultdict(Counter)
+    for one in asked:
+        window = int(one.at // STARVED_WINDOW)
+        wanted[window][one.account] += one.tokens
+        if one.outcome in {'served', 'late'}:
+            served[window][one.account] += one.tokens
+    return min(
+        served[window][account] / min(tokens, max(served[window].values()))
+        for window, accounts in wanted.items()
+        for account, tokens in accounts.items()
+        if served[window]
+    )
+
+
 def _size_classes(asked: Iterable[Asked]) -> dict[Asked, str]:
     """Return the class of each request by its size among those of its kind."""
     classes: dict[Asked, str] = {}
--- a/bench/lab/play.py
+++ b/bench/lab/play.py
@@ -4,8 +4,8 @@
 from random import Random
 
 from bench.lab.arrivals import Asked, draw_arrivals
-from bench.lab.deployment import Deployment, Fault, FaultKind
-from bench.lab.engine import Engine, Run
+from bench.lab.deployment import Deployment, Fault, FaultKind, Stalls
+from bench.lab.engine import MS, Engine, Run
 from bench.lab.judge import Verdict, judge
 from bench.lab.timeline import Timeline
 from bench.owed import SHARE_WINDOW
@@ -41,6 +41,12 @@
 MOST_TRIES = 2
 """A caller comes back once after a refusal."""
 
+AGAIN_CHARGE = 0.3
+"""Part of its worth that a request costs which came back and is refused again."""
+
+ROOM_CHARGE = 0.5
+"""Part of its worth that a refusal costs while engines have room."""
+
 PATIENT_PART = 3
 """A caller waits at most this part of its time left before it comes back."""
 
@@ -79,6 +85,8 @@
             self.timeline.after(one.at, partial(self._come, one))
         for fault in self.deployment.faults:
             self.timeline.after(fault.at, partial(self._strike, fault))
+        if self.deployment.stalls is not None:
+            self._enter_stalls(self.deployment.stalls)
         self.timeline.play()
         return judge(self.deployment, asked, self.again)
 
@@ -99,11 +107,9 @@
     def _add_engine(self) -> None:
         self.numbers += 1
         name = UpstreamName(f'engine-{self.numbers}')
-        self.engines[name] = Engine(
-            self.deployment.sheet,
-            self.timeline,
-            self._note_read,
-        )
+        slower = self.deployment.slower
+        sheet = self.deployment.sheet.slower(slower[self.numbers % len(slower)])
+        self.engines[name] = Engine(sheet, self.timeline, self._note_read)
         places = self.deployment.sheet.places
         record = Upstream(name, POOL, Address(name), DOMAIN, places, Phase.serving, 1)
         self.registry.merge(record, 'play')
@@ -142,12 +148,16 @@
 
     def _run_of(self, one: Asked, key: tuple[str, int], choice: Choice) -> Run:
         scheduler = self.scheduler
+        delay = self.deployment.sheet.first_delay * MS
 
         def on_first() -> None:
-            one.first = self.timeline.now + SEND_SECONDS - one.at
+            one.first = self.timeline.now + delay + SEND_SECONDS - one.at
             for part, _ in one.parts:
                 self.last_use[part] = self.timeline.now
-            scheduler.start(key)
+            if delay:
+                self.timeline.after(delay, partial(scheduler.start, key))
+            else:
+                scheduler.start(key)
 
         def on_end(run: Run) -> None:
             scheduler.end(key)
@@ -172,10 +182,22 @@
     def _refuse(self, one: Asked, retry_after: float) -> None:
         left = one.at + one.kind.limit - self.timeline.now
         one.outcome = 'refused'
+        if one.tries > 1:
+            one.charges += AGAIN_CHARGE
+        if self._has_room():
+            one.charges += ROOM_CHARGE
         if one.tries < MOST_TRIES and left > 0:
             wait = min(retry_after, left / PATIENT_PART)
             self.timeline.after(wait, lambda: self._come(one))
 
+    def _has_room(self) -> bool:
+        """Tell whether under half of the places are taken, and nothing waits there."""
+        alive = [engine for engine in self.engines.values() if engine.alive]
+        places = len(alive) * self.deployment.sheet.places
+        running = sum(len(engine.runs) for engine in alive)
+        waiting = any(engine.waiting for engine in alive)
+        return not waiting and running < places / 2
+
     def _wanted(self, one: Asked, tried: frozenset[UpstreamName]) -> PlacementQuery:
         parts = tuple(Part(PartId(part), tokens) for part, tokens in one.parts)
         return PlacementQuery(
@@ -196,6 +218,22 @@
         else:
             self._restart(fault)
 
+    def _enter_stalls(self, stalls: Stalls) -> None:
+        for engine in self.engines.values():
+            at = self.random.expovariate(1 / stalls.every)
+            while at < self.deployment.seconds:
+                self.timeline.after(at, partial(self._stall, engine, stalls))
+                at += stalls.lasts + self.random.expovariate(1 / stalls.every)
+
+    def _stall(self, engine: Engine, stalls: Stalls) -> None:
+        usual = engine.sheet
+        engine.sheet = usual.slower(stalls.factor)
+
+        def recover() -> None:
+            engine.sheet = usual
+
+        self.timeline.after(stalls.lasts, recover)
+
     def _crash(self, fault: Fault) -> None:
         alive = [name for name, engine in self.engines.items() if engine.alive]
         for name in self.random.sample(alive, fault.count):
