Hold requests at the scheduler until an engine may get them

Where the settings limit the process, a request that no engine can begin in time waits for up to 0.3 of its goal, in the order of need by share, urgency, time left and cost. Retries are recognized and keep the goal of the refused request.

--- a/bench/lab/arrivals.py
+++ b/bench/lab/arrivals.py
@@ -25,6 +25,8 @@
         How often it came.
     charges
         Parts of its worth that its refusals cost.
+    held
+        Seconds that it waited at the scheduler before it was refused.
     """
 
     kind: Kind
@@ -39,6 +41,7 @@
     outcome: str = ''
     first: float = 0.0
     charges: float = 0.0
+    held: float = 0.0
 
     @property
     def read(self) -> int:
--- a/bench/lab/deployment.py
+++ b/bench/lab/deployment.py
@@ -149,6 +149,8 @@
         Factors by which engines in turn take longer than ``sheet``.
     charged
         Whether refusals and waits are charged as the page of the work states.
+    waits
+        Part of its goal for which a request may wait at the scheduler.
     """
 
     engines: int
@@ -167,6 +169,7 @@
     slower: tuple[float, ...] = (1,)
     stalls: Stalls | None = None
     charged: bool = False
+    waits: float = 0.0
 
     def with_load(self, factor: float) -> 'Deployment':
         """Return the same deployment with all rates multiplied."""
--- a/bench/lab/judge.py
+++ b/bench/lab/judge.py
@@ -71,7 +71,10 @@
     outcomes = Counter(one.outcome for one in asked)
     charges = 0.0
     if deployment.charged:
-        charges = sum(one.worth * one.charges * owed_of[_cell(one)] for one in asked)
+        charges = sum(
+            one.worth * (one.charges + _holding(one)) * owed_of[_cell(one)]
+            for one in asked
+        )
         charges /= owed
     return Verdict(
         worth=worth - price - charges,
@@ -90,6 +93,14 @@
     )
 
 
+def _holding(one: Asked) -> float:
+    """Return the part of its worth that it costs to hold a request never served."""
+    if one.outcome != 'refused':
+        return 0
+    free = one.kind.goal / 8
+    return min(1, max(0, (one.held - free) / (one.kind.limit * 0.75 - free)))
+
+
 def _least_served(asked: Iterable[Asked]) -> float:
     """Return the least part that an account got beside the best served one."""
     wanted: dict[int, Counter[str]] = defaultdict(Counter)
--- a/bench/lab/loads.py
+++ b/bench/lab/loads.py
@@ -12,6 +12,7 @@
     Stalls,
     Waves,
 )
+from hitchdeck_platform.settings import GOAL_WAIT
 
 EVENT_TOKENS = 8
 BURST_SECONDS = 7
@@ -55,6 +56,7 @@
         waves=Waves(0.27, 11, 4),
         slower=(1, 1, 1.3),
         charged=True,
+        waits=GOAL_WAIT,
     )
 
 
@@ -95,6 +97,7 @@
         slower=(1, 1, 1, 1 / 2.2),
         stalls=Stalls(2.5, 0.6, 8),
         charged=True,
+        waits=GOAL_WAIT,
     )
 
 
--- a/bench/lab/play.py
+++ b/bench/lab/play.py
@@ -25,8 +25,9 @@
 from hitchdeck_edge.model.placing import Choice, PlacementQuery
 from hitchdeck_edge.model.refusals import Refusal
 from hitchdeck_edge.model.upstreams import Phase, Upstream
-from hitchdeck_edge.scheduling.scheduler import Scheduler
+from hitchdeck_edge.scheduling.scheduler import BoxTicket, Scheduler
 from hitchdeck_edge.scheduling.shares import Shares
+from hitchdeck_edge.scheduling.waiting import REVIEW_SECONDS, WaitingQueue
 from hitchdeck_edge.state.documents import Documents
 from hitchdeck_edge.state.registry import Registry
 
@@ -71,6 +72,8 @@
         self.down_until = 0.0
         self.registry = Registry(self.now, Signal())
         self.scheduler = self._new_scheduler()
+        self.queue = self._new_queue()
+        self.held: dict[BoxTicket, tuple[Asked, frozenset[UpstreamName]]] = {}
 
     def now(self) -> float:
         """Return virtual time; the scheduler's clock starts late."""
@@ -104,6 +107,9 @@
         shares = Shares(SHARE_WINDOW, self.now)
         return Scheduler(documents, self.registry, shares, self.now, self.mechanisms)
 
+    def _new_queue(self) -> WaitingQueue:
+        return WaitingQueue(self.scheduler, self.scheduler.attempt_place, self.now)
+
     def _add_engine(self) -> None:
         self.numbers += 1
         name = UpstreamName(f'engine-{self.numbers}')
@@ -131,7 +137,30 @@
             return
         self.numbers += 1
         key = ('box', self.numbers)
-        decision = self.scheduler.place(key, self._wanted(one, tried))
+        decision = self.queue.place(key, self._wanted(one, tried))
+        if decision is None:
+            if not self.held:
+                self.timeline.after(REVIEW_SECONDS, self._review)
+            self.held[key] = (one, tried)
+            one.held -= self.timeline.now
+        else:
+            self._follow(one, tried, key, decision)
+
+    def _review(self) -> None:
+        for key, decision in self.queue.review():
+            one, tried = self.held.pop(key)
+            one.held += self.timeline.now
+            self._follow(one, tried, key, decision)
+        if self.held:
+            self.timeline.after(REVIEW_SECONDS, self._review)
+
+    def _follow(
+        self,
+        one: Asked,
+        tried: frozenset[UpstreamName],
+        key: BoxTicket,
+        decision: Choice | Refusal,
+    ) -> None:
         if isinstance(decision, Refusal):
             self._refuse(one, decision.value.retry_after)
             return
@@ -210,8 +239,14 @@
             prompt=Prompt(one.read, one.expected_made, parts),
             tried=tried,
             resumes=bool(tried),
+            longest_wait=self._longest_wait(one),
         )
 
+    def _longest_wait(self, one: Asked) -> float:
+        if not self.mechanisms.waiting:
+            return 0
+        return one.kind.goal * self.deployment.waits
+
     def _strike(self, fault: Fault) -> None:
         if fault.kind is FaultKind.crash:
             self._crash(fault)
@@ -249,6 +284,10 @@
         for engine in self.engines.values():
             engine.drop_all()
         self.scheduler = self._new_scheduler()
+        self.queue = self._new_queue()
+        for one, _ in self.held.values():
+            one.outcome = 'failed'
+        self.held.clear()
 
 
 def _unread(text: bytes) -> Document:
--- a/packages/edge/src/hitchdeck_edge/hub/placing.py
+++ b/packages/edge/src/hitchdeck_edge/hub/placing.py
@@ -1,7 +1,8 @@
 """gRPC service of the scheduler for the streams of entry boxes."""
 
+import asyncio
+from collections import defaultdict
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from grpclib.server import Stream
 
@@ -12,8 +13,14 @@
 from hitchdeck_core.wire.spread_pb2 import Placed, PlacedFrame, PlacingFrame
 from hitchdeck_core.wire.spread_pb2 import Wanted as WantedMessage
 from hitchdeck_edge.hub.connected_boxes import ConnectedBoxes
-from hitchdeck_edge.links.placing_messages import decode_wanted, encode_decision
+from hitchdeck_edge.links.hub_streams import LINK_ERRORS
+from hitchdeck_edge.links.placing_messages import (
+    decode_wanted,
+    encode_decision,
+    encode_wait,
+)
 from hitchdeck_edge.scheduling.scheduler import Scheduler, new_scheduler
+from hitchdeck_edge.scheduling.waiting import Decided, Reviews, WaitingQueue
 from hitchdeck_edge.settings import HubSettings
 from hitchdeck_edge.state.documents import Documents
 from hitchdeck_edge.state.registry import Registry
@@ -22,12 +29,24 @@
 """How long boxes that have disconnected count as part of the fleet."""
 
 
-@dataclass(frozen=True, slots=True)
 class _Box:
     """One box on one stream; ``name`` is unique to the stream."""
 
-    name: str
-    domain: str
+    def __init__(
+        self,
+        name: str,
+        domain: str,
+        stream: Stream[PlacingFrame, PlacedFrame],
+    ) -> None:
+        self.name = name
+        self.domain = domain
+        self.stream = stream
+        self.sending = asyncio.Lock()
+
+    async def send(self, answers: list[Placed]) -> None:
+        """Send answers; frames of several tasks must not interleave."""
+        async with self.sending:
+            await self.stream.send_message(PlacedFrame(placed=answers))
 
 
 class FleetSize:
@@ -62,6 +81,10 @@
         self.fleet = fleet
         self.streams = 0
         self.connected = 0
+        self.boxes: dict[str, _Box] = {}
+        self.sends: set[asyncio.Task[None]] = set()
+        self.queue = WaitingQueue(scheduler, scheduler.attempt_place, scheduler.now)
+        self.reviews = Reviews(self.queue, self._deliver)
         scheduler.placement.cold_budget.rate_fraction = self.fleet_fraction
 
     async def Attend(self, stream: Stream[PlacingFrame, PlacedFrame]) -> None:
@@ -70,34 +93,35 @@
         if first is None:
             return
         self.streams += 1
-        box = _Box(f'{first.box}#{self.streams}', first.domain)
+        box = _Box(f'{first.box}#{self.streams}', first.domain, stream)
         logs.info(
             'box opened a scheduler stream', attendee=box.name, open=len(first.open)
         )
         self.connected += 1
+        self.boxes[box.name] = box
         try:
-            await self._serve(box, first, stream)
+            await self._serve(box, first)
         finally:
-            self.connected -= 1
-            self.scheduler.drop_box(box.name)
+            self._drop(box)
 
     def fleet_fraction(self) -> float:
         """Return the fraction of the fleet's boxes that use this scheduler, 0 to 1."""
         return min(1, self.connected / max(1, self.fleet.largest()))
 
-    async def _serve(
-        self,
-        box: _Box,
-        first: PlacingFrame,
-        stream: Stream[PlacingFrame, PlacedFrame],
-    ) -> None:
+    def _drop(self, box: _Box) -> None:
+        self.connected -= 1
+        self.boxes.pop(box.name)
+        self.queue.drop_box(box.name)
+        self.scheduler.drop_box(box.name)
+
+    async def _serve(self, box: _Box, first: PlacingFrame) -> None:
         frame: PlacingFrame | None = first
         while frame is not None:
             self._apply_progress(box, frame)
             if frame.wanted:
                 answers = [self._place(box, one) for one in frame.wanted]
-                await stream.send_message(PlacedFrame(placed=answers))
-            frame = await stream.recv_message()
+                await box.send(answers)
+            frame = await box.stream.recv_message()
 
     def _apply_progress(self, box: _Box, frame: PlacingFrame) -> None:
         for demand in frame.demands:
@@ -111,6 +135,7 @@
         for started in frame.late_started:
             self.scheduler.start((box.name, int(started)), learn=False)
         for ended in frame.ended:
+            self.queue.remove((box.name, int(ended)))
             self.scheduler.end((box.name, int(ended)))
         for failed in frame.failed:
             health = self.scheduler.placement.health
@@ -121,8 +146,29 @@
         pool = document.pools.get(PoolName(message.pool)) if document else None
         slots = pool.engine.slots if pool and pool.engine else 1
         query = decode_wanted(message, box.domain, slots)
-        decision = self.scheduler.place((box.name, int(message.id)), query)
-        return encode_decision(int(message.id), decision)
+        ticket = int(message.id)
+        decision = self.queue.place((box.name, ticket), query)
+        if decision is None:
+            self.reviews.ensure_running()
+            return encode_wait(ticket)
+        return encode_decision(ticket, decision)
+
+    def _deliver(self, decided: Decided) -> None:
+        """Send decisions on requests that waited, in a task for each box."""
+        answers: dict[str, list[Placed]] = defaultdict(list)
+        for (name, ticket), decision in decided:
+            answers[name].append(encode_decision(ticket, decision))
+        for name, placed in answers.items():
+            task = asyncio.create_task(self._send(self.boxes[name], placed))
+            self.sends.add(task)
+            task.add_done_callback(self.sends.discard)
+
+    async def _send(self, box: _Box, answers: list[Placed]) -> None:
+        try:
+            await box.send(answers)
+        except LINK_ERRORS as error:
+            # Its stream ends, and the box decides on these requests by itself.
+            logs.info('answers not sent', attendee=box.name, reason=repr(error))
 
 
 def placing_service(
--- a/packages/edge/src/hitchdeck_edge/links/placing.py
+++ b/packages/edge/src/hitchdeck_edge/links/placing.py
@@ -86,6 +86,8 @@
         Upstream and unprocessed prompt tokens of each request in flight, by ticket.
     waiting
         Answers that requests wait for, by ticket.
+    queued
+        Tickets of requests that wait for a place at the scheduler.
     unanswered
         Number of consecutive queries without an answer.
     """
@@ -107,6 +109,7 @@
         self.scheduler: Address | None = None
         self.open: dict[int, OpenWork] = {}
         self.waiting: dict[int, asyncio.Future[Placed]] = {}
+        self.queued: set[int] = set()
         self.outbox = Outbox()
         self.last_ticket = 0
         self.unanswered = 0
@@ -121,8 +124,12 @@
         self.outbox.add_query(encode_wanted(ticket, query))
         try:
             await self._wait_for_answer(answer)
+            if ticket in self.queued and not answer.done():
+                longest = query.longest_wait + ANSWER_TIMEOUT_SECONDS
+                await asyncio.wait((answer,), timeout=longest)
         finally:
             self.waiting.pop(ticket, None)
+            self._leave_queue(ticket, answer)
         if not answer.done():
             answer.cancel()
             self._count_unanswered(ticket)
@@ -188,6 +195,13 @@
             if answer.done() or late < LATE_TIMER_SECONDS:
                 return
 
+    def _leave_queue(self, ticket: int, answer: asyncio.Future[Placed]) -> None:
+        """Report that a request no longer waits if the caller or the time has gone."""
+        if ticket in self.queued:
+            self.queued.discard(ticket)
+            if not answer.done():
+                self._send_ended(ticket)
+
     async def _keep_stream(self, hub: Address) -> bool:
         """Keep a stream to one scheduler; return whether another hub replaces it."""
         channel = open_channel(hub, self.token)
@@ -249,12 +263,28 @@
             if frame is None:
                 return
             for placed in frame.placed:
-                answer = self.waiting.pop(int(placed.id), None)
-                if answer is not None and not answer.done():
-                    answer.set_result(placed)
-                elif placed.decision == Decision.DECISION_PLACED:
-                    # The answer is too late: this box has placed the request itself.
-                    self._send_ended(placed.id)
+                self._take_answer(placed)
+
+    def _take_answer(self, placed: Placed) -> None:
+        ticket = int(placed.id)
+        if placed.decision == Decision.DECISION_WAITS:
+            self._note_queued(ticket)
+            return
+        answer = self.waiting.pop(ticket, None)
+        if answer is not None and not answer.done():
+            answer.set_result(placed)
+        elif placed.decision == Decision.DECISION_PLACED:
+            # The answer is too late: this box has placed the request itself.
+            self._send_ended(ticket)
+
+    def _note_queued(self, ticket: int) -> None:
+        """Record that a request waits at the scheduler, which therefore answers."""
+        if ticket in self.waiting:
+            self.queued.add(ticket)
+            self.unanswered = 0
+        else:
+            # This box has placed the request itself, or its caller has left.
+            self._send_ended(ticket)
 
     def _new_ticket(self) -> int:
         self.last_ticket += 1
--- a/packages/edge/src/hitchdeck_edge/links/placing_messages.py
+++ b/packages/edge/src/hitchdeck_edge/links/placing_messages.py
@@ -34,6 +34,8 @@
         body_bytes=query.body_bytes,
         resumes=query.resumes,
         request=query.request,
+        longest_wait_ms=int(query.longest_wait * _MILLISECONDS),
+        priority=query.priority,
     )
     if query.prompt is not None:
         message.tokens = query.prompt.tokens
@@ -61,6 +63,8 @@
         avoid=frozenset(UpstreamName(one) for one in message.avoid),
         areas=frozenset(message.areas),
         body_bytes=int(message.body_bytes),
+        priority=int(message.priority),
+        longest_wait=message.longest_wait_ms / _MILLISECONDS,
     )
 
 
@@ -76,6 +80,11 @@
     )
 
 
+def encode_wait(ticket: int) -> Placed:
+    """Return the message that a request waits at the scheduler."""
+    return Placed(id=ticket, decision=Decision.DECISION_WAITS)
+
+
 def decode_refusal(placed: Placed) -> Refusal | None:
     """Return the refusal in an answer, or ``None`` if a request was placed."""
     for refusal, code in _DECISIONS.items():
--- a/packages/edge/src/hitchdeck_edge/model/document.py
+++ b/packages/edge/src/hitchdeck_edge/model/document.py
@@ -150,6 +150,13 @@
     return known.cold_rate if known else 0
 
 
+def urgency(route: Route, account: ClientAccount | None) -> int:
+    """Return the priority of a request; that of its account takes precedence."""
+    if account is None or account.priority is None:
+        return route.priority
+    return account.priority
+
+
 def common_areas(route: Route, account: ClientAccount | None) -> frozenset[str] | None:
     """Return the areas in which a request may be served; no restriction if empty.
 
--- a/packages/edge/src/hitchdeck_edge/model/mechanisms.py
+++ b/packages/edge/src/hitchdeck_edge/model/mechanisms.py
@@ -30,6 +30,8 @@
         Engines with late first tokens cost more.
     ejection
         Failing upstreams are not used for some time.
+    waiting
+        Requests wait at the scheduler where the settings allow it.
     near_first
         Upstreams in the box's own failure domain are preferred.
     """
@@ -43,6 +45,7 @@
     places: bool = True
     slowness: bool = True
     ejection: bool = True
+    waiting: bool = True
     near_first: bool = True
 
     def __post_init__(self) -> None:
--- a/packages/edge/src/hitchdeck_edge/model/placing.py
+++ b/packages/edge/src/hitchdeck_edge/model/placing.py
@@ -32,6 +32,12 @@
         Areas in which the request may be served; no restriction if empty.
     body_bytes
         Size of the request body.
+    priority
+        Urgency; 0 is the most urgent.
+    longest_wait
+        Seconds that the request may wait at the scheduler; 0 for a decision at once.
+    waited
+        Seconds since it first arrived, if it has waited there or came back.
     """
 
     request: RequestId
@@ -46,6 +52,9 @@
     avoid: frozenset[UpstreamName] = frozenset()
     areas: frozenset[str] = frozenset()
     body_bytes: int = 0
+    priority: int = 0
+    longest_wait: float = 0.0
+    waited: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/edge/src/hitchdeck_edge/model/request_context.py
+++ b/packages/edge/src/hitchdeck_edge/model/request_context.py
@@ -35,6 +35,8 @@
         Address of the scheduler that made the last decision, or ``THIS_BOX``.
     areas
         Areas in which it may be served; no restriction if empty.
+    priority
+        Urgency by its account or route; 0 is the most urgent.
     fingerprint
         Digest of account and content; equal for every retry, whatever the request's id.
     """
@@ -53,6 +55,7 @@
     last_event: str = ''
     decided_by: str = ''
     areas: frozenset[str] = frozenset()
+    priority: int = 0
     fingerprint: Fingerprint = field(init=False)
 
     def __post_init__(self) -> None:
@@ -80,6 +83,7 @@
             resumes=bool(self.sent or self.last_event),
             areas=self.areas,
             body_bytes=len(self.body),
+            priority=self.priority,
         )
 
     @property
--- a/packages/edge/src/hitchdeck_edge/process.py
+++ b/packages/edge/src/hitchdeck_edge/process.py
@@ -160,7 +160,7 @@
         settings.fleet_token,
         fleet_state.scheduler.shares,
     )
-    chooser = Chooser(settings.domain, fleet_state.scheduler, link)
+    chooser = Chooser(settings.domain, fleet_state.scheduler, link, settings.goal_wait)
     # A box that places requests without a scheduler uses one box's part of the
     # budget for cold upstreams.
     chooser.local.placement.cold_budget.rate_fraction = budget.fleet_fraction
--- a/packages/edge/src/hitchdeck_edge/scheduling/chooser.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/chooser.py
@@ -1,5 +1,6 @@
 """Choosing upstreams by the fleet's scheduler, or locally when it does not answer."""
 
+import asyncio
 from dataclasses import replace
 
 from hitchdeck_core.backpressure import Backpressure
@@ -8,7 +9,12 @@
 from hitchdeck_edge.model.placing import Choice, PlacementQuery
 from hitchdeck_edge.model.refusals import Refusal
 from hitchdeck_edge.model.request_context import THIS_BOX, RequestContext
-from hitchdeck_edge.scheduling.scheduler import Scheduler
+from hitchdeck_edge.scheduling.scheduler import BoxTicket, Scheduler, Unplaced
+from hitchdeck_edge.scheduling.waiting import Decided, Reviews, WaitingQueue
+
+MIN_WAIT_SECONDS = 0.001
+"""Longest wait of a request that reached its limit in this box.  It is decided at once,
+by the limits for requests that may wait."""
 
 
 class Chooser:
@@ -20,12 +26,24 @@
         Backoff that upstreams requested from this box.  Each query to the scheduler
         lists the upstreams to avoid, since the scheduler does not see their
         responses and would otherwise have to keep this state for every box.
+    goal_wait
+        Part of its goal for which a request may wait for a place.
     """
 
-    def __init__(self, domain: str, local: Scheduler, link: PlacingLink) -> None:
+    def __init__(
+        self,
+        domain: str,
+        local: Scheduler,
+        link: PlacingLink,
+        goal_wait: float = 0,
+    ) -> None:
         self.domain = domain
         self.local = local
         self.link = link
+        self.goal_wait = goal_wait if local.mechanisms.waiting else 0
+        self.places: dict[BoxTicket, asyncio.Future[Choice | Refusal]] = {}
+        self.queue = WaitingQueue(local, self._attempt, link.now)
+        self.reviews = Reviews(self.queue, self._deliver)
         self.backpressure = Backpressure(link.now)
 
     def give_back(self, choice: Choice) -> None:
@@ -47,12 +65,16 @@
                 return Refusal.no_upstream
         if not query.slots or query.prompt is None:
             return self._choose_service(query)
+        wait = self.goal_wait * query.goal
+        if wait and not query.resumes:
+            wait -= self.link.now() - context.arrived
+            query = replace(query, longest_wait=max(MIN_WAIT_SECONDS, wait))
         scheduler = self.link.scheduler
         asks = self.local.mechanisms.scheduler
         decision = await self.link.place(query) if asks else None
         if decision is None:
             context.decided_by = THIS_BOX
-            return self.local.decide(query)
+            return await self._decide_alone(query, context)
         context.decided_by = scheduler or ''
         # Keep the local share counts current: if the scheduler is lost, this box
         # decides by them.
@@ -61,6 +83,41 @@
             self.local.shares.grant(query)
         return decision
 
+    async def _decide_alone(
+        self,
+        query: PlacementQuery,
+        context: RequestContext,
+    ) -> Choice | Refusal:
+        """Decide without the scheduler; the request may wait in this box."""
+        if not query.longest_wait:
+            return self.local.decide(query)
+        left = self.goal_wait * query.goal - (self.link.now() - context.arrived)
+        key = ('', id(context))
+        decision = self.queue.place(
+            key, replace(query, longest_wait=max(MIN_WAIT_SECONDS, left))
+        )
+        if decision is not None:
+            return decision
+        loop = asyncio.get_running_loop()
+        place: asyncio.Future[Choice | Refusal] = loop.create_future()
+        self.places[key] = place
+        self.reviews.ensure_running()
+        try:
+            return await place
+        finally:
+            # The caller may have left.
+            self.places.pop(key, None)
+            self.queue.remove(key)
+
+    def _attempt(self, _: BoxTicket, query: PlacementQuery) -> Choice | Unplaced:
+        return self.local.attempt(query)
+
+    def _deliver(self, decided: Decided) -> None:
+        for key, decision in decided:
+            place = self.places.pop(key, None)
+            if place is not None and not place.done():
+                place.set_result(decision)
+
     def _choose_service(self, query: PlacementQuery) -> Choice | Refusal:
         choice = self.local.placement.choose(query)
         if choice is None:
--- a/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
@@ -42,6 +42,24 @@
     query: PlacementQuery | None
 
 
+@dataclass(frozen=True, slots=True)
+class Unplaced:
+    """Why a request is not sent now.
+
+    Attributes
+    ----------
+    share_used
+        Fraction of its share that its account used.
+    queue, reading
+        Expected seconds until the best engine begins to read it, and of reading.
+    """
+
+    refusal: Refusal
+    share_used: float
+    queue: float
+    reading: float
+
+
 class Scheduler:
     """Decides where a request goes, or that it is refused.
 
@@ -75,10 +93,20 @@
 
     def decide(self, query: PlacementQuery) -> Choice | Refusal:
         """Return the chosen upstream, or the reason for refusing the request."""
+        found = self.attempt(query)
+        return found if isinstance(found, Choice) else self.refuse(query, found)
+
+    def place(self, key: BoxTicket, query: PlacementQuery) -> Choice | Refusal:
+        """Decide on a request, and if it is accepted count it as open."""
+        found = self.attempt_place(key, query)
+        return found if isinstance(found, Choice) else self.refuse(query, found)
+
+    def attempt(self, query: PlacementQuery) -> Choice | Unplaced:
+        """Return the chosen upstream, or why no upstream may get the request now."""
         share_used = self._count_asked(query)
         choice = self.placement.choose(query)
         if choice is None:
-            return self._refuse(query, Refusal.no_upstream, share_used, 0)
+            return Unplaced(Refusal.no_upstream, share_used, 0, 0)
         accepted = self._accepted(query, choice, share_used)
         if accepted is not None:
             self.placement.cold_budget.spend(accepted.upstream)
@@ -86,18 +114,33 @@
                 self.shares.grant(query)
             return accepted
         refusal = Refusal.over_share if share_used > 1 else Refusal.overloaded
-        return self._refuse(query, refusal, share_used, choice.queue)
+        return Unplaced(refusal, share_used, choice.queue, choice.reading)
 
-    def place(self, key: BoxTicket, query: PlacementQuery) -> Choice | Refusal:
-        """Decide on a request, and if it is accepted count it as open."""
-        decision = self.decide(query)
-        if isinstance(decision, Choice):
-            self.add_open(key, decision.upstream.name, decision.tokens, query)
+    def attempt_place(self, key: BoxTicket, query: PlacementQuery) -> Choice | Unplaced:
+        """Attempt to place a request, and if it is accepted count it as open."""
+        found = self.attempt(query)
+        if isinstance(found, Choice):
+            self.add_open(key, found.upstream.name, found.tokens, query)
             if query.prompt is not None:
                 self.placement.prefix_cache.record_prompt(
-                    decision.upstream.name, query.prompt
+                    found.upstream.name, query.prompt
                 )
-        return decision
+        return found
+
+    def refuse(self, query: PlacementQuery, unplaced: Unplaced) -> Refusal:
+        """Log a refusal, and return its reason."""
+        logs.info(
+            'refused',
+            request=query.request,
+            account=query.account,
+            reason=unplaced.refusal.name,
+            standing=round(unplaced.share_used, 3),
+            queue=round(unplaced.queue, 3),
+            goal=query.goal,
+            waited=round(query.waited, 3),
+            version=self.documents.version,
+        )
+        return unplaced.refusal
 
     def add_open(
         self,
@@ -205,25 +248,6 @@
         longest = max_queue_seconds(query, choice, share_used, yielding=yielding)
         return choice.queue <= longest
 
-    def _refuse(
-        self,
-        query: PlacementQuery,
-        refusal: Refusal,
-        share_used: float,
-        queue: float,
-    ) -> Refusal:
-        logs.info(
-            'refused',
-            request=query.request,
-            account=query.account,
-            reason=refusal.name,
-            standing=round(share_used, 3),
-            queue=round(queue, 3),
-            goal=query.goal,
-            version=self.documents.version,
-        )
-        return refusal
-
     def _count_asked(self, query: PlacementQuery) -> float:
         """Count a request; return the fraction of its share that its account used."""
         document = self.documents.document
@@ -233,7 +257,8 @@
         pool = document.pools.get(query.pool)
         if pool is not None and pool.engine is not None:
             self.placement.prefix_cache.size = pool.engine.memory_tokens
-        self.shares.ask(query)
+        if not query.waited:
+            self.shares.ask(query)
         if not self.mechanisms.shares:
             return 0
         return self.shares.share_used(query.account)
--- a/packages/edge/src/hitchdeck_edge/serving/admission.py
+++ b/packages/edge/src/hitchdeck_edge/serving/admission.py
@@ -13,7 +13,7 @@
 from hitchdeck_edge.errors import CallerDisconnectedError, MalformedRequestError
 from hitchdeck_edge.model.adapter import PlatformAdapter
 from hitchdeck_edge.model.calls import Call
-from hitchdeck_edge.model.document import Route, common_areas
+from hitchdeck_edge.model.document import Route, common_areas, urgency
 from hitchdeck_edge.model.refusals import Refusal
 from hitchdeck_edge.model.request_context import RequestContext
 from hitchdeck_edge.serving.caller import CallerConnection
@@ -209,6 +209,7 @@
             deadline=arrived + patience,
             last_event=call.last_event,
             areas=homes,
+            priority=urgency(route, account),
         )
 
     def _would_outlast_stop(self, route: Route) -> bool:
--- a/packages/edge/src/hitchdeck_edge/settings.py
+++ b/packages/edge/src/hitchdeck_edge/settings.py
@@ -35,6 +35,7 @@
     ('stop_grace', _not_negative),
     ('address_ttl', _not_negative),
     ('share_window', _not_negative),
+    ('goal_wait', partial(check_number, minimum=0, maximum=1)),
     ('retry_share', _not_negative),
     ('retry_extra', _not_negative),
     ('retry_window', _not_negative),
@@ -70,6 +71,9 @@
         boxes, in seconds.
     share_window
         Window over which client accounts share capacity, in seconds.
+    goal_wait
+        Part of its goal for which a request that an engine can't begin now may wait
+        for a place; at 0 it is refused at once.
     retry_share, retry_extra, retry_window
         Retry budget of the whole fleet: in each window of ``retry_window`` seconds,
         at most ``retry_share`` retries per request, plus ``retry_extra`` retries.
@@ -90,6 +94,7 @@
     stop_grace: float = 8
     address_ttl: float = 5
     share_window: float = 4
+    goal_wait: float = 0
     retry_share: float = 0.2
     retry_extra: float = 50
     retry_window: float = 10
--- /dev/null
+++ b/tests/edge/test_waiting.py
@@ -0,0 +1,342 @@
+"""Requests that wait at the scheduler, or at a box that decides alone."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import replace
+from types import SimpleNamespace
+
+import pytest
+
+from hitchdeck_core.channels import require_fleet_token, serve
+from hitchdeck_core.ids import AccountName, RequestId, UpstreamName
+from hitchdeck_edge.hub.placing import FleetSize, PlacingService
+from hitchdeck_edge.links.placing import PlacingLink
+from hitchdeck_edge.model.placing import Choice, PlacementQuery
+from hitchdeck_edge.model.refusals import Refusal
+from hitchdeck_edge.scheduling.chooser import Chooser
+from hitchdeck_edge.scheduling.queue_limit import max_queue_seconds
+from hitchdeck_edge.scheduling.scheduler import Scheduler
+from hitchdeck_edge.scheduling.waiting import (
+    MAX_REMEMBERED,
+    RETRY_MEMORY_SECONDS,
+    RefusedRequests,
+    WaitingQueue,
+)
+from hitchdeck_platform.settings import GOAL_WAIT, decode_settings
+from standins.ports import free_address
+from tests.common.scheduling import (
+    FakeClock,
+    engine,
+    offer,
+    prompt,
+    scheduler_of,
+    wanted,
+)
+from tests.edge.test_scheduler_link import reached, running_link
+
+FULL = ('other', 0)
+ENGINE = UpstreamName('e0')
+GOAL = 0.6
+
+
+def patient(
+    name: str = 'ann', longest: float = GOAL, priority: int = 0
+) -> PlacementQuery:
+    """Return a request that may wait."""
+    return replace(wanted(name), longest_wait=longest, priority=priority)
+
+
+def full_scheduler(clock: FakeClock) -> Scheduler:
+    """Return a scheduler whose only engine reads for a second."""
+    scheduler = scheduler_of(clock, 1)
+    scheduler.add_open(FULL, ENGINE, 40_000)
+    return scheduler
+
+
+def queue_of(scheduler: Scheduler, clock: FakeClock) -> WaitingQueue:
+    return WaitingQueue(scheduler, scheduler.attempt_place, clock)
+
+
+def test_a_waiting_request_gets_the_place_that_becomes_free() -> None:
+    # Guards against a refusal whose retry arrives after the goal.
+    clock = FakeClock()
+    scheduler = full_scheduler(clock)
+    queue = queue_of(scheduler, clock)
+    assert queue.place(('box', 1), patient()) is None
+    assert queue.review() == []
+    clock.seconds += 0.2
+    scheduler.end(FULL)
+    decided = queue.review()
+    key, choice = decided[0]
+    assert key == ('box', 1)
+    assert isinstance(choice, Choice)
+    assert key in scheduler.open
+    assert not queue.entries
+    assert queue.review() == []
+
+
+def test_a_request_does_not_wait_beyond_what_its_goal_leaves() -> None:
+    # Guards against holding a request that would start after its goal.
+    clock = FakeClock()
+    scheduler = full_scheduler(clock)
+    queue = queue_of(scheduler, clock)
+    queue.place(('box', 1), patient())
+    clock.seconds += GOAL
+    scheduler.end(FULL)
+    assert queue.review() == [(('box', 1), Refusal.overloaded)]
+    assert not scheduler.open
+
+
+def test_the_time_waited_shortens_the_queue_that_is_accepted() -> None:
+    # Guards against starting a request late after it has waited in time.
+    clock = FakeClock()
+    scheduler = full_scheduler(clock)
+    queue = queue_of(scheduler, clock)
+    queue.place(('box', 1), patient())
+    clock.seconds += 0.4
+    scheduler.end(FULL)
+    scheduler.add_open(FULL, ENGINE, 10_000)
+    assert queue.review() == []
+    assert isinstance(scheduler.decide(wanted()), Choice)
+
+
+def test_need_goes_before_urgency_and_urgency_before_time_left() -> None:
+    clock = FakeClock()
+    scheduler = full_scheduler(clock)
+    offer(scheduler, 1000)
+    for number in range(40):
+        scheduler.place(('flood', number), replace(wanted('big'), resumes=True))
+    queue = queue_of(scheduler, clock)
+    asks = {
+        'beyond': patient('big', priority=0),
+        'relaxed': patient('less', priority=2),
+        'second': patient('ann', priority=1, longest=0.5),
+        'first': patient('ann', priority=1, longest=0.4),
+    }
+    for number, one in enumerate(asks.values()):
+        assert queue.place(('box', number), one) is None
+    for number in range(40):
+        scheduler.end(('flood', number))
+    scheduler.end(FULL)
+    decided = [key[1] for key, _ in queue.review()]
+    assert [list(asks)[number] for number in decided][:3] == [
+        'first',
+        'second',
+        'relaxed',
+    ]
+
+
+def test_a_request_of_a_caller_who_left_is_not_placed() -> None:
+    clock = FakeClock()
+    scheduler = full_scheduler(clock)
+    queue = queue_of(scheduler, clock)
+    queue.place(('box', 1), patient())
+    queue.place(('lost', 1), patient())
+    queue.remove(('box', 1))
+    queue.drop_box('lost')
+    scheduler.end(FULL)
+    assert queue.review() == []
+    assert not scheduler.open
+
+
+@pytest.mark.parametrize(('later', 'waits'), [(0.3, True), (0.7, False)])
+def test_a_retry_has_the_goal_of_the_refused_request(
+    later: float, *, waits: bool
+) -> None:
+    # Guards against late retries that wait in the place of requests still in time.
+    clock = FakeClock()
+    scheduler = full_scheduler(clock)
+    offer(scheduler, 1000)
+    queue = queue_of(scheduler, clock)
+    short = patient(longest=0.1)
+    queue.place(('box', 1), short)
+    clock.seconds += 0.1
+    assert len(queue.review()) == 1
+    clock.seconds += later - 0.1
+    retry = replace(short, request=RequestId('another'))
+    assert (queue.place(('box', 2), retry) is None) == waits
+    assert scheduler.shares.asked.tokens[AccountName('ann')] == 1000
+    other = replace(short, prompt=prompt(900))
+    assert queue.place(('box', 3), other) is None
+
+
+def test_the_memory_of_refused_requests_is_bounded() -> None:
+    clock = FakeClock()
+    refused = RefusedRequests(clock)
+    for number in range(MAX_REMEMBERED + 10):
+        refused.add(replace(wanted(), account=AccountName(str(number))), clock.seconds)
+    assert len(refused.arrivals) == MAX_REMEMBERED
+    clock.seconds += RETRY_MEMORY_SECONDS + 1
+    refused.add(wanted(), clock.seconds)
+    assert len(refused.arrivals) == 1
+    assert not refused.seconds_since(replace(wanted(), account=AccountName('99')))
+
+
+def test_demand_is_counted_once_however_long_a_request_waits() -> None:
+    clock = FakeClock()
+    scheduler = full_scheduler(clock)
+    offer(scheduler, 1000)
+    queue = queue_of(scheduler, clock)
+    queue.place(('box', 1), patient())
+    for _ in range(5):
+        clock.seconds += 0.05
+        queue.review()
+    assert scheduler.shares.asked.tokens[AccountName('ann')] == 1000
+
+
+@pytest.mark.parametrize(
+    ('longest', 'unread', 'standing', 'expected'),
+    [
+        # Twice its share: the limit falls with the share alone for those that wait.
+        (0.3, 9000, 2.0, GOAL * 0.4),
+        (0.3, 1000, 2.0, GOAL * 0.4),
+        (0, 9000, 2.0, GOAL * 0.16 / 3),
+        # Within the share both wait until their goal.
+        (0.3, 9000, 0.5, GOAL),
+        (0, 9000, 0.5, GOAL),
+    ],
+)
+def test_excess_that_may_wait_gets_more_of_the_idle_engines(
+    longest: float, unread: int, standing: float, expected: float
+) -> None:
+    one = replace(wanted(tokens=9000), longest_wait=longest)
+    choice = Choice(engine('e0'), unread, 0)
+    assert max_queue_seconds(one, choice, standing) == pytest.approx(expected)
+
+
+def test_without_a_longest_wait_decisions_are_those_of_the_scheduler() -> None:
+    # Guards against changed decisions in deployments that do not ask for waits.
+    clock = FakeClock()
+    alone, behind = (scheduler_of(clock, 2) for _ in range(2))
+    queue = queue_of(behind, clock)
+    for one in (alone, behind):
+        offer(one, 4000)
+    for number in range(200):
+        clock.seconds += 0.01
+        query = wanted('big' if number % 3 else 'ann', str(number % 7), 4000)
+        expected = alone.place(('box', number), query)
+        assert queue.place(('box', number), query) == expected
+    assert not queue.entries
+
+
+@asynccontextmanager
+async def waiting_link(
+    scheduler: Scheduler,
+) -> AsyncIterator[tuple[PlacingLink, PlacingService]]:
+    """Run a hub with a scheduler, and the link of a box to it."""
+    service = PlacingService(scheduler, FleetSize(lambda: 1, scheduler.now))
+    address = free_address()
+    server = await serve([service], address, require_fleet_token('token'))
+    try:
+        async with running_link(address) as link:
+            link.registry.merge(engine('e0'), 'test')
+            await reached(link, connected=True)
+            yield link, service
+    finally:
+        server.close()
+
+
+async def until_waiting(service: PlacingService, count: int) -> None:
+    async with asyncio.timeout(15):
+        while len(service.queue.entries) != count:
+            await asyncio.sleep(0.01)
+
+
+async def test_a_box_waits_for_a_scheduler_that_holds_its_request() -> None:
+    # Guards against taking the scheduler for silent after 60 ms, and sending twice.
+    scheduler = full_scheduler(FakeClock())
+    async with waiting_link(scheduler) as (link, service):
+        asked = asyncio.create_task(link.place(patient()))
+        await until_waiting(service, 1)
+        await asyncio.sleep(0.2)
+        assert not asked.done()
+        scheduler.end(FULL)
+        choice = await asked
+        assert isinstance(choice, Choice)
+        assert choice.upstream.name == ENGINE
+        assert not link.unanswered
+        assert len(scheduler.open) == 1
+
+
+async def test_a_caller_who_leaves_is_removed_from_the_scheduler() -> None:
+    scheduler = full_scheduler(FakeClock())
+    async with waiting_link(scheduler) as (link, service):
+        asked = asyncio.create_task(link.place(patient()))
+        await until_waiting(service, 1)
+        await asyncio.sleep(0.1)
+        asked.cancel()
+        await until_waiting(service, 0)
+        assert list(scheduler.open) == [FULL]
+
+
+async def test_a_request_returns_to_its_box_when_the_scheduler_is_lost() -> None:
+    # Guards against a request that waits until its deadline at a hub that has ended.
+    scheduler = full_scheduler(FakeClock())
+    async with waiting_link(scheduler) as (link, service):
+        asked = asyncio.create_task(link.place(patient(longest=60)))
+        await until_waiting(service, 1)
+        await asyncio.sleep(0.1)
+        link._disconnect()
+        async with asyncio.timeout(15):
+            assert await asked is None
+
+
+class NoScheduler:
+    """A link without a scheduler."""
+
+    scheduler = None
+
+    def __init__(self, now: FakeClock) -> None:
+        self.now = now
+        self.choice: Choice | None = None
+
+    async def place(self, _query: PlacementQuery) -> Choice | None:
+        return self.choice
+
+
+@pytest.mark.parametrize('leaves', [False, True])
+async def test_a_box_that_decides_alone_holds_requests_too(*, leaves: bool) -> None:
+    clock = FakeClock()
+    scheduler = full_scheduler(clock)
+    chooser = Chooser('a', scheduler, NoScheduler(clock), goal_wait=1)
+    asked = asyncio.create_task(chooser.choose(context_of(clock)))
+    async with asyncio.timeout(15):
+        while not chooser.queue.entries:
+            await asyncio.sleep(0.01)
+    if leaves:
+        asked.cancel()
+        await asyncio.wait((asked,))
+        assert not chooser.queue.entries
+        assert not chooser.places
+    else:
+        scheduler.end(FULL)
+        assert isinstance(await asked, Choice)
+
+
+async def test_without_the_setting_a_box_refuses_at_once() -> None:
+    clock = FakeClock()
+    chooser = Chooser('a', full_scheduler(clock), NoScheduler(clock))
+    assert await chooser.choose(context_of(clock)) is Refusal.overloaded
+
+
+def context_of(clock: FakeClock) -> SimpleNamespace:
+    return SimpleNamespace(
+        placement_query=lambda _domain: wanted(), decided_by='', arrived=clock.seconds
+    )
+
+
+def test_only_settings_that_limit_a_process_let_requests_wait() -> None:
+    fields = {
+        'serves': ['front'],
+        'nodeName': 'box',
+        'zone': 'a',
+        'ip': '127.0.0.1',
+        'seeds': [],
+        'portRange': [7000, 7001],
+        'listen': {'front': '127.0.0.1:1', 'ready': '127.0.0.1:2'},
+    }
+    for given, waits in ((fields, 0), ({**fields, 'limits': {}}, GOAL_WAIT)):
+        entry = decode_settings(given).entry
+        assert entry is not None
+        assert entry.goal_wait == waits
