--- a/bench/lab/play.py
+++ b/bench/lab/play.py
@@ -4,8 +4,8 @@
 from random import Random
 
 from bench.lab.arrivals import Asked, draw_arrivals
-from bench.lab.deployment import Deployment, Fault, FaultKind
-from bench.lab.engine import Engine, Run
+from bench.lab.deployment import Deployment, Fault, FaultKind, Stalls
+from bench.lab.engine import MS, Engine, Run
 from bench.lab.judge import Verdict, judge
 from bench.lab.timeline import Timeline
 from bench.owed import SHARE_WINDOW
@@ -25,8 +25,9 @@
 from hitchdeck_edge.model.placing import Choice, PlacementQuery
 from hitchdeck_edge.model.refusals import Refusal
 from hitchdeck_edge.model.upstreams import Phase, Upstream
-from hitchdeck_edge.scheduling.scheduler import Scheduler
+from hitchdeck_edge.scheduling.scheduler import BoxTicket, Scheduler
 from hitchdeck_edge.scheduling.shares import Shares
+from hitchdeck_edge.scheduling.waiting import REVIEW_SECONDS, WaitingQueue
 from hitchdeck_edge.state.documents import Documents
 from hitchdeck_edge.state.registry import Registry
 
@@ -41,6 +42,12 @@
 MOST_TRIES = 2
 """A caller comes back once after a refusal."""
 
+AGAIN_CHARGE = 0.3
+"""Part of its worth that a request costs which came back and is refused again."""
+
+ROOM_CHARGE = 0.5
+"""Part of its worth that a refusal costs while engines have room."""
+
 PATIENT_PART = 3
 """A caller waits at most this part of its time left before it comes back."""
 
@@ -65,6 +72,8 @@
         self.down_until = 0.0
         self.registry = Registry(self.now, Signal())
         self.scheduler = self._new_scheduler()
+        self.queue = self._new_queue()
+        self.held: dict[BoxTicket, tuple[Asked, frozenset[UpstreamName]]] = {}
 
     def now(self) -> float:
         """Return virtual time; the scheduler's clock starts late."""
@@ -79,6 +88,8 @@
             self.timeline.after(one.at, partial(self._come, one))
         for fault in self.deployment.faults:
             self.timeline.after(fault.at, partial(self._strike, fault))
+        if self.deployment.stalls is not None:
+            self._enter_stalls(self.deployment.stalls)
         self.timeline.play()
         return judge(self.deployment, asked, self.again)
 
@@ -96,14 +107,15 @@
         shares = Shares(SHARE_WINDOW, self.now)
         return Scheduler(documents, self.registry, shares, self.now, self.mechanisms)
 
+    def _new_queue(self) -> WaitingQueue:
+        return WaitingQueue(self.scheduler, self.scheduler.attempt_place, self.now)
+
     def _add_engine(self) -> None:
         self.numbers += 1
         name = UpstreamName(f'engine-{self.numbers}')
-        self.engines[name] = Engine(
-            self.deployment.sheet,
-            self.timeline,
-            self._note_read,
-        )
+        slower = self.deployment.slower
+        sheet = self.deployment.sheet.slower(slower[self.numbers % len(slower)])
+        self.engines[name] = Engine(sheet, self.timeline, self._note_read)
         places = self.deployment.sheet.places
         record = Upstream(name, POOL, Address(name), DOMAIN, places, Phase.serving, 1)
         self.registry.merge(record, 'play')
@@ -125,7 +137,30 @@
             return
         self.numbers += 1
         key = ('box', self.numbers)
-        decision = self.scheduler.place(key, self._wanted(one, tried))
+        decision = self.queue.place(key, self._wanted(one, tried))
+        if decision is None:
+            if not self.held:
+                self.timeline.after(REVIEW_SECONDS, self._review)
+            self.held[key] = (one, tried)
+            one.held -= self.timeline.now
+        else:
+            self._follow(one, tried, key, decision)
+
+    def _review(self) -> None:
+        for key, decision in self.queue.review():
+            one, tried = self.held.pop(key)
+            one.held += self.timeline.now
+            self._follow(one, tried, key, decision)
+        if self.held:
+            self.timeline.after(REVIEW_SECONDS, self._review)
+
+    def _follow(
+        self,
+        one: Asked,
+        tried: frozenset[UpstreamName],
+        key: BoxTicket,
+        decision: Choice | Refusal,
+    ) -> None:
         if isinstance(decision, Refusal):
             self._refuse(one, decision.value.retry_after)
             return
@@ -142,12 +177,16 @@
 
     def _run_of(self, one: Asked, key: tuple[str, int], choice: Choice) -> Run:
         scheduler = self.scheduler
+        delay = self.deployment.sheet.first_delay * MS
 
         def on_first() -> None:
-            one.first = self.timeline.now + SEND_SECONDS - one.at
+            one.first = self.timeline.now + delay + SEND_SECONDS - one.at
             for part, _ in one.parts:
                 self.last_use[part] = self.timeline.now
-            scheduler.start(key)
+            if delay:
+                self.timeline.after(delay, partial(scheduler.start, key))
+            else:
+                scheduler.start(key)
 
         def on_end(run: Run) -> None:
             scheduler.end(key)
@@ -172,10 +211,22 @@
     def _refuse(self, one: Asked, retry_after: float) -> None:
         left = one.at + one.kind.limit - self.timeline.now
         one.outcome = 'refused'
+        if one.tries > 1:
+            one.charges += AGAIN_CHARGE
+        if self._has_room():
+            one.charges += ROOM_CHARGE
         if one.tries < MOST_TRIES and left > 0:
             wait = min(retry_after, left / PATIENT_PART)
             self.timeline.after(wait, lambda: self._come(one))
 
+    def _has_room(self) -> bool:
+        """Tell whether under half of the places are taken, and nothing waits there."""
+        alive = [engine for engine in self.engines.values() if engine.alive]
+        places = len(alive) * self.deployment.sheet.places
+        running = sum(len(engine.runs) for engine in alive)
+        waiting = any(engine.waiting for engine in alive)
+        return not waiting and running < places / 2
+
     def _wanted(self, one: Asked, tried: frozenset[UpstreamName]) -> PlacementQuery:
         parts = tuple(Part(PartId(part), tokens) for part, tokens in one.parts)
         return PlacementQuery(
@@ -188,14 +239,36 @@
             prompt=Prompt(one.read, one.expected_made, parts),
             tried=tried,
             resumes=bool(tried),
+            longest_wait=self._longest_wait(one),
         )
 
+    def _longest_wait(self, one: Asked) -> float:
+        if not self.mechanisms.waiting:
+            return 0
+        return one.kind.goal * self.deployment.waits
+
     def _strike(self, fault: Fault) -> None:
         if fault.kind is FaultKind.crash:
             self._crash(fault)
         else:
             self._restart(fault)
 
+    def _enter_stalls(self, stalls: Stalls) -> None:
+        for engine in self.engines.values():
+            at = self.random.expovariate(1 / stalls.every)
+            while at < self.deployment.seconds:
+                self.timeline.after(at, partial(self._stall, engine, stalls))
+                at += stalls.lasts + self.random.expovariate(1 / stalls.every)
+
+    def _stall(self, engine: Engine, stalls: Stalls) -> None:
+        usual = engine.sheet
+        engine.sheet = usual.slower(stalls.factor)
+
+        def recover() -> None:
+            engine.sheet = usual
+
+        self.timeline.after(stalls.lasts, recover)
+
     def _crash(self, fault: Fault) -> None:
         alive = [name for name, engine in self.engines.items() if engine.alive]
         for name in self.random.sample(alive, fault.count):
@@ -211,6 +284,10 @@
         for engine in self.engines.values():
             engine.drop_all()
         self.scheduler = self._new_scheduler()
+        self.queue = self._new_queue()
+        for one, _ in self.held.values():
+            one.outcome = 'failed'
+        self.held.clear()
 
 
 def _unread(text: bytes) -> Document:
--- a/packages/edge/src/hitchdeck_edge/model/request_context.py
+++ b/packages/edge/src/hitchdeck_edge/model/request_context.py
@@ -36,6 +36,8 @@
         Address of the scheduler that made the last decision, or ``THIS_BOX``.
     areas
         Areas in which it may be served; no restriction if empty.
+    priority
+        Urgency by its account or route; 0 is the most urgent.
     fingerprint
         Digest of account and content; equal for every retry, whatever the request's id.
     """
@@ -54,6 +56,7 @@
     last_event: str = ''
     decided_by: str = ''
     areas: frozenset[str] = frozenset()
+    priority: int = 0
     fingerprint: Fingerprint = field(init=False)
 
     def __post_init__(self) -> None:
@@ -81,6 +84,7 @@
             resumes=bool(self.sent or self.last_event),
             areas=self.areas,
             body_bytes=len(self.body),
+            priority=self.priority,
         )
 
     @property
