Tell in a choice whether the engine has a slot free now

Part 4 of docs/design/hard-load.md queues requests that no engine can take at once; Choice.fits says which these are.

--- a/packages/edge/src/hitchdeck_edge/model/placing.py
+++ b/packages/edge/src/hitchdeck_edge/model/placing.py
@@ -62,6 +62,9 @@
         The scheduler's number for the request; 0 if it was placed locally.
     reading
         Expected seconds that reading takes; 0 for plain services.
+    fits
+        Whether the engine has a slot, and memory as far as known, free for the
+        request now.
     """
 
     upstream: Upstream
@@ -69,3 +72,4 @@
     queue: float
     ticket: int = 0
     reading: float = 0.0
+    fits: bool = True
--- a/packages/edge/src/hitchdeck_edge/scheduling/placement.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/placement.py
@@ -212,6 +212,7 @@
             tokens,
             queue=max(place, self._tokens_ahead(upstream.name) * seconds),
             reading=tokens * seconds,
+            fits=not self._is_full(upstream, query),
         )
 
     def _nearby(
