--- a/bench/lab/__main__.py
+++ b/bench/lab/__main__.py
@@ -7,17 +7,19 @@
 
 import fire
 
-from bench.lab.deployment import draw_deployment
+from bench.lab.deployment import draw_deployment, with_uneven_engines
 from bench.lab.judge import Verdict
 from bench.lab.play import Play
 from hitchdeck_core import logs
 from hitchdeck_edge.model.mechanisms import Mechanisms
 
 
-def play_one(seed: int, without: str, *, quiet: bool) -> Verdict:
+def play_one(seed: int, without: str, *, quiet: bool, uneven: bool = False) -> Verdict:
     """Return what one drawn play was worth, with one mechanism switched off."""
     logs.silence()
     deployment = draw_deployment(Random(f'{seed} deployment'), quiet=quiet)
+    if uneven:
+        deployment = with_uneven_engines(deployment, Random(f'{seed} engines'))
     mechanisms = Mechanisms(**({without: False} if without else {}))
     return Play(deployment, str(seed), mechanisms).run()
 
@@ -27,6 +29,8 @@
     first: int = 1,
     jobs: int = 2,
     without: str = '',
+    *,
+    uneven: bool = False,
 ) -> None:
     """Print the mean worth over drawn quiet and busy plays.
 
@@ -40,12 +44,15 @@
         Processes to use.
     without
         Mechanism to switch off: a field of ``Mechanisms``.
+    uneven
+        Whether engines differ in speed and stall, and boxes are late.
     """
     numbers = range(first, first + seeds)
     with ProcessPoolExecutor(jobs) as pool:
         for quiet in (True, False):
             runs = [
-                pool.submit(play_one, seed, without, quiet=quiet) for seed in numbers
+                pool.submit(play_one, seed, without, quiet=quiet, uneven=uneven)
+                for seed in numbers
             ]
             _print('quiet' if quiet else 'busy', [run.result() for run in runs])
 
--- a/bench/lab/deployment.py
+++ b/bench/lab/deployment.py
@@ -95,6 +95,41 @@
     count: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class Unevenness:
+    """How engines of one sheet differ, unannounced; times in seconds.
+
+    Attributes
+    ----------
+    paces
+        Factors of all times of an engine, given to the engines by turns.
+    stall_factor, stall_seconds, stall_every
+        Now and then an engine takes longer by a factor, for a while; 0 for never.
+    first_delay
+        Delay of an engine before each first event.
+    box_delay, late_part, late_delay
+        Mean delay of a box before it passes on a first event, and the part of the
+        events that a busy box delays by up to ``late_delay`` more.
+    """
+
+    paces: tuple[float, ...] = (1.0,)
+    stall_factor: float = 1.0
+    stall_seconds: float = 0.0
+    stall_every: float = 0.0
+    first_delay: float = 0.0
+    box_delay: float = 0.0
+    late_part: float = 0.0
+    late_delay: float = 0.0
+
+    @property
+    def speed(self) -> float:
+        """Return the mean speed, relative to engines that keep to their sheet."""
+        return sum(1 / pace for pace in self.paces) / len(self.paces)
+
+
+EVEN = Unevenness()
+
+
 @dataclass(frozen=True, slots=True)
 class Deployment:
     """Everything that a play needs to know; rates are for the whole fleet."""
@@ -110,6 +145,7 @@
     again_price: float
     floods: tuple[Flood, ...]
     faults: tuple[Fault, ...]
+    uneven: Unevenness = EVEN
 
     def with_load(self, factor: float) -> 'Deployment':
         """Return the same deployment with all rates multiplied."""
@@ -148,6 +184,27 @@
     return _loaded(deployment, random, quiet=quiet)
 
 
+def with_uneven_engines(deployment: Deployment, random: Random) -> Deployment:
+    """Return a deployment with engines that differ, and as much load for its speed."""
+    if random.random() < 0.5:
+        # Some engines are slower.
+        paces: tuple[float, ...] = (1.0, 1.0, random.uniform(1.2, 1.5))
+        uneven = Unevenness(paces, first_delay=random.uniform(0.01, 0.02))
+    else:
+        # Some engines are much faster, and all stall now and then.
+        uneven = Unevenness(
+            (1 / random.uniform(1.8, 2.5), 1.0, 1.0, 1.0),
+            stall_factor=random.uniform(2, 3),
+            stall_seconds=random.uniform(0.4, 0.8),
+            stall_every=random.uniform(6, 15),
+            first_delay=random.uniform(0.03, 0.06),
+        )
+    uneven = replace(uneven, box_delay=0.004, late_part=0.03, late_delay=0.3)
+    loaded = deployment.with_load(uneven.speed)
+    capacity = deployment.capacity * uneven.speed
+    return replace(loaded, capacity=capacity, uneven=uneven)
+
+
 def _loaded(deployment: Deployment, random: Random, *, quiet: bool) -> Deployment:
     """Set the rates by what the engines can read, and state a capacity."""
     sheet = deployment.sheet
--- a/bench/lab/engine.py
+++ b/bench/lab/engine.py
@@ -111,6 +111,10 @@
     ----------
     on_read
         Called with each part that had to be read, and its size.
+    pace
+        Factor of all its times.
+    first_delay
+        Seconds between the end of reading and a first event.
     """
 
     def __init__(
@@ -118,10 +122,16 @@
         sheet: EngineSheet,
         timeline: Timeline,
         on_read: Callable[[str, int], None],
+        pace: float = 1.0,
+        first_delay: float = 0.0,
     ) -> None:
         self.sheet = sheet
         self.timeline = timeline
         self.on_read = on_read
+        self.pace = pace
+        self.first_delay = first_delay
+        self.stalled = 0.0
+        self.stall_factor = 1.0
         self.memory = Memory(sheet.memory)
         self.waiting: deque[Run] = deque()
         self.reading: deque[Run] = deque()
@@ -140,6 +150,11 @@
         if not self.busy:
             self._begin_step()
 
+    def stall(self, factor: float, seconds: float) -> None:
+        """Take longer by a factor for a while."""
+        self.stall_factor = factor
+        self.stalled = self.timeline.now + seconds
+
     def crash(self) -> None:
         """Lose everything."""
         self.alive = False
@@ -182,15 +197,20 @@
         taken, pairs = self._read_chunk()
         sheet = self.sheet
         context = self.memory.held_tokens + self.made
-        seconds = MS * (
+        milliseconds = (
             sheet.step
             + sheet.per_place * len(self.runs)
             + sheet.per_context * context / 1000
             + taken / sheet.read
             + sheet.pairs * pairs / 1e6
         )
+        seconds = MS * milliseconds * self._time_factor()
         self.timeline.after(seconds, lambda: self._end_step(seconds))
 
+    def _time_factor(self) -> float:
+        stalled = self.timeline.now < self.stalled
+        return self.pace * (self.stall_factor if stalled else 1)
+
     def _read_chunk(self) -> tuple[int, float]:
         left = self.sheet.chunk
         pairs = 0.0
@@ -222,10 +242,17 @@
         run.first_at = self.timeline.now
         self.started += 1
         heapq.heappush(self.making, (self.steps + run.made, self.started, run))
-        run.on_first()
+        self._report(run.on_first)
 
     def _end(self, run: Run) -> None:
         self.runs.discard(run)
         self.made -= run.made
         self.memory.release(run)
-        run.on_end(run)
+        self._report(lambda: run.on_end(run))
+
+    def _report(self, event: Callable[[], None]) -> None:
+        """Let a caller hear of an event, after the delay of a first one."""
+        if self.first_delay:
+            self.timeline.after(self.first_delay * self.pace, event)
+        else:
+            event()
--- a/bench/lab/play.py
+++ b/bench/lab/play.py
@@ -58,6 +58,7 @@
         self.mechanisms = mechanisms
         self.timeline = Timeline()
         self.random = Random(f'{seed} arrivals')
+        self.box_random = Random(f'{seed} boxes')
         self.engines: dict[UpstreamName, Engine] = {}
         self.last_use: dict[str, float] = {}
         self.again = 0.0
@@ -77,6 +78,7 @@
         asked = draw_arrivals(self.deployment, self.random)
         for one in asked:
             self.timeline.after(one.at, partial(self._come, one))
+        self._plan_stalls()
         for fault in self.deployment.faults:
             self.timeline.after(fault.at, partial(self._strike, fault))
         self.timeline.play()
@@ -99,15 +101,40 @@
     def _add_engine(self) -> None:
         self.numbers += 1
         name = UpstreamName(f'engine-{self.numbers}')
+        uneven = self.deployment.uneven
         self.engines[name] = Engine(
             self.deployment.sheet,
             self.timeline,
             self._note_read,
+            uneven.paces[len(self.engines) % len(uneven.paces)],
+            uneven.first_delay,
         )
         places = self.deployment.sheet.places
         record = Upstream(name, POOL, Address(name), DOMAIN, places, Phase.serving, 1)
         self.registry.merge(record, 'play')
 
+    def _plan_stalls(self) -> None:
+        uneven = self.deployment.uneven
+        if not uneven.stall_every:
+            return
+        random = Random(f'{self.numbers} stalls')
+        for engine in self.engines.values():
+            at = random.expovariate(1 / uneven.stall_every)
+            while at < self.deployment.seconds:
+                stall = partial(engine.stall, uneven.stall_factor, uneven.stall_seconds)
+                self.timeline.after(at, stall)
+                at += uneven.stall_seconds + random.expovariate(1 / uneven.stall_every)
+
+    def _box_delay(self) -> float:
+        """Return the time that a box takes to pass on a first event."""
+        uneven = self.deployment.uneven
+        if not uneven.box_delay:
+            return 0
+        delay = self.box_random.expovariate(1 / uneven.box_delay)
+        if self.box_random.random() < uneven.late_part:
+            delay += self.box_random.uniform(0, uneven.late_delay)
+        return delay
+
     def _note_read(self, part: str, tokens: int) -> None:
         now = self.timeline.now
         last = self.last_use.get(part)
@@ -144,10 +171,14 @@
         scheduler = self.scheduler
 
         def on_first() -> None:
-            one.first = self.timeline.now + SEND_SECONDS - one.at
+            delay = self._box_delay()
+            one.first = self.timeline.now + delay + SEND_SECONDS - one.at
             for part, _ in one.parts:
                 self.last_use[part] = self.timeline.now
-            scheduler.start(key)
+            if delay:
+                self.timeline.after(SEND_SECONDS + delay, lambda: scheduler.start(key))
+            else:
+                scheduler.start(key)
 
         def on_end(run: Run) -> None:
             scheduler.end(key)
