Model the speed and memory of each engine

Engines of one pool may differ by 1.3 to 2.2 times or stall, and long prompts fill a memory. Each engine now has its own latency and reading time, learned from first events by factors of a fit for its pool, and a recent deviation that shows a stall. Its queue shrinks while it is read. What its requests occupy is tracked, shared parts once; an engine without room counts as full.

--- a/bench/lab/deployment.py
+++ b/bench/lab/deployment.py
@@ -186,7 +186,7 @@
 
 def with_uneven_engines(deployment: Deployment, random: Random) -> Deployment:
     """Return a deployment with engines that differ, and as much load for its speed."""
-    if random.random() < 0.5:
+    if random.randrange(2):
         # Some engines are slower.
         paces: tuple[float, ...] = (1.0, 1.0, random.uniform(1.2, 1.5))
         uneven = Unevenness(paces, first_delay=random.uniform(0.01, 0.02))
--- a/bench/lab/engine.py
+++ b/bench/lab/engine.py
@@ -208,8 +208,9 @@
         self.timeline.after(seconds, lambda: self._end_step(seconds))
 
     def _time_factor(self) -> float:
-        stalled = self.timeline.now < self.stalled
-        return self.pace * (self.stall_factor if stalled else 1)
+        if self.timeline.now < self.stalled:
+            return self.pace * self.stall_factor
+        return self.pace
 
     def _read_chunk(self) -> tuple[int, float]:
         left = self.sheet.chunk
--- a/bench/lab/play.py
+++ b/bench/lab/play.py
@@ -96,7 +96,11 @@
             accounts=(),
         )
         shares = Shares(SHARE_WINDOW, self.now)
-        return Scheduler(documents, self.registry, shares, self.now, self.mechanisms)
+        scheduler = Scheduler(
+            documents, self.registry, shares, self.now, self.mechanisms
+        )
+        scheduler.placement.learn_engines()
+        return scheduler
 
     def _add_engine(self) -> None:
         self.numbers += 1
--- a/packages/edge/src/hitchdeck_edge/model/mechanisms.py
+++ b/packages/edge/src/hitchdeck_edge/model/mechanisms.py
@@ -26,6 +26,8 @@
         or to one that must read a cached part again.
     places
         The expected wait includes the time until an engine slot is free.
+    engine_model
+        Speed and memory are learned for each engine, if the settings call for it.
     slowness
         Engines with late first tokens cost more.
     ejection
@@ -41,6 +43,7 @@
     reading_again: bool = True
     another_engine: bool = True
     places: bool = True
+    engine_model: bool = True
     slowness: bool = True
     ejection: bool = True
     near_first: bool = True
--- a/packages/edge/src/hitchdeck_edge/model/refusals.py
+++ b/packages/edge/src/hitchdeck_edge/model/refusals.py
@@ -61,6 +61,11 @@
         SHARE_RETRY_SECONDS,
         'over the share of the account',
     )
+    too_large = Reply(
+        HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+        0,
+        'more tokens than an engine holds',
+    )
     no_document = Reply(UNAVAILABLE, STATE_RETRY_SECONDS, 'no document')
     no_upstream = Reply(UNAVAILABLE, STATE_RETRY_SECONDS, 'no upstream')
     paused = Reply(UNAVAILABLE, LOAD_RETRY_SECONDS, 'all upstreams want a pause')
--- a/packages/edge/src/hitchdeck_edge/scheduling/chooser.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/chooser.py
@@ -8,6 +8,7 @@
 from hitchdeck_edge.model.placing import Choice, PlacementQuery
 from hitchdeck_edge.model.refusals import Refusal
 from hitchdeck_edge.model.request_context import THIS_BOX, RequestContext
+from hitchdeck_edge.scheduling.engine_memory import exceeds_memory
 from hitchdeck_edge.scheduling.scheduler import Scheduler
 
 
@@ -47,6 +48,8 @@
                 return Refusal.no_upstream
         if not query.slots or query.prompt is None:
             return self._choose_service(query)
+        if self._exceeds_memory(context):
+            return Refusal.too_large
         scheduler = self.link.scheduler
         asks = self.local.mechanisms.scheduler
         decision = await self.link.place(query) if asks else None
@@ -61,6 +64,15 @@
             self.local.shares.grant(query)
         return decision
 
+    def _exceeds_memory(self, context: RequestContext) -> bool:
+        """Tell whether every engine of the pool would reject a request for its size."""
+        if self.local.placement.costs is None:
+            return False
+        prompt, engine = context.call.prompt, context.pool.engine
+        if prompt is None or engine is None:
+            return False
+        return exceeds_memory(prompt, engine.memory_tokens)
+
     def _choose_service(self, query: PlacementQuery) -> Choice | Refusal:
         choice = self.local.placement.choose(query)
         if choice is None:
--- /dev/null
+++ b/packages/edge/src/hitchdeck_edge/scheduling/engine_costs.py
@@ -0,0 +1,176 @@
+"""Cost of each engine for a request, and the wait there, by the engine's model.
+
+Load that it answers: engines of one pool that differ in speed, stall for a while, or
+run out of memory.  Faster engines are used more, in proportion: a token costs what the
+engine takes to read it.
+"""
+
+from hitchdeck_core.ids import UpstreamName
+from hitchdeck_edge.model.calls import Prompt
+from hitchdeck_edge.model.mechanisms import Mechanisms
+from hitchdeck_edge.model.placing import Choice, PlacementQuery
+from hitchdeck_edge.model.upstreams import Upstream
+from hitchdeck_edge.scheduling.cost_weights import (
+    FULL_TOKENS,
+    REREAD_WEIGHT,
+    RUNNING_TOKENS,
+    near_tokens,
+)
+from hitchdeck_edge.scheduling.engine_memory import MemoryTable, output_tokens
+from hitchdeck_edge.scheduling.engine_model import EngineModel, EnginePace
+from hitchdeck_edge.scheduling.open_work import OpenWorkTable, ReadingQueue
+
+
+class EngineCosts:
+    """Weighs the engines of a pool by their models."""
+
+    def __init__(
+        self,
+        open_work: OpenWorkTable,
+        model: EngineModel,
+        memory: MemoryTable,
+        mechanisms: Mechanisms,
+    ) -> None:
+        self.open_work = open_work
+        self.model = model
+        self.memory = memory
+        self.mechanisms = mechanisms
+
+    def cheapest(
+        self,
+        query: PlacementQuery,
+        prompt: Prompt,
+        candidates: list[Upstream],
+        unread: list[int],
+    ) -> int:
+        """Return the position of the engine with the lowest cost.
+
+        Parameters
+        ----------
+        unread
+            Tokens of the prompt that each of the candidates must read.
+        """
+        costs = self._read_seconds(query, prompt, candidates, unread)
+        if self.mechanisms.near_first:
+            fit = self.model.pool(query.pool).fit
+            now = self.open_work.now()
+            for position, one in enumerate(candidates):
+                if one.domain == query.domain:
+                    wait = self._wait(one, now) / fit.per_token
+                    near = near_tokens(query, prompt, wait, 1 / fit.per_token)
+                    costs[position] -= near * fit.per_token
+        return costs.index(min(costs))
+
+    def choice(self, upstream: Upstream, query: PlacementQuery, tokens: int) -> Choice:
+        """Return a choice with what is expected there.
+
+        The fixed latency of the engine counts as reading: it passes whatever the queue.
+        """
+        now = self.open_work.now()
+        pace = self.model.engine(upstream.name, upstream.pool)
+        missing = self._missing(upstream.name, query, pace)
+        ahead = self.open_work.running(upstream.name) - query.slots + 1
+        freed = max(0, ahead) / query.slots
+        if missing:
+            freed = max(freed, missing / self.memory.sizes[query.pool])
+        if not self.mechanisms.places:
+            freed = 0
+        per_token = pace.per_token * pace.stall_factor(now)
+        return Choice(
+            upstream,
+            tokens,
+            # Slots and memory become free evenly over the mean duration of a request.
+            queue=max(freed * pace.run_seconds, self._wait(upstream, now)),
+            reading=pace.latency + tokens * per_token,
+            fits=ahead <= 0 and not missing,
+        )
+
+    def keep(self, names: set[UpstreamName]) -> None:
+        """Drop what was learned of all other engines."""
+        self.model.keep(names)
+        self.memory.keep(names)
+
+    def _read_seconds(
+        self,
+        query: PlacementQuery,
+        prompt: Prompt,
+        candidates: list[Upstream],
+        unread: list[int],
+    ) -> list[float]:
+        """Return the cost of each engine, as seconds that it would read."""
+        now = self.open_work.now()
+        own = prompt.parts[-1].tokens if prompt.parts else prompt.tokens
+        weight = REREAD_WEIGHT if self.mechanisms.reading_again else 0
+        queues = self.open_work.queues if self.open_work.sees_all() else {}
+        return [
+            self._engine_seconds(
+                one,
+                query,
+                tokens + weight * max(0, tokens - own),
+                queues.get(one.name),
+                now,
+            )
+            for one, tokens in zip(candidates, unread, strict=True)
+        ]
+
+    def _engine_seconds(
+        self,
+        upstream: Upstream,
+        query: PlacementQuery,
+        work: float,
+        queue: ReadingQueue | None,
+        now: float,
+    ) -> float:
+        """Return the cost of an engine, given what it must read.
+
+        ``queue`` is given if it tells all of the engine's load.
+        """
+        name = upstream.name
+        pace = self.model.paces.get(name) or self.model.engine(name, upstream.pool)
+        running = queue.running if queue else self.open_work.running(name)
+        if running >= query.slots or self._missing(name, query, pace):
+            work += FULL_TOKENS
+        cost = (work + RUNNING_TOKENS * running) * pace.per_token
+        if pace.deviation > 0:
+            cost *= pace.stall_factor(now)
+        if queue is None or queue.tokens:
+            cost += self._reading_ahead(name, pace, now)
+        return cost
+
+    def _wait(self, upstream: Upstream, now: float) -> float:
+        """Return the seconds until an engine begins to read a new request.
+
+        Each running request makes the steps of the engine a little longer.
+        """
+        name = upstream.name
+        pace = self.model.engine(name, upstream.pool)
+        steps = self.open_work.running(name) * pace.per_running
+        return steps * pace.stall_factor(now) + self._reading_ahead(name, pace, now)
+
+    def _reading_ahead(self, name: UpstreamName, pace: EnginePace, now: float) -> float:
+        """Return the seconds for which an engine reads what was sent to it."""
+        waiting = self.open_work.waiting(name)
+        queue = self.open_work.queues.get(name)
+        if not waiting:
+            return 0
+        per_token = pace.per_token * pace.stall_factor(now)
+        if queue is None:
+            return waiting * per_token
+        done, overdue = queue.progress(pace, now)
+        return max(0, waiting - done) * per_token + overdue
+
+    def _missing(
+        self, name: UpstreamName, query: PlacementQuery, pace: EnginePace
+    ) -> float:
+        """Return the tokens of memory that a request needs and that are not free."""
+        known = self.memory.engines.get(name)
+        size = self.memory.sizes.get(query.pool)
+        prompt = query.prompt
+        if known is None or not size or prompt is None:
+            return 0
+        # What is in use at most; it is worked out only where this is too much.
+        most = known.prompts + known.output + prompt.tokens
+        if most + output_tokens(prompt) <= size:
+            return 0
+        used = known.occupied(self.open_work.now(), pace.run_seconds)
+        return max(0, used + known.need(prompt) - size)
--- a/packages/edge/src/hitchdeck_edge/scheduling/placement.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/placement.py
@@ -19,46 +19,25 @@
 from hitchdeck_edge.model.placing import Choice, PlacementQuery
 from hitchdeck_edge.model.upstreams import Upstream
 from hitchdeck_edge.scheduling.cold_budget import ColdBudget
+from hitchdeck_edge.scheduling.cost_weights import (
+    FULL_TOKENS,
+    REREAD_WEIGHT,
+    RUNNING_TOKENS,
+    near_tokens,
+)
+from hitchdeck_edge.scheduling.engine_costs import EngineCosts
+from hitchdeck_edge.scheduling.engine_memory import MemoryTable
+from hitchdeck_edge.scheduling.engine_model import EngineModel
 from hitchdeck_edge.scheduling.engine_speed import EngineSpeed
 from hitchdeck_edge.scheduling.health import Health
 from hitchdeck_edge.scheduling.open_work import OpenWorkEntry, OpenWorkTable
 from hitchdeck_edge.scheduling.prefix_cache import PrefixCacheModel
 from hitchdeck_edge.state.registry import Registry
 
-RUNNING_TOKENS = 40
-"""Cost of one running request, in tokens to be read: it makes each step of the engine
-a little longer."""
-
-FULL_TOKENS = 20_000
-"""Cost, in tokens to be read, of an engine whose slots are all occupied: about the time
-until one becomes free."""
-
-REREAD_WEIGHT = 8
-"""Cost of each token of a shared part that is read again, relative to a token that
-waits.  Besides its own time, rereading delays all other requests and evicts other parts
-from the cache.  At 4, 8 and 16 it took 0.069, 0.062 and 0.059 of the owed work, and
-0.754, 0.764 and 0.761 was earned (means of three simulations under load, in virtual
-time)."""
-
 MAX_SLOWNESS = 4.0
 """Upper bound of one slowness sample, so that a single late response has little
 effect."""
 
-NEAR_TOKENS = 250
-"""Cost reduction for engines in the failure domain of the request's box, whatever their
-queue.  A larger one would keep the flood of an account, whose requests mostly come
-through one domain, on the engines of that domain."""
-
-FAR_TOKENS_PER_BYTE = 0.7
-"""Cost of a byte that crosses failure domains, in tokens to be read."""
-
-BYTES_PER_OUTPUT_TOKEN = 20
-"""Response bytes for each output token, with framing."""
-
-NEAR_WAIT_FRACTION = 0.15
-"""Fraction of a request's goal.  A nearby engine with a longer queue is preferred only
-by ``NEAR_TOKENS``, so that the flood of one domain spreads over all engines."""
-
 FAILURE_WEIGHT = 4.0
 """Weight of the failure rate in the cost of a plain service."""
 
@@ -103,6 +82,24 @@
         self.health = Health(open_work.now)
         self.prefix_cache = PrefixCacheModel(open_work.now)
         self.speed = EngineSpeed()
+        self.costs: EngineCosts | None = None
+
+    def learn_engines(self) -> None:
+        """Learn the speed of each engine, and track its memory."""
+        if self.mechanisms.engine_model:
+            self.open_work.model = EngineModel(self.open_work.now)
+            self.open_work.memory = MemoryTable()
+            self.costs = EngineCosts(
+                self.open_work,
+                self.open_work.model,
+                self.open_work.memory,
+                self.mechanisms,
+            )
+
+    def learn_memory(self, pool: PoolName, tokens: int) -> None:
+        """Record the memory of each engine of a pool, as the document states it."""
+        if self.costs is not None:
+            self.costs.memory.sizes[pool] = tokens
 
     def choose(self, query: PlacementQuery) -> Choice | None:
         """Return the best upstream that was not tried yet, or ``None``."""
@@ -146,11 +143,18 @@
         expected = max(entry.expected / speed, query.goal / 4)
         ratio = min(MAX_SLOWNESS, max(1, seconds / expected))
         self.health.measure_slowness(entry.upstream, ratio)
+        if self.costs is not None:
+            ahead = (entry.unread, entry.running)
+            self.costs.model.measure(entry.upstream, query.pool, ahead, seconds)
 
     def measure_run(self, entry: OpenWorkEntry, query: PlacementQuery) -> None:
         """Update the slot occupancy by the duration of a request that has ended."""
-        if not entry.reading:
-            self.speed.measure_run(query.pool, self.open_work.now() - entry.opened)
+        if entry.reading:
+            return
+        seconds = self.open_work.now() - entry.opened
+        self.speed.measure_run(query.pool, seconds)
+        if self.costs is not None:
+            self.costs.model.measure_run(entry.upstream, query.pool, seconds)
 
     def forget_gone(self) -> None:
         """Drop what was learned of upstreams that are gone.
@@ -162,6 +166,8 @@
         self.prefix_cache.keep(present)
         self.open_work.keep(present)
         self.health.keep(present)
+        if self.costs is not None:
+            self.costs.keep(present)
 
     def soonest(self, query: PlacementQuery) -> Choice | None:
         """Return the engine with a free slot that makes the first token soonest.
@@ -189,6 +195,13 @@
             prompt, self._nearby(candidates, query), min(unread)
         )
         own = prompt.parts[-1].tokens if prompt.parts else 0
+        if self.costs is not None:
+            expected = [
+                min(own, tokens) if one.name == holder else tokens
+                for one, tokens in zip(candidates, unread, strict=True)
+            ]
+            place = self.costs.cheapest(query, prompt, candidates, expected)
+            return self.costs.choice(candidates[place], query, expected[place])
         weighed = [
             self._engine_cost(one, prompt, query, min(own, tokens))
             if one.name == holder
@@ -204,6 +217,8 @@
         query: PlacementQuery,
         tokens: int,
     ) -> Choice:
+        if self.costs is not None:
+            return self.costs.choice(upstream, query, tokens)
         seconds = self._slowness(upstream) / self.speed.read_rate(query.pool)
         # Requests that wait to be read occupy slots as well, so the two waits overlap.
         place = self._slot_wait_seconds(upstream.name, query)
@@ -259,18 +274,10 @@
             cost += FULL_TOKENS
         cost *= self._slowness(upstream)
         if self.mechanisms.near_first and upstream.domain == query.domain:
-            cost -= self._near_tokens(query, prompt, self._tokens_ahead(upstream.name))
+            wait = self._tokens_ahead(upstream.name)
+            cost -= near_tokens(query, prompt, wait, self.speed.read_rate(query.pool))
         return cost, tokens, upstream
 
-    def _near_tokens(self, query: PlacementQuery, prompt: Prompt, wait: int) -> float:
-        """Return the cost reduction of a nearby engine with ``wait`` tokens queued."""
-        limit = NEAR_WAIT_FRACTION * query.goal * self.speed.read_rate(query.pool)
-        idle_part = max(0, 1 - wait / max(1, limit))
-        crossing = (
-            query.body_bytes + BYTES_PER_OUTPUT_TOKEN * prompt.expected_output_tokens
-        )
-        return NEAR_TOKENS + idle_part * FAR_TOKENS_PER_BYTE * crossing
-
     def _tokens_ahead(self, name: UpstreamName) -> int:
         """Return the work ahead of a new request at an engine, in tokens."""
         return self.open_work.waiting(name) + RUNNING_TOKENS * self.open_work.running(
--- a/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
@@ -114,7 +114,8 @@
             Prompt tokens that the engine has not read yet.
         """
         self.end(key)
-        entry = OpenWorkEntry(self.placement.open_work, upstream, unread)
+        prompt = query.prompt if query else None
+        entry = OpenWorkEntry(self.placement.open_work, upstream, unread, prompt)
         self.open[key] = OpenRequest(entry, query)
 
     def start(self, key: BoxTicket, *, learn: bool = True) -> None:
@@ -233,6 +234,7 @@
         pool = document.pools.get(query.pool)
         if pool is not None and pool.engine is not None:
             self.placement.prefix_cache.size = pool.engine.memory_tokens
+            self.placement.learn_memory(query.pool, pool.engine.memory_tokens)
         self.shares.ask(query)
         if not self.mechanisms.shares:
             return 0
@@ -246,7 +248,7 @@
 ) -> Scheduler:
     """Return the scheduler of a process, without any open requests."""
     shares = Shares(settings.share_window, boot_seconds)
-    return Scheduler(
+    scheduler = Scheduler(
         documents,
         registry,
         shares,
@@ -254,3 +256,6 @@
         settings.mechanisms,
         settings.areas,
     )
+    if settings.learn_engines:
+        scheduler.placement.learn_engines()
+    return scheduler
--- a/packages/edge/src/hitchdeck_edge/settings.py
+++ b/packages/edge/src/hitchdeck_edge/settings.py
@@ -38,6 +38,7 @@
     ('retry_share', _not_negative),
     ('retry_extra', _not_negative),
     ('retry_window', _not_negative),
+    ('learn_engines', check_boolean),
     ('fleet_token', partial(check_text, min_length=MIN_TOKEN_LENGTH)),
 )
 _HUB_CHECKS: tuple[tuple[str, Check], ...] = (
@@ -74,6 +75,9 @@
         Retry budget of the whole fleet: in each window of ``retry_window`` seconds,
         at most ``retry_share`` retries per request, plus ``retry_extra`` retries.
         Both may be fractions.
+    learn_engines
+        Whether the speed of each engine is learned, and its memory tracked; otherwise
+        the engines of a pool are taken to be alike.
     mechanisms
         Mechanisms that take part in placing requests.  Some are disabled only for
         measurements.
@@ -93,6 +97,7 @@
     retry_share: float = 0.2
     retry_extra: float = 50
     retry_window: float = 10
+    learn_engines: bool = False
     mechanisms: Mechanisms = ALL_MECHANISMS
     fleet_token: str = 'hitchdeck-fleet'
 
--- a/tests/edge/test_near_engines.py
+++ b/tests/edge/test_near_engines.py
@@ -7,8 +7,8 @@
 from hitchdeck_core.ids import UpstreamName
 from hitchdeck_core.signals import Signal
 from hitchdeck_edge.model.placing import Choice, PlacementQuery
+from hitchdeck_edge.scheduling.cost_weights import NEAR_WAIT_FRACTION
 from hitchdeck_edge.scheduling.engine_speed import DEFAULT_READ_RATE
-from hitchdeck_edge.scheduling.placement import NEAR_WAIT_FRACTION
 from hitchdeck_edge.scheduling.scheduler import Scheduler
 from hitchdeck_edge.scheduling.shares import Shares
 from hitchdeck_edge.state.documents import Documents
