--- a/packages/edge/src/hitchdeck_edge/scheduling/engine_costs.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/engine_costs.py
@@ -5,6 +5,8 @@
 engine takes to read it.
 """
 
+import math
+
 from hitchdeck_core.ids import UpstreamName
 from hitchdeck_edge.model.calls import Prompt
 from hitchdeck_edge.model.mechanisms import Mechanisms
@@ -17,8 +19,12 @@
     near_tokens,
 )
 from hitchdeck_edge.scheduling.engine_memory import MemoryTable, output_tokens
-from hitchdeck_edge.scheduling.engine_model import EngineModel, EnginePace
-from hitchdeck_edge.scheduling.open_work import OpenWorkTable, ReadingQueue
+from hitchdeck_edge.scheduling.engine_model import (
+    STALL_DEVIATION,
+    EngineModel,
+    EnginePace,
+)
+from hitchdeck_edge.scheduling.open_work import OpenWorkTable
 
 
 class EngineCosts:
@@ -98,43 +104,38 @@
         unread: list[int],
     ) -> list[float]:
         """Return the cost of each engine, as seconds that it would read."""
-        now = self.open_work.now()
+        weighing = _Weighing(self, query, prompt)
         own = prompt.parts[-1].tokens if prompt.parts else prompt.tokens
         weight = REREAD_WEIGHT if self.mechanisms.reading_again else 0
-        queues = self.open_work.queues if self.open_work.sees_all() else {}
         return [
             self._engine_seconds(
                 one,
-                query,
-                tokens + weight * max(0, tokens - own),
-                queues.get(one.name),
-                now,
+                tokens + weight * (tokens - own) if tokens > own else tokens,
+                weighing,
             )
             for one, tokens in zip(candidates, unread, strict=True)
         ]
 
     def _engine_seconds(
-        self,
-        upstream: Upstream,
-        query: PlacementQuery,
-        work: float,
-        queue: ReadingQueue | None,
-        now: float,
+        self, upstream: Upstream, work: float, weighing: '_Weighing'
     ) -> float:
-        """Return the cost of an engine, given what it must read.
-
-        ``queue`` is given if it tells all of the engine's load.
-        """
+        """Return the cost of an engine, given what it must read."""
         name = upstream.name
         pace = self.model.paces.get(name) or self.model.engine(name, upstream.pool)
+        queue = weighing.queues.get(name)
         running = queue.running if queue else self.open_work.running(name)
-        if running >= query.slots or self._missing(name, query, pace):
+        memory = self.memory.engines.get(name)
+        # The sum is an upper bound; what is in use is worked out where it is too much.
+        crowded = memory and memory.prompts + memory.output > weighing.room
+        if running >= weighing.query.slots or (
+            crowded and self._missing(name, weighing.query, pace)
+        ):
             work += FULL_TOKENS
         cost = (work + RUNNING_TOKENS * running) * pace.per_token
-        if pace.deviation > 0:
-            cost *= pace.stall_factor(now)
+        if pace.deviation > STALL_DEVIATION:
+            cost *= pace.stall_factor(weighing.now)
         if queue is None or queue.tokens:
-            cost += self._reading_ahead(name, pace, now)
+            cost += self._reading_ahead(name, pace, weighing.now)
         return cost
 
     def _wait(self, upstream: Upstream, now: float) -> float:
@@ -165,12 +166,32 @@
         """Return the tokens of memory that a request needs and that are not free."""
         known = self.memory.engines.get(name)
         size = self.memory.sizes.get(query.pool)
-        prompt = query.prompt
-        if known is None or not size or prompt is None:
-            return 0
-        # What is in use at most; it is worked out only where this is too much.
-        most = known.prompts + known.output + prompt.tokens
-        if most + output_tokens(prompt) <= size:
+        if known is None or not size or query.prompt is None:
             return 0
         used = known.occupied(self.open_work.now(), pace.run_seconds)
-        return max(0, used + known.need(prompt) - size)
+        return max(0, used + known.need(query.prompt) - size)
+
+
+class _Weighing:
+    """What is the same for all engines that are weighed for a request.
+
+    Attributes
+    ----------
+    queues
+        Load of the engines, if this process knows all of it.
+    room
+        Tokens that may be in use at an engine so that the request fits in any case.
+    """
+
+    __slots__ = ('now', 'query', 'queues', 'room')
+
+    def __init__(
+        self, costs: EngineCosts, query: PlacementQuery, prompt: Prompt
+    ) -> None:
+        open_work = costs.open_work
+        self.query = query
+        self.now = open_work.now()
+        self.queues = open_work.queues if open_work.sees_all() else {}
+        size = costs.memory.sizes.get(query.pool)
+        need = prompt.tokens + output_tokens(prompt)
+        self.room = size - need if size else math.inf
--- a/packages/edge/src/hitchdeck_edge/scheduling/open_work.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/open_work.py
@@ -48,8 +48,11 @@
         self.prompt = prompt
         self.opened = open_work.now()
         self.expected = open_work.waiting(upstream) + tokens
-        self.unread = open_work.tokens_ahead(upstream, self.opened) + tokens
-        self.running = open_work.running(upstream)
+        self.unread = float(self.expected)
+        self.running = 0
+        if open_work.model is not None:
+            self.unread -= open_work.tokens_read(upstream, self.opened)
+            self.running = open_work.running(upstream)
         self.reading = True
         self.started: float | None = None
         self.open = True
@@ -180,14 +183,13 @@
             memory = self.memory.engine(entry.upstream)
             memory.release(entry.prompt, entry.started)
 
-    def tokens_ahead(self, name: UpstreamName, now: float) -> float:
-        """Return the tokens that an engine must read before a new request."""
-        waiting = self.waiting(name)
-        pace = self.model.paces.get(name) if self.model is not None else None
+    def tokens_read(self, name: UpstreamName, now: float) -> float:
+        """Return how many of the waiting tokens an engine has read by now."""
         queue = self.queues.get(name)
-        if not waiting or queue is None or pace is None:
-            return waiting
-        return max(0, waiting - queue.progress(pace, now)[0])
+        pace = self.model.paces.get(name) if self.model is not None else None
+        if queue is None or pace is None:
+            return 0
+        return min(self.waiting(name), queue.progress(pace, now)[0])
 
     def waiting(self, name: UpstreamName) -> int:
         """Return the number of tokens still to be read at an upstream."""
--- a/packages/edge/src/hitchdeck_edge/scheduling/placement.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/placement.py
@@ -196,10 +196,12 @@
         )
         own = prompt.parts[-1].tokens if prompt.parts else 0
         if self.costs is not None:
-            expected = [
-                min(own, tokens) if one.name == holder else tokens
-                for one, tokens in zip(candidates, unread, strict=True)
-            ]
+            expected = unread
+            if holder:
+                expected = [
+                    min(own, tokens) if one.name == holder else tokens
+                    for one, tokens in zip(candidates, unread, strict=True)
+                ]
             place = self.costs.cheapest(query, prompt, candidates, expected)
             return self.costs.choice(candidates[place], query, expected[place])
         weighed = [
