--- a/packages/edge/src/hitchdeck_edge/scheduling/cost_weights.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/cost_weights.py
@@ -11,6 +11,10 @@
 """Cost, in tokens to be read, of an engine whose slots are all occupied: about the time
 until one becomes free."""
 
+FAILURE_TOKENS = 20_000
+"""Cost of a lost answer, in tokens to be read.  A request that may be repeated waits
+for another engine and is read again there; the others fail."""
+
 REREAD_WEIGHT = 8
 """Cost of each token of a shared part that is read again, relative to a token that
 waits.  Besides its own time, rereading delays all other requests and evicts other parts
--- a/packages/edge/src/hitchdeck_edge/scheduling/engine_costs.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/engine_costs.py
@@ -13,6 +13,7 @@
 from hitchdeck_edge.model.placing import Choice, PlacementQuery
 from hitchdeck_edge.model.upstreams import Upstream
 from hitchdeck_edge.scheduling.cost_weights import (
+    FAILURE_TOKENS,
     FULL_TOKENS,
     REREAD_WEIGHT,
     RUNNING_TOKENS,
@@ -24,6 +25,7 @@
     EngineModel,
     EnginePace,
 )
+from hitchdeck_edge.scheduling.health import Health
 from hitchdeck_edge.scheduling.open_work import OpenWorkTable
 
 
@@ -35,11 +37,13 @@
         open_work: OpenWorkTable,
         model: EngineModel,
         memory: MemoryTable,
+        health: Health,
         mechanisms: Mechanisms,
     ) -> None:
         self.open_work = open_work
         self.model = model
         self.memory = memory
+        self.health = health
         self.mechanisms = mechanisms
 
     def cheapest(
@@ -134,6 +138,9 @@
         cost = (work + RUNNING_TOKENS * running) * pace.per_token
         if pace.deviation > STALL_DEVIATION:
             cost *= pace.stall_factor(weighing.now)
+        record = weighing.records.get(name)
+        if record is not None and record.failure_rate:
+            cost += weighing.failure * record.failure_rate
         if queue is None or queue.tokens:
             cost += self._reading_ahead(name, pace, weighing.now)
         return cost
@@ -177,13 +184,17 @@
 
     Attributes
     ----------
+    failure
+        Cost of a lost answer, in seconds.
+    records
+        Health of the engines.
     queues
         Load of the engines, if this process knows all of it.
     room
         Tokens that may be in use at an engine so that the request fits in any case.
     """
 
-    __slots__ = ('now', 'query', 'queues', 'room')
+    __slots__ = ('failure', 'now', 'query', 'queues', 'records', 'room')
 
     def __init__(
         self, costs: EngineCosts, query: PlacementQuery, prompt: Prompt
@@ -191,6 +202,9 @@
         open_work = costs.open_work
         self.query = query
         self.now = open_work.now()
+        per_token = costs.model.pool(query.pool).fit.per_token
+        self.failure = FAILURE_TOKENS * per_token
+        self.records = costs.health.records
         self.queues = open_work.queues if open_work.sees_all() else {}
         size = costs.memory.sizes.get(query.pool)
         need = prompt.tokens + output_tokens(prompt)
--- a/packages/edge/src/hitchdeck_edge/scheduling/placement.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/placement.py
@@ -20,6 +20,7 @@
 from hitchdeck_edge.model.upstreams import Upstream
 from hitchdeck_edge.scheduling.cold_budget import ColdBudget
 from hitchdeck_edge.scheduling.cost_weights import (
+    FAILURE_TOKENS,
     FULL_TOKENS,
     REREAD_WEIGHT,
     RUNNING_TOKENS,
@@ -93,6 +94,7 @@
                 self.open_work,
                 self.open_work.model,
                 self.open_work.memory,
+                self.health,
                 self.mechanisms,
             )
 
@@ -275,6 +277,7 @@
         if running >= query.slots:
             cost += FULL_TOKENS
         cost *= self._slowness(upstream)
+        cost += FAILURE_TOKENS * self.health.failure_rate(upstream.name)
         if self.mechanisms.near_first and upstream.domain == query.domain:
             wait = self._tokens_ahead(upstream.name)
             cost -= near_tokens(query, prompt, wait, self.speed.read_rate(query.pool))
