--- a/bench/lab/deployment.py
+++ b/bench/lab/deployment.py
@@ -15,7 +15,7 @@
     A step takes ``step``, ``per_place`` for each running request,
     ``per_context`` for each thousand tokens in memory, ``1 / read`` for each
     token read in it, and ``pairs`` for each million of pairs of a token read
-    and one before it.
+    and one before it.  ``first_delay`` passes before each first event.
     """
 
     places: int
@@ -26,6 +26,18 @@
     read: float
     pairs: float
     chunk: int = 2048
+    first_delay: float = 0.0
+
+    def slower(self, factor: float) -> 'EngineSheet':
+        """Return the sheet of an engine that takes ``factor`` times as long."""
+        return replace(
+            self,
+            step=self.step * factor,
+            per_place=self.per_place * factor,
+            per_context=self.per_context * factor,
+            read=self.read / factor,
+            pairs=self.pairs * factor,
+        )
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,6 +87,38 @@
     lasts: float
 
 
+@dataclass(frozen=True, slots=True)
+class Burst:
+    """Some accounts send ``factor`` times their usual, the others ``rest`` times."""
+
+    accounts: frozenset[int]
+    factor: float
+    rest: float
+    begins: float
+    lasts: float
+
+
+@dataclass(frozen=True, slots=True)
+class Waves:
+    """Traffic that rises and falls by ``swing``, in groups of accounts.
+
+    Group ``n`` of ``groups`` is ``n / groups`` of a ``period`` behind the first.
+    """
+
+    swing: float
+    period: float
+    groups: int
+
+
+@dataclass(frozen=True, slots=True)
+class Stalls:
+    """Each engine is ``factor`` times as slow for ``lasts``, some ``every`` seconds."""
+
+    factor: float
+    lasts: float
+    every: float
+
+
 class FaultKind(Enum):
     """What happens at a moment."""
 
@@ -96,44 +140,17 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Unevenness:
-    """How engines of one sheet differ, unannounced; times in seconds.
+class Deployment:
+    """Everything that a play needs to know; rates are for the whole fleet.
 
     Attributes
     ----------
-    paces
-        Factors of all times of an engine, given to the engines by turns.
-    stall_factor, stall_seconds, stall_every
-        Now and then an engine takes longer by a factor, for a while; 0 for never.
-    first_delay
-        Delay of an engine before each first event.
-    box_delay, late_part, late_delay
-        Mean delay of a box before it passes on a first event, and the part of the
-        events that a busy box delays by up to ``late_delay`` more.
+    slower
+        Factors by which engines in turn take longer than ``sheet``.
+    charged
+        Whether refusals and waits are charged as the page of the work states.
     """
 
-    paces: tuple[float, ...] = (1.0,)
-    stall_factor: float = 1.0
-    stall_seconds: float = 0.0
-    stall_every: float = 0.0
-    first_delay: float = 0.0
-    box_delay: float = 0.0
-    late_part: float = 0.0
-    late_delay: float = 0.0
-
-    @property
-    def speed(self) -> float:
-        """Return the mean speed, relative to engines that keep to their sheet."""
-        return sum(1 / pace for pace in self.paces) / len(self.paces)
-
-
-EVEN = Unevenness()
-
-
-@dataclass(frozen=True, slots=True)
-class Deployment:
-    """Everything that a play needs to know; rates are for the whole fleet."""
-
     engines: int
     sheet: EngineSheet
     kinds: tuple[Kind, ...]
@@ -145,7 +162,11 @@
     again_price: float
     floods: tuple[Flood, ...]
     faults: tuple[Fault, ...]
-    uneven: Unevenness = EVEN
+    bursts: tuple[Burst, ...] = ()
+    waves: Waves | None = None
+    slower: tuple[float, ...] = (1,)
+    stalls: Stalls | None = None
+    charged: bool = False
 
     def with_load(self, factor: float) -> 'Deployment':
         """Return the same deployment with all rates multiplied."""
@@ -184,27 +205,6 @@
     return _loaded(deployment, random, quiet=quiet)
 
 
-def with_uneven_engines(deployment: Deployment, random: Random) -> Deployment:
-    """Return a deployment with engines that differ, and as much load for its speed."""
-    if random.randrange(2):
-        # Some engines are slower.
-        paces: tuple[float, ...] = (1.0, 1.0, random.uniform(1.2, 1.5))
-        uneven = Unevenness(paces, first_delay=random.uniform(0.01, 0.02))
-    else:
-        # Some engines are much faster, and all stall now and then.
-        uneven = Unevenness(
-            (1 / random.uniform(1.8, 2.5), 1.0, 1.0, 1.0),
-            stall_factor=random.uniform(2, 3),
-            stall_seconds=random.uniform(0.4, 0.8),
-            stall_every=random.uniform(6, 15),
-            first_delay=random.uniform(0.03, 0.06),
-        )
-    uneven = replace(uneven, box_delay=0.004, late_part=0.03, late_delay=0.3)
-    loaded = deployment.with_load(uneven.speed)
-    capacity = deployment.capacity * uneven.speed
-    return replace(loaded, capacity=capacity, uneven=uneven)
-
-
 def _loaded(deployment: Deployment, random: Random, *, quiet: bool) -> Deployment:
     """Set the rates by what the engines can read, and state a capacity."""
     sheet = deployment.sheet
--- a/bench/lab/play.py
+++ b/bench/lab/play.py
@@ -4,8 +4,8 @@
 from random import Random
 
 from bench.lab.arrivals import Asked, draw_arrivals
-from bench.lab.deployment import Deployment, Fault, FaultKind
-from bench.lab.engine import Engine, Run
+from bench.lab.deployment import Deployment, Fault, FaultKind, Stalls
+from bench.lab.engine import MS, Engine, Run
 from bench.lab.judge import Verdict, judge
 from bench.lab.timeline import Timeline
 from bench.owed import SHARE_WINDOW
@@ -41,6 +41,12 @@
 MOST_TRIES = 2
 """A caller comes back once after a refusal."""
 
+AGAIN_CHARGE = 0.3
+"""Part of its worth that a request costs which came back and is refused again."""
+
+ROOM_CHARGE = 0.5
+"""Part of its worth that a refusal costs while engines have room."""
+
 PATIENT_PART = 3
 """A caller waits at most this part of its time left before it comes back."""
 
@@ -58,7 +64,6 @@
         self.mechanisms = mechanisms
         self.timeline = Timeline()
         self.random = Random(f'{seed} arrivals')
-        self.box_random = Random(f'{seed} boxes')
         self.engines: dict[UpstreamName, Engine] = {}
         self.last_use: dict[str, float] = {}
         self.again = 0.0
@@ -78,9 +83,10 @@
         asked = draw_arrivals(self.deployment, self.random)
         for one in asked:
             self.timeline.after(one.at, partial(self._come, one))
-        self._plan_stalls()
         for fault in self.deployment.faults:
             self.timeline.after(fault.at, partial(self._strike, fault))
+        if self.deployment.stalls is not None:
+            self._enter_stalls(self.deployment.stalls)
         self.timeline.play()
         return judge(self.deployment, asked, self.again)
 
@@ -105,40 +111,13 @@
     def _add_engine(self) -> None:
         self.numbers += 1
         name = UpstreamName(f'engine-{self.numbers}')
-        uneven = self.deployment.uneven
-        self.engines[name] = Engine(
-            self.deployment.sheet,
-            self.timeline,
-            self._note_read,
-            uneven.paces[len(self.engines) % len(uneven.paces)],
-            uneven.first_delay,
-        )
+        slower = self.deployment.slower
+        sheet = self.deployment.sheet.slower(slower[self.numbers % len(slower)])
+        self.engines[name] = Engine(sheet, self.timeline, self._note_read)
         places = self.deployment.sheet.places
         record = Upstream(name, POOL, Address(name), DOMAIN, places, Phase.serving, 1)
         self.registry.merge(record, 'play')
 
-    def _plan_stalls(self) -> None:
-        uneven = self.deployment.uneven
-        if not uneven.stall_every:
-            return
-        random = Random(f'{self.numbers} stalls')
-        for engine in self.engines.values():
-            at = random.expovariate(1 / uneven.stall_every)
-            while at < self.deployment.seconds:
-                stall = partial(engine.stall, uneven.stall_factor, uneven.stall_seconds)
-                self.timeline.after(at, stall)
-                at += uneven.stall_seconds + random.expovariate(1 / uneven.stall_every)
-
-    def _box_delay(self) -> float:
-        """Return the time that a box takes to pass on a first event."""
-        uneven = self.deployment.uneven
-        if not uneven.box_delay:
-            return 0
-        delay = self.box_random.expovariate(1 / uneven.box_delay)
-        if self.box_random.random() < uneven.late_part:
-            delay += self.box_random.uniform(0, uneven.late_delay)
-        return delay
-
     def _note_read(self, part: str, tokens: int) -> None:
         now = self.timeline.now
         last = self.last_use.get(part)
@@ -173,14 +152,14 @@
 
     def _run_of(self, one: Asked, key: tuple[str, int], choice: Choice) -> Run:
         scheduler = self.scheduler
+        delay = self.deployment.sheet.first_delay * MS
 
         def on_first() -> None:
-            delay = self._box_delay()
             one.first = self.timeline.now + delay + SEND_SECONDS - one.at
             for part, _ in one.parts:
                 self.last_use[part] = self.timeline.now
             if delay:
-                self.timeline.after(SEND_SECONDS + delay, lambda: scheduler.start(key))
+                self.timeline.after(delay, partial(scheduler.start, key))
             else:
                 scheduler.start(key)
 
@@ -207,10 +186,22 @@
     def _refuse(self, one: Asked, retry_after: float) -> None:
         left = one.at + one.kind.limit - self.timeline.now
         one.outcome = 'refused'
+        if one.tries > 1:
+            one.charges += AGAIN_CHARGE
+        if self._has_room():
+            one.charges += ROOM_CHARGE
         if one.tries < MOST_TRIES and left > 0:
             wait = min(retry_after, left / PATIENT_PART)
             self.timeline.after(wait, lambda: self._come(one))
 
+    def _has_room(self) -> bool:
+        """Tell whether under half of the places are taken, and nothing waits there."""
+        alive = [engine for engine in self.engines.values() if engine.alive]
+        places = len(alive) * self.deployment.sheet.places
+        running = sum(len(engine.runs) for engine in alive)
+        waiting = any(engine.waiting for engine in alive)
+        return not waiting and running < places / 2
+
     def _wanted(self, one: Asked, tried: frozenset[UpstreamName]) -> PlacementQuery:
         parts = tuple(Part(PartId(part), tokens) for part, tokens in one.parts)
         return PlacementQuery(
@@ -231,6 +222,22 @@
         else:
             self._restart(fault)
 
+    def _enter_stalls(self, stalls: Stalls) -> None:
+        for engine in self.engines.values():
+            at = self.random.expovariate(1 / stalls.every)
+            while at < self.deployment.seconds:
+                self.timeline.after(at, partial(self._stall, engine, stalls))
+                at += stalls.lasts + self.random.expovariate(1 / stalls.every)
+
+    def _stall(self, engine: Engine, stalls: Stalls) -> None:
+        usual = engine.sheet
+        engine.sheet = usual.slower(stalls.factor)
+
+        def recover() -> None:
+            engine.sheet = usual
+
+        self.timeline.after(stalls.lasts, recover)
+
     def _crash(self, fault: Fault) -> None:
         alive = [name for name, engine in self.engines.items() if engine.alive]
         for name in self.random.sample(alive, fault.count):
