--- a/packages/edge/src/hitchdeck_edge/scheduling/open_work.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/open_work.py
@@ -17,6 +17,11 @@
 OVERDUE_SECONDS = 0.05
 """Lateness of a first event that is common: a box that is busy for a moment."""
 
+MAX_OVERDUE_SECONDS = 1.5
+"""Lateness of a first event from which it counts as lost rather than late.  Stalls of
+0.6 s were described; an engine that loses an answer must not go unused until the
+request times out."""
+
 
 class OpenWorkEntry:
     """One request in an ``OpenWorkTable``, from being sent until it ends.
@@ -60,18 +65,21 @@
 
     def start(self) -> None:
         """Record the first token, by which the prompt has been read."""
-        if self.reading:
-            self.reading = False
-            self.started = self.open_work.now()
-            self.open_work.mark_read(self)
+        self._end_reading(begun=True)
 
     def close(self) -> None:
         """Remove the request from the table; further calls have no effect."""
-        self.start()
+        self._end_reading(begun=False)
         if self.open:
             self.open = False
             self.open_work.remove(self)
 
+    def _end_reading(self, *, begun: bool) -> None:
+        if self.reading:
+            self.reading = False
+            self.started = self.open_work.now()
+            self.open_work.mark_read(self, begun=begun)
+
 
 class ReadingQueue:
     """Requests of this process that an engine has still to read, in their order.
@@ -84,13 +92,16 @@
         Open requests at the engine, whether it has read them or not.
     event_at
         When the first of them was last read, or given up.
+    seen_at
+        When any of them was last read.
     """
 
-    __slots__ = ('entries', 'event_at', 'running', 'tokens')
+    __slots__ = ('entries', 'event_at', 'running', 'seen_at', 'tokens')
 
     def __init__(self) -> None:
         self.entries: dict[OpenWorkEntry, None] = {}
         self.event_at = 0.0
+        self.seen_at = 0.0
         self.tokens = 0
         self.running = 0
 
@@ -120,8 +131,11 @@
         expected = head.tokens * pace.per_token + pace.latency
         if elapsed <= expected:
             return elapsed / pace.per_token, 0
-        late = elapsed - expected
-        if late <= OVERDUE_SECONDS + OVERDUE_FRACTION * expected:
+        # An engine from which other first events came meanwhile has not stalled: the
+        # answer is lost, or was overtaken.
+        late = min(elapsed - expected, now - self.seen_at)
+        common = OVERDUE_SECONDS + OVERDUE_FRACTION * expected
+        if not common < late < MAX_OVERDUE_SECONDS:
             late = 0
         return expected / pace.per_token, late
 
@@ -164,12 +178,14 @@
         if self.memory is not None and entry.prompt is not None:
             self.memory.engine(name).hold(entry.prompt)
 
-    def mark_read(self, entry: OpenWorkEntry) -> None:
-        """Count a prompt as read."""
+    def mark_read(self, entry: OpenWorkEntry, *, begun: bool) -> None:
+        """Count a prompt as read, or as given up if its response has not begun."""
         self.own.waiting[entry.upstream] -= entry.tokens
         queue = self.queues.get(entry.upstream)
         if queue is not None:
             queue.mark_read(entry, self.now())
+            if begun:
+                queue.seen_at = self.now()
         if self.memory is not None and entry.prompt is not None:
             self.memory.engine(entry.upstream).start(entry.prompt, self.now())
 
--- a/tests/edge/test_engine_model.py
+++ b/tests/edge/test_engine_model.py
@@ -147,6 +147,23 @@
     assert queues[3] == pytest.approx(1, abs=0.2)
 
 
+@pytest.mark.parametrize(('passed', 'others'), [(0.4, True), (3, False)])
+def test_a_lost_answer_does_not_make_its_engine_overdue(
+    passed: float, others: bool
+) -> None:
+    # Guards against an engine that goes unused until the lost answer times out.
+    clock = FakeClock()
+    scheduler = learning_scheduler(clock, 1)
+    scheduler.add_open(('box', 1), FIRST, SHORT)
+    scheduler.add_open(('box', 2), FIRST, SHORT)
+    clock.seconds += passed
+    if others:
+        scheduler.start(('box', 2))
+    upstream = scheduler.placement.registry.serving(POOL)[0]
+    queue = costs_of(scheduler).choice(upstream, wanted(), 0).queue
+    assert queue == pytest.approx(0, abs=0.05)
+
+
 def test_faster_engines_get_more_in_proportion() -> None:
     # A quarter of the engines is 2.2 times as fast; the load needs nine tenths of all.
     clock = FakeClock()
