--- a/bench/lab/play.py
+++ b/bench/lab/play.py
@@ -105,7 +105,11 @@
             accounts=(),
         )
         shares = Shares(SHARE_WINDOW, self.now)
-        return Scheduler(documents, self.registry, shares, self.now, self.mechanisms)
+        scheduler = Scheduler(
+            documents, self.registry, shares, self.now, self.mechanisms
+        )
+        scheduler.placement.learn_engines()
+        return scheduler
 
     def _new_queue(self) -> WaitingQueue:
         return WaitingQueue(self.scheduler, self.scheduler.attempt_place, self.now)
--- a/packages/edge/src/hitchdeck_edge/model/refusals.py
+++ b/packages/edge/src/hitchdeck_edge/model/refusals.py
@@ -61,6 +61,8 @@
         SHARE_RETRY_SECONDS,
         'over the share of the account',
     )
+    # Not 413: a later document may move the route to engines that hold the request.
+    too_large = Reply(UNAVAILABLE, 0, 'more tokens than an engine holds')
     no_document = Reply(UNAVAILABLE, STATE_RETRY_SECONDS, 'no document')
     no_upstream = Reply(UNAVAILABLE, STATE_RETRY_SECONDS, 'no upstream')
     paused = Reply(UNAVAILABLE, LOAD_RETRY_SECONDS, 'all upstreams want a pause')
--- a/packages/edge/src/hitchdeck_edge/scheduling/chooser.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/chooser.py
@@ -9,6 +9,7 @@
 from hitchdeck_edge.model.placing import Choice, PlacementQuery
 from hitchdeck_edge.model.refusals import Refusal
 from hitchdeck_edge.model.request_context import THIS_BOX, RequestContext
+from hitchdeck_edge.scheduling.engine_memory import exceeds_memory
 from hitchdeck_edge.scheduling.scheduler import BoxTicket, Scheduler, Unplaced
 from hitchdeck_edge.scheduling.waiting import Decided, Reviews, WaitingQueue
 
@@ -65,6 +66,8 @@
                 return Refusal.no_upstream
         if not query.slots or query.prompt is None:
             return self._choose_service(query)
+        if self._exceeds_memory(context):
+            return Refusal.too_large
         wait = self.goal_wait * query.goal
         if wait and not query.resumes:
             wait -= self.link.now() - context.arrived
@@ -118,6 +121,15 @@
             if place is not None and not place.done():
                 place.set_result(decision)
 
+    def _exceeds_memory(self, context: RequestContext) -> bool:
+        """Tell whether every engine of the pool would reject a request for its size."""
+        if self.local.placement.costs is None:
+            return False
+        prompt, engine = context.call.prompt, context.pool.engine
+        if prompt is None or engine is None:
+            return False
+        return exceeds_memory(prompt, engine.memory_tokens)
+
     def _choose_service(self, query: PlacementQuery) -> Choice | Refusal:
         choice = self.local.placement.choose(query)
         if choice is None:
--- a/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
@@ -157,7 +157,8 @@
             Prompt tokens that the engine has not read yet.
         """
         self.end(key)
-        entry = OpenWorkEntry(self.placement.open_work, upstream, unread)
+        prompt = query.prompt if query else None
+        entry = OpenWorkEntry(self.placement.open_work, upstream, unread, prompt)
         self.open[key] = OpenRequest(entry, query)
 
     def start(self, key: BoxTicket, *, learn: bool = True) -> None:
@@ -258,6 +259,7 @@
         pool = document.pools.get(query.pool)
         if pool is not None and pool.engine is not None:
             self.placement.prefix_cache.size = pool.engine.memory_tokens
+            self.placement.learn_memory(query.pool, pool.engine.memory_tokens)
         if not query.waited:
             self.shares.ask(query)
         if not self.mechanisms.shares:
@@ -272,7 +274,7 @@
 ) -> Scheduler:
     """Return the scheduler of a process, without any open requests."""
     shares = Shares(settings.share_window, boot_seconds)
-    return Scheduler(
+    scheduler = Scheduler(
         documents,
         registry,
         shares,
@@ -280,3 +282,6 @@
         settings.mechanisms,
         settings.areas,
     )
+    if settings.learn_engines:
+        scheduler.placement.learn_engines()
+    return scheduler
--- a/packages/edge/src/hitchdeck_edge/settings.py
+++ b/packages/edge/src/hitchdeck_edge/settings.py
@@ -44,6 +44,7 @@
     ('capacity', _not_negative),
     ('memory_limit', _not_negative),
     ('descriptor_limit', _not_negative),
+    ('learn_engines', check_boolean),
     ('fleet_token', partial(check_text, min_length=MIN_TOKEN_LENGTH)),
 )
 _HUB_CHECKS: tuple[tuple[str, Check], ...] = (
@@ -83,6 +84,9 @@
         Retry budget of the whole fleet: in each window of ``retry_window`` seconds,
         at most ``retry_share`` retries per request, plus ``retry_extra`` retries.
         Both may be fractions.
+    learn_engines
+        Whether the speed of each engine is learned, and its memory tracked; otherwise
+        the engines of a pool are taken to be alike.
     mechanisms
         Mechanisms that take part in placing requests.  Some are disabled only for
         measurements.
@@ -109,6 +113,7 @@
     retry_share: float = 0.2
     retry_extra: float = 50
     retry_window: float = 10
+    learn_engines: bool = False
     mechanisms: Mechanisms = ALL_MECHANISMS
     capacity: float = 0
     memory_limit: float = 0
