Parse responses with httptools; reuse connections for streams

Responses of upstreams are parsed by llhttp now. Parts of a stream are written to the caller within the callback that reads them, all parts of one read with one write, and events that arrive whole are only checked for their end.

A new connection was opened for every other request because streams that are not resumed (45 % of the requests) used only connections idle for less than 1 s, while a box sends to an engine every 5 s. This applies where the settings state [limits]: such a stream then uses a kept connection if the upstream's kernel acknowledged a keepalive probe within 1.25 s, connections are kept for 20 s instead of 10 s, and after a kept connection was silent for 2 s no other kept one to that upstream is used. Calls that must not repeat use kept connections as before.

Responses that are rejected now and were not before: equal Content-Length headers given twice, and Content-Length beside Transfer-Encoding.

test_backpressure: the fake acquire() takes the new argument `reuse` in place of `fresh`; its checks are unchanged.

--- a/packages/core/src/hitchdeck_core/sockets.py
+++ b/packages/core/src/hitchdeck_core/sockets.py
@@ -2,6 +2,7 @@
 
 import select
 import socket
+import struct
 
 KEEPALIVE_SECONDS = 1
 """Idle time before the first keepalive probe, and interval between probes."""
@@ -12,6 +13,12 @@
 USER_TIMEOUT_MS = 3000
 """Time after which unacknowledged data ends a connection, in milliseconds."""
 
+_TCP_INFO_BYTES = 72
+_LAST_ACK_OFFSET = 56
+"""Offset of ``tcpi_last_ack_recv`` in the kernel's ``struct tcp_info``."""
+
+_MS = 1000
+
 BACKLOG = 1024
 """Connections that may wait to be accepted: callers connect in bursts, and a SYN
 that is dropped from a full backlog is retransmitted only after a second."""
@@ -31,6 +38,17 @@
         sock.setsockopt(level, option, setting)
 
 
+def seconds_since_acknowledged(sock: socket.socket) -> float:
+    """Return how long ago the peer's kernel last acknowledged something.
+
+    With keepalive enabled, this stays below ``KEEPALIVE_SECONDS`` and the round-trip
+    time while the peer can be reached, also if the connection is idle.
+    """
+    state = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO_BYTES)
+    age_ms: int = struct.unpack_from('=I', state, _LAST_ACK_OFFSET)[0]
+    return age_ms / _MS
+
+
 def listening_socket(host: str, port: int) -> socket.socket:
     """Return a listening socket whose connections have keepalive enabled."""
     family = socket.AF_INET6 if ':' in host else socket.AF_INET
--- a/packages/edge/src/hitchdeck_edge/dispatch/attempts.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/attempts.py
@@ -6,8 +6,8 @@
 
 from hitchdeck_core.ids import UpstreamName
 from hitchdeck_edge.dispatch.relay import StreamRelay
+from hitchdeck_edge.dispatch.response_parser import ResponseHead
 from hitchdeck_edge.dispatch.responses import FinalResponse
-from hitchdeck_edge.dispatch.upstream_connection import ResponseHead
 from hitchdeck_edge.model.placing import Choice
 from hitchdeck_edge.model.request_context import RequestContext
 from hitchdeck_edge.scheduling.open_work import OpenWorkEntry
--- a/packages/edge/src/hitchdeck_edge/dispatch/connections.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/connections.py
@@ -8,6 +8,14 @@
 from hitchdeck_core.clock import Clock
 from hitchdeck_core.ids import UpstreamName
 from hitchdeck_core.quarantine.probing import UntilClosed, stays_reachable
+from hitchdeck_edge.dispatch.reuse import (
+    DEFAULT_IDLE_SECONDS,
+    LONG_IDLE_SECONDS,
+    IdleTime,
+    Reuse,
+    is_silent,
+    may_use,
+)
 from hitchdeck_edge.dispatch.upstream_connection import Connection, connect
 from hitchdeck_edge.errors import NotSentError
 from hitchdeck_edge.model.calls import Header
@@ -17,14 +25,6 @@
 """Subtracted from the keep-alive timeout that an upstream states: a request that is in
 flight while the upstream closes the connection would be lost."""
 
-DEFAULT_IDLE_SECONDS = 10.0
-"""How long an idle connection is kept if the upstream states no timeout."""
-
-FRESH_SECONDS = 1.0
-"""How long a connection may have been idle if it is to carry a request that must not
-run twice.  An upstream may silently drop an idle connection, and then it is unknown
-whether the request ran."""
-
 CONNECT_ATTEMPTS = 2
 """Attempts to connect before an upstream counts as unreachable: one SYN packet may be
 lost."""
@@ -38,21 +38,34 @@
 class ConnectionPool:
     """Connections by upstream; the most recently used idle one is reused first.
 
-    ``busy`` holds the connections on which a response is awaited.
+    Attributes
+    ----------
+    streams_reuse
+        Whether a stream that is not resumed may use connections that were not used a
+        moment ago.
+    busy
+        Connections on which a response is awaited.
+    opened, reused
+        How many connections were opened for requests, and how often a kept one
+        carried a further request.
     """
 
-    def __init__(self, now: Clock) -> None:
+    def __init__(self, now: Clock, *, streams_reuse: bool = False) -> None:
         self.now = now
+        self.streams_reuse = streams_reuse
+        self.idle_seconds = LONG_IDLE_SECONDS if streams_reuse else DEFAULT_IDLE_SECONDS
+        self.opened = 0
+        self.reused = 0
         self.idle: dict[UpstreamName, list[Connection]] = defaultdict(list)
         self.busy: dict[UpstreamName, set[Connection]] = defaultdict(set)
 
-    async def acquire(self, upstream: Upstream, *, fresh: bool) -> Connection:
+    async def acquire(self, upstream: Upstream, *, reuse: Reuse) -> Connection:
         """Return an open connection: an idle one if possible, else a new one.
 
         Parameters
         ----------
-        fresh
-            Whether an idle connection must have been used very recently.
+        reuse
+            Which idle connections the request may use.
 
         Raises
         ------
@@ -62,15 +75,12 @@
         kept = self.idle[upstream.name]
         while kept:
             connection = kept.pop()
-            if not connection.is_quiet():
-                connection.abort()
-                continue
-            limit = connection.idle_limit
-            if fresh:
-                limit = min(limit, FRESH_SECONDS)
-            if self._idle_seconds(connection) < limit:
+            if connection.is_quiet() and self._may_use(connection, reuse):
+                self.reused += 1
+                connection.reused = True
                 return connection
             connection.abort()
+        self.opened += 1
         return await self._open(upstream)
 
     async def is_reachable(self, upstream: Upstream) -> bool:
@@ -101,7 +111,7 @@
         headers: Iterable[Header],
     ) -> None:
         """Keep a connection after a complete response, if it can be reused."""
-        limit = _idle_limit(headers)
+        limit = _idle_limit(headers, self.idle_seconds)
         if not connection.usable or limit <= 0:
             connection.abort()
             return
@@ -128,6 +138,21 @@
         if not self.busy[upstream]:
             self.busy.pop(upstream)
 
+    def abandon(
+        self, upstream: UpstreamName, connection: Connection, seconds: float
+    ) -> None:
+        """Abort a connection without a complete response.
+
+        Parameters
+        ----------
+        seconds
+            How long no byte of the response has arrived; 0 if some did.
+        """
+        connection.abort()
+        reused = connection.reused and self.streams_reuse
+        if is_silent(reused=reused, seconds=seconds):
+            self.close_idle(upstream)
+
     def abort_all(self, upstream: UpstreamName) -> None:
         """Abort all connections to an upstream that can't respond any more."""
         self.close_idle(upstream)
@@ -144,7 +169,7 @@
     async def _open(self, upstream: Upstream) -> Connection:
         connection = await connect(upstream.address)
         connection.idle_since = self.now()
-        connection.idle_limit = DEFAULT_IDLE_SECONDS
+        connection.idle_limit = self.idle_seconds
         return connection
 
     async def _open_probe(self, upstream: Upstream) -> Connection | None:
@@ -157,6 +182,12 @@
                 refused += 1
         return None
 
+    def _may_use(self, connection: Connection, reuse: Reuse) -> bool:
+        idle = IdleTime(self._idle_seconds(connection), connection.idle_limit)
+        # Only one kind of request needs the time of the last acknowledgement.
+        needed = reuse is Reuse.reachable
+        return may_use(reuse, idle, connection.acknowledged_ago() if needed else 0)
+
     def _idle_seconds(self, connection: Connection) -> float:
         return self.now() - connection.idle_since
 
@@ -174,8 +205,8 @@
             self.idle.pop(name)
 
 
-def _idle_limit(headers: Iterable[Header]) -> float:
-    limit = DEFAULT_IDLE_SECONDS
+def _idle_limit(headers: Iterable[Header], default: float) -> float:
+    limit = default
     for name, text in headers:
         lowered = name.lower()
         if lowered == b'connection' and b'close' in text.lower():
--- a/packages/edge/src/hitchdeck_edge/dispatch/events.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/events.py
@@ -3,7 +3,9 @@
 import re
 
 _ID_LINE = re.compile(rb'(?:^|\n)id:[ ]?([^\r\n]*)')
-_BLANK_LINE = re.compile(rb'\r?\n\r?\n')
+_ID_START = b'id:'
+_LATER_ID_START = b'\nid:'
+_BLANK_LINES = (b'\n\n', b'\n\r\n')
 
 
 class EventSplitter:
@@ -14,25 +16,46 @@
 
     Attributes
     ----------
-    last_id
-        Id of the last complete event.
     remainder
         Bytes of an incomplete event.
     """
 
     def __init__(self, last_id: str = '') -> None:
-        self.last_id = last_id
         self.remainder = b''
+        self._last_id = last_id
+        self._with_id = b''
+
+    @property
+    def last_id(self) -> str:
+        """Return the id of the last complete event that has one.
+
+        It is decoded only here: most streams need it once, or not at all.
+        """
+        ids = _ID_LINE.findall(self._with_id)
+        if ids:
+            self._last_id = ids[-1].decode('latin-1').strip()
+            self._with_id = b''
+        return self._last_id
 
     def feed(self, data: bytes) -> bytes:
         """Add bytes; return the events that are complete now."""
-        gathered = self.remainder + data
-        end = 0
-        for blank in _BLANK_LINE.finditer(gathered):
-            end = blank.end()
-        self.remainder = gathered[end:]
-        whole = gathered[:end]
-        ids = _ID_LINE.findall(whole)
-        if ids:
-            self.last_id = ids[-1].decode('latin-1').strip()
-        return whole
+        if self.remainder:
+            data = self.remainder + data
+            self.remainder = b''
+        if not data.endswith(_BLANK_LINES):
+            end = _end_of_events(data)
+            self.remainder = data[end:]
+            data = data[:end]
+        if data.startswith(_ID_START) or _LATER_ID_START in data:
+            self._with_id = data
+        return data
+
+
+def _end_of_events(data: bytes) -> int:
+    """Return where the last blank line ends; 0 if there is none."""
+    ends = (
+        found + len(blank)
+        for blank in _BLANK_LINES
+        if (found := data.rfind(blank)) >= 0
+    )
+    return max(ends, default=0)
--- a/packages/edge/src/hitchdeck_edge/dispatch/relay.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/relay.py
@@ -1,10 +1,11 @@
 """Forwarding a stream to the caller in complete events."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from hitchdeck_edge.dispatch.events import EventSplitter
+from hitchdeck_edge.dispatch.response_parser import ResponseHead
 from hitchdeck_edge.dispatch.responses import response_headers
-from hitchdeck_edge.dispatch.upstream_connection import Connection, ResponseHead
+from hitchdeck_edge.dispatch.upstream_connection import Connection
 from hitchdeck_edge.model.request_context import RequestContext
 from hitchdeck_edge.serving.caller import CallerConnection
 
@@ -14,12 +15,18 @@
 
     The head is that of the first upstream; each later one resumes the stream after the
     last complete event that the caller received.
+
+    Attributes
+    ----------
+    pending
+        Done when the caller has read what it was sent last; ``None`` if it has.
     """
 
     def __init__(self, context: RequestContext, caller: CallerConnection) -> None:
         self.context = context
         self.caller = caller
         self.splitter = EventSplitter(context.last_event)
+        self.pending: Awaitable[None] | None = None
 
     async def forward(
         self,
@@ -40,22 +47,24 @@
             await self.caller.start_response(
                 head.status, reason, response_headers(head.headers)
             )
-        while chunk := await connection.read_data():
+
+        def relay(chunk: bytes) -> None:
             whole = self.splitter.feed(chunk)
             if whole:
                 on_event()
-                await self._write(connection, whole)
-                self.context.last_event = self.splitter.last_id
-        if self.splitter.remainder:
-            await self._write(connection, self.splitter.remainder)
-        self.caller.finish()
+                self._write(connection, whole)
 
-    async def _write(self, connection: Connection, data: bytes) -> None:
-        pending = self.caller.write(data)
-        if pending is None:
-            return
-        connection.pause()
         try:
-            await pending
+            await connection.relay_body(relay)
         finally:
-            connection.resume()
+            self.context.last_event = self.splitter.last_id
+        if self.splitter.remainder:
+            self._write(connection, self.splitter.remainder)
+        if self.pending is not None:
+            await self.caller.wait_written(self.pending)
+        self.caller.finish()
+
+    def _write(self, connection: Connection, data: bytes) -> None:
+        self.pending = self.caller.write(data, on_written=connection.resume)
+        if self.pending is not None:
+            connection.pause()
--- a/packages/edge/src/hitchdeck_edge/dispatch/responses.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/responses.py
@@ -5,7 +5,7 @@
 
 from hitchdeck_core.ids import RequestId
 from hitchdeck_core.retry_after import RETRY_AFTER
-from hitchdeck_edge.dispatch.upstream_connection import ResponseHead
+from hitchdeck_edge.dispatch.response_parser import ResponseHead
 from hitchdeck_edge.model.adapter import PlatformAdapter
 from hitchdeck_edge.model.calls import Header
 from hitchdeck_edge.model.refusals import Refusal
--- a/packages/edge/src/hitchdeck_edge/dispatch/sender.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/sender.py
@@ -16,11 +16,9 @@
     outcome_of,
 )
 from hitchdeck_edge.dispatch.connections import ConnectionPool
-from hitchdeck_edge.dispatch.upstream_connection import (
-    Connection,
-    ResponseHead,
-    UpstreamRequest,
-)
+from hitchdeck_edge.dispatch.response_parser import ResponseHead
+from hitchdeck_edge.dispatch.reuse import permitted_reuse
+from hitchdeck_edge.dispatch.upstream_connection import Connection, UpstreamRequest
 from hitchdeck_edge.errors import (
     CallerDisconnectedError,
     IncompleteResponseError,
@@ -76,7 +74,9 @@
         try:
             connection = await self.connections.acquire(
                 choice.upstream,
-                fresh=not context.repeatable,
+                reuse=permitted_reuse(
+                    context, streams_reuse=self.connections.streams_reuse
+                ),
             )
             if active.caller.has_disconnected():
                 self.connections.return_unused(choice.upstream.name, connection)
@@ -146,7 +146,8 @@
             return
         self.connections.mark_done(attempt.upstream, connection)
         if connection.busy:
-            connection.abort()
+            waited = 0 if attempt.head else self.now() - attempt.started_at
+            self.connections.abandon(attempt.upstream, connection, waited)
 
     def _check_accepting(self, choice: Choice, connection: Connection) -> None:
         """Raise ``UpstreamNotAcceptingError`` if an upstream accepts no requests now.
@@ -207,9 +208,8 @@
         attempt: Attempt,
         connection: Connection,
     ) -> None:
-        head = await self._read_matching_head(active.context, attempt, connection)
+        head, mark = await self._read_matching_head(active.context, attempt, connection)
         attempt.head = head
-        mark = self.adapter.read_answer(head.status, head.headers)
         attempt.backoff = mark.backoff
         attempt.leaving = mark.leaving
         if mark.other_incarnation:
@@ -254,8 +254,8 @@
         context: RequestContext,
         attempt: Attempt,
         connection: Connection,
-    ) -> ResponseHead:
-        """Return the head of the response to this request.
+    ) -> tuple[ResponseHead, ResponseMarks]:
+        """Return the head of the response to this request, and its marks.
 
         On a reused connection, a late response to an earlier request may come first;
         it is skipped.
@@ -265,7 +265,7 @@
             mark = self.adapter.read_answer(head.status, head.headers)
             self._apply_backpressure(attempt.upstream, mark)
             if mark.request in {'', context.call.request}:
-                return head
+                return head, mark
             await connection.read_body()
             logs.info(
                 'stale response skipped',
--- a/packages/edge/src/hitchdeck_edge/dispatch/upstream_connection.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/upstream_connection.py
@@ -1,20 +1,29 @@
 """A connection to an upstream, which carries one request at a time.
 
-h11 frames the messages.  The connection adds what a proxy must know beyond that:
-whether bytes arrived between two requests, whether any byte was sent, and whether the
-connection ended with a close or a reset.
+``ResponseParser`` parses what arrives.  The connection adds what a proxy must know
+beyond that: whether bytes arrived between two requests, whether any byte was sent, and
+whether the connection ended with a close or a reset.
 """
 
 import asyncio
+import re
+from collections.abc import Callable
 from dataclasses import dataclass
 
-import h11
-
 from hitchdeck_core.channels import split_address
 from hitchdeck_core.ids import Address
 from hitchdeck_core.loop_load import loop_lag
-from hitchdeck_core.sockets import enable_keepalive, has_unread_input
-from hitchdeck_edge.errors import IncompleteResponseError, NotSentError
+from hitchdeck_core.sockets import (
+    enable_keepalive,
+    has_unread_input,
+    seconds_since_acknowledged,
+)
+from hitchdeck_edge.dispatch.response_parser import Event, ResponseHead, ResponseParser
+from hitchdeck_edge.errors import (
+    IncompleteResponseError,
+    MalformedRequestError,
+    NotSentError,
+)
 from hitchdeck_edge.model.calls import Header
 
 CONNECT_SECONDS = 0.4
@@ -24,6 +33,9 @@
 CONNECT_TURNS = 4
 """Turns of this process's event loop that connecting takes, in addition."""
 
+_FORBIDDEN = re.compile(rb'[\x00\x0b\x0c]')
+_START = re.compile(rb"[-!#$%&'*+.^_`|~0-9A-Za-z]+ [\x21-\x7e]+ HTTP/1\.1\r\n")
+
 
 @dataclass(frozen=True, slots=True)
 class UpstreamRequest:
@@ -35,15 +47,6 @@
     body: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class ResponseHead:
-    """Status and headers of an upstream's response."""
-
-    status: int
-    reason: bytes
-    headers: list[Header]
-
-
 class Connection(asyncio.Protocol):
     """A connection to an upstream.
 
@@ -54,22 +57,32 @@
     not_reusable
         Whether bytes arrived that belong to no request, or the end of a message is
         uncertain, so that no further request may be sent.
+    reused
+        Whether the connection carries a further request after its first.
     failure
         Why the connection was lost, other than by a regular close.
     idle_since, idle_limit
         When the connection became idle, and for how long it may be, in seconds.
+    sink
+        Receives the parts of a body as they arrive, without a turn of the event loop
+        in between; ``None`` while no body is relayed.
+    sink_error
+        Error that the sink raised.
     """
 
     def __init__(self) -> None:
         self.transport: asyncio.Transport | None = None
-        self.parser = h11.Connection(h11.CLIENT)
+        self.parser = ResponseParser(bodiless=False)
         self.busy = False
         self.not_reusable = False
         self.closed = False
+        self.reused = False
         self.failure: Exception | None = None
         self.idle_since = 0.0
         self.idle_limit = float('inf')
         self.waiter: asyncio.Future[None] | None = None
+        self.sink: Callable[[bytes], None] | None = None
+        self.sink_error: Exception | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport, and enable keepalive."""
@@ -84,14 +97,18 @@
         if not self.busy:
             self.abort()
             return
-        self.parser.receive_data(data)
+        self.parser.feed(data)
+        if self.sink is not None:
+            self._relay_arrived(self.sink)
+            if self._expects_more():
+                return
         self._wake()
 
     def eof_received(self) -> bool:
         """Tell the parser that the upstream closed its side."""
         self.closed = True
         if self.busy:
-            self.parser.receive_data(b'')
+            self.parser.end_input()
         self._wake()
         return False
 
@@ -118,57 +135,75 @@
             or has_unread_input(self.transport.get_extra_info('socket').fileno())
         )
 
+    def acknowledged_ago(self) -> float:
+        """Return seconds since the upstream's kernel last acknowledged something."""
+        if self.transport is None:
+            return float('inf')
+        return seconds_since_acknowledged(self.transport.get_extra_info('socket'))
+
     def send(self, upstream_request: UpstreamRequest) -> None:
-        """Send a request; raise ``NotSentError`` if no byte can have been sent."""
+        """Send a request.
+
+        Raises
+        ------
+        NotSentError
+            The connection was closed, so that no byte can have been sent.
+        MalformedRequestError
+            The head of the request is invalid; nothing was sent.
+        """
         if self.closed or self.transport is None:
             raise NotSentError('connection already closed')
+        head = encode_head(upstream_request)
         self.busy = True
-        request = h11.Request(
-            method=upstream_request.method,
-            target=upstream_request.target,
-            headers=upstream_request.headers,
-        )
-        parts = [self.parser.send(request)]
-        if upstream_request.body:
-            parts.append(self.parser.send(h11.Data(data=upstream_request.body)))
-        parts.append(self.parser.send(h11.EndOfMessage()))
-        self.transport.write(b''.join(part for part in parts if part))
+        bodiless = upstream_request.method == b'HEAD'
+        self.parser = self.parser.restarted(bodiless=bodiless)
+        self.transport.write(head + upstream_request.body)
 
     async def read_head(self) -> ResponseHead:
         """Return the head of the response, or raise ``IncompleteResponseError``."""
-        event = await self._next_event()
-        while isinstance(event, h11.InformationalResponse):
-            event = await self._next_event()
-        if not isinstance(event, h11.Response):
-            raise IncompleteResponseError(
-                f'expected a response, got {type(event).__name__}'
-            )
-        headers = list(event.headers.raw_items())
-        return ResponseHead(event.status_code, bytes(event.reason), headers)
+        head = await self._next_event()
+        assert isinstance(head, ResponseHead)
+        return head
 
-    async def read_data(self) -> bytes:
-        """Return the next chunk of the body, empty once it is complete.
+    async def read_body(self) -> bytes:
+        """Return the rest of the body.
 
         Raises
         ------
         IncompleteResponseError
             The response was truncated.
         """
-        event = await self._next_event()
-        if isinstance(event, h11.Data):
-            return bytes(event.data)
-        if isinstance(event, h11.EndOfMessage):
-            self._end_request()
-            return b''
-        raise IncompleteResponseError('connection closed during the response')
-
-    async def read_body(self) -> bytes:
-        """Return the rest of the body."""
         pieces: list[bytes] = []
-        while piece := await self.read_data():
-            pieces.append(piece)
+        event = await self._next_event()
+        while isinstance(event, bytes):
+            pieces.append(event)
+            event = await self._next_event()
+        self._end_request()
         return b''.join(pieces)
 
+    async def relay_body(self, sink: Callable[[bytes], None]) -> None:
+        """Pass the rest of the body to a sink as it arrives; return at its end.
+
+        Raises
+        ------
+        IncompleteResponseError
+            The response was truncated.
+        Exception
+            The sink raised it.
+        """
+        self.sink = sink
+        try:
+            self._relay_arrived(sink)
+            while self._expects_more():
+                self._check_lost()
+                await self._wait()
+        finally:
+            self.sink = None
+        if self.sink_error is not None:
+            raise self.sink_error
+        await self._next_event()
+        self._end_request()
+
     async def wait_closed(self) -> None:
         """Wait until the upstream closes or resets an idle connection."""
         while not self.closed:
@@ -177,22 +212,13 @@
     def expect_another_response(self) -> bool:
         """Prepare to read another response, after a stale one to an earlier request.
 
-        The parser has finished with the stale response; a new one continues with the
-        remaining bytes.  Return whether that is possible.
+        The parser continues with the bytes after the stale response.  Return whether
+        more can arrive.
         """
-        rest, ended = self.parser.trailing_data
-        if self.closed or ended:
+        if self.closed:
             return False
-        self.parser = h11.Connection(h11.CLIENT)
-        # The request was sent already; this only advances the state of the new parser.
-        self.parser.send(
-            h11.Request(method='GET', target='/', headers=[_PLACEHOLDER_HOST])
-        )
-        self.parser.send(h11.EndOfMessage())
         self.busy = True
         self.not_reusable = True
-        if rest:
-            self.parser.receive_data(rest)
         return True
 
     def pause(self) -> None:
@@ -218,26 +244,40 @@
         if self.transport is not None:
             self.transport.abort()
 
-    async def _next_event(self) -> h11.Event:
-        while True:
-            event = self._parse()
-            if event is not None:
-                return event
-            if self.failure is not None:
-                raise IncompleteResponseError(f'connection lost: {self.failure!r}')
-            if self.closed:
-                raise IncompleteResponseError('connection closed')
+    async def _next_event(self) -> Event:
+        while not self.parser.events:
+            self._check_lost()
             await self._wait()
-
-    def _parse(self) -> h11.Event | None:
-        try:
-            event = self.parser.next_event()
-        except h11.RemoteProtocolError as error:
+        return self.parser.events.popleft()
+
+    def _relay_arrived(self, sink: Callable[[bytes], None]) -> None:
+        """Pass on the parts of the body that have arrived."""
+        arrived = self.parser.events
+        while arrived and self.sink_error is None:
+            part = arrived[0]
+            if not isinstance(part, bytes):
+                return
+            arrived.popleft()
+            try:
+                sink(part)
+            except Exception as error:
+                # An error of the caller's side must not count as the upstream's.
+                self.sink_error = error
+
+    def _expects_more(self) -> bool:
+        """Tell whether a relayed body goes on."""
+        ended = self.parser.events or self.parser.error or self.sink_error
+        return not ended
+
+    def _check_lost(self) -> None:
+        """Raise ``IncompleteResponseError`` if no further event can arrive."""
+        if self.parser.error:
             self.not_reusable = True
-            raise IncompleteResponseError(f'not an answer: {error}') from error
-        if event is h11.PAUSED:
-            raise IncompleteResponseError('more than one response arrived')
-        return None if isinstance(event, type) else event
+            raise IncompleteResponseError(f'not an answer: {self.parser.error}')
+        if self.failure is not None:
+            raise IncompleteResponseError(f'connection lost: {self.failure!r}')
+        if self.closed:
+            raise IncompleteResponseError('connection closed')
 
     async def _wait(self) -> None:
         self.waiter = asyncio.get_running_loop().create_future()
@@ -252,16 +292,25 @@
 
     def _end_request(self) -> None:
         self.busy = False
-        rest, _ = self.parser.trailing_data
-        states = (self.parser.our_state, self.parser.their_state)
-        reusable = states == (h11.DONE, h11.DONE)
-        if rest or not reusable or self.not_reusable:
-            self.not_reusable = True
-            return
-        self.parser.start_next_cycle()
+        self.not_reusable = self.not_reusable or not self.parser.reusable
 
 
-_PLACEHOLDER_HOST: Header = (b'host', b'any')
+def encode_head(request: UpstreamRequest) -> bytes:
+    """Return the head of a request as bytes on the wire.
+
+    Raises
+    ------
+    MalformedRequestError
+        Some part would not arrive as it is, or would change where the head ends.
+    """
+    lines = [b'%b %b HTTP/1.1' % (request.method, request.target)]
+    lines += [b'%b: %b' % header for header in request.headers]
+    head = b'\r\n'.join((*lines, b'', b''))
+    breaks = len(lines) + 1
+    sound = head.count(b'\n') == breaks and head.count(b'\r') == breaks
+    if not sound or _FORBIDDEN.search(head) or not _START.match(head):
+        raise MalformedRequestError('head of a request with forbidden characters')
+    return head
 
 
 async def connect(address: Address) -> Connection:
--- a/packages/edge/src/hitchdeck_edge/model/mechanisms.py
+++ b/packages/edge/src/hitchdeck_edge/model/mechanisms.py
@@ -32,6 +32,8 @@
         Failing upstreams are not used for some time.
     near_first
         Upstreams in the box's own failure domain are preferred.
+    stream_reuse
+        Streams that are not resumed may use kept connections, if the settings say so.
     """
 
     scheduler: bool = True
@@ -44,6 +46,7 @@
     slowness: bool = True
     ejection: bool = True
     near_first: bool = True
+    stream_reuse: bool = True
 
     def __post_init__(self) -> None:
         """Check that each switch is a boolean."""
--- a/packages/edge/src/hitchdeck_edge/process.py
+++ b/packages/edge/src/hitchdeck_edge/process.py
@@ -110,6 +110,8 @@
         sender.backpressure.retain(registry.names())
         self.admission.metrics.unwilling_upstreams = len(sender.backpressure.blocked())
         self.admission.metrics.upstream_changes = registry.changes
+        self.admission.metrics.connections_opened = sender.connections.opened
+        self.admission.metrics.connections_reused = sender.connections.reused
         self.admission.metrics.handed_off = self.caller_server.handoff.handed_off
 
 
@@ -164,7 +166,8 @@
     # A box that places requests without a scheduler uses one box's part of the
     # budget for cold upstreams.
     chooser.local.placement.cold_budget.rate_fraction = budget.fleet_fraction
-    connections = ConnectionPool(boot_seconds)
+    reuse = settings.stream_reuse and settings.mechanisms.stream_reuse
+    connections = ConnectionPool(boot_seconds, streams_reuse=reuse)
     quarantine = fleet_state.quarantine
     sender = Sender(adapter, chooser, connections, quarantine, boot_seconds)
     return Dispatcher(adapter, chooser, sender, budget, boot_seconds)
--- a/packages/edge/src/hitchdeck_edge/serving/caller.py
+++ b/packages/edge/src/hitchdeck_edge/serving/caller.py
@@ -24,12 +24,15 @@
         Whether the head of a response was sent.
     disconnected
         Whether the caller closed its connection.
+    chunked
+        Whether the body of the response is framed in chunks.
     """
 
     def __init__(self, connection: HTTP1Connection) -> None:
         self.connection = connection
         self.started = False
         self.disconnected = False
+        self.chunked = False
         self.status = 0
         self.on_disconnect: Callable[[], None] | None = None
         connection.set_close_callback(self._record_disconnect)
@@ -79,26 +82,43 @@
         self._write_head(status, reason, _sized(headers, body), body)
         self.finish()
 
-    def write(self, data: bytes) -> Awaitable[None] | None:
+    def write(
+        self, data: bytes, on_written: Callable[[], None]
+    ) -> Awaitable[None] | None:
         """Send a chunk of the body.
 
         Returns
         -------
         Awaitable or None
-            To be awaited if the caller does not read fast enough.
+            Done when the chunk is written, if the caller does not read fast enough;
+            ``on_written`` is called then.
 
         Raises
         ------
         CallerDisconnectedError
             The caller has disconnected.
         """
+        stream = self.connection.stream
+        if stream.closed():
+            raise CallerDisconnectedError('caller disconnected during the response')
+        if not self.chunked or stream.writing():
+            return self._write_buffered(self.connection.write(data), on_written)
+        frame = b'%x\r\n%b\r\n' % (len(data), data)
+        # Most chunks fit into the socket's buffer, so that none of the state that
+        # Tornado keeps for a pending write is needed.
+        sent = self._send_now(frame)
+        if sent == len(frame):
+            return None
+        return self._write_buffered(stream.write(frame[sent:]), on_written)
+
+    async def wait_written(self, pending: Awaitable[None]) -> None:
+        """Wait until a chunk is written, or raise ``CallerDisconnectedError``."""
         try:
-            pending = self.connection.write(data)
+            await pending
         except StreamClosedError as error:
             raise CallerDisconnectedError(
                 'caller disconnected during the response'
             ) from error
-        return pending if self.connection.stream.writing() else None
 
     def finish(self) -> None:
         """Mark the response as complete."""
@@ -109,6 +129,27 @@
         """Truncate the response visibly, by closing the connection."""
         self.connection.stream.close()
 
+    def _send_now(self, frame: bytes) -> int:
+        """Return how many bytes the kernel accepts without waiting."""
+        stream = self.connection.stream
+        try:
+            return stream.socket.send(frame)
+        except BlockingIOError:
+            return 0
+        except OSError as error:
+            stream.close()
+            raise CallerDisconnectedError(
+                'caller disconnected during the response'
+            ) from error
+
+    def _write_buffered(
+        self, pending: asyncio.Future[None], on_written: Callable[[], None]
+    ) -> asyncio.Future[None] | None:
+        if not self.connection.stream.writing():
+            return None
+        pending.add_done_callback(lambda _: on_written())
+        return pending
+
     async def _send_head(
         self,
         status: int,
@@ -138,7 +179,10 @@
         self.started = True
         self.status = status
         start = ResponseStartLine('HTTP/1.1', status, reason)
-        return self.connection.write_headers(start, fields, body)
+        written = self.connection.write_headers(start, fields, body)
+        # Tornado adds the header if it frames the body in chunks.
+        self.chunked = fields.get('Transfer-Encoding') == 'chunked'
+        return written
 
     def _record_disconnect(self) -> None:
         self.disconnected = True
--- a/packages/edge/src/hitchdeck_edge/serving/metrics.py
+++ b/packages/edge/src/hitchdeck_edge/serving/metrics.py
@@ -41,6 +41,9 @@
         Changes of upstream records so far.
     handed_off
         Connections that were handed off to other boxes.
+    connections_opened, connections_reused
+        Connections to upstreams that were opened for requests, and requests that used
+        a kept one.
     """
 
     def __init__(self, now: Clock) -> None:
@@ -55,6 +58,8 @@
         self.unwilling_upstreams = 0
         self.upstream_changes = 0
         self.handed_off = 0
+        self.connections_opened = 0
+        self.connections_reused = 0
 
     def record_served(
         self, context: RequestContext, outcome: str, seconds: float
@@ -100,6 +105,8 @@
             f'hitchdeck_upstreams_unwilling {self.unwilling_upstreams}',
             f'hitchdeck_upstream_changes_total {self.upstream_changes}',
             f'hitchdeck_handed_on_total {self.handed_off}',
+            f'hitchdeck_upstream_connections_opened_total {self.connections_opened}',
+            f'hitchdeck_upstream_connections_reused_total {self.connections_reused}',
         ]
         lines.extend(
             f'hitchdeck_requests_total{{outcome="{name}"}} {count}'
--- a/packages/edge/src/hitchdeck_edge/settings.py
+++ b/packages/edge/src/hitchdeck_edge/settings.py
@@ -117,16 +117,22 @@
     relief_listen
         Address at which overloaded boxes hand off connections to this one, or
         ``None`` if it accepts none.
+    stream_reuse
+        Whether a stream that is not resumed may use a connection to its upstream that
+        was kept for longer than a moment, if the upstream is reachable over it.  It
+        saves connections; a connection that fails without a sign costs the stream.
     """
 
     listen: Address
     ready_listen: Address
     relief_listen: Address | None = None
+    stream_reuse: bool = False
 
     def __post_init__(self) -> None:
         """Raise ``SettingsError``, naming the field, if a field is invalid."""
         super().__post_init__()
         _check_addresses(self, 'listen', 'ready_listen', 'relief_listen')
+        _check_field('stream_reuse', self.stream_reuse, check_boolean)
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/tests/edge/test_backpressure.py
+++ b/tests/edge/test_backpressure.py
@@ -19,6 +19,7 @@
 
 from hitchdeck_core.backpressure import Backpressure
 from hitchdeck_core.ids import UpstreamName
+from hitchdeck_edge.dispatch.reuse import Reuse
 from hitchdeck_edge.dispatch.upstream_connection import Connection
 from hitchdeck_edge.model.upstreams import Upstream
 from standins.platform_site import Site, running_site
@@ -140,8 +141,8 @@
     acquire = sender.connections.acquire
     backed_off: list[str] = []
 
-    async def acquire_during_backoff(upstream: Upstream, *, fresh: bool) -> Connection:
-        connection = await acquire(upstream, fresh=fresh)
+    async def acquire_during_backoff(upstream: Upstream, *, reuse: Reuse) -> Connection:
+        connection = await acquire(upstream, reuse=reuse)
         if not backed_off:
             backed_off.append(upstream.name)
             sender.backpressure.pause(upstream.name, BACKOFF_SECONDS)
