--- a/bench/bill_requests.py
+++ b/bench/bill_requests.py
@@ -175,11 +175,20 @@
 async def wait_ready(site: Site, settings: EntrySettings) -> None:
     """Wait until a box is ready and has learned of the upstreams."""
     async with asyncio.timeout(START_SECONDS):
-        while (await site.call('GET', settings.ready_listen, '/')).code != 200:
+        while not await is_ready(site, settings):
             await asyncio.sleep(0.05)
     await asyncio.sleep(1)
 
 
+async def is_ready(site: Site, settings: EntrySettings) -> bool:
+    """Tell whether a box listens and is ready."""
+    try:
+        reply = await site.call('GET', settings.ready_listen, '/')
+    except OSError:
+        return False
+    return reply.code == 200
+
+
 async def run(plan: Plan, profile: str) -> dict[str, object]:
     """Run the whole measurement."""
     site = Site(Path(tempfile.mkdtemp(prefix='hitchdeck-bench-')))
--- a/packages/edge/src/hitchdeck_edge/dispatch/relay.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/relay.py
@@ -58,6 +58,15 @@
             await connection.relay_body(relay)
         finally:
             self.context.last_event = self.splitter.last_id
+        try:
+            await self._finish(connection)
+        except BaseException:
+            # The connection is idle by now, but may be paused and is in no pool.
+            connection.abort()
+            raise
+
+    async def _finish(self, connection: Connection) -> None:
+        """Complete the response once the caller has read what was sent."""
         if self.splitter.remainder:
             self._write(connection, self.splitter.remainder)
         if self.pending is not None:
--- a/tests/edge/test_slow_readers.py
+++ b/tests/edge/test_slow_readers.py
@@ -2,14 +2,18 @@
 
 import asyncio
 import socket
+from collections.abc import Awaitable, Callable
+from types import SimpleNamespace
 
 import pytest
 from tornado.http1connection import HTTP1Connection
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPServerRequest
 
+from hitchdeck_edge.dispatch.relay import StreamRelay
 from hitchdeck_edge.errors import CallerDisconnectedError
 from hitchdeck_edge.serving.caller import CallerConnection
+from tests.edge.test_upstream_responses import CHUNKED, connection_with_request
 
 CHUNK = bytes(range(256)) * 1024
 CHUNKS = 40
@@ -104,3 +108,28 @@
         await stream.task
     assert isinstance(stream.error, CallerDisconnectedError)
     server.stop()
+
+
+class StalledCaller:
+    """A caller that has not read its response, and leaves."""
+
+    def __init__(self) -> None:
+        self.started = True
+
+    def write(self, data: bytes, on_written: Callable[[], None]) -> Awaitable[None]:
+        return asyncio.get_running_loop().create_future()
+
+    async def wait_written(self, pending: Awaitable[None]) -> None:
+        raise CallerDisconnectedError('left')
+
+
+async def test_a_complete_stream_whose_caller_leaves_closes_its_connection() -> None:
+    # It is paused and in no pool, so that nothing else would ever close it.
+    connection = connection_with_request()
+    connection.data_received(CHUNKED)
+    head = await connection.read_head()
+    context = SimpleNamespace(last_event='')
+    relay = StreamRelay(context, StalledCaller())  # type: ignore[arg-type]
+    with pytest.raises(CallerDisconnectedError):
+        await relay.forward(connection, head, lambda: None)
+    assert connection.closed
--- a/tests/edge/test_upstream_responses.py
+++ b/tests/edge/test_upstream_responses.py
@@ -32,6 +32,12 @@
     def abort(self) -> None:
         """Do nothing."""
 
+    def pause_reading(self) -> None:
+        """Do nothing."""
+
+    def resume_reading(self) -> None:
+        """Do nothing."""
+
 
 def connection_with_request(method: bytes = b'POST') -> Connection:
     connection = Connection()
