Log how long a connection was idle; accept a length beside chunks

The lines `request` and `attempt failed` say how long the connection was idle before the request, and `kept connection silent` names an upstream that sent nothing on one. A response with Content-Length beside chunked transfer encoding is read by its chunks, as it was with h11.

--- a/packages/edge/src/hitchdeck_edge/dispatch/attempts.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/attempts.py
@@ -48,6 +48,8 @@
         Whether the response was forwarded to the caller as it arrived.
     first_event
         Time until the first event of a stream, in seconds.
+    idle_before
+        How long the connection had been kept idle, in seconds; 0 if it was new.
     backoff
         Time for which the upstream asked for no requests from this box, in seconds.
     leaving
@@ -65,6 +67,7 @@
     reason: str = ''
     streamed: bool = False
     first_event: float = 0.0
+    idle_before: float = 0.0
     backoff: float = 0.0
     leaving: bool = False
 
--- a/packages/edge/src/hitchdeck_edge/dispatch/connections.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/connections.py
@@ -5,6 +5,7 @@
 from collections import defaultdict
 from collections.abc import Iterable
 
+from hitchdeck_core import logs
 from hitchdeck_core.clock import Clock
 from hitchdeck_core.ids import UpstreamName
 from hitchdeck_core.quarantine.probing import UntilClosed, stays_reachable
@@ -78,6 +79,7 @@
             if connection.is_quiet() and self._may_use(connection, reuse):
                 self.reused += 1
                 connection.reused = True
+                connection.idle_before = self._idle_seconds(connection)
                 return connection
             connection.abort()
         self.opened += 1
@@ -151,6 +153,13 @@
         connection.abort()
         reused = connection.reused and self.streams_reuse
         if is_silent(reused=reused, seconds=seconds):
+            logs.info(
+                'kept connection silent',
+                upstream=upstream,
+                idle_before=round(connection.idle_before, 3),
+                seconds=round(seconds, 3),
+                closed=len(self.idle.get(upstream, ())),
+            )
             self.close_idle(upstream)
 
     def abort_all(self, upstream: UpstreamName) -> None:
--- a/packages/edge/src/hitchdeck_edge/dispatch/response_parser.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/response_parser.py
@@ -57,9 +57,10 @@
         self.events: deque[Event] = deque()
         self.error = ''
         self._parser = HttpResponseParser(self)
-        # The first two were accepted before llhttp was used.  With the third, a late
+        # The first three were accepted before llhttp was used.  With the fourth, a late
         # response to an earlier request does not hide the response that follows it.
         self._parser.set_dangerous_leniencies(
+            lenient_chunked_length=True,
             lenient_optional_cr_before_lf=True,
             lenient_spaces_after_chunk_size=True,
             lenient_data_after_close=True,
--- a/packages/edge/src/hitchdeck_edge/dispatch/sender.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/sender.py
@@ -172,6 +172,7 @@
         connection: Connection,
     ) -> None:
         self.connections.mark_busy(attempt.upstream, connection)
+        attempt.idle_before = connection.idle_before
         connection.send(self._upstream_request(active.context, attempt.choice))
         self._record_sent(active, attempt)
 
@@ -316,6 +317,7 @@
             attempt=active.context.sent,
             pause=attempt.backoff,
             leaving=attempt.leaving,
+            idle_before=round(attempt.idle_before, 3),
             decided_by=active.context.decided_by,
         )
 
--- a/packages/edge/src/hitchdeck_edge/dispatch/upstream_connection.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/upstream_connection.py
@@ -59,6 +59,8 @@
         uncertain, so that no further request may be sent.
     reused
         Whether the connection carries a further request after its first.
+    idle_before
+        How long it had been idle when it was last taken for a request, in seconds.
     failure
         Why the connection was lost, other than by a regular close.
     idle_since, idle_limit
@@ -77,6 +79,7 @@
         self.not_reusable = False
         self.closed = False
         self.reused = False
+        self.idle_before = 0.0
         self.failure: Exception | None = None
         self.idle_since = 0.0
         self.idle_limit = float('inf')
--- a/packages/edge/src/hitchdeck_edge/serving/admission.py
+++ b/packages/edge/src/hitchdeck_edge/serving/admission.py
@@ -234,6 +234,7 @@
             decided_by=context.decided_by,
             unread=last_attempt.choice.tokens if last_attempt else 0,
             first_event=round(last_attempt.first_event, 3) if last_attempt else 0,
+            idle_before=round(last_attempt.idle_before, 3) if last_attempt else 0,
             goal=context.route.goal,
             seconds=round(seconds, 3),
             **_quarantine_fields(context, active.response.outcome),
--- a/tests/edge/test_connection_reuse.py
+++ b/tests/edge/test_connection_reuse.py
@@ -6,6 +6,7 @@
 import random
 import socket
 from collections.abc import Iterator
+from pathlib import Path
 
 import pytest
 
@@ -27,7 +28,7 @@
 from hitchdeck_platform.documents import read_document
 from hitchdeck_platform.requests import DIALECT
 from hitchdeck_platform.settings import decode_settings
-from standins.platform_site import document
+from standins.platform_site import document, running_site
 from tests.common.scheduling import FakeClock, engine
 from tests.edge.test_outside_numbers import settings_fields
 
@@ -219,3 +220,21 @@
         with accepted:
             await asyncio.sleep(FRESH_SECONDS * 1.5)
             assert seconds_since_acknowledged(sock) < REACHABLE_SECONDS
+
+
+@pytest.mark.parametrize(('streams_reuse', 'most'), [(False, 4), (True, 2)])
+async def test_streams_that_follow_after_a_pause_share_a_connection(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, most: int, *, streams_reuse: bool
+) -> None:
+    # With real sockets: each of two engines needs one connection at most.
+    monkeypatch.undo()
+    async with running_site(tmp_path) as site:
+        pool = site.boxes[0].admission.dispatcher.sender.connections
+        pool.streams_reuse = streams_reuse
+        for number in range(4):
+            assert (await site.ask_model('/once/', f'r{number}')).code == 200
+            await asyncio.sleep(FRESH_SECONDS * 1.2)
+        opened = sum(one.connections for one in site.workers if one.pool == 'llm')
+    assert opened == pool.opened
+    assert opened <= most
+    assert (opened == 4) is not streams_reuse
--- a/tests/edge/test_upstream_responses.py
+++ b/tests/edge/test_upstream_responses.py
@@ -78,6 +78,9 @@
     'informational': Case(b'HTTP/1.1 103 E\r\nA: b\r\n\r\n' + SIZED, 200, b'ab', True),
     'line feeds only': Case(SIZED.replace(b'\r', b''), 200, b'ab', kept=True),
     'space after size': Case(CHUNKED.replace(b'1\r', b'1 \r'), 200, b'ab', kept=True),
+    'length beside chunks': Case(
+        CHUNKED.replace(b'OK\r', b'OK\r\nContent-Length: 9\r'), 200, b'ab', kept=True
+    ),
     'HEAD': Case(SIZED[:-2], 200, b'', kept=True, method=b'HEAD'),
     'HEAD with a body': Case(SIZED, 200, b'', kept=False, method=b'HEAD'),
     'old version': Case(SIZED.replace(b'/1.1', b'/1.0'), 200, b'ab', kept=False),
