--- a/packages/edge/src/hitchdeck_edge/dispatch/attempts.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/attempts.py
@@ -6,8 +6,8 @@
 from hitchdeck_core.ids import UpstreamName
 from hitchdeck_core.lazy_dataclasses import dataclass
 from hitchdeck_edge.dispatch.relay import StreamRelay
+from hitchdeck_edge.dispatch.response_parser import ResponseHead
 from hitchdeck_edge.dispatch.responses import FinalResponse
-from hitchdeck_edge.dispatch.upstream_connection import ResponseHead
 from hitchdeck_edge.model.placing import Choice
 from hitchdeck_edge.model.request_context import RequestContext
 from hitchdeck_edge.scheduling.open_work import OpenWorkEntry
@@ -48,6 +48,8 @@
         Whether the response was forwarded to the caller as it arrived.
     first_event
         Time until the first event of a stream, in seconds.
+    idle_before
+        How long the connection had been kept idle, in seconds; 0 if it was new.
     backoff
         Time for which the upstream asked for no requests from this box, in seconds.
     leaving
@@ -65,6 +67,7 @@
     reason: str = ''
     streamed: bool = False
     first_event: float = 0.0
+    idle_before: float = 0.0
     backoff: float = 0.0
     leaving: bool = False
 
--- /dev/null
+++ b/packages/edge/src/hitchdeck_edge/dispatch/factory.py
@@ -0,0 +1,44 @@
+"""Assembly of the dispatcher of an entry box."""
+
+from hitchdeck_core.clock import boot_seconds
+from hitchdeck_edge.dispatch.budget import RetryBudget
+from hitchdeck_edge.dispatch.connections import ConnectionPool
+from hitchdeck_edge.dispatch.dispatcher import Dispatcher
+from hitchdeck_edge.dispatch.sender import Sender
+from hitchdeck_edge.links.known_hubs import KnownHubs
+from hitchdeck_edge.links.placing import PlacingLink
+from hitchdeck_edge.model.adapter import PlatformAdapter
+from hitchdeck_edge.scheduling.chooser import Chooser
+from hitchdeck_edge.settings import EntrySettings
+from hitchdeck_edge.state.fleet_state import FleetState
+
+
+def new_dispatcher(
+    settings: EntrySettings,
+    adapter: PlatformAdapter,
+    fleet_state: FleetState,
+    known_hubs: KnownHubs,
+) -> Dispatcher:
+    """Return the dispatcher, with its link to the scheduler, not running yet."""
+    budget = RetryBudget(
+        settings.retry_share,
+        settings.retry_extra,
+        settings.retry_window,
+        boot_seconds,
+    )
+    link = PlacingLink(
+        settings.box,
+        known_hubs,
+        fleet_state.registry,
+        settings.fleet_token,
+        fleet_state.scheduler.shares,
+    )
+    chooser = Chooser(settings.domain, fleet_state.scheduler, link, settings.goal_wait)
+    # A box that places requests without a scheduler uses one box's part of the
+    # budget for cold upstreams.
+    chooser.local.placement.cold_budget.rate_fraction = budget.fleet_fraction
+    reuse = settings.stream_reuse and settings.mechanisms.stream_reuse
+    connections = ConnectionPool(boot_seconds, streams_reuse=reuse)
+    quarantine = fleet_state.quarantine
+    sender = Sender(adapter, chooser, connections, quarantine, boot_seconds)
+    return Dispatcher(adapter, chooser, sender, budget, boot_seconds)
--- a/packages/edge/src/hitchdeck_edge/dispatch/relay.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/relay.py
@@ -1,11 +1,13 @@
 """Forwarding a stream to the caller in complete events."""
 
-from collections.abc import Callable
+import asyncio
+from collections.abc import Awaitable, Callable
 
 from hitchdeck_edge.dispatch.events import EventSplitter
+from hitchdeck_edge.dispatch.response_parser import ResponseHead
 from hitchdeck_edge.dispatch.responses import response_headers
 from hitchdeck_edge.dispatch.spool import CallerSpool
-from hitchdeck_edge.dispatch.upstream_connection import Connection, ResponseHead
+from hitchdeck_edge.dispatch.upstream_connection import Connection
 from hitchdeck_edge.model.request_context import RequestContext
 from hitchdeck_edge.serving.caller import CallerConnection
 
@@ -15,6 +17,11 @@
 
     The head is that of the first upstream; each later one resumes the stream after the
     last complete event that the caller received.
+
+    Attributes
+    ----------
+    pending
+        Done when the caller has read what it was sent last; ``None`` if it has.
     """
 
     def __init__(
@@ -27,6 +34,7 @@
         self.caller = caller
         self.spool = spool
         self.splitter = EventSplitter(context.last_event)
+        self.pending: Awaitable[None] | None = None
 
     async def forward(
         self,
@@ -49,16 +57,23 @@
             await self.caller.start_response(
                 head.status, reason, response_headers(head.headers)
             )
-        while chunk := await connection.read_data():
+
+        def relay(chunk: bytes) -> None:
             whole = self.splitter.feed(chunk)
             if whole:
                 on_event()
-                await self._write(connection, whole)
-                self.context.last_event = self.splitter.last_id
-        if self.splitter.remainder:
-            await self._write(connection, self.splitter.remainder)
-        if self.spool is None:
-            self.caller.finish()
+                self._write(connection, whole)
+
+        try:
+            await connection.relay_body(relay)
+        finally:
+            self.context.last_event = self.splitter.last_id
+        try:
+            await self._finish(connection)
+        except BaseException:
+            # The connection is idle by now, but may be paused and is in no pool.
+            connection.abort()
+            raise
 
     async def complete(self) -> None:
         """Mark the stream as complete once the caller has read what is spooled."""
@@ -71,12 +86,26 @@
         if self.spool is not None:
             self.spool.close()
 
-    async def _write(self, connection: Connection, data: bytes) -> None:
-        pending = (self.spool or self.caller).write(data)
-        if pending is None:
-            return
-        connection.pause()
-        try:
-            await pending
-        finally:
+    async def _finish(self, connection: Connection) -> None:
+        """Complete the response, unless it is spooled, once the caller has read it."""
+        if self.splitter.remainder:
+            self._write(connection, self.splitter.remainder)
+        if self.spool is not None:
+            # All of the response has arrived, so that nothing is left to hold back.
             connection.resume()
+            return
+        if self.pending is not None:
+            await self.caller.wait_written(self.pending)
+        self.caller.finish()
+
+    def _write(self, connection: Connection, data: bytes) -> None:
+        if self.spool is None:
+            self.pending = self.caller.write(data, on_written=connection.resume)
+            if self.pending is not None:
+                connection.pause()
+            return
+        room = self.spool.write(data)
+        if room is not None:
+            connection.pause()
+            waiting = asyncio.ensure_future(room)
+            waiting.add_done_callback(lambda _: connection.resume())
--- a/packages/edge/src/hitchdeck_edge/dispatch/spool.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/spool.py
@@ -5,7 +5,6 @@
 the budget of bytes, so that it ends at the engine although its caller is slow.
 """
 
-import asyncio
 from collections.abc import Awaitable
 
 from hitchdeck_core import logs
@@ -84,13 +83,12 @@
             await self.changed.wait(WAIT_SECONDS)
 
     def _send(self, data: bytes) -> None:
-        pending = self.caller.write(data)
+        pending = self.caller.write(data, on_written=self._on_written)
         if pending is not None:
             self.is_writing = True
             self._resize(len(data))
-            asyncio.ensure_future(pending).add_done_callback(self._on_written)
 
-    def _on_written(self, _: object) -> None:
+    def _on_written(self) -> None:
         self.is_writing = False
         data, self.pieces = b''.join(self.pieces), []
         self._resize(0)
--- a/packages/edge/src/hitchdeck_edge/model/mechanisms.py
+++ b/packages/edge/src/hitchdeck_edge/model/mechanisms.py
@@ -39,6 +39,8 @@
         Upstreams in the box's own failure domain are preferred.
     box_resources
         Boxes heed the limits that their settings state.
+    stream_reuse
+        Streams that are not resumed may use kept connections, if the settings say so.
     """
 
     scheduler: bool = True
@@ -54,6 +56,7 @@
     waiting: bool = True
     near_first: bool = True
     box_resources: bool = True
+    stream_reuse: bool = True
 
     def __post_init__(self) -> None:
         """Check that each switch is a boolean."""
--- a/packages/edge/src/hitchdeck_edge/process.py
+++ b/packages/edge/src/hitchdeck_edge/process.py
@@ -15,16 +15,11 @@
 from hitchdeck_core.loop_load import PERCENT, loop_utilization, take_longest_turn
 from hitchdeck_core.sockets import listening_socket, prepare_for_slow_callers
 from hitchdeck_core.supervisor import Supervisor
-from hitchdeck_edge.dispatch.budget import RetryBudget
-from hitchdeck_edge.dispatch.connections import ConnectionPool
-from hitchdeck_edge.dispatch.dispatcher import Dispatcher
-from hitchdeck_edge.dispatch.sender import Sender
+from hitchdeck_edge.dispatch.factory import new_dispatcher
 from hitchdeck_edge.links.entry import EntryLink
 from hitchdeck_edge.links.hub_streams import HubStreams
 from hitchdeck_edge.links.known_hubs import KnownHubs
-from hitchdeck_edge.links.placing import PlacingLink
 from hitchdeck_edge.model.adapter import PlatformAdapter
-from hitchdeck_edge.scheduling.chooser import Chooser
 from hitchdeck_edge.serving.admission import Admission
 from hitchdeck_edge.serving.budgets import budgets_of
 from hitchdeck_edge.serving.caller_server import CallerServer
@@ -32,7 +27,7 @@
 from hitchdeck_edge.serving.handoff import Handoff
 from hitchdeck_edge.serving.status_pages import listen, metrics_page, ready_page
 from hitchdeck_edge.settings import EntrySettings
-from hitchdeck_edge.state.fleet_state import FleetState, new_fleet_state
+from hitchdeck_edge.state.fleet_state import new_fleet_state
 from hitchdeck_edge.state.relief import ReliefTargets
 
 STOP_POLL_SECONDS = 0.1
@@ -116,6 +111,8 @@
         self.admission.metrics.upstream_changes = registry.changes
         self.admission.metrics.gave_way = self.admission.budgets.bytes.gave_way
         self.admission.metrics.held_bytes = self.admission.budgets.bytes.held
+        self.admission.metrics.connections_opened = sender.connections.opened
+        self.admission.metrics.connections_reused = sender.connections.reused
         self.admission.metrics.handed_off = self.caller_server.handoff.handed_off
 
 
@@ -125,7 +122,7 @@
     seeds = map(Address, settings.seeds)
     known_hubs = KnownHubs(BoxName(settings.box), settings.domain, seeds, boot_seconds)
     budgets = budgets_of(settings.memory_limit, settings.descriptor_limit)
-    dispatcher = _dispatcher(settings, adapter, fleet_state, known_hubs)
+    dispatcher = new_dispatcher(settings, adapter, fleet_state, known_hubs)
     dispatcher.held_bytes = budgets.bytes
     graceful_stop = GracefulStop(settings.stop_grace, boot_seconds)
     admission = Admission(
@@ -153,35 +150,6 @@
     return box
 
 
-def _dispatcher(
-    settings: EntrySettings,
-    adapter: PlatformAdapter,
-    fleet_state: FleetState,
-    known_hubs: KnownHubs,
-) -> Dispatcher:
-    budget = RetryBudget(
-        settings.retry_share,
-        settings.retry_extra,
-        settings.retry_window,
-        boot_seconds,
-    )
-    link = PlacingLink(
-        settings.box,
-        known_hubs,
-        fleet_state.registry,
-        settings.fleet_token,
-        fleet_state.scheduler.shares,
-    )
-    chooser = Chooser(settings.domain, fleet_state.scheduler, link, settings.goal_wait)
-    # A box that places requests without a scheduler uses one box's part of the
-    # budget for cold upstreams.
-    chooser.local.placement.cold_budget.rate_fraction = budget.fleet_fraction
-    connections = ConnectionPool(boot_seconds)
-    quarantine = fleet_state.quarantine
-    sender = Sender(adapter, chooser, connections, quarantine, boot_seconds)
-    return Dispatcher(adapter, chooser, sender, budget, boot_seconds)
-
-
 def _start(box: EntryBox) -> None:
     settings = box.settings
     box.caller_server.listen(_caller_socket(settings, Address(settings.listen)))
--- a/packages/edge/src/hitchdeck_edge/serving/metrics.py
+++ b/packages/edge/src/hitchdeck_edge/serving/metrics.py
@@ -45,6 +45,9 @@
         Bytes that this box holds for callers and upstreams.
     gave_way
         Requests and responses that were broken off for lack of memory.
+    connections_opened, connections_reused
+        Connections to upstreams that were opened for requests, and requests that used
+        a kept one.
     """
 
     def __init__(self, now: Clock) -> None:
@@ -61,6 +64,8 @@
         self.handed_off = 0
         self.held_bytes = 0
         self.gave_way = 0
+        self.connections_opened = 0
+        self.connections_reused = 0
 
     def record_served(
         self, context: RequestContext, outcome: str, seconds: float
@@ -108,6 +113,8 @@
             f'hitchdeck_handed_on_total {self.handed_off}',
             f'hitchdeck_held_bytes {self.held_bytes}',
             f'hitchdeck_gave_way_total {self.gave_way}',
+            f'hitchdeck_upstream_connections_opened_total {self.connections_opened}',
+            f'hitchdeck_upstream_connections_reused_total {self.connections_reused}',
         ]
         lines.extend(
             f'hitchdeck_requests_total{{outcome="{name}"}} {count}'
