--- a/packages/edge/src/hitchdeck_edge/scheduling/queue_limit.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/queue_limit.py
@@ -54,6 +54,7 @@
     share_used: float,
     *,
     yielding: bool = True,
+    spare: bool = True,
 ) -> float:
     """Return the longest queueing time for a request, in seconds.
 
@@ -66,6 +67,9 @@
     yielding
         Whether the efficiency of the request counts; it doesn't for requests that may
         wait at the scheduler.
+    spare
+        Whether the engines have time to spare.  Otherwise requests that may wait have
+        the same limit as others.
     """
     longest = max(query.goal * LATE_FRACTION, query.goal - choice.reading)
     if 0 < query.waited < query.goal:
@@ -74,7 +78,7 @@
         longest = query.goal * LATE_FRACTION
     if query.prompt is None or share_used <= FREE_FRACTION:
         return longest
-    if query.longest_wait:
+    if query.longest_wait and spare:
         return float(longest * (FREE_FRACTION / share_used) ** WAITING_EXPONENT)
     longest *= (FREE_FRACTION / share_used) ** OVER_SHARE_EXPONENT
     if not yielding:
