--- a/packages/edge/src/hitchdeck_edge/scheduling/waiting.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/waiting.py
@@ -32,14 +32,15 @@
 """Time to answer the box, and to send the request to the engine."""
 
 MAX_WAITING = 1000
-"""Maximum number of waiting requests; a request has some kilobytes here."""
+"""Maximum number of waiting requests, which bounds memory.  In the lab load ``a`` at
+most 29 waited (one play)."""
 
 RETRY_MEMORY_SECONDS = 6.0
-"""Time for which a refused request is recognized: callers wait for a third of their
-time left, which is at most 15 s, and rarely longer than the 2 s of ``Retry-After``."""
+"""Time for which a refused request is recognized.  ``Retry-After`` is 2 s at most, and
+callers wait for a third of their time left (15 s) at the longest."""
 
 MAX_REMEMBERED = 20_000
-"""Maximum number of remembered refusals, with some hundred bytes each."""
+"""Maximum number of remembered refusals, which bounds memory."""
 
 Attempt = Callable[[BoxTicket, PlacementQuery], Choice | Unplaced]
 
