Count the demand of requests that may wait

Cause: the clock moved on between the arrival of a request and the first decision on it, so that it counted as one that came back. No demand was counted, shares never bound, and prompts that take longer than their goal were refused beside idle engines.

Change: a first decision has waited exactly nothing. Reviews skip requests like one that could not be begun, a box that decides alone places one request a review, reviews go on after an exception, one sample can't decide the speed of a new engine, and a scheduler that is late does not learn. Log lines go through absl again: the direct path could wait for its own lock when a line was logged while another one was built.

--- a/packages/core/src/hitchdeck_core/log_output.py
+++ b/packages/core/src/hitchdeck_core/log_output.py
@@ -43,10 +43,6 @@
 
     def write(self, text: str) -> None:
         """Buffer a line, or count it as dropped."""
-        self.write_built(lambda: text)
-
-    def write_built(self, build: Callable[[], str]) -> None:
-        """Buffer a line that is built only if it is not dropped."""
         self._refill()
         if self.allowance < 1 or len(self.buffer) > MAX_BUFFERED_BYTES:
             self.dropped += 1
@@ -56,7 +52,7 @@
             notice = {'event': 'log lines dropped', 'lines': self.dropped}
             self.buffer += f'{json.dumps(notice)}\n'.encode()
             self.dropped = 0
-        self.buffer += build().encode()
+        self.buffer += text.encode()
 
     def flush(self) -> None:
         """Write as much of the buffer as the reader accepts now."""
--- a/packages/core/src/hitchdeck_core/logs.py
+++ b/packages/core/src/hitchdeck_core/logs.py
@@ -3,19 +3,14 @@
 import json
 import logging as standard_logging
 import sys
-import threading
 import time
 from collections.abc import Mapping
-from functools import lru_cache, partial
 
 from absl import flags, logging
 
 from hitchdeck_core.log_output import BoundedOutput
 
 _FIELDS = 'hitchdeck_fields'
-_MS = 1000
-
-_encode = json.JSONEncoder(default=str).encode
 
 
 class JsonFormatter(standard_logging.Formatter):
@@ -23,47 +18,26 @@
 
     def format(self, record: standard_logging.LogRecord) -> str:
         """Return a line with time, level, event and the fields of the record."""
-        fields = getattr(record, _FIELDS, {})
+        line = {
+            'time': time.strftime(
+                '%Y-%m-%dT%H:%M:%S',
+                time.gmtime(record.created),
+            )
+            + f'.{int(record.msecs):03d}Z',
+            'level': record.levelname.lower(),
+            'event': record.getMessage(),
+            **getattr(record, _FIELDS, {}),
+        }
         if record.exc_info:
-            fields = {**fields, 'error': self.formatException(record.exc_info)}
-        return json_line(record.created, record.levelno, record.getMessage(), fields)
-
-
-def json_line(
-    created: float, level: int, event: str, fields: Mapping[str, object]
-) -> str:
-    """Return a line with time, level, event and fields, without a line end."""
-    second = int(created)
-    milliseconds = int((created - second) * _MS)
-    line = {
-        'time': f'{_second_text(second)}.{milliseconds:03d}Z',
-        'level': standard_logging.getLevelName(level).lower(),
-        'event': event,
-        **fields,
-    }
-    return _encode(line)
-
-
-@lru_cache(maxsize=1)
-def _second_text(second: int) -> str:
-    return time.strftime('%Y-%m-%dT%H:%M:%S', time.gmtime(second))
+            line['error'] = self.formatException(record.exc_info)
+        return json.dumps(line, default=str)
 
 
 class _Context:
-    """Logging of this process.
-
-    Attributes
-    ----------
-    fields
-        Fields that are added to every line.
-    output
-        Where lines are written without a ``LogRecord``, or ``None``.
-    """
+    """Fields that are added to every line of this process."""
 
     def __init__(self) -> None:
         self.fields: dict[str, object] = {}
-        self.output: BoundedOutput | None = None
-        self.lock = threading.Lock()
 
 
 _context = _Context()
@@ -72,7 +46,6 @@
 def set_up(**fields: object) -> None:
     """Log to standard error, with the given fields in every line."""
     _context.fields = fields
-    _context.output = None
     # Without this, absl warns at startup that no flags were parsed.
     flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
@@ -88,35 +61,11 @@
     logging.set_stderrthreshold('fatal')
     flags.FLAGS['logtostderr'].value = False
     handler = logging.get_absl_handler().python_handler
-    _context.output = BoundedOutput(sys.stdout.fileno())
-    handler.stream = _Locked(_context.output, _context.lock)
-
-
-class _Locked:
-    """The output as a stream for records of libraries, which share its limits."""
-
-    def __init__(self, output: BoundedOutput, lock: threading.Lock) -> None:
-        self.output = output
-        self.lock = lock
-
-    def write(self, text: str) -> None:
-        """Write a line."""
-        with self.lock:
-            self.output.write(text)
-
-    def flush(self) -> None:
-        """Write as much as the reader accepts now."""
-        with self.lock:
-            self.output.flush()
-
-    def close(self) -> None:
-        """Flush."""
-        self.flush()
+    handler.stream = BoundedOutput(sys.stdout.fileno())
 
 
 def silence() -> None:
     """Disable logging, for programs whose output is something else."""
-    _context.output = None
     logging.set_verbosity(logging.FATAL)
     logging.get_absl_logger().setLevel(standard_logging.CRITICAL)
 
@@ -127,10 +76,6 @@
     fields: Mapping[str, object],
     error: BaseException | None = None,
 ) -> None:
-    output = _context.output
-    if output is not None and error is None:
-        _write(output, level, event, fields)
-        return
     logging.get_absl_logger().log(
         level,
         event,
@@ -139,20 +84,6 @@
     )
 
 
-def _write(
-    output: BoundedOutput, level: int, event: str, fields: Mapping[str, object]
-) -> None:
-    """Write a line without a ``LogRecord``, which takes half as long again."""
-    with _context.lock:
-        output.write_built(partial(_built_line, level, event, fields))
-        output.flush()
-
-
-def _built_line(level: int, event: str, fields: Mapping[str, object]) -> str:
-    line = json_line(time.time(), level, event, {**_context.fields, **fields})
-    return f'{line}\n'
-
-
 def info(event: str, **fields: object) -> None:
     """Log an event that is of interest to an operator."""
     _log(standard_logging.INFO, event, fields)
--- a/packages/edge/src/hitchdeck_edge/hub/placing.py
+++ b/packages/edge/src/hitchdeck_edge/hub/placing.py
@@ -9,6 +9,7 @@
 from hitchdeck_core import logs
 from hitchdeck_core.clock import Clock
 from hitchdeck_core.ids import AccountName, PoolName, UpstreamName
+from hitchdeck_core.loop_load import loop_lag
 from hitchdeck_core.wire.spread_grpc import PlacingBase
 from hitchdeck_core.wire.spread_pb2 import Placed, PlacedFrame, PlacingFrame
 from hitchdeck_core.wire.spread_pb2 import Wanted as WantedMessage
@@ -25,6 +26,10 @@
 from hitchdeck_edge.state.documents import Documents
 from hitchdeck_edge.state.registry import Registry
 
+MAX_LEARNING_LAG_SECONDS = 0.05
+"""Lag of the event loop above which first events are not used as samples: it would
+count as time of the engines, whose first events take from 0.03 s."""
+
 FLEET_SIZE_WINDOW_SECONDS = 30.0
 """How long boxes that have disconnected count as part of the fleet."""
 
@@ -130,8 +135,10 @@
         for work in frame.open:
             key = (box.name, int(work.id))
             self.scheduler.add_open(key, UpstreamName(work.upstream), int(work.unread))
+        # After a suspension of this process, all times until first events are too long.
+        on_time = loop_lag() <= MAX_LEARNING_LAG_SECONDS
         for started in frame.started:
-            self.scheduler.start((box.name, int(started)))
+            self.scheduler.start((box.name, int(started)), learn=on_time)
         for started in frame.late_started:
             self.scheduler.start((box.name, int(started)), learn=False)
         for ended in frame.ended:
--- a/packages/edge/src/hitchdeck_edge/scheduling/chooser.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/chooser.py
@@ -43,7 +43,9 @@
         self.link = link
         self.goal_wait = goal_wait if local.mechanisms.waiting else 0
         self.places: dict[BoxTicket, asyncio.Future[Choice | Refusal]] = {}
-        self.queue = WaitingQueue(local, self._attempt, link.now)
+        # A placed request counts as load only once it is sent, so that a review which
+        # placed several would send all of them to the same engine.
+        self.queue = WaitingQueue(local, self._attempt, link.now, max_placed=1)
         self.reviews = Reviews(self.queue, self._deliver)
         self.backpressure = Backpressure(link.now)
 
--- a/packages/edge/src/hitchdeck_edge/scheduling/engine_model.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/engine_model.py
@@ -21,7 +21,7 @@
 )
 from hitchdeck_edge.scheduling.pool_fit import PoolFit
 
-MAX_SURPRISE = 0.5
+MAX_RESIDUAL = 0.5
 """Bound of one sample's influence on a factor, as a logarithm of the ratio of measured
 to expected time.  A busy box delays some events by tenths of a second; beyond the bound
 they count like a time that is 1.65 times as long as expected."""
@@ -44,6 +44,14 @@
 engine.  With the variance between engines it gives the number of samples after which
 an engine's own times count more than those of its pool."""
 
+MIN_PRIOR_SAMPLES = 2.0
+"""Least weight of the pool in the factors of an engine, in samples: no single sample
+decides what is expected of a new engine."""
+
+MAX_FACTOR_LOG = 1.5
+"""Bound of the logarithms of the factors of an engine, 4.5 times in either direction.
+Engines of one pool were described as differing by 2.2 times."""
+
 MIN_VARIANCE = 0.004
 """Least assumed variance between engines: a sixteenth is common between equal ones."""
 
@@ -127,28 +135,32 @@
             return 1
         return math.exp(self.deviation)
 
-    def learn(self, surprise: float, reading: float, gain: float, now: float) -> None:
+    def learn(self, residual: float, reading: float, gain: float, now: float) -> None:
         """Update factors and deviation.
 
         Parameters
         ----------
-        surprise
+        residual
             Logarithm of measured to expected time.
         reading
             Part of the expected time that was not fixed latency, from 0 to 1.
         """
-        bounded = min(MAX_SURPRISE, max(-MAX_SURPRISE, surprise))
+        bounded = min(MAX_RESIDUAL, max(-MAX_RESIDUAL, residual))
         contrast = FACTOR_CONTRAST * (2 * reading - 1)
-        self.read_log += gain * (1 + contrast) * bounded
-        self.latency_log += gain * (1 - contrast) * bounded
+        self.read_log = _clamped(self.read_log + gain * (1 + contrast) * bounded)
+        self.latency_log = _clamped(self.latency_log + gain * (1 - contrast) * bounded)
         self.samples += 1
         if now - self.deviated > STALL_SECONDS:
             self.deviation = 0.0
-        recent = min(MAX_DEVIATION, max(-MAX_DEVIATION, surprise))
+        recent = min(MAX_DEVIATION, max(-MAX_DEVIATION, residual))
         self.deviation += FAST_GAIN * (recent - self.deviation)
         self.deviated = now
 
 
+def _clamped(factor_log: float) -> float:
+    return min(MAX_FACTOR_LOG, max(-MAX_FACTOR_LOG, factor_log))
+
+
 class PoolPace:
     """What is known of the speed of the engines of one pool.
 
@@ -190,7 +202,7 @@
             one.latency_log -= latency
         squares = sum(one.read_log**2 for one in sure)
         variance = max(MIN_VARIANCE, squares / len(sure))
-        self.prior_samples = SAMPLE_VARIANCE / variance
+        self.prior_samples = max(MIN_PRIOR_SAMPLES, SAMPLE_VARIANCE / variance)
 
 
 class EngineModel:
@@ -245,7 +257,7 @@
         engine = self.engine(name, pool_name)
         reading = engine.per_token * tokens + engine.per_running * running
         expected = engine.latency + reading
-        surprise = math.log(seconds / expected)
+        residual = math.log(seconds / expected)
         pool.fit.add(
             (
                 math.exp(engine.latency_log),
@@ -256,7 +268,7 @@
             expected,
         )
         gain = max(MIN_GAIN, 1 / (pool.prior_samples + engine.samples))
-        engine.learn(surprise, reading / expected, gain, self.now())
+        engine.learn(residual, reading / expected, gain, self.now())
         pool.samples += 1
         if pool.samples % REFIT_SAMPLES == 0:
             pool.refit()
--- a/packages/edge/src/hitchdeck_edge/scheduling/queue_limit.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/queue_limit.py
@@ -71,11 +71,7 @@
         Whether the engines have time to spare.  Otherwise requests that may wait have
         the same limit as others.
     """
-    longest = max(query.goal * LATE_FRACTION, query.goal - choice.reading)
-    if 0 < query.waited < query.goal:
-        longest = min(longest, query.goal - query.waited - choice.reading)
-    elif query.waited:
-        longest = query.goal * LATE_FRACTION
+    longest = _longest_within_goal(query, choice)
     if query.prompt is None or share_used <= FREE_FRACTION:
         return longest
     if query.longest_wait and spare:
@@ -88,6 +84,15 @@
     return float(longest * _efficiency_factor(query.prompt, choice.tokens) ** beyond)
 
 
+def _longest_within_goal(query: PlacementQuery, choice: Choice) -> float:
+    """Return the longest queueing time of a request of an account within its share."""
+    late = query.goal * LATE_FRACTION
+    left = query.goal - query.waited - choice.reading
+    if query.waited >= query.goal or choice.reading >= query.goal:
+        return late
+    return left if query.waited else max(late, left)
+
+
 def _efficiency_factor(prompt: Prompt, unread: int) -> float:
     """Return the factor for a request's efficiency, up to 1."""
     work = unread + OUTPUT_TOKEN_WORK * prompt.expected_output_tokens
--- a/packages/edge/src/hitchdeck_edge/scheduling/waiting.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/waiting.py
@@ -10,7 +10,6 @@
 from collections import OrderedDict
 from collections.abc import Callable, Hashable, Iterator
 from dataclasses import dataclass, replace
-from itertools import islice
 
 from hitchdeck_core import logs
 from hitchdeck_core.clock import Clock
@@ -87,6 +86,7 @@
         if key is None:
             return
         self.arrivals[key] = arrived
+        self.arrivals.move_to_end(key)
         oldest = next(iter(self.arrivals.values()))
         while len(self.arrivals) > MAX_REMEMBERED or self._is_old(oldest):
             self.arrivals.popitem(last=False)
@@ -118,13 +118,22 @@
     ----------
     attempt
         Places a request if an engine may get it now.
+    max_placed
+        Maximum number of requests that one review places.
     entries
         Waiting requests, by box and ticket.
     """
 
-    def __init__(self, scheduler: Scheduler, attempt: Attempt, now: Clock) -> None:
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        attempt: Attempt,
+        now: Clock,
+        max_placed: int = MAX_REVIEWED,
+    ) -> None:
         self.scheduler = scheduler
         self.attempt = attempt
+        self.max_placed = max_placed
         self.now = now
         self.entries: dict[BoxTicket, WaitingRequest] = {}
         self.refused = RefusedRequests(now)
@@ -136,8 +145,13 @@
             if isinstance(found, Choice):
                 return found
             return self.scheduler.refuse(query, found)
-        arrived = self.now() - self.refused.seconds_since(query)
-        return self._place_patient(key, WaitingRequest(query, arrived))
+        waited = self.refused.seconds_since(query)
+        entry = WaitingRequest(query, self.now() - waited)
+        # Exactly 0 for a first attempt, whose demand counts; the clock moves on.
+        found = self.attempt(key, replace(query, waited=waited))
+        if isinstance(found, Choice):
+            return found
+        return self._keep_or_refuse(key, entry, found)
 
     def remove(self, key: BoxTicket) -> None:
         """Remove a request whose caller has left."""
@@ -153,14 +167,9 @@
         """Place or refuse what can be decided now."""
         return [*self._refuse_late(), *self._place_first()]
 
-    def _place_patient(
-        self,
-        key: BoxTicket,
-        entry: WaitingRequest,
-    ) -> Choice | Refusal | None:
-        found = self.attempt(key, self._current(entry))
-        if isinstance(found, Choice):
-            return found
+    def _keep_or_refuse(
+        self, key: BoxTicket, entry: WaitingRequest, found: Unplaced
+    ) -> Refusal | None:
         entry.unplaced = found
         goal_left = entry.arrived + entry.query.goal - self.now()
         wait = min(entry.query.longest_wait, goal_left - found.reading - SEND_SECONDS)
@@ -186,21 +195,35 @@
             yield key, self._refuse(self.entries.pop(key))
 
     def _place_first(self) -> Iterator[tuple[BoxTicket, Choice]]:
-        accounts = {entry.query.account for entry in self.entries.values()}
-        needs = {account: self._need(account) for account in accounts}
-        ordered = sorted(
-            self.entries.items(),
-            key=lambda item: _rank(item[1], needs[item[1].query.account]),
-        )
-        for key, entry in islice(ordered, MAX_REVIEWED):
+        budget = min(MAX_REVIEWED, len(self.entries))
+        placed = 0
+        # Requests like one that can't be begun would keep others from their turn.
+        stuck: set[Hashable] = set()
+        for key, entry in self._ordered():
+            group = (entry.query.pool, entry.query.account, entry.query.avoid)
+            if group in stuck:
+                continue
             query = self._current(entry)
             found = self.attempt(key, query)
+            budget -= 1
             if isinstance(found, Choice):
                 self.remove(key)
                 self._log_placed(query, found)
                 yield key, found
+                placed += 1
             else:
                 entry.unplaced = found
+                stuck.add(group)
+            if not budget or placed >= self.max_placed:
+                return
+
+    def _ordered(self) -> list[tuple[BoxTicket, WaitingRequest]]:
+        accounts = {entry.query.account for entry in self.entries.values()}
+        needs = {account: self._need(account) for account in accounts}
+        return sorted(
+            self.entries.items(),
+            key=lambda item: _rank(item[1], needs[item[1].query.account]),
+        )
 
     def _current(self, entry: WaitingRequest) -> PlacementQuery:
         return replace(entry.query, waited=self.now() - entry.arrived)
@@ -246,4 +269,8 @@
     async def _run(self) -> None:
         while self.queue.entries:
             await asyncio.sleep(REVIEW_SECONDS)
-            self.deliver(self.queue.review())
+            try:
+                self.deliver(self.queue.review())
+            except Exception as error:
+                # The other requests must not wait for ever.
+                logs.failure('review of waiting requests failed', error)
--- a/tests/edge/test_budgets.py
+++ b/tests/edge/test_budgets.py
@@ -122,9 +122,12 @@
         self.pending: asyncio.Future[None] | None = None
         self.aborted = False
 
-    def write(self, data: bytes) -> asyncio.Future[None]:
+    def write(
+        self, data: bytes, on_written: Callable[[], None]
+    ) -> asyncio.Future[None]:
         self.written.append(data)
         self.pending = asyncio.get_running_loop().create_future()
+        self.pending.add_done_callback(lambda _: on_written())
         return self.pending
 
     def abort(self) -> None:
--- a/tests/edge/test_waiting.py
+++ b/tests/edge/test_waiting.py
@@ -16,7 +16,7 @@
 from hitchdeck_edge.model.refusals import Refusal
 from hitchdeck_edge.scheduling.chooser import Chooser
 from hitchdeck_edge.scheduling.queue_limit import max_queue_seconds
-from hitchdeck_edge.scheduling.scheduler import Scheduler
+from hitchdeck_edge.scheduling.scheduler import Scheduler, Unplaced
 from hitchdeck_edge.scheduling.waiting import (
     MAX_REMEMBERED,
     RETRY_MEMORY_SECONDS,
@@ -340,3 +340,63 @@
         entry = decode_settings(given).entry
         assert entry is not None
         assert entry.goal_wait == waits
+
+
+class MovingClock(FakeClock):
+    """A clock that moves on whenever it is read, like that of a process."""
+
+    def __call__(self) -> float:
+        self.seconds += 1e-6
+        return self.seconds
+
+
+def test_the_demand_of_requests_that_may_wait_counts() -> None:
+    # Guards against the clock moving on between arrival and decision: a request then
+    # counted as one that came back, no demand was counted, and no share was binding.
+    clock = MovingClock()
+    scheduler = scheduler_of(clock, 1)
+    offer(scheduler, 20_000)
+    queue = queue_of(scheduler, clock)
+    for number in range(20):
+        queue.place(('box', number), patient())
+    assert scheduler.shares.asked.tokens[AccountName('ann')] == 20 * 1000
+
+
+def test_an_idle_engine_gets_a_prompt_that_takes_longer_than_the_goal() -> None:
+    # Guards against the largest prompts being refused beside idle engines.
+    clock = MovingClock()
+    scheduler = scheduler_of(clock, 1)
+    large = replace(patient(), prompt=prompt(60_000))
+    assert isinstance(queue_of(scheduler, clock).place(('box', 1), large), Choice)
+
+
+def test_accounts_behind_one_with_many_waiting_requests_are_tried() -> None:
+    # Guards against requests that no engine can begin keeping all others waiting.
+    clock = FakeClock()
+    scheduler = full_scheduler(clock)
+    queue = queue_of(scheduler, clock)
+    for number in range(20):
+        queue.place(('box', number), patient('bob'))
+    queue.place(('box', 100), patient('ann'))
+    tried: list[str] = []
+
+    def refuse(_: tuple[str, int], query: PlacementQuery) -> Unplaced:
+        tried.append(str(query.account))
+        return Unplaced(Refusal.overloaded, 0, 1, 0)
+
+    queue.attempt = refuse
+    queue.review()
+    assert {'ann', 'bob'} <= set(tried)
+
+
+def test_a_box_that_decides_alone_places_one_request_a_review() -> None:
+    # Guards against eight requests at the same engine, none of which counts as load.
+    clock = FakeClock()
+    scheduler = full_scheduler(clock)
+    queue = WaitingQueue(
+        scheduler, lambda _, query: scheduler.attempt(query), clock, max_placed=1
+    )
+    for number in range(3):
+        queue.place(('', number), patient())
+    scheduler.end(FULL)
+    assert len(queue.review()) == 1
