--- a/packages/edge/src/hitchdeck_edge/process.py
+++ b/packages/edge/src/hitchdeck_edge/process.py
@@ -1,17 +1,15 @@
 """Builds and runs the process of an entry box."""
 
 import asyncio
-import socket
+import random
 from dataclasses import dataclass, field
 
 from tornado.httpserver import HTTPServer
 
 from hitchdeck_core import logs
-from hitchdeck_core.channels import split_address
 from hitchdeck_core.clock import boot_seconds
 from hitchdeck_core.ids import Address, BoxName
 from hitchdeck_core.loop_load import PERCENT, loop_utilization, take_longest_turn
-from hitchdeck_core.sockets import listening_socket, prepare_for_slow_callers
 from hitchdeck_core.supervisor import Supervisor
 from hitchdeck_edge.dispatch.budget import RetryBudget
 from hitchdeck_edge.dispatch.connections import ConnectionPool
@@ -25,7 +23,7 @@
 from hitchdeck_edge.scheduling.chooser import Chooser
 from hitchdeck_edge.serving.admission import Admission
 from hitchdeck_edge.serving.budgets import budgets_of
-from hitchdeck_edge.serving.caller_server import CallerServer
+from hitchdeck_edge.serving.caller_server import CallerServer, caller_socket
 from hitchdeck_edge.serving.graceful_stop import GracefulStop
 from hitchdeck_edge.serving.handoff import Handoff
 from hitchdeck_edge.serving.status_pages import listen, metrics_page, ready_page
@@ -182,9 +180,11 @@
 
 def _start(box: EntryBox) -> None:
     settings = box.settings
-    box.caller_server.listen(_caller_socket(settings, Address(settings.listen)))
+    may_be_slow = settings.memory_limit > 0
+    listener = caller_socket(Address(settings.listen), may_be_slow=may_be_slow)
+    box.caller_server.listen(listener)
     if settings.relief_listen is not None:
-        relief = _caller_socket(settings, settings.relief_listen)
+        relief = caller_socket(settings.relief_listen, may_be_slow=may_be_slow)
         box.caller_server.listen_for_relief(relief)
     ready = ready_page(box.is_ready)
     box.servers.append(listen(ready, Address(settings.ready_listen)))
@@ -192,7 +192,10 @@
         figures = metrics_page(box.admission.metrics.render)
         box.servers.append(listen(figures, Address(settings.metrics_listen)))
     handlers = box.link.stream_handlers(box.known_hubs)
-    streams = HubStreams(box.known_hubs, handlers, settings.fleet_token)
+    # A phase of its own: boxes that ticked together would all burden a hub at once.
+    streams = HubStreams(
+        box.known_hubs, handlers, settings.fleet_token, phase=random.random()
+    )
     box.supervisor.permanent('hubs', streams.run)
     connections = box.admission.dispatcher.sender.connections
     box.supervisor.permanent('connections', connections.sweep)
@@ -200,10 +203,3 @@
     chooser = box.admission.dispatcher.chooser
     box.supervisor.permanent('shares', chooser.local.run)
     box.supervisor.permanent('scheduler', chooser.link.run)
-
-
-def _caller_socket(settings: EntrySettings, address: Address) -> socket.socket:
-    listener = listening_socket(*split_address(address))
-    if settings.memory_limit:
-        prepare_for_slow_callers(listener)
-    return listener
--- a/packages/edge/src/hitchdeck_edge/serving/caller_server.py
+++ b/packages/edge/src/hitchdeck_edge/serving/caller_server.py
@@ -17,7 +17,10 @@
 from tornado.netutil import add_accept_handler
 
 from hitchdeck_core import logs
+from hitchdeck_core.channels import split_address
+from hitchdeck_core.ids import Address
 from hitchdeck_core.loop_load import loop_lag, loop_utilization
+from hitchdeck_core.sockets import listening_socket, prepare_for_slow_callers
 from hitchdeck_edge.serving.budgets import Budgets, Holding
 from hitchdeck_edge.serving.handoff import GREETING, Handoff, should_hand_off
 from hitchdeck_edge.serving.shedding import Shedder
@@ -38,6 +41,14 @@
 """Tells whether this box may have to reject requests."""
 
 
+def caller_socket(address: Address, *, may_be_slow: bool) -> socket.socket:
+    """Return a listening socket for callers, which may be slow to read."""
+    listener = listening_socket(*split_address(address))
+    if may_be_slow:
+        prepare_for_slow_callers(listener)
+    return listener
+
+
 class IncomingRequest(HTTPMessageDelegate):
     """Collects one request while it is read."""
 
@@ -227,6 +238,7 @@
 
     def _accept_relief(self, connection: socket.socket, _: object) -> None:
         connection.setblocking(False)
+        self._spare_descriptors(connection)
         try:
             connection.send(GREETING)
         except OSError as error:
