--- a/packages/edge/src/hitchdeck_edge/dispatch/spool.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/spool.py
@@ -14,9 +14,6 @@
 from hitchdeck_edge.serving.budgets import ByteBudget
 from hitchdeck_edge.serving.caller import CallerConnection
 
-WAIT_SECONDS = 1.0
-"""Interval of checks for room, which also depends on other requests."""
-
 
 class CallerSpool:
     """Writes a stream to a caller, and holds what the caller does not read yet.
@@ -27,6 +24,8 @@
         Data that is not being written yet.
     size
         Length of it, and of the data that is being written.
+    room
+        Done when more may be read from the upstream; ``None`` if it may now.
     """
 
     def __init__(
@@ -39,7 +38,8 @@
         self.size = 0
         self.is_writing = False
         self.error: CallerDisconnectedError | None = None
-        self.changed = Signal()
+        self.room: asyncio.Future[None] | None = None
+        self.written = Signal()
         self.holding = budget.open(account, self._break_off)
 
     def write(self, data: bytes) -> Awaitable[None] | None:
@@ -48,7 +48,7 @@
         Returns
         -------
         Awaitable or None
-            To be awaited before more is read from the upstream.
+            Done when more may be read from the upstream, if it may not now.
 
         Raises
         ------
@@ -62,12 +62,14 @@
             self._resize(self.size + len(data))
         else:
             self._send(data)
-        return self._wait_for_room() if self._is_full() else None
+        if self.room is None and self._is_full():
+            self.room = asyncio.get_running_loop().create_future()
+        return self.room
 
     async def drain(self) -> None:
         """Wait until the caller has read everything."""
         while self.is_writing:
-            await self.changed.wait(WAIT_SECONDS)
+            await self.written.wait()
         if self.error is not None:
             raise self.error
 
@@ -79,10 +81,6 @@
     def _is_full(self) -> bool:
         return self.is_writing and not self.budget.may_spool(self.holding)
 
-    async def _wait_for_room(self) -> None:
-        while self._is_full():
-            await self.changed.wait(WAIT_SECONDS)
-
     def _send(self, data: bytes) -> None:
         pending = self.caller.write(data)
         if pending is not None:
@@ -99,7 +97,12 @@
                 self._send(data)
             except CallerDisconnectedError as error:
                 self.error = error
-        self.changed.notify()
+        if self.room is not None and not self._is_full():
+            room, self.room = self.room, None
+            # Cancelled if the request that awaits it has ended.
+            if not room.done():
+                room.set_result(None)
+        self.written.notify()
 
     def _resize(self, size: int) -> None:
         self.size = size
--- a/packages/edge/src/hitchdeck_edge/model/mechanisms.py
+++ b/packages/edge/src/hitchdeck_edge/model/mechanisms.py
@@ -1,8 +1,9 @@
 """Switches for the mechanisms of placement and admission."""
 
-from dataclasses import dataclass, fields
+from dataclasses import fields
 
 from hitchdeck_core.checks import check_boolean
+from hitchdeck_core.lazy_dataclasses import dataclass
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,6 +31,8 @@
         Engines with late first tokens cost more.
     ejection
         Failing upstreams are not used for some time.
+    waiting
+        Requests wait at the scheduler where the settings allow it.
     near_first
         Upstreams in the box's own failure domain are preferred.
     box_resources
@@ -45,6 +48,7 @@
     places: bool = True
     slowness: bool = True
     ejection: bool = True
+    waiting: bool = True
     near_first: bool = True
     box_resources: bool = True
 
--- a/packages/edge/src/hitchdeck_edge/model/placing.py
+++ b/packages/edge/src/hitchdeck_edge/model/placing.py
@@ -1,8 +1,7 @@
 """Placement queries and their results."""
 
-from dataclasses import dataclass
-
 from hitchdeck_core.ids import AccountName, PoolName, RequestId, UpstreamName
+from hitchdeck_core.lazy_dataclasses import dataclass
 from hitchdeck_edge.model.calls import Prompt
 from hitchdeck_edge.model.upstreams import Upstream
 
@@ -32,6 +31,12 @@
         Areas in which the request may be served; no restriction if empty.
     body_bytes
         Size of the request body.
+    priority
+        Urgency; 0 is the most urgent.
+    longest_wait
+        Seconds that the request may wait at the scheduler; 0 for a decision at once.
+    waited
+        Seconds since it first arrived, if it has waited there or came back.
     """
 
     request: RequestId
@@ -46,6 +51,9 @@
     avoid: frozenset[UpstreamName] = frozenset()
     areas: frozenset[str] = frozenset()
     body_bytes: int = 0
+    priority: int = 0
+    longest_wait: float = 0.0
+    waited: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/edge/src/hitchdeck_edge/model/request_context.py
+++ b/packages/edge/src/hitchdeck_edge/model/request_context.py
@@ -1,8 +1,9 @@
 """State of a caller's request within an entry box."""
 
-from dataclasses import dataclass, field
+from dataclasses import field
 
 from hitchdeck_core.ids import AccountName, UpstreamName
+from hitchdeck_core.lazy_dataclasses import dataclass
 from hitchdeck_core.quarantine.fingerprints import Fingerprint, fingerprint_of
 from hitchdeck_edge.model.calls import Call
 from hitchdeck_edge.model.document import DocumentVersion, Pool, RepeatPolicy, Route
@@ -35,6 +36,8 @@
         Address of the scheduler that made the last decision, or ``THIS_BOX``.
     areas
         Areas in which it may be served; no restriction if empty.
+    priority
+        Urgency by its account or route; 0 is the most urgent.
     fingerprint
         Digest of account and content; equal for every retry, whatever the request's id.
     """
@@ -53,6 +56,7 @@
     last_event: str = ''
     decided_by: str = ''
     areas: frozenset[str] = frozenset()
+    priority: int = 0
     fingerprint: Fingerprint = field(init=False)
 
     def __post_init__(self) -> None:
@@ -80,6 +84,7 @@
             resumes=bool(self.sent or self.last_event),
             areas=self.areas,
             body_bytes=len(self.body),
+            priority=self.priority,
         )
 
     @property
--- a/packages/edge/src/hitchdeck_edge/process.py
+++ b/packages/edge/src/hitchdeck_edge/process.py
@@ -2,13 +2,14 @@
 
 import asyncio
 import random
-from dataclasses import dataclass, field
+from dataclasses import field
 
 from tornado.httpserver import HTTPServer
 
 from hitchdeck_core import logs
 from hitchdeck_core.clock import boot_seconds
 from hitchdeck_core.ids import Address, BoxName
+from hitchdeck_core.lazy_dataclasses import dataclass
 from hitchdeck_core.loop_load import PERCENT, loop_utilization, take_longest_turn
 from hitchdeck_core.supervisor import Supervisor
 from hitchdeck_edge.dispatch.budget import RetryBudget
@@ -168,7 +169,7 @@
         settings.fleet_token,
         fleet_state.scheduler.shares,
     )
-    chooser = Chooser(settings.domain, fleet_state.scheduler, link)
+    chooser = Chooser(settings.domain, fleet_state.scheduler, link, settings.goal_wait)
     # A box that places requests without a scheduler uses one box's part of the
     # budget for cold upstreams.
     chooser.local.placement.cold_budget.rate_fraction = budget.fleet_fraction
--- a/packages/edge/src/hitchdeck_edge/serving/budgets.py
+++ b/packages/edge/src/hitchdeck_edge/serving/budgets.py
@@ -7,9 +7,10 @@
 
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import field
 
 from hitchdeck_core import logs
+from hitchdeck_core.lazy_dataclasses import dataclass
 from hitchdeck_core.signals import Signal
 
 PROCESS_BYTES = 80_000_000
@@ -49,7 +50,6 @@
 """Releases what a holding holds."""
 
 
-@dataclass(eq=False, slots=True)
 class Holding:
     """Bytes held for one request.
 
@@ -65,10 +65,13 @@
         Whether the request was not read in full yet.
     """
 
-    account: str
-    size: int = 0
-    give_way: GiveWay | None = None
-    is_being_read: bool = False
+    __slots__ = ('account', 'give_way', 'is_being_read', 'size')
+
+    def __init__(self, account: str, give_way: GiveWay | None = None) -> None:
+        self.account = account
+        self.size = 0
+        self.give_way = give_way
+        self.is_being_read = False
 
 
 class ByteBudget:
@@ -102,7 +105,7 @@
 
     def open(self, account: str, give_way: GiveWay | None = None) -> Holding:
         """Return a new holding."""
-        holding = Holding(account, give_way=give_way)
+        holding = Holding(account, give_way)
         self.holdings[holding] = None
         return holding
 
