--- a/tests/edge/test_budgets.py
+++ b/tests/edge/test_budgets.py
@@ -9,6 +9,8 @@
 
 import pytest
 
+from hitchdeck_core.channels import split_address
+from hitchdeck_core.ids import Address
 from hitchdeck_core.sockets import listening_socket, prepare_for_slow_callers
 from hitchdeck_edge.dispatch.spool import CallerSpool
 from hitchdeck_edge.errors import CallerDisconnectedError
@@ -31,6 +33,8 @@
 LIMIT = 1000
 WAIT_SECONDS = 15.0
 SHORT_SECONDS = 0.1
+EVENTS = 2000
+SMALL_BUFFER = 4096
 
 
 def reading(budget: ByteBudget, account: str, size: int = 0) -> Holding:
@@ -211,6 +215,35 @@
         assert budget.held == 0
 
 
+@pytest.mark.parametrize('limited', [True, False])
+async def test_a_stream_ends_at_its_engine_before_a_slow_caller_reads_it(
+    tmp_path: Path, limited: bool
+) -> None:
+    # Guards against an engine that cuts a stream off as it is left unread.
+    async with running_site(tmp_path) as site:
+        box = site.boxes[0]
+        limit(site, 10**6 if limited else 0)
+        for worker in site.workers:
+            worker.events, worker.gap = EVENTS, 0
+        for listener, _ in box.caller_server.listeners:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER)
+        caller = socket.socket()
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER)
+        caller.connect(split_address(Address(box.settings.listen)))
+        caller.sendall(generation('slow', 'key-of-ann', 'aa:10', '10,10', 4))
+        connections = box.admission.dispatcher.sender.connections
+        await until(lambda: bool(box.admission.tasks))
+        await asyncio.sleep(5 * SHORT_SECONDS)
+        assert bool(box.admission.tasks)
+        assert not any(connections.busy.values()) is limited
+        caller.setblocking(False)
+        reader, writer = await asyncio.open_connection(sock=caller)
+        async with asyncio.timeout(WAIT_SECONDS):
+            answer = await reader.readuntil(b'0\r\n\r\n')
+        assert answer.count(b'id: ') == EVENTS
+        writer.close()
+
+
 async def test_a_body_that_does_not_fit_is_not_read(tmp_path: Path) -> None:
     # Guards against a process that ends for lack of memory under large bodies.
     async with running_site(tmp_path) as site:
