--- a/packages/edge/src/hitchdeck_edge/process.py
+++ b/packages/edge/src/hitchdeck_edge/process.py
@@ -2,18 +2,15 @@
 
 import asyncio
 import random
-import socket
 from dataclasses import field
 
 from tornado.httpserver import HTTPServer
 
 from hitchdeck_core import logs
-from hitchdeck_core.channels import split_address
 from hitchdeck_core.clock import boot_seconds
 from hitchdeck_core.ids import Address, BoxName
 from hitchdeck_core.lazy_dataclasses import dataclass
 from hitchdeck_core.loop_load import PERCENT, loop_utilization, take_longest_turn
-from hitchdeck_core.sockets import listening_socket, prepare_for_slow_callers
 from hitchdeck_core.supervisor import Supervisor
 from hitchdeck_edge.dispatch.factory import new_dispatcher
 from hitchdeck_edge.links.entry import EntryLink
@@ -22,7 +19,7 @@
 from hitchdeck_edge.model.adapter import PlatformAdapter
 from hitchdeck_edge.serving.admission import Admission
 from hitchdeck_edge.serving.budgets import budgets_of
-from hitchdeck_edge.serving.caller_server import CallerServer
+from hitchdeck_edge.serving.caller_server import CallerServer, caller_socket
 from hitchdeck_edge.serving.graceful_stop import GracefulStop
 from hitchdeck_edge.serving.handoff import Handoff
 from hitchdeck_edge.serving.status_pages import listen, metrics_page, ready_page
@@ -152,9 +149,11 @@
 
 def _start(box: EntryBox) -> None:
     settings = box.settings
-    box.caller_server.listen(_caller_socket(settings, Address(settings.listen)))
+    may_be_slow = settings.memory_limit > 0
+    listener = caller_socket(Address(settings.listen), may_be_slow=may_be_slow)
+    box.caller_server.listen(listener)
     if settings.relief_listen is not None:
-        relief = _caller_socket(settings, settings.relief_listen)
+        relief = caller_socket(settings.relief_listen, may_be_slow=may_be_slow)
         box.caller_server.listen_for_relief(relief)
     ready = ready_page(box.is_ready)
     box.servers.append(listen(ready, Address(settings.ready_listen)))
@@ -173,10 +172,3 @@
     chooser = box.admission.dispatcher.chooser
     box.supervisor.permanent('shares', chooser.local.run)
     box.supervisor.permanent('scheduler', chooser.link.run)
-
-
-def _caller_socket(settings: EntrySettings, address: Address) -> socket.socket:
-    listener = listening_socket(*split_address(address))
-    if settings.memory_limit:
-        prepare_for_slow_callers(listener)
-    return listener
