--- a/packages/edge/src/hitchdeck_edge/dispatch/relay.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/relay.py
@@ -1,6 +1,5 @@
 """Forwarding a stream to the caller in complete events."""
 
-import asyncio
 from collections.abc import Awaitable, Callable
 
 from hitchdeck_edge.dispatch.events import EventSplitter
@@ -107,5 +106,4 @@
         room = self.spool.write(data)
         if room is not None:
             connection.pause()
-            waiting = asyncio.ensure_future(room)
-            waiting.add_done_callback(lambda _: connection.resume())
+            room.add_done_callback(lambda _: connection.resume())
--- a/packages/edge/src/hitchdeck_edge/dispatch/spool.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/spool.py
@@ -5,7 +5,7 @@
 the budget of bytes, so that it ends at the engine although its caller is slow.
 """
 
-from collections.abc import Awaitable
+import asyncio
 
 from hitchdeck_core import logs
 from hitchdeck_core.signals import Signal
@@ -41,12 +41,12 @@
         self.written = Signal()
         self.holding = budget.open(account, self._break_off)
 
-    def write(self, data: bytes) -> Awaitable[None] | None:
+    def write(self, data: bytes) -> asyncio.Future[None] | None:
         """Send data, or hold it until the caller has read what was sent before.
 
         Returns
         -------
-        Awaitable or None
+        Future or None
             Done when more may be read from the upstream, if it may not now.
 
         Raises
--- a/packages/edge/src/hitchdeck_edge/scheduling/engine_costs.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/engine_costs.py
@@ -100,10 +100,6 @@
             fits=ahead <= 0 and not missing,
         )
 
-    def wait(self, upstream: Upstream) -> float:
-        """Return the seconds until an engine begins to read a new request."""
-        return self._wait(upstream, self.open_work.now())
-
     def keep(self, names: set[UpstreamName]) -> None:
         """Drop what was learned of all other engines."""
         self.model.keep(names)
--- a/packages/edge/src/hitchdeck_edge/scheduling/placement.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/placement.py
@@ -171,13 +171,6 @@
         if self.costs is not None:
             self.costs.keep(present)
 
-    def wait_seconds(self, upstream: Upstream) -> float:
-        """Return the seconds until an engine begins to read a new request."""
-        if self.costs is not None:
-            return self.costs.wait(upstream)
-        seconds = self._slowness(upstream) / self.speed.read_rate(upstream.pool)
-        return self._tokens_ahead(upstream.name) * seconds
-
     def soonest(self, query: PlacementQuery) -> Choice | None:
         """Return the engine with a free slot that makes the first token soonest.
 
--- a/packages/edge/src/hitchdeck_edge/scheduling/queue_limit.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/queue_limit.py
@@ -21,12 +21,6 @@
 load, 0.682 of the owed work was earned at 1, 0.702 at 2 and 0.691 at 4 (means of three
 runs in virtual time, with waits of at least 0.05 s)."""
 
-WAITING_EXPONENT = 1.0
-"""The same exponent for requests that may wait at the scheduler.  There excess that
-waits doesn't delay others, so more of it is let through.  In the lab loads ``a`` and
-``b`` this was worth 0.756 and 0.823 at 0.5, 0.809 and 0.849 at 1, 0.790 and 0.821 at 2
-(means of two plays, with waits of 0.6 of the goal and no reduction for efficiency)."""
-
 LATE_FRACTION = 0.25
 """Fraction of its goal for which a prompt may wait that is too long to be read within
 its goal.  Served late it is still of use; with no wait allowed it would always be
@@ -54,7 +48,6 @@
     share_used: float,
     *,
     yielding: bool = True,
-    spare: bool = True,
 ) -> float:
     """Return the longest queueing time for a request, in seconds.
 
@@ -65,17 +58,11 @@
     share_used
         What its account was granted, as a fraction of the fair share level.
     yielding
-        Whether the efficiency of the request counts; it doesn't for requests that may
-        wait at the scheduler.
-    spare
-        Whether the engines have time to spare.  Otherwise requests that may wait have
-        the same limit as others.
+        Whether the efficiency of the request counts.
     """
     longest = _longest_within_goal(query, choice)
     if query.prompt is None or share_used <= FREE_FRACTION:
         return longest
-    if query.longest_wait and spare:
-        return float(longest * (FREE_FRACTION / share_used) ** WAITING_EXPONENT)
     longest *= (FREE_FRACTION / share_used) ** OVER_SHARE_EXPONENT
     if not yielding:
         return float(longest)
--- a/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
@@ -18,9 +18,8 @@
 from hitchdeck_edge.model.refusals import Refusal
 from hitchdeck_edge.scheduling.open_work import OpenWorkEntry, OpenWorkTable
 from hitchdeck_edge.scheduling.placement import NO_AREAS, Areas, Placement
-from hitchdeck_edge.scheduling.queue_limit import FREE_FRACTION, max_queue_seconds
+from hitchdeck_edge.scheduling.queue_limit import max_queue_seconds
 from hitchdeck_edge.scheduling.shares import Shares
-from hitchdeck_edge.scheduling.spare_time import SpareTime
 from hitchdeck_edge.settings import BoxSettings
 from hitchdeck_edge.state.documents import Documents
 from hitchdeck_edge.state.registry import Registry
@@ -89,7 +88,6 @@
             areas,
             self._cold_rate,
         )
-        self.spare_time = SpareTime(registry.serving, self.placement.wait_seconds, now)
         self.now = now
         self.open: dict[BoxTicket, OpenRequest] = {}
 
@@ -249,12 +247,7 @@
         share_used: float,
     ) -> bool:
         yielding = self.mechanisms.yielding
-        spare = share_used > FREE_FRACTION and self.spare_time.is_left(
-            query.pool, query.goal
-        )
-        longest = max_queue_seconds(
-            query, choice, share_used, yielding=yielding, spare=spare
-        )
+        longest = max_queue_seconds(query, choice, share_used, yielding=yielding)
         return choice.queue <= longest
 
     def _count_asked(self, query: PlacementQuery) -> float:
--- a/tests/edge/test_waiting.py
+++ b/tests/edge/test_waiting.py
@@ -15,7 +15,6 @@
 from hitchdeck_edge.model.placing import Choice, PlacementQuery
 from hitchdeck_edge.model.refusals import Refusal
 from hitchdeck_edge.scheduling.chooser import Chooser
-from hitchdeck_edge.scheduling.queue_limit import max_queue_seconds
 from hitchdeck_edge.scheduling.scheduler import Scheduler, Unplaced
 from hitchdeck_edge.scheduling.waiting import (
     MAX_REMEMBERED,
@@ -185,26 +184,6 @@
     assert scheduler.shares.asked.tokens[AccountName('ann')] == 1000
 
 
-@pytest.mark.parametrize(
-    ('longest', 'unread', 'standing', 'expected'),
-    [
-        # Twice its share: the limit falls with the share alone for those that wait.
-        (0.3, 9000, 2.0, GOAL * 0.4),
-        (0.3, 1000, 2.0, GOAL * 0.4),
-        (0, 9000, 2.0, GOAL * 0.16 / 3),
-        # Within the share both wait until their goal.
-        (0.3, 9000, 0.5, GOAL),
-        (0, 9000, 0.5, GOAL),
-    ],
-)
-def test_excess_that_may_wait_gets_more_of_the_idle_engines(
-    longest: float, unread: int, standing: float, expected: float
-) -> None:
-    one = replace(wanted(tokens=9000), longest_wait=longest)
-    choice = Choice(engine('e0'), unread, 0)
-    assert max_queue_seconds(one, choice, standing) == pytest.approx(expected)
-
-
 def test_without_a_longest_wait_decisions_are_those_of_the_scheduler() -> None:
     # Guards against changed decisions in deployments that do not ask for waits.
     clock = FakeClock()
