Refuse bodies beyond the budget at their head

Bodies in service count but cannot give way. Once they exceeded the limit, each later change broke off a response of some other account and freed next to nothing. Now only the account that holds most gives way, nothing is read beyond the limit, and a body that would exceed it is discarded as it arrives and answered 503.

Tests: a body that does not fit was expected to lose its connection, now to be answered 503; a response gives way in a test whose account holds most, as that is now the condition.

--- a/packages/edge/src/hitchdeck_edge/serving/admission.py
+++ b/packages/edge/src/hitchdeck_edge/serving/admission.py
@@ -69,7 +69,7 @@
         """Start serving a request that was read in full."""
         arrived = self.now()
         caller = CallerConnection(incoming.connection)
-        if not self._should_admit():
+        if incoming.is_refused or not self._should_admit():
             self._reject(incoming, caller)
             return
         task = asyncio.get_running_loop().create_task(
@@ -94,7 +94,7 @@
         return should_admit(loop_utilization(), loop_lag())
 
     def _reject(self, incoming: IncomingRequest, caller: CallerConnection) -> None:
-        """Reject a request because this box is overloaded.
+        """Reject a request because this box is overloaded or short of memory.
 
         To keep this cheap, the head is not decoded and no task is created.
         """
--- a/packages/edge/src/hitchdeck_edge/serving/budgets.py
+++ b/packages/edge/src/hitchdeck_edge/serving/budgets.py
@@ -107,15 +107,15 @@
         return holding
 
     def resize(self, holding: Holding, size: int) -> None:
-        """Set the size of a holding; have others give way if the limit is exceeded."""
+        """Set the size of a holding; have one give way if it exceeds the limit."""
         if holding not in self.holdings:
             return
         self.held += size - holding.size
-        shrunk = size < holding.size
+        grown = size - holding.size
         holding.size = size
-        if shrunk:
+        if grown < 0:
             self.changed.notify()
-        if self.limit and self.held > self.limit:
+        elif grown and self.limit and self.held > self.limit:
             self.make_room()
 
     def close(self, holding: Holding) -> None:
@@ -123,6 +123,10 @@
         self.resize(holding, 0)
         self.holdings.pop(holding, None)
 
+    def fits(self, length: int) -> bool:
+        """Tell whether a body of this length may be read at all."""
+        return not self.limit or self.held + length <= self.limit
+
     def may_read(self, holding: Holding) -> bool:
         """Tell whether more may be read for a holding.
 
@@ -130,6 +134,8 @@
         """
         if self.has_room:
             return True
+        if self.held >= self.limit:
+            return False
         reading = (one for one in self.holdings if one.is_being_read)
         return next(reading, None) is holding
 
@@ -162,14 +168,21 @@
         give_way()
 
     def next_to_give_way(self) -> Holding | None:
-        """Return the holding that gives way first, if any can."""
-        able = [one for one in self.holdings if one.give_way is not None and one.size]
+        """Return the largest holding that can give way, of the account that holds most.
+
+        No other account gives way: bodies in service can't, and to break off the
+        responses of others would not free what those hold.
+        """
         by_account: Counter[str] = Counter()
         for holding in self.holdings:
             by_account[holding.account] += holding.size
-        return max(
-            able, key=lambda one: (by_account[one.account], one.size), default=None
+        most = max(by_account.values(), default=0)
+        able = (
+            one
+            for one in self.holdings
+            if one.give_way and one.size and by_account[one.account] == most
         )
+        return max(able, key=lambda one: one.size, default=None)
 
 
 class DescriptorBudget:
--- a/packages/edge/src/hitchdeck_edge/serving/caller_server.py
+++ b/packages/edge/src/hitchdeck_edge/serving/caller_server.py
@@ -32,6 +32,9 @@
 BODY_BYTES = 16_777_216
 """Maximum size of a request's body, for the same reason."""
 
+MAX_LENGTH_DIGITS = 18
+"""Digits of a stated length that is read; the HTTP parser rejects such bodies."""
+
 Serve = Callable[['IncomingRequest'], None]
 
 IsOverloaded = Callable[[], bool]
@@ -39,7 +42,15 @@
 
 
 class IncomingRequest(HTTPMessageDelegate):
-    """Collects one request while it is read."""
+    """Collects one request while it is read.
+
+    Attributes
+    ----------
+    is_refused
+        Whether the request is to be rejected for lack of memory.  Its body is discarded
+        as it arrives: closing with unread input would reset the connection, and the
+        caller might not receive the response.
+    """
 
     def __init__(self, connection: HTTP1Connection, server: 'CallerServer') -> None:
         self.connection = connection
@@ -48,6 +59,7 @@
         self.start_line: RequestStartLine | None = None
         self.headers = HTTPHeaders()
         self.chunks: list[bytes] = []
+        self.is_refused = False
 
     def headers_received(
         self,
@@ -57,7 +69,9 @@
         """Store the head; from now on, bytes of the body are counted."""
         self.server.mark_busy(self.connection)
         held_bytes = self.server.budgets.bytes
-        if held_bytes.limit:
+        if not held_bytes.fits(_content_length(headers)):
+            self._refuse()
+        elif held_bytes.limit:
             account = headers.get(self.server.account_field, '')
             self.holding = held_bytes.open(account, self.connection.stream.close)
             self.holding.is_being_read = True
@@ -67,6 +81,8 @@
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
         """Store a chunk of the body; the next one is read after what is returned."""
+        if self.is_refused:
+            return None
         self.chunks.append(chunk)
         if self.holding is None:
             return None
@@ -103,6 +119,18 @@
         """Return the body read so far."""
         return b''.join(self.chunks)
 
+    def _refuse(self) -> None:
+        """Have the request rejected, and discard its body."""
+        self.is_refused = True
+        self.chunks = []
+        self.release()
+
+
+def _content_length(headers: HTTPHeaders) -> int:
+    """Return the length that a head states; 0 if it states none."""
+    text = headers.get('Content-Length', '')
+    return int(text) if text.isdecimal() and len(text) <= MAX_LENGTH_DIGITS else 0
+
 
 class ClosingServer(HTTPServer):
     """An HTTP server that also tells its delegate when a connection ends."""
