Let the next request be read as soon as one was read

The end of reading was not notified: a request that waited slept its full second, then had another give way before it asked whether reading was allowed again. After a suspension of this process, queued input is processed first.

--- a/packages/edge/src/hitchdeck_edge/serving/budgets.py
+++ b/packages/edge/src/hitchdeck_edge/serving/budgets.py
@@ -5,6 +5,7 @@
 most gives way, with its largest holding.
 """
 
+import asyncio
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -30,6 +31,9 @@
 """Time without room after which an account gives way.  Callers drop a request that was
 not read within a second."""
 
+INPUT_SECONDS = 0.02
+"""Time for processing input that arrived while this process was suspended."""
+
 SPOOL_BYTES = 262_144
 """Maximum size of the spool of one response, more than a response of 20,000 tokens."""
 
@@ -143,12 +147,20 @@
         """Tell whether more of a response may be read than its caller takes."""
         return bool(self.limit) and holding.size < SPOOL_BYTES and self.has_room
 
+    def end_reading(self, holding: Holding) -> None:
+        """Record that a request was read in full; the next one may be read on."""
+        holding.give_way = None
+        holding.is_being_read = False
+        self.changed.notify()
+
     async def wait_to_read(self, holding: Holding) -> None:
         """Wait until more may be read for a holding."""
         while holding in self.holdings and not self.may_read(holding):
+            if await self.changed.wait(STALL_SECONDS):
+                continue
             seen = self.changed.count
-            await self.changed.wait(STALL_SECONDS)
-            if self.changed.count == seen:
+            await asyncio.sleep(INPUT_SECONDS)
+            if self.changed.count == seen and not self.may_read(holding):
                 self.make_room()
 
     def make_room(self) -> None:
--- a/packages/edge/src/hitchdeck_edge/serving/caller_server.py
+++ b/packages/edge/src/hitchdeck_edge/serving/caller_server.py
@@ -95,8 +95,7 @@
     def finish(self) -> None:
         """Have the complete request served."""
         if self.holding is not None:
-            self.holding.give_way = None
-            self.holding.is_being_read = False
+            self.server.budgets.bytes.end_reading(self.holding)
         self.server.serve(self)
 
     def on_connection_close(self) -> None:
--- a/tests/edge/test_budgets.py
+++ b/tests/edge/test_budgets.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import time
 from collections.abc import Callable
 from itertools import pairwise
 from pathlib import Path
@@ -49,7 +50,7 @@
     budget.resize(next_one, int(READ_FRACTION * LIMIT))
     assert not budget.may_read(next_one)
     assert budget.may_read(oldest)
-    oldest.is_being_read = False
+    budget.end_reading(oldest)
     assert budget.may_read(next_one)
 
 
@@ -110,6 +111,34 @@
     assert waiting in budget.holdings
 
 
+async def test_a_waiting_request_is_read_on_as_soon_as_another_was_read() -> None:
+    # Guards against breaking off a request that was served meanwhile.
+    budget = ByteBudget(LIMIT)
+    oldest, waiting = reading(budget, 'a', 500), reading(budget, 'b', 100)
+    reader = asyncio.create_task(budget.wait_to_read(waiting))
+    await asyncio.sleep(0)
+    budget.end_reading(oldest)
+    await asyncio.wait_for(reader, SHORT_SECONDS)
+    assert budget.gave_way == 0
+
+
+async def test_nothing_gives_way_after_a_suspension_before_input_was_read(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(budgets, 'STALL_SECONDS', SHORT_SECONDS)
+    budget = ByteBudget(LIMIT)
+    oldest, waiting = reading(budget, 'a', 500), reading(budget, 'b', 100)
+    reader = asyncio.create_task(budget.wait_to_read(waiting))
+    await asyncio.sleep(0)
+    time.sleep(2 * SHORT_SECONDS)
+    # The rest of the oldest request is processed a turn after its input was found.
+    for _ in range(3):
+        await asyncio.sleep(0)
+    budget.end_reading(oldest)
+    await asyncio.wait_for(reader, WAIT_SECONDS)
+    assert budget.gave_way == 0
+
+
 def test_descriptors_are_scarce_before_all_are_open() -> None:
     descriptors = DescriptorBudget(1638)
     most = 1638 - FILE_DESCRIPTORS - RESERVED_DESCRIPTORS
