Judge a stall by the request that blocks the others

Any release counted as progress, so that nothing gave way under traffic, and one caller that sent half a body stopped all reading of bodies. Each request that is being read now records its own progress. One that has stalled passes on its turn, and gives way if its account holds most.

--- a/packages/edge/src/hitchdeck_edge/serving/budgets.py
+++ b/packages/edge/src/hitchdeck_edge/serving/budgets.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 
 from hitchdeck_core import logs
+from hitchdeck_core.clock import Clock, boot_seconds
 from hitchdeck_core.signals import Signal
 
 PROCESS_BYTES = 80_000_000
@@ -28,8 +29,9 @@
 requests, which are read on so that the others can follow."""
 
 STALL_SECONDS = 1.0
-"""Time without room after which an account gives way.  Callers drop a request that was
-not read within a second."""
+"""Time after which a request whose rest does not arrive has stalled: it passes on its
+turn to be read, and gives way if others wait.  Callers drop a request that was not read
+within a second."""
 
 INPUT_SECONDS = 0.02
 """Time for processing input that arrived while this process was suspended."""
@@ -67,12 +69,18 @@
         Releases them; ``None`` if that is not possible now.
     is_being_read
         Whether the request was not read in full yet.
+    is_waiting
+        Whether its reading is stopped for lack of room.
+    progressed
+        When more of it was read last, in seconds.
     """
 
     account: str
     size: int = 0
     give_way: GiveWay | None = None
     is_being_read: bool = False
+    is_waiting: bool = False
+    progressed: float = 0
 
 
 class ByteBudget:
@@ -92,8 +100,9 @@
         Number of holdings that gave way so far.
     """
 
-    def __init__(self, limit: float) -> None:
+    def __init__(self, limit: float, now: Clock = boot_seconds) -> None:
         self.limit = limit
+        self.now = now
         self.held = 0
         self.holdings: dict[Holding, None] = {}
         self.changed = Signal()
@@ -110,6 +119,13 @@
         self.holdings[holding] = None
         return holding
 
+    def open_reading(self, account: str, give_way: GiveWay) -> Holding:
+        """Return a new holding of a request that is being read."""
+        holding = self.open(account, give_way)
+        holding.is_being_read = True
+        holding.progressed = self.now()
+        return holding
+
     def resize(self, holding: Holding, size: int) -> None:
         """Set the size of a holding; have one give way if it exceeds the limit."""
         if holding not in self.holdings:
@@ -117,6 +133,8 @@
         self.held += size - holding.size
         grown = size - holding.size
         holding.size = size
+        if holding.is_being_read:
+            holding.progressed = self.now()
         if grown < 0:
             self.changed.notify()
         elif grown and self.limit and self.held > self.limit:
@@ -134,13 +152,18 @@
     def may_read(self, holding: Holding) -> bool:
         """Tell whether more may be read for a holding.
 
-        The oldest request that is being read may be, up to the limit.
+        The oldest request that is being read and has not stalled may be, up to the
+        limit.
         """
         if self.has_room:
             return True
         if self.held >= self.limit:
             return False
-        reading = (one for one in self.holdings if one.is_being_read)
+        reading = (
+            one
+            for one in self.holdings
+            if one.is_being_read and (one is holding or not self._is_stalled(one))
+        )
         return next(reading, None) is holding
 
     def may_spool(self, holding: Holding) -> bool:
@@ -155,31 +178,30 @@
 
     async def wait_to_read(self, holding: Holding) -> None:
         """Wait until more may be read for a holding."""
+        holding.is_waiting = True
+        until = self.now() + STALL_SECONDS
         while holding in self.holdings and not self.may_read(holding):
-            if await self.changed.wait(STALL_SECONDS):
+            left = until - self.now()
+            if left > 0 and await self.changed.wait(left):
                 continue
-            seen = self.changed.count
             await asyncio.sleep(INPUT_SECONDS)
-            if self.changed.count == seen and not self.may_read(holding):
-                self.make_room()
+            if not self.has_room:
+                self.make_room_of_stalled()
+            until = self.now() + STALL_SECONDS
+        holding.is_waiting = False
+        holding.progressed = self.now()
 
     def make_room(self) -> None:
         """Have the largest holding of the account that holds most give way."""
-        largest = self.next_to_give_way()
-        if largest is None or largest.give_way is None:
-            return
-        give_way, size = largest.give_way, largest.size
-        self.close(largest)
-        self.gave_way += 1
-        logs.warning(
-            'request gives way for lack of memory',
-            bytes=size,
-            held=self.held,
-            limit=round(self.limit),
-        )
-        give_way()
+        self._give_way(self.next_to_give_way())
+
+    def make_room_of_stalled(self) -> None:
+        """Have the account that holds most give way with a request that has stalled."""
+        self._give_way(self.next_to_give_way(self._is_stalled))
 
-    def next_to_give_way(self) -> Holding | None:
+    def next_to_give_way(
+        self, condition: Callable[[Holding], bool] = bool
+    ) -> Holding | None:
         """Return the largest holding that can give way, of the account that holds most.
 
         No other account gives way: bodies in service can't, and to break off the
@@ -194,7 +216,27 @@
             for one in self.holdings
             if one.give_way and one.size and by_account[one.account] == most
         )
-        return max(able, key=lambda one: one.size, default=None)
+        return max(filter(condition, able), key=lambda one: one.size, default=None)
+
+    def _is_stalled(self, holding: Holding) -> bool:
+        """Tell whether the rest of a request that may be read does not arrive."""
+        if holding.is_waiting or not holding.is_being_read:
+            return False
+        return self.now() - holding.progressed >= STALL_SECONDS
+
+    def _give_way(self, holding: Holding | None) -> None:
+        if holding is None or holding.give_way is None:
+            return
+        give_way, size = holding.give_way, holding.size
+        self.close(holding)
+        self.gave_way += 1
+        logs.warning(
+            'request gives way for lack of memory',
+            bytes=size,
+            held=self.held,
+            limit=round(self.limit),
+        )
+        give_way()
 
 
 class DescriptorBudget:
--- a/packages/edge/src/hitchdeck_edge/serving/caller_server.py
+++ b/packages/edge/src/hitchdeck_edge/serving/caller_server.py
@@ -73,8 +73,8 @@
             self._refuse()
         elif held_bytes.limit:
             account = headers.get(self.server.account_field, '')
-            self.holding = held_bytes.open(account, self.connection.stream.close)
-            self.holding.is_being_read = True
+            close = self.connection.stream.close
+            self.holding = held_bytes.open_reading(account, close)
         assert isinstance(start_line, RequestStartLine)
         self.start_line = start_line
         self.headers = headers
--- a/tests/edge/test_budgets.py
+++ b/tests/edge/test_budgets.py
@@ -20,6 +20,7 @@
     READ_FRACTION,
     RESERVED_DESCRIPTORS,
     SPOOL_BYTES,
+    STALL_SECONDS,
     Budgets,
     ByteBudget,
     DescriptorBudget,
@@ -28,6 +29,7 @@
 )
 from hitchdeck_edge.serving.caller import CallerConnection
 from standins.platform_site import Site, generation, running_site
+from tests.common.scheduling import FakeClock
 
 LIMIT = 1000
 WAIT_SECONDS = 15.0
@@ -36,8 +38,7 @@
 
 def reading(budget: ByteBudget, account: str, size: int = 0) -> Holding:
     """Return a holding for a request that is being read, and can give way."""
-    holding = budget.open(account, lambda: None)
-    holding.is_being_read = True
+    holding = budget.open_reading(account, lambda: None)
     budget.resize(holding, size)
     return holding
 
@@ -111,6 +112,49 @@
     assert waiting in budget.holdings
 
 
+async def test_a_stalled_request_gives_way_under_traffic(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against releases of other requests that hide that one has stalled.
+    monkeypatch.setattr(budgets, 'STALL_SECONDS', SHORT_SECONDS)
+    budget = ByteBudget(LIMIT)
+    stuck, waiting = reading(budget, 'a', 500), reading(budget, 'b', 100)
+    reader = asyncio.create_task(budget.wait_to_read(waiting))
+    async with asyncio.timeout(WAIT_SECONDS):
+        while not reader.done():
+            budget.close(reading(budget, 'c', 10))
+            await asyncio.sleep(SHORT_SECONDS / 10)
+    assert stuck not in budget.holdings
+
+
+def test_a_stalled_request_passes_its_turn_on() -> None:
+    clock = FakeClock()
+    budget = ByteBudget(LIMIT, clock)
+    budget.resize(budget.open('d'), 500)
+    stuck, oldest = reading(budget, 'a', 10), reading(budget, 'b', 10)
+    assert not budget.may_read(oldest)
+    clock.seconds += STALL_SECONDS
+    budget.resize(oldest, 20)
+    assert budget.may_read(oldest)
+    budget.resize(stuck, 20)
+    assert not budget.may_read(oldest)
+
+
+def test_only_stalled_requests_give_way_for_one_that_waits() -> None:
+    clock = FakeClock()
+    budget = ByteBudget(LIMIT, clock)
+    reading(budget, 'a', 300)
+    other, spooled = reading(budget, 'b', 200), budget.open('a', lambda: None)
+    budget.resize(spooled, 400)
+    clock.seconds += STALL_SECONDS / 2
+    budget.make_room_of_stalled()
+    assert budget.gave_way == 0
+    clock.seconds += STALL_SECONDS / 2
+    budget.make_room_of_stalled()
+    budget.make_room_of_stalled()
+    assert list(budget.holdings) == [other, spooled]
+
+
 async def test_a_waiting_request_is_read_on_as_soon_as_another_was_read() -> None:
     # Guards against breaking off a request that was served meanwhile.
     budget = ByteBudget(LIMIT)
