--- a/packages/edge/src/hitchdeck_edge/serving/budgets.py
+++ b/packages/edge/src/hitchdeck_edge/serving/budgets.py
@@ -30,8 +30,8 @@
 
 STALL_SECONDS = 1.0
 """Time after which a request whose rest does not arrive has stalled: it passes on its
-turn to be read, and gives way if others wait.  Callers drop a request that was not read
-within a second."""
+turn to be read, and gives way if others wait.  It is also the maximum wait of those.
+Callers drop a request that was not read within a second."""
 
 INPUT_SECONDS = 0.02
 """Time for processing input that arrived while this process was suspended."""
@@ -176,20 +176,26 @@
         holding.is_being_read = False
         self.changed.notify()
 
-    async def wait_to_read(self, holding: Holding) -> None:
-        """Wait until more may be read for a holding."""
+    async def wait_to_read(self, holding: Holding) -> bool:
+        """Wait until more may be read for a holding, or it has given way.
+
+        Returns
+        -------
+        bool
+            ``False`` if there is no room in time, so that the request is to be refused.
+        """
         holding.is_waiting = True
         until = self.now() + STALL_SECONDS
         while holding in self.holdings and not self.may_read(holding):
             left = until - self.now()
-            if left > 0 and await self.changed.wait(left):
-                continue
+            if left <= 0 or not await self.changed.wait(left):
+                break
+        if not self.has_room and self.next_to_give_way(self._is_stalled):
             await asyncio.sleep(INPUT_SECONDS)
-            if not self.has_room:
-                self.make_room_of_stalled()
-            until = self.now() + STALL_SECONDS
+            self.make_room_of_stalled()
         holding.is_waiting = False
         holding.progressed = self.now()
+        return holding not in self.holdings or self.may_read(holding)
 
     def make_room(self) -> None:
         """Have the largest holding of the account that holds most give way."""
--- a/packages/edge/src/hitchdeck_edge/serving/caller_server.py
+++ b/packages/edge/src/hitchdeck_edge/serving/caller_server.py
@@ -46,6 +46,8 @@
 
     Attributes
     ----------
+    length
+        Stated length of the body; 0 if none is stated.
     is_refused
         Whether the request is to be rejected for lack of memory.  Its body is discarded
         as it arrives: closing with unread input would reset the connection, and the
@@ -59,6 +61,7 @@
         self.start_line: RequestStartLine | None = None
         self.headers = HTTPHeaders()
         self.chunks: list[bytes] = []
+        self.length = 0
         self.is_refused = False
 
     def headers_received(
@@ -69,7 +72,8 @@
         """Store the head; from now on, bytes of the body are counted."""
         self.server.mark_busy(self.connection)
         held_bytes = self.server.budgets.bytes
-        if not held_bytes.fits(_content_length(headers)):
+        self.length = _content_length(headers)
+        if not held_bytes.fits(self.length):
             self._refuse()
         elif held_bytes.limit:
             account = headers.get(self.server.account_field, '')
@@ -88,13 +92,16 @@
             return None
         held_bytes = self.server.budgets.bytes
         held_bytes.resize(self.holding, self.holding.size + len(chunk))
-        if held_bytes.may_read(self.holding):
+        is_complete = self.holding.size == self.length
+        if is_complete or held_bytes.may_read(self.holding):
             return None
-        return held_bytes.wait_to_read(self.holding)
+        return self._wait_to_read(self.holding)
 
     def finish(self) -> None:
-        """Have the complete request served."""
-        if self.holding is not None:
+        """Have the complete request served, unless its connection gave way."""
+        if self.holding is not None and not self.is_refused:
+            if self.holding not in self.server.budgets.bytes.holdings:
+                return
             self.server.budgets.bytes.end_reading(self.holding)
         self.server.serve(self)
 
@@ -118,6 +125,10 @@
         """Return the body read so far."""
         return b''.join(self.chunks)
 
+    async def _wait_to_read(self, holding: Holding) -> None:
+        if not await self.server.budgets.bytes.wait_to_read(holding):
+            self._refuse()
+
     def _refuse(self) -> None:
         """Have the request rejected, and discard its body."""
         self.is_refused = True
--- a/tests/edge/test_budgets.py
+++ b/tests/edge/test_budgets.py
@@ -7,13 +7,15 @@
 from itertools import pairwise
 from pathlib import Path
 from typing import cast
+from unittest.mock import Mock
 
 import pytest
+from tornado.httputil import HTTPHeaders, RequestStartLine
 
 from hitchdeck_core.sockets import listening_socket, prepare_for_slow_callers
 from hitchdeck_edge.dispatch.spool import CallerSpool
 from hitchdeck_edge.errors import CallerDisconnectedError
-from hitchdeck_edge.serving import budgets
+from hitchdeck_edge.serving import budgets, caller_server
 from hitchdeck_edge.serving.budgets import (
     FILE_DESCRIPTORS,
     MAX_RELAYS,
@@ -127,6 +129,17 @@
     assert stuck not in budget.holdings
 
 
+async def test_a_request_that_waits_too_long_is_to_be_refused(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(budgets, 'STALL_SECONDS', SHORT_SECONDS)
+    budget = ByteBudget(LIMIT)
+    budget.resize(budget.open('a'), LIMIT)
+    async with asyncio.timeout(WAIT_SECONDS):
+        assert not await budget.wait_to_read(reading(budget, 'b'))
+    assert budget.gave_way == 0
+
+
 def test_a_stalled_request_passes_its_turn_on() -> None:
     clock = FakeClock()
     budget = ByteBudget(LIMIT, clock)
@@ -347,6 +360,51 @@
         writer.close()
 
 
+async def test_a_body_that_is_complete_does_not_wait(tmp_path: Path) -> None:
+    # Guards against requests that are delayed or refused although they were read.
+    async with running_site(tmp_path) as site:
+        budget = limit(site, 10**6)
+        reading(budget, 'bob', 600_000)
+        assert (await site.ask_model('/s/x', 'complete')).code == 200
+        assert budget.gave_way == 0
+
+
+async def test_a_body_that_waits_too_long_is_refused(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(budgets, 'STALL_SECONDS', SHORT_SECONDS)
+    async with running_site(tmp_path) as site:
+        budget = limit(site, 10**6)
+        other = budget.open('bob')
+        budget.resize(other, 599_000)
+        host, port = site.boxes[0].settings.listen.split(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        sent = generation('large', 'key-of-ann', 'aa:10', '10,10', 400_000)
+        writer.write(sent[:1000])
+        await until(lambda: len(budget.holdings) == 2)
+        budget.resize(other, 10**6)
+        writer.write(sent[1000:])
+        async with asyncio.timeout(WAIT_SECONDS):
+            assert b' 503 ' in await reader.readline()
+        assert list(budget.holdings) == [other]
+        assert not site.boxes[0].admission.tasks
+        writer.close()
+
+
+async def test_a_request_that_gave_way_is_not_served() -> None:
+    # Guards against serving a request whose connection was closed on purpose.
+    served: list[caller_server.IncomingRequest] = []
+    known = Budgets(ByteBudget(LIMIT))
+    server = Mock(budgets=known, serve=served.append, account_field='key')
+    incoming = caller_server.IncomingRequest(Mock(), server)
+    start = RequestStartLine('POST', '/', 'HTTP/1.1')
+    incoming.headers_received(start, HTTPHeaders({'Content-Length': '2'}))
+    assert incoming.data_received(b'ab') is None
+    known.bytes.make_room()
+    incoming.finish()
+    assert not served
+
+
 async def test_idle_connections_are_closed_before_requests_are_rejected(
     tmp_path: Path,
 ) -> None:
