Leave no relay behind when its handoff cannot start

Without a descriptor for the poller, the relay stayed listed and its caller was served twice. A lack of resources of this process no longer counts against the target.

--- a/packages/edge/src/hitchdeck_edge/serving/handoff.py
+++ b/packages/edge/src/hitchdeck_edge/serving/handoff.py
@@ -12,6 +12,7 @@
 """
 
 import asyncio
+import errno
 import random
 import socket
 from collections.abc import Callable
@@ -45,6 +46,9 @@
 LOG_DELAY_SECONDS = 0.5
 """Maximum delay from a handoff to the log line that counts it."""
 
+OWN_ERRORS = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS))
+"""Errors for lack of resources of this process, which say nothing about a target."""
+
 ServeConnection = Callable[[socket.socket], None]
 
 
@@ -110,7 +114,8 @@
         try:
             self.pump.start(connection, target)
         except OSError as error:
-            self._avoid(target, error)
+            if error.errno not in OWN_ERRORS:
+                self._avoid(target, error)
             return False
         return True
 
--- a/packages/edge/src/hitchdeck_edge/serving/relay_pump.py
+++ b/packages/edge/src/hitchdeck_edge/serving/relay_pump.py
@@ -120,15 +120,14 @@
         host, port = split_address(address)
         target = socket.socket(socket.AF_INET6 if ':' in host else socket.AF_INET)
         relay = Relay(caller, target, address, self.now())
-        target.setblocking(False)
-        enable_keepalive(target)
-        error = target.connect_ex((host, port))
-        if error not in {0, errno.EINPROGRESS}:
+        try:
+            self._connect(relay, (host, port))
+        except OSError:
+            self._forget(relay)
             target.close()
-            raise OSError(error, os.strerror(error))
+            raise
         self.open.add(relay)
         self.pending[relay] = None
-        self._register(target, relay)
         return relay
 
     def abort(self, relay: Relay) -> None:
@@ -142,12 +141,21 @@
         for relay in list(self.open):
             self.abort(relay)
 
+    def _connect(self, relay: Relay, address: tuple[str, int]) -> None:
+        relay.target.setblocking(False)
+        enable_keepalive(relay.target)
+        # Registered first: nothing is connected that could not be polled.
+        self._register(relay.target, relay)
+        error = relay.target.connect_ex(address)
+        if error not in {0, errno.EINPROGRESS}:
+            raise OSError(error, os.strerror(error))
+
     def _register(self, sock: socket.socket, relay: Relay) -> None:
         if self.poller is None:
             self.poller = select.epoll()
             asyncio.get_running_loop().call_later(POLL_SECONDS, self._poll)
-        self.relays[sock.fileno()] = relay
         self.poller.register(sock, select.EPOLLIN)
+        self.relays[sock.fileno()] = relay
 
     def _forget(self, relay: Relay) -> None:
         self.open.discard(relay)
--- a/tests/edge/test_handoff.py
+++ b/tests/edge/test_handoff.py
@@ -1,7 +1,9 @@
 """A box short of processor time hands off connections to boxes with spare time."""
 
 import asyncio
+import errno
 import random
+import select
 import socket
 import time
 from collections import Counter
@@ -9,6 +11,7 @@
 from contextlib import contextmanager
 from dataclasses import replace
 from pathlib import Path
+from unittest.mock import Mock
 
 import pytest
 from tornado.simple_httpclient import HTTPStreamClosedError
@@ -326,3 +329,19 @@
     assert link.next_frame(hub, False, True).hello.capacity_percent == 0
     link.settings = replace(link.settings, capacity=0.387)
     assert link.next_frame(hub, False, True).hello.capacity_percent == 39
+
+
+async def test_a_handoff_without_descriptors_leaves_nothing(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against serving a caller twice, here and later through the relay.
+    targets = ReliefTargets(boot_seconds)
+    handing = Handoff(targets)
+    no_descriptor = Mock(side_effect=OSError(errno.EMFILE, 'no descriptor'))
+    monkeypatch.setattr(select, 'epoll', no_descriptor)
+    with listening() as target, socket.socket() as caller:
+        targets.offer([address_of(target)])
+        assert not handing.try_relay(caller)
+        assert not handing.open
+        assert not handing.pump.pending
+        assert targets.choose() is not None
