--- a/packages/edge/src/hitchdeck_edge/serving/relay_pump.py
+++ b/packages/edge/src/hitchdeck_edge/serving/relay_pump.py
@@ -13,6 +13,7 @@
 import socket
 from collections.abc import Callable
 
+from hitchdeck_core import logs
 from hitchdeck_core.channels import split_address
 from hitchdeck_core.clock import Clock
 from hitchdeck_core.ids import Address
@@ -167,17 +168,30 @@
     def _poll(self) -> None:
         """Forward what has arrived, and poll again later if any relay is left."""
         assert self.poller is not None
-        for descriptor, events in self.poller.poll(0):
+        try:
+            self._poll_once(self.poller)
+        finally:
+            if self.relays:
+                asyncio.get_running_loop().call_later(POLL_SECONDS, self._poll)
+            else:
+                self.poller.close()
+                self.poller = None
+
+    def _poll_once(self, poller: select.epoll) -> None:
+        for descriptor, events in poller.poll(0):
             relay = self.relays.get(descriptor)
             if relay is not None:
-                self._process(relay, descriptor, events)
+                self._guard(relay, self._process, relay, descriptor, events)
         # After the poll: a delay of this process must not count as the target's.
         self._expire()
-        if self.relays:
-            asyncio.get_running_loop().call_later(POLL_SECONDS, self._poll)
-        else:
-            self.poller.close()
-            self.poller = None
+
+    def _guard(self, relay: Relay, step: Callable[..., None], *args: object) -> None:
+        """Take a step for a relay; an unexpected error ends this relay only."""
+        try:
+            step(*args)
+        except Exception as error:
+            logs.failure('relay failed', error)
+            self.abort(relay)
 
     def _process(self, relay: Relay, descriptor: int, events: int) -> None:
         of_caller = descriptor == relay.caller.fileno()
@@ -261,7 +275,8 @@
         for relay in list(self.pending):
             if relay.started > latest:
                 return
-            self._fail(relay, TimeoutError('no greeting in time'))
+            late = TimeoutError('no greeting in time')
+            self._guard(relay, self._fail, relay, late)
 
     def _fail(self, relay: Relay, error: OSError) -> None:
         self._forget(relay)
--- a/tests/edge/test_handoff.py
+++ b/tests/edge/test_handoff.py
@@ -36,7 +36,7 @@
     should_hand_off,
 )
 from hitchdeck_edge.serving.overload import REJECT_LAG_SECONDS
-from hitchdeck_edge.serving.relay_pump import READ_BYTES, Relay
+from hitchdeck_edge.serving.relay_pump import READ_BYTES, Relay, RelayPump
 from hitchdeck_edge.state.headroom import capacity_percent
 from hitchdeck_edge.state.relief import (
     TARGETS_TTL_SECONDS,
@@ -345,3 +345,27 @@
         assert not handing.open
         assert not handing.pump.pending
         assert targets.choose() is not None
+
+
+async def test_an_unexpected_error_ends_only_its_relay() -> None:
+    # Guards against one error that stops all relays for good.
+    failing = Mock(side_effect=ValueError('unexpected'))
+    with listening() as good, listening() as bad:
+        pump = RelayPump(boot_seconds, Mock(), Mock(), failing)
+        pump.greeting_seconds = WAIT_SECONDS
+        callers = [socket.socketpair() for _ in range(2)]
+        for pair in callers:
+            pair[0].setblocking(False)
+            pair[1].settimeout(SHORT_SECONDS)
+        pump.start(callers[0][0], address_of(bad))
+        pump.start(callers[1][0], address_of(good))
+        bad.accept()[0].close()
+        await until(lambda: len(pump.open) == 1)
+        assert callers[0][1].recv(1) == b''
+        accepted, _ = good.accept()
+        with accepted:
+            accepted.send(GREETING)
+            await until(lambda: all(one.greeted for one in pump.open))
+        pump.close()
+        for pair in callers:
+            pair[1].close()
