Judge targets by the time at which a poll began

A slow poll of this process counted against targets that had not greeted yet, and a silent target aborted callers that could still be served here.

--- a/packages/edge/src/hitchdeck_edge/serving/handoff.py
+++ b/packages/edge/src/hitchdeck_edge/serving/handoff.py
@@ -147,7 +147,8 @@
         """Abort the connections to a box from which nothing was received since."""
         if self.last_received.get(target, 0) >= since:
             return
-        stuck = [one for one in self.open if one.address == target]
+        # Callers whose relay is pending can still be served here.
+        stuck = [one for one in self.open if one.greeted and one.address == target]
         if stuck:
             logs.warning('box stands still', box_address=target, broken_off=len(stuck))
         for one in stuck:
--- a/packages/edge/src/hitchdeck_edge/serving/relay_pump.py
+++ b/packages/edge/src/hitchdeck_edge/serving/relay_pump.py
@@ -178,12 +178,14 @@
                 self.poller = None
 
     def _poll_once(self, poller: select.epoll) -> None:
+        # A delay of this process must not count as the target's, so nothing expires
+        # whose time ended after the poll began.
+        before = self.now()
         for descriptor, events in poller.poll(0):
             relay = self.relays.get(descriptor)
             if relay is not None:
                 self._guard(relay, self._process, relay, descriptor, events)
-        # After the poll: a delay of this process must not count as the target's.
-        self._expire()
+        self._expire(before - self.greeting_seconds)
 
     def _guard(self, relay: Relay, step: Callable[..., None], *args: object) -> None:
         """Take a step for a relay; an unexpected error ends this relay only."""
@@ -270,8 +272,8 @@
         self.poller.modify(relay.caller, relay.interest(of_caller=True))
         self.poller.modify(relay.target, relay.interest(of_caller=False))
 
-    def _expire(self) -> None:
-        latest = self.now() - self.greeting_seconds
+    def _expire(self, latest: float) -> None:
+        """Fail the pending relays that were started until then."""
         for relay in list(self.pending):
             if relay.started > latest:
                 return
--- a/tests/edge/test_handoff.py
+++ b/tests/edge/test_handoff.py
@@ -369,3 +369,30 @@
         pump.close()
         for pair in callers:
             pair[1].close()
+
+
+async def test_only_relays_that_were_greeted_are_aborted_for_silence() -> None:
+    # Guards against closing callers that could still be served here.
+    handing = Handoff(ReliefTargets(boot_seconds))
+    with listening() as target, socket.socket() as caller:
+        handing.targets.offer([address_of(target)])
+        assert handing.try_relay(caller)
+        handing._abort_if_silent(next(iter(handing.open)).address, boot_seconds())
+        assert len(handing.open) == 1
+        handing.close()
+
+
+async def test_slow_processing_does_not_count_against_a_target() -> None:
+    clock = FakeClock()
+    failed = Mock()
+    with listening() as target, socket.socket() as caller:
+        pump = RelayPump(clock, Mock(), Mock(), failed)
+        pump.greeting_seconds = 1
+        pump.start(caller, address_of(target))
+        poller = Mock()
+        poller.poll.side_effect = lambda _: setattr(clock, 'seconds', 2000) or ()
+        pump._poll_once(poller)
+        assert not failed.called
+        pump._poll_once(poller)
+        assert failed.called
+        pump.close()
