--- a/packages/edge/src/hitchdeck_edge/serving/caller_server.py
+++ b/packages/edge/src/hitchdeck_edge/serving/caller_server.py
@@ -2,6 +2,7 @@
 
 import socket
 from collections.abc import Awaitable, Callable
+from itertools import islice
 
 from tornado.http1connection import HTTP1Connection, HTTP1ServerConnection
 from tornado.httpserver import HTTPServer
@@ -18,6 +19,7 @@
 
 from hitchdeck_core import logs
 from hitchdeck_core.loop_load import loop_lag, loop_utilization
+from hitchdeck_core.sockets import has_unread_input
 from hitchdeck_edge.serving.budgets import Budgets, Holding
 from hitchdeck_edge.serving.handoff import GREETING, Handoff, should_hand_off
 from hitchdeck_edge.serving.shedding import Shedder
@@ -256,7 +258,9 @@
         self.budgets.descriptors.record_accepted(connection.fileno())
         if not self.budgets.descriptors.scarce:
             return
-        closing = list(self.idle)[:MAX_CLOSED_IDLE]
+        # With a request unread, its caller could not tell whether it has run.
+        unused = (one for one in self.idle if not has_unread_input(one.socket.fileno()))
+        closing = list(islice(unused, MAX_CLOSED_IDLE))
         self.budgets.descriptors.record_closed(len(closing))
         logs.warning('descriptors are scarce', closed=len(closing))
         for stream in closing:
--- a/tests/edge/test_budgets.py
+++ b/tests/edge/test_budgets.py
@@ -423,6 +423,21 @@
         assert (await site.ask('/u/x', 'rejected')).code == 503
 
 
+def test_a_connection_with_an_unread_request_is_not_closed_as_idle() -> None:
+    # Guards against a reset after which a caller can't tell whether its call ran.
+    server = Mock(budgets=Budgets(descriptors=DescriptorBudget(1)))
+    ends = [socket.socketpair() for _ in range(2)]
+    unread, unused = (Mock(socket=pair[0], closed=bool) for pair in ends)
+    server.idle = dict.fromkeys((unread, unused))
+    ends[0][1].send(b'GET')
+    caller_server.CallerServer._spare_descriptors(server, ends[0][0])
+    assert unused.close.called
+    assert not unread.close.called
+    for pair in ends:
+        pair[0].close()
+        pair[1].close()
+
+
 def test_callers_may_read_nothing_for_longer_than_a_lost_host_is_kept() -> None:
     with listening_socket('127.0.0.1', 0) as listener:
         before = listener.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
