--- a/packages/edge/src/hitchdeck_edge/serving/budgets.py
+++ b/packages/edge/src/hitchdeck_edge/serving/budgets.py
@@ -5,11 +5,13 @@
 most gives way, with its largest holding.
 """
 
+import asyncio
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import field
 
 from hitchdeck_core import logs
+from hitchdeck_core.clock import Clock, boot_seconds
 from hitchdeck_core.lazy_dataclasses import dataclass
 from hitchdeck_core.signals import Signal
 
@@ -28,8 +30,12 @@
 requests, which are read on so that the others can follow."""
 
 STALL_SECONDS = 1.0
-"""Time without room after which an account gives way.  Callers drop a request that was
-not read within a second."""
+"""Time after which a request whose rest does not arrive has stalled: it passes on its
+turn to be read, and gives way if others wait.  It is also the maximum wait of those.
+Callers drop a request that was not read within a second."""
+
+INPUT_SECONDS = 0.02
+"""Time for processing input that arrived while this process was suspended."""
 
 SPOOL_BYTES = 262_144
 """Maximum size of the spool of one response, more than a response of 20,000 tokens."""
@@ -63,15 +69,28 @@
         Releases them; ``None`` if that is not possible now.
     is_being_read
         Whether the request was not read in full yet.
+    is_waiting
+        Whether its reading is stopped for lack of room.
+    progressed
+        When more of it was read last, in seconds.
     """
 
-    __slots__ = ('account', 'give_way', 'is_being_read', 'size')
+    __slots__ = (
+        'account',
+        'give_way',
+        'is_being_read',
+        'is_waiting',
+        'progressed',
+        'size',
+    )
 
     def __init__(self, account: str, give_way: GiveWay | None = None) -> None:
         self.account = account
         self.size = 0
         self.give_way = give_way
         self.is_being_read = False
+        self.is_waiting = False
+        self.progressed = 0.0
 
 
 class ByteBudget:
@@ -91,8 +110,9 @@
         Number of holdings that gave way so far.
     """
 
-    def __init__(self, limit: float) -> None:
+    def __init__(self, limit: float, now: Clock = boot_seconds) -> None:
         self.limit = limit
+        self.now = now
         self.held = 0
         self.holdings: dict[Holding, None] = {}
         self.changed = Signal()
@@ -109,16 +129,25 @@
         self.holdings[holding] = None
         return holding
 
+    def open_reading(self, account: str, give_way: GiveWay) -> Holding:
+        """Return a new holding of a request that is being read."""
+        holding = self.open(account, give_way)
+        holding.is_being_read = True
+        holding.progressed = self.now()
+        return holding
+
     def resize(self, holding: Holding, size: int) -> None:
-        """Set the size of a holding; have others give way if the limit is exceeded."""
+        """Set the size of a holding; have one give way if it exceeds the limit."""
         if holding not in self.holdings:
             return
         self.held += size - holding.size
-        shrunk = size < holding.size
+        grown = size - holding.size
         holding.size = size
-        if shrunk:
+        if holding.is_being_read:
+            holding.progressed = self.now()
+        if grown < 0:
             self.changed.notify()
-        if self.limit and self.held > self.limit:
+        elif grown and self.limit and self.held > self.limit:
             self.make_room()
 
     def close(self, holding: Holding) -> None:
@@ -126,35 +155,96 @@
         self.resize(holding, 0)
         self.holdings.pop(holding, None)
 
+    def fits(self, length: int) -> bool:
+        """Tell whether a body of this length may be read at all."""
+        return not self.limit or self.held + length <= self.limit
+
     def may_read(self, holding: Holding) -> bool:
         """Tell whether more may be read for a holding.
 
-        The oldest request that is being read may be, up to the limit.
+        The oldest request that is being read and has not stalled may be, up to the
+        limit.
         """
         if self.has_room:
             return True
-        reading = (one for one in self.holdings if one.is_being_read)
+        if self.held >= self.limit:
+            return False
+        reading = (
+            one
+            for one in self.holdings
+            if one.is_being_read and (one is holding or not self._is_stalled(one))
+        )
         return next(reading, None) is holding
 
     def may_spool(self, holding: Holding) -> bool:
         """Tell whether more of a response may be read than its caller takes."""
         return bool(self.limit) and holding.size < SPOOL_BYTES and self.has_room
 
-    async def wait_to_read(self, holding: Holding) -> None:
-        """Wait until more may be read for a holding."""
+    def end_reading(self, holding: Holding) -> None:
+        """Record that a request was read in full; the next one may be read on."""
+        holding.give_way = None
+        holding.is_being_read = False
+        self.changed.notify()
+
+    async def wait_to_read(self, holding: Holding) -> bool:
+        """Wait until more may be read for a holding, or it has given way.
+
+        Returns
+        -------
+        bool
+            ``False`` if there is no room in time, so that the request is to be refused.
+        """
+        holding.is_waiting = True
+        until = self.now() + STALL_SECONDS
         while holding in self.holdings and not self.may_read(holding):
-            seen = self.changed.count
-            await self.changed.wait(STALL_SECONDS)
-            if self.changed.count == seen:
-                self.make_room()
+            left = until - self.now()
+            if left <= 0 or not await self.changed.wait(left):
+                break
+        if not self.has_room and self.next_to_give_way(self._is_stalled):
+            await asyncio.sleep(INPUT_SECONDS)
+            self.make_room_of_stalled()
+        holding.is_waiting = False
+        holding.progressed = self.now()
+        return holding not in self.holdings or self.may_read(holding)
 
     def make_room(self) -> None:
         """Have the largest holding of the account that holds most give way."""
-        largest = self.next_to_give_way()
-        if largest is None or largest.give_way is None:
+        self._give_way(self.next_to_give_way())
+
+    def make_room_of_stalled(self) -> None:
+        """Have the account that holds most give way with a request that has stalled."""
+        self._give_way(self.next_to_give_way(self._is_stalled))
+
+    def next_to_give_way(
+        self, condition: Callable[[Holding], bool] = bool
+    ) -> Holding | None:
+        """Return the largest holding that can give way, of the account that holds most.
+
+        No other account gives way: bodies in service can't, and to break off the
+        responses of others would not free what those hold.
+        """
+        by_account: Counter[str] = Counter()
+        for holding in self.holdings:
+            by_account[holding.account] += holding.size
+        most = max(by_account.values(), default=0)
+        able = (
+            one
+            for one in self.holdings
+            if one.give_way and one.size and by_account[one.account] == most
+        )
+        return max(filter(condition, able), key=lambda one: one.size, default=None)
+
+    def _is_stalled(self, holding: Holding) -> bool:
+        """Tell whether the rest of a request that may be read does not arrive."""
+        if holding.is_waiting or not holding.is_being_read:
+            return False
+        return self.now() - holding.progressed >= STALL_SECONDS
+
+    def _give_way(self, holding: Holding | None) -> None:
+        if holding is None or holding.give_way is None:
             return
-        give_way, size = largest.give_way, largest.size
-        self.close(largest)
+        give_way, size = holding.give_way, holding.size
+        self.close(holding)
         self.gave_way += 1
         logs.warning(
             'request gives way for lack of memory',
@@ -164,16 +254,6 @@
         )
         give_way()
 
-    def next_to_give_way(self) -> Holding | None:
-        """Return the holding that gives way first, if any can."""
-        able = [one for one in self.holdings if one.give_way is not None and one.size]
-        by_account: Counter[str] = Counter()
-        for holding in self.holdings:
-            by_account[holding.account] += holding.size
-        return max(
-            able, key=lambda one: (by_account[one.account], one.size), default=None
-        )
-
 
 class DescriptorBudget:
     """Descriptors of a process.
--- a/packages/edge/src/hitchdeck_edge/serving/caller_server.py
+++ b/packages/edge/src/hitchdeck_edge/serving/caller_server.py
@@ -2,6 +2,7 @@
 
 import socket
 from collections.abc import Awaitable, Callable
+from itertools import islice
 
 from tornado.http1connection import HTTP1Connection, HTTP1ServerConnection
 from tornado.httpserver import HTTPServer
@@ -20,7 +21,11 @@
 from hitchdeck_core.channels import split_address
 from hitchdeck_core.ids import Address
 from hitchdeck_core.loop_load import loop_lag, loop_utilization
-from hitchdeck_core.sockets import listening_socket, prepare_for_slow_callers
+from hitchdeck_core.sockets import (
+    has_unread_input,
+    listening_socket,
+    prepare_for_slow_callers,
+)
 from hitchdeck_edge.serving.budgets import Budgets, Holding
 from hitchdeck_edge.serving.handoff import GREETING, Handoff, should_hand_off
 from hitchdeck_edge.serving.shedding import Shedder
@@ -35,6 +40,9 @@
 BODY_BYTES = 16_777_216
 """Maximum size of a request's body, for the same reason."""
 
+MAX_LENGTH_DIGITS = 18
+"""Digits of a stated length that is read; the HTTP parser rejects such bodies."""
+
 Serve = Callable[['IncomingRequest'], None]
 
 IsOverloaded = Callable[[], bool]
@@ -50,7 +58,17 @@
 
 
 class IncomingRequest(HTTPMessageDelegate):
-    """Collects one request while it is read."""
+    """Collects one request while it is read.
+
+    Attributes
+    ----------
+    length
+        Stated length of the body; 0 if none is stated.
+    is_refused
+        Whether the request is to be rejected for lack of memory.  Its body is discarded
+        as it arrives: closing with unread input would reset the connection, and the
+        caller might not receive the response.
+    """
 
     def __init__(self, connection: HTTP1Connection, server: 'CallerServer') -> None:
         self.connection = connection
@@ -59,6 +77,8 @@
         self.start_line: RequestStartLine | None = None
         self.headers = HTTPHeaders()
         self.chunks: list[bytes] = []
+        self.length = 0
+        self.is_refused = False
 
     def headers_received(
         self,
@@ -68,30 +88,37 @@
         """Store the head; from now on, bytes of the body are counted."""
         self.server.mark_busy(self.connection)
         held_bytes = self.server.budgets.bytes
-        if held_bytes.limit:
+        self.length = _content_length(headers)
+        if not held_bytes.fits(self.length):
+            self._refuse()
+        elif held_bytes.limit:
             account = headers.get(self.server.account_field, '')
-            self.holding = held_bytes.open(account, self.connection.stream.close)
-            self.holding.is_being_read = True
+            close = self.connection.stream.close
+            self.holding = held_bytes.open_reading(account, close)
         assert isinstance(start_line, RequestStartLine)
         self.start_line = start_line
         self.headers = headers
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
         """Store a chunk of the body; the next one is read after what is returned."""
+        if self.is_refused:
+            return None
         self.chunks.append(chunk)
         if self.holding is None:
             return None
         held_bytes = self.server.budgets.bytes
         held_bytes.resize(self.holding, self.holding.size + len(chunk))
-        if held_bytes.may_read(self.holding):
+        is_complete = self.holding.size == self.length
+        if is_complete or held_bytes.may_read(self.holding):
             return None
-        return held_bytes.wait_to_read(self.holding)
+        return self._wait_to_read(self.holding)
 
     def finish(self) -> None:
-        """Have the complete request served."""
-        if self.holding is not None:
-            self.holding.give_way = None
-            self.holding.is_being_read = False
+        """Have the complete request served, unless its connection gave way."""
+        if self.holding is not None and not self.is_refused:
+            if self.holding not in self.server.budgets.bytes.holdings:
+                return
+            self.server.budgets.bytes.end_reading(self.holding)
         self.server.serve(self)
 
     def on_connection_close(self) -> None:
@@ -114,6 +141,22 @@
         """Return the body read so far."""
         return b''.join(self.chunks)
 
+    async def _wait_to_read(self, holding: Holding) -> None:
+        if not await self.server.budgets.bytes.wait_to_read(holding):
+            self._refuse()
+
+    def _refuse(self) -> None:
+        """Have the request rejected, and discard its body."""
+        self.is_refused = True
+        self.chunks = []
+        self.release()
+
+
+def _content_length(headers: HTTPHeaders) -> int:
+    """Return the length that a head states; 0 if it states none."""
+    text = headers.get('Content-Length', '')
+    return int(text) if text.isdecimal() and len(text) <= MAX_LENGTH_DIGITS else 0
+
 
 class ClosingServer(HTTPServer):
     """An HTTP server that also tells its delegate when a connection ends."""
@@ -229,7 +272,9 @@
         self.budgets.descriptors.record_accepted(connection.fileno())
         if not self.budgets.descriptors.scarce:
             return
-        closing = list(self.idle)[:MAX_CLOSED_IDLE]
+        # With a request unread, its caller could not tell whether it has run.
+        unused = (one for one in self.idle if not has_unread_input(one.socket.fileno()))
+        closing = list(islice(unused, MAX_CLOSED_IDLE))
         self.budgets.descriptors.record_closed(len(closing))
         logs.warning('descriptors are scarce', closed=len(closing))
         for stream in closing:
--- a/tests/edge/test_handoff.py
+++ b/tests/edge/test_handoff.py
@@ -1,7 +1,9 @@
 """A box short of processor time hands off connections to boxes with spare time."""
 
 import asyncio
+import errno
 import random
+import select
 import socket
 import time
 from collections import Counter
@@ -9,6 +11,7 @@
 from contextlib import contextmanager
 from dataclasses import replace
 from pathlib import Path
+from unittest.mock import Mock
 
 import pytest
 from tornado.simple_httpclient import HTTPStreamClosedError
@@ -33,7 +36,7 @@
     should_hand_off,
 )
 from hitchdeck_edge.serving.overload import REJECT_LAG_SECONDS
-from hitchdeck_edge.serving.relay_pump import READ_BYTES, Relay
+from hitchdeck_edge.serving.relay_pump import READ_BYTES, Relay, RelayPump
 from hitchdeck_edge.state.headroom import capacity_percent
 from hitchdeck_edge.state.relief import (
     TARGETS_TTL_SECONDS,
@@ -326,3 +329,70 @@
     assert link.next_frame(hub, False, True).hello.capacity_percent == 0
     link.settings = replace(link.settings, capacity=0.387)
     assert link.next_frame(hub, False, True).hello.capacity_percent == 39
+
+
+async def test_a_handoff_without_descriptors_leaves_nothing(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against serving a caller twice, here and later through the relay.
+    targets = ReliefTargets(boot_seconds)
+    handing = Handoff(targets)
+    no_descriptor = Mock(side_effect=OSError(errno.EMFILE, 'no descriptor'))
+    monkeypatch.setattr(select, 'epoll', no_descriptor)
+    with listening() as target, socket.socket() as caller:
+        targets.offer([address_of(target)])
+        assert not handing.try_relay(caller)
+        assert not handing.open
+        assert not handing.pump.pending
+        assert targets.choose() is not None
+
+
+async def test_an_unexpected_error_ends_only_its_relay() -> None:
+    # Guards against one error that stops all relays for good.
+    failing = Mock(side_effect=ValueError('unexpected'))
+    with listening() as good, listening() as bad:
+        pump = RelayPump(boot_seconds, Mock(), Mock(), failing)
+        pump.greeting_seconds = WAIT_SECONDS
+        callers = [socket.socketpair() for _ in range(2)]
+        for pair in callers:
+            pair[0].setblocking(False)
+            pair[1].settimeout(SHORT_SECONDS)
+        pump.start(callers[0][0], address_of(bad))
+        pump.start(callers[1][0], address_of(good))
+        bad.accept()[0].close()
+        await until(lambda: len(pump.open) == 1)
+        assert callers[0][1].recv(1) == b''
+        accepted, _ = good.accept()
+        with accepted:
+            accepted.send(GREETING)
+            await until(lambda: all(one.greeted for one in pump.open))
+        pump.close()
+        for pair in callers:
+            pair[1].close()
+
+
+async def test_only_relays_that_were_greeted_are_aborted_for_silence() -> None:
+    # Guards against closing callers that could still be served here.
+    handing = Handoff(ReliefTargets(boot_seconds))
+    with listening() as target, socket.socket() as caller:
+        handing.targets.offer([address_of(target)])
+        assert handing.try_relay(caller)
+        handing._abort_if_silent(next(iter(handing.open)).address, boot_seconds())
+        assert len(handing.open) == 1
+        handing.close()
+
+
+async def test_slow_processing_does_not_count_against_a_target() -> None:
+    clock = FakeClock()
+    failed = Mock()
+    with listening() as target, socket.socket() as caller:
+        pump = RelayPump(clock, Mock(), Mock(), failed)
+        pump.greeting_seconds = 1
+        pump.start(caller, address_of(target))
+        poller = Mock()
+        poller.poll.side_effect = lambda _: setattr(clock, 'seconds', 2000) or ()
+        pump._poll_once(poller)
+        assert not failed.called
+        pump._poll_once(poller)
+        assert failed.called
+        pump.close()
