Reject requests for lack of descriptors for a second only

They were rejected until the next connection was accepted, although descriptors may have become free meanwhile. More descriptors are kept for connections accepted in one turn.

--- a/packages/edge/src/hitchdeck_edge/serving/budgets.py
+++ b/packages/edge/src/hitchdeck_edge/serving/budgets.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import math
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import field
@@ -43,8 +44,13 @@
 FILE_DESCRIPTORS = 200
 """Descriptors that are for files."""
 
-RESERVED_DESCRIPTORS = 64
-"""Descriptors for listeners, links to hubs, and connections accepted in one turn."""
+RESERVED_DESCRIPTORS = 192
+"""Descriptors for listeners, links to hubs, and connections accepted in one turn, of
+which there may be 128."""
+
+EXHAUSTED_SECONDS = 1.0
+"""Time for which requests are rejected after no idle connection could be closed: those
+in progress end and release theirs."""
 
 MAX_RELAYS = 500
 """Maximum number of relayed connections; each takes two descriptors."""
@@ -266,24 +272,32 @@
         Number of descriptors for connections; 0 if no limit is stated.
     scarce
         Whether nearly all of them were open when the last connection was accepted.
-    exhausted
-        Whether no idle connection could be closed then: new requests are rejected.
+    exhausted_at
+        When no idle connection could be closed last, in seconds.
     """
 
-    def __init__(self, limit: float) -> None:
+    def __init__(self, limit: float, now: Clock = boot_seconds) -> None:
         usable = int(limit) - FILE_DESCRIPTORS - RESERVED_DESCRIPTORS
+        self.now = now
         self.usable = max(1, usable) if limit else 0
         self.scarce = False
-        self.exhausted = False
+        self.exhausted_at = -math.inf
+
+    @property
+    def exhausted(self) -> bool:
+        """Tell whether new requests are to be rejected."""
+        return self.now() - self.exhausted_at < EXHAUSTED_SECONDS
 
     def record_accepted(self, descriptor: int) -> None:
         """Update the state by the descriptor of a connection that was accepted."""
         self.scarce = bool(self.usable) and descriptor >= self.usable
-        self.exhausted = False
+        if not self.scarce:
+            self.exhausted_at = -math.inf
 
     def record_closed(self, connections: int) -> None:
         """Update the state by the number of idle connections that were closed."""
-        self.exhausted = self.scarce and not connections
+        ran_out = self.scarce and not connections
+        self.exhausted_at = self.now() if ran_out else -math.inf
 
     def may_relay(self, relays: int) -> bool:
         """Tell whether another connection may be relayed."""
--- a/tests/edge/test_budgets.py
+++ b/tests/edge/test_budgets.py
@@ -19,6 +19,7 @@
 from hitchdeck_edge.errors import CallerDisconnectedError
 from hitchdeck_edge.serving import budgets, caller_server
 from hitchdeck_edge.serving.budgets import (
+    EXHAUSTED_SECONDS,
     FILE_DESCRIPTORS,
     MAX_RELAYS,
     READ_FRACTION,
@@ -481,3 +482,14 @@
         after = listener.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
         assert before < 15_000
         assert after > 15_000
+
+
+def test_requests_are_rejected_only_for_a_while_after_descriptors_ran_out() -> None:
+    # Guards against rejections that last until someone happens to connect.
+    clock = FakeClock()
+    descriptors = DescriptorBudget(1000, clock)
+    descriptors.record_accepted(999)
+    descriptors.record_closed(0)
+    assert descriptors.exhausted
+    clock.seconds += EXHAUSTED_SECONDS
+    assert not descriptors.exhausted
