Wait for a queued answer as for any other when the box itself was late

A box that was suspended while its request waited at the scheduler counted a ready answer as silence: the timer fired before the socket was read.

--- a/packages/edge/src/hitchdeck_edge/links/placing.py
+++ b/packages/edge/src/hitchdeck_edge/links/placing.py
@@ -126,7 +126,7 @@
             await self._wait_for_answer(answer)
             if ticket in self.queued and not answer.done():
                 longest = query.longest_wait + ANSWER_TIMEOUT_SECONDS
-                await asyncio.wait((answer,), timeout=longest)
+                await self._wait_for_answer(answer, longest)
         finally:
             self.waiting.pop(ticket, None)
             self._leave_queue(ticket, answer)
@@ -183,17 +183,22 @@
             if hub is None or not await self._keep_stream(hub):
                 await self.known_hubs.changed.wait(MAX_RETRY_DELAY_SECONDS)
 
-    async def _wait_for_answer(self, answer: asyncio.Future[Placed]) -> None:
+    async def _wait_for_answer(
+        self,
+        answer: asyncio.Future[Placed],
+        timeout: float = ANSWER_TIMEOUT_SECONDS,
+    ) -> None:
         """Wait for an answer, and wait again if this box itself was late.
 
         An answer that arrived meanwhile is read only once the event loop runs again.
         """
         for _ in range(MAX_WAITS):
             asked = self.now()
-            await asyncio.wait((answer,), timeout=ANSWER_TIMEOUT_SECONDS)
-            late = self.now() - asked - ANSWER_TIMEOUT_SECONDS
+            await asyncio.wait((answer,), timeout=timeout)
+            late = self.now() - asked - timeout
             if answer.done() or late < LATE_TIMER_SECONDS:
                 return
+            timeout = ANSWER_TIMEOUT_SECONDS
 
     def _leave_queue(self, ticket: int, answer: asyncio.Future[Placed]) -> None:
         """Report that a request no longer waits if the caller or the time has gone."""
