--- a/bench/bill.py
+++ b/bench/process_costs.py
@@ -1,6 +1,6 @@
 """What starts and idle seconds of the platform's programs cost.
 
-``python -m bench.bill`` prints processor time in microseconds, which depends on the
+``python -m bench.process_costs`` prints processor time in microseconds, which depends on the
 machine, and counts, which do not: ``bench/results/counts.json`` holds the counts that
 tests compare with.
 """
--- a/bench/bill_requests.py
+++ b/bench/request_costs.py
@@ -1,6 +1,6 @@
 """Processor time of an entry box by kind of request.
 
-``python -m bench.bill_requests``: one hub and stand-in upstreams run in this process,
+``python -m bench.request_costs``: one hub and stand-in upstreams run in this process,
 the entry box in a process of its own, whose processor time is read from the kernel.
 ``--profile=FILE`` writes a cProfile of the box instead of figures to rely on.
 """
@@ -163,7 +163,7 @@
         f'--seed={settings.seeds[0]}',
         f'--profile={profile}',
     ]
-    command = [sys.executable, '-m', 'bench.bill_requests', 'box', *flags]
+    command = [sys.executable, '-m', 'bench.request_costs', 'box', *flags]
     process = subprocess.Popen(command, stdout=subprocess.DEVNULL)
     try:
         yield process
@@ -240,7 +240,7 @@
         callers: int = 8,
         kinds: str = 'plain,once,short_stream,long_stream',
         profile: str = '',
-        output: str = 'bench/results/bill_requests.jsonl',
+        output: str = 'bench/results/request_costs.jsonl',
     ) -> None:
         """Measure each kind of request, and append the figures to a file."""
         logs.silence()
--- a/packages/edge/src/hitchdeck_edge/process.py
+++ b/packages/edge/src/hitchdeck_edge/process.py
@@ -106,7 +106,7 @@
         sender.backpressure.retain(registry.names())
         self.admission.metrics.unwilling_upstreams = len(sender.backpressure.blocked())
         self.admission.metrics.upstream_changes = registry.changes
-        self.admission.metrics.gave_way = self.admission.budgets.bytes.gave_way
+        self.admission.metrics.evicted = self.admission.budgets.bytes.evicted
         self.admission.metrics.held_bytes = self.admission.budgets.bytes.held
         self.admission.metrics.connections_opened = sender.connections.opened
         self.admission.metrics.connections_reused = sender.connections.reused
--- a/packages/edge/src/hitchdeck_edge/scheduling/health.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/health.py
@@ -96,7 +96,7 @@
         known.failure_rate *= 1 - SMOOTHING
         known.seconds += SMOOTHING * (seconds - known.seconds)
 
-    def record_sign_of_life(self, name: UpstreamName) -> None:
+    def record_first_event(self, name: UpstreamName) -> None:
         """Record the first event of a stream: the upstream runs and can be reached.
 
         It ends an ejection for failures, so that an upstream which only loses some
--- a/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
@@ -173,7 +173,7 @@
         if known is None or not known.entry.reading:
             return
         known.entry.start()
-        self.placement.health.record_sign_of_life(known.entry.upstream)
+        self.placement.health.record_first_event(known.entry.upstream)
         if not learn:
             known.query = None
         if known.query is not None:
--- a/packages/edge/src/hitchdeck_edge/scheduling/waiting.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/waiting.py
@@ -1,9 +1,9 @@
 """Requests that wait at the scheduler until an engine may get them.
 
 Load: accounts at several times their usual traffic beside accounts within their share.
-A refused request comes back after its goal, or finds the same refusal; one that waits
-gets the place that becomes free next, in the order of need, and is not in any engine's
-queue meanwhile.
+A retry of a rejected request arrives after its goal or is rejected again.  A waiting
+request gets the next place that an engine has for it, and can be overtaken until then by
+requests of accounts that used less of their share.
 """
 
 import asyncio
--- a/packages/edge/src/hitchdeck_edge/serving/budgets.py
+++ b/packages/edge/src/hitchdeck_edge/serving/budgets.py
@@ -1,8 +1,8 @@
 """Budgets of the bytes and descriptors of a process, from its stated limits.
 
 Load: callers and upstreams that are slow to read, and large bodies.  When the budget of
-bytes runs short, reading stops first.  If that does not suffice, the account that holds
-most gives way, with its largest holding.
+bytes runs short, reading stops first.  If that does not suffice, the largest
+holding of the account that holds most is evicted.
 """
 
 import asyncio
@@ -32,7 +32,7 @@
 
 STALL_SECONDS = 1.0
 """Time after which a request whose rest does not arrive has stalled: it passes on its
-turn to be read, and gives way if others wait.  It is also the maximum wait of those.
+turn to be read, and may be evicted if others wait.  It is also the maximum wait of those.
 Callers drop a request that was not read within a second."""
 
 INPUT_SECONDS = 0.02
@@ -58,7 +58,7 @@
 RELAY_FRACTION = 0.25
 """Part of the descriptors that relayed connections may take."""
 
-GiveWay = Callable[[], None]
+Evict = Callable[[], None]
 """Releases what a holding holds."""
 
 
@@ -71,7 +71,7 @@
         Identifies the client account; it may be a key, so it is not logged.
     size
         Number of bytes.
-    give_way
+    evict
         Releases them; ``None`` if that is not possible now.
     is_being_read
         Whether the request was not read in full yet.
@@ -83,17 +83,17 @@
 
     __slots__ = (
         'account',
-        'give_way',
+        'evict',
         'is_being_read',
         'is_waiting',
         'progressed',
         'size',
     )
 
-    def __init__(self, account: str, give_way: GiveWay | None = None) -> None:
+    def __init__(self, account: str, evict: Evict | None = None) -> None:
         self.account = account
         self.size = 0
-        self.give_way = give_way
+        self.evict = evict
         self.is_being_read = False
         self.is_waiting = False
         self.progressed = 0.0
@@ -112,8 +112,8 @@
         All holdings, oldest first.
     changed
         Notified when bytes are released.
-    gave_way
-        Number of holdings that gave way so far.
+    evicted
+        Number of evictions so far.
     """
 
     def __init__(self, limit: float, now: Clock = boot_seconds) -> None:
@@ -122,28 +122,28 @@
         self.held = 0
         self.holdings: dict[Holding, None] = {}
         self.changed = Signal()
-        self.gave_way = 0
+        self.evicted = 0
 
     @property
     def has_room(self) -> bool:
         """Tell whether any request may be read."""
         return not self.limit or self.held < READ_FRACTION * self.limit
 
-    def open(self, account: str, give_way: GiveWay | None = None) -> Holding:
+    def open(self, account: str, evict: Evict | None = None) -> Holding:
         """Return a new holding."""
-        holding = Holding(account, give_way)
+        holding = Holding(account, evict)
         self.holdings[holding] = None
         return holding
 
-    def open_reading(self, account: str, give_way: GiveWay) -> Holding:
+    def open_reading(self, account: str, evict: Evict) -> Holding:
         """Return a new holding of a request that is being read."""
-        holding = self.open(account, give_way)
+        holding = self.open(account, evict)
         holding.is_being_read = True
         holding.progressed = self.now()
         return holding
 
     def resize(self, holding: Holding, size: int) -> None:
-        """Set the size of a holding; have one give way if it exceeds the limit."""
+        """Set the size of a holding; evict one if the limit is exceeded."""
         if holding not in self.holdings:
             return
         self.held += size - holding.size
@@ -188,7 +188,7 @@
 
     def end_reading(self, holding: Holding) -> None:
         """Record that a request was read in full; the next one may be read on."""
-        holding.give_way = None
+        holding.evict = None
         holding.is_being_read = False
         self.changed.notify()
 
@@ -206,7 +206,7 @@
             left = until - self.now()
             if left <= 0 or not await self.changed.wait(left):
                 break
-        if not self.has_room and self.next_to_give_way(self._is_stalled):
+        if not self.has_room and self.next_to_evict(self._is_stalled):
             await asyncio.sleep(INPUT_SECONDS)
             self.make_room_of_stalled()
         holding.is_waiting = False
@@ -214,20 +214,20 @@
         return holding not in self.holdings or self.may_read(holding)
 
     def make_room(self) -> None:
-        """Have the largest holding of the account that holds most give way."""
-        self._give_way(self.next_to_give_way())
+        """Evict the largest holding of the account that holds most."""
+        self._evict(self.next_to_evict())
 
     def make_room_of_stalled(self) -> None:
-        """Have the account that holds most give way with a request that has stalled."""
-        self._give_way(self.next_to_give_way(self._is_stalled))
+        """Evict a stalled request of the account that holds most."""
+        self._evict(self.next_to_evict(self._is_stalled))
 
-    def next_to_give_way(
+    def next_to_evict(
         self, condition: Callable[[Holding], bool] = bool
     ) -> Holding | None:
-        """Return the largest holding that can give way, of the account that holds most.
+        """Return the largest evictable holding of the account that holds most.
 
-        No other account gives way: bodies in service can't, and to break off the
-        responses of others would not free what those hold.
+        Other accounts are spared: bodies in service can't be evicted, and breaking off
+        the responses of others would not free what those hold.
         """
         by_account: Counter[str] = Counter()
         for holding in self.holdings:
@@ -236,7 +236,7 @@
         able = (
             one
             for one in self.holdings
-            if one.give_way and one.size and by_account[one.account] == most
+            if one.evict and one.size and by_account[one.account] == most
         )
         return max(filter(condition, able), key=lambda one: one.size, default=None)
 
@@ -246,19 +246,19 @@
             return False
         return self.now() - holding.progressed >= STALL_SECONDS
 
-    def _give_way(self, holding: Holding | None) -> None:
-        if holding is None or holding.give_way is None:
+    def _evict(self, holding: Holding | None) -> None:
+        if holding is None or holding.evict is None:
             return
-        give_way, size = holding.give_way, holding.size
+        evict, size = holding.evict, holding.size
         self.close(holding)
-        self.gave_way += 1
+        self.evicted += 1
         logs.warning(
-            'request gives way for lack of memory',
+            'request evicted for lack of memory',
             bytes=size,
             held=self.held,
             limit=round(self.limit),
         )
-        give_way()
+        evict()
 
 
 class DescriptorBudget:
--- a/packages/edge/src/hitchdeck_edge/serving/caller_server.py
+++ b/packages/edge/src/hitchdeck_edge/serving/caller_server.py
@@ -114,7 +114,7 @@
         return self._wait_to_read(self.holding)
 
     def finish(self) -> None:
-        """Have the complete request served, unless its connection gave way."""
+        """Have the complete request served, unless it was evicted."""
         if self.holding is not None and not self.is_refused:
             if self.holding not in self.server.budgets.bytes.holdings:
                 return
--- a/packages/edge/src/hitchdeck_edge/serving/metrics.py
+++ b/packages/edge/src/hitchdeck_edge/serving/metrics.py
@@ -43,7 +43,7 @@
         Connections that were handed off to other boxes.
     held_bytes
         Bytes that this box holds for callers and upstreams.
-    gave_way
+    evicted
         Requests and responses that were broken off for lack of memory.
     connections_opened, connections_reused
         Connections to upstreams that were opened for requests, and requests that used
@@ -63,7 +63,7 @@
         self.upstream_changes = 0
         self.handed_off = 0
         self.held_bytes = 0
-        self.gave_way = 0
+        self.evicted = 0
         self.connections_opened = 0
         self.connections_reused = 0
 
@@ -112,7 +112,7 @@
             f'hitchdeck_upstream_changes_total {self.upstream_changes}',
             f'hitchdeck_handed_on_total {self.handed_off}',
             f'hitchdeck_held_bytes {self.held_bytes}',
-            f'hitchdeck_gave_way_total {self.gave_way}',
+            f'hitchdeck_evicted_total {self.evicted}',
             f'hitchdeck_upstream_connections_opened_total {self.connections_opened}',
             f'hitchdeck_upstream_connections_reused_total {self.connections_reused}',
         ]
--- a/tests/cover/test_counts.py
+++ b/tests/cover/test_counts.py
@@ -1,13 +1,13 @@
 """Counts of the bill against the committed table, which grows only on purpose.
 
-``python -m bench.bill --write_counts`` writes the table anew.
+``python -m bench.process_costs --write_counts`` writes the table anew.
 """
 
 import json
 
 import pytest
 
-from bench.bill import COUNTS, ROLES, idle_frames, modules_at_start
+from bench.process_costs import COUNTS, ROLES, idle_frames, modules_at_start
 
 COMMITTED = json.loads(COUNTS.read_text())
 
--- a/tests/edge/test_budgets.py
+++ b/tests/edge/test_budgets.py
@@ -1,4 +1,4 @@
-"""Budgets of bytes and descriptors: reading stops first, then an account gives way."""
+"""Budgets of bytes and descriptors: reading stops first, then requests are evicted."""
 
 import asyncio
 import socket
@@ -44,7 +44,7 @@
 
 
 def reading(budget: ByteBudget, account: str, size: int = 0) -> Holding:
-    """Return a holding for a request that is being read, and can give way."""
+    """Return a holding for a request that is being read, and can be evicted."""
     holding = budget.open_reading(account, lambda: None)
     budget.resize(holding, size)
     return holding
@@ -142,7 +142,7 @@
     budget.resize(budget.open('a'), LIMIT)
     async with asyncio.timeout(WAIT_SECONDS):
         assert not await budget.wait_to_read(reading(budget, 'b'))
-    assert budget.gave_way == 0
+    assert budget.evicted == 0
 
 
 def test_a_stalled_request_passes_its_turn_on() -> None:
@@ -158,7 +158,7 @@
     assert not budget.may_read(oldest)
 
 
-def test_only_stalled_requests_give_way_for_one_that_waits() -> None:
+def test_only_stalled_requests_are_evicted_for_one_that_waits() -> None:
     clock = FakeClock()
     budget = ByteBudget(LIMIT, clock)
     reading(budget, 'a', 300)
@@ -166,7 +166,7 @@
     budget.resize(spooled, 400)
     clock.seconds += STALL_SECONDS / 2
     budget.make_room_of_stalled()
-    assert budget.gave_way == 0
+    assert budget.evicted == 0
     clock.seconds += STALL_SECONDS / 2
     budget.make_room_of_stalled()
     budget.make_room_of_stalled()
@@ -181,7 +181,7 @@
     await asyncio.sleep(0)
     budget.end_reading(oldest)
     await asyncio.wait_for(reader, SHORT_SECONDS)
-    assert budget.gave_way == 0
+    assert budget.evicted == 0
 
 
 async def test_nothing_gives_way_after_a_suspension_before_input_was_read(
@@ -198,7 +198,7 @@
         await asyncio.sleep(0)
     budget.end_reading(oldest)
     await asyncio.wait_for(reader, WAIT_SECONDS)
-    assert budget.gave_way == 0
+    assert budget.evicted == 0
 
 
 def test_descriptors_are_scarce_before_all_are_open() -> None:
@@ -294,7 +294,7 @@
     waiting = asyncio.ensure_future(room)
     budget.resize(budget.open('bob'), 500)
     assert caller.aborted
-    assert budget.gave_way == 1
+    assert budget.evicted == 1
     with pytest.raises(CallerDisconnectedError):
         spool.write(b'more')
     caller.read()
@@ -371,7 +371,7 @@
         writer.write(generation('large', 'key-of-ann', 'aa:10', '10,10', 10_000_000))
         async with asyncio.timeout(WAIT_SECONDS):
             assert b' 503 ' in await reader.readline()
-        assert budget.held == budget.gave_way == 0
+        assert budget.held == budget.evicted == 0
         assert not site.boxes[0].admission.tasks
         assert (await site.ask('/u/x', 'next')).code == 200
         writer.close()
@@ -393,7 +393,7 @@
         assert 0 < read < 400_000
         budget.close(oldest)
         await until(lambda: not budget.holdings)
-        assert budget.gave_way == 0
+        assert budget.evicted == 0
         writer.close()
 
 
@@ -403,7 +403,7 @@
         budget = limit(site, 10**6)
         reading(budget, 'bob', 600_000)
         assert (await site.ask_model('/s/x', 'complete')).code == 200
-        assert budget.gave_way == 0
+        assert budget.evicted == 0
 
 
 async def test_a_body_that_waits_too_long_is_refused(
@@ -428,7 +428,7 @@
         writer.close()
 
 
-async def test_a_request_that_gave_way_is_not_served() -> None:
+async def test_an_evicted_request_is_not_served() -> None:
     # Guards against serving a request whose connection was closed on purpose.
     served: list[caller_server.IncomingRequest] = []
     known = Budgets(ByteBudget(LIMIT))
