--- a/bench/process_costs.py
+++ b/bench/process_costs.py
@@ -1,8 +1,8 @@
 """What starts and idle seconds of the platform's programs cost.
 
-``python -m bench.process_costs`` prints processor time in microseconds, which depends on the
-machine, and counts, which do not: ``bench/results/counts.json`` holds the counts that
-tests compare with.
+``python -m bench.process_costs`` prints processor time in microseconds, which depends
+on the machine, and counts, which do not: ``bench/results/counts.json`` holds the counts
+that tests compare with.
 """
 
 import asyncio
--- a/packages/edge/src/hitchdeck_edge/hub/placing.py
+++ b/packages/edge/src/hitchdeck_edge/hub/placing.py
@@ -47,6 +47,7 @@
         self.domain = domain
         self.stream = stream
         self.sending = asyncio.Lock()
+        self.sends: set[asyncio.Task[None]] = set()
 
     async def send(self, answers: list[Placed]) -> None:
         """Send answers; frames of several tasks must not interleave."""
@@ -87,7 +88,6 @@
         self.streams = 0
         self.connected = 0
         self.boxes: dict[str, _Box] = {}
-        self.sends: set[asyncio.Task[None]] = set()
         self.queue = WaitingQueue(scheduler, scheduler.attempt_place, scheduler.now)
         self.reviews = Reviews(self.queue, self._deliver)
         scheduler.placement.cold_budget.rate_fraction = self.fleet_fraction
@@ -116,6 +116,9 @@
     def _drop(self, box: _Box) -> None:
         self.connected -= 1
         self.boxes.pop(box.name)
+        # A send to a box that stands still would otherwise wait for ever.
+        for task in box.sends:
+            task.cancel()
         self.queue.drop_box(box.name)
         self.scheduler.drop_box(box.name)
 
@@ -166,9 +169,10 @@
         for (name, ticket), decision in decided:
             answers[name].append(encode_decision(ticket, decision))
         for name, placed in answers.items():
-            task = asyncio.create_task(self._send(self.boxes[name], placed))
-            self.sends.add(task)
-            task.add_done_callback(self.sends.discard)
+            box = self.boxes[name]
+            task = asyncio.create_task(self._send(box, placed))
+            box.sends.add(task)
+            task.add_done_callback(box.sends.discard)
 
     async def _send(self, box: _Box, answers: list[Placed]) -> None:
         try:
--- a/packages/edge/src/hitchdeck_edge/hub/process.py
+++ b/packages/edge/src/hitchdeck_edge/hub/process.py
@@ -121,6 +121,8 @@
             'hubs_in_reach': len(connected_boxes.hubs()),
             'contents_judged': len(self.state.quarantine.verdicts.known),
             'requests_waiting': len(self.placing.queue.entries),
+            'requests_placed_after_wait_total': self.placing.queue.placed,
+            'requests_timed_out_waiting_total': self.placing.queue.timed_out,
             'term': replica.term if replica else 0,
             'commit_index': replica.commit_index if replica else 0,
             'voters': len(replica.voters()) if replica else 0,
--- a/packages/edge/src/hitchdeck_edge/scheduling/waiting.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/waiting.py
@@ -2,8 +2,8 @@
 
 Load: accounts at several times their usual traffic beside accounts within their share.
 A retry of a rejected request arrives after its goal or is rejected again.  A waiting
-request gets the next place that an engine has for it, and can be overtaken until then by
-requests of accounts that used less of their share.
+request gets the next place that an engine has for it, and can be overtaken until then
+by requests of accounts that used less of their share.
 """
 
 import asyncio
@@ -122,6 +122,9 @@
         Maximum number of requests that one review places.
     entries
         Waiting requests, by box and ticket.
+    placed, timed_out
+        Numbers of requests that were placed after a wait, and that were refused at the
+        end of theirs.
     """
 
     def __init__(
@@ -137,6 +140,8 @@
         self.now = now
         self.entries: dict[BoxTicket, WaitingRequest] = {}
         self.refused = RefusedRequests(now)
+        self.placed = 0
+        self.timed_out = 0
 
     def place(self, key: BoxTicket, query: PlacementQuery) -> Choice | Refusal | None:
         """Decide on a request; ``None`` if it waits."""
@@ -192,43 +197,45 @@
         now = self.now()
         late = [key for key, entry in self.entries.items() if entry.until <= now]
         for key in late:
+            self.timed_out += 1
             yield key, self._refuse(self.entries.pop(key))
 
     def _place_first(self) -> Iterator[tuple[BoxTicket, Choice]]:
         budget = min(MAX_REVIEWED, len(self.entries))
         placed = 0
         # Requests like one that can't be begun would keep others from their turn.
-        stuck: set[Hashable] = set()
+        blocked: set[Hashable] = set()
         for key, entry in self._ordered():
             group = (entry.query.pool, entry.query.account, entry.query.avoid)
-            if group in stuck:
+            if group in blocked:
                 continue
             query = self._current(entry)
             found = self.attempt(key, query)
             budget -= 1
             if isinstance(found, Choice):
                 self.remove(key)
+                self.placed += 1
                 self._log_placed(query, found)
                 yield key, found
                 placed += 1
             else:
                 entry.unplaced = found
-                stuck.add(group)
+                blocked.add(group)
             if not budget or placed >= self.max_placed:
                 return
 
     def _ordered(self) -> list[tuple[BoxTicket, WaitingRequest]]:
         accounts = {entry.query.account for entry in self.entries.values()}
-        needs = {account: self._need(account) for account in accounts}
+        excess = {account: self._excess(account) for account in accounts}
         return sorted(
             self.entries.items(),
-            key=lambda item: _rank(item[1], needs[item[1].query.account]),
+            key=lambda item: _rank(item[1], excess[item[1].query.account]),
         )
 
     def _current(self, entry: WaitingRequest) -> PlacementQuery:
         return replace(entry.query, waited=self.now() - entry.arrived)
 
-    def _need(self, account: AccountName | None) -> float:
+    def _excess(self, account: AccountName | None) -> float:
         """Return how far an account is beyond its share; 0 within it."""
         if account is None:
             return 0
@@ -246,11 +253,11 @@
         )
 
 
-def _rank(entry: WaitingRequest, need: float) -> tuple[float, int, float, int]:
-    """Return the sort key: need by share, urgency, time left, cost."""
+def _rank(entry: WaitingRequest, excess: float) -> tuple[float, int, float, int]:
+    """Return the sort key: excess over the share, priority, time left, cost."""
     prompt = entry.query.prompt
     tokens = prompt.tokens if prompt else 0
-    return need, entry.query.priority, entry.until, tokens
+    return excess, entry.query.priority, entry.until, tokens
 
 
 class Reviews:
--- a/packages/edge/src/hitchdeck_edge/serving/budgets.py
+++ b/packages/edge/src/hitchdeck_edge/serving/budgets.py
@@ -32,7 +32,8 @@
 
 STALL_SECONDS = 1.0
 """Time after which a request whose rest does not arrive has stalled: it passes on its
-turn to be read, and may be evicted if others wait.  It is also the maximum wait of those.
+turn to be read, and may be evicted if others wait.  It is also the maximum wait of
+those.
 Callers drop a request that was not read within a second."""
 
 INPUT_SECONDS = 0.02
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -81,6 +81,8 @@
         self.random = random.Random(seed)
         self.seed = seed
         self.fleet = claimed_fleet(folder, seed)
+        # One seed in three runs the parts that limits of processes call for.
+        self.fleet.has_limits = seed % 3 == 1
         pools = ('llm', 'llm', 'llm', 'app', 'app')
         self.workers = [
             Worker(f'w{at}', pool, domain='ab'[at % 2]) for at, pool in enumerate(pools)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -33,6 +33,7 @@
 firstStart = {first}
 dataDir = "{data}"
 heartbeatMs = 500
+{options}
 [zones]
 a = "north"
 b = "north"
@@ -50,8 +51,22 @@
 retryBudgetRatio = 0.2
 retryExtra = 58
 budgetWindowS = 10
+{limits}
 """
 
+OPTIONS = """contracts = ["base", "pressure"]
+learnEngines = true"""
+"""Options that call for the parts for heavy load, together with ``LIMITS``."""
+
+LIMITS = """[limits]
+cpuShare = {share}
+cores = 1
+memoryMb = 200
+maxFds = 1638"""
+
+SHARES = (0.4, 0.8, 1.2)
+"""Processor shares of the machines, in turn: boxes are uneven."""
+
 
 PROGRAMS = MappingProxyType(
     {
@@ -113,12 +128,14 @@
     """All programs of one run.
 
     ``claim`` is a bound socket that keeps other fleets on the same host from
-    using the same addresses.
+    using the same addresses.  ``has_limits`` tells whether the settings state limits of
+    processes, and so call for the parts for heavy load.
     """
 
     folder: Path
     network: int
     claim: socket.socket | None = None
+    has_limits: bool = False
     hubs: list[Program] = field(default_factory=list)
     boxes: list[Program] = field(default_factory=list)
 
@@ -158,6 +175,8 @@
             last=FIRST_PORT + 20,
             seeds=seeds,
             first=str(first).lower(),
+            options=OPTIONS if self.has_limits else '',
+            limits=self._limits(program) if self.has_limits else '',
             data=program.data or '',
             front=FIRST_PORT + 1,
             ready=FIRST_PORT + 2,
@@ -191,6 +210,10 @@
         if self.claim is not None:
             self.claim.close()
 
+    def _limits(self, program: Program) -> str:
+        number = int(program.name.removeprefix('m'))
+        return LIMITS.format(share=SHARES[number % len(SHARES)])
+
 
 def claimed_fleet(folder: Path, first: int = 0) -> Fleet:
     """Return a fleet on a network that no other fleet on this host uses.
