--- a/packages/edge/src/hitchdeck_edge/model/placing.py
+++ b/packages/edge/src/hitchdeck_edge/model/placing.py
@@ -36,7 +36,8 @@
     longest_wait
         Seconds that the request may wait at the scheduler; 0 for a decision at once.
     waited
-        Seconds since it first arrived, if it has waited there or came back.
+        Seconds since it first arrived, if it has waited there or is a retry of a
+        refused request.
     """
 
     request: RequestId
--- a/packages/edge/src/hitchdeck_edge/scheduling/chooser.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/chooser.py
@@ -14,8 +14,8 @@
 from hitchdeck_edge.scheduling.waiting import Decided, Reviews, WaitingQueue
 
 MIN_WAIT_SECONDS = 0.001
-"""Longest wait of a request that reached its limit in this box.  It is decided at once,
-by the limits for requests that may wait."""
+"""Longest wait of a request that has no time left to wait.  It is decided at once, and
+its retry is recognized as one."""
 
 
 class Chooser:
