--- a/packages/edge/src/hitchdeck_edge/dispatch/relay.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/relay.py
@@ -80,6 +80,11 @@
             await self.spool.drain()
             self.caller.finish()
 
+    @property
+    def is_evicted(self) -> bool:
+        """Tell whether the response was broken off for lack of memory."""
+        return self.spool is not None and self.spool.is_evicted
+
     def close(self) -> None:
         """Discard what is spooled."""
         if self.spool is not None:
--- a/packages/edge/src/hitchdeck_edge/dispatch/spool.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/spool.py
@@ -23,6 +23,8 @@
         Data that is not being written yet.
     size
         Length of it, and of the data that is being written.
+    is_evicted
+        Whether the response was broken off for lack of memory.
     room
         Done when more may be read from the upstream; ``None`` if it may now.
     """
@@ -37,6 +39,7 @@
         self.size = 0
         self.is_writing = False
         self.error: CallerDisconnectedError | None = None
+        self.is_evicted = False
         self.room: asyncio.Future[None] | None = None
         self.written = Signal()
         self.holding = budget.open(account, self._break_off)
@@ -111,6 +114,7 @@
         logs.warning(
             'response broken off', request=self.request, reason='lack of memory'
         )
+        self.is_evicted = True
         self.error = CallerDisconnectedError('response broken off for lack of memory')
         self.pieces = []
         self.caller.abort()
--- a/packages/edge/src/hitchdeck_edge/serving/admission.py
+++ b/packages/edge/src/hitchdeck_edge/serving/admission.py
@@ -29,6 +29,9 @@
 CALLER_DISCONNECTED = 'caller gone'
 """Outcome of a request whose caller disconnected before the response."""
 
+EVICTED = 'evicted'
+"""Outcome of a request whose response was broken off for lack of memory."""
+
 DOCUMENT_WAIT_SECONDS = 1.2
 """Maximum time for which a request waits for the first configuration document.
 Without the wait, all of 400 requests were refused that reached boxes in their first
@@ -172,7 +175,8 @@
             await self.dispatcher.serve(active)
         except (CallerDisconnectedError, asyncio.CancelledError):
             # The task of a request is cancelled when its caller disconnects.
-            active.response.outcome = CALLER_DISCONNECTED
+            evicted = active.relay.is_evicted
+            active.response.outcome = EVICTED if evicted else CALLER_DISCONNECTED
         self._record_service(active)
 
     async def _wait_for_document(self, call: Call, arrived: float) -> None:
--- a/tests/edge/test_slow_callers.py
+++ b/tests/edge/test_slow_callers.py
@@ -98,6 +98,7 @@
     waiting = asyncio.ensure_future(room)
     budget.resize(budget.open('bob'), 500)
     assert caller.aborted
+    assert spool.is_evicted
     assert budget.evicted == 1
     with pytest.raises(CallerDisconnectedError):
         spool.write(b'more')
