--- a/packages/edge/src/hitchdeck_edge/serving/caller_server.py
+++ b/packages/edge/src/hitchdeck_edge/serving/caller_server.py
@@ -15,7 +15,6 @@
     ResponseStartLine,
 )
 from tornado.iostream import IOStream
-from tornado.netutil import add_accept_handler
 
 from hitchdeck_core import logs
 from hitchdeck_core.channels import split_address
@@ -26,6 +25,7 @@
     listening_socket,
     prepare_for_slow_callers,
 )
+from hitchdeck_edge.serving.accepting import Acceptor
 from hitchdeck_edge.serving.budgets import Budgets, Holding
 from hitchdeck_edge.serving.handoff import GREETING, Handoff, should_hand_off
 from hitchdeck_edge.serving.shedding import Shedder
@@ -237,11 +237,11 @@
 
     def listen(self, sock: socket.socket) -> None:
         """Accept connections on a listening socket."""
-        self.listeners.append((sock, add_accept_handler(sock, self._accept)))
+        self.listeners.append((sock, Acceptor(sock, self._accept).stop))
 
     def listen_for_relief(self, sock: socket.socket) -> None:
         """Accept connections that other boxes hand off."""
-        self.listeners.append((sock, add_accept_handler(sock, self._accept_relief)))
+        self.listeners.append((sock, Acceptor(sock, self._accept_relief).stop))
 
     def close_after_answers(self) -> None:
         """Close each connection after its next response."""
@@ -256,7 +256,7 @@
         self.shedder.close()
         self.handoff.close()
 
-    def _accept(self, connection: socket.socket, _: object) -> None:
+    def _accept(self, connection: socket.socket) -> None:
         connection.setblocking(False)
         self._free_descriptors(connection)
         wanted = should_hand_off(loop_utilization()) or self.handoff.is_late(loop_lag())
@@ -281,7 +281,7 @@
             self.idle.pop(stream, None)
             stream.close()
 
-    def _accept_relief(self, connection: socket.socket, _: object) -> None:
+    def _accept_relief(self, connection: socket.socket) -> None:
         connection.setblocking(False)
         self._free_descriptors(connection)
         try:
--- a/tests/edge/test_outside_numbers.py
+++ b/tests/edge/test_outside_numbers.py
@@ -205,10 +205,11 @@
 
 
 @pytest.mark.parametrize('contracts', [None, [], ['base', 'places']])
-def test_memory_and_descriptors_are_limited_only_with_their_contract(
+def test_memory_is_limited_only_with_its_contract_and_descriptors_always(
     contracts: list[str] | None,
 ) -> None:
-    # Guards against budgets and longer time-outs in deployments without slow peers.
+    # Guards against budgets of bytes and longer time-outs in deployments without slow
+    # peers, and against running out of descriptors in any deployment.
     limits = {'cpuShare': 0.5, 'memoryMb': 200, 'maxFds': 4100}
     fields = {**settings_fields(), 'limits': limits}
     if contracts is not None:
@@ -216,7 +217,8 @@
     settings = decode_settings(fields).entry
     assert settings is not None
     assert settings.capacity == pytest.approx(0.5)
-    assert settings.memory_limit == settings.descriptor_limit == 0
+    assert settings.memory_limit == 0
+    assert settings.descriptor_limit == 4100
 
 
 @given(
