Wait for the engine's record instead of a momentary state in a test of slow callers

The test waited until a connection to an engine was busy, and looked every 20 ms. With a poll every 300 ms it failed each time: the connection was busy from 14 to 40 ms after the first poll.

The test now waits until an engine has read the request. The box marks the connection busy before it sends, and the record of the engine stays, so the condition is as strict and can't be missed. With a poll every 300 ms the test passes.

--- a/tests/edge/test_slow_callers.py
+++ b/tests/edge/test_slow_callers.py
@@ -152,7 +152,9 @@
         caller.connect(split_address(Address(box.settings.listen)))
         caller.sendall(generation('slow', 'key-of-ann', 'aa:10', '10,10', 4))
         connections = box.admission.dispatcher.sender.connections
-        await until(lambda: any(connections.busy.values()))
+        # The connection is busy from before the engine reads the request, possibly for
+        # less than one polling interval.
+        await until(lambda: any(worker.seen for worker in site.workers))
         if limited:
             await until(lambda: not any(connections.busy.values()))
         else:
