--- a/packages/core/src/hitchdeck_core/loop_load.py
+++ b/packages/core/src/hitchdeck_core/loop_load.py
@@ -6,9 +6,9 @@
 """
 
 import asyncio
-import math
 import selectors
 from collections.abc import Callable
+from math import exp
 from time import monotonic
 
 from hitchdeck_core.clock import boot_clock
@@ -31,6 +31,15 @@
 MAX_COUNTED_TURN_SECONDS = 0.5
 """Limit of one turn in the lag, so that a suspension has little lasting effect."""
 
+MIN_POLL_INTERVAL_SECONDS = 0.001
+"""Minimum time between two polls while callbacks are ready.  A request or a message
+takes several callbacks, each scheduled by the one before, and a poll in between costs
+more than most of them.  A box serves requests with goals of 145 ms and more, so that a
+millisecond more until an event is noticed does not matter.
+
+Load: a box makes 530 turns a second while it serves 20 requests a second.
+"""
+
 MIN_SPAN_SECONDS = 0.2
 """Minimum span of one utilization measurement."""
 
@@ -64,8 +73,11 @@
         """Record the start of a poll and return its time."""
         now = self.now()
         turn = now - self.turn_started_at
-        self.longest_turn = max(self.longest_turn, turn)
-        self._smooth_lag(min(turn, MAX_COUNTED_TURN_SECONDS), turn)
+        if turn > self.longest_turn:
+            self.longest_turn = turn
+        counted = turn if turn < MAX_COUNTED_TURN_SECONDS else MAX_COUNTED_TURN_SECONDS
+        # The exponential average, written out here and below: this runs every turn.
+        self.lag = counted + (self.lag - counted) * exp(-turn / LAG_SECONDS)
         self.turn_started_at = now
         return now
 
@@ -74,7 +86,7 @@
         self.turn_started_at = self.now()
         waited = self.turn_started_at - began
         self.waited += waited
-        self._smooth_lag(0, waited)
+        self.lag *= exp(-waited / LAG_SECONDS)
 
     def take_longest_turn(self) -> float:
         """Return the longest turn since the last call, in seconds."""
@@ -88,19 +100,15 @@
         if span < MIN_SPAN_SECONDS:
             return self.smoothed_utilization
         busy = min(1, max(0, 1 - self.waited / span))
-        weight = 1 - math.exp(-span / SMOOTHING_SECONDS)
+        weight = 1 - exp(-span / SMOOTHING_SECONDS)
         self.smoothed_utilization += weight * (busy - self.smoothed_utilization)
         self.measured_at += span
         self.waited = 0
         return self.smoothed_utilization
 
-    def _smooth_lag(self, turn: float, span: float) -> None:
-        weight = 1 - math.exp(-span / LAG_SECONDS)
-        self.lag += weight * (turn - self.lag)
-
 
-class _Selector(selectors.DefaultSelector):
-    """Default selector that reports how long it waited."""
+class LoadSelector(selectors.DefaultSelector):
+    """Default selector that reports how long it waited, and polls less often."""
 
     def __init__(self, load: LoopLoad) -> None:
         super().__init__()
@@ -110,14 +118,23 @@
         self,
         timeout: float | None = None,
     ) -> list[tuple[selectors.SelectorKey, int]]:
-        """Wait for events, up to a limit, since a suspension doesn't end a wait."""
-        began = self.load.begin_poll()
+        """Wait for events, up to a limit, since a suspension doesn't end a wait.
+
+        Returns no events, without a poll, if callbacks are ready and the last poll was
+        less than ``MIN_POLL_INTERVAL_SECONDS`` ago.
+        """
+        load = self.load
+        if timeout is not None and timeout <= 0:
+            if load.now() - load.turn_started_at < MIN_POLL_INTERVAL_SECONDS:
+                return []
+            load.begin_poll()
+            return super().select(0)
+        began = load.begin_poll()
         wait = MAX_POLL_SECONDS
-        if timeout is not None:
-            wait = min(wait, timeout)
+        if timeout is not None and timeout < wait:
+            wait = timeout
         events = super().select(wait)
-        if wait > 0:
-            self.load.end_poll(began)
+        load.end_poll(began)
         return events
 
 
@@ -130,7 +147,7 @@
         # clock, a request whose deadline had passed was held for as long again.
         # It is called three times a turn, so it has no Python frame of its own.
         self.time = boot_clock()  # type: ignore[method-assign]
-        super().__init__(_Selector(self.load))
+        super().__init__(LoadSelector(self.load))
 
 
 def loop_utilization() -> float:
--- a/tests/cover/test_busyness.py
+++ b/tests/cover/test_busyness.py
@@ -1,11 +1,16 @@
 """Utilization and lag that an event loop measures of itself."""
 
 import asyncio
+import selectors
+import socket
 import time
 
 import pytest
 
 from hitchdeck_core.loop_load import (
+    MAX_POLL_SECONDS,
+    MIN_POLL_INTERVAL_SECONDS,
+    LoadSelector,
     LoopLoad,
     MeteredLoop,
     loop_utilization,
@@ -114,3 +119,44 @@
     clock.seconds += 1
     meter.end_poll(began)
     assert meter.lag < NEGLIGIBLE
+
+
+@pytest.mark.parametrize(
+    ('since_poll', 'timeout', 'polls'),
+    [
+        (0.5, 0, False),
+        (0.5, -1, False),
+        (1.5, 0, True),
+        (0.5, MAX_POLL_SECONDS, True),
+        (0.5, None, True),
+    ],
+)
+def test_ready_callbacks_delay_a_poll_by_a_bounded_time(
+    since_poll: float, timeout: float | None, polls: bool
+) -> None:
+    """Callbacks that schedule each other must not keep a loop from its sockets."""
+    clock = FakeClock()
+    reader, writer = socket.socketpair()
+    with reader, writer, LoadSelector(LoopLoad(clock)) as selector:
+        selector.register(reader, selectors.EVENT_READ)
+        writer.send(b'!')
+        clock.seconds += since_poll * MIN_POLL_INTERVAL_SECONDS
+        assert bool(selector.select(timeout)) is polls
+
+
+def test_a_loop_whose_callbacks_never_end_reads_its_sockets() -> None:
+    async def work() -> bytes:
+        reader, writer = socket.socketpair()
+        with reader, writer:
+            reader.setblocking(False)
+            loop = asyncio.get_running_loop()
+            received = asyncio.ensure_future(loop.sock_recv(reader, 1))
+            await asyncio.sleep(0)
+            writer.send(b'!')
+            until = time.monotonic() + 1
+            while not received.done() and time.monotonic() < until:
+                await asyncio.sleep(0)
+            return await received
+
+    with asyncio.Runner(loop_factory=MeteredLoop) as runner:
+        assert runner.run(work()) == b'!'
