Compute the longest silence of a box once, and add tallies without Counter.update

The test of the cost of a frame counted calls of a method that is now called once per stream; it counts how often boxes are looked at instead, with the same limit.

--- a/packages/edge/src/hitchdeck_edge/hub/connected_boxes.py
+++ b/packages/edge/src/hitchdeck_edge/hub/connected_boxes.py
@@ -38,6 +38,8 @@
         First message of the stream: the identity and addresses of the box.
     last_frame
         When the last frame arrived, in seconds.
+    max_silence
+        Time without a frame after which the box counts as lost, in seconds.
     version
         Version of the document that the box has.
     evacuations
@@ -58,6 +60,7 @@
 
     hello: Hello
     last_frame: float
+    max_silence: float
     version: int = 0
     evacuations: int = 0
     ready: bool = False
@@ -110,7 +113,9 @@
 
     def register(self, hello: Hello) -> ConnectedBox:
         """Add a box that opened a stream; replaces an earlier incarnation of it."""
-        connected_box = ConnectedBox(hello, self.now())
+        # Computed once: every list of boxes compares it, hundreds of times a second.
+        max_silence = MAX_MISSED_FRAMES * self._idle_interval(hello)
+        connected_box = ConnectedBox(hello, self.now(), max_silence)
         self.boxes[_box_key(hello)] = connected_box
         if hello.hub_address:
             self.hub_boxes[_box_key(hello)] = connected_box
@@ -137,15 +142,6 @@
         if frame.wants_reports or connected_box.hello.hub_address:
             connected_box.tally = tally_of(frame)
 
-    def idle_interval(self, connected_box: ConnectedBox) -> float:
-        """Return the interval of idle frames between a box and this hub, in seconds."""
-        same_domain = connected_box.hello.domain == self.domain
-        return (
-            hub_idle_interval(same_domain)
-            if connected_box.hello.hub_address
-            else box_idle_interval(same_domain)
-        )
-
     def gets_updates_at_once(self, connected_box: ConnectedBox) -> bool:
         """Tell whether updates go to a box at once, not with its next idle frame."""
         same_domain = connected_box.hello.domain == self.domain
@@ -215,6 +211,15 @@
             self.counted_at = self.now()
         return self.count
 
+    def _idle_interval(self, hello: Hello) -> float:
+        """Return the interval of idle frames between a box and this hub, in seconds."""
+        same_domain = hello.domain == self.domain
+        return (
+            hub_idle_interval(same_domain)
+            if hello.hub_address
+            else box_idle_interval(same_domain)
+        )
+
     def _relief_for(self, connected_box: ConnectedBox) -> list[ConnectedBox]:
         level = (
             EARLY_RELIEF_UTILIZATION if connected_box.capacity else RELIEF_UTILIZATION
@@ -237,9 +242,7 @@
         now = self.now()
         known = self.boxes if boxes is None else boxes
         return [
-            one
-            for one in known.values()
-            if now - one.last_frame <= MAX_MISSED_FRAMES * self.idle_interval(one)
+            one for one in known.values() if now - one.last_frame <= one.max_silence
         ]
 
 
--- a/packages/edge/src/hitchdeck_edge/state/tallies.py
+++ b/packages/edge/src/hitchdeck_edge/state/tallies.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from collections.abc import Iterable
 from dataclasses import field
+from typing import TypeVar
 
 from hitchdeck_core.ids import AccountName, UpstreamName
 from hitchdeck_core.lazy_dataclasses import dataclass
@@ -13,6 +14,8 @@
 state may add up to more, and a frame that cannot be encoded would break the box's
 stream."""
 
+Name = TypeVar('Name', UpstreamName, AccountName)
+
 
 @dataclass(slots=True)
 class Tally:
@@ -34,30 +37,33 @@
 
     def add(self, other: 'Tally') -> None:
         """Add another tally to this one, in place."""
-        self.waiting.update(other.waiting)
-        self.running.update(other.running)
-        self.asked.update(other.asked)
+        _add(self.waiting, other.waiting, 1)
+        _add(self.running, other.running, 1)
+        _add(self.asked, other.asked, 1)
 
     def without(self, other: 'Tally') -> 'Tally':
         """Return the difference of this tally and another one."""
         rest = Tally(self.waiting.copy(), self.running.copy(), self.asked.copy())
-        rest.waiting.subtract(other.waiting)
-        rest.running.subtract(other.running)
-        rest.asked.subtract(other.asked)
+        _add(rest.waiting, other.waiting, -1)
+        _add(rest.running, other.running, -1)
+        _add(rest.asked, other.asked, -1)
         return rest
 
     def loads(self) -> list[Load]:
         """Return the load as messages, without idle upstreams."""
-        names = self.waiting.keys() | self.running.keys()
-        return [
-            Load(
-                upstream=name,
-                waiting_tokens=_as_uint32(self.waiting[name]),
-                running=_as_uint32(self.running[name]),
-            )
-            for name in names
-            if self.waiting[name] > 0 or self.running[name] > 0
-        ]
+        loads: list[Load] = []
+        for name in self.waiting.keys() | self.running.keys():
+            waiting = self.waiting.get(name, 0)
+            running = self.running.get(name, 0)
+            if waiting > 0 or running > 0:
+                loads.append(
+                    Load(
+                        upstream=name,
+                        waiting_tokens=_as_uint32(waiting),
+                        running=_as_uint32(running),
+                    )
+                )
+        return loads
 
     def demands(self) -> list[Demand]:
         """Return the demand as messages."""
@@ -87,5 +93,12 @@
     return total
 
 
+def _add(counts: Counter[Name], others: Counter[Name], factor: int) -> None:
+    """Add a multiple of other counts; ``Counter.update`` checks types on each call."""
+    known = counts.get
+    for name, count in others.items():
+        counts[name] = known(name, 0) + factor * count
+
+
 def _as_uint32(number: int) -> int:
-    return min(MAX_UINT32, max(0, number))
+    return number if 0 <= number <= MAX_UINT32 else min(MAX_UINT32, max(0, number))
--- a/tests/edge/test_hubs.py
+++ b/tests/edge/test_hubs.py
@@ -6,6 +6,7 @@
 from collections.abc import AsyncIterator, Callable
 from dataclasses import replace
 from pathlib import Path
+from typing import Any, ClassVar
 
 import pytest
 
@@ -319,18 +320,22 @@
     assert registry.records[UpstreamName('new')].phase is Phase.serving
 
 
+class CountedBox(ConnectedBox):
+    """A box that counts how often it is looked at to tell whether it is lost."""
+
+    looks: ClassVar[list[str]] = []
+
+    def __getattribute__(self, name: str) -> Any:
+        if name == 'max_silence':
+            CountedBox.looks.append(name)
+        return super().__getattribute__(name)
+
+
 def test_the_cost_of_a_frame_does_not_grow_with_the_fleet(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    looks: list[str] = []
+    monkeypatch.setattr('hitchdeck_edge.hub.connected_boxes.ConnectedBox', CountedBox)
     connected_boxes = ConnectedBoxes(FakeClock(), 'a')
-    idle = connected_boxes.idle_interval
-
-    def counted(connected_box: ConnectedBox) -> float:
-        looks.append(connected_box.hello.box)
-        return idle(connected_box)
-
-    monkeypatch.setattr(connected_boxes, 'idle_interval', counted)
     for number in range(300):
         hello = Hello(box=f'b{number}', entry_address=f'b{number}:1', domain='a')
         connected_boxes.record_frame(
@@ -339,11 +344,11 @@
     for number in range(5):
         connected_boxes.register(Hello(box=f'h{number}', hub_address=f'h{number}:1'))
     assert connected_boxes.box_count() == 300
-    looks.clear()
+    CountedBox.looks.clear()
     for _ in range(10):
         assert len(connected_boxes.hub_addresses()) == 5
         assert connected_boxes.box_count() == 300
-    assert len(looks) == 50
+    assert len(CountedBox.looks) == 50
 
 
 @pytest.mark.parametrize(
