--- a/packages/core/src/hitchdeck_core/channels.py
+++ b/packages/core/src/hitchdeck_core/channels.py
@@ -13,6 +13,7 @@
 from grpclib.server import Server
 
 from hitchdeck_core.errors import LinkError
+from hitchdeck_core.grpc_layers import MessageChannel, MessageServer
 from hitchdeck_core.ids import Address
 from hitchdeck_core.sockets import listening_socket
 
@@ -38,7 +39,7 @@
 def open_channel(address: Address, token: str) -> Channel:
     """Return a channel that sends a token with every call."""
     host, port = split_address(address)
-    channel = Channel(host, port)
+    channel = MessageChannel(host, port)
 
     async def attach_token(event: SendRequest) -> None:
         event.metadata[_TOKEN_METADATA_KEY] = token
@@ -66,7 +67,7 @@
     authorize: Authorizer,
 ) -> Server:
     """Start a server that rejects calls which the authorizer denies."""
-    server = Server(handlers)
+    server = MessageServer(handlers)
 
     async def check_token(event: RecvRequest) -> None:
         presented_token = str(event.metadata.get(_TOKEN_METADATA_KEY, ''))
