--- a/packages/control/src/hitchdeck_control/raft/peer_client.py
+++ b/packages/control/src/hitchdeck_control/raft/peer_client.py
@@ -1,8 +1,11 @@
 """Client for calls to the other replicas."""
 
 import asyncio
+from contextlib import AsyncExitStack
 
-from grpclib.client import Channel
+from grpclib.client import Channel, Stream
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError, StreamTerminatedError
 
 from hitchdeck_control.raft.delays import SchedulingDelay
 from hitchdeck_core.channels import TRANSPORT_ERRORS, open_channel
@@ -19,9 +22,20 @@
 
 _SNAPSHOT_SECONDS = 60.0
 
+AppendStream = Stream[AppendRequest, AppendReply]
+
 
 class PeerClient:
-    """Channels to peers by address, opened on first use and dropped on errors."""
+    """Channels to peers by address, opened on first use and dropped on errors.
+
+    Attributes
+    ----------
+    append_streams
+        Open streams of ``append`` by address: a call of its own for each heartbeat took
+        three times the processor time.
+    without_streams
+        Peers that run software without these streams, until their channel is dropped.
+    """
 
     def __init__(
         self, fleet_token: str, timeout: float, scheduling_delay: SchedulingDelay
@@ -30,6 +44,8 @@
         self.timeout = timeout
         self.scheduling_delay = scheduling_delay
         self.channels: dict[Address, Channel] = {}
+        self.append_streams: dict[Address, AppendStream] = {}
+        self.without_streams: set[Address] = set()
 
     async def vote(self, address: Address, request: VoteRequest) -> VoteReply:
         """Request a vote, or raise ``LinkError``."""
@@ -46,10 +62,9 @@
         request: AppendRequest,
     ) -> AppendReply:
         """Send entries, or raise ``LinkError``."""
-        stub = self._stub(address)
         try:
             async with asyncio.timeout(self._call_timeout()):
-                return await stub.Append(request)
+                return await self._append(address, request)
         except TRANSPORT_ERRORS as error:
             raise self._drop_channel(address, error) from error
 
@@ -71,6 +86,44 @@
         for channel in self.channels.values():
             channel.close()
 
+    async def _append(self, address: Address, request: AppendRequest) -> AppendReply:
+        if address not in self.without_streams:
+            try:
+                return await self._append_on_stream(address, request)
+            except GRPCError as error:
+                if error.status is not Status.UNIMPLEMENTED:
+                    raise
+                self.without_streams.add(address)
+        return await self._stub(address).Append(request)
+
+    async def _append_on_stream(
+        self, address: Address, request: AppendRequest
+    ) -> AppendReply:
+        """Send a request on the open stream, and return its reply.
+
+        A stream whose exchange fails or is cancelled is closed: its reply could arrive
+        later and be taken for that of the next request.
+        """
+        stream = self.append_streams.pop(address, None)
+        async with AsyncExitStack() as stack:
+            if stream is None:
+                opening = self._stub(address).AppendStream.open()
+                stream = await stack.enter_async_context(opening)
+            else:
+                stack.push_async_exit(stream)
+            await stream.send_message(request)
+            reply = await stream.recv_message()
+            if reply is None:
+                await stream.recv_trailing_metadata()
+                raise StreamTerminatedError('the peer ended the stream')
+            if address in self.append_streams:
+                # Two replicas of one address, while the new one replaces the old one.
+                await stream.cancel()
+            else:
+                self.append_streams[address] = stream
+                stack.pop_all()
+        return reply
+
     def _call_timeout(self) -> float:
         return self.timeout + self.scheduling_delay.allowance()
 
@@ -81,6 +134,8 @@
         kept, calls would wait for TCP retransmissions, whose intervals grow to
         seconds, long after the peer has restarted.
         """
+        self.append_streams.pop(address, None)
+        self.without_streams.discard(address)
         channel = self.channels.pop(address, None)
         if channel is not None:
             channel.close()
--- a/packages/control/src/hitchdeck_control/raft/replication.py
+++ b/packages/control/src/hitchdeck_control/raft/replication.py
@@ -18,6 +18,13 @@
 
 _MAX_ENTRIES_PER_APPEND = 512
 
+_IDLE_CHECK_SECONDS = 1.0
+"""Longest wait for entries to sync or to apply.  Changes notify these tasks, which
+need no timer at the pace of the heartbeat."""
+
+_MIN_WAIT_FRACTION = 0.5
+"""Smallest wait for the next heartbeat, as a fraction of the heartbeat interval."""
+
 
 async def replicate(replica: Replica, client: PeerClient) -> None:
     """Run a replication task for each peer whenever this replica leads."""
@@ -36,7 +43,7 @@
     """Sync appended entries, in one batch whenever the disk is idle."""
     while True:
         if replica.log.synced_index >= replica.log.last_index:
-            await replica.appended.wait(replica.timing.heartbeat)
+            await replica.appended.wait(_IDLE_CHECK_SECONDS)
         if replica.log.synced_index < replica.log.last_index:
             await replica.log.flush()
             replica.advance_commit()
@@ -46,7 +53,7 @@
     """Apply committed entries and take snapshots, until cancelled."""
     while True:
         if replica.applied_index >= replica.commit_index:
-            await replica.committed.wait(replica.timing.heartbeat)
+            await replica.committed.wait(_IDLE_CHECK_SECONDS)
         replica.apply_committed()
         since_snapshot = replica.applied_index - replica.log.snapshot.last_index
         if since_snapshot >= replica.timing.snapshot_every:
@@ -122,7 +129,8 @@
             tasks.permanent(name, _peer_task(replica, client, leadership, peers[name]))
         if not peers:
             replica.advance_commit()
-        await replica.role_changed.wait(replica.timing.heartbeat)
+        beat = until_next_beat(replica.now(), replica.timing.heartbeat)
+        await replica.role_changed.wait(beat)
 
 
 def _peer_task(
@@ -150,7 +158,18 @@
 ) -> None:
     progress = leadership.peers[ReplicaId(peer.replica)]
     if progress.next_index > replica.log.last_index:
-        await replica.appended.wait(replica.timing.heartbeat)
+        heartbeat = replica.timing.heartbeat
+        await replica.appended.wait(until_next_beat(replica.now(), heartbeat))
+
+
+def until_next_beat(now: float, interval: float) -> float:
+    """Return the seconds until the next heartbeat to each peer is due.
+
+    Heartbeats are due at multiples of the interval, so that one turn of the event loop
+    sends those to all peers, and few turns receive the answers.
+    """
+    wait = interval - now % interval
+    return wait if wait > interval * _MIN_WAIT_FRACTION else wait + interval
 
 
 async def _replicate_once(replica: Replica, client: PeerClient, peer: Member) -> None:
--- a/packages/control/src/hitchdeck_control/raft/service.py
+++ b/packages/control/src/hitchdeck_control/raft/service.py
@@ -43,6 +43,12 @@
         reply = await handle_append(self.replica, self.append_lock, request)
         await stream.send_message(reply)
 
+    async def AppendStream(self, stream: Stream[AppendRequest, AppendReply]) -> None:
+        """Append entries, or accept a heartbeat, for each request of a leader."""
+        async for request in stream:
+            reply = await handle_append(self.replica, self.append_lock, request)
+            await stream.send_message(reply)
+
     async def InstallSnapshot(
         self,
         stream: Stream[SnapshotRequest, AppendReply],
--- a/packages/core/src/hitchdeck_core/wire/hitchdeck_grpc.py
+++ b/packages/core/src/hitchdeck_core/wire/hitchdeck_grpc.py
@@ -23,6 +23,10 @@
     async def Append(self, stream: 'grpclib.server.Stream[hitchdeck_core.wire.hitchdeck_pb2.AppendRequest, hitchdeck_core.wire.hitchdeck_pb2.AppendReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def AppendStream(self, stream: 'grpclib.server.Stream[hitchdeck_core.wire.hitchdeck_pb2.AppendRequest, hitchdeck_core.wire.hitchdeck_pb2.AppendReply]') -> None:
+        pass
+
     @abc.abstractmethod
     async def InstallSnapshot(self, stream: 'grpclib.server.Stream[hitchdeck_core.wire.hitchdeck_pb2.SnapshotRequest, hitchdeck_core.wire.hitchdeck_pb2.AppendReply]') -> None:
         pass
@@ -49,6 +53,12 @@
                 hitchdeck_core.wire.hitchdeck_pb2.AppendRequest,
                 hitchdeck_core.wire.hitchdeck_pb2.AppendReply,
             ),
+            '/hitchdeck_core.wire.Replication/AppendStream': grpclib.const.Handler(
+                self.AppendStream,
+                grpclib.const.Cardinality.STREAM_STREAM,
+                hitchdeck_core.wire.hitchdeck_pb2.AppendRequest,
+                hitchdeck_core.wire.hitchdeck_pb2.AppendReply,
+            ),
             '/hitchdeck_core.wire.Replication/InstallSnapshot': grpclib.const.Handler(
                 self.InstallSnapshot,
                 grpclib.const.Cardinality.UNARY_UNARY,
@@ -85,6 +95,12 @@
             hitchdeck_core.wire.hitchdeck_pb2.AppendRequest,
             hitchdeck_core.wire.hitchdeck_pb2.AppendReply,
         )
+        self.AppendStream = grpclib.client.StreamStreamMethod(
+            channel,
+            '/hitchdeck_core.wire.Replication/AppendStream',
+            hitchdeck_core.wire.hitchdeck_pb2.AppendRequest,
+            hitchdeck_core.wire.hitchdeck_pb2.AppendReply,
+        )
         self.InstallSnapshot = grpclib.client.UnaryUnaryMethod(
             channel,
             '/hitchdeck_core.wire.Replication/InstallSnapshot',
