--- a/packages/daemon/src/hitchdeck_daemon/hub_role.py
+++ b/packages/daemon/src/hitchdeck_daemon/hub_role.py
@@ -5,7 +5,7 @@
 from hitchdeck_core.errors import SettingsError
 from hitchdeck_daemon.on_platform import Role, run_role
 from hitchdeck_edge.hub.process import start_hub
-from hitchdeck_platform.documents import read_document
+from hitchdeck_platform.documents import DocumentReader
 from hitchdeck_platform.hub_api import start_servers
 from hitchdeck_platform.settings import PlatformSettings
 
@@ -17,7 +17,7 @@
     """Start the hub that the settings configure."""
     if settings.hub is None:
         raise SettingsError('settings configure no hub')
-    hub = await start_hub(settings.hub, read_document)
+    hub = await start_hub(settings.hub, DocumentReader().read)
     servers = start_servers(hub)
 
     async def stop() -> None:
