--- a/packages/control/src/hitchdeck_control/raft/replication.py
+++ b/packages/control/src/hitchdeck_control/raft/replication.py
@@ -8,6 +8,7 @@
 from hitchdeck_core.errors import LinkError
 from hitchdeck_core.ids import Address, ReplicaId
 from hitchdeck_core.supervisor import Supervisor, TaskFunction
+from hitchdeck_core.ticks import PROCESS_PHASE, until_next_tick, until_tick
 from hitchdeck_core.wire.hitchdeck_pb2 import (
     AppendReply,
     AppendRequest,
@@ -22,9 +23,6 @@
 """Longest wait for entries to sync or to apply.  Changes notify these tasks, which
 need no timer at the pace of the heartbeat."""
 
-_MIN_WAIT_FRACTION = 0.5
-"""Smallest wait for the next heartbeat, as a fraction of the heartbeat interval."""
-
 
 async def replicate(replica: Replica, client: PeerClient) -> None:
     """Run a replication task for each peer whenever this replica leads."""
@@ -43,7 +41,7 @@
     """Sync appended entries, in one batch whenever the disk is idle."""
     while True:
         if replica.log.synced_index >= replica.log.last_index:
-            await replica.appended.wait(_IDLE_CHECK_SECONDS)
+            await replica.appended.wait(until_tick(_IDLE_CHECK_SECONDS))
         if replica.log.synced_index < replica.log.last_index:
             await replica.log.flush()
             replica.advance_commit()
@@ -53,7 +51,7 @@
     """Apply committed entries and take snapshots, until cancelled."""
     while True:
         if replica.applied_index >= replica.commit_index:
-            await replica.committed.wait(_IDLE_CHECK_SECONDS)
+            await replica.committed.wait(until_tick(_IDLE_CHECK_SECONDS))
         replica.apply_committed()
         since_snapshot = replica.applied_index - replica.log.snapshot.last_index
         if since_snapshot >= replica.timing.snapshot_every:
@@ -129,8 +127,7 @@
             tasks.permanent(name, _peer_task(replica, client, leadership, peers[name]))
         if not peers:
             replica.advance_commit()
-        beat = until_next_beat(replica.now(), replica.timing.heartbeat)
-        await replica.role_changed.wait(beat)
+        await replica.role_changed.wait(_until_beat(replica))
 
 
 def _peer_task(
@@ -158,18 +155,12 @@
 ) -> None:
     progress = leadership.peers[ReplicaId(peer.replica)]
     if progress.next_index > replica.log.last_index:
-        heartbeat = replica.timing.heartbeat
-        await replica.appended.wait(until_next_beat(replica.now(), heartbeat))
-
+        await replica.appended.wait(_until_beat(replica))
 
-def until_next_beat(now: float, interval: float) -> float:
-    """Return the seconds until the next heartbeat to each peer is due.
 
-    Heartbeats are due at multiples of the interval, so that one turn of the event loop
-    sends those to all peers, and few turns receive the answers.
-    """
-    wait = interval - now % interval
-    return wait if wait > interval * _MIN_WAIT_FRACTION else wait + interval
+def _until_beat(replica: Replica) -> float:
+    """Return the seconds until a heartbeat is due, which goes to all peers at once."""
+    return until_next_tick(replica.now(), PROCESS_PHASE, replica.timing.heartbeat)
 
 
 async def _replicate_once(replica: Replica, client: PeerClient, peer: Member) -> None:
--- a/packages/daemon/src/hitchdeck_daemon/on_platform.py
+++ b/packages/daemon/src/hitchdeck_daemon/on_platform.py
@@ -16,7 +16,9 @@
 from hitchdeck_core.ids import Address
 from hitchdeck_core.lazy_dataclasses import dataclass
 from hitchdeck_core.loop_load import MeteredLoop
+from hitchdeck_core.signals import Signal
 from hitchdeck_core.supervisor import Supervisor
+from hitchdeck_core.ticks import until_tick
 from hitchdeck_edge.links.known_hubs import KnownHubs
 from hitchdeck_edge.settings import BoxSettings
 from hitchdeck_platform.settings import (
@@ -72,11 +74,11 @@
 
 async def _run(start: Start, settings: PlatformSettings, path: Path) -> None:
     stopping = asyncio.Event()
-    reload = asyncio.Event()
+    reload = Signal()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
-    loop.add_signal_handler(signal.SIGHUP, reload.set)
+    loop.add_signal_handler(signal.SIGHUP, reload.notify)
     role = await start(settings)
     # Objects created during startup live until exit; keep them out of later
     # garbage collections, which begin now: see ``run_program``.
@@ -104,18 +106,16 @@
         one.result()
 
 
-async def _watch_settings(role: Role, reload: asyncio.Event, path: Path) -> None:
+async def _watch_settings(role: Role, reload: Signal, path: Path) -> None:
     """Apply the seeds of changed settings; runs until cancelled."""
     known_text = _text_of(path)
+    seen = reload.count
     while True:
-        try:
-            await asyncio.wait_for(reload.wait(), RELOAD_SECONDS)
-        except TimeoutError:
-            # No signal arrived; the file may still have changed.
-            signalled = False
-        else:
-            signalled = True
-        reload.clear()
+        if reload.count == seen:
+            await reload.wait(until_tick(RELOAD_SECONDS))
+        # Without a signal, the file may still have changed.
+        signalled = reload.count > seen
+        seen = reload.count
         text = _text_of(path)
         if text and (text != known_text or signalled):
             known_text = text
--- a/packages/edge/src/hitchdeck_edge/hub/formation.py
+++ b/packages/edge/src/hitchdeck_edge/hub/formation.py
@@ -18,6 +18,7 @@
 from hitchdeck_control.raft.replica import Replica
 from hitchdeck_core import logs
 from hitchdeck_core.ids import Address
+from hitchdeck_core.ticks import until_tick
 from hitchdeck_core.wire.hitchdeck_pb2 import Member
 from hitchdeck_core.wire.spread_pb2 import Hello
 from hitchdeck_edge.hub.connected_boxes import ConnectedBoxes
@@ -70,7 +71,7 @@
 ) -> None:
     """Admit and remove members while this replica leads; runs forever."""
     while True:
-        await asyncio.sleep(GROUP_CHECK_SECONDS)
+        await asyncio.sleep(until_tick(GROUP_CHECK_SECONDS))
         if not replica.has_lease():
             continue
         try:
--- a/packages/edge/src/hitchdeck_edge/hub/liveness.py
+++ b/packages/edge/src/hitchdeck_edge/hub/liveness.py
@@ -4,6 +4,7 @@
 
 from hitchdeck_core.clock import Clock
 from hitchdeck_core.ids import Address, InstanceName, UpstreamName
+from hitchdeck_core.ticks import until_tick
 from hitchdeck_edge.hub.incarnation_order import IncarnationOrder
 from hitchdeck_edge.model.upstreams import Phase, Upstream
 from hitchdeck_edge.state.registry import Registry
@@ -62,7 +63,7 @@
         """
         limit = MAX_MISSED_REPORTS * self.period
         while True:
-            await asyncio.sleep(CHECK_SECONDS)
+            await asyncio.sleep(until_tick(CHECK_SECONDS))
             if self._hears_any_upstream(limit):
                 self.registry.mark_unresponsive(limit)
 
--- a/packages/edge/src/hitchdeck_edge/hub/peers.py
+++ b/packages/edge/src/hitchdeck_edge/hub/peers.py
@@ -5,6 +5,7 @@
 
 from hitchdeck_control.raft.replica import Replica
 from hitchdeck_core.ids import Address
+from hitchdeck_core.ticks import until_tick
 from hitchdeck_core.wire.spread_pb2 import BoxFrame, Hello, HubFrame
 from hitchdeck_edge.hub import formation
 from hitchdeck_edge.hub.liveness import Liveness
@@ -82,7 +83,7 @@
             fresh = self.settings.may_found and not replica.members()
             if named and fresh:
                 await formation.found_group_alone(replica)
-            await asyncio.sleep(formation.GROUP_CHECK_SECONDS)
+            await asyncio.sleep(until_tick(formation.GROUP_CHECK_SECONDS))
 
     def _hello(self) -> Hello:
         replica = self.replica
--- a/packages/edge/src/hitchdeck_edge/hub/spread.py
+++ b/packages/edge/src/hitchdeck_edge/hub/spread.py
@@ -18,6 +18,7 @@
 from hitchdeck_core.quarantine.messages import decode_update, encode_update
 from hitchdeck_core.quarantine.quarantine import SYNC_START, Quarantine, SyncPosition
 from hitchdeck_core.signals import Signal, wait_for_either
+from hitchdeck_core.ticks import until_tick
 from hitchdeck_core.wire.spread_grpc import SpreadBase
 from hitchdeck_core.wire.spread_pb2 import BoxFrame, HubFrame
 from hitchdeck_edge.hub.connected_boxes import ConnectedBox, ConnectedBoxes
@@ -163,7 +164,7 @@
         changed, arrived = self.state.changed, connected_box.arrived
         if connected_box.hello.hub_address:
             if changed.count == changes:
-                await changed.wait(RELAY_INTERVAL_SECONDS)
+                await changed.wait(until_tick(RELAY_INTERVAL_SECONDS))
             return
         while arrived.count == frames:
             if not self.state.connected_boxes.gets_updates_at_once(connected_box):
--- a/packages/edge/src/hitchdeck_edge/hub/state_file.py
+++ b/packages/edge/src/hitchdeck_edge/hub/state_file.py
@@ -20,6 +20,7 @@
 from hitchdeck_core.quarantine.messages import decode_update, encode_update
 from hitchdeck_core.quarantine.quarantine import SYNC_START, Quarantine
 from hitchdeck_core.signals import Signal
+from hitchdeck_core.ticks import until_tick
 from hitchdeck_core.wire.quarantine_pb2 import QuarantineNews
 from hitchdeck_core.wire.spread_pb2 import Document, EvacuationList, HubFrame
 from hitchdeck_edge.links.records import decode_upstreams, encode_upstream
@@ -89,7 +90,7 @@
         while True:
             if self.written < self.codec.version():
                 await self._write()
-            await self.changed.wait(WRITE_RETRY_SECONDS)
+            await self.changed.wait(until_tick(WRITE_RETRY_SECONDS))
 
     def _restore_payload(self, payload: bytes) -> None:
         try:
--- a/packages/edge/src/hitchdeck_edge/links/hub_streams.py
+++ b/packages/edge/src/hitchdeck_edge/links/hub_streams.py
@@ -11,12 +11,12 @@
 
 from hitchdeck_core import logs
 from hitchdeck_core.channels import TRANSPORT_ERRORS, open_channel
-from hitchdeck_core.clock import boot_seconds
 from hitchdeck_core.errors import LinkError
 from hitchdeck_core.ids import Address
 from hitchdeck_core.lazy_dataclasses import dataclass
 from hitchdeck_core.signals import Signal
 from hitchdeck_core.supervisor import Supervisor, TaskFunction
+from hitchdeck_core.ticks import until_tick
 from hitchdeck_core.wire.spread_grpc import SpreadStub
 from hitchdeck_core.wire.spread_pb2 import BoxFrame, HubFrame
 from hitchdeck_edge.links.known_hubs import KnownHubs
@@ -56,9 +56,6 @@
 Of a box's frames only idle ones wait for it: updates are sent at once.
 """
 
-MIN_WAIT_SECONDS = 0.05
-"""Minimum time between two frames without updates: timers may fire a little early."""
-
 LINK_ERRORS = (LinkError, *TRANSPORT_ERRORS)
 
 HubStream = Stream[BoxFrame, HubFrame]
@@ -96,27 +93,18 @@
 
 
 class HubStreams:
-    """Keeps a stream to every known hub.
-
-    Attributes
-    ----------
-    phase
-        Phase of the moments at which frames are due, in seconds; ``None`` if each
-        stream counts its interval from its own last frame.
-    """
+    """Keeps a stream to every known hub; frames to all of them are due together."""
 
     def __init__(
         self,
         known_hubs: KnownHubs,
         stream_handlers: StreamHandlers,
         token: str,
-        phase: float | None = None,
     ) -> None:
         self.known_hubs = known_hubs
         self.stream_handlers = stream_handlers
         self.token = token
         self.tasks = Supervisor('hubs')
-        self.phase = phase
 
     async def run(self) -> None:
         """Keep one task per known hub; runs forever."""
@@ -197,26 +185,10 @@
             send_interval = self.stream_handlers.send_interval(
                 self.known_hubs.is_same_domain(address), is_report_hub
             )
-            await self.stream_handlers.wake.wait(self._until_due(send_interval))
+            await self.stream_handlers.wake.wait(until_tick(send_interval))
             frame = self.stream_handlers.next_frame(address, is_report_hub, False)
             await stream.send_message(frame)
 
-    def _until_due(self, interval: float) -> float:
-        if self.phase is None:
-            return interval
-        return until_next_tick(boot_seconds(), self.phase, interval)
-
-
-def until_next_tick(now: float, phase: float, interval: float) -> float:
-    """Return the seconds until a frame is due.
-
-    Frames to all hubs are due at multiples of their intervals after the same phase, so
-    that one turn of the event loop sends them, and few turns receive the answers: with
-    a timer per hub, a box took three times as many turns.
-    """
-    wait = interval - (now - phase) % interval
-    return wait if wait > MIN_WAIT_SECONDS else wait + interval
-
 
 def box_idle_interval(same_domain: bool) -> float:
     """Return the interval of idle frames between an entry box and a hub, in seconds."""
--- a/packages/edge/src/hitchdeck_edge/links/outbox.py
+++ b/packages/edge/src/hitchdeck_edge/links/outbox.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from hitchdeck_core.signals import Signal
+from hitchdeck_core.ticks import until_tick
 from hitchdeck_core.wire.spread_pb2 import PlacingFrame
 from hitchdeck_core.wire.spread_pb2 import Wanted as WantedMessage
 
@@ -40,10 +41,10 @@
             loop.call_later(PROGRESS_DELAY_SECONDS, self._make_due)
         self.frame.MergeFrom(progress)
 
-    async def wait(self, seconds: float) -> None:
-        """Wait until a frame is due, at most for the given seconds."""
+    async def wait(self, interval: float) -> None:
+        """Wait until a frame is due, at most until the next tick of an interval."""
         if not self.due:
-            await self.became_due.wait(seconds)
+            await self.became_due.wait(until_tick(interval))
         # Reset before the frame is taken: a new one may become due during the send.
         self.due = False
 
--- a/packages/edge/src/hitchdeck_edge/links/placing.py
+++ b/packages/edge/src/hitchdeck_edge/links/placing.py
@@ -245,7 +245,8 @@
         checked = self.now()
         while not ended() and self.unanswered < MAX_UNANSWERED:
             await self.outbox.wait(SCHEDULER_CHECK_SECONDS)
-            if self.now() - checked > SCHEDULER_CHECK_SECONDS:
+            # Half of it, as the ticks for which the outbox waits may be a little early.
+            if self.now() - checked > SCHEDULER_CHECK_SECONDS / 2:
                 checked = self.now()
                 self._check_scheduler(hub)
             frame = self.outbox.take()
--- a/packages/edge/src/hitchdeck_edge/process.py
+++ b/packages/edge/src/hitchdeck_edge/process.py
@@ -1,7 +1,6 @@
 """Builds and runs the process of an entry box."""
 
 import asyncio
-import random
 from dataclasses import field
 
 from tornado.httpserver import HTTPServer
@@ -12,6 +11,7 @@
 from hitchdeck_core.lazy_dataclasses import dataclass
 from hitchdeck_core.loop_load import PERCENT, loop_utilization, take_longest_turn
 from hitchdeck_core.supervisor import Supervisor
+from hitchdeck_core.ticks import until_tick
 from hitchdeck_edge.dispatch.factory import new_dispatcher
 from hitchdeck_edge.links.entry import EntryLink
 from hitchdeck_edge.links.hub_streams import HubStreams
@@ -79,7 +79,9 @@
                 self.link.announce(ready=known)
             self._release_removed_upstreams()
             self._report_slow_turns()
-            await self.link.known.documents.changed.wait(UPKEEP_INTERVAL_SECONDS)
+            await self.link.known.documents.changed.wait(
+                until_tick(UPKEEP_INTERVAL_SECONDS)
+            )
 
     def _is_idle(self) -> bool:
         return not (self.admission.tasks or self.caller_server.handoff.open)
@@ -161,10 +163,7 @@
         figures = metrics_page(box.admission.metrics.render)
         box.servers.append(listen(figures, Address(settings.metrics_listen)))
     handlers = box.link.stream_handlers(box.known_hubs)
-    # A phase of its own: boxes that ticked together would all burden a hub at once.
-    streams = HubStreams(
-        box.known_hubs, handlers, settings.fleet_token, phase=random.random()
-    )
+    streams = HubStreams(box.known_hubs, handlers, settings.fleet_token)
     box.supervisor.permanent('hubs', streams.run)
     connections = box.admission.dispatcher.sender.connections
     box.supervisor.permanent('connections', connections.sweep)
--- a/tests/edge/test_frame_pace.py
+++ b/tests/edge/test_frame_pace.py
@@ -5,10 +5,10 @@
 
 import pytest
 
+from hitchdeck_core.ticks import MIN_WAIT_SECONDS, until_next_tick
 from hitchdeck_core.wire.spread_pb2 import Hello
 from hitchdeck_edge.hub.connected_boxes import ConnectedBox
 from hitchdeck_edge.hub.spread import SpreadService, new_state
-from hitchdeck_edge.links.hub_streams import MIN_WAIT_SECONDS, until_next_tick
 from hitchdeck_edge.settings import HubSettings
 from hitchdeck_platform.documents import read_document
 
