Heed a signal for changed settings that arrives during the start

The watch compared with the number of signals at its own start, so a signal that arrived before was never applied.

--- a/packages/daemon/src/hitchdeck_daemon/on_platform.py
+++ b/packages/daemon/src/hitchdeck_daemon/on_platform.py
@@ -85,7 +85,7 @@
     gc.freeze()
     gc.enable()
     watching = Supervisor('settings')
-    watching.permanent('reload', lambda: _watch_settings(role, reload, path))
+    watching.permanent('reload', lambda: watch_settings(role, reload, path))
     await _wait_for_stop(stopping, role)
     await watching.stop()
     await role.stop()
@@ -106,10 +106,11 @@
         one.result()
 
 
-async def _watch_settings(role: Role, reload: Signal, path: Path) -> None:
+async def watch_settings(role: Role, reload: Signal, path: Path) -> None:
     """Apply the seeds of changed settings; runs until cancelled."""
     known_text = _text_of(path)
-    seen = reload.count
+    # A signal may have arrived while the role started.
+    seen = 0
     while True:
         if reload.count == seen:
             await reload.wait(until_tick(RELOAD_SECONDS))
