Exclude a scheduler at all boxes once boxes of two failure domains lost it

Boxes report the schedulers that they lost in their frames to all hubs. A hub that hears of the same one from boxes of two failure domains and from an eighth of its entry boxes adds it to its frames to boxes, which exclude it for the longest time left. Only where the settings state [limits].

--- a/packages/edge/src/hitchdeck_edge/hub/connected_boxes.py
+++ b/packages/edge/src/hitchdeck_edge/hub/connected_boxes.py
@@ -17,6 +17,7 @@
     box_idle_interval,
     hub_idle_interval,
 )
+from hitchdeck_edge.links.scheduler_exclusions import Exclusions, decode_exclusions
 from hitchdeck_edge.state.headroom import capacity_percent, headroom
 from hitchdeck_edge.state.tallies import Tally, tally_of, total_of
 
@@ -52,6 +53,8 @@
         Fraction of its time for which the box is busy, from 0 to 1.
     tally
         Load and demand that it last reported.
+    excluded
+        Schedulers that it excludes because it lost them itself.
     arrived
         Notified when a frame of the box has arrived.
     """
@@ -65,6 +68,7 @@
     reported_boxes: int = 0
     utilization: float = 0
     tally: Tally = field(default_factory=Tally)
+    excluded: Exclusions = field(default_factory=dict)
     arrived: Signal = field(default_factory=Signal)
 
     @property
@@ -136,6 +140,10 @@
         connected_box.utilization = frame.busy_percent / PERCENT
         if frame.wants_reports or connected_box.hello.hub_address:
             connected_box.tally = tally_of(frame)
+        if frame.excluded_schedulers or connected_box.excluded:
+            connected_box.excluded = decode_exclusions(
+                frame.excluded_schedulers, connected_box.last_frame
+            )
 
     def idle_interval(self, connected_box: ConnectedBox) -> float:
         """Return the interval of idle frames between a box and this hub, in seconds."""
@@ -155,6 +163,10 @@
             or bool(connected_box.hello.hub_address)
         )
 
+    def entry_boxes(self) -> list[ConnectedBox]:
+        """Return the live entry boxes, ready for callers or not."""
+        return [one for one in self._alive() if one.hello.entry_address]
+
     def ready_entries(self) -> list[ConnectedBox]:
         """Return the live entry boxes that are ready for callers."""
         return [one for one in self._alive() if one.hello.entry_address and one.ready]
--- a/packages/edge/src/hitchdeck_edge/hub/process.py
+++ b/packages/edge/src/hitchdeck_edge/hub/process.py
@@ -120,6 +120,9 @@
             'entry_boxes_ready': len(connected_boxes.ready_entries()),
             'hubs_in_reach': len(connected_boxes.hubs()),
             'contents_judged': len(self.state.quarantine.verdicts.known),
+            'scheduler_exclusions_announced_total': (
+                self.state.agreement.announcements if self.state.agreement else 0
+            ),
             'requests_waiting': len(self.placing.queue.entries),
             'requests_placed_after_wait_total': self.placing.queue.placed,
             'requests_timed_out_waiting_total': self.placing.queue.timed_out,
--- a/packages/edge/src/hitchdeck_edge/hub/spread.py
+++ b/packages/edge/src/hitchdeck_edge/hub/spread.py
@@ -21,6 +21,7 @@
 from hitchdeck_core.wire.spread_grpc import SpreadBase
 from hitchdeck_core.wire.spread_pb2 import BoxFrame, HubFrame
 from hitchdeck_edge.hub.connected_boxes import ConnectedBox, ConnectedBoxes
+from hitchdeck_edge.hub.scheduler_agreement import SchedulerAgreement
 from hitchdeck_edge.links.hub_streams import RELAY_INTERVAL_SECONDS
 from hitchdeck_edge.links.records import decode_suspicion, encode_upstream
 from hitchdeck_edge.settings import HubSettings
@@ -42,6 +43,8 @@
     ----------
     durable
         Whether the hub has a disk.
+    agreement
+        Merges the exclusions of schedulers, where the settings say so.
     founder
         Hub that is to found the replicated group; empty if none is named.
     changed
@@ -56,6 +59,7 @@
     connected_boxes: ConnectedBoxes
     quarantine: Quarantine
     evacuations: Evacuations
+    agreement: SchedulerAgreement | None = None
     founder: Address = Address('')
     changed: Signal = field(default_factory=Signal)
 
@@ -65,15 +69,21 @@
     changed = Signal()
     documents = Documents(read, changed)
     registry = Registry(boot_seconds, changed)
+    connected_boxes = ConnectedBoxes(boot_seconds, settings.domain)
     return HubState(
         address=Address(settings.listen),
         domain=settings.domain,
         durable=settings.data_folder is not None,
         documents=documents,
         registry=registry,
-        connected_boxes=ConnectedBoxes(boot_seconds, settings.domain),
+        connected_boxes=connected_boxes,
         quarantine=Quarantine(boot_seconds, changed),
         evacuations=Evacuations(domain_closer(registry, documents), changed),
+        agreement=(
+            SchedulerAgreement(connected_boxes, boot_seconds, settings.mechanisms)
+            if settings.scheduler_agreement
+            else None
+        ),
         changed=changed,
     )
 
@@ -122,6 +132,8 @@
     def _apply_frame(self, connected_box: ConnectedBox, frame: BoxFrame) -> None:
         state = self.state
         state.connected_boxes.record_frame(connected_box, frame)
+        if state.agreement is not None and state.agreement.take_report(connected_box):
+            state.changed.notify()
         for name in frame.heard:
             state.registry.hear(UpstreamName(name))
         if frame.HasField('quarantine'):
@@ -197,6 +209,8 @@
         _add_verdicts(frame, sent, state.quarantine)
         self._add_hubs(frame, sent)
         state.connected_boxes.add_relief_targets(frame, connected_box)
+        if state.agreement is not None:
+            state.agreement.add_agreed(frame, connected_box)
         if connected_box.reports_to_this_hub:
             _add_reports(frame, connected_box, state.connected_boxes)
         return frame
--- a/packages/edge/src/hitchdeck_edge/links/entry.py
+++ b/packages/edge/src/hitchdeck_edge/links/entry.py
@@ -17,6 +17,10 @@
 )
 from hitchdeck_edge.links.known_hubs import KnownHubs
 from hitchdeck_edge.links.records import encode_suspicion
+from hitchdeck_edge.links.scheduler_exclusions import (
+    decode_exclusions,
+    encode_exclusions,
+)
 from hitchdeck_edge.settings import EntrySettings
 from hitchdeck_edge.state.fleet_state import FleetState
 from hitchdeck_edge.state.headroom import capacity_percent
@@ -78,9 +82,23 @@
             self._apply_frame(
                 address, frame, is_report_hub=known_hubs.report_hub() == address
             )
-
+            self._adopt_exclusions(address, frame, known_hubs)
+
+        def next_frame(hub: Address, is_report_hub: bool, first: bool) -> BoxFrame:
+            frame = self.next_frame(hub, is_report_hub, first)
+            if self.settings.scheduler_agreement:
+                excluded = known_hubs.own_exclusions()
+                frame.excluded_schedulers.extend(
+                    encode_exclusions(excluded, known_hubs.now())
+                )
+            return frame
+
+        if self.settings.scheduler_agreement:
+            # Hubs hear of an exclusion at once: a first one lasts for two intervals of
+            # frames only.
+            known_hubs.excluded = self.wake
         return StreamHandlers(
-            self.next_frame,
+            next_frame,
             on_frame,
             self.on_loss,
             self.wake,
@@ -134,6 +152,16 @@
             self.budget.boxes = int(frame.boxes)
         self._set_others(tally_of(frame), assumed_boxes=1)
 
+    def _adopt_exclusions(
+        self, hub: Address, frame: HubFrame, known_hubs: KnownHubs
+    ) -> None:
+        settings = self.settings
+        if not (settings.scheduler_agreement and settings.mechanisms.agreed_exclusions):
+            return
+        if frame.excluded_schedulers:
+            heard = decode_exclusions(frame.excluded_schedulers, known_hubs.now())
+            known_hubs.adopt_exclusions(heard, hub)
+
     def _expire_digest(self) -> None:
         """Drop the totals of the other boxes once they are too old."""
         if self.known.open_work.now() - self.digest_at > DIGEST_TTL_SECONDS:
--- a/packages/edge/src/hitchdeck_edge/links/known_hubs.py
+++ b/packages/edge/src/hitchdeck_edge/links/known_hubs.py
@@ -2,10 +2,16 @@
 
 from collections.abc import Iterable
 
+from hitchdeck_core import logs
 from hitchdeck_core.clock import Clock
 from hitchdeck_core.hashing import ranked
 from hitchdeck_core.ids import Address, BoxName
 from hitchdeck_core.signals import Signal
+from hitchdeck_edge.links.scheduler_exclusions import (
+    MIN_LEFT_SECONDS,
+    Exclusions,
+    merge_exclusions,
+)
 
 LEARNED_HUB_TTL_SECONDS = 60.0
 """How long a learned hub is kept after other hubs last named it.
@@ -37,6 +43,12 @@
         Hubs known to have a disk.
     excluded_until
         Until when each lost scheduler is not used again, in seconds.
+    agreed_until
+        The same for schedulers that hubs report as lost by many boxes.
+    adopted
+        How many times such an exclusion was adopted or extended.
+    excluded
+        Notified when this box excludes a scheduler that it can still reach.
     changed
         Notified when hubs are added, removed or reached.
     """
@@ -58,6 +70,9 @@
         self.same_domain: set[Address] = set()
         self.durable: set[Address] = set()
         self.excluded_until: dict[Address, float] = {}
+        self.agreed_until: dict[Address, float] = {}
+        self.adopted = 0
+        self.excluded = Signal()
         self.changed = Signal()
 
     def addresses(self) -> list[Address]:
@@ -100,6 +115,32 @@
         again = self.now() - until < REPEAT_EXCLUSION_SECONDS
         pause = REPEAT_EXCLUSION_SECONDS if again else FIRST_EXCLUSION_SECONDS
         self.excluded_until[address] = self.now() + pause
+        if address in self.reachable:
+            self.excluded.notify()
+
+    def own_exclusions(self) -> Exclusions:
+        """Return the exclusions of schedulers that this box lost itself."""
+        return merge_exclusions(self.excluded_until, {}, self.now())
+
+    def adopt_exclusions(self, heard: Exclusions, told_by: Address) -> None:
+        """Exclude schedulers that many boxes lost, as a hub reports them.
+
+        They are kept while their hub is unreachable, so that they end at all boxes at
+        the same time.
+        """
+        now = self.now()
+        for address, until in heard.items():
+            known = max(now, self.agreed_until.get(address, 0))
+            if until - known >= MIN_LEFT_SECONDS:
+                self.adopted += 1
+                logs.info(
+                    'scheduler excluded with the other boxes',
+                    hub=address,
+                    told_by=told_by,
+                    left=round(until - now, 3),
+                    own_left=round(self.excluded_until.get(address, 0) - now, 3),
+                )
+        self.agreed_until = merge_exclusions(self.agreed_until, heard, now)
 
     def mark_reachable(self, address: Address) -> None:
         """Record that the stream to a hub is established."""
@@ -114,6 +155,9 @@
         """
         self.reachable.discard(address)
         self.excluded_until.pop(address, None)
+        if not self.reachable:
+            # Boxes and hubs that start anew do not know of these exclusions.
+            self.agreed_until.clear()
 
     def add_learned(self, addresses: Iterable[Address]) -> None:
         """Add hubs named by another hub; drop unreachable ones not named recently."""
@@ -145,4 +189,5 @@
         return Address(ranked(self.box, candidates)[0])
 
     def _is_excluded(self, address: Address) -> bool:
-        return self.excluded_until.get(address, 0) > self.now()
+        own = self.excluded_until.get(address, 0)
+        return max(own, self.agreed_until.get(address, 0)) > self.now()
--- a/packages/edge/src/hitchdeck_edge/model/mechanisms.py
+++ b/packages/edge/src/hitchdeck_edge/model/mechanisms.py
@@ -41,6 +41,8 @@
         Boxes heed the limits that their settings state.
     stream_reuse
         Streams that are not resumed may use kept connections, if the settings say so.
+    agreed_exclusions
+        Schedulers that many boxes lost are excluded by all, if the settings say so.
     """
 
     scheduler: bool = True
@@ -57,6 +59,7 @@
     near_first: bool = True
     box_resources: bool = True
     stream_reuse: bool = True
+    agreed_exclusions: bool = True
 
     def __post_init__(self) -> None:
         """Check that each switch is a boolean."""
--- a/packages/edge/src/hitchdeck_edge/process.py
+++ b/packages/edge/src/hitchdeck_edge/process.py
@@ -110,6 +110,7 @@
         self.admission.metrics.held_bytes = self.admission.budgets.bytes.held
         self.admission.metrics.connections_opened = sender.connections.opened
         self.admission.metrics.connections_reused = sender.connections.reused
+        self.admission.metrics.exclusions_adopted = self.known_hubs.adopted
         self.admission.metrics.handed_off = self.caller_server.handoff.handed_off
 
 
--- a/packages/edge/src/hitchdeck_edge/serving/metrics.py
+++ b/packages/edge/src/hitchdeck_edge/serving/metrics.py
@@ -48,6 +48,8 @@
     connections_opened, connections_reused
         Connections to upstreams that were opened for requests, and requests that used
         a kept one.
+    exclusions_adopted
+        Exclusions of schedulers that hubs told this box of.
     """
 
     def __init__(self, now: Clock) -> None:
@@ -66,6 +68,7 @@
         self.evicted = 0
         self.connections_opened = 0
         self.connections_reused = 0
+        self.exclusions_adopted = 0
 
     def record_served(
         self, context: RequestContext, outcome: str, seconds: float
@@ -115,6 +118,7 @@
             f'hitchdeck_evicted_total {self.evicted}',
             f'hitchdeck_upstream_connections_opened_total {self.connections_opened}',
             f'hitchdeck_upstream_connections_reused_total {self.connections_reused}',
+            f'hitchdeck_scheduler_exclusions_adopted_total {self.exclusions_adopted}',
         ]
         lines.extend(
             f'hitchdeck_requests_total{{outcome="{name}"}} {count}'
--- /dev/null
+++ b/tests/edge/test_scheduler_agreement.py
@@ -0,0 +1,381 @@
+"""Boxes agree on which lost schedulers are excluded, through the hubs they reach."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+
+from hitchdeck_core.ids import Address, BoxName
+from hitchdeck_core.quarantine.quarantine import Quarantine
+from hitchdeck_core.signals import Signal
+from hitchdeck_core.wire.spread_pb2 import (
+    BoxFrame,
+    Hello,
+    HubFrame,
+    SchedulerExclusion,
+)
+from hitchdeck_edge.dispatch.budget import RetryBudget
+from hitchdeck_edge.hub.connected_boxes import ConnectedBoxes
+from hitchdeck_edge.hub.scheduler_agreement import SchedulerAgreement
+from hitchdeck_edge.hub.spread import SpreadService, new_state
+from hitchdeck_edge.links.entry import EntryLink
+from hitchdeck_edge.links.known_hubs import KnownHubs
+from hitchdeck_edge.links.scheduler_exclusions import (
+    MAX_EXCLUSIONS,
+    MAX_LEFT_SECONDS,
+    decode_exclusions,
+    encode_exclusions,
+    merge_exclusions,
+    tally_exclusions,
+)
+from hitchdeck_edge.model.mechanisms import ALL_MECHANISMS, Mechanisms
+from hitchdeck_edge.process import EntryBox, start_entry
+from hitchdeck_edge.settings import EntrySettings, HubSettings
+from hitchdeck_edge.state.documents import Documents
+from hitchdeck_edge.state.evacuations import Evacuations
+from hitchdeck_edge.state.fleet_state import FleetState
+from hitchdeck_edge.state.relief import ReliefTargets
+from hitchdeck_platform.documents import read_document
+from hitchdeck_platform.requests import DIALECT
+from standins.platform_site import Site
+from standins.ports import free_address
+from tests.common.scheduling import FakeClock, scheduler_of
+
+HUBS = [Address(f'10.0.0.{number}:1') for number in range(1, 5)]
+ENTRY = EntrySettings(
+    box='box',
+    domain='a',
+    listen=Address('127.0.0.1:1'),
+    ready_listen=Address('127.0.0.1:2'),
+    scheduler_agreement=True,
+)
+HUB = HubSettings(
+    box='hub',
+    domain='a',
+    listen=HUBS[0],
+    control_listen=Address('127.0.0.1:2'),
+    directory_listen=Address('127.0.0.1:3'),
+    scheduler_agreement=True,
+)
+WITHOUT = Mechanisms(agreed_exclusions=False)
+
+
+@pytest.mark.parametrize(
+    ('reports', 'boxes', 'left'),
+    [
+        ([], 8, 0),
+        # One domain, or one box.
+        ([('a', 8), ('a', 8), ('a', 8)], 8, 0),
+        ([('a', 8)], 8, 0),
+        # Two domains, at an eighth of the boxes and below it.
+        ([('a', 8), ('b', 1)], 16, 8),
+        ([('a', 8), ('b', 1)], 17, 0),
+        ([('a', 1), ('b', 8), ('c', 3)], 16, 8),
+        # One of them has ended, or both are about to end.
+        ([('a', 8), ('b', 0)], 8, 0),
+        ([('a', 0.4), ('b', 0.3)], 8, 0),
+        ([('a', 0.4), ('b', 0.6)], 8, 0.6),
+    ],
+)
+def test_a_scheduler_is_excluded_by_all_once_many_boxes_of_two_domains_lost_it(
+    reports: list[tuple[str, float]], boxes: int, left: float
+) -> None:
+    now = 100.0
+    given = [(domain, {HUBS[0]: now + seconds}) for domain, seconds in reports]
+    given.append(('c', {HUBS[1]: now + 5}))
+    tallies = tally_exclusions(given, now)
+    agreed = {
+        address: tally.until - now
+        for address, tally in tallies.items()
+        if tally.is_agreed(boxes, now)
+    }
+    assert agreed == ({HUBS[0]: pytest.approx(left)} if left else {})
+
+
+@pytest.mark.parametrize(
+    ('known', 'heard', 'merged'),
+    [
+        ({}, {}, {}),
+        ({}, {'h': 104}, {'h': 104}),
+        ({'h': 104}, {'h': 104}, {'h': 104}),
+        ({'h': 104}, {'h': 102}, {'h': 104}),
+        ({'h': 104}, {'h': 108, 'i': 101}, {'h': 108, 'i': 101}),
+        ({'h': 99}, {'i': 100}, {}),
+    ],
+)
+def test_merged_exclusions_last_until_the_latest_end(known, heard, merged) -> None:
+    assert merge_exclusions(known, heard, 100) == merged
+
+
+def test_exclusions_from_another_process_are_bounded() -> None:
+    messages = [SchedulerExclusion(hub=f'h{one}:1', left_ms=10**9) for one in range(99)]
+    decoded = decode_exclusions(messages, 100)
+    assert len(decoded) == MAX_EXCLUSIONS
+    assert set(decoded.values()) == {100 + MAX_LEFT_SECONDS}
+    assert not encode_exclusions({HUBS[0]: 99.0}, 100)
+
+
+class Box:
+    """An entry box that reaches every hub, with its link but without a network."""
+
+    def __init__(self, number: int, settings: EntrySettings, clock: FakeClock) -> None:
+        name = f'box{number}'
+        self.hubs = KnownHubs(BoxName(name), settings.domain, HUBS, clock)
+        for address in HUBS:
+            self.hubs.mark_reachable(address)
+        scheduler = scheduler_of(clock, 1)
+        state = FleetState(
+            Documents(read_document, Signal()),
+            scheduler.placement.registry,
+            scheduler.placement.open_work,
+            scheduler,
+            Quarantine(clock, Signal()),
+            Evacuations(lambda _domains: None, Signal()),
+        )
+        settings = replace(settings, box=name)
+        budget = RetryBudget(0.2, 50, 10, clock)
+        self.link = EntryLink(settings, state, budget, ReliefTargets(clock))
+        self.handlers = self.link.stream_handlers(self.hubs)
+
+    def lose(self, hub: Address, times: int) -> None:
+        for _ in range(times):
+            self.hubs.exclude_scheduler(hub)
+
+    def frame(self) -> BoxFrame:
+        return self.handlers.next_frame(HUBS[0], is_report_hub=False, first=True)
+
+
+class Fleet:
+    """Boxes of four failure domains in turn, and one of the hubs that they reach."""
+
+    def __init__(
+        self, count: int, settings: EntrySettings = ENTRY, mechanisms=ALL_MECHANISMS
+    ) -> None:
+        self.clock = FakeClock()
+        self.boxes = [
+            Box(number, replace(settings, domain='abcd'[number % 4]), self.clock)
+            for number in range(count)
+        ]
+        self.hub = ConnectedBoxes(self.clock, 'a')
+        self.agreement = SchedulerAgreement(self.hub, self.clock, mechanisms)
+        self.connected = [self.hub.register(one.frame().hello) for one in self.boxes]
+
+    def exchange(self) -> list[HubFrame]:
+        """Let the hub hear all boxes, and answer each."""
+        for box, connected in zip(self.boxes, self.connected, strict=True):
+            self.hub.record_frame(connected, box.frame())
+            self.agreement.take_report(connected)
+        frames = []
+        for box, connected in zip(self.boxes, self.connected, strict=True):
+            frame = HubFrame()
+            self.agreement.add_agreed(frame, connected)
+            box.handlers.on_frame(HUBS[0], frame)
+            frames.append(frame)
+        return frames
+
+    def schedulers(self) -> set[Address | None]:
+        return {box.hubs.scheduler() for box in self.boxes}
+
+
+@pytest.mark.parametrize(
+    ('losing', 'schedulers'),
+    [
+        ([0], 2),
+        # Half of domain a; all of it.
+        ([0, 4, 8, 12], 2),
+        (list(range(0, 32, 4)), 2),
+        # Domains a, b and c.
+        ([0, 1, 2, 4], 1),
+        ([number for number in range(32) if number % 4 < 3], 1),
+    ],
+    ids=['one-box', 'half-a-domain', 'a-domain', 'few-of-three', 'three-domains'],
+)
+def test_boxes_use_one_scheduler_after_a_loss_in_several_domains(
+    losing: list[int], schedulers: int
+) -> None:
+    """Guards against schedulers that each know only the requests of their boxes.
+
+    A quarter of the boxes had lost the hub that all others went on using.
+    """
+    fleet = Fleet(32)
+    lost = fleet.boxes[0].hubs.scheduler()
+    assert fleet.schedulers() == {lost}
+    for number in losing:
+        fleet.boxes[number].lose(lost, 1 + number % 2)
+    fleet.exchange()
+    assert len(fleet.schedulers()) == schedulers
+    assert (lost in fleet.schedulers()) == (schedulers == 2)
+
+
+def test_an_agreed_exclusion_ends_for_all_boxes_and_is_not_extended() -> None:
+    """Guards against boxes that exclude a hub for ever by telling one another of it."""
+    fleet = Fleet(32)
+    lost = fleet.boxes[0].hubs.scheduler()
+    assert fleet.schedulers() == {lost}
+    for number in (0, 1, 2, 4):
+        fleet.boxes[number].lose(lost, 1 + number % 2)
+    for _ in range(15):
+        fleet.exchange()
+        assert lost not in fleet.schedulers()
+        fleet.clock.seconds += 0.5
+    # The longest exclusion lasts for 8 s, and is not announced in its last half second.
+    fleet.clock.seconds += 0.6
+    frames = fleet.exchange()
+    assert fleet.schedulers() == {lost}
+    assert not any(frame.excluded_schedulers for frame in frames)
+    assert fleet.agreement.announcements == 1
+    assert {box.hubs.adopted for box in fleet.boxes} == {1}
+
+
+@pytest.mark.parametrize(
+    ('settings', 'mechanisms'),
+    [
+        (replace(ENTRY, scheduler_agreement=False), ALL_MECHANISMS),
+        (replace(ENTRY, mechanisms=WITHOUT), ALL_MECHANISMS),
+        (ENTRY, WITHOUT),
+    ],
+    ids=['no-setting', 'off-at-boxes', 'off-at-hubs'],
+)
+def test_without_agreement_each_box_excludes_by_its_own_losses(
+    settings: EntrySettings, mechanisms: Mechanisms
+) -> None:
+    fleet = Fleet(32, settings, mechanisms)
+    lost = fleet.boxes[0].hubs.scheduler()
+    assert fleet.schedulers() == {lost}
+    losing = [box for number, box in enumerate(fleet.boxes) if number % 4 < 3]
+    for box in losing:
+        box.lose(lost, 1)
+    fleet.exchange()
+    assert {box.hubs.scheduler() == lost for box in losing} == {False}
+    assert {one.hubs.scheduler() == lost for one in fleet.boxes[3::4]} == {True}
+    fleet.clock.seconds += 1
+    assert fleet.schedulers() == {lost}
+
+
+def test_frames_are_as_before_without_the_setting_or_an_exclusion() -> None:
+    without = replace(ENTRY, scheduler_agreement=False)
+    box, old = (Box(0, one, FakeClock()) for one in (ENTRY, without))
+    old.link.incarnation = box.link.incarnation
+    assert box.frame() == old.frame()
+    old.lose(HUBS[0], 2)
+    assert box.frame() == old.frame()
+    box.lose(HUBS[0], 2)
+    assert box.frame() != old.frame()
+
+
+def test_exclusions_do_not_count_if_all_reachable_hubs_are_excluded() -> None:
+    """A hub of a minority partition must not leave its boxes without a scheduler."""
+    box = Box(0, ENTRY, FakeClock())
+    first = box.hubs.scheduler()
+    until = box.hubs.now() + 5
+    box.hubs.adopt_exclusions(dict.fromkeys(HUBS, until), HUBS[0])
+    assert box.hubs.scheduler() == first
+
+
+def test_an_agreed_exclusion_outlasts_its_hub_but_not_the_loss_of_all_hubs() -> None:
+    """After a power loss of all hubs, those that start anew know of no exclusion."""
+    box = Box(0, ENTRY, FakeClock())
+    first = box.hubs.scheduler()
+    assert first is not None
+    box.hubs.adopt_exclusions({first: box.hubs.now() + 5}, HUBS[0])
+    box.hubs.mark_unreachable(first)
+    box.hubs.mark_reachable(first)
+    assert box.hubs.scheduler() != first
+    for address in HUBS:
+        box.hubs.mark_unreachable(address)
+    for address in HUBS:
+        box.hubs.mark_reachable(address)
+    assert box.hubs.scheduler() == first
+
+
+@pytest.mark.parametrize(('reachable', 'sent'), [(True, 1), (False, 0)])
+def test_only_the_loss_of_a_hub_that_still_answers_is_sent_at_once(
+    reachable: bool, sent: int
+) -> None:
+    """The crash of a hub ends all its streams, so every box finds it by itself."""
+    box = Box(0, ENTRY, FakeClock())
+    if not reachable:
+        box.hubs.mark_unreachable(HUBS[0])
+    before = box.link.wake.count
+    box.lose(HUBS[0], 1)
+    assert box.link.wake.count - before == sent
+
+
+def test_a_hub_sends_an_agreement_at_once_and_only_to_entry_boxes() -> None:
+    service = SpreadService(new_state(HUB, read_document))
+    state = service.state
+    report = BoxFrame(
+        excluded_schedulers=[SchedulerExclusion(hub=HUBS[1], left_ms=8000)]
+    )
+    hellos = (
+        Hello(box='a', domain='a', entry_address='a:1'),
+        Hello(box='h', domain='b', hub_address='h:1'),
+        Hello(box='b', domain='b', entry_address='b:1'),
+        Hello(box='c', domain='c', entry_address='c:1'),
+    )
+    boxes = [state.connected_boxes.register(hello) for hello in hellos]
+    sent = []
+    for box in boxes:
+        service._apply_frame(box, report)
+        sent.append(state.changed.count)
+    # The report of a hub does not count, and a repeated one is not news.
+    assert sent == [0, 0, 1, 1]
+    assert state.agreement is not None
+    for box in boxes:
+        frame = HubFrame()
+        state.agreement.add_agreed(frame, box)
+        assert bool(frame.excluded_schedulers) == bool(box.hello.entry_address)
+
+
+@asynccontextmanager
+async def running_boxes(folder: Path) -> AsyncIterator[list[EntryBox]]:
+    """Run two hubs, and a box in each of three failure domains."""
+    site = Site(folder)
+    addresses = [free_address(), free_address()]
+    try:
+        for number, address in enumerate(addresses):
+            await site.start_hub(
+                replace(
+                    HUB,
+                    box=f'hub{number}',
+                    seeds=tuple(addresses),
+                    listen=address,
+                    control_listen=free_address(),
+                    directory_listen=free_address(),
+                )
+            )
+        for domain in 'abc':
+            settings = replace(
+                ENTRY,
+                box=f'box-{domain}',
+                domain=domain,
+                seeds=tuple(addresses),
+                listen=free_address(),
+                ready_listen=free_address(),
+            )
+            site.boxes.append(await start_entry(settings, DIALECT))
+        async with asyncio.timeout(15):
+            while any(len(box.known_hubs.reachable) < 2 for box in site.boxes):
+                await asyncio.sleep(0.02)
+        yield site.boxes
+    finally:
+        await site.stop()
+
+
+async def test_a_box_that_lost_nothing_leaves_the_scheduler_of_the_others(
+    tmp_path: Path,
+) -> None:
+    async with running_boxes(tmp_path) as (first, second, third):
+        lost = third.known_hubs.scheduler()
+        assert lost is not None
+        for box in (first, second):
+            box.known_hubs.exclude_scheduler(lost)
+            box.known_hubs.exclude_scheduler(lost)
+        async with asyncio.timeout(5):
+            while third.known_hubs.scheduler() == lost:
+                await asyncio.sleep(0.02)
+        assert third.known_hubs.adopted == 1
+        assert not third.known_hubs.own_exclusions()
--- a/tests/edge/test_waiting.py
+++ b/tests/edge/test_waiting.py
@@ -319,6 +319,7 @@
         entry = decode_settings(given).entry
         assert entry is not None
         assert entry.goal_wait == waits
+        assert entry.scheduler_agreement == bool(waits)
 
 
 class MovingClock(FakeClock):
--- a/tools/switch_off.py
+++ b/tools/switch_off.py
@@ -35,6 +35,13 @@
 
 
 MECHANISMS = (
+    Mechanism(
+        'agreed exclusions',
+        f'{_EDGE}/links/entry.py',
+        'known_hubs.adopt_exclusions(heard, hub)',
+        'known_hubs.adopt_exclusions({}, hub)',
+        'test_boxes_use_one_scheduler_after_a_loss_in_several_domains',
+    ),
     Mechanism(
         'pre-vote',
         f'{_CONTROL}/raft/election.py',
