Share work and demand between hubs that schedule at the same time

While a box excludes a scheduler, or another scheduler reports, a hub with attending boxes states their number to the other hubs, and open work and demand to those that schedule too. Each adds what the others report, for two seconds, to its own view, without what moved boxes have brought along. Only where the settings state [limits].

--- a/packages/edge/src/hitchdeck_edge/hub/connected_boxes.py
+++ b/packages/edge/src/hitchdeck_edge/hub/connected_boxes.py
@@ -55,6 +55,10 @@
         Load and demand that it last reported.
     excluded
         Schedulers that it excludes because it lost them itself.
+    attending
+        Number of boxes that use its scheduler, if it is a hub and says so.
+    placed
+        Work and demand of these boxes, as its scheduler knows them.
     arrived
         Notified when a frame of the box has arrived.
     """
@@ -69,6 +73,8 @@
     utilization: float = 0
     tally: Tally = field(default_factory=Tally)
     excluded: Exclusions = field(default_factory=dict)
+    attending: int = 0
+    placed: Tally = field(default_factory=Tally)
     arrived: Signal = field(default_factory=Signal)
 
     @property
@@ -140,6 +146,11 @@
         connected_box.utilization = frame.busy_percent / PERCENT
         if frame.wants_reports or connected_box.hello.hub_address:
             connected_box.tally = tally_of(frame)
+        if frame.attending_boxes or connected_box.attending:
+            connected_box.attending = int(frame.attending_boxes)
+            connected_box.placed = tally_of(
+                BoxFrame(loads=frame.placed_loads, demands=frame.placed_demands)
+            )
         if frame.excluded_schedulers or connected_box.excluded:
             connected_box.excluded = decode_exclusions(
                 frame.excluded_schedulers, connected_box.last_frame
--- a/packages/edge/src/hitchdeck_edge/hub/peers.py
+++ b/packages/edge/src/hitchdeck_edge/hub/peers.py
@@ -8,6 +8,7 @@
 from hitchdeck_core.wire.spread_pb2 import BoxFrame, Hello, HubFrame
 from hitchdeck_edge.hub import formation
 from hitchdeck_edge.hub.liveness import Liveness
+from hitchdeck_edge.hub.shared_view import SharedView
 from hitchdeck_edge.hub.spread import HubState
 from hitchdeck_edge.links.hub_frames import apply_hub_frame
 from hitchdeck_edge.links.hub_streams import (
@@ -28,11 +29,13 @@
         liveness: Liveness,
         replica: Replica | None,
         settings: HubSettings,
+        shared_view: SharedView | None = None,
     ) -> None:
         self.state = state
         self.liveness = liveness
         self.replica = replica
         self.settings = settings
+        self.shared_view = shared_view
         self.incarnation = secrets.token_hex(4)
 
     def stream_handlers(self, known_hubs: KnownHubs) -> StreamHandlers:
@@ -69,6 +72,8 @@
         )
         if first:
             frame.hello.CopyFrom(self._hello())
+        if self.shared_view is not None:
+            self.shared_view.add_report(frame, hub)
         return frame
 
     def on_loss(self, hub: Address) -> None:
--- a/packages/edge/src/hitchdeck_edge/hub/process.py
+++ b/packages/edge/src/hitchdeck_edge/hub/process.py
@@ -17,7 +17,7 @@
 from hitchdeck_core.clock import boot_seconds
 from hitchdeck_core.ids import Address, BoxName
 from hitchdeck_core.supervisor import Supervisor
-from hitchdeck_edge.hub import formation
+from hitchdeck_edge.hub import formation, shared_view
 from hitchdeck_edge.hub.directory import (
     CallerKey,
     ReadyEntry,
@@ -67,6 +67,8 @@
     ----------
     started
         When the hub started, in seconds since the machine booted.
+    view
+        View of other schedulers, where the settings say so.
     last_counts
         Numbers of addresses last selected for callers of each domain: of their own
         domain, and of others.
@@ -82,6 +84,7 @@
     replica: Replica | None
     supervisor: Supervisor
     links: PeerClient
+    view: shared_view.SharedView | None = None
     servers: list[Server] = field(default_factory=list)
     started: float = field(default_factory=boot_seconds)
     last_counts: dict[str, tuple[int, int]] = field(default_factory=dict)
@@ -123,6 +126,8 @@
             'scheduler_exclusions_announced_total': (
                 self.state.agreement.announcements if self.state.agreement else 0
             ),
+            'other_schedulers': (len(self.view.schedulers) if self.view else 0),
+            'scheduler_views_shared_total': (self.view.shared if self.view else 0),
             'requests_waiting': len(self.placing.queue.entries),
             'requests_placed_after_wait_total': self.placing.queue.placed,
             'requests_timed_out_waiting_total': self.placing.queue.timed_out,
@@ -203,6 +208,10 @@
         supervisor=Supervisor('hub', fatal=(DiskFailedError,)),
         links=_links(settings, replica),
     )
+    if state.agreement is not None:
+        hub.view = shared_view.SharedView(
+            hub.placing, state.connected_boxes, state.agreement, state.changed
+        )
     await _listen(hub, service)
     _start_tasks(hub, known_hubs)
     for file in state_files:
@@ -255,7 +264,7 @@
 
 def _start_tasks(hub: Hub, known_hubs: KnownHubs) -> None:
     supervisor = hub.supervisor
-    peer = HubPeer(hub.state, hub.liveness, hub.replica, hub.settings)
+    peer = HubPeer(hub.state, hub.liveness, hub.replica, hub.settings, hub.view)
     streams = HubStreams(
         known_hubs, peer.stream_handlers(known_hubs), hub.settings.fleet_token
     )
--- a/packages/edge/src/hitchdeck_edge/model/mechanisms.py
+++ b/packages/edge/src/hitchdeck_edge/model/mechanisms.py
@@ -43,6 +43,8 @@
         Streams that are not resumed may use kept connections, if the settings say so.
     agreed_exclusions
         Schedulers that many boxes lost are excluded by all, if the settings say so.
+    shared_view
+        Hubs that schedule at the same time share their view, if the settings say so.
     """
 
     scheduler: bool = True
@@ -60,6 +62,7 @@
     box_resources: bool = True
     stream_reuse: bool = True
     agreed_exclusions: bool = True
+    shared_view: bool = True
 
     def __post_init__(self) -> None:
         """Check that each switch is a boolean."""
--- a/tests/edge/test_scheduler_agreement.py
+++ b/tests/edge/test_scheduler_agreement.py
@@ -264,6 +264,8 @@
     assert box.frame() == old.frame()
     box.lose(HUBS[0], 2)
     assert box.frame() != old.frame()
+    plain = replace(HUB, scheduler_agreement=False)
+    assert new_state(plain, read_document).agreement is None
 
 
 def test_exclusions_do_not_count_if_all_reachable_hubs_are_excluded() -> None:
--- a/tools/switch_off.py
+++ b/tools/switch_off.py
@@ -35,6 +35,13 @@
 
 
 MECHANISMS = (
+    Mechanism(
+        'shared view of schedulers',
+        f'{_EDGE}/hub/shared_view.py',
+        '        self.refresh()\n',
+        '',
+        'test_two_schedulers_serve_an_account_within_its_share_in_time',
+    ),
     Mechanism(
         'agreed exclusions',
         f'{_EDGE}/links/entry.py',
