--- a/packages/edge/src/hitchdeck_edge/hub/scheduler_agreement.py
+++ b/packages/edge/src/hitchdeck_edge/hub/scheduler_agreement.py
@@ -66,9 +66,10 @@
 
     def add_agreed(self, frame: HubFrame, connected_box: ConnectedBox) -> None:
         """Add the agreed exclusions to a frame to an entry box."""
-        if not connected_box.hello.hub_address:
-            agreed = encode_exclusions(self.agreed(), self.now())
-            frame.excluded_schedulers.extend(agreed)
+        agreed = self.agreed()
+        if agreed and not connected_box.hello.hub_address:
+            messages = encode_exclusions(agreed, self.now())
+            frame.excluded_schedulers.extend(messages)
 
     def _merge(self) -> bool:
         """Merge all reports; return whether an exclusion is new or much longer."""
--- a/packages/edge/src/hitchdeck_edge/links/entry.py
+++ b/packages/edge/src/hitchdeck_edge/links/entry.py
@@ -86,7 +86,7 @@
 
         def next_frame(hub: Address, is_report_hub: bool, first: bool) -> BoxFrame:
             frame = self.next_frame(hub, is_report_hub, first)
-            if self.settings.scheduler_agreement:
+            if self.settings.scheduler_agreement and known_hubs.excluded_until:
                 excluded = known_hubs.own_exclusions()
                 frame.excluded_schedulers.extend(
                     encode_exclusions(excluded, known_hubs.now())
--- a/packages/edge/src/hitchdeck_edge/links/known_hubs.py
+++ b/packages/edge/src/hitchdeck_edge/links/known_hubs.py
@@ -48,7 +48,8 @@
     adopted
         How many times such an exclusion was adopted or extended.
     excluded
-        Notified when this box excludes a scheduler that it can still reach.
+        Notified when this box begins to exclude a scheduler that it still reaches.  A
+        crash ends all streams of a hub, so that every box finds it by itself.
     changed
         Notified when hubs are added, removed or reached.
     """
@@ -112,10 +113,11 @@
         it repeatedly, so a further loss excludes it for longer.
         """
         until = self.excluded_until.get(address, 0)
+        is_new = until <= self.now()
         again = self.now() - until < REPEAT_EXCLUSION_SECONDS
         pause = REPEAT_EXCLUSION_SECONDS if again else FIRST_EXCLUSION_SECONDS
         self.excluded_until[address] = self.now() + pause
-        if address in self.reachable:
+        if is_new and address in self.reachable:
             self.excluded.notify()
 
     def own_exclusions(self) -> Exclusions:
--- a/tests/edge/test_scheduler_agreement.py
+++ b/tests/edge/test_scheduler_agreement.py
@@ -1,16 +1,13 @@
 """Boxes agree on which lost schedulers are excluded, through the hubs they reach."""
 
 import asyncio
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from collections.abc import Callable
 from dataclasses import replace
 from pathlib import Path
 
 import pytest
 
 from hitchdeck_core.ids import Address, BoxName
-from hitchdeck_core.quarantine.quarantine import Quarantine
-from hitchdeck_core.signals import Signal
 from hitchdeck_core.wire.spread_pb2 import (
     BoxFrame,
     Hello,
@@ -22,7 +19,7 @@
 from hitchdeck_edge.hub.scheduler_agreement import SchedulerAgreement
 from hitchdeck_edge.hub.spread import SpreadService, new_state
 from hitchdeck_edge.links.entry import EntryLink
-from hitchdeck_edge.links.known_hubs import KnownHubs
+from hitchdeck_edge.links.known_hubs import REPEAT_EXCLUSION_SECONDS, KnownHubs
 from hitchdeck_edge.links.scheduler_exclusions import (
     MAX_EXCLUSIONS,
     MAX_LEFT_SECONDS,
@@ -32,17 +29,15 @@
     tally_exclusions,
 )
 from hitchdeck_edge.model.mechanisms import ALL_MECHANISMS, Mechanisms
-from hitchdeck_edge.process import EntryBox, start_entry
+from hitchdeck_edge.process import start_entry
 from hitchdeck_edge.settings import EntrySettings, HubSettings
-from hitchdeck_edge.state.documents import Documents
-from hitchdeck_edge.state.evacuations import Evacuations
-from hitchdeck_edge.state.fleet_state import FleetState
+from hitchdeck_edge.state.fleet_state import new_fleet_state
 from hitchdeck_edge.state.relief import ReliefTargets
 from hitchdeck_platform.documents import read_document
 from hitchdeck_platform.requests import DIALECT
 from standins.platform_site import Site
 from standins.ports import free_address
-from tests.common.scheduling import FakeClock, scheduler_of
+from tests.common.scheduling import FakeClock
 
 HUBS = [Address(f'10.0.0.{number}:1') for number in range(1, 5)]
 ENTRY = EntrySettings(
@@ -60,6 +55,8 @@
     directory_listen=Address('127.0.0.1:3'),
     scheduler_agreement=True,
 )
+DELAY = 0.05
+"""Delay of each frame, in seconds."""
 WITHOUT = Mechanisms(agreed_exclusions=False)
 
 
@@ -126,18 +123,12 @@
         self.hubs = KnownHubs(BoxName(name), settings.domain, HUBS, clock)
         for address in HUBS:
             self.hubs.mark_reachable(address)
-        scheduler = scheduler_of(clock, 1)
-        state = FleetState(
-            Documents(read_document, Signal()),
-            scheduler.placement.registry,
-            scheduler.placement.open_work,
-            scheduler,
-            Quarantine(clock, Signal()),
-            Evacuations(lambda _domains: None, Signal()),
+        self.link = EntryLink(
+            replace(settings, box=name),
+            new_fleet_state(settings, DIALECT),
+            RetryBudget(0.2, 50, 10, clock),
+            ReliefTargets(clock),
         )
-        settings = replace(settings, box=name)
-        budget = RetryBudget(0.2, 50, 10, clock)
-        self.link = EntryLink(settings, state, budget, ReliefTargets(clock))
         self.handlers = self.link.stream_handlers(self.hubs)
 
     def lose(self, hub: Address, times: int) -> None:
@@ -164,16 +155,18 @@
         self.connected = [self.hub.register(one.frame().hello) for one in self.boxes]
 
     def exchange(self) -> list[HubFrame]:
-        """Let the hub hear all boxes, and answer each."""
-        for box, connected in zip(self.boxes, self.connected, strict=True):
-            self.hub.record_frame(connected, box.frame())
+        """Let the hub hear all boxes, and answer each; frames arrive after a delay."""
+        reports = [box.frame() for box in self.boxes]
+        self.clock.seconds += DELAY
+        for connected, report in zip(self.connected, reports, strict=True):
+            self.hub.record_frame(connected, report)
             self.agreement.take_report(connected)
-        frames = []
-        for box, connected in zip(self.boxes, self.connected, strict=True):
-            frame = HubFrame()
+        frames = [HubFrame() for _ in self.boxes]
+        for connected, frame in zip(self.connected, frames, strict=True):
             self.agreement.add_agreed(frame, connected)
+        self.clock.seconds += DELAY
+        for box, frame in zip(self.boxes, frames, strict=True):
             box.handlers.on_frame(HUBS[0], frame)
-            frames.append(frame)
         return frames
 
     def schedulers(self) -> set[Address | None]:
@@ -217,12 +210,11 @@
     assert fleet.schedulers() == {lost}
     for number in (0, 1, 2, 4):
         fleet.boxes[number].lose(lost, 1 + number % 2)
-    for _ in range(15):
+    end = fleet.clock.seconds + REPEAT_EXCLUSION_SECONDS
+    while fleet.clock.seconds + 2 * DELAY < end:
         fleet.exchange()
         assert lost not in fleet.schedulers()
-        fleet.clock.seconds += 0.5
-    # The longest exclusion lasts for 8 s, and is not announced in its last half second.
-    fleet.clock.seconds += 0.6
+    fleet.clock.seconds = end + 2 * DELAY
     frames = fleet.exchange()
     assert fleet.schedulers() == {lost}
     assert not any(frame.excluded_schedulers for frame in frames)
@@ -268,42 +260,31 @@
     assert new_state(plain, read_document).agreement is None
 
 
-def test_exclusions_do_not_count_if_all_reachable_hubs_are_excluded() -> None:
-    """A hub of a minority partition must not leave its boxes without a scheduler."""
+def test_agreed_exclusions_end_early_only_if_they_leave_no_hub() -> None:
+    """After a power loss of all hubs, those that start anew know of no exclusion."""
     box = Box(0, ENTRY, FakeClock())
     first = box.hubs.scheduler()
+    assert first is not None
     until = box.hubs.now() + 5
     box.hubs.adopt_exclusions(dict.fromkeys(HUBS, until), HUBS[0])
     assert box.hubs.scheduler() == first
-
-
-def test_an_agreed_exclusion_outlasts_its_hub_but_not_the_loss_of_all_hubs() -> None:
-    """After a power loss of all hubs, those that start anew know of no exclusion."""
-    box = Box(0, ENTRY, FakeClock())
-    first = box.hubs.scheduler()
-    assert first is not None
-    box.hubs.adopt_exclusions({first: box.hubs.now() + 5}, HUBS[0])
+    box.hubs.agreed_until = {first: until}
     box.hubs.mark_unreachable(first)
     box.hubs.mark_reachable(first)
     assert box.hubs.scheduler() != first
-    for address in HUBS:
-        box.hubs.mark_unreachable(address)
-    for address in HUBS:
-        box.hubs.mark_reachable(address)
+    for change in (box.hubs.mark_unreachable, box.hubs.mark_reachable):
+        for address in HUBS:
+            change(address)
     assert box.hubs.scheduler() == first
 
 
-@pytest.mark.parametrize(('reachable', 'sent'), [(True, 1), (False, 0)])
-def test_only_the_loss_of_a_hub_that_still_answers_is_sent_at_once(
-    reachable: bool, sent: int
-) -> None:
-    """The crash of a hub ends all its streams, so every box finds it by itself."""
+def test_only_the_first_loss_of_a_hub_that_still_answers_is_sent_at_once() -> None:
+    """Guards against frames to all hubs at a crash, which every box finds by itself."""
     box = Box(0, ENTRY, FakeClock())
-    if not reachable:
-        box.hubs.mark_unreachable(HUBS[0])
-    before = box.link.wake.count
-    box.lose(HUBS[0], 1)
-    assert box.link.wake.count - before == sent
+    box.hubs.mark_unreachable(HUBS[0])
+    for lost, sent in ((HUBS[0], 0), (HUBS[1], 1), (HUBS[1], 1)):
+        box.lose(lost, 1)
+        assert box.link.wake.count == sent
 
 
 def test_a_hub_sends_an_agreement_at_once_and_only_to_entry_boxes() -> None:
@@ -332,52 +313,42 @@
         assert bool(frame.excluded_schedulers) == bool(box.hello.entry_address)
 
 
-@asynccontextmanager
-async def running_boxes(folder: Path) -> AsyncIterator[list[EntryBox]]:
-    """Run two hubs, and a box in each of three failure domains."""
-    site = Site(folder)
-    addresses = [free_address(), free_address()]
-    try:
-        for number, address in enumerate(addresses):
-            await site.start_hub(
-                replace(
-                    HUB,
-                    box=f'hub{number}',
-                    seeds=tuple(addresses),
-                    listen=address,
-                    control_listen=free_address(),
-                    directory_listen=free_address(),
-                )
-            )
-        for domain in 'abc':
-            settings = replace(
-                ENTRY,
-                box=f'box-{domain}',
-                domain=domain,
-                seeds=tuple(addresses),
-                listen=free_address(),
-                ready_listen=free_address(),
-            )
-            site.boxes.append(await start_entry(settings, DIALECT))
-        async with asyncio.timeout(15):
-            while any(len(box.known_hubs.reachable) < 2 for box in site.boxes):
-                await asyncio.sleep(0.02)
-        yield site.boxes
-    finally:
-        await site.stop()
+async def start_site(site: Site) -> list[KnownHubs]:
+    """Start two hubs, and a box in each of three failure domains."""
+    seeds = (free_address(), free_address())
+    for name, listen in zip('gh', seeds, strict=True):
+        ports = {'control_listen': free_address(), 'directory_listen': free_address()}
+        await site.start_hub(replace(HUB, box=name, listen=listen, **ports))
+    for domain in 'abc':
+        ports = {'listen': free_address(), 'ready_listen': free_address()}
+        entry = replace(ENTRY, box=domain, domain=domain, seeds=seeds, **ports)
+        site.boxes.append(await start_entry(entry, DIALECT))
+    return [box.known_hubs for box in site.boxes]
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    async with asyncio.timeout(15):
+        while not condition():
+            await asyncio.sleep(0.02)
 
 
 async def test_a_box_that_lost_nothing_leaves_the_scheduler_of_the_others(
     tmp_path: Path,
 ) -> None:
-    async with running_boxes(tmp_path) as (first, second, third):
-        lost = third.known_hubs.scheduler()
-        assert lost is not None
-        for box in (first, second):
-            box.known_hubs.exclude_scheduler(lost)
-            box.known_hubs.exclude_scheduler(lost)
-        async with asyncio.timeout(5):
-            while third.known_hubs.scheduler() == lost:
-                await asyncio.sleep(0.02)
-        assert third.known_hubs.adopted == 1
-        assert not third.known_hubs.own_exclusions()
+    site = Site(tmp_path)
+    try:
+        await leave_together(await start_site(site))
+    finally:
+        await site.stop()
+
+
+async def leave_together(boxes: list[KnownHubs]) -> None:
+    await until(lambda: all(len(one.reachable) == 2 for one in boxes))
+    third = boxes[2]
+    lost = third.scheduler()
+    assert lost is not None
+    for losing in boxes[:2] * 2:
+        losing.exclude_scheduler(lost)
+    await until(lambda: third.scheduler() != lost)
+    assert third.adopted == 1
+    assert not third.own_exclusions()
--- a/tests/edge/test_shared_view.py
+++ b/tests/edge/test_shared_view.py
@@ -22,6 +22,7 @@
     SharedView,
     view_of_others,
 )
+from hitchdeck_edge.links.hub_streams import RELAY_INTERVAL_SECONDS
 from hitchdeck_edge.model.mechanisms import ALL_MECHANISMS, Mechanisms
 from hitchdeck_edge.model.placing import Choice
 from hitchdeck_edge.state.tallies import Tally
@@ -68,7 +69,7 @@
     own = {ANN: own_asked}
     view = view_of_others(reports, attending, elsewhere, own, {ANN: 900})
     assert view.waiting[ENGINE] == waiting
-    assert view.running[ENGINE] == 4 * waiting / 1000
+    assert view.running[ENGINE] == waiting // 250
     assert view.asked[ANN] == asked
 
 
@@ -131,10 +132,10 @@
     asked: Counter[str] = Counter()
     served: Counter[str] = Counter()
     opened: dict[int, SchedulingHub] = {}
-    exchanged = clock.seconds
+    due = clock.seconds
     for number, name in enumerate(arriving({'ann': 3, 'bob': 40, 'cat': 40}, clock, 8)):
-        if clock.seconds - exchanged >= 0.5:
-            exchanged = clock.seconds
+        if clock.seconds > due:
+            due += RELAY_INTERVAL_SECONDS
             exchange(hubs, EXCLUSION)
         for finished in reader.finished():
             opened.pop(finished).placing.scheduler.end(('box', finished))
