--- a/tests/edge/test_scheduler_agreement.py
+++ b/tests/edge/test_scheduler_agreement.py
@@ -16,6 +16,7 @@
 )
 from hitchdeck_edge.dispatch.budget import RetryBudget
 from hitchdeck_edge.hub.connected_boxes import ConnectedBoxes
+from hitchdeck_edge.hub.process import Hub
 from hitchdeck_edge.hub.scheduler_agreement import SchedulerAgreement
 from hitchdeck_edge.hub.spread import SpreadService, new_state
 from hitchdeck_edge.links.entry import EntryLink
@@ -313,17 +314,24 @@
         assert bool(frame.excluded_schedulers) == bool(box.hello.entry_address)
 
 
-async def start_site(site: Site) -> list[KnownHubs]:
+async def start_site(site: Site) -> None:
     """Start two hubs, and a box in each of three failure domains."""
     seeds = (free_address(), free_address())
     for name, listen in zip('gh', seeds, strict=True):
         ports = {'control_listen': free_address(), 'directory_listen': free_address()}
-        await site.start_hub(replace(HUB, box=name, listen=listen, **ports))
+        await site.start_hub(
+            replace(HUB, box=name, seeds=seeds, listen=listen, **ports)
+        )
     for domain in 'abc':
         ports = {'listen': free_address(), 'ready_listen': free_address()}
         entry = replace(ENTRY, box=domain, domain=domain, seeds=seeds, **ports)
         site.boxes.append(await start_entry(entry, DIALECT))
-    return [box.known_hubs for box in site.boxes]
+
+
+def sees_another_scheduler(hub: Hub) -> bool:
+    assert hub.view is not None
+    hub.view.refresh()
+    return bool(hub.view.schedulers)
 
 
 async def until(condition: Callable[[], bool]) -> None:
@@ -337,18 +345,23 @@
 ) -> None:
     site = Site(tmp_path)
     try:
-        await leave_together(await start_site(site))
+        await start_site(site)
+        await leave_together(site, [box.known_hubs for box in site.boxes])
     finally:
         await site.stop()
 
 
-async def leave_together(boxes: list[KnownHubs]) -> None:
+async def leave_together(site: Site, boxes: list[KnownHubs]) -> None:
+    """Let one box lose the scheduler, and once both hubs schedule another one."""
     await until(lambda: all(len(one.reachable) == 2 for one in boxes))
-    third = boxes[2]
-    lost = third.scheduler()
+    lost = boxes[2].scheduler()
     assert lost is not None
-    for losing in boxes[:2] * 2:
+    for number, losing in enumerate(boxes[:2]):
+        losing.exclude_scheduler(lost)
         losing.exclude_scheduler(lost)
+        if not number:
+            await until(lambda: all(map(sees_another_scheduler, site.hubs)))
+    third = boxes[2]
     await until(lambda: third.scheduler() != lost)
     assert third.adopted == 1
     assert not third.own_exclusions()
