--- a/packages/edge/src/hitchdeck_edge/hub/connected_boxes.py
+++ b/packages/edge/src/hitchdeck_edge/hub/connected_boxes.py
@@ -17,6 +17,7 @@
     box_idle_interval,
     hub_idle_interval,
 )
+from hitchdeck_edge.links.scheduler_exclusions import Exclusions, decode_exclusions
 from hitchdeck_edge.state.headroom import capacity_percent, headroom
 from hitchdeck_edge.state.tallies import Tally, tally_of, total_of
 
@@ -54,6 +55,14 @@
         Fraction of its time for which the box is busy, from 0 to 1.
     tally
         Load and demand that it last reported.
+    excluded
+        Schedulers that it excludes because it lost them itself.
+    attending
+        Number of boxes that use its scheduler, if it is a hub and says so.
+    placed
+        Work and demand of these boxes, as its scheduler knows them.
+    granted
+        Tokens that its scheduler granted of this demand.
     arrived
         Notified when a frame of the box has arrived.
     """
@@ -68,6 +77,10 @@
     reported_boxes: int = 0
     utilization: float = 0
     tally: Tally = field(default_factory=Tally)
+    excluded: Exclusions = field(default_factory=dict)
+    attending: int = 0
+    placed: Tally = field(default_factory=Tally)
+    granted: int = 0
     arrived: Signal = field(default_factory=Signal)
 
     @property
@@ -141,6 +154,16 @@
         connected_box.utilization = frame.busy_percent / PERCENT
         if frame.wants_reports or connected_box.hello.hub_address:
             connected_box.tally = tally_of(frame)
+        if frame.attending_boxes or connected_box.attending:
+            connected_box.attending = int(frame.attending_boxes)
+            connected_box.granted = int(frame.granted_tokens)
+            connected_box.placed = tally_of(
+                BoxFrame(loads=frame.placed_loads, demands=frame.placed_demands)
+            )
+        if frame.excluded_schedulers or connected_box.excluded:
+            connected_box.excluded = decode_exclusions(
+                frame.excluded_schedulers, connected_box.last_frame
+            )
 
     def gets_updates_at_once(self, connected_box: ConnectedBox) -> bool:
         """Tell whether updates go to a box at once, not with its next idle frame."""
@@ -151,6 +174,10 @@
             or bool(connected_box.hello.hub_address)
         )
 
+    def entry_boxes(self) -> list[ConnectedBox]:
+        """Return the live entry boxes, ready for callers or not."""
+        return [one for one in self._alive() if one.hello.entry_address]
+
     def ready_entries(self) -> list[ConnectedBox]:
         """Return the live entry boxes that are ready for callers."""
         return [one for one in self._alive() if one.hello.entry_address and one.ready]
--- a/tools/switch_off.py
+++ b/tools/switch_off.py
@@ -35,6 +35,20 @@
 
 
 MECHANISMS = (
+    Mechanism(
+        'shared view of schedulers',
+        f'{_EDGE}/hub/shared_view.py',
+        '        self.refresh()\n',
+        '',
+        'test_two_schedulers_serve_an_account_within_its_share_in_time',
+    ),
+    Mechanism(
+        'agreed exclusions',
+        f'{_EDGE}/links/entry.py',
+        'known_hubs.adopt_exclusions(heard, hub)',
+        'known_hubs.adopt_exclusions({}, hub)',
+        'test_boxes_use_one_scheduler_after_a_loss_in_several_domains',
+    ),
     Mechanism(
         'pre-vote',
         f'{_CONTROL}/raft/election.py',
