Agree on repeated losses only, for the whole fleet, one scheduler at a time

First losses moved all boxes twice within a second. A hub that had just started or was frozen could announce for few boxes or by old frames, boxes that started meanwhile did not hear of the exclusion, and losses that follow load moved the fleet through all hubs. Granted tokens of other schedulers may be unknown.

--- a/packages/edge/src/hitchdeck_edge/hub/scheduler_agreement.py
+++ b/packages/edge/src/hitchdeck_edge/hub/scheduler_agreement.py
@@ -9,26 +9,32 @@
 from hitchdeck_edge.hub.connected_boxes import ConnectedBox, ConnectedBoxes
 from hitchdeck_edge.links.scheduler_exclusions import (
     MIN_LEFT_SECONDS,
-    Exclusions,
     encode_exclusions,
+    merge_exclusions,
     tally_exclusions,
 )
 from hitchdeck_edge.model.mechanisms import Mechanisms
 
-AGREED_CACHE_SECONDS = 0.1
-"""How long the merge over all boxes is cached, a fraction of the frame interval."""
+MAX_GAP_SECONDS = 1.5
+"""Time without any frame after which this hub counts as frozen meanwhile: a box sends
+one every second at least."""
+
+SETTLE_SECONDS = 1.0
+"""How long reports are ignored after a start or a freeze.  Most boxes connect within
+this time, and old frames, whose time left is out of date, are read.  Boxes repeat
+reports."""
 
 
 class SchedulerAgreement:
     """Merges the exclusions that connected entry boxes report.
 
-    A hub of a minority partition may announce what its few boxes report.  At most these
-    boxes then use another hub that they reach, for the time left.
-
     Attributes
     ----------
     announced
-        Exclusions that boxes were told of so far, the latest end of each.
+        The scheduler that all boxes are to exclude, if any, and until when.  It is
+        announced until then, so that boxes that start meanwhile exclude it too.  There
+        is one at a time: if load made boxes lose one scheduler after the other, the
+        fleet would go through all hubs.
     announcements
         How many times an exclusion was announced or extended.
     """
@@ -42,52 +48,57 @@
         self.announced: dict[Address, float] = {}
         self.announcements = 0
         self.latest_until = -math.inf
-        self.merged: Exclusions = {}
-        self.merged_at = -math.inf
+        self.heard_at = -math.inf
+        self.settled_at = -math.inf
 
     def take_report(self, connected_box: ConnectedBox) -> bool:
-        """Merge a box's last report; tell whether boxes must hear of it at once."""
+        """Merge a box's last frame; tell whether boxes must hear of it at once."""
+        now = self.now()
+        if now - self.heard_at > MAX_GAP_SECONDS:
+            self.settled_at = now + SETTLE_SECONDS
+        self.heard_at = now
         if not connected_box.excluded:
             return False
-        self.latest_until = max(self.latest_until, *connected_box.excluded.values())
-        return self._merge()
+        if now < self.settled_at:
+            connected_box.excluded = {}
+            return False
+        reported = connected_box.excluded
+        self.latest_until = max(self.latest_until, *reported.values())
+        may_be_news = any(self._is_news(one, reported[one], now) for one in reported)
+        return may_be_news and self.mechanisms.agreed_exclusions and self._merge(now)
 
     def is_any_excluded(self) -> bool:
         """Tell whether some box has reported an exclusion that has not ended."""
         return self.now() < self.latest_until
 
-    def agreed(self) -> Exclusions:
-        """Return the exclusions that all boxes are to apply."""
-        if not self.is_any_excluded():
-            return {}
-        if self.now() - self.merged_at >= AGREED_CACHE_SECONDS:
-            self._merge()
-        return self.merged
-
     def add_agreed(self, frame: HubFrame, connected_box: ConnectedBox) -> None:
-        """Add the agreed exclusions to a frame to an entry box."""
-        agreed = self.agreed()
-        if agreed and not connected_box.hello.hub_address:
-            messages = encode_exclusions(agreed, self.now())
-            frame.excluded_schedulers.extend(messages)
-
-    def _merge(self) -> bool:
-        """Merge all reports; return whether an exclusion is new or much longer."""
+        """Add the agreed exclusion to a frame to an entry box."""
+        if not self.announced or connected_box.hello.hub_address:
+            return
         now = self.now()
-        self.merged_at = now
-        self.merged = {}
-        if not self.mechanisms.agreed_exclusions:
-            return False
+        if self.mechanisms.agreed_exclusions:
+            lasting = {
+                address: until
+                for address, until in self.announced.items()
+                if until - now >= MIN_LEFT_SECONDS
+            }
+            frame.excluded_schedulers.extend(encode_exclusions(lasting, now))
+
+    def _is_news(self, address: Address, until: float, now: float) -> bool:
+        """Tell whether an exclusion is new, or longer by enough to matter."""
+        known = max(now, self.announced.get(address, 0))
+        return until - known >= MIN_LEFT_SECONDS
+
+    def _merge(self, now: float) -> bool:
+        """Merge all reports; return whether an exclusion is announced or extended."""
+        self.announced = merge_exclusions(self.announced, {}, now)
         entries = self.connected_boxes.entry_boxes()
+        fleet = max(len(entries), self.connected_boxes.box_count())
         reports = ((one.hello.domain, one.excluded) for one in entries)
-        is_news = False
         for address, tally in tally_exclusions(reports, now).items():
-            if not tally.is_agreed(len(entries), now):
+            if not tally.is_agreed(fleet) or self.announced.keys() - {address}:
                 continue
-            self.merged[address] = tally.until
-            known = max(now, self.announced.get(address, 0))
-            if tally.until - known >= MIN_LEFT_SECONDS:
-                is_news = True
+            if self._is_news(address, tally.until, now):
                 self.announcements += 1
                 self.announced[address] = tally.until
                 logs.info(
@@ -95,7 +106,8 @@
                     hub=address,
                     left=round(tally.until - now, 3),
                     boxes=tally.boxes,
-                    of=len(entries),
+                    of=fleet,
                     domains=sorted(tally.domains),
                 )
-        return is_news
+                return True
+        return False
--- a/packages/edge/src/hitchdeck_edge/hub/shared_view.py
+++ b/packages/edge/src/hitchdeck_edge/hub/shared_view.py
@@ -131,7 +131,8 @@
         shares.others = view
         # Grants go with the demand that they are part of.
         counted = view.asked.total() / max(1, reported.asked.total())
-        shares.others_granted = int(sum(one.granted for one in reports) * counted)
+        granted = int(sum(one.granted for one in reports) * counted)
+        shares.others_granted = granted if reports else None
         self.scheduler.placement.open_work.others = view
 
     def add_report(self, frame: BoxFrame, hub: Address) -> None:
--- a/packages/edge/src/hitchdeck_edge/links/known_hubs.py
+++ b/packages/edge/src/hitchdeck_edge/links/known_hubs.py
@@ -8,7 +8,9 @@
 from hitchdeck_core.ids import Address, BoxName
 from hitchdeck_core.signals import Signal
 from hitchdeck_edge.links.scheduler_exclusions import (
+    FIRST_EXCLUSION_SECONDS,
     MIN_LEFT_SECONDS,
+    REPEAT_EXCLUSION_SECONDS,
     Exclusions,
     merge_exclusions,
 )
@@ -19,12 +21,6 @@
 This is longer than any outage after which a hub may return at its address.
 """
 
-FIRST_EXCLUSION_SECONDS = 1.0
-"""Exclusion after a first loss: about the time that a hub takes to restart."""
-
-REPEAT_EXCLUSION_SECONDS = 8.0
-"""Exclusion after a further loss soon after: packet loss lasts for some seconds."""
-
 
 class KnownHubs:
     """Addresses of hubs, from the settings and learned from other hubs.
@@ -48,7 +44,7 @@
     adopted
         How many times such an exclusion was adopted or extended.
     excluded
-        Notified when this box begins to exclude a scheduler that it still reaches.  A
+        Notified when this box excludes a scheduler again that it still reaches.  A
         crash ends all streams of a hub, so that every box finds it by itself.
     changed
         Notified when hubs are added, removed or reached.
@@ -117,7 +113,7 @@
         again = self.now() - until < REPEAT_EXCLUSION_SECONDS
         pause = REPEAT_EXCLUSION_SECONDS if again else FIRST_EXCLUSION_SECONDS
         self.excluded_until[address] = self.now() + pause
-        if is_new and address in self.reachable:
+        if again and is_new and address in self.reachable:
             self.excluded.notify()
 
     def own_exclusions(self) -> Exclusions:
--- a/packages/edge/src/hitchdeck_edge/links/scheduler_exclusions.py
+++ b/packages/edge/src/hitchdeck_edge/links/scheduler_exclusions.py
@@ -18,6 +18,17 @@
 from hitchdeck_core.lazy_dataclasses import dataclass
 from hitchdeck_core.wire.spread_pb2 import SchedulerExclusion
 
+FIRST_EXCLUSION_SECONDS = 1.0
+"""Exclusion after a first loss: about the time that a hub takes to restart.
+
+It does not count for an agreement.  All boxes would move and move back within a second,
+and requests that wait at the scheduler would be decided by their boxes alone.
+"""
+
+REPEAT_EXCLUSION_SECONDS = 8.0
+"""Exclusion after a further loss soon after: packet loss lasts for some seconds.  It is
+also the longest one that is accepted from another process."""
+
 MIN_DOMAINS = 2
 """Failure domains whose boxes must have lost a scheduler before all boxes exclude it.
 The trouble of one domain does not move the boxes of the others."""
@@ -29,9 +40,6 @@
 """Time left below which an exclusion is no longer announced.  Boxes look for another
 scheduler every 0.5 s, and those that moved for less would only replace two streams."""
 
-MAX_LEFT_SECONDS = 8.0
-"""Longest exclusion that is accepted from another process."""
-
 MAX_EXCLUSIONS = 32
 """Maximum number of exclusions read from one frame: more than there are hubs."""
 
@@ -59,19 +67,18 @@
     boxes: int = 0
     domains: set[str] = field(default_factory=set)
 
-    def is_agreed(self, entry_boxes: int, now: float) -> bool:
-        """Tell whether all boxes are to exclude the scheduler."""
+    def is_agreed(self, entry_boxes: int) -> bool:
+        """Tell whether all boxes of a fleet are to exclude the scheduler."""
         return (
             len(self.domains) >= MIN_DOMAINS
             and self.boxes >= MIN_BOXES_FRACTION * entry_boxes
-            and self.until - now >= MIN_LEFT_SECONDS
         )
 
 
 def tally_exclusions(
     reports: Iterable[tuple[str, Exclusions]], now: float
 ) -> dict[Address, ExclusionTally]:
-    """Return what boxes report of each scheduler.
+    """Return the repeated losses that boxes report of each scheduler.
 
     Parameters
     ----------
@@ -81,7 +88,7 @@
     tallies: dict[Address, ExclusionTally] = {}
     for domain, excluded in reports:
         for address, until in excluded.items():
-            if until > now:
+            if until - now > FIRST_EXCLUSION_SECONDS:
                 tally = tallies.setdefault(address, ExclusionTally())
                 tally.until = max(tally.until, until)
                 tally.boxes += 1
@@ -115,6 +122,7 @@
     """Return the exclusions of messages, bounded in number and time."""
     first = list(messages)[:MAX_EXCLUSIONS]
     return {
-        Address(one.hub): now + min(MAX_LEFT_SECONDS, one.left_ms / _MILLISECONDS)
+        Address(one.hub): now
+        + min(REPEAT_EXCLUSION_SECONDS, one.left_ms / _MILLISECONDS)
         for one in first
     }
--- a/packages/edge/src/hitchdeck_edge/scheduling/shares.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/shares.py
@@ -81,7 +81,7 @@
     others
         Demand at the other boxes; empty if one process decides for all.
     others_granted
-        Tokens that the others granted of this demand; 0 if they do not say.
+        Tokens that the others granted of this demand; ``None`` if it is not known.
     assumed_boxes
         Number of boxes, this one included, that are assumed to have the same demand;
         1 if the others report theirs, or if one process decides for all.
@@ -97,7 +97,7 @@
         self.granted = WindowCount(window, now)
         self.elsewhere = WindowCount(window, now)
         self.others: Tally = Tally()
-        self.others_granted = 0
+        self.others_granted: int | None = None
         self.assumed_boxes = 1
         self.span_start = now()
 
@@ -175,7 +175,7 @@
         stated = self.capacity * min(self.window, span)
         decided = self.asked.total - self.elsewhere.total
         granted = self.granted.total
-        if self.others_granted:
+        if self.others_granted is not None:
             decided += self.others.asked.total()
             granted += self.others_granted
         return min(stated, granted * asked / max(1, decided))
--- a/tests/edge/test_shared_view.py
+++ b/tests/edge/test_shared_view.py
@@ -90,6 +90,7 @@
         self.placing = PlacingService(scheduler, FleetSize(lambda: BOXES, clock))
         self.placing.connected = BOXES // 2
         agreement = SchedulerAgreement(self.boxes, clock, mechanisms)
+        agreement.heard_at = clock.seconds
         self.agreement = agreement
         self.view = SharedView(self.placing, self.boxes, agreement, Signal())
 
