Share failures and silence of plain services among boxes

Each box learned only from its own calls that an upstream of a plain service had gone silent, so that one crash cost up to one call of each box. Boxes now report their calls on the stream to the scheduler, in frames that are sent anyway, and the scheduler tells each box what changed enough to matter. An upstream from which two boxes got no response, and no box since, is avoided by all, and tried again by few calls.

--- a/packages/edge/src/hitchdeck_edge/dispatch/attempts.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/attempts.py
@@ -2,6 +2,7 @@
 
 from enum import Enum
 from http import HTTPStatus
+from typing import TYPE_CHECKING
 
 from hitchdeck_core.ids import UpstreamName
 from hitchdeck_core.lazy_dataclasses import dataclass
@@ -13,6 +14,9 @@
 from hitchdeck_edge.scheduling.open_work import OpenWorkEntry
 from hitchdeck_edge.serving.caller import CallerConnection
 
+if TYPE_CHECKING:
+    from hitchdeck_edge.dispatch.service_watch import WatchedCall
+
 
 class AttemptOutcome(Enum):
     """Outcome of one attempt."""
@@ -54,6 +58,11 @@
         Time for which the upstream asked for no requests from this box, in seconds.
     leaving
         Whether the upstream announced that it shuts down.
+    lost
+        Whether the upstream was not reached or sent no complete response.
+    watched
+        What is observed of a call to a plain service; ``None`` where boxes don't
+        share it.
     """
 
     choice: Choice
@@ -70,6 +79,8 @@
     idle_before: float = 0.0
     backoff: float = 0.0
     leaving: bool = False
+    lost: bool = False
+    watched: 'WatchedCall | None' = None
 
     @property
     def upstream(self) -> UpstreamName:
--- a/packages/edge/src/hitchdeck_edge/dispatch/factory.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/factory.py
@@ -7,8 +7,11 @@
 from hitchdeck_edge.dispatch.sender import Sender
 from hitchdeck_edge.links.known_hubs import KnownHubs
 from hitchdeck_edge.links.placing import PlacingLink
+from hitchdeck_edge.links.service_exchange import ServiceExchange
 from hitchdeck_edge.model.adapter import PlatformAdapter
 from hitchdeck_edge.scheduling.chooser import Chooser
+from hitchdeck_edge.scheduling.service_calls import ServiceCalls
+from hitchdeck_edge.scheduling.service_view import ServiceView
 from hitchdeck_edge.settings import EntrySettings
 from hitchdeck_edge.state.fleet_state import FleetState
 
@@ -37,8 +40,21 @@
     # A box that places requests without a scheduler uses one box's part of the
     # budget for cold upstreams.
     chooser.local.placement.cold_budget.rate_fraction = budget.fleet_fraction
+    if settings.share_service_health and settings.mechanisms.service_health:
+        _share_services(chooser, budget)
     reuse = settings.stream_reuse and settings.mechanisms.stream_reuse
     connections = ConnectionPool(boot_seconds, streams_reuse=reuse)
     quarantine = fleet_state.quarantine
     sender = Sender(adapter, chooser, connections, quarantine, boot_seconds)
     return Dispatcher(adapter, chooser, sender, budget, boot_seconds)
+
+
+def _share_services(chooser: Chooser, budget: RetryBudget) -> None:
+    """Choose plain services by what all boxes observe of them."""
+    placement = chooser.local.placement
+    calls = ServiceCalls(boot_seconds)
+    view = ServiceView(boot_seconds, budget.fleet_fraction)
+    placement.services = view
+    placement.keepers += [calls.keep, view.keep]
+    calls.send_now = chooser.link.outbox.make_due
+    chooser.link.services = ServiceExchange(calls, view)
--- a/packages/edge/src/hitchdeck_edge/dispatch/sender.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/sender.py
@@ -18,6 +18,7 @@
 from hitchdeck_edge.dispatch.connections import ConnectionPool
 from hitchdeck_edge.dispatch.response_parser import ResponseHead
 from hitchdeck_edge.dispatch.reuse import permitted_reuse
+from hitchdeck_edge.dispatch.service_watch import ServiceWatch
 from hitchdeck_edge.dispatch.upstream_connection import Connection, UpstreamRequest
 from hitchdeck_edge.errors import (
     CallerDisconnectedError,
@@ -59,6 +60,9 @@
         self.domain = chooser.domain
         self.connections = connections
         self.now = now
+        self.watch: ServiceWatch | None = None
+        if self.link.services is not None:
+            self.watch = ServiceWatch(self.link.services, self.placement.health, now)
 
     async def send(self, active: ActiveRequest, choice: Choice) -> bool:
         """Send the request to an upstream; return whether it was sent.
@@ -96,10 +100,12 @@
             return False
         except NotSentError as error:
             active.unreached_count += 1
+            attempt.lost = True
             self._record_unreached(context, choice, error)
             return False
         except IncompleteResponseError as error:
             attempt.reason = str(error)
+            attempt.lost = True
         finally:
             self._close_attempt(attempt, connection)
         self._record_outcome(active, attempt)
@@ -137,11 +143,16 @@
         number = 0
         if context.pool.engine is not None:
             number = self.link.track(choice.ticket, name, choice.tokens)
-        return Attempt(choice, self.now(), ticket, number, context.may_have_run)
+        attempt = Attempt(choice, self.now(), ticket, number, context.may_have_run)
+        if self.watch is not None:
+            attempt.watched = self.watch.open(context, choice)
+        return attempt
 
     def _close_attempt(self, attempt: Attempt, connection: Connection | None) -> None:
         attempt.ticket.close()
         self.link.record_end(attempt.number)
+        if self.watch is not None:
+            self.watch.close(attempt)
         if connection is None:
             return
         self.connections.mark_done(attempt.upstream, connection)
@@ -175,6 +186,8 @@
         attempt.idle_before = connection.idle_before
         connection.send(self._upstream_request(active.context, attempt.choice))
         self._record_sent(active, attempt)
+        if self.watch is not None:
+            self.watch.start_timer(active, attempt, connection)
 
     def _upstream_request(
         self, context: RequestContext, choice: Choice
@@ -299,7 +312,8 @@
             health.record_success(attempt.upstream, self.now() - attempt.started_at)
             return
         if attempt.outcome is AttemptOutcome.broken:
-            health.record_failure(attempt.upstream, attempt.reason)
+            if attempt.watched is None or not attempt.watched.call.unanswered:
+                health.record_failure(attempt.upstream, attempt.reason)
             self.link.report_failure(attempt.upstream)
             self.check_for_crash(active, attempt)
         else:
--- /dev/null
+++ b/packages/edge/src/hitchdeck_edge/dispatch/service_watch.py
@@ -0,0 +1,111 @@
+"""Observes the calls of a box to plain services while they are in flight."""
+
+import asyncio
+
+from hitchdeck_core import logs
+from hitchdeck_core.clock import Clock
+from hitchdeck_core.loop_load import loop_utilization
+from hitchdeck_core.sockets import has_unread_input
+from hitchdeck_edge.dispatch.attempts import ActiveRequest, Attempt, AttemptOutcome
+from hitchdeck_edge.dispatch.upstream_connection import Connection
+from hitchdeck_edge.links.placing import OVERLOADED_UTILIZATION
+from hitchdeck_edge.links.service_exchange import ServiceExchange
+from hitchdeck_edge.model.placing import Choice
+from hitchdeck_edge.model.request_context import RequestContext
+from hitchdeck_edge.scheduling.health import Health
+from hitchdeck_edge.scheduling.service_calls import (
+    CallEnd,
+    ServiceCall,
+    unanswered_after,
+)
+
+_RESPONSES = frozenset((AttemptOutcome.failed, AttemptOutcome.not_run))
+
+
+class WatchedCall:
+    """A call in flight, and the timer after which it counts as unanswered."""
+
+    def __init__(self, call: ServiceCall) -> None:
+        self.call = call
+        self.timer: asyncio.TimerHandle | None = None
+
+
+class ServiceWatch:
+    """Notices calls without a response in time, and records how calls end."""
+
+    def __init__(self, exchange: ServiceExchange, health: Health, now: Clock) -> None:
+        self.calls = exchange.calls
+        self.view = exchange.view
+        self.health = health
+        self.now = now
+
+    def open(self, context: RequestContext, choice: Choice) -> WatchedCall | None:
+        """Record a call that is being sent; ``None`` if it goes to an engine."""
+        if context.pool.engine is not None:
+            return None
+        return WatchedCall(self.calls.begin(choice.upstream.name))
+
+    def start_timer(
+        self, active: ActiveRequest, attempt: Attempt, connection: Connection
+    ) -> None:
+        """Begin to wait for the response to a call that was sent."""
+        watched = attempt.watched
+        if watched is None:
+            return
+        elapsed = self.now() - attempt.started_at
+        left = unanswered_after(active.context.route.goal) - elapsed
+        loop = asyncio.get_running_loop()
+        watched.timer = loop.call_later(
+            max(0, left), self._note_unanswered, active, attempt, connection
+        )
+
+    def close(self, attempt: Attempt) -> None:
+        """Record how a call ended."""
+        watched = attempt.watched
+        if watched is None:
+            return
+        if watched.timer is not None:
+            watched.timer.cancel()
+        how = _end_of(attempt)
+        self.calls.end(watched.call, how)
+        responded = how in {CallEnd.succeeded, CallEnd.refused}
+        if responded and self.view.is_silent(attempt.upstream):
+            self.view.note_response(attempt.upstream)
+            self.calls.send_now()
+
+    def _note_unanswered(
+        self, active: ActiveRequest, attempt: Attempt, connection: Connection
+    ) -> None:
+        assert attempt.watched is not None
+        if attempt.head is not None or _has_input(connection):
+            return
+        # The response may have arrived long before an overloaded box reads it.
+        if loop_utilization() > OVERLOADED_UTILIZATION:
+            return
+        waited = self.now() - attempt.started_at
+        logs.info(
+            'no response in time',
+            request=active.context.call.request,
+            upstream=attempt.upstream,
+            seconds=round(waited, 3),
+            goal=active.context.route.goal,
+            repeatable=active.context.repeatable,
+        )
+        self.calls.mark_unanswered(attempt.watched.call)
+        self.health.record_failure(attempt.upstream, 'no response in time')
+
+
+def _has_input(connection: Connection) -> bool:
+    """Tell whether a part of the response has arrived, or the connection ended."""
+    if connection.closed or connection.transport is None or connection.parser.events:
+        return True
+    sock = connection.transport.get_extra_info('socket')
+    return has_unread_input(sock.fileno())
+
+
+def _end_of(attempt: Attempt) -> CallEnd:
+    if attempt.outcome is AttemptOutcome.answered:
+        return CallEnd.succeeded
+    if attempt.outcome in _RESPONSES:
+        return CallEnd.refused
+    return CallEnd.lost if attempt.lost else CallEnd.abandoned
--- a/packages/edge/src/hitchdeck_edge/hub/placing.py
+++ b/packages/edge/src/hitchdeck_edge/hub/placing.py
@@ -20,7 +20,9 @@
     encode_decision,
     encode_wait,
 )
+from hitchdeck_edge.links.service_messages import decode_report, encode_states
 from hitchdeck_edge.scheduling.scheduler import Scheduler, new_scheduler
+from hitchdeck_edge.scheduling.service_health import ServiceState, ServiceTable
 from hitchdeck_edge.scheduling.waiting import Decided, Reviews, WaitingQueue
 from hitchdeck_edge.settings import HubSettings
 from hitchdeck_edge.state.documents import Documents
@@ -49,10 +51,13 @@
         self.sending = asyncio.Lock()
         self.sends: set[asyncio.Task[None]] = set()
 
-    async def send(self, answers: list[Placed]) -> None:
+    async def send(
+        self, answers: list[Placed], states: list[ServiceState] | None = None
+    ) -> None:
         """Send answers; frames of several tasks must not interleave."""
+        frame = PlacedFrame(placed=answers, services=encode_states(states or ()))
         async with self.sending:
-            await self.stream.send_message(PlacedFrame(placed=answers))
+            await self.stream.send_message(frame)
 
 
 class FleetSize:
@@ -80,7 +85,13 @@
 
 
 class PlacingService(PlacingBase):
-    """Serves the streams of all entry boxes that use this hub's scheduler."""
+    """Serves the streams of all entry boxes that use this hub's scheduler.
+
+    Attributes
+    ----------
+    services
+        What the boxes observed of plain services; ``None`` where they don't share it.
+    """
 
     def __init__(self, scheduler: Scheduler, fleet: FleetSize) -> None:
         self.scheduler = scheduler
@@ -91,6 +102,12 @@
         self.queue = WaitingQueue(scheduler, scheduler.attempt_place, scheduler.now)
         self.reviews = Reviews(self.queue, self._deliver)
         scheduler.placement.cold_budget.rate_fraction = self.fleet_fraction
+        self.services: ServiceTable | None = None
+
+    def share_services(self) -> None:
+        """Tell each box what the others observe of plain services."""
+        self.services = ServiceTable(self.scheduler.now)
+        self.scheduler.placement.keepers.append(self.services.keep)
 
     async def Attend(self, stream: Stream[PlacingFrame, PlacedFrame]) -> None:
         """Serve one box until either side ends the stream."""
@@ -113,6 +130,10 @@
         """Return the fraction of the fleet's boxes that use this scheduler, 0 to 1."""
         return min(1, self.connected / max(1, self.fleet.largest()))
 
+    def silent_services(self) -> int:
+        """Return the number of upstreams of plain services that are silent."""
+        return 0 if self.services is None else len(self.services.silent)
+
     def _drop(self, box: _Box) -> None:
         self.connected -= 1
         self.boxes.pop(box.name)
@@ -121,14 +142,17 @@
             task.cancel()
         self.queue.drop_box(box.name)
         self.scheduler.drop_box(box.name)
+        if self.services is not None:
+            self.services.drop_box(box.name)
 
     async def _serve(self, box: _Box, first: PlacingFrame) -> None:
         frame: PlacingFrame | None = first
         while frame is not None:
             self._apply_progress(box, frame)
-            if frame.wanted:
-                answers = [self._place(box, one) for one in frame.wanted]
-                await box.send(answers)
+            answers = [self._place(box, one) for one in frame.wanted]
+            states = self._service_states(box, frame)
+            if answers or states:
+                await box.send(answers, states)
             frame = await box.stream.recv_message()
 
     def _apply_progress(self, box: _Box, frame: PlacingFrame) -> None:
@@ -151,6 +175,26 @@
             health = self.scheduler.placement.health
             health.record_failure(UpstreamName(failed), f'reported by {box.name}')
 
+    def _service_states(self, box: _Box, frame: PlacingFrame) -> list[ServiceState]:
+        """Apply what a box reports of plain services; return what is new to it."""
+        if self.services is None:
+            return []
+        known = self.scheduler.placement.registry.records
+        turned_silent = False
+        for message in frame.services:
+            if message.upstream in known:
+                turned_silent |= self.services.apply(box.name, decode_report(message))
+        if turned_silent:
+            self._tell_others(box)
+        return self.services.changes_for(box.name)
+
+    def _tell_others(self, reporter: _Box) -> None:
+        """Tell all other boxes at once of upstreams that have become silent."""
+        assert self.services is not None
+        for box in self.boxes.values():
+            if box is not reporter:
+                self._start_send(box, [], self.services.changes_for(box.name))
+
     def _place(self, box: _Box, message: WantedMessage) -> Placed:
         document = self.scheduler.documents.document
         pool = document.pools.get(PoolName(message.pool)) if document else None
@@ -169,14 +213,23 @@
         for (name, ticket), decision in decided:
             answers[name].append(encode_decision(ticket, decision))
         for name, placed in answers.items():
-            box = self.boxes[name]
-            task = asyncio.create_task(self._send(box, placed))
-            box.sends.add(task)
-            task.add_done_callback(box.sends.discard)
+            self._start_send(self.boxes[name], placed)
 
-    async def _send(self, box: _Box, answers: list[Placed]) -> None:
+    def _start_send(
+        self,
+        box: _Box,
+        answers: list[Placed],
+        states: list[ServiceState] | None = None,
+    ) -> None:
+        task = asyncio.create_task(self._send(box, answers, states))
+        box.sends.add(task)
+        task.add_done_callback(box.sends.discard)
+
+    async def _send(
+        self, box: _Box, answers: list[Placed], states: list[ServiceState] | None
+    ) -> None:
         try:
-            await box.send(answers)
+            await box.send(answers, states)
         except LINK_ERRORS as error:
             # Its stream ends, and the box decides on these requests by itself.
             logs.info('answers not sent', attendee=box.name, reason=repr(error))
@@ -190,6 +243,9 @@
 ) -> PlacingService:
     """Return the service of a hub, with its own scheduler."""
     scheduler = new_scheduler(settings, documents, registry)
-    return PlacingService(
+    service = PlacingService(
         scheduler, FleetSize(connected_boxes.box_count, scheduler.now)
     )
+    if settings.share_service_health and settings.mechanisms.service_health:
+        service.share_services()
+    return service
--- a/packages/edge/src/hitchdeck_edge/links/outbox.py
+++ b/packages/edge/src/hitchdeck_edge/links/outbox.py
@@ -31,13 +31,13 @@
     def add_query(self, query: WantedMessage) -> None:
         """Queue a query, and send it at once with all queued messages."""
         self.frame.wanted.append(query)
-        self._make_due()
+        self.make_due()
 
     def add_progress(self, progress: PlacingFrame) -> None:
         """Queue progress for the next frame, sent after a short delay at the latest."""
         if not self.frame.ByteSize():
             loop = asyncio.get_running_loop()
-            loop.call_later(PROGRESS_DELAY_SECONDS, self._make_due)
+            loop.call_later(PROGRESS_DELAY_SECONDS, self.make_due)
         self.frame.MergeFrom(progress)
 
     async def wait(self, seconds: float) -> None:
@@ -58,6 +58,7 @@
         """Drop queued messages: the first frame to a new scheduler holds everything."""
         self.frame = PlacingFrame()
 
-    def _make_due(self) -> None:
+    def make_due(self) -> None:
+        """Send the frame, with what is added to it until then, at once."""
         self.due = True
         self.became_due.notify()
--- a/packages/edge/src/hitchdeck_edge/links/placing.py
+++ b/packages/edge/src/hitchdeck_edge/links/placing.py
@@ -27,6 +27,7 @@
     decode_refusal,
     encode_wanted,
 )
+from hitchdeck_edge.links.service_exchange import ServiceExchange
 from hitchdeck_edge.model.placing import Choice, PlacementQuery
 from hitchdeck_edge.model.refusals import Refusal
 from hitchdeck_edge.scheduling.shares import Shares
@@ -90,6 +91,8 @@
         Tickets of requests that wait for a place at the scheduler.
     unanswered
         Number of consecutive queries without an answer.
+    services
+        What boxes share of plain services; ``None`` where they don't.
     """
 
     def __init__(
@@ -113,6 +116,7 @@
         self.outbox = Outbox()
         self.last_ticket = 0
         self.unanswered = 0
+        self.services: ServiceExchange | None = None
 
     async def place(self, query: PlacementQuery) -> Choice | Refusal | None:
         """Return the scheduler's decision, or ``None`` if it does not answer."""
@@ -248,6 +252,8 @@
             if self.now() - checked > SCHEDULER_CHECK_SECONDS:
                 checked = self.now()
                 self._check_scheduler(hub)
+            if self.services is not None:
+                self.services.add_reports(self.outbox.frame)
             frame = self.outbox.take()
             if frame is not None:
                 async with asyncio.timeout(SEND_TIMEOUT_SECONDS):
@@ -267,6 +273,8 @@
             frame = await stream.recv_message()
             if frame is None:
                 return
+            if self.services is not None:
+                self.services.apply(frame)
             for placed in frame.placed:
                 self._take_answer(placed)
 
@@ -306,6 +314,8 @@
     def _hello(self) -> PlacingFrame:
         self.outbox.clear()
         self.unanswered = 0
+        if self.services is not None:
+            self.services.begin_stream()
         return PlacingFrame(
             box=self.box,
             domain=self.known_hubs.domain,
@@ -315,6 +325,8 @@
 
     def _disconnect(self) -> None:
         self.scheduler = None
+        if self.services is not None:
+            self.services.end_stream()
         for answer in self.waiting.values():
             if not answer.done():
                 answer.set_exception(LinkError('scheduler lost'))
--- a/packages/edge/src/hitchdeck_edge/model/mechanisms.py
+++ b/packages/edge/src/hitchdeck_edge/model/mechanisms.py
@@ -41,6 +41,8 @@
         Boxes heed the limits that their settings state.
     stream_reuse
         Streams that are not resumed may use kept connections, if the settings say so.
+    service_health
+        Boxes share what they observe of plain services, if the settings say so.
     """
 
     scheduler: bool = True
@@ -57,6 +59,7 @@
     near_first: bool = True
     box_resources: bool = True
     stream_reuse: bool = True
+    service_health: bool = True
 
     def __post_init__(self) -> None:
         """Check that each switch is a boolean."""
--- a/packages/edge/src/hitchdeck_edge/model/placing.py
+++ b/packages/edge/src/hitchdeck_edge/model/placing.py
@@ -38,6 +38,8 @@
     waited
         Seconds since it first arrived, if it has waited there or is a retry of a
         refused request.
+    repeatable
+        Whether it may be sent again after it may have run.
     """
 
     request: RequestId
@@ -55,6 +57,7 @@
     priority: int = 0
     longest_wait: float = 0.0
     waited: float = 0.0
+    repeatable: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/edge/src/hitchdeck_edge/model/request_context.py
+++ b/packages/edge/src/hitchdeck_edge/model/request_context.py
@@ -85,6 +85,7 @@
             areas=self.areas,
             body_bytes=len(self.body),
             priority=self.priority,
+            repeatable=self.repeatable,
         )
 
     @property
--- a/packages/edge/src/hitchdeck_edge/process.py
+++ b/packages/edge/src/hitchdeck_edge/process.py
@@ -110,8 +110,18 @@
         self.admission.metrics.held_bytes = self.admission.budgets.bytes.held
         self.admission.metrics.connections_opened = sender.connections.opened
         self.admission.metrics.connections_reused = sender.connections.reused
+        self._report_service_calls()
         self.admission.metrics.handed_off = self.caller_server.handoff.handed_off
 
+    def _report_service_calls(self) -> None:
+        link = self.admission.dispatcher.chooser.link
+        if link.services is None:
+            return
+        metrics = self.admission.metrics
+        metrics.calls_unanswered = link.services.calls.unanswered
+        metrics.silent_avoided = link.services.view.avoided
+        metrics.silent_tried = link.services.view.trials
+
 
 async def start_entry(settings: EntrySettings, adapter: PlatformAdapter) -> EntryBox:
     """Start an entry box for the platform that the adapter describes."""
--- a/packages/edge/src/hitchdeck_edge/scheduling/placement.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/placement.py
@@ -5,11 +5,12 @@
 slowness.  A shared prompt part that no engine is known to have cached goes to an engine
 that a rendezvous hash selects; another one gets it only if queueing there costs more
 than to read the part again.  Among plain services the one with the fewest open requests
-is chosen, weighted by latency and failure rate.
+is chosen, weighted by latency and failure rate; those of the whole fleet where the
+settings say so.
 """
 
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from types import MappingProxyType
 
 from hitchdeck_core.hashing import ranked
@@ -33,6 +34,8 @@
 from hitchdeck_edge.scheduling.health import Health
 from hitchdeck_edge.scheduling.open_work import OpenWorkEntry, OpenWorkTable
 from hitchdeck_edge.scheduling.prefix_cache import PrefixCacheModel
+from hitchdeck_edge.scheduling.service_health import ServiceState
+from hitchdeck_edge.scheduling.service_view import ServiceView
 from hitchdeck_edge.state.registry import Registry
 
 MAX_SLOWNESS = 4.0
@@ -65,7 +68,15 @@
 
 
 class Placement:
-    """Chooses upstreams by everything that a process knows of them."""
+    """Chooses upstreams by everything that a process knows of them.
+
+    Attributes
+    ----------
+    services
+        What the fleet observed of plain services; ``None`` where it takes no part.
+    keepers
+        Called with the upstreams that are present, to drop the state of all others.
+    """
 
     def __init__(
         self,
@@ -84,6 +95,8 @@
         self.prefix_cache = PrefixCacheModel(open_work.now)
         self.speed = EngineSpeed()
         self.costs: EngineCosts | None = None
+        self.services: ServiceView | None = None
+        self.keepers: list[Callable[[set[UpstreamName]], None]] = []
 
     def learn_engines(self) -> None:
         """Learn the speed of each engine, and track its memory."""
@@ -109,7 +122,8 @@
         if not candidates:
             return None
         if not query.slots or query.prompt is None:
-            best = min(candidates, key=lambda one: self._service_cost(one, query))
+            compared = self._compared_services(query, candidates)
+            best = min(compared, key=lambda one: self._service_cost(one, query))
             return Choice(best, 0, 0)
         return self._choose_engine(query, query.prompt, candidates)
 
@@ -168,6 +182,8 @@
         self.prefix_cache.keep(present)
         self.open_work.keep(present)
         self.health.keep(present)
+        for keep in self.keepers:
+            keep(present)
         if self.costs is not None:
             self.costs.keep(present)
 
@@ -317,8 +333,24 @@
     def _is_full(self, upstream: Upstream, query: PlacementQuery) -> bool:
         return self.open_work.running(upstream.name) >= query.slots
 
+    def _compared_services(
+        self, query: PlacementQuery, candidates: Sequence[Upstream]
+    ) -> Sequence[Upstream]:
+        """Return the plain services among which the cheapest one is chosen."""
+        view = self.services
+        if view is None or not self.mechanisms.service_health:
+            return candidates
+        domain = query.domain if self.mechanisms.near_first else ''
+        return view.compared(view.usable(candidates, query), domain)
+
+    def _service_state(self, name: UpstreamName) -> ServiceState | None:
+        """Return what the fleet observed of a plain service, if this box knows it."""
+        if self.services is None or not self.mechanisms.service_health:
+            return None
+        return self.services.state(name)
+
     def _service_cost(self, upstream: Upstream, query: PlacementQuery) -> float:
-        record = self.health.record(upstream.name)
+        record = self._service_state(upstream.name) or self.health.record(upstream.name)
         seconds = max(MIN_SERVICE_SECONDS, record.seconds)
         doubt = 1 + FAILURE_WEIGHT * record.failure_rate
         near = upstream.domain == query.domain or not self.mechanisms.near_first
--- a/packages/edge/src/hitchdeck_edge/serving/metrics.py
+++ b/packages/edge/src/hitchdeck_edge/serving/metrics.py
@@ -48,6 +48,11 @@
     connections_opened, connections_reused
         Connections to upstreams that were opened for requests, and requests that used
         a kept one.
+    calls_unanswered
+        Calls to plain services without a response in time.
+    silent_avoided, silent_tried
+        Calls that avoided upstreams which were silent for the fleet, and calls that
+        tried one again.
     """
 
     def __init__(self, now: Clock) -> None:
@@ -66,6 +71,9 @@
         self.evicted = 0
         self.connections_opened = 0
         self.connections_reused = 0
+        self.calls_unanswered = 0
+        self.silent_avoided = 0
+        self.silent_tried = 0
 
     def record_served(
         self, context: RequestContext, outcome: str, seconds: float
@@ -115,6 +123,9 @@
             f'hitchdeck_evicted_total {self.evicted}',
             f'hitchdeck_upstream_connections_opened_total {self.connections_opened}',
             f'hitchdeck_upstream_connections_reused_total {self.connections_reused}',
+            f'hitchdeck_service_calls_unanswered_total {self.calls_unanswered}',
+            f'hitchdeck_service_silent_avoided_total {self.silent_avoided}',
+            f'hitchdeck_service_silent_tried_total {self.silent_tried}',
         ]
         lines.extend(
             f'hitchdeck_requests_total{{outcome="{name}"}} {count}'
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -109,6 +109,7 @@
 
     folder: Path
     areas: dict[str, str] = field(default_factory=dict)
+    shares_services: bool = False
     hubs: list[Hub] = field(default_factory=list)
     servers: dict[str, list[HTTPServer]] = field(default_factory=dict)
     boxes: list[EntryBox] = field(default_factory=list)
@@ -132,6 +133,7 @@
                 may_found=True,
                 disks_lost=disks_lost,
                 areas=self.areas,
+                share_service_health=self.shares_services,
             )
             await self.start_hub(settings)
 
@@ -160,6 +162,7 @@
             relief_listen=free_address(),
             stop_grace=2,
             areas=self.areas,
+            share_service_health=self.shares_services,
         )
         box = await start_entry(settings, DIALECT)
         self.boxes.append(box)
@@ -322,9 +325,11 @@
     boxes: int = 1,
     disks_lost: int = 0,
     areas: dict[str, str] | None = None,
+    *,
+    shares_services: bool = False,
 ) -> AsyncIterator[Site]:
     """Run a site with two engines, two plain workers and document version 1."""
-    site = Site(folder, areas or {})
+    site = Site(folder, areas or {}, shares_services)
     reporting: asyncio.Task[None] | None = None
     try:
         await _start(site, hubs, boxes, disks_lost)
--- /dev/null
+++ b/tests/edge/test_shared_services.py
@@ -0,0 +1,199 @@
+"""Boxes that share what they observe of plain services through the scheduler."""
+
+import asyncio
+from collections import Counter
+from collections.abc import AsyncIterator, Callable, Iterable
+from contextlib import AsyncExitStack, asynccontextmanager
+from pathlib import Path
+
+import pytest
+
+from hitchdeck_core.channels import require_fleet_token, serve
+from hitchdeck_core.clock import boot_seconds
+from hitchdeck_core.ids import Address, UpstreamName
+from hitchdeck_edge.hub.placing import FleetSize, PlacingService
+from hitchdeck_edge.links.outbox import Outbox
+from hitchdeck_edge.links.placing import PlacingLink
+from hitchdeck_edge.links.service_exchange import ServiceExchange
+from hitchdeck_edge.model.placing import Choice
+from hitchdeck_edge.process import EntryBox
+from hitchdeck_edge.scheduling.service_calls import CallEnd, ServiceCalls
+from hitchdeck_edge.scheduling.service_health import ServiceState
+from hitchdeck_edge.scheduling.service_view import ServiceView
+from standins.platform_site import HOST, KEY, Site, running_site
+from standins.platform_worker import Fault, Worker
+from standins.ports import free_address
+from tests.common.scheduling import FakeClock, engine, scheduler_of, wanted
+from tests.edge.test_scheduler_link import reached, running_link
+from tests.edge.test_service_health import always, never
+
+NAME = UpstreamName('e0')
+
+
+class CountingView(ServiceView):
+    """Counts the frames that arrive."""
+
+    def __init__(self) -> None:
+        super().__init__(boot_seconds)
+        self.frames = 0
+
+    def update(self, states: Iterable[ServiceState]) -> None:
+        """Count the frame, and apply it."""
+        self.frames += 1
+        super().update(states)
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    async with asyncio.timeout(15):
+        while not condition():
+            await asyncio.sleep(0.005)
+
+
+@asynccontextmanager
+async def hub_of(service: PlacingService) -> AsyncIterator[Address]:
+    address = free_address()
+    server = await serve([service], address, require_fleet_token('token'))
+    try:
+        yield address
+    finally:
+        server.close()
+
+
+def new_service(*, shares: bool) -> PlacingService:
+    scheduler = scheduler_of(FakeClock(), 1)
+    service = PlacingService(scheduler, FleetSize(lambda: 1, scheduler.now))
+    if shares:
+        service.share_services()
+    return service
+
+
+def share(link: PlacingLink, view: ServiceView | None = None) -> ServiceExchange:
+    """Let a box share what it observes."""
+    calls = ServiceCalls(boot_seconds)
+    exchange = ServiceExchange(calls, view or ServiceView(boot_seconds))
+    exchange.calls.send_now = link.outbox.make_due
+    link.services = exchange
+    return exchange
+
+
+def lose_call(exchange: ServiceExchange) -> None:
+    exchange.calls.end(exchange.calls.begin(NAME), CallEnd.lost)
+
+
+async def test_two_lost_calls_are_known_to_every_box_by_one_frame() -> None:
+    # Guards against each box losing a call of its own to an upstream that crashed.
+    service = new_service(shares=True)
+    async with AsyncExitStack() as stack:
+        hub = await stack.enter_async_context(hub_of(service))
+        links = [await stack.enter_async_context(running_link(hub)) for _ in range(4)]
+        views = [CountingView() for _ in links]
+        exchanges = [share(link, view) for link, view in zip(links, views, strict=True)]
+        for link in links:
+            await reached(link, connected=True)
+        await until(lambda: service.connected == len(links))
+        lose_call(exchanges[0])
+        lose_call(exchanges[1])
+        await until(lambda: all(view.is_silent(NAME) for view in views))
+        assert [view.frames for view in views[2:]] == [1, 1]
+        exchanges[0].calls.end(exchanges[0].calls.begin(NAME), CallEnd.succeeded)
+        exchanges[0].calls.send_now()
+        await until(lambda: not views[0].is_silent(NAME))
+        assert not service.silent_services()
+        # The others learn of it with the next frame that they get anyway.
+        links[2].registry.merge(engine('e0'), 'test')
+        assert isinstance(await links[2].place(wanted()), Choice)
+        assert not views[2].is_silent(NAME)
+        assert views[2].frames == 2
+
+
+def test_nothing_new_is_no_frame() -> None:
+    exchange = ServiceExchange(ServiceCalls(FakeClock()), ServiceView(FakeClock()))
+    outbox = Outbox()
+    for sends in (False, True, False):
+        if sends:
+            exchange.calls.begin(NAME)
+        exchange.add_reports(outbox.frame)
+        assert (outbox.take() is not None) == sends
+
+
+@pytest.mark.parametrize(('hub_shares', 'box_shares'), [(True, False), (False, True)])
+async def test_a_process_that_shares_works_beside_one_that_does_not(
+    *, hub_shares: bool, box_shares: bool
+) -> None:
+    service = new_service(shares=hub_shares)
+    async with hub_of(service) as hub, running_link(hub) as link:
+        exchange = share(link) if box_shares else None
+        link.registry.merge(engine('e0'), 'test')
+        await reached(link, connected=True)
+        if exchange is not None:
+            lose_call(exchange)
+        assert isinstance(await link.place(wanted()), Choice)
+        assert exchange is None or not exchange.view.states
+        if service.services is not None:
+            assert not service.services.records
+
+
+@pytest.fixture
+async def site(tmp_path: Path) -> AsyncIterator[Site]:
+    async with running_site(tmp_path, boxes=3, shares_services=True) as running:
+        yield running
+
+
+async def call(site: Site, box: EntryBox, path: str, attempt: str) -> int:
+    """Send a call to a box; return its status."""
+    headers = {
+        'Host': HOST,
+        'Attempt_Id': attempt,
+        'Deadline_Ms': '1500',
+        'Authorization': f'Token {KEY}',
+    }
+    listen = box.settings.listen
+    reply = await site.call('POST', listen, path, 'body', **headers)
+    return reply.code
+
+
+async def lose_calls(site: Site, worker: Worker, path: str) -> list[int]:
+    """Send calls to two boxes, until the upstream that hangs has one of each."""
+    tasks: list[asyncio.Task[int]] = []
+    for number, box in enumerate(site.boxes[:2]):
+        before = len(worker.ran)
+        while len(worker.ran) == before:
+            name = f'{number}-{len(tasks)}'
+            tasks.append(asyncio.create_task(call(site, box, path, name)))
+            await asyncio.sleep(0.02)
+    return await asyncio.gather(*tasks)
+
+
+def view_of(box: EntryBox) -> ServiceView:
+    exchange = box.admission.dispatcher.chooser.link.services
+    assert exchange is not None
+    return exchange.view
+
+
+async def test_a_box_avoids_the_silent_service_of_others_and_tries_it_again(
+    site: Site,
+) -> None:
+    worker = next(one for one in site.workers if one.name == 'p1')
+    name = UpstreamName(worker.life)
+    worker.misbehave(Fault.hang, 100)
+    view = view_of(site.boxes[2])
+    lost = asyncio.create_task(lose_calls(site, worker, '/u/'))
+    await until(lambda: view.is_silent(name))
+    ran = len(worker.ran)
+    view.draw = never
+    statuses = [await call(site, site.boxes[2], '/u/', f'c{one}') for one in range(9)]
+    assert statuses == [200] * 9
+    assert len(worker.ran) == ran
+    assert view.avoided == 9
+    assert 504 in await lost
+    # Calls that must not repeat were sent once, those that were lost too.
+    runs = Counter(one for each in site.workers for one in each.ran)
+    assert set(runs.values()) == {1}
+    worker.faults_left = 0
+    view.draw = always
+    table = site.hubs[0].placing.services
+    assert table is not None
+    async with asyncio.timeout(15):
+        while table.silent:
+            assert await call(site, site.boxes[2], '/g/', 'again') == 200
+    assert not view.is_silent(name)
