--- a/packages/edge/src/hitchdeck_edge/scheduling/placement.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/placement.py
@@ -35,7 +35,7 @@
 from hitchdeck_edge.scheduling.open_work import OpenWorkEntry, OpenWorkTable
 from hitchdeck_edge.scheduling.prefix_cache import PrefixCacheModel
 from hitchdeck_edge.scheduling.service_health import ServiceState
-from hitchdeck_edge.scheduling.service_view import ServiceView
+from hitchdeck_edge.scheduling.service_view import ServiceView, expected_seconds
 from hitchdeck_edge.state.registry import Registry
 
 MAX_SLOWNESS = 4.0
@@ -350,15 +350,20 @@
         return self.services.state(name)
 
     def _service_cost(self, upstream: Upstream, query: PlacementQuery) -> float:
-        record = self._service_state(upstream.name) or self.health.record(upstream.name)
+        name = upstream.name
+        state = self._service_state(name)
+        record = state or self.health.record(name)
         seconds = max(MIN_SERVICE_SECONDS, record.seconds)
+        if state is None:
+            expected = (self.open_work.running(name) + 1) * seconds
+        else:
+            running = state.running + self.open_work.own.running.get(name, 0)
+            expected = expected_seconds(seconds, running, upstream.slots)
         doubt = 1 + FAILURE_WEIGHT * record.failure_rate
         near = upstream.domain == query.domain or not self.mechanisms.near_first
         far = 1 if near else FAR_FACTOR
         jitter = random.uniform(1, JITTER_FACTOR)
-        return (
-            (self.open_work.running(upstream.name) + 1) * seconds * doubt * far * jitter
-        )
+        return expected * doubt * far * jitter
 
 
 def _first_token_seconds(choice: Choice) -> float:
--- a/packages/edge/src/hitchdeck_edge/scheduling/service_view.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/service_view.py
@@ -36,6 +36,24 @@
     return 1
 
 
+def expected_seconds(seconds: float, running: int, places: int) -> float:
+    """Return the expected time of a call at an upstream, for comparison with others.
+
+    Every call in flight counts, not only those that wait for a place: numbers are some
+    tenths of a second old, and an upstream that is nearly full may be full by now.
+
+    Parameters
+    ----------
+    seconds
+        Mean duration of calls there.
+    running
+        Calls of the fleet in flight there.
+    places
+        Number of calls that it runs at once.
+    """
+    return seconds * (1 + running / max(1, places))
+
+
 class ServiceView:
     """The scheduler's last summary.
 
--- a/tests/edge/test_service_health.py
+++ b/tests/edge/test_service_health.py
@@ -16,6 +16,7 @@
 from hitchdeck_edge.model.mechanisms import Mechanisms
 from hitchdeck_edge.model.placing import Choice, PlacementQuery
 from hitchdeck_edge.model.upstreams import Phase, Upstream
+from hitchdeck_edge.scheduling.open_work import OpenWorkEntry
 from hitchdeck_edge.scheduling.placement import Placement
 from hitchdeck_edge.scheduling.service_calls import CallEnd, ServiceCalls
 from hitchdeck_edge.scheduling.service_health import (
@@ -252,6 +253,10 @@
         ([SLOW, QUICK], {SECOND}),
         ([replace(SLOW, seconds=0.02), QUICK], {FIRST, SECOND}),
         ([replace(QUICK, upstream=FIRST, failure_rate=0.5), QUICK], {SECOND}),
+        # The calls of all boxes count, in relation to the 6 places.
+        ([replace(QUICK, upstream=FIRST, running=2), QUICK], {SECOND}),
+        ([replace(SLOW, running=0), replace(QUICK, running=9)], {SECOND}),
+        ([replace(SLOW, running=0), replace(QUICK, running=15)], {FIRST}),
         # If nobody responds, any may.
         (
             [ServiceState(FIRST, silent=True), ServiceState(SECOND, silent=True)],
@@ -265,6 +270,20 @@
     assert chosen(placement_with(FakeClock(), *states)) == names
 
 
+def test_the_own_calls_of_a_box_count_beside_those_of_the_others() -> None:
+    placement = placement_with(
+        FakeClock(),
+        replace(QUICK, upstream=FIRST, running=2),
+        replace(QUICK, running=3),
+    )
+    assert chosen(placement) == {FIRST}
+    for _ in range(2):
+        OpenWorkEntry(placement.open_work, FIRST, 0)
+    # What hubs relay of the other boxes is not counted a second time.
+    placement.open_work.others.running[SECOND] = 9
+    assert chosen(placement) == {SECOND}
+
+
 def test_a_summary_of_a_scheduler_that_is_gone_is_not_used() -> None:
     clock = FakeClock()
     placement = placement_with(clock, ServiceState(FIRST, silent=True), QUICK)
--- a/tests/edge/test_shared_services.py
+++ b/tests/edge/test_shared_services.py
@@ -116,6 +116,24 @@
         assert (outbox.take() is not None) == sends
 
 
+@pytest.mark.parametrize(
+    ('how', 'at_once'),
+    [
+        (CallEnd.succeeded, False),
+        (CallEnd.refused, False),
+        (CallEnd.abandoned, False),
+        (CallEnd.lost, True),
+    ],
+)
+def test_only_a_lost_call_causes_a_frame(how: CallEnd, *, at_once: bool) -> None:
+    # Guards against two frames more for each of 100 calls a second.
+    outbox = Outbox()
+    calls = ServiceCalls(FakeClock())
+    calls.send_now = outbox.make_due
+    calls.end(calls.begin(NAME), how)
+    assert outbox.due == at_once
+
+
 @pytest.mark.parametrize(('hub_shares', 'box_shares'), [(True, False), (False, True)])
 async def test_a_process_that_shares_works_beside_one_that_does_not(
     *, hub_shares: bool, box_shares: bool
