Begin a second attempt of reads while their goal can be met

A read whose upstream had gone silent got its second attempt only when the first one ended, mostly at its deadline. Now the first one is given up after half of the goal, if another upstream is expected to respond within the rest and the retry budget allows it. Connecting to a plain service is limited to the same time: nothing was sent, so that any call may go elsewhere. Calls that must not repeat are still sent once.

--- a/packages/edge/src/hitchdeck_edge/dispatch/attempts.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/attempts.py
@@ -1,5 +1,6 @@
 """A request that is being served, and its attempts."""
 
+from collections.abc import Callable
 from enum import Enum
 from http import HTTPStatus
 from typing import TYPE_CHECKING
@@ -92,7 +93,14 @@
 class ActiveRequest:
     """A request that is being served, with its caller and response.
 
-    ``unreached_count`` is how many upstreams could not be reached.
+    Attributes
+    ----------
+    unreached_count
+        How many upstreams could not be reached.
+    begin_second
+        Decides whether to give up an attempt without a response and begin another.
+    retry_paid
+        Whether the retry budget was charged for the next attempt already.
     """
 
     context: RequestContext
@@ -101,6 +109,8 @@
     relay: StreamRelay
     unreached_count: int = 0
     last_attempt: Attempt | None = None
+    begin_second: Callable[[], bool] | None = None
+    retry_paid: bool = False
 
 
 def outcome_of(head: ResponseHead, *, not_run: bool) -> AttemptOutcome:
--- a/packages/edge/src/hitchdeck_edge/dispatch/dispatcher.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/dispatcher.py
@@ -5,7 +5,9 @@
 """
 
 import asyncio
+from functools import partial
 
+from hitchdeck_core import logs
 from hitchdeck_core.clock import Clock
 from hitchdeck_edge.dispatch.attempts import ActiveRequest, Attempt, AttemptOutcome
 from hitchdeck_edge.dispatch.budget import RetryBudget
@@ -18,6 +20,7 @@
 from hitchdeck_edge.model.refusals import Refusal
 from hitchdeck_edge.model.request_context import RequestContext
 from hitchdeck_edge.scheduling.chooser import Chooser
+from hitchdeck_edge.scheduling.service_calls import second_attempt_pays
 from hitchdeck_edge.serving.budgets import ByteBudget
 from hitchdeck_edge.serving.caller import CallerConnection
 
@@ -46,13 +49,17 @@
         self.sender = sender
         self.budget = budget
         self.now = now
+        self.second_attempts = 0
 
     def open(self, context: RequestContext, caller: CallerConnection) -> ActiveRequest:
         """Return the state of a request to serve; count it for the retry budget."""
         response = FinalResponse(self.adapter, context, caller)
         self.budget.count_request(context.pool.name)
         relay = StreamRelay(context, caller, self._spool(context, caller))
-        return ActiveRequest(context, caller, response, relay)
+        active = ActiveRequest(context, caller, response, relay)
+        if self.chooser.local.mechanisms.second_attempts:
+            active.begin_second = partial(self._begin_second, active)
+        return active
 
     async def serve(self, active: ActiveRequest) -> None:
         """Send the final response to a request before its deadline.
@@ -128,15 +135,45 @@
         if last_attempt is not None and last_attempt.outcome is AttemptOutcome.broken:
             self.sender.check_for_crash(active, last_attempt)
 
+    def _begin_second(self, active: ActiveRequest) -> bool:
+        """Decide whether to give up an attempt without a response for a second one.
+
+        The retry budget is charged, so that the second one is sure to begin.
+        """
+        context = active.context
+        if not self._allows_retry(active):
+            return False
+        goal_left = context.arrived + context.route.goal - self.now()
+        expected = self.chooser.expected_service_seconds(context)
+        if not second_attempt_pays(goal_left, expected):
+            return False
+        active.retry_paid = self.budget.try_spend(context.pool.name)
+        self.second_attempts += active.retry_paid
+        logs.info(
+            'second attempt' if active.retry_paid else 'no budget for second attempt',
+            request=context.call.request,
+            tried=sorted(context.tried),
+            goal_left=round(goal_left, 3),
+            expected=expected,
+        )
+        return active.retry_paid
+
     def _may_retry(self, active: ActiveRequest) -> bool:
+        if not self._allows_retry(active):
+            return False
+        if active.retry_paid:
+            active.retry_paid = False
+            return True
+        return self.budget.try_spend(active.context.pool.name)
+
+    def _allows_retry(self, active: ActiveRequest) -> bool:
+        """Tell whether a request may be sent again, apart from the budget."""
         context = active.context
         if context.sent >= context.route.attempts:
             return False
         if context.may_have_run and not context.repeatable:
             return False
-        if active.caller.started and not context.route.resumable:
-            return False
-        return self.budget.try_spend(context.pool.name)
+        return context.route.resumable or not active.caller.started
 
     async def _deliver(self, active: ActiveRequest, attempt: Attempt) -> None:
         if attempt.streamed:
--- a/packages/edge/src/hitchdeck_edge/dispatch/factory.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/factory.py
@@ -53,7 +53,7 @@
     """Choose plain services by what all boxes observe of them."""
     placement = chooser.local.placement
     calls = ServiceCalls(boot_seconds)
-    view = ServiceView(boot_seconds, budget.fleet_fraction)
+    view = ServiceView(boot_seconds, budget.fleet_fraction, placement.mechanisms)
     placement.services = view
     placement.keepers += [calls.keep, view.keep]
     calls.send_now = chooser.link.outbox.make_due
--- a/packages/edge/src/hitchdeck_edge/dispatch/sender.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/sender.py
@@ -76,12 +76,7 @@
         attempt = self._open_attempt(context, choice)
         connection: Connection | None = None
         try:
-            connection = await self.connections.acquire(
-                choice.upstream,
-                reuse=permitted_reuse(
-                    context, streams_reuse=self.connections.streams_reuse
-                ),
-            )
+            connection = await self._connect(context, attempt)
             if active.caller.has_disconnected():
                 self.connections.return_unused(choice.upstream.name, connection)
                 raise CallerDisconnectedError(
@@ -137,6 +132,14 @@
         """Avoid a crashed upstream on this box; the quarantine notifies the hubs."""
         self.placement.health.record_crash(UpstreamName(incarnation))
 
+    async def _connect(self, context: RequestContext, attempt: Attempt) -> Connection:
+        """Return a connection for an attempt, or raise ``NotSentError``."""
+        reuse = permitted_reuse(context, streams_reuse=self.connections.streams_reuse)
+        acquired = self.connections.acquire(attempt.choice.upstream, reuse=reuse)
+        if self.watch is None or attempt.watched is None:
+            return await acquired
+        return await self.watch.in_time(context, acquired)
+
     def _open_attempt(self, context: RequestContext, choice: Choice) -> Attempt:
         name = choice.upstream.name
         ticket = OpenWorkEntry(self.placement.open_work, name, choice.tokens)
--- a/packages/edge/src/hitchdeck_edge/dispatch/service_watch.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/service_watch.py
@@ -1,13 +1,15 @@
 """Observes the calls of a box to plain services while they are in flight."""
 
 import asyncio
+from collections.abc import Awaitable
 
 from hitchdeck_core import logs
 from hitchdeck_core.clock import Clock
-from hitchdeck_core.loop_load import loop_utilization
+from hitchdeck_core.loop_load import loop_lag, loop_utilization
 from hitchdeck_core.sockets import has_unread_input
 from hitchdeck_edge.dispatch.attempts import ActiveRequest, Attempt, AttemptOutcome
-from hitchdeck_edge.dispatch.upstream_connection import Connection
+from hitchdeck_edge.dispatch.upstream_connection import CONNECT_TURNS, Connection
+from hitchdeck_edge.errors import NotSentError
 from hitchdeck_edge.links.placing import OVERLOADED_UTILIZATION
 from hitchdeck_edge.links.service_exchange import ServiceExchange
 from hitchdeck_edge.model.placing import Choice
@@ -45,6 +47,27 @@
             return None
         return WatchedCall(self.calls.begin(choice.upstream.name))
 
+    async def in_time(
+        self, context: RequestContext, acquired: Awaitable[Connection]
+    ) -> Connection:
+        """Return a connection, if it is there while another attempt is in time.
+
+        Nothing was sent until then, so that another attempt is safe for every call.
+
+        Raises
+        ------
+        NotSentError
+            It was not established in time.
+        """
+        # The delay of an overloaded event loop must not count as the upstream's.
+        delay = CONNECT_TURNS * loop_lag()
+        seconds = unanswered_after(context.route.goal) + delay
+        try:
+            async with asyncio.timeout(seconds):
+                return await acquired
+        except TimeoutError as error:
+            raise NotSentError(f'no connection within {seconds:.3f} s') from error
+
     def start_timer(
         self, active: ActiveRequest, attempt: Attempt, connection: Connection
     ) -> None:
@@ -93,6 +116,8 @@
         )
         self.calls.mark_unanswered(attempt.watched.call)
         self.health.record_failure(attempt.upstream, 'no response in time')
+        if active.begin_second is not None and active.begin_second():
+            connection.abort_pending('given up for a second attempt')
 
 
 def _has_input(connection: Connection) -> bool:
--- a/packages/edge/src/hitchdeck_edge/dispatch/upstream_connection.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/upstream_connection.py
@@ -234,9 +234,9 @@
         if self.transport is not None and not self.closed:
             self.transport.resume_reading()
 
-    def abort_pending(self) -> None:
+    def abort_pending(self, reason: str = 'upstream was removed') -> None:
         """Abort the connection, and fail a pending wait for a response."""
-        self.failure = ConnectionAbortedError('upstream was removed')
+        self.failure = ConnectionAbortedError(reason)
         self.abort()
         self._wake()
 
--- a/packages/edge/src/hitchdeck_edge/model/mechanisms.py
+++ b/packages/edge/src/hitchdeck_edge/model/mechanisms.py
@@ -43,6 +43,9 @@
         Streams that are not resumed may use kept connections, if the settings say so.
     service_health
         Boxes share what they observe of plain services, if the settings say so.
+    second_attempts
+        Calls that may repeat get a second attempt before a silent first one ends, where
+        boxes share what they observe.
     """
 
     scheduler: bool = True
@@ -60,6 +63,7 @@
     box_resources: bool = True
     stream_reuse: bool = True
     service_health: bool = True
+    second_attempts: bool = True
 
     def __post_init__(self) -> None:
         """Check that each switch is a boolean."""
--- a/packages/edge/src/hitchdeck_edge/process.py
+++ b/packages/edge/src/hitchdeck_edge/process.py
@@ -119,6 +119,7 @@
             return
         metrics = self.admission.metrics
         metrics.calls_unanswered = link.services.calls.unanswered
+        metrics.second_attempts = self.admission.dispatcher.second_attempts
         metrics.silent_avoided = link.services.view.avoided
         metrics.silent_tried = link.services.view.trials
 
--- a/packages/edge/src/hitchdeck_edge/scheduling/chooser.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/chooser.py
@@ -88,6 +88,15 @@
             self.local.shares.grant(query)
         return decision
 
+    def expected_service_seconds(self, context: RequestContext) -> float | None:
+        """Return the expected time of a call at a plain service that it has not tried.
+
+        ``None`` if no such one responds.
+        """
+        closed = frozenset(self.backpressure.blocked())
+        query = replace(context.placement_query(self.domain), avoid=closed)
+        return self.local.placement.expected_service_seconds(query)
+
     async def _decide_alone(
         self,
         query: PlacementQuery,
--- a/packages/edge/src/hitchdeck_edge/scheduling/placement.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/placement.py
@@ -10,7 +10,7 @@
 """
 
 import random
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Mapping
 from types import MappingProxyType
 
 from hitchdeck_core.hashing import ranked
@@ -34,7 +34,6 @@
 from hitchdeck_edge.scheduling.health import Health
 from hitchdeck_edge.scheduling.open_work import OpenWorkEntry, OpenWorkTable
 from hitchdeck_edge.scheduling.prefix_cache import PrefixCacheModel
-from hitchdeck_edge.scheduling.service_health import ServiceState
 from hitchdeck_edge.scheduling.service_view import ServiceView, expected_seconds
 from hitchdeck_edge.state.registry import Registry
 
@@ -122,8 +121,9 @@
         if not candidates:
             return None
         if not query.slots or query.prompt is None:
-            compared = self._compared_services(query, candidates)
-            best = min(compared, key=lambda one: self._service_cost(one, query))
+            if self.services is not None:
+                candidates = list(self.services.compared(candidates, query))
+            best = min(candidates, key=lambda one: self._service_cost(one, query))
             return Choice(best, 0, 0)
         return self._choose_engine(query, query.prompt, candidates)
 
@@ -187,6 +187,21 @@
         if self.costs is not None:
             self.costs.keep(present)
 
+    def expected_service_seconds(self, query: PlacementQuery) -> float | None:
+        """Return the expected time of a call at the best plain service that responds.
+
+        ``None`` if there is none.
+        """
+        view = self.services
+        seconds = [
+            self._service_seconds(one)
+            for one in self.candidates(query)
+            if not one.unresponsive
+            and not self.health.is_ejected(one.name)
+            and not (view is not None and view.is_silent(one.name))
+        ]
+        return min(seconds, default=None)
+
     def soonest(self, query: PlacementQuery) -> Choice | None:
         """Return the engine with a free slot that makes the first token soonest.
 
@@ -333,37 +348,25 @@
     def _is_full(self, upstream: Upstream, query: PlacementQuery) -> bool:
         return self.open_work.running(upstream.name) >= query.slots
 
-    def _compared_services(
-        self, query: PlacementQuery, candidates: Sequence[Upstream]
-    ) -> Sequence[Upstream]:
-        """Return the plain services among which the cheapest one is chosen."""
-        view = self.services
-        if view is None or not self.mechanisms.service_health:
-            return candidates
-        domain = query.domain if self.mechanisms.near_first else ''
-        return view.compared(view.usable(candidates, query), domain)
-
-    def _service_state(self, name: UpstreamName) -> ServiceState | None:
-        """Return what the fleet observed of a plain service, if this box knows it."""
-        if self.services is None or not self.mechanisms.service_health:
-            return None
-        return self.services.state(name)
+    def _service_seconds(self, upstream: Upstream) -> float:
+        """Return the expected time of a call at a plain service."""
+        name = upstream.name
+        state = self.services.state(name) if self.services is not None else None
+        if state is None:
+            seconds = max(MIN_SERVICE_SECONDS, self.health.record(name).seconds)
+            return (self.open_work.running(name) + 1) * seconds
+        running = state.running + self.open_work.own.running.get(name, 0)
+        seconds = max(MIN_SERVICE_SECONDS, state.seconds)
+        return expected_seconds(seconds, running, upstream.slots)
 
     def _service_cost(self, upstream: Upstream, query: PlacementQuery) -> float:
         name = upstream.name
-        state = self._service_state(name)
-        record = state or self.health.record(name)
-        seconds = max(MIN_SERVICE_SECONDS, record.seconds)
-        if state is None:
-            expected = (self.open_work.running(name) + 1) * seconds
-        else:
-            running = state.running + self.open_work.own.running.get(name, 0)
-            expected = expected_seconds(seconds, running, upstream.slots)
-        doubt = 1 + FAILURE_WEIGHT * record.failure_rate
+        state = self.services.state(name) if self.services is not None else None
+        doubt = 1 + FAILURE_WEIGHT * (state or self.health.record(name)).failure_rate
         near = upstream.domain == query.domain or not self.mechanisms.near_first
         far = 1 if near else FAR_FACTOR
         jitter = random.uniform(1, JITTER_FACTOR)
-        return expected * doubt * far * jitter
+        return self._service_seconds(upstream) * doubt * far * jitter
 
 
 def _first_token_seconds(choice: Choice) -> float:
--- a/packages/edge/src/hitchdeck_edge/scheduling/service_calls.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/service_calls.py
@@ -161,6 +161,23 @@
     return UNANSWERED_FRACTION * goal
 
 
+def second_attempt_pays(goal_left: float, expected: float | None) -> bool:
+    """Tell whether to give up a call without a response and send it elsewhere.
+
+    Load: an upstream that has gone silent, with calls that may repeat in flight there.
+    Otherwise a late response earns more than a second attempt that is late as well.
+
+    Parameters
+    ----------
+    goal_left
+        Seconds until the response is due.
+    expected
+        Expected seconds of the call at the best other upstream; ``None`` if no other
+        one responds.
+    """
+    return expected is not None and expected <= goal_left
+
+
 def _age(moment: float, now: float) -> float | None:
     return None if moment == -math.inf else max(0, now - moment)
 
--- a/packages/edge/src/hitchdeck_edge/scheduling/service_view.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/service_view.py
@@ -12,6 +12,7 @@
 from hitchdeck_core import logs
 from hitchdeck_core.clock import Clock
 from hitchdeck_core.ids import UpstreamName
+from hitchdeck_edge.model.mechanisms import ALL_MECHANISMS, Mechanisms
 from hitchdeck_edge.model.placing import PlacementQuery
 from hitchdeck_edge.model.upstreams import Upstream
 from hitchdeck_edge.scheduling.service_health import ServiceState
@@ -75,9 +76,13 @@
     """
 
     def __init__(
-        self, now: Clock, fraction: Callable[[], float] = _whole_fleet
+        self,
+        now: Clock,
+        fraction: Callable[[], float] = _whole_fleet,
+        mechanisms: Mechanisms = ALL_MECHANISMS,
     ) -> None:
         self.now = now
+        self.mechanisms = mechanisms
         self.fleet_fraction = fraction
         self.draw = random.random
         self.states: dict[UpstreamName, ServiceState] = {}
@@ -111,12 +116,12 @@
             self._forget_silence(name)
 
     def state(self, name: UpstreamName) -> ServiceState | None:
-        """Return the state of an upstream if the summary has it and is recent."""
-        return self.states.get(name) if self._is_recent() else None
+        """Return the state of an upstream if the summary has it and is used."""
+        return self.states.get(name) if self._is_used() else None
 
     def is_silent(self, name: UpstreamName) -> bool:
         """Tell whether an upstream is silent for the fleet."""
-        return name in self.silent_since and self._is_recent()
+        return name in self.silent_since and self._is_used()
 
     def note_response(self, name: UpstreamName) -> None:
         """Use a silent upstream again that has responded to this box."""
@@ -129,7 +134,7 @@
 
         If all are silent, all are returned.
         """
-        if not self.silent_since or not self._is_recent():
+        if not self.silent_since or not self._is_used():
             return upstreams
         responding = [one for one in upstreams if one.name not in self.silent_since]
         if not responding or len(responding) == len(upstreams):
@@ -150,16 +155,18 @@
         return responding if tried is None else [tried]
 
     def compared(
-        self, upstreams: Sequence[Upstream], domain: str
+        self, upstreams: Sequence[Upstream], query: PlacementQuery
     ) -> Sequence[Upstream]:
-        """Return the near upstreams, and one other or two if none is near.
+        """Return the usable upstreams that are near, and one other or two if none is.
 
         Without a recent summary of any, all are compared by what this box knows.
         """
-        if not any(self.state(one.name) for one in upstreams):
-            return upstreams
-        near = [one for one in upstreams if one.domain == domain]
-        others = [one for one in upstreams if one.domain != domain]
+        usable = self.usable(upstreams, query)
+        if not any(self.state(one.name) for one in usable):
+            return usable
+        domain = query.domain if self.mechanisms.near_first else ''
+        near = [one for one in usable if one.domain == domain]
+        others = [one for one in usable if one.domain != domain]
         drawn = min(len(others), 1 if near else 2)
         return near + random.sample(others, drawn)
 
@@ -186,8 +193,9 @@
         expected = rate * self.fleet_fraction() * elapsed
         return self.draw() < -math.expm1(-expected)
 
-    def _is_recent(self) -> bool:
-        return self.now() - self.updated_at <= MAX_AGE_SECONDS
+    def _is_used(self) -> bool:
+        recent = self.now() - self.updated_at <= MAX_AGE_SECONDS
+        return recent and self.mechanisms.service_health
 
     def _forget_silence(self, name: UpstreamName) -> None:
         self.silent_since.pop(name, None)
--- a/packages/edge/src/hitchdeck_edge/serving/metrics.py
+++ b/packages/edge/src/hitchdeck_edge/serving/metrics.py
@@ -53,6 +53,8 @@
     silent_avoided, silent_tried
         Calls that avoided upstreams which were silent for the fleet, and calls that
         tried one again.
+    second_attempts
+        Calls that got a second attempt before the first one ended.
     """
 
     def __init__(self, now: Clock) -> None:
@@ -74,6 +76,7 @@
         self.calls_unanswered = 0
         self.silent_avoided = 0
         self.silent_tried = 0
+        self.second_attempts = 0
 
     def record_served(
         self, context: RequestContext, outcome: str, seconds: float
@@ -126,6 +129,7 @@
             f'hitchdeck_service_calls_unanswered_total {self.calls_unanswered}',
             f'hitchdeck_service_silent_avoided_total {self.silent_avoided}',
             f'hitchdeck_service_silent_tried_total {self.silent_tried}',
+            f'hitchdeck_service_second_attempts_total {self.second_attempts}',
         ]
         lines.extend(
             f'hitchdeck_requests_total{{outcome="{name}"}} {count}'
--- a/tests/edge/test_service_health.py
+++ b/tests/edge/test_service_health.py
@@ -228,7 +228,7 @@
     placement = scheduler_of(clock, 0, mechanisms or Mechanisms()).placement
     for name in (FIRST, SECOND):
         placement.registry.merge(service(name), 'test')
-    placement.services = ServiceView(clock)
+    placement.services = ServiceView(clock, mechanisms=placement.mechanisms)
     placement.services.draw = never
     placement.services.update(states)
     return placement
@@ -376,9 +376,10 @@
     view = ServiceView(FakeClock())
     names = [UpstreamName(f'p{number}') for number in range(6)]
     places = [service(one, 'a' if one in names[:2] else 'b') for one in names]
-    assert view.compared(places, domain) == places
+    query = replace(call_query(), domain=domain)
+    assert view.compared(places, query) == places
     view.update([ServiceState(one, seconds=0.02) for one in names])
-    compared = view.compared(places, domain)
+    compared = view.compared(places, query)
     assert len(compared) == most
     assert domain == 'c' or set(places[:2]) <= set(compared)
 
--- a/tests/edge/test_shared_services.py
+++ b/tests/edge/test_shared_services.py
@@ -5,16 +5,21 @@
 from collections.abc import AsyncIterator, Callable, Iterable
 from contextlib import AsyncExitStack, asynccontextmanager
 from pathlib import Path
+from typing import NamedTuple
 
 import pytest
 
 from hitchdeck_core.channels import require_fleet_token, serve
 from hitchdeck_core.clock import boot_seconds
 from hitchdeck_core.ids import Address, UpstreamName
+from hitchdeck_edge.dispatch import connections
+from hitchdeck_edge.dispatch.dispatcher import Dispatcher
+from hitchdeck_edge.dispatch.upstream_connection import Connection
 from hitchdeck_edge.hub.placing import FleetSize, PlacingService
 from hitchdeck_edge.links.outbox import Outbox
 from hitchdeck_edge.links.placing import PlacingLink
 from hitchdeck_edge.links.service_exchange import ServiceExchange
+from hitchdeck_edge.model.mechanisms import Mechanisms
 from hitchdeck_edge.model.placing import Choice
 from hitchdeck_edge.process import EntryBox
 from hitchdeck_edge.scheduling.service_calls import CallEnd, ServiceCalls
@@ -215,3 +220,79 @@
         while table.silent:
             assert await call(site, site.boxes[2], '/g/', 'again') == 200
     assert not view.is_silent(name)
+
+
+class Second(NamedTuple):
+    """A call whose first upstream is silent, and what becomes of it."""
+
+    path: str
+    status: int
+    sent: int
+    prepare: Callable[[Dispatcher], None] = id
+
+
+def no_budget(dispatcher: Dispatcher) -> None:
+    dispatcher.budget.share = 0
+    dispatcher.budget.extra = 0
+
+
+def no_other(dispatcher: Dispatcher) -> None:
+    dispatcher.sender.placement.health.record_crash(UpstreamName('p2'))
+
+
+def slow_other(dispatcher: Dispatcher) -> None:
+    dispatcher.sender.placement.health.record(UpstreamName('p2')).seconds = 1
+
+
+def mechanism_off(dispatcher: Dispatcher) -> None:
+    dispatcher.chooser.local.mechanisms = Mechanisms(second_attempts=False)
+
+
+@pytest.mark.parametrize(
+    'case',
+    [
+        Second('/g/', 200, 2),
+        # It must not repeat.
+        Second('/u/', 504, 1),
+        Second('/g/', 504, 1, no_budget),
+        # The first response may still come, and no other would come in time.
+        Second('/g/', 504, 1, no_other),
+        Second('/g/', 504, 1, slow_other),
+        Second('/g/', 504, 1, mechanism_off),
+    ],
+)
+async def test_a_call_that_may_repeat_gets_a_second_attempt_in_time(
+    site: Site, case: Second
+) -> None:
+    box = site.boxes[0]
+    dispatcher = box.admission.dispatcher
+    case.prepare(dispatcher)
+    silent, other = (one for one in site.workers if one.pool == 'app')
+    dispatcher.sender.placement.health.record(UpstreamName('p2')).failure_rate = 1
+    silent.misbehave(Fault.hang, 9)
+    assert await call(site, box, case.path, 'r') == case.status
+    assert silent.ran == ['r']
+    assert len(other.ran) == case.sent - 1
+    assert dispatcher.second_attempts == case.sent - 1
+
+
+@pytest.mark.parametrize('path', ['/g/', '/u/'])
+async def test_a_call_that_cannot_connect_goes_elsewhere_in_time(
+    site: Site, monkeypatch: pytest.MonkeyPatch, path: str
+) -> None:
+    # Guards against waiting for a connection to a lost host beyond the goal of a call.
+    box = site.boxes[0]
+    lost, other = (one for one in site.workers if one.pool == 'app')
+    health = box.admission.dispatcher.sender.placement.health
+    health.record(UpstreamName('p2')).failure_rate = 1
+    open_connection = connections.connect
+
+    async def connect(address: Address) -> Connection:
+        if address == lost.address:
+            await asyncio.sleep(60)
+        return await open_connection(address)
+
+    monkeypatch.setattr(connections, 'connect', connect)
+    assert await call(site, box, path, 'r') == 200
+    assert other.ran == ['r']
+    assert health.is_ejected(UpstreamName('p1'))
