--- a/packages/edge/src/hitchdeck_edge/dispatch/factory.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/factory.py
@@ -11,6 +11,7 @@
 from hitchdeck_edge.model.adapter import PlatformAdapter
 from hitchdeck_edge.scheduling.chooser import Chooser
 from hitchdeck_edge.scheduling.service_calls import ServiceCalls
+from hitchdeck_edge.scheduling.service_places import ServicePlaces
 from hitchdeck_edge.scheduling.service_view import ServiceView
 from hitchdeck_edge.settings import EntrySettings
 from hitchdeck_edge.state.fleet_state import FleetState
@@ -56,5 +57,6 @@
     view = ServiceView(boot_seconds, budget.fleet_fraction, placement.mechanisms)
     placement.services = view
     placement.keepers += [calls.keep, view.keep]
+    chooser.service_places = ServicePlaces(placement, view, boot_seconds)
     calls.send_now = chooser.link.outbox.make_due
     chooser.link.services = ServiceExchange(calls, view)
--- a/packages/edge/src/hitchdeck_edge/dispatch/service_watch.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/service_watch.py
@@ -91,6 +91,7 @@
             watched.timer.cancel()
         how = _end_of(attempt)
         self.calls.end(watched.call, how)
+        self.view.changed.notify()
         responded = how in {CallEnd.succeeded, CallEnd.refused}
         if responded and self.view.is_silent(attempt.upstream):
             self.view.note_response(attempt.upstream)
--- a/packages/edge/src/hitchdeck_edge/model/mechanisms.py
+++ b/packages/edge/src/hitchdeck_edge/model/mechanisms.py
@@ -46,6 +46,9 @@
     second_attempts
         Calls that may repeat get a second attempt before a silent first one ends, where
         boxes share what they observe.
+    service_waits
+        Calls wait at their box while all places of a plain service are taken, where
+        boxes share what they observe.
     """
 
     scheduler: bool = True
@@ -64,6 +67,7 @@
     stream_reuse: bool = True
     service_health: bool = True
     second_attempts: bool = True
+    service_waits: bool = True
 
     def __post_init__(self) -> None:
         """Check that each switch is a boolean."""
--- a/packages/edge/src/hitchdeck_edge/process.py
+++ b/packages/edge/src/hitchdeck_edge/process.py
@@ -22,6 +22,7 @@
 from hitchdeck_edge.serving.caller_server import CallerServer, caller_socket
 from hitchdeck_edge.serving.graceful_stop import GracefulStop
 from hitchdeck_edge.serving.handoff import Handoff
+from hitchdeck_edge.serving.metrics import SERVICE_COUNTS
 from hitchdeck_edge.serving.status_pages import listen, metrics_page, ready_page
 from hitchdeck_edge.settings import EntrySettings
 from hitchdeck_edge.state.fleet_state import new_fleet_state
@@ -114,14 +115,20 @@
         self.admission.metrics.handed_off = self.caller_server.handoff.handed_off
 
     def _report_service_calls(self) -> None:
-        link = self.admission.dispatcher.chooser.link
-        if link.services is None:
+        chooser = self.admission.dispatcher.chooser
+        link = chooser.link
+        if link.services is None or chooser.service_places is None:
             return
-        metrics = self.admission.metrics
-        metrics.calls_unanswered = link.services.calls.unanswered
-        metrics.second_attempts = self.admission.dispatcher.second_attempts
-        metrics.silent_avoided = link.services.view.avoided
-        metrics.silent_tried = link.services.view.trials
+        found = (
+            link.services.calls.unanswered,
+            link.services.view.avoided,
+            link.services.view.trials,
+            self.admission.dispatcher.second_attempts,
+            chooser.service_places.waited,
+            chooser.service_places.refused,
+        )
+        counts = self.admission.metrics.service_counts
+        counts.update(zip(SERVICE_COUNTS, found, strict=True))
 
 
 async def start_entry(settings: EntrySettings, adapter: PlatformAdapter) -> EntryBox:
--- a/packages/edge/src/hitchdeck_edge/scheduling/chooser.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/chooser.py
@@ -11,6 +11,7 @@
 from hitchdeck_edge.model.request_context import THIS_BOX, RequestContext
 from hitchdeck_edge.scheduling.engine_memory import exceeds_memory
 from hitchdeck_edge.scheduling.scheduler import BoxTicket, Scheduler, Unplaced
+from hitchdeck_edge.scheduling.service_places import ServicePlaces
 from hitchdeck_edge.scheduling.waiting import Decided, Reviews, WaitingQueue
 
 MIN_WAIT_SECONDS = 0.001
@@ -29,6 +30,9 @@
         responses and would otherwise have to keep this state for every box.
     goal_wait
         Part of its goal for which a request may wait for a place.
+    service_places
+        Holds calls while all places of plain services are taken; ``None`` where boxes
+        don't share what they observe.
     """
 
     def __init__(
@@ -48,6 +52,7 @@
         self.queue = WaitingQueue(local, self._attempt, link.now, max_placed=1)
         self.reviews = Reviews(self.queue, self._deliver)
         self.backpressure = Backpressure(link.now)
+        self.service_places: ServicePlaces | None = None
 
     def give_back(self, choice: Choice) -> None:
         """Release a choice that is not used, so that it no longer counts as load."""
@@ -67,7 +72,7 @@
             if not self.local.placement.eligible(query):
                 return Refusal.no_upstream
         if not query.slots or query.prompt is None:
-            return self._choose_service(query)
+            return await self._choose_service(query, context)
         if self._exceeds_memory(context):
             return Refusal.too_large
         wait = self.goal_wait * query.goal
@@ -95,7 +100,9 @@
         """
         closed = frozenset(self.backpressure.blocked())
         query = replace(context.placement_query(self.domain), avoid=closed)
-        return self.local.placement.expected_service_seconds(query)
+        placement = self.local.placement
+        others = placement.responding_services(query)
+        return min(map(placement.service_seconds, others), default=None)
 
     async def _decide_alone(
         self,
@@ -141,7 +148,15 @@
             return False
         return exceeds_memory(prompt, engine.memory_tokens)
 
-    def _choose_service(self, query: PlacementQuery) -> Choice | Refusal:
+    async def _choose_service(
+        self, query: PlacementQuery, context: RequestContext
+    ) -> Choice | Refusal:
+        waits = self.service_places is not None and not query.tried
+        if waits and self.local.mechanisms.service_waits:
+            assert self.service_places is not None
+            due_at = context.arrived + query.goal
+            if not await self.service_places.admit(query, due_at):
+                return Refusal.overloaded
         choice = self.local.placement.choose(query)
         if choice is None:
             return Refusal.no_upstream
--- a/packages/edge/src/hitchdeck_edge/scheduling/placement.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/placement.py
@@ -187,20 +187,27 @@
         if self.costs is not None:
             self.costs.keep(present)
 
-    def expected_service_seconds(self, query: PlacementQuery) -> float | None:
-        """Return the expected time of a call at the best plain service that responds.
-
-        ``None`` if there is none.
-        """
+    def responding_services(self, query: PlacementQuery) -> list[Upstream]:
+        """Return the plain services for a call that respond, as far as known."""
         view = self.services
-        seconds = [
-            self._service_seconds(one)
+        return [
+            one
             for one in self.candidates(query)
             if not one.unresponsive
             and not self.health.is_ejected(one.name)
             and not (view is not None and view.is_silent(one.name))
         ]
-        return min(seconds, default=None)
+
+    def service_seconds(self, upstream: Upstream) -> float:
+        """Return the expected time of a call at a plain service."""
+        name = upstream.name
+        state = self.services.state(name) if self.services is not None else None
+        if state is None:
+            seconds = max(MIN_SERVICE_SECONDS, self.health.record(name).seconds)
+            return (self.open_work.running(name) + 1) * seconds
+        running = state.running + self.open_work.own.running.get(name, 0)
+        seconds = max(MIN_SERVICE_SECONDS, state.seconds)
+        return expected_seconds(seconds, running, upstream.slots)
 
     def soonest(self, query: PlacementQuery) -> Choice | None:
         """Return the engine with a free slot that makes the first token soonest.
@@ -348,17 +355,6 @@
     def _is_full(self, upstream: Upstream, query: PlacementQuery) -> bool:
         return self.open_work.running(upstream.name) >= query.slots
 
-    def _service_seconds(self, upstream: Upstream) -> float:
-        """Return the expected time of a call at a plain service."""
-        name = upstream.name
-        state = self.services.state(name) if self.services is not None else None
-        if state is None:
-            seconds = max(MIN_SERVICE_SECONDS, self.health.record(name).seconds)
-            return (self.open_work.running(name) + 1) * seconds
-        running = state.running + self.open_work.own.running.get(name, 0)
-        seconds = max(MIN_SERVICE_SECONDS, state.seconds)
-        return expected_seconds(seconds, running, upstream.slots)
-
     def _service_cost(self, upstream: Upstream, query: PlacementQuery) -> float:
         name = upstream.name
         state = self.services.state(name) if self.services is not None else None
@@ -366,7 +362,7 @@
         near = upstream.domain == query.domain or not self.mechanisms.near_first
         far = 1 if near else FAR_FACTOR
         jitter = random.uniform(1, JITTER_FACTOR)
-        return self._service_seconds(upstream) * doubt * far * jitter
+        return self.service_seconds(upstream) * doubt * far * jitter
 
 
 def _first_token_seconds(choice: Choice) -> float:
--- a/packages/edge/src/hitchdeck_edge/scheduling/service_view.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/service_view.py
@@ -12,6 +12,7 @@
 from hitchdeck_core import logs
 from hitchdeck_core.clock import Clock
 from hitchdeck_core.ids import UpstreamName
+from hitchdeck_core.signals import Signal
 from hitchdeck_edge.model.mechanisms import ALL_MECHANISMS, Mechanisms
 from hitchdeck_edge.model.placing import PlacementQuery
 from hitchdeck_edge.model.upstreams import Upstream
@@ -64,6 +65,8 @@
         When the scheduler was last heard from.
     fleet_fraction
         Returns this box's fraction of the fleet, from 0 to 1.
+    changed
+        Notified when there may be places again.
     silent_since
         When this box learned that an upstream is silent.
     considered_at
@@ -85,6 +88,7 @@
         self.mechanisms = mechanisms
         self.fleet_fraction = fraction
         self.draw = random.random
+        self.changed = Signal()
         self.states: dict[UpstreamName, ServiceState] = {}
         self.updated_at = -math.inf
         self.silent_since: dict[UpstreamName, float] = {}
@@ -95,6 +99,7 @@
     def update(self, states: Iterable[ServiceState]) -> None:
         """Apply what the scheduler sent; without states, all are as before."""
         self.updated_at = self.now()
+        self.changed.notify()
         for state in states:
             self.states[state.upstream] = state
             if state.silent:
--- a/packages/edge/src/hitchdeck_edge/serving/metrics.py
+++ b/packages/edge/src/hitchdeck_edge/serving/metrics.py
@@ -26,6 +26,20 @@
 streams that a stopping box admitted on that basis outlasted its grace period of 8 s."""
 
 
+SERVICE_COUNTS = (
+    'calls_unanswered',
+    'silent_avoided',
+    'silent_tried',
+    'second_attempts',
+    'calls_waited',
+    'calls_refused_late',
+)
+"""Counts of calls to plain services: those without a response in time, those that
+avoided upstreams which were silent for the fleet or tried one again, those that got a
+second attempt before the first one ended, and those that waited for a place or were
+refused as they would have been late."""
+
+
 class EntryMetrics:
     """Values that are served on the metrics address.
 
@@ -48,13 +62,8 @@
     connections_opened, connections_reused
         Connections to upstreams that were opened for requests, and requests that used
         a kept one.
-    calls_unanswered
-        Calls to plain services without a response in time.
-    silent_avoided, silent_tried
-        Calls that avoided upstreams which were silent for the fleet, and calls that
-        tried one again.
-    second_attempts
-        Calls that got a second attempt before the first one ended.
+    service_counts
+        Counts of calls to plain services, by what happened to them.
     """
 
     def __init__(self, now: Clock) -> None:
@@ -73,10 +82,7 @@
         self.evicted = 0
         self.connections_opened = 0
         self.connections_reused = 0
-        self.calls_unanswered = 0
-        self.silent_avoided = 0
-        self.silent_tried = 0
-        self.second_attempts = 0
+        self.service_counts = dict.fromkeys(SERVICE_COUNTS, 0)
 
     def record_served(
         self, context: RequestContext, outcome: str, seconds: float
@@ -126,11 +132,11 @@
             f'hitchdeck_evicted_total {self.evicted}',
             f'hitchdeck_upstream_connections_opened_total {self.connections_opened}',
             f'hitchdeck_upstream_connections_reused_total {self.connections_reused}',
-            f'hitchdeck_service_calls_unanswered_total {self.calls_unanswered}',
-            f'hitchdeck_service_silent_avoided_total {self.silent_avoided}',
-            f'hitchdeck_service_silent_tried_total {self.silent_tried}',
-            f'hitchdeck_service_second_attempts_total {self.second_attempts}',
         ]
+        lines.extend(
+            f'hitchdeck_service_{name}_total {count}'
+            for name, count in self.service_counts.items()
+        )
         lines.extend(
             f'hitchdeck_requests_total{{outcome="{name}"}} {count}'
             for name, count in sorted(self.outcomes.items())
--- a/tests/edge/test_shared_services.py
+++ b/tests/edge/test_shared_services.py
@@ -296,3 +296,17 @@
     assert await call(site, box, path, 'r') == 200
     assert other.ran == ['r']
     assert health.is_ejected(UpstreamName('p1'))
+
+
+@pytest.mark.parametrize(('waits', 'status'), [(True, 503), (False, 200)])
+async def test_a_call_that_would_be_late_is_not_sent(
+    site: Site, *, waits: bool, status: int
+) -> None:
+    box = site.boxes[0]
+    workers = [one for one in site.workers if one.pool == 'app']
+    full = [ServiceState(UpstreamName(one.life), 40, 0.1) for one in workers]
+    view_of(box).update(full)
+    mechanisms = Mechanisms(service_waits=waits)
+    box.admission.dispatcher.chooser.local.mechanisms = mechanisms
+    assert await call(site, box, '/u/', 'r') == status
+    assert any(one.ran for one in workers) == (not waits)
