Bound the frames about plain services, and pass silence to the next scheduler

A box is told of plain services with the answers to its queries, and in a frame of its own only after half a second without one. A new scheduler learns from the boxes which upstreams were silent. Goals of zero and ages of any size are safe.

--- a/packages/edge/src/hitchdeck_edge/dispatch/service_watch.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/service_watch.py
@@ -61,7 +61,7 @@
         """
         # The delay of an overloaded event loop must not count as the upstream's.
         delay = CONNECT_TURNS * loop_lag()
-        seconds = unanswered_after(context.route.goal) + delay
+        seconds = _patience(context) + delay
         try:
             async with asyncio.timeout(seconds):
                 return await acquired
@@ -76,7 +76,7 @@
         if watched is None:
             return
         elapsed = self.now() - attempt.started_at
-        left = unanswered_after(active.context.route.goal) - elapsed
+        left = _patience(active.context) - elapsed
         loop = asyncio.get_running_loop()
         watched.timer = loop.call_later(
             max(0, left), self._note_unanswered, active, attempt, connection
@@ -121,6 +121,11 @@
             connection.abort_pending('given up for a second attempt')
 
 
+def _patience(context: RequestContext) -> float:
+    """Return the seconds after which a call without a response counts as unanswered."""
+    return unanswered_after(context.route.goal or context.route.time_limit)
+
+
 def _has_input(connection: Connection) -> bool:
     """Tell whether a part of the response has arrived, or the connection ended."""
     if connection.closed or connection.transport is None or connection.parser.events:
--- a/packages/edge/src/hitchdeck_edge/hub/placing.py
+++ b/packages/edge/src/hitchdeck_edge/hub/placing.py
@@ -36,6 +36,15 @@
 """How long boxes that have disconnected count as part of the fleet."""
 
 
+QUIET_SECONDS = 0.5
+"""Time without a query of a box after which it is told of plain services in a frame of
+its own.  Answers to queries, several a second, carry what is new otherwise."""
+
+TELL_INTERVAL_SECONDS = 0.5
+"""Least time between two messages to all boxes that an upstream has become silent, so
+that one which loses every other call does not cause hundreds of frames a second."""
+
+
 class _Box:
     """One box on one stream; ``name`` is unique to the stream."""
 
@@ -50,6 +59,7 @@
         self.stream = stream
         self.sending = asyncio.Lock()
         self.sends: set[asyncio.Task[None]] = set()
+        self.told_at = 0.0
 
     async def send(
         self, answers: list[Placed], states: list[ServiceState] | None = None
@@ -91,6 +101,8 @@
     ----------
     services
         What the boxes observed of plain services; ``None`` where they don't share it.
+    told_all_at
+        When all boxes were last told at once that an upstream has become silent.
     """
 
     def __init__(self, scheduler: Scheduler, fleet: FleetSize) -> None:
@@ -103,6 +115,7 @@
         self.reviews = Reviews(self.queue, self._deliver)
         scheduler.placement.cold_budget.rate_fraction = self.fleet_fraction
         self.services: ServiceTable | None = None
+        self.told_all_at = 0.0
 
     def share_services(self) -> None:
         """Tell each box what the others observe of plain services."""
@@ -184,16 +197,21 @@
         for message in frame.services:
             if message.upstream in known:
                 turned_silent |= self.services.apply(box.name, decode_report(message))
-        if turned_silent:
-            self._tell_others(box)
+        now = self.scheduler.now()
+        if turned_silent and now - self.told_all_at >= TELL_INTERVAL_SECONDS:
+            self.told_all_at = now
+            for one in self.boxes.values():
+                self._tell(one, self.services)
+        if not frame.wanted and now - box.told_at < QUIET_SECONDS:
+            return []
+        box.told_at = now
         return self.services.changes_for(box.name)
 
-    def _tell_others(self, reporter: _Box) -> None:
-        """Tell all other boxes at once of upstreams that have become silent."""
-        assert self.services is not None
-        for box in self.boxes.values():
-            if box is not reporter:
-                self._start_send(box, [], self.services.changes_for(box.name))
+    def _tell(self, box: _Box, services: ServiceTable) -> None:
+        """Tell a box in a frame of its own what is new to it."""
+        states = services.changes_for(box.name)
+        if states:
+            self._start_send(box, [], states)
 
     def _place(self, box: _Box, message: WantedMessage) -> Placed:
         document = self.scheduler.documents.document
--- a/packages/edge/src/hitchdeck_edge/links/service_exchange.py
+++ b/packages/edge/src/hitchdeck_edge/links/service_exchange.py
@@ -18,8 +18,12 @@
         self.view = view
 
     def begin_stream(self) -> None:
-        """Report everything in flight to a new scheduler."""
-        self.calls.begin_stream()
+        """Report everything to a new scheduler, and drop the summary of the last one.
+
+        Until then the last summary is used as long as it is recent.
+        """
+        self.calls.begin_stream(self.view.silent_since)
+        self.view.clear()
 
     def add_reports(self, frame: PlacingFrame) -> None:
         """Add what is new to a frame to the scheduler."""
@@ -28,7 +32,3 @@
     def apply(self, frame: PlacedFrame) -> None:
         """Apply what the scheduler sent."""
         self.view.update(decode_states(frame.services))
-
-    def end_stream(self) -> None:
-        """Drop the summary of a scheduler that is lost."""
-        self.view.clear()
--- a/packages/edge/src/hitchdeck_edge/links/service_messages.py
+++ b/packages/edge/src/hitchdeck_edge/links/service_messages.py
@@ -6,6 +6,7 @@
 from hitchdeck_core.wire.spread_pb2 import ServiceReport as ReportMessage
 from hitchdeck_core.wire.spread_pb2 import ServiceState as StateMessage
 from hitchdeck_edge.scheduling.service_health import ServiceReport, ServiceState
+from hitchdeck_edge.state.tallies import MAX_UINT32
 
 _MILLISECONDS = 1000
 _PERCENT = 100
@@ -18,12 +19,12 @@
             upstream=one.upstream,
             running=one.running,
             succeeded=one.succeeded,
-            succeeded_ms=round(one.seconds * _MILLISECONDS),
+            succeeded_ms=_milliseconds(one.seconds),
             failed=one.failed,
             heard=one.heard_ago is not None,
-            heard_ago_ms=int((one.heard_ago or 0) * _MILLISECONDS),
+            heard_ago_ms=_milliseconds(one.heard_ago or 0),
             unanswered=one.unanswered_ago is not None,
-            unanswered_ms=int((one.unanswered_ago or 0) * _MILLISECONDS),
+            unanswered_ms=_milliseconds(one.unanswered_ago or 0),
         )
         for one in reports
     ]
@@ -50,7 +51,7 @@
         StateMessage(
             upstream=one.upstream,
             running=one.running,
-            mean_ms=round(one.seconds * _MILLISECONDS),
+            mean_ms=_milliseconds(one.seconds),
             failed_percent=round(one.failure_rate * _PERCENT),
             silent=one.silent,
         )
@@ -70,3 +71,7 @@
         )
         for one in messages
     ]
+
+
+def _milliseconds(seconds: float) -> int:
+    return min(MAX_UINT32, round(seconds * _MILLISECONDS))
--- a/packages/edge/src/hitchdeck_edge/scheduling/chooser.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/chooser.py
@@ -151,7 +151,7 @@
     async def _choose_service(
         self, query: PlacementQuery, context: RequestContext
     ) -> Choice | Refusal:
-        waits = self.service_places is not None and not query.tried
+        waits = self.service_places is not None and query.goal and not query.tried
         if waits and self.local.mechanisms.service_waits:
             assert self.service_places is not None
             due_at = context.arrived + query.goal
--- a/packages/edge/src/hitchdeck_edge/scheduling/service_calls.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/service_calls.py
@@ -1,7 +1,7 @@
 """Calls of one box to plain services, and what it reports of them to the scheduler."""
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from enum import Enum
 
@@ -13,6 +13,10 @@
 """Part of the goal after which a call without a response counts as unanswered.  Callers
 notice the other half: it leaves time for another attempt within the goal."""
 
+MIN_UNANSWERED_SECONDS = 0.05
+"""Least time after which a call counts as unanswered, whatever its goal: a box that is
+busy for a moment is as late."""
+
 
 class CallEnd(Enum):
     """How a call to a plain service ended."""
@@ -139,10 +143,20 @@
             if record.changed
         ]
 
-    def begin_stream(self) -> None:
-        """Report all calls in flight, as the next scheduler knows of none."""
+    def begin_stream(self, silent_since: Mapping[UpstreamName, float]) -> None:
+        """Report everything to a scheduler that knows nothing yet.
+
+        Parameters
+        ----------
+        silent_since
+            When upstreams became silent by the summary of the scheduler before.  The
+            next one would otherwise learn of them by further lost calls.
+        """
         for record in self.records.values():
             record.changed = record.changed or record.running > 0
+        for name, since in silent_since.items():
+            record = self._record(name)
+            record.unanswered_at = max(record.unanswered_at, since)
 
     def keep(self, names: set[UpstreamName]) -> None:
         """Drop all other upstreams without calls in flight."""
@@ -158,7 +172,7 @@
 
 def unanswered_after(goal: float) -> float:
     """Return the seconds after which a call with a goal counts as unanswered."""
-    return UNANSWERED_FRACTION * goal
+    return max(MIN_UNANSWERED_SECONDS, UNANSWERED_FRACTION * goal)
 
 
 def second_attempt_pays(goal_left: float, expected: float | None) -> bool:
--- a/tests/edge/test_service_health.py
+++ b/tests/edge/test_service_health.py
@@ -7,6 +7,7 @@
 
 from hitchdeck_core.ids import Address, PoolName, UpstreamName
 from hitchdeck_core.wire.spread_pb2 import PlacedFrame, PlacingFrame
+from hitchdeck_edge.links.service_exchange import ServiceExchange
 from hitchdeck_edge.links.service_messages import (
     decode_report,
     decode_states,
@@ -18,7 +19,13 @@
 from hitchdeck_edge.model.upstreams import Phase, Upstream
 from hitchdeck_edge.scheduling.open_work import OpenWorkEntry
 from hitchdeck_edge.scheduling.placement import Placement
-from hitchdeck_edge.scheduling.service_calls import CallEnd, ServiceCalls
+from hitchdeck_edge.scheduling.service_calls import (
+    MIN_UNANSWERED_SECONDS,
+    UNANSWERED_FRACTION,
+    CallEnd,
+    ServiceCalls,
+    unanswered_after,
+)
 from hitchdeck_edge.scheduling.service_health import (
     HALF_LIFE_SECONDS,
     MAX_UNANSWERED_SECONDS,
@@ -32,6 +39,7 @@
     RISKY_TRIALS_AFTER_SECONDS,
     ServiceView,
 )
+from hitchdeck_edge.state.tallies import MAX_UINT32
 from hitchdeck_platform.settings import decode_settings
 from tests.common.scheduling import FakeClock, scheduler_of, wanted
 from tests.edge.test_outside_numbers import settings_fields
@@ -177,7 +185,7 @@
     calls.mark_unanswered(call)
     calls.mark_unanswered(call)
     assert calls.take_reports() == [ServiceReport(FIRST, 1, unanswered_ago=0.25)]
-    calls.begin_stream()
+    calls.begin_stream({})
     assert calls.take_reports() == [ServiceReport(FIRST, 1)]
     calls.end(call, CallEnd.succeeded)
     assert calls.take_reports()[0].heard_ago == 0
@@ -191,6 +199,7 @@
     [
         ServiceReport(FIRST, 3, 2, 0.25, 1, 0.0, 0.5),
         ServiceReport(FIRST, 0, heard_ago=None, unanswered_ago=0.0),
+        ServiceReport(FIRST, 0, heard_ago=MAX_UINT32 / 1000),
     ],
 )
 def test_reports_and_states_arrive_as_they_were_sent(report: ServiceReport) -> None:
@@ -203,6 +212,11 @@
     assert decode_states(told.services) == [state]
 
 
+def test_a_report_of_a_box_that_was_alone_for_long_can_be_encoded() -> None:
+    messages = encode_reports([ServiceReport(FIRST, 0, unanswered_ago=1e8)])
+    assert [one.unanswered_ms for one in messages] == [MAX_UINT32]
+
+
 def call_query(*, repeatable: bool = True) -> PlacementQuery:
     return replace(wanted(), pool=APP, slots=0, prompt=None, repeatable=repeatable)
 
@@ -384,6 +398,28 @@
     assert domain == 'c' or set(places[:2]) <= set(compared)
 
 
+def test_the_next_scheduler_learns_which_upstreams_are_silent() -> None:
+    # Guards against losing two more calls to a crashed upstream at each takeover.
+    clock = FakeClock()
+    table = ServiceTable(clock)
+    for box in ('a', 'b'):
+        exchange = ServiceExchange(ServiceCalls(clock), ServiceView(clock))
+        exchange.view.update([ServiceState(FIRST, silent=True)])
+        clock.seconds += 1
+        exchange.begin_stream()
+        assert not exchange.view.is_silent(FIRST)
+        for report in exchange.calls.take_reports():
+            table.apply(box, report)
+    assert table.silent == {FIRST}
+    table.apply(*heard('c'))
+    assert not table.silent
+
+
+def test_a_call_without_a_goal_in_reach_is_not_unanswered_at_once() -> None:
+    assert unanswered_after(0) == MIN_UNANSWERED_SECONDS
+    assert unanswered_after(1) == pytest.approx(UNANSWERED_FRACTION)
+
+
 def test_boxes_share_where_settings_state_limits() -> None:
     fields = settings_fields()
     for given, shares in ((fields, False), ({**fields, 'limits': {}}, True)):
--- a/tests/edge/test_shared_services.py
+++ b/tests/edge/test_shared_services.py
@@ -15,7 +15,7 @@
 from hitchdeck_edge.dispatch import connections
 from hitchdeck_edge.dispatch.dispatcher import Dispatcher
 from hitchdeck_edge.dispatch.upstream_connection import Connection
-from hitchdeck_edge.hub.placing import FleetSize, PlacingService
+from hitchdeck_edge.hub.placing import QUIET_SECONDS, FleetSize, PlacingService
 from hitchdeck_edge.links.outbox import Outbox
 from hitchdeck_edge.links.placing import PlacingLink
 from hitchdeck_edge.links.service_exchange import ServiceExchange
@@ -23,7 +23,7 @@
 from hitchdeck_edge.model.placing import Choice
 from hitchdeck_edge.process import EntryBox
 from hitchdeck_edge.scheduling.service_calls import CallEnd, ServiceCalls
-from hitchdeck_edge.scheduling.service_health import ServiceState
+from hitchdeck_edge.scheduling.service_health import ServiceReport, ServiceState
 from hitchdeck_edge.scheduling.service_view import ServiceView
 from standins.platform_site import HOST, KEY, Site, running_site
 from standins.platform_worker import Fault, Worker
@@ -64,8 +64,8 @@
         server.close()
 
 
-def new_service(*, shares: bool) -> PlacingService:
-    scheduler = scheduler_of(FakeClock(), 1)
+def new_service(clock: FakeClock, *, shares: bool) -> PlacingService:
+    scheduler = scheduler_of(clock, 1)
     service = PlacingService(scheduler, FleetSize(lambda: 1, scheduler.now))
     if shares:
         service.share_services()
@@ -87,7 +87,8 @@
 
 async def test_two_lost_calls_are_known_to_every_box_by_one_frame() -> None:
     # Guards against each box losing a call of its own to an upstream that crashed.
-    service = new_service(shares=True)
+    clock = FakeClock()
+    service = new_service(clock, shares=True)
     async with AsyncExitStack() as stack:
         hub = await stack.enter_async_context(hub_of(service))
         links = [await stack.enter_async_context(running_link(hub)) for _ in range(4)]
@@ -100,17 +101,43 @@
         lose_call(exchanges[1])
         await until(lambda: all(view.is_silent(NAME) for view in views))
         assert [view.frames for view in views[2:]] == [1, 1]
+        clock.seconds += 1
         exchanges[0].calls.end(exchanges[0].calls.begin(NAME), CallEnd.succeeded)
         exchanges[0].calls.send_now()
-        await until(lambda: not views[0].is_silent(NAME))
+        await until(lambda: not views[0].silent_since)
         assert not service.silent_services()
         # The others learn of it with the next frame that they get anyway.
+        assert views[2].silent_since
         links[2].registry.merge(engine('e0'), 'test')
         assert isinstance(await links[2].place(wanted()), Choice)
-        assert not views[2].is_silent(NAME)
+        assert not views[2].silent_since
         assert views[2].frames == 2
 
 
+async def test_a_box_with_queries_gets_no_frames_of_their_own() -> None:
+    # Guards against a frame to each of 80 boxes for each of their reports.
+    clock = FakeClock()
+    service = new_service(clock, shares=True)
+    view = CountingView()
+    async with hub_of(service) as hub, running_link(hub) as link:
+        exchange = share(link, view)
+        link.registry.merge(engine('e0'), 'test')
+        await reached(link, connected=True)
+        assert isinstance(await link.place(wanted()), Choice)
+        assert service.services is not None
+        for _ in range(5):
+            service.services.apply('other', ServiceReport(NAME, 9))
+            exchange.calls.begin(NAME)
+            exchange.calls.send_now()
+            await until(lambda: not exchange.calls.records[NAME].changed)
+        clock.seconds += QUIET_SECONDS
+        exchange.calls.begin(NAME)
+        exchange.calls.send_now()
+        await until(lambda: bool(view.states))
+        # One answer to the query, and one after it was quiet for long enough.
+        assert view.frames == 2
+
+
 def test_nothing_new_is_no_frame() -> None:
     exchange = ServiceExchange(ServiceCalls(FakeClock()), ServiceView(FakeClock()))
     outbox = Outbox()
@@ -143,7 +170,7 @@
 async def test_a_process_that_shares_works_beside_one_that_does_not(
     *, hub_shares: bool, box_shares: bool
 ) -> None:
-    service = new_service(shares=hub_shares)
+    service = new_service(FakeClock(), shares=hub_shares)
     async with hub_of(service) as hub, running_link(hub) as link:
         exchange = share(link) if box_shares else None
         link.registry.merge(engine('e0'), 'test')
