--- a/packages/edge/src/hitchdeck_edge/dispatch/dispatcher.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/dispatcher.py
@@ -57,7 +57,8 @@
         self.budget.count_request(context.pool.name)
         relay = StreamRelay(context, caller, self._spool(context, caller))
         active = ActiveRequest(context, caller, response, relay)
-        if self.chooser.local.mechanisms.second_attempts:
+        mechanisms = self.chooser.local.mechanisms
+        if self.sender.watch is not None and mechanisms.second_attempts:
             active.begin_second = partial(self._begin_second, active)
         return active
 
--- a/packages/edge/src/hitchdeck_edge/scheduling/service_health.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/service_health.py
@@ -39,6 +39,10 @@
 FAILURE_RATE_STEP = 0.1
 """Change of the failure rate that boxes are told of."""
 
+REFRESH_SECONDS = 0.05
+"""Age up to which means of an upstream are used again.  The scheduler answers hundreds
+of queries a second, and means cover a second."""
+
 
 @dataclass(frozen=True, slots=True)
 class ServiceReport:
@@ -91,15 +95,8 @@
     failure_rate: float = 0.0
     silent: bool = False
 
-    def matters_after(self, before: 'ServiceState') -> bool:
-        """Tell whether the difference to an earlier state may change a choice."""
-        step = max(MIN_SECONDS_STEP, SECONDS_STEP * before.seconds)
-        return (
-            self.silent != before.silent
-            or abs(self.running - before.running) >= RUNNING_STEP
-            or abs(self.seconds - before.seconds) >= step
-            or abs(self.failure_rate - before.failure_rate) >= FAILURE_RATE_STEP
-        )
+
+_NOTHING_KNOWN = ServiceState(UpstreamName(''))
 
 
 @dataclass(slots=True)
@@ -145,25 +142,30 @@
 
     Attributes
     ----------
-    running
-        Calls in flight, by box.
+    running, total
+        Calls in flight, by box and altogether.
     unanswered
         When the last call without a response was sent, by box.
     heard_at
         When the last response arrived at any box.
+    seconds, failure_rate
+        Means of recent calls, as of ``refreshed_at``.
     """
 
     running: dict[str, int] = field(default_factory=dict)
+    total: int = 0
     unanswered: dict[str, float] = field(default_factory=dict)
     heard_at: float = -math.inf
     recent: RecentCalls = field(default_factory=RecentCalls)
+    seconds: float = 0.0
+    failure_rate: float = 0.0
+    refreshed_at: float = -math.inf
 
     def apply(self, box: str, report: ServiceReport, now: float) -> None:
         """Apply the report of a box."""
+        self.total += report.running - self.running.pop(box, 0)
         if report.running:
             self.running[box] = report.running
-        else:
-            self.running.pop(box, None)
         self.recent.add(report, now)
         if report.heard_ago is not None:
             self.heard_at = max(self.heard_at, now - report.heard_ago)
@@ -173,16 +175,19 @@
 
     def drop_box(self, box: str) -> None:
         """Drop what a box reported that holds only while it is connected."""
-        self.running.pop(box, None)
+        self.total -= self.running.pop(box, 0)
         self.unanswered.pop(box, None)
 
     def is_silent(self) -> bool:
         """Tell whether enough boxes got no response, and none got one since."""
         return len(self.unanswered) >= MIN_SILENT_BOXES
 
-    def running_elsewhere(self, box: str) -> int:
-        """Return the calls in flight of all other boxes."""
-        return sum(self.running.values()) - self.running.get(box, 0)
+    def refresh(self, now: float) -> None:
+        """Update the means if they are too old."""
+        if now - self.refreshed_at >= REFRESH_SECONDS:
+            self.refreshed_at = now
+            self.seconds = self.recent.mean_seconds(now)
+            self.failure_rate = self.recent.failure_rate(now)
 
     def _drop_outdated(self, now: float) -> None:
         oldest = max(self.heard_at, now - MAX_UNANSWERED_SECONDS)
@@ -221,9 +226,16 @@
         """Return the states that changed enough since this box was last told."""
         told = self.told.setdefault(box, {})
         changed: list[ServiceState] = []
+        now = self.now()
         for name, record in self.records.items():
-            state = self._state(box, name, record)
-            if state.matters_after(told.get(name, ServiceState(name))):
+            record.refresh(now)
+            before = told.get(name, _NOTHING_KNOWN)
+            running = record.total - record.running.get(box, 0)
+            silent = name in self.silent
+            if silent != before.silent or _matters(before, record, running):
+                state = ServiceState(
+                    name, running, record.seconds, record.failure_rate, silent
+                )
                 told[name] = state
                 changed.append(state)
         return changed
@@ -243,18 +255,6 @@
             for told in self.told.values():
                 told.pop(name, None)
 
-    def _state(
-        self, box: str, name: UpstreamName, record: ServiceRecord
-    ) -> ServiceState:
-        now = self.now()
-        return ServiceState(
-            name,
-            record.running_elsewhere(box),
-            record.recent.mean_seconds(now),
-            record.recent.failure_rate(now),
-            name in self.silent,
-        )
-
     def _update_silence(self, name: UpstreamName, record: ServiceRecord) -> bool:
         silent = record.is_silent()
         if silent == (name in self.silent):
@@ -269,6 +269,16 @@
             upstream=name,
             boxes=sorted(record.unanswered),
             unheard=round(self.now() - record.heard_at, 3),
-            in_flight=sum(record.running.values()),
+            in_flight=record.total,
         )
         return True
+
+
+def _matters(before: ServiceState, record: ServiceRecord, running: int) -> bool:
+    """Tell whether the difference to what a box was told may change its choice."""
+    if abs(running - before.running) >= RUNNING_STEP:
+        return True
+    if abs(record.failure_rate - before.failure_rate) >= FAILURE_RATE_STEP:
+        return True
+    step = max(MIN_SECONDS_STEP, SECONDS_STEP * before.seconds)
+    return abs(record.seconds - before.seconds) >= step
