Eject a plain service that broke a call, and don't take failing fast for fast

A box that shares did not eject the upstream of a lost call, since the call already counted as unanswered. An upstream without successes had a mean duration of 0 and was chosen for all calls. The summary expired at boxes to which the scheduler had nothing to tell. Calls without a response counted for ever if nobody tried their upstream. Each request was part of a reference cycle. Boxes without processor time no longer report lost calls, and calls that must not repeat try silent upstreams less often.

--- a/packages/edge/src/hitchdeck_edge/dispatch/attempts.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/attempts.py
@@ -109,7 +109,7 @@
     relay: StreamRelay
     unreached_count: int = 0
     last_attempt: Attempt | None = None
-    begin_second: Callable[[], bool] | None = None
+    begin_second: 'Callable[[ActiveRequest], bool] | None' = None
     retry_paid: bool = False
 
 
--- a/packages/edge/src/hitchdeck_edge/dispatch/dispatcher.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/dispatcher.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-from functools import partial
 
 from hitchdeck_core import logs
 from hitchdeck_core.clock import Clock
@@ -59,7 +58,8 @@
         active = ActiveRequest(context, caller, response, relay)
         mechanisms = self.chooser.local.mechanisms
         if self.sender.watch is not None and mechanisms.second_attempts:
-            active.begin_second = partial(self._begin_second, active)
+            # Not a partial call with ``active``, which would be a reference cycle.
+            active.begin_second = self._begin_second
         return active
 
     async def serve(self, active: ActiveRequest) -> None:
--- a/packages/edge/src/hitchdeck_edge/dispatch/sender.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/sender.py
@@ -315,7 +315,7 @@
             health.record_success(attempt.upstream, self.now() - attempt.started_at)
             return
         if attempt.outcome is AttemptOutcome.broken:
-            if attempt.watched is None or not attempt.watched.call.unanswered:
+            if attempt.watched is None or not attempt.watched.ejected:
                 health.record_failure(attempt.upstream, attempt.reason)
             self.link.report_failure(attempt.upstream)
             self.check_for_crash(active, attempt)
--- a/packages/edge/src/hitchdeck_edge/dispatch/service_watch.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/service_watch.py
@@ -25,10 +25,14 @@
 
 
 class WatchedCall:
-    """A call in flight, and the timer after which it counts as unanswered."""
+    """A call in flight, and the timer after which it counts as unanswered.
+
+    ``ejected`` tells whether its upstream was ejected for it at that time.
+    """
 
     def __init__(self, call: ServiceCall) -> None:
         self.call = call
+        self.ejected = False
         self.timer: asyncio.TimerHandle | None = None
 
 
@@ -103,8 +107,7 @@
         assert attempt.watched is not None
         if attempt.head is not None or _has_input(connection):
             return
-        # The response may have arrived long before an overloaded box reads it.
-        if loop_utilization() > OVERLOADED_UTILIZATION:
+        if _is_overloaded():
             return
         waited = self.now() - attempt.started_at
         logs.info(
@@ -116,8 +119,9 @@
             repeatable=active.context.repeatable,
         )
         self.calls.mark_unanswered(attempt.watched.call)
+        attempt.watched.ejected = True
         self.health.record_failure(attempt.upstream, 'no response in time')
-        if active.begin_second is not None and active.begin_second():
+        if active.begin_second is not None and active.begin_second(active):
             connection.abort_pending('given up for a second attempt')
 
 
@@ -139,4 +143,11 @@
         return CallEnd.succeeded
     if attempt.outcome in _RESPONSES:
         return CallEnd.refused
-    return CallEnd.lost if attempt.lost else CallEnd.abandoned
+    if attempt.lost and not _is_overloaded():
+        return CallEnd.lost
+    return CallEnd.abandoned
+
+
+def _is_overloaded() -> bool:
+    """Tell whether this box is too late to judge upstreams by the time they take."""
+    return loop_utilization() > OVERLOADED_UTILIZATION
--- a/packages/edge/src/hitchdeck_edge/links/placing.py
+++ b/packages/edge/src/hitchdeck_edge/links/placing.py
@@ -325,6 +325,8 @@
 
     def _disconnect(self) -> None:
         self.scheduler = None
+        if self.services is not None:
+            self.services.end_stream()
         for answer in self.waiting.values():
             if not answer.done():
                 answer.set_exception(LinkError('scheduler lost'))
--- a/packages/edge/src/hitchdeck_edge/links/service_exchange.py
+++ b/packages/edge/src/hitchdeck_edge/links/service_exchange.py
@@ -24,6 +24,11 @@
         """
         self.calls.begin_stream(self.view.silent_since)
         self.view.clear()
+        self.view.connected = True
+
+    def end_stream(self) -> None:
+        """Use the summary only as long as it is recent, as the scheduler is lost."""
+        self.view.connected = False
 
     def add_reports(self, frame: PlacingFrame) -> None:
         """Add what is new to a frame to the scheduler."""
--- a/packages/edge/src/hitchdeck_edge/scheduling/placement.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/placement.py
@@ -207,6 +207,9 @@
             return (self.open_work.running(name) + 1) * seconds
         running = state.running + self.open_work.own.running.get(name, 0)
         seconds = max(MIN_SERVICE_SECONDS, state.seconds)
+        if self.services is not None and state.failure_rate and not state.seconds:
+            # It has only failed: how long a call takes there is not known.
+            seconds = max(seconds, self.services.longest_seconds())
         return expected_seconds(seconds, running, upstream.slots)
 
     def soonest(self, query: PlacementQuery) -> Choice | None:
--- a/packages/edge/src/hitchdeck_edge/scheduling/service_health.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/service_health.py
@@ -107,6 +107,7 @@
     seconds: float = 0.0
     failed: float = 0.0
     decayed_at: float = 0.0
+    last_mean: float = 0.0
 
     def add(self, report: ServiceReport, now: float) -> None:
         """Add the calls of a report."""
@@ -116,9 +117,15 @@
         self.failed += report.failed
 
     def mean_seconds(self, now: float) -> float:
-        """Return the mean duration, which goes to 0 once there are no samples left."""
+        """Return the mean duration, which goes to 0 once there are no samples left.
+
+        While calls fail, it is the last mean of those that succeeded: an upstream that
+        fails fast must not look fast.
+        """
         self._decay(now)
-        return self.seconds / max(1, self.succeeded)
+        if self.succeeded >= 1:
+            self.last_mean = self.seconds / self.succeeded
+        return self.last_mean * min(1, self.succeeded + self.failed)
 
     def failure_rate(self, now: float) -> float:
         """Return the fraction that failed, which goes to 0 in the same way."""
@@ -171,7 +178,7 @@
             self.heard_at = max(self.heard_at, now - report.heard_ago)
         if report.unanswered_ago is not None:
             self.unanswered[box] = now - report.unanswered_ago
-        self._drop_outdated(now)
+        self.drop_outdated(now)
 
     def drop_box(self, box: str) -> None:
         """Drop what a box reported that holds only while it is connected."""
@@ -189,7 +196,8 @@
             self.seconds = self.recent.mean_seconds(now)
             self.failure_rate = self.recent.failure_rate(now)
 
-    def _drop_outdated(self, now: float) -> None:
+    def drop_outdated(self, now: float) -> None:
+        """Drop calls without a response that were sent long ago or before the last."""
         oldest = max(self.heard_at, now - MAX_UNANSWERED_SECONDS)
         outdated = [box for box, sent in self.unanswered.items() if sent <= oldest]
         for box in outdated:
@@ -248,12 +256,15 @@
             self._update_silence(name, record)
 
     def keep(self, names: set[UpstreamName]) -> None:
-        """Drop all other upstreams."""
+        """Drop all other upstreams, and calls without a response long ago."""
         for name in self.records.keys() - names:
             self.records.pop(name)
             self.silent.discard(name)
             for told in self.told.values():
                 told.pop(name, None)
+        for name, record in self.records.items():
+            record.drop_outdated(self.now())
+            self._update_silence(name, record)
 
     def _update_silence(self, name: UpstreamName, record: ServiceRecord) -> bool:
         silent = record.is_silent()
--- a/packages/edge/src/hitchdeck_edge/scheduling/service_view.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/service_view.py
@@ -26,12 +26,13 @@
 """Calls of the whole fleet that try a silent upstream again, of those that may repeat:
 they get a second attempt in time."""
 
-RISKY_TRIALS_PER_SECOND = 0.5
-"""The same for calls that must not repeat, which are lost if it is still silent."""
+RISKY_TRIALS_PER_SECOND = 0.1
+"""The same for calls that must not repeat, which are lost if it is still silent.  They
+are needed only where no other calls use the upstream."""
 
-RISKY_TRIALS_AFTER_SECONDS = 2.0
+RISKY_TRIALS_AFTER_SECONDS = 5.0
 """How long an upstream must be silent for the box before such calls try it.  Within
-that time, one of the calls that may repeat has tried it if there are any."""
+that time, several of the calls that may repeat have tried it if there are any."""
 
 
 def _whole_fleet() -> float:
@@ -63,6 +64,9 @@
     ----------
     updated_at
         When the scheduler was last heard from.
+    connected
+        Whether the stream to the scheduler is open.  A scheduler that stopped is
+        noticed, and the stream then ends.
     fleet_fraction
         Returns this box's fraction of the fleet, from 0 to 1.
     changed
@@ -91,6 +95,7 @@
         self.changed = Signal()
         self.states: dict[UpstreamName, ServiceState] = {}
         self.updated_at = -math.inf
+        self.connected = False
         self.silent_since: dict[UpstreamName, float] = {}
         self.considered_at: dict[tuple[UpstreamName, bool], float] = {}
         self.trials = 0
@@ -126,7 +131,11 @@
 
     def is_silent(self, name: UpstreamName) -> bool:
         """Tell whether an upstream is silent for the fleet."""
-        return name in self.silent_since and self._is_used()
+        return name in self.silent_since and self._knows_silence()
+
+    def longest_seconds(self) -> float:
+        """Return the longest mean duration of any upstream."""
+        return max((one.seconds for one in self.states.values()), default=0)
 
     def note_response(self, name: UpstreamName) -> None:
         """Use a silent upstream again that has responded to this box."""
@@ -139,7 +148,7 @@
 
         If all are silent, all are returned.
         """
-        if not self.silent_since or not self._is_used():
+        if not self.silent_since or not self._knows_silence():
             return upstreams
         responding = [one for one in upstreams if one.name not in self.silent_since]
         if not responding or len(responding) == len(upstreams):
@@ -198,6 +207,16 @@
         expected = rate * self.fleet_fraction() * elapsed
         return self.draw() < -math.expm1(-expected)
 
+    def _knows_silence(self) -> bool:
+        """Tell whether it is known which upstreams are silent.
+
+        The scheduler tells at once of these, so that a box which it sends nothing for
+        long knows all, while its numbers are old.
+        """
+        if not self.mechanisms.service_health:
+            return False
+        return self.connected or self._is_used()
+
     def _is_used(self) -> bool:
         recent = self.now() - self.updated_at <= MAX_AGE_SECONDS
         return recent and self.mechanisms.service_health
--- a/tests/edge/test_shared_services.py
+++ b/tests/edge/test_shared_services.py
@@ -1,6 +1,7 @@
 """Boxes that share what they observe of plain services through the scheduler."""
 
 import asyncio
+import gc
 from collections import Counter
 from collections.abc import AsyncIterator, Callable, Iterable
 from contextlib import AsyncExitStack, asynccontextmanager
@@ -13,6 +14,7 @@
 from hitchdeck_core.clock import boot_seconds
 from hitchdeck_core.ids import Address, UpstreamName
 from hitchdeck_edge.dispatch import connections
+from hitchdeck_edge.dispatch.attempts import ActiveRequest
 from hitchdeck_edge.dispatch.dispatcher import Dispatcher
 from hitchdeck_edge.dispatch.upstream_connection import Connection
 from hitchdeck_edge.hub.placing import QUIET_SECONDS, FleetSize, PlacingService
@@ -337,3 +339,32 @@
     box.admission.dispatcher.chooser.local.mechanisms = mechanisms
     assert await call(site, box, '/u/', 'r') == status
     assert any(one.ran for one in workers) == (not waits)
+
+
+@pytest.mark.parametrize('shares', [True, False])
+async def test_a_box_ejects_the_service_that_broke_its_call(
+    tmp_path: Path, *, shares: bool
+) -> None:
+    # Guards against sending on to a crashed upstream where no other box lost a call.
+    async with running_site(tmp_path, shares_services=shares) as running:
+        for worker in running.workers:
+            worker.misbehave(Fault.reset, 1)
+        box = running.boxes[0]
+        assert await call(running, box, '/u/', 'r') == 502
+        ran = [one.life for one in running.workers if one.ran]
+        health = box.admission.dispatcher.sender.placement.health
+        assert health.ejected() == set(ran)
+        assert [health.record(UpstreamName(one)).failures for one in ran] == [1]
+
+
+async def test_a_served_request_is_released_at_once(site: Site) -> None:
+    # Guards against bodies that stay in memory until cycles are collected.
+    gc.collect()
+    gc.disable()
+    try:
+        assert await call(site, site.boxes[0], '/g/', 'r') == 200
+        await until(lambda: not site.boxes[0].admission.tasks)
+        kept = [one for one in gc.get_objects() if isinstance(one, ActiveRequest)]
+    finally:
+        gc.enable()
+    assert not kept
