Send a box the latest state of plain services, and judge waits by fresh numbers

A frame that waited for its turn held a state that a later frame had replaced; states are now taken when the frame is sent, and a stalled box has at most one such frame pending. Calls wait by pool and areas, none passes those that wait, and none waits or is refused by a summary older than half a second. The expected time no longer counts the wait in the upstream's queue twice.

--- a/packages/edge/src/hitchdeck_edge/hub/placing.py
+++ b/packages/edge/src/hitchdeck_edge/hub/placing.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import defaultdict
 from collections.abc import Callable
+from functools import partial
 
 from grpclib.server import Stream
 
@@ -46,7 +47,19 @@
 
 
 class _Box:
-    """One box on one stream; ``name`` is unique to the stream."""
+    """One box on one stream.
+
+    Attributes
+    ----------
+    name
+        Unique to the stream.
+    new_states
+        Returns what is new to the box of plain services.
+    told_at
+        When it was last told of them.
+    tells
+        Whether a frame with nothing else is about to be sent to it.
+    """
 
     def __init__(
         self,
@@ -59,15 +72,21 @@
         self.stream = stream
         self.sending = asyncio.Lock()
         self.sends: set[asyncio.Task[None]] = set()
+        self.new_states: Callable[[], list[ServiceState]] = list
         self.told_at = 0.0
+        self.tells = False
 
-    async def send(
-        self, answers: list[Placed], states: list[ServiceState] | None = None
-    ) -> None:
-        """Send answers; frames of several tasks must not interleave."""
-        frame = PlacedFrame(placed=answers, services=encode_states(states or ()))
+    async def send(self, answers: list[Placed]) -> None:
+        """Send answers, with what is new of plain services.
+
+        Frames of several tasks must not interleave.  States are taken right before they
+        are sent, so that a later one is never sent before an earlier one.
+        """
         async with self.sending:
-            await self.stream.send_message(frame)
+            states = encode_states(self.new_states())
+            if answers or states:
+                frame = PlacedFrame(placed=answers, services=states)
+                await self.stream.send_message(frame)
 
 
 class FleetSize:
@@ -134,6 +153,8 @@
         )
         self.connected += 1
         self.boxes[box.name] = box
+        if self.services is not None:
+            box.new_states = partial(self.services.changes_for, box.name)
         try:
             await self._serve(box, first)
         finally:
@@ -163,9 +184,8 @@
         while frame is not None:
             self._apply_progress(box, frame)
             answers = [self._place(box, one) for one in frame.wanted]
-            states = self._service_states(box, frame)
-            if answers or states:
-                await box.send(answers, states)
+            if self._apply_services(box, frame) or answers:
+                await box.send(answers)
             frame = await box.stream.recv_message()
 
     def _apply_progress(self, box: _Box, frame: PlacingFrame) -> None:
@@ -188,10 +208,10 @@
             health = self.scheduler.placement.health
             health.record_failure(UpstreamName(failed), f'reported by {box.name}')
 
-    def _service_states(self, box: _Box, frame: PlacingFrame) -> list[ServiceState]:
-        """Apply what a box reports of plain services; return what is new to it."""
+    def _apply_services(self, box: _Box, frame: PlacingFrame) -> bool:
+        """Apply what a box reports of plain services; return whether to answer."""
         if self.services is None:
-            return []
+            return False
         known = self.scheduler.placement.registry.records
         turned_silent = False
         for message in frame.services:
@@ -201,17 +221,17 @@
         if turned_silent and now - self.told_all_at >= TELL_INTERVAL_SECONDS:
             self.told_all_at = now
             for one in self.boxes.values():
-                self._tell(one, self.services)
+                self._tell(one)
         if not frame.wanted and now - box.told_at < QUIET_SECONDS:
-            return []
+            return False
         box.told_at = now
-        return self.services.changes_for(box.name)
+        return True
 
-    def _tell(self, box: _Box, services: ServiceTable) -> None:
-        """Tell a box in a frame of its own what is new to it."""
-        states = services.changes_for(box.name)
-        if states:
-            self._start_send(box, [], states)
+    def _tell(self, box: _Box) -> None:
+        """Tell a box what is new to it, in one frame of its own at a time."""
+        if not box.tells:
+            box.tells = True
+            self._start_send(box, [])
 
     def _place(self, box: _Box, message: WantedMessage) -> Placed:
         document = self.scheduler.documents.document
@@ -233,24 +253,19 @@
         for name, placed in answers.items():
             self._start_send(self.boxes[name], placed)
 
-    def _start_send(
-        self,
-        box: _Box,
-        answers: list[Placed],
-        states: list[ServiceState] | None = None,
-    ) -> None:
-        task = asyncio.create_task(self._send(box, answers, states))
+    def _start_send(self, box: _Box, answers: list[Placed]) -> None:
+        task = asyncio.create_task(self._send(box, answers))
         box.sends.add(task)
         task.add_done_callback(box.sends.discard)
 
-    async def _send(
-        self, box: _Box, answers: list[Placed], states: list[ServiceState] | None
-    ) -> None:
+    async def _send(self, box: _Box, answers: list[Placed]) -> None:
         try:
-            await box.send(answers, states)
+            await box.send(answers)
         except LINK_ERRORS as error:
             # Its stream ends, and the box decides on these requests by itself.
             logs.info('answers not sent', attendee=box.name, reason=repr(error))
+        finally:
+            box.tells = box.tells and bool(answers)
 
 
 def placing_service(
--- a/packages/edge/src/hitchdeck_edge/scheduling/service_places.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/service_places.py
@@ -13,6 +13,7 @@
 
 from hitchdeck_core import logs
 from hitchdeck_core.clock import Clock
+from hitchdeck_core.ids import PoolName
 from hitchdeck_edge.model.placing import PlacementQuery
 from hitchdeck_edge.model.upstreams import Upstream
 from hitchdeck_edge.scheduling.placement import Placement
@@ -23,6 +24,11 @@
 that runs and one that waits.  A queued call takes the next place at once, whereas a box
 learns of it some tenths of a second later."""
 
+MAX_SUMMARY_AGE_SECONDS = 0.5
+"""Age of a summary by which a call may wait or be refused: the longest interval
+between two frames of a box that makes calls.  What was in flight before that has mostly
+ended."""
+
 MIN_PLACES = 2
 """Least number of places for which calls wait.  An upstream that does not state its
 places counts as having one."""
@@ -30,6 +36,9 @@
 WaitKey = tuple[bool, float, int]
 """Order of waiting calls: those that must not repeat first, then by arrival."""
 
+Group = tuple[PoolName, frozenset[str]]
+"""Calls that wait for the same upstreams: their pool and areas."""
+
 
 @dataclass(frozen=True, slots=True)
 class ServiceLoad:
@@ -44,11 +53,6 @@
         rounds = 1 if repeatable else QUEUE_ROUNDS
         return self.places >= MIN_PLACES and self.running >= rounds * self.places
 
-    def expected_seconds(self) -> float:
-        """Return the expected time of a call that is sent there now."""
-        queued = max(0, self.running + 1 - self.places)
-        return self.seconds * (1 + queued / self.places)
-
 
 def seconds_if_full(
     loads: Sequence[ServiceLoad | None], *, repeatable: bool
@@ -63,7 +67,8 @@
     full = [one for one in loads if one and one.is_full(repeatable=repeatable)]
     if not full or len(full) < len(loads):
         return None
-    return min(one.expected_seconds() for one in full)
+    # Durations of recent calls contain their time in the queue there.
+    return min(one.seconds for one in full)
 
 
 class ServicePlaces:
@@ -72,7 +77,7 @@
     Attributes
     ----------
     waiting
-        Calls that wait, in their order.
+        Calls that wait, in their order, by pool and areas.
     waited, refused
         How many calls have waited, and how many were refused because they would have
         been late.
@@ -82,7 +87,7 @@
         self.placement = placement
         self.view = view
         self.now = now
-        self.waiting: list[WaitKey] = []
+        self.waiting: dict[Group, list[WaitKey]] = {}
         self.numbers = count()
         self.waited = 0
         self.refused = 0
@@ -98,8 +103,9 @@
             When the response is due by the goal of the call, in seconds.
         """
         expected = self._seconds_if_full(query)
-        if expected is None:
+        if expected is None and not self._is_behind(query):
             return True
+        expected = expected or 0
         began = self.now()
         slack = due_at - began - expected
         if slack < 0:
@@ -115,19 +121,34 @@
     async def _wait(self, query: PlacementQuery, until: float) -> None:
         """Wait until it is the turn of a call and an upstream is not full."""
         key = (query.repeatable, self.now(), next(self.numbers))
-        insort(self.waiting, key)
+        group = _group_of(query)
+        waiting = self.waiting.setdefault(group, [])
+        insort(waiting, key)
         try:
             while self.now() < until:
                 await self.view.changed.wait(until - self.now())
-                is_first = self.waiting[0] == key
+                is_first = waiting[0] == key
                 if is_first and self._seconds_if_full(query) is None:
                     return
         finally:
-            # The caller may have left.  The next call checks once this one was sent.
-            self.waiting.remove(key)
-            self.view.changed.notify()
+            # The caller may have left.
+            self._leave(group, key)
+
+    def _leave(self, group: Group, key: WaitKey) -> None:
+        """Remove a call; the next one checks for a place once this one was sent."""
+        self.waiting[group].remove(key)
+        if not self.waiting[group]:
+            self.waiting.pop(group)
+        self.view.changed.notify()
+
+    def _is_behind(self, query: PlacementQuery) -> bool:
+        """Tell whether calls wait that go before this one."""
+        waiting = self.waiting.get(_group_of(query), ())
+        return any(one < (query.repeatable, self.now(), 0) for one in waiting[:1])
 
     def _seconds_if_full(self, query: PlacementQuery) -> float | None:
+        if self.now() - self.view.updated_at > MAX_SUMMARY_AGE_SECONDS:
+            return None
         upstreams = self.placement.responding_services(query)
         loads = [self._load(one) for one in upstreams]
         return seconds_if_full(loads, repeatable=query.repeatable)
@@ -156,3 +177,7 @@
             summary_age=round(self.now() - self.view.updated_at, 3),
             **more,
         )
+
+
+def _group_of(query: PlacementQuery) -> Group:
+    return (query.pool, query.areas)
