--- a/packages/edge/src/hitchdeck_edge/dispatch/attempts.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/attempts.py
@@ -1,7 +1,9 @@
 """A request that is being served, and its attempts."""
 
+from collections.abc import Callable
 from enum import Enum
 from http import HTTPStatus
+from typing import TYPE_CHECKING
 
 from hitchdeck_core.ids import UpstreamName
 from hitchdeck_core.lazy_dataclasses import dataclass
@@ -13,6 +15,9 @@
 from hitchdeck_edge.scheduling.open_work import OpenWorkEntry
 from hitchdeck_edge.serving.caller import CallerConnection
 
+if TYPE_CHECKING:
+    from hitchdeck_edge.dispatch.service_watch import WatchedCall
+
 
 class AttemptOutcome(Enum):
     """Outcome of one attempt."""
@@ -54,6 +59,11 @@
         Time for which the upstream asked for no requests from this box, in seconds.
     leaving
         Whether the upstream announced that it shuts down.
+    lost
+        Whether the upstream was not reached or sent no complete response.
+    watched
+        What is observed of a call to a plain service; ``None`` where boxes don't
+        share it.
     """
 
     choice: Choice
@@ -70,6 +80,8 @@
     idle_before: float = 0.0
     backoff: float = 0.0
     leaving: bool = False
+    lost: bool = False
+    watched: 'WatchedCall | None' = None
 
     @property
     def upstream(self) -> UpstreamName:
@@ -81,7 +93,14 @@
 class ActiveRequest:
     """A request that is being served, with its caller and response.
 
-    ``unreached_count`` is how many upstreams could not be reached.
+    Attributes
+    ----------
+    unreached_count
+        How many upstreams could not be reached.
+    begin_second
+        Decides whether to give up an attempt without a response and begin another.
+    retry_paid
+        Whether the retry budget was charged for the next attempt already.
     """
 
     context: RequestContext
@@ -90,6 +109,8 @@
     relay: StreamRelay
     unreached_count: int = 0
     last_attempt: Attempt | None = None
+    begin_second: 'Callable[[ActiveRequest], bool] | None' = None
+    retry_paid: bool = False
 
 
 def outcome_of(head: ResponseHead, *, not_run: bool) -> AttemptOutcome:
--- a/packages/edge/src/hitchdeck_edge/dispatch/sender.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/sender.py
@@ -18,6 +18,7 @@
 from hitchdeck_edge.dispatch.connections import ConnectionPool
 from hitchdeck_edge.dispatch.response_parser import ResponseHead
 from hitchdeck_edge.dispatch.reuse import permitted_reuse
+from hitchdeck_edge.dispatch.service_watch import ServiceWatch
 from hitchdeck_edge.dispatch.upstream_connection import Connection, UpstreamRequest
 from hitchdeck_edge.errors import (
     CallerDisconnectedError,
@@ -59,6 +60,9 @@
         self.domain = chooser.domain
         self.connections = connections
         self.now = now
+        self.watch: ServiceWatch | None = None
+        if self.link.services is not None:
+            self.watch = ServiceWatch(self.link.services, self.placement.health, now)
 
     async def send(self, active: ActiveRequest, choice: Choice) -> bool:
         """Send the request to an upstream; return whether it was sent.
@@ -72,12 +76,7 @@
         attempt = self._open_attempt(context, choice)
         connection: Connection | None = None
         try:
-            connection = await self.connections.acquire(
-                choice.upstream,
-                reuse=permitted_reuse(
-                    context, streams_reuse=self.connections.streams_reuse
-                ),
-            )
+            connection = await self._connect(context, attempt)
             if active.caller.has_disconnected():
                 self.connections.return_unused(choice.upstream.name, connection)
                 raise CallerDisconnectedError(
@@ -96,10 +95,12 @@
             return False
         except NotSentError as error:
             active.unreached_count += 1
+            attempt.lost = True
             self._record_unreached(context, choice, error)
             return False
         except IncompleteResponseError as error:
             attempt.reason = str(error)
+            attempt.lost = True
         finally:
             self._close_attempt(attempt, connection)
         self._record_outcome(active, attempt)
@@ -131,17 +132,30 @@
         """Avoid a crashed upstream on this box; the quarantine notifies the hubs."""
         self.placement.health.record_crash(UpstreamName(incarnation))
 
+    async def _connect(self, context: RequestContext, attempt: Attempt) -> Connection:
+        """Return a connection for an attempt, or raise ``NotSentError``."""
+        reuse = permitted_reuse(context, streams_reuse=self.connections.streams_reuse)
+        acquired = self.connections.acquire(attempt.choice.upstream, reuse=reuse)
+        if self.watch is None or attempt.watched is None:
+            return await acquired
+        return await self.watch.in_time(context, acquired)
+
     def _open_attempt(self, context: RequestContext, choice: Choice) -> Attempt:
         name = choice.upstream.name
         ticket = OpenWorkEntry(self.placement.open_work, name, choice.tokens)
         number = 0
         if context.pool.engine is not None:
             number = self.link.track(choice.ticket, name, choice.tokens)
-        return Attempt(choice, self.now(), ticket, number, context.may_have_run)
+        attempt = Attempt(choice, self.now(), ticket, number, context.may_have_run)
+        if self.watch is not None:
+            attempt.watched = self.watch.open(context, choice)
+        return attempt
 
     def _close_attempt(self, attempt: Attempt, connection: Connection | None) -> None:
         attempt.ticket.close()
         self.link.record_end(attempt.number)
+        if self.watch is not None:
+            self.watch.close(attempt)
         if connection is None:
             return
         self.connections.mark_done(attempt.upstream, connection)
@@ -175,6 +189,8 @@
         attempt.idle_before = connection.idle_before
         connection.send(self._upstream_request(active.context, attempt.choice))
         self._record_sent(active, attempt)
+        if self.watch is not None:
+            self.watch.start_timer(active, attempt, connection)
 
     def _upstream_request(
         self, context: RequestContext, choice: Choice
@@ -299,7 +315,8 @@
             health.record_success(attempt.upstream, self.now() - attempt.started_at)
             return
         if attempt.outcome is AttemptOutcome.broken:
-            health.record_failure(attempt.upstream, attempt.reason)
+            if attempt.watched is None or not attempt.watched.ejected:
+                health.record_failure(attempt.upstream, attempt.reason)
             self.link.report_failure(attempt.upstream)
             self.check_for_crash(active, attempt)
         else:
--- a/packages/edge/src/hitchdeck_edge/hub/placing.py
+++ b/packages/edge/src/hitchdeck_edge/hub/placing.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import defaultdict
 from collections.abc import Callable
+from functools import partial
 
 from grpclib.server import Stream
 
@@ -20,7 +21,9 @@
     encode_decision,
     encode_wait,
 )
+from hitchdeck_edge.links.service_messages import decode_report, encode_states
 from hitchdeck_edge.scheduling.scheduler import Scheduler, new_scheduler
+from hitchdeck_edge.scheduling.service_health import ServiceState, ServiceTable
 from hitchdeck_edge.scheduling.waiting import Decided, Reviews, WaitingQueue
 from hitchdeck_edge.settings import HubSettings
 from hitchdeck_edge.state.documents import Documents
@@ -34,8 +37,29 @@
 """How long boxes that have disconnected count as part of the fleet."""
 
 
+QUIET_SECONDS = 0.5
+"""Time without a query of a box after which it is told of plain services in a frame of
+its own.  Answers to queries, several a second, carry what is new otherwise."""
+
+TELL_INTERVAL_SECONDS = 0.5
+"""Least time between two messages to all boxes that an upstream has become silent, so
+that one which loses every other call does not cause hundreds of frames a second."""
+
+
 class _Box:
-    """One box on one stream; ``name`` is unique to the stream."""
+    """One box on one stream.
+
+    Attributes
+    ----------
+    name
+        Unique to the stream.
+    new_states
+        Returns what is new to the box of plain services.
+    told_at
+        When it was last told of them.
+    tells
+        Whether a frame with nothing else is about to be sent to it.
+    """
 
     def __init__(
         self,
@@ -48,11 +72,21 @@
         self.stream = stream
         self.sending = asyncio.Lock()
         self.sends: set[asyncio.Task[None]] = set()
+        self.new_states: Callable[[], list[ServiceState]] = list
+        self.told_at = 0.0
+        self.tells = False
 
     async def send(self, answers: list[Placed]) -> None:
-        """Send answers; frames of several tasks must not interleave."""
+        """Send answers, with what is new of plain services.
+
+        Frames of several tasks must not interleave.  States are taken right before they
+        are sent, so that a later one is never sent before an earlier one.
+        """
         async with self.sending:
-            await self.stream.send_message(PlacedFrame(placed=answers))
+            states = encode_states(self.new_states())
+            if answers or states:
+                frame = PlacedFrame(placed=answers, services=states)
+                await self.stream.send_message(frame)
 
 
 class FleetSize:
@@ -80,7 +114,15 @@
 
 
 class PlacingService(PlacingBase):
-    """Serves the streams of all entry boxes that use this hub's scheduler."""
+    """Serves the streams of all entry boxes that use this hub's scheduler.
+
+    Attributes
+    ----------
+    services
+        What the boxes observed of plain services; ``None`` where they don't share it.
+    told_all_at
+        When all boxes were last told at once that an upstream has become silent.
+    """
 
     def __init__(self, scheduler: Scheduler, fleet: FleetSize) -> None:
         self.scheduler = scheduler
@@ -91,6 +133,13 @@
         self.queue = WaitingQueue(scheduler, scheduler.attempt_place, scheduler.now)
         self.reviews = Reviews(self.queue, self._deliver)
         scheduler.placement.cold_budget.rate_fraction = self.fleet_fraction
+        self.services: ServiceTable | None = None
+        self.told_all_at = 0.0
+
+    def share_services(self) -> None:
+        """Tell each box what the others observe of plain services."""
+        self.services = ServiceTable(self.scheduler.now)
+        self.scheduler.placement.keepers.append(self.services.keep)
 
     async def Attend(self, stream: Stream[PlacingFrame, PlacedFrame]) -> None:
         """Serve one box until either side ends the stream."""
@@ -104,6 +153,8 @@
         )
         self.connected += 1
         self.boxes[box.name] = box
+        if self.services is not None:
+            box.new_states = partial(self.services.changes_for, box.name)
         try:
             await self._serve(box, first)
         finally:
@@ -113,6 +164,10 @@
         """Return the fraction of the fleet's boxes that use this scheduler, 0 to 1."""
         return min(1, self.connected / max(1, self.fleet.largest()))
 
+    def silent_services(self) -> int:
+        """Return the number of upstreams of plain services that are silent."""
+        return 0 if self.services is None else len(self.services.silent)
+
     def _drop(self, box: _Box) -> None:
         self.connected -= 1
         self.boxes.pop(box.name)
@@ -121,13 +176,15 @@
             task.cancel()
         self.queue.drop_box(box.name)
         self.scheduler.drop_box(box.name)
+        if self.services is not None:
+            self.services.drop_box(box.name)
 
     async def _serve(self, box: _Box, first: PlacingFrame) -> None:
         frame: PlacingFrame | None = first
         while frame is not None:
             self._apply_progress(box, frame)
-            if frame.wanted:
-                answers = [self._place(box, one) for one in frame.wanted]
+            answers = [self._place(box, one) for one in frame.wanted]
+            if self._apply_services(box, frame) or answers:
                 await box.send(answers)
             frame = await box.stream.recv_message()
 
@@ -151,6 +208,31 @@
             health = self.scheduler.placement.health
             health.record_failure(UpstreamName(failed), f'reported by {box.name}')
 
+    def _apply_services(self, box: _Box, frame: PlacingFrame) -> bool:
+        """Apply what a box reports of plain services; return whether to answer."""
+        if self.services is None:
+            return False
+        known = self.scheduler.placement.registry.records
+        turned_silent = False
+        for message in frame.services:
+            if message.upstream in known:
+                turned_silent |= self.services.apply(box.name, decode_report(message))
+        now = self.scheduler.now()
+        if turned_silent and now - self.told_all_at >= TELL_INTERVAL_SECONDS:
+            self.told_all_at = now
+            for one in self.boxes.values():
+                self._tell(one)
+        if not frame.wanted and now - box.told_at < QUIET_SECONDS:
+            return False
+        box.told_at = now
+        return True
+
+    def _tell(self, box: _Box) -> None:
+        """Tell a box what is new to it, in one frame of its own at a time."""
+        if not box.tells:
+            box.tells = True
+            self._start_send(box, [])
+
     def _place(self, box: _Box, message: WantedMessage) -> Placed:
         document = self.scheduler.documents.document
         pool = document.pools.get(PoolName(message.pool)) if document else None
@@ -169,10 +251,12 @@
         for (name, ticket), decision in decided:
             answers[name].append(encode_decision(ticket, decision))
         for name, placed in answers.items():
-            box = self.boxes[name]
-            task = asyncio.create_task(self._send(box, placed))
-            box.sends.add(task)
-            task.add_done_callback(box.sends.discard)
+            self._start_send(self.boxes[name], placed)
+
+    def _start_send(self, box: _Box, answers: list[Placed]) -> None:
+        task = asyncio.create_task(self._send(box, answers))
+        box.sends.add(task)
+        task.add_done_callback(box.sends.discard)
 
     async def _send(self, box: _Box, answers: list[Placed]) -> None:
         try:
@@ -180,6 +264,8 @@
         except LINK_ERRORS as error:
             # Its stream ends, and the box decides on these requests by itself.
             logs.info('answers not sent', attendee=box.name, reason=repr(error))
+        finally:
+            box.tells = box.tells and bool(answers)
 
 
 def placing_service(
@@ -190,6 +276,9 @@
 ) -> PlacingService:
     """Return the service of a hub, with its own scheduler."""
     scheduler = new_scheduler(settings, documents, registry)
-    return PlacingService(
+    service = PlacingService(
         scheduler, FleetSize(connected_boxes.box_count, scheduler.now)
     )
+    if settings.share_service_health and settings.mechanisms.service_health:
+        service.share_services()
+    return service
--- a/packages/edge/src/hitchdeck_edge/model/mechanisms.py
+++ b/packages/edge/src/hitchdeck_edge/model/mechanisms.py
@@ -45,6 +45,14 @@
         Schedulers that many boxes lost are excluded by all, if the settings say so.
     shared_view
         Hubs that schedule at the same time share their view, if the settings say so.
+    service_health
+        Boxes share what they observe of plain services, if the settings say so.
+    second_attempts
+        Calls that may repeat get a second attempt before a silent first one ends, where
+        boxes share what they observe.
+    service_waits
+        Calls wait at their box while all places of a plain service are taken, where
+        boxes share what they observe.
     """
 
     scheduler: bool = True
@@ -63,6 +71,9 @@
     stream_reuse: bool = True
     agreed_exclusions: bool = True
     shared_view: bool = True
+    service_health: bool = True
+    second_attempts: bool = True
+    service_waits: bool = True
 
     def __post_init__(self) -> None:
         """Check that each switch is a boolean."""
--- a/packages/edge/src/hitchdeck_edge/process.py
+++ b/packages/edge/src/hitchdeck_edge/process.py
@@ -22,6 +22,7 @@
 from hitchdeck_edge.serving.caller_server import CallerServer, caller_socket
 from hitchdeck_edge.serving.graceful_stop import GracefulStop
 from hitchdeck_edge.serving.handoff import Handoff
+from hitchdeck_edge.serving.metrics import SERVICE_COUNTS
 from hitchdeck_edge.serving.status_pages import listen, metrics_page, ready_page
 from hitchdeck_edge.settings import EntrySettings
 from hitchdeck_edge.state.fleet_state import new_fleet_state
@@ -113,8 +114,25 @@
         self.admission.metrics.connections_opened = sender.connections.opened
         self.admission.metrics.connections_reused = sender.connections.reused
         self.admission.metrics.exclusions_adopted = self.known_hubs.adopted
+        self._report_service_calls()
         self.admission.metrics.handed_off = self.caller_server.handoff.handed_off
 
+    def _report_service_calls(self) -> None:
+        chooser = self.admission.dispatcher.chooser
+        link = chooser.link
+        if link.services is None or chooser.service_places is None:
+            return
+        found = (
+            link.services.calls.unanswered,
+            link.services.view.avoided,
+            link.services.view.trials,
+            self.admission.dispatcher.second_attempts,
+            chooser.service_places.waited,
+            chooser.service_places.refused,
+        )
+        counts = self.admission.metrics.service_counts
+        counts.update(zip(SERVICE_COUNTS, found, strict=True))
+
 
 async def start_entry(settings: EntrySettings, adapter: PlatformAdapter) -> EntryBox:
     """Start an entry box for the platform that the adapter describes."""
--- a/packages/edge/src/hitchdeck_edge/scheduling/placement.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/placement.py
@@ -5,7 +5,8 @@
 slowness.  A shared prompt part that no engine is known to have cached goes to an engine
 that a rendezvous hash selects; another one gets it only if queueing there costs more
 than to read the part again.  Among plain services the one with the fewest open requests
-is chosen, weighted by latency and failure rate.
+is chosen, weighted by latency and failure rate; those of the whole fleet where the
+settings say so.
 """
 
 import random
@@ -33,6 +34,7 @@
 from hitchdeck_edge.scheduling.health import Health
 from hitchdeck_edge.scheduling.open_work import OpenWorkEntry, OpenWorkTable
 from hitchdeck_edge.scheduling.prefix_cache import PrefixCacheModel
+from hitchdeck_edge.scheduling.service_view import ServiceView, expected_seconds
 from hitchdeck_edge.state.registry import Registry
 
 MAX_SLOWNESS = 4.0
@@ -65,7 +67,15 @@
 
 
 class Placement:
-    """Chooses upstreams by everything that a process knows of them."""
+    """Chooses upstreams by everything that a process knows of them.
+
+    Attributes
+    ----------
+    services
+        What the fleet observed of plain services; ``None`` where it takes no part.
+    keepers
+        Called with the upstreams that are present, to drop the state of all others.
+    """
 
     def __init__(
         self,
@@ -84,6 +94,8 @@
         self.prefix_cache = PrefixCacheModel(open_work.now)
         self.speed = EngineSpeed()
         self.costs: EngineCosts | None = None
+        self.services: ServiceView | None = None
+        self.keepers: list[Callable[[set[UpstreamName]], None]] = []
 
     def learn_engines(self) -> None:
         """Learn the speed of each engine, and track its memory."""
@@ -109,6 +121,8 @@
         if not candidates:
             return None
         if not query.slots or query.prompt is None:
+            if self.services is not None:
+                candidates = list(self.services.compared(candidates, query))
             best = min(candidates, key=lambda one: self._service_cost(one, query))
             return Choice(best, 0, 0)
         return self._choose_engine(query, query.prompt, candidates)
@@ -168,9 +182,36 @@
         self.prefix_cache.keep(present)
         self.open_work.keep(present)
         self.health.keep(present)
+        for keep in self.keepers:
+            keep(present)
         if self.costs is not None:
             self.costs.keep(present)
 
+    def responding_services(self, query: PlacementQuery) -> list[Upstream]:
+        """Return the plain services for a call that respond, as far as known."""
+        view = self.services
+        return [
+            one
+            for one in self.candidates(query)
+            if not one.unresponsive
+            and not self.health.is_ejected(one.name)
+            and not (view is not None and view.is_silent(one.name))
+        ]
+
+    def service_seconds(self, upstream: Upstream) -> float:
+        """Return the expected time of a call at a plain service."""
+        name = upstream.name
+        state = self.services.state(name) if self.services is not None else None
+        if state is None:
+            seconds = max(MIN_SERVICE_SECONDS, self.health.record(name).seconds)
+            return (self.open_work.running(name) + 1) * seconds
+        running = state.running + self.open_work.own.running.get(name, 0)
+        seconds = max(MIN_SERVICE_SECONDS, state.seconds)
+        if self.services is not None and state.failure_rate and not state.seconds:
+            # It has only failed: how long a call takes there is not known.
+            seconds = max(seconds, self.services.longest_seconds())
+        return expected_seconds(seconds, running, upstream.slots)
+
     def soonest(self, query: PlacementQuery) -> Choice | None:
         """Return the engine with a free slot that makes the first token soonest.
 
@@ -318,15 +359,13 @@
         return self.open_work.running(upstream.name) >= query.slots
 
     def _service_cost(self, upstream: Upstream, query: PlacementQuery) -> float:
-        record = self.health.record(upstream.name)
-        seconds = max(MIN_SERVICE_SECONDS, record.seconds)
-        doubt = 1 + FAILURE_WEIGHT * record.failure_rate
+        name = upstream.name
+        state = self.services.state(name) if self.services is not None else None
+        doubt = 1 + FAILURE_WEIGHT * (state or self.health.record(name)).failure_rate
         near = upstream.domain == query.domain or not self.mechanisms.near_first
         far = 1 if near else FAR_FACTOR
         jitter = random.uniform(1, JITTER_FACTOR)
-        return (
-            (self.open_work.running(upstream.name) + 1) * seconds * doubt * far * jitter
-        )
+        return self.service_seconds(upstream) * doubt * far * jitter
 
 
 def _first_token_seconds(choice: Choice) -> float:
--- a/packages/edge/src/hitchdeck_edge/serving/metrics.py
+++ b/packages/edge/src/hitchdeck_edge/serving/metrics.py
@@ -26,6 +26,20 @@
 streams that a stopping box admitted on that basis outlasted its grace period of 8 s."""
 
 
+SERVICE_COUNTS = (
+    'calls_unanswered',
+    'silent_avoided',
+    'silent_tried',
+    'second_attempts',
+    'calls_waited',
+    'calls_refused_late',
+)
+"""Counts of calls to plain services: those without a response in time, those that
+avoided upstreams which were silent for the fleet or tried one again, those that got a
+second attempt before the first one ended, and those that waited for a place or were
+refused as they would have been late."""
+
+
 class EntryMetrics:
     """Values that are served on the metrics address.
 
@@ -50,6 +64,8 @@
         a kept one.
     exclusions_adopted
         Exclusions of schedulers that hubs told this box of.
+    service_counts
+        Counts of calls to plain services, by what happened to them.
     """
 
     def __init__(self, now: Clock) -> None:
@@ -69,6 +85,7 @@
         self.connections_opened = 0
         self.connections_reused = 0
         self.exclusions_adopted = 0
+        self.service_counts = dict.fromkeys(SERVICE_COUNTS, 0)
 
     def record_served(
         self, context: RequestContext, outcome: str, seconds: float
@@ -120,6 +137,10 @@
             f'hitchdeck_upstream_connections_reused_total {self.connections_reused}',
             f'hitchdeck_scheduler_exclusions_adopted_total {self.exclusions_adopted}',
         ]
+        lines.extend(
+            f'hitchdeck_service_{name}_total {count}'
+            for name, count in self.service_counts.items()
+        )
         lines.extend(
             f'hitchdeck_requests_total{{outcome="{name}"}} {count}'
             for name, count in sorted(self.outcomes.items())
--- a/packages/edge/src/hitchdeck_edge/settings.py
+++ b/packages/edge/src/hitchdeck_edge/settings.py
@@ -46,6 +46,7 @@
     ('descriptor_limit', _not_negative),
     ('learn_engines', check_boolean),
     ('scheduler_agreement', check_boolean),
+    ('share_service_health', check_boolean),
     ('fleet_token', partial(check_text, min_length=MIN_TOKEN_LENGTH)),
 )
 _HUB_CHECKS: tuple[tuple[str, Check], ...] = (
@@ -91,6 +92,9 @@
     scheduler_agreement
         Whether boxes and hubs agree on which schedulers are excluded after losses, and
         hubs that schedule at the same time share their view of engines and accounts.
+    share_service_health
+        Whether boxes share what they observe of plain services through the scheduler;
+        otherwise each goes by its own calls.
     mechanisms
         Mechanisms that take part in placing requests.  Some are disabled only for
         measurements.
@@ -119,6 +123,7 @@
     retry_window: float = 10
     learn_engines: bool = False
     scheduler_agreement: bool = False
+    share_service_health: bool = False
     mechanisms: Mechanisms = ALL_MECHANISMS
     capacity: float = 0
     memory_limit: float = 0
