Refuse waiting requests whose prediction turned bad, and name what binds

A waiting request that can't begin within its goal any more (an engine was lost, a queue grew) is refused at the next review. A refusal names the limit that binds, and those beside engines with room are counted.

--- a/packages/edge/src/hitchdeck_edge/hub/placing.py
+++ b/packages/edge/src/hitchdeck_edge/hub/placing.py
@@ -4,6 +4,7 @@
 from collections import defaultdict
 from collections.abc import Callable
 
+from grpclib import GRPCError, Status
 from grpclib.server import Stream
 
 from hitchdeck_core import logs
@@ -14,7 +15,7 @@
 from hitchdeck_core.wire.spread_pb2 import Placed, PlacedFrame, PlacingFrame
 from hitchdeck_core.wire.spread_pb2 import Wanted as WantedMessage
 from hitchdeck_edge.hub.connected_boxes import ConnectedBoxes
-from hitchdeck_edge.links.hub_streams import LINK_ERRORS
+from hitchdeck_edge.hub.late_answers import LateAnswers
 from hitchdeck_edge.links.placing_messages import (
     decode_wanted,
     encode_decision,
@@ -47,7 +48,12 @@
         self.domain = domain
         self.stream = stream
         self.sending = asyncio.Lock()
-        self.sends: set[asyncio.Task[None]] = set()
+        self.serving = asyncio.timeout(None)
+        self.late_answers = LateAnswers(name, self.send, self.end)
+
+    def end(self) -> None:
+        """End the stream; the box opens another one when it runs again."""
+        self.serving.reschedule(asyncio.get_running_loop().time())
 
     async def send(self, answers: list[Placed]) -> None:
         """Send answers; frames of several tasks must not interleave."""
@@ -105,7 +111,10 @@
         self.connected += 1
         self.boxes[box.name] = box
         try:
-            await self._serve(box, first)
+            async with box.serving:
+                await self._serve(box, first)
+        except TimeoutError:
+            raise GRPCError(Status.UNAVAILABLE, 'answers are not read') from None
         finally:
             self._drop(box)
 
@@ -116,9 +125,7 @@
     def _drop(self, box: _Box) -> None:
         self.connected -= 1
         self.boxes.pop(box.name)
-        # A send to a box that stands still would otherwise wait for ever.
-        for task in box.sends:
-            task.cancel()
+        box.late_answers.close()
         self.queue.drop_box(box.name)
         self.scheduler.drop_box(box.name)
 
@@ -164,22 +171,14 @@
         return encode_decision(ticket, decision)
 
     def _deliver(self, decided: Decided) -> None:
-        """Send decisions on requests that waited, in a task for each box."""
+        """Send decisions on requests that waited."""
         answers: dict[str, list[Placed]] = defaultdict(list)
         for (name, ticket), decision in decided:
             answers[name].append(encode_decision(ticket, decision))
         for name, placed in answers.items():
-            box = self.boxes[name]
-            task = asyncio.create_task(self._send(box, placed))
-            box.sends.add(task)
-            task.add_done_callback(box.sends.discard)
-
-    async def _send(self, box: _Box, answers: list[Placed]) -> None:
-        try:
-            await box.send(answers)
-        except LINK_ERRORS as error:
-            # Its stream ends, and the box decides on these requests by itself.
-            logs.info('answers not sent', attendee=box.name, reason=repr(error))
+            for dropped in self.boxes[name].late_answers.add(placed):
+                # The box decides on it by itself once it has waited long enough.
+                self.scheduler.end((name, int(dropped.id)))
 
 
 def placing_service(
--- a/packages/edge/src/hitchdeck_edge/hub/process.py
+++ b/packages/edge/src/hitchdeck_edge/hub/process.py
@@ -123,11 +123,17 @@
             'requests_waiting': len(self.placing.queue.entries),
             'requests_placed_after_wait_total': self.placing.queue.placed,
             'requests_timed_out_waiting_total': self.placing.queue.timed_out,
+            'requests_turned_bad_waiting_total': self.placing.queue.turned_bad,
             'term': replica.term if replica else 0,
             'commit_index': replica.commit_index if replica else 0,
             'voters': len(replica.voters()) if replica else 0,
             'leads': int(replica.is_leader()) if replica else 0,
         }
+        refused = self.placing.scheduler.refused_beside_room
+        metrics |= {
+            f'refused_beside_room_total{{cause="{cause}"}}': refused[cause]
+            for cause in sorted(refused)
+        }
         return ''.join(f'hitchdeck_{name} {metrics[name]}\n' for name in metrics)
 
     async def stop(self) -> None:
--- a/packages/edge/src/hitchdeck_edge/model/mechanisms.py
+++ b/packages/edge/src/hitchdeck_edge/model/mechanisms.py
@@ -35,6 +35,8 @@
         Failing upstreams are not used for some time.
     waiting
         Requests wait at the scheduler where the settings allow it.
+    prediction_review
+        Waiting requests that can't begin in time any more are refused at once.
     near_first
         Upstreams in the box's own failure domain are preferred.
     box_resources
@@ -54,6 +56,7 @@
     slowness: bool = True
     ejection: bool = True
     waiting: bool = True
+    prediction_review: bool = True
     near_first: bool = True
     box_resources: bool = True
     stream_reuse: bool = True
--- a/packages/edge/src/hitchdeck_edge/process.py
+++ b/packages/edge/src/hitchdeck_edge/process.py
@@ -110,6 +110,8 @@
         self.admission.metrics.held_bytes = self.admission.budgets.bytes.held
         self.admission.metrics.connections_opened = sender.connections.opened
         self.admission.metrics.connections_reused = sender.connections.reused
+        scheduler = self.admission.dispatcher.chooser.local
+        self.admission.metrics.refused_beside_room = scheduler.refused_beside_room
         self.admission.metrics.handed_off = self.caller_server.handoff.handed_off
 
 
--- a/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
@@ -7,6 +7,9 @@
 """
 
 import asyncio
+import math
+from collections import Counter
+from collections.abc import Iterator
 from dataclasses import dataclass, replace
 
 from hitchdeck_core import logs
@@ -19,6 +22,7 @@
 from hitchdeck_edge.scheduling.open_work import OpenWorkEntry, OpenWorkTable
 from hitchdeck_edge.scheduling.placement import NO_AREAS, Areas, Placement
 from hitchdeck_edge.scheduling.queue_limit import max_queue_seconds
+from hitchdeck_edge.scheduling.refusal_causes import cause_of_refusal, has_room
 from hitchdeck_edge.scheduling.shares import Shares
 from hitchdeck_edge.settings import BoxSettings
 from hitchdeck_edge.state.documents import Documents
@@ -52,12 +56,19 @@
         Fraction of its share that its account used.
     queue, reading
         Expected seconds until the best engine begins to read it, and of reading.
+    first_token
+        Expected seconds until the first token at the engine that makes it soonest, of
+        those that were considered.
+    choice
+        The best engine, if there is one.
     """
 
     refusal: Refusal
     share_used: float
     queue: float
     reading: float
+    first_token: float = 0.0
+    choice: Choice | None = None
 
 
 class Scheduler:
@@ -67,6 +78,8 @@
     ----------
     open
         Open requests, by box and ticket.
+    refused_beside_room
+        Numbers of requests that were refused while their engines had room, by cause.
     """
 
     def __init__(
@@ -90,6 +103,7 @@
         )
         self.now = now
         self.open: dict[BoxTicket, OpenRequest] = {}
+        self.refused_beside_room: Counter[str] = Counter()
 
     def decide(self, query: PlacementQuery) -> Choice | Refusal:
         """Return the chosen upstream, or the reason for refusing the request."""
@@ -107,14 +121,18 @@
         choice = self.placement.choose(query)
         if choice is None:
             return Unplaced(Refusal.no_upstream, share_used, 0, 0)
-        accepted = self._accepted(query, choice, share_used)
-        if accepted is not None:
-            self.placement.cold_budget.spend(accepted.upstream)
-            if self.documents.document is not None:
-                self.shares.grant(query)
-            return accepted
+        first_token = math.inf
+        for one in self._alternatives(query, choice, share_used):
+            if query.resumes or self._starts_in_time(query, one, share_used):
+                self.placement.cold_budget.spend(one.upstream)
+                if self.documents.document is not None:
+                    self.shares.grant(query)
+                return one
+            first_token = min(first_token, one.queue + one.reading)
         refusal = Refusal.over_share if share_used > 1 else Refusal.overloaded
-        return Unplaced(refusal, share_used, choice.queue, choice.reading)
+        return Unplaced(
+            refusal, share_used, choice.queue, choice.reading, first_token, choice
+        )
 
     def attempt_place(self, key: BoxTicket, query: PlacementQuery) -> Choice | Unplaced:
         """Attempt to place a request, and if it is accepted count it as open."""
@@ -128,12 +146,18 @@
         return found
 
     def refuse(self, query: PlacementQuery, unplaced: Unplaced) -> Refusal:
-        """Log a refusal, and return its reason."""
+        """Log a refusal, count it if engines have room, and return its reason."""
+        cause = cause_of_refusal(query, unplaced.choice).name
+        beside_room = self._has_room(query)
+        if beside_room:
+            self.refused_beside_room[cause] += 1
         logs.info(
             'refused',
             request=query.request,
             account=query.account,
             reason=unplaced.refusal.name,
+            cause=cause,
+            beside_room=beside_room,
             standing=round(unplaced.share_used, 3),
             queue=round(unplaced.queue, 3),
             goal=query.goal,
@@ -200,35 +224,40 @@
             self.placement.forget_gone()
             await asyncio.sleep(CLEANUP_SECONDS)
 
+    def _has_room(self, query: PlacementQuery) -> bool:
+        if not query.slots:
+            return False
+        running = self.placement.open_work.running
+        serving = self.placement.registry.serving(query.pool)
+        return has_room([running(one.name) for one in serving], query.slots)
+
     def _cold_rate(self, pool: PoolName) -> float:
         return cold_rate(self.documents.document, pool)
 
-    def _accepted(
+    def _alternatives(
         self,
         query: PlacementQuery,
         choice: Choice,
         share_used: float,
-    ) -> Choice | None:
-        """Return a choice by which a request starts in time, or ``None``.
+    ) -> Iterator[Choice]:
+        """Yield the choices for a request in the order in which they are considered.
 
         The engine with the lowest cost may have a long queue, if it is nearby or has
         the prompt cached.  Before the request is refused, the best engine of another
         domain is tried; and if the account is within its share, the one that makes the
         first token soonest, although it must read again what another has cached.
         """
-        if query.resumes or self._starts_in_time(query, choice, share_used):
-            return choice
+        yield choice
         if not self.mechanisms.another_engine:
-            return None
+            return
         far = self._choose_far(query, choice)
-        if far is not None and self._starts_in_time(query, far, share_used):
-            return far
+        if far is not None:
+            yield far
         if share_used > 1:
-            return None
+            return
         soonest = self.placement.soonest(query)
-        if soonest is None or not self._starts_in_time(query, soonest, share_used):
-            return None
-        return soonest
+        if soonest is not None:
+            yield soonest
 
     def _choose_far(self, query: PlacementQuery, choice: Choice) -> Choice | None:
         """Return the choice without the preference for the box's own domain.
--- a/packages/edge/src/hitchdeck_edge/scheduling/waiting.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/waiting.py
@@ -61,12 +61,35 @@
         When it is refused at the latest.
     unplaced
         Why it was not placed at the last attempt.
+    begins
+        When it was predicted to get its first token as it began to wait.
     """
 
     query: PlacementQuery
     arrived: float
     until: float = 0.0
     unplaced: Unplaced | None = None
+    begins: float = 0.0
+
+    def turned_bad(self, found: Unplaced, now: float) -> bool:
+        """Tell whether it can't begin within its goal any more.
+
+        A prediction that was beyond the goal from the start does not count: engines may
+        become free sooner than predicted.
+
+        Parameters
+        ----------
+        found
+            Why a request like it, or it itself, is not placed now.
+        """
+        assert self.unplaced is not None
+        if found.refusal not in WAITABLE:
+            return True
+        queue = max(0, found.first_token - found.reading)
+        begins = now + queue + self.unplaced.reading + SEND_SECONDS
+        # Predictions of the same engine differ by less from one review to the next.
+        worse = begins > self.begins + REVIEW_SECONDS
+        return worse and begins > self.arrived + self.query.goal
 
 
 class RefusedRequests:
@@ -122,9 +145,10 @@
         Maximum number of requests that one review places.
     entries
         Waiting requests, by box and ticket.
-    placed, timed_out
-        Numbers of requests that were placed after a wait, and that were refused at the
-        end of theirs.
+    placed, timed_out, turned_bad
+        Numbers of requests that were placed after a wait, that were refused at the end
+        of theirs, and that were refused before because they could not begin in time any
+        more.
     """
 
     def __init__(
@@ -142,6 +166,7 @@
         self.refused = RefusedRequests(now)
         self.placed = 0
         self.timed_out = 0
+        self.turned_bad = 0
 
     def place(self, key: BoxTicket, query: PlacementQuery) -> Choice | Refusal | None:
         """Decide on a request; ``None`` if it waits."""
@@ -170,7 +195,12 @@
 
     def review(self) -> Decided:
         """Place or refuse what can be decided now."""
-        return [*self._refuse_late(), *self._place_first()]
+        unplaced: dict[Hashable, Unplaced] = {}
+        return [
+            *self._refuse_late(),
+            *self._place_first(unplaced),
+            *self._refuse_turned_bad(unplaced),
+        ]
 
     def _keep_or_refuse(
         self, key: BoxTicket, entry: WaitingRequest, found: Unplaced
@@ -185,6 +215,7 @@
         ):
             return self._refuse(entry)
         entry.until = self.now() + wait
+        entry.begins = self.now() + found.first_token + SEND_SECONDS
         self.entries[key] = entry
         return None
 
@@ -200,14 +231,22 @@
             self.timed_out += 1
             yield key, self._refuse(self.entries.pop(key))
 
-    def _place_first(self) -> Iterator[tuple[BoxTicket, Choice]]:
+    def _place_first(
+        self, unplaced: dict[Hashable, Unplaced]
+    ) -> Iterator[tuple[BoxTicket, Choice]]:
+        """Place what engines may get now.
+
+        Parameters
+        ----------
+        unplaced
+            Gets the reason for each group of requests that can't be placed.
+        """
         budget = min(MAX_REVIEWED, len(self.entries))
         placed = 0
-        # Requests like one that can't be begun would keep others from their turn.
-        blocked: set[Hashable] = set()
         for key, entry in self._ordered():
-            group = (entry.query.pool, entry.query.account, entry.query.avoid)
-            if group in blocked:
+            group = _group(entry)
+            # Requests like one that can't be begun would keep others from their turn.
+            if group in unplaced:
                 continue
             query = self._current(entry)
             found = self.attempt(key, query)
@@ -220,10 +259,31 @@
                 placed += 1
             else:
                 entry.unplaced = found
-                blocked.add(group)
+                unplaced[group] = found
             if not budget or placed >= self.max_placed:
                 return
 
+    def _refuse_turned_bad(
+        self, unplaced: dict[Hashable, Unplaced]
+    ) -> Iterator[tuple[BoxTicket, Refusal]]:
+        """Refuse requests that can't begin in time any more.
+
+        Parameters
+        ----------
+        unplaced
+            Why requests of each group are not placed now.
+        """
+        if not self.scheduler.mechanisms.prediction_review:
+            return
+        now = self.now()
+        for key, entry in list(self.entries.items()):
+            found = unplaced.get(_group(entry))
+            if found is not None and entry.turned_bad(found, now):
+                self.turned_bad += 1
+                self.remove(key)
+                entry.unplaced = found
+                yield key, self._refuse(entry)
+
     def _ordered(self) -> list[tuple[BoxTicket, WaitingRequest]]:
         accounts = {entry.query.account for entry in self.entries.values()}
         excess = {account: self._excess(account) for account in accounts}
@@ -253,6 +313,12 @@
         )
 
 
+def _group(entry: WaitingRequest) -> Hashable:
+    """Return what requests have in common of which none, or the first, is placed."""
+    query = entry.query
+    return query.pool, query.account, query.avoid, query.tried, query.areas
+
+
 def _rank(entry: WaitingRequest, excess: float) -> tuple[float, int, float, int]:
     """Return the sort key: excess over the share, priority, time left, cost."""
     prompt = entry.query.prompt
--- a/packages/edge/src/hitchdeck_edge/serving/metrics.py
+++ b/packages/edge/src/hitchdeck_edge/serving/metrics.py
@@ -1,6 +1,7 @@
 """Counters and latency histograms of an entry box."""
 
 from collections import Counter
+from collections.abc import Mapping
 
 from hitchdeck_core.clock import Clock
 from hitchdeck_core.histograms import Histograms
@@ -48,6 +49,9 @@
     connections_opened, connections_reused
         Connections to upstreams that were opened for requests, and requests that used
         a kept one.
+    refused_beside_room
+        Requests that this box refused without a scheduler while engines had room, by
+        cause.
     """
 
     def __init__(self, now: Clock) -> None:
@@ -66,6 +70,7 @@
         self.evicted = 0
         self.connections_opened = 0
         self.connections_reused = 0
+        self.refused_beside_room: Mapping[str, int] = {}
 
     def record_served(
         self, context: RequestContext, outcome: str, seconds: float
@@ -116,6 +121,10 @@
             f'hitchdeck_upstream_connections_opened_total {self.connections_opened}',
             f'hitchdeck_upstream_connections_reused_total {self.connections_reused}',
         ]
+        lines.extend(
+            f'hitchdeck_refused_beside_room_total{{cause="{cause}"}} {count}'
+            for cause, count in sorted(self.refused_beside_room.items())
+        )
         lines.extend(
             f'hitchdeck_requests_total{{outcome="{name}"}} {count}'
             for name, count in sorted(self.outcomes.items())
--- a/tests/edge/test_waiting.py
+++ b/tests/edge/test_waiting.py
@@ -1,7 +1,7 @@
 """Requests that wait at the scheduler, or at a box that decides alone."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import replace
 from types import SimpleNamespace
@@ -9,9 +9,10 @@
 import pytest
 
 from hitchdeck_core.channels import require_fleet_token, serve
-from hitchdeck_core.ids import AccountName, RequestId, UpstreamName
+from hitchdeck_core.ids import AccountName, InstanceName, RequestId, UpstreamName
 from hitchdeck_edge.hub.placing import FleetSize, PlacingService
 from hitchdeck_edge.links.placing import PlacingLink
+from hitchdeck_edge.model.mechanisms import Mechanisms
 from hitchdeck_edge.model.placing import Choice, PlacementQuery
 from hitchdeck_edge.model.refusals import Refusal
 from hitchdeck_edge.scheduling.chooser import Chooser
@@ -87,6 +88,67 @@
     assert not scheduler.open
 
 
+def lose_engines(scheduler: Scheduler) -> None:
+    scheduler.placement.registry.end(InstanceName(ENGINE), 'test')
+
+
+def lengthen_queue(scheduler: Scheduler) -> None:
+    scheduler.add_open(('other', 1), ENGINE, 20_000)
+
+
+def restart_reading(scheduler: Scheduler) -> None:
+    scheduler.add_open(FULL, ENGINE, 41_000)
+
+
+@pytest.mark.parametrize(
+    ('change', 'reason'),
+    [
+        (lose_engines, Refusal.no_upstream),
+        (lengthen_queue, Refusal.overloaded),
+        (restart_reading, None),
+    ],
+)
+def test_a_request_is_refused_when_its_prediction_turns_bad(
+    change: Callable[[Scheduler], None], reason: Refusal | None
+) -> None:
+    # Guards against holding a request until the end of its wait although nothing can
+    # begin it in time any more; a queue as long as it was is no such reason.
+    clock = FakeClock()
+    scheduler = full_scheduler(clock)
+    queue = queue_of(scheduler, clock)
+    queue.place(('box', 1), patient())
+    queue.place(('box', 2), patient())
+    change(scheduler)
+    clock.seconds += 0.01
+    refused = [(('box', number), reason) for number in (1, 2) if reason]
+    assert queue.review() == refused
+    assert queue.turned_bad == len(refused)
+    assert len(queue.entries) == 2 - len(refused)
+
+
+def test_a_bad_prediction_for_one_area_refuses_nothing_elsewhere() -> None:
+    clock = FakeClock()
+    scheduler = full_scheduler(clock)
+    queue = queue_of(scheduler, clock)
+    scheduler.placement.areas = {'a': 'here'}
+    for number, area in enumerate(('here', 'here', 'gone')):
+        queue.place(('box', number), replace(patient(), areas=frozenset((area,))))
+    assert list(queue.entries) == [('box', 0), ('box', 1)]
+    entry = queue.entries['box', 1]
+    entry.query = replace(entry.query, areas=frozenset(('gone',)))
+    assert queue.review() == [(('box', 1), Refusal.no_upstream)]
+
+
+def test_without_the_mechanism_a_request_waits_to_the_end() -> None:
+    clock = FakeClock()
+    scheduler = full_scheduler(clock)
+    scheduler.mechanisms = Mechanisms(prediction_review=False)
+    queue = queue_of(scheduler, clock)
+    queue.place(('box', 1), patient())
+    lose_engines(scheduler)
+    assert queue.review() == []
+
+
 def test_the_time_waited_shortens_the_queue_that_is_accepted() -> None:
     # Guards against starting a request late after it has waited in time.
     clock = FakeClock()
