Predict Retry-After from the share or the room, in the order of refusal

Where requests may wait at the scheduler, a refusal carries the time when the share of the account, or the engines, have room for the request after those refused before it (Placed.retry_after_ms, field 450). A request that would be late by then is not asked to return before its goal has passed. The box tells at most a third of the caller's time left.

--- a/bench/lab/play.py
+++ b/bench/lab/play.py
@@ -22,9 +22,14 @@
 from hitchdeck_edge.model.document import Document, DocumentVersion, Limits, Pool
 from hitchdeck_edge.model.document import Engine as EngineLimits
 from hitchdeck_edge.model.mechanisms import ALL_MECHANISMS, Mechanisms
-from hitchdeck_edge.model.placing import Choice, PlacementQuery
-from hitchdeck_edge.model.refusals import Refusal
+from hitchdeck_edge.model.placing import (
+    Choice,
+    PlacementDecision,
+    PlacementQuery,
+)
+from hitchdeck_edge.model.refusals import Refusal, Refused
 from hitchdeck_edge.model.upstreams import Phase, Upstream
+from hitchdeck_edge.scheduling.retry_times import RetryTimes
 from hitchdeck_edge.scheduling.scheduler import BoxTicket, Scheduler
 from hitchdeck_edge.scheduling.shares import Shares
 from hitchdeck_edge.scheduling.waiting import REVIEW_SECONDS, WaitingQueue
@@ -112,7 +117,12 @@
         return scheduler
 
     def _new_queue(self) -> WaitingQueue:
-        return WaitingQueue(self.scheduler, self.scheduler.attempt_place, self.now)
+        return WaitingQueue(
+            self.scheduler,
+            self.scheduler.attempt_place,
+            self.now,
+            retry_times=RetryTimes(self.scheduler.shares, self.now),
+        )
 
     def _add_engine(self) -> None:
         self.numbers += 1
@@ -163,8 +173,11 @@
         one: Asked,
         tried: frozenset[UpstreamName],
         key: BoxTicket,
-        decision: Choice | Refusal,
+        decision: PlacementDecision,
     ) -> None:
+        if isinstance(decision, Refused):
+            self._refuse(one, decision.retry_after)
+            return
         if isinstance(decision, Refusal):
             self._refuse(one, decision.value.retry_after)
             return
--- a/packages/edge/src/hitchdeck_edge/dispatch/dispatcher.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/dispatcher.py
@@ -18,6 +18,7 @@
 from hitchdeck_edge.model.refusals import Refusal
 from hitchdeck_edge.model.request_context import RequestContext
 from hitchdeck_edge.scheduling.chooser import Chooser
+from hitchdeck_edge.scheduling.retry_times import usable_seconds
 from hitchdeck_edge.serving.budgets import ByteBudget
 from hitchdeck_edge.serving.caller import CallerConnection
 
@@ -162,4 +163,6 @@
         if backoff and refusal in NO_UPSTREAM_ACCEPTS:
             active.response.fail(Refusal.paused, backoff)
             return
-        active.response.fail(refusal)
+        left = active.context.deadline - self.now()
+        seconds = usable_seconds(active.context.retry_after, left)
+        active.response.fail(refusal, seconds)
--- a/packages/edge/src/hitchdeck_edge/hub/placing.py
+++ b/packages/edge/src/hitchdeck_edge/hub/placing.py
@@ -21,6 +21,7 @@
     encode_decision,
     encode_wait,
 )
+from hitchdeck_edge.scheduling.retry_times import RetryTimes
 from hitchdeck_edge.scheduling.scheduler import Scheduler, new_scheduler
 from hitchdeck_edge.scheduling.waiting import Decided, Reviews, WaitingQueue
 from hitchdeck_edge.settings import HubSettings
@@ -94,7 +95,12 @@
         self.streams = 0
         self.connected = 0
         self.boxes: dict[str, _Box] = {}
-        self.queue = WaitingQueue(scheduler, scheduler.attempt_place, scheduler.now)
+        self.queue = WaitingQueue(
+            scheduler,
+            scheduler.attempt_place,
+            scheduler.now,
+            retry_times=RetryTimes(scheduler.shares, scheduler.now),
+        )
         self.reviews = Reviews(self.queue, self._deliver)
         scheduler.placement.cold_budget.rate_fraction = self.fleet_fraction
 
--- a/packages/edge/src/hitchdeck_edge/links/placing.py
+++ b/packages/edge/src/hitchdeck_edge/links/placing.py
@@ -27,8 +27,7 @@
     decode_refusal,
     encode_wanted,
 )
-from hitchdeck_edge.model.placing import Choice, PlacementQuery
-from hitchdeck_edge.model.refusals import Refusal
+from hitchdeck_edge.model.placing import PlacementDecision, PlacementQuery
 from hitchdeck_edge.scheduling.shares import Shares
 from hitchdeck_edge.state.registry import Registry
 
@@ -114,7 +113,7 @@
         self.last_ticket = 0
         self.unanswered = 0
 
-    async def place(self, query: PlacementQuery) -> Choice | Refusal | None:
+    async def place(self, query: PlacementQuery) -> PlacementDecision | None:
         """Return the scheduler's decision, or ``None`` if it does not answer."""
         if self.scheduler is None:
             return None
@@ -323,7 +322,7 @@
         self.unanswered += 1
         logs.info('scheduler silent', ticket=ticket, in_a_row=self.unanswered)
 
-    def _decision(self, placed: Placed) -> Choice | Refusal | None:
+    def _decision(self, placed: Placed) -> PlacementDecision | None:
         refusal = decode_refusal(placed)
         if refusal is not None:
             return refusal
--- a/packages/edge/src/hitchdeck_edge/links/placing_messages.py
+++ b/packages/edge/src/hitchdeck_edge/links/placing_messages.py
@@ -6,8 +6,12 @@
 from hitchdeck_core.wire.spread_pb2 import Decision, Placed, PromptPart
 from hitchdeck_core.wire.spread_pb2 import Wanted as WantedMessage
 from hitchdeck_edge.model.calls import Part, PartId, Prompt
-from hitchdeck_edge.model.placing import Choice, PlacementQuery
-from hitchdeck_edge.model.refusals import Refusal
+from hitchdeck_edge.model.placing import (
+    Choice,
+    PlacementDecision,
+    PlacementQuery,
+)
+from hitchdeck_edge.model.refusals import Refusal, Refused
 from hitchdeck_edge.model.upstreams import Upstream
 
 _MILLISECONDS = 1000
@@ -68,8 +72,12 @@
     )
 
 
-def encode_decision(ticket: int, decision: Choice | Refusal) -> Placed:
+def encode_decision(ticket: int, decision: PlacementDecision) -> Placed:
     """Return the message of the scheduler's decision."""
+    if isinstance(decision, Refused):
+        retry_after = max(1, int(decision.retry_after * _MILLISECONDS))
+        code = _DECISIONS[decision.refusal]
+        return Placed(id=ticket, decision=code, retry_after_ms=retry_after)
     if isinstance(decision, Refusal):
         return Placed(id=ticket, decision=_DECISIONS[decision])
     return Placed(
@@ -85,10 +93,12 @@
     return Placed(id=ticket, decision=Decision.DECISION_WAITS)
 
 
-def decode_refusal(placed: Placed) -> Refusal | None:
+def decode_refusal(placed: Placed) -> Refusal | Refused | None:
     """Return the refusal in an answer, or ``None`` if a request was placed."""
     for refusal, code in _DECISIONS.items():
         if placed.decision == code:
+            if placed.retry_after_ms:
+                return Refused(refusal, placed.retry_after_ms / _MILLISECONDS)
             return refusal
     return None
 
--- a/packages/edge/src/hitchdeck_edge/model/mechanisms.py
+++ b/packages/edge/src/hitchdeck_edge/model/mechanisms.py
@@ -37,6 +37,8 @@
         Requests wait at the scheduler where the settings allow it.
     prediction_review
         Waiting requests that can't begin in time any more are refused at once.
+    predicted_retry
+        Callers that are refused are told when their requests can be served.
     near_first
         Upstreams in the box's own failure domain are preferred.
     box_resources
@@ -57,6 +59,7 @@
     ejection: bool = True
     waiting: bool = True
     prediction_review: bool = True
+    predicted_retry: bool = True
     near_first: bool = True
     box_resources: bool = True
     stream_reuse: bool = True
--- a/packages/edge/src/hitchdeck_edge/model/placing.py
+++ b/packages/edge/src/hitchdeck_edge/model/placing.py
@@ -3,6 +3,7 @@
 from hitchdeck_core.ids import AccountName, PoolName, RequestId, UpstreamName
 from hitchdeck_core.lazy_dataclasses import dataclass
 from hitchdeck_edge.model.calls import Prompt
+from hitchdeck_edge.model.refusals import Refusal, Refused
 from hitchdeck_edge.model.upstreams import Upstream
 
 
@@ -82,3 +83,6 @@
     ticket: int = 0
     reading: float = 0.0
     fits: bool = True
+
+
+PlacementDecision = Choice | Refusal | Refused
--- a/packages/edge/src/hitchdeck_edge/model/refusals.py
+++ b/packages/edge/src/hitchdeck_edge/model/refusals.py
@@ -78,3 +78,17 @@
         UNAVAILABLE, OTHER_BOX_RETRY_SECONDS, 'this box has no time left'
     )
     time_over = Reply(UNAVAILABLE, TRANSIENT_RETRY_SECONDS, 'time over')
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """A refusal with the time that was predicted for a retry.
+
+    Attributes
+    ----------
+    retry_after
+        Seconds after which the request can be served.
+    """
+
+    refusal: Refusal
+    retry_after: float
--- a/packages/edge/src/hitchdeck_edge/model/request_context.py
+++ b/packages/edge/src/hitchdeck_edge/model/request_context.py
@@ -38,6 +38,8 @@
         Areas in which it may be served; no restriction if empty.
     priority
         Urgency by its account or route; 0 is the most urgent.
+    retry_after
+        Seconds after which it can be served, if it was refused and they were predicted.
     fingerprint
         Digest of account and content; equal for every retry, whatever the request's id.
     """
@@ -57,6 +59,7 @@
     decided_by: str = ''
     areas: frozenset[str] = frozenset()
     priority: int = 0
+    retry_after: float = 0.0
     fingerprint: Fingerprint = field(init=False)
 
     def __post_init__(self) -> None:
--- a/packages/edge/src/hitchdeck_edge/scheduling/chooser.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/chooser.py
@@ -6,10 +6,15 @@
 from hitchdeck_core.backpressure import Backpressure
 from hitchdeck_core.ids import PoolName
 from hitchdeck_edge.links.placing import PlacingLink
-from hitchdeck_edge.model.placing import Choice, PlacementQuery
-from hitchdeck_edge.model.refusals import Refusal
+from hitchdeck_edge.model.placing import (
+    Choice,
+    PlacementDecision,
+    PlacementQuery,
+)
+from hitchdeck_edge.model.refusals import Refusal, Refused
 from hitchdeck_edge.model.request_context import THIS_BOX, RequestContext
 from hitchdeck_edge.scheduling.engine_memory import exceeds_memory
+from hitchdeck_edge.scheduling.retry_times import RetryTimes
 from hitchdeck_edge.scheduling.scheduler import BoxTicket, Scheduler, Unplaced
 from hitchdeck_edge.scheduling.waiting import Decided, Reviews, WaitingQueue
 
@@ -42,10 +47,16 @@
         self.local = local
         self.link = link
         self.goal_wait = goal_wait if local.mechanisms.waiting else 0
-        self.places: dict[BoxTicket, asyncio.Future[Choice | Refusal]] = {}
+        self.places: dict[BoxTicket, asyncio.Future[PlacementDecision]] = {}
         # A placed request counts as load only once it is sent, so that a review which
         # placed several would send all of them to the same engine.
-        self.queue = WaitingQueue(local, self._attempt, link.now, max_placed=1)
+        self.queue = WaitingQueue(
+            local,
+            self._attempt,
+            link.now,
+            max_placed=1,
+            retry_times=RetryTimes(local.shares, link.now),
+        )
         self.reviews = Reviews(self.queue, self._deliver)
         self.backpressure = Backpressure(link.now)
 
@@ -60,6 +71,7 @@
 
     async def choose(self, context: RequestContext) -> Choice | Refusal:
         """Return the upstream to send a request to, or the reason for refusing it."""
+        context.retry_after = 0
         query = context.placement_query(self.domain)
         closed = self.backpressure.blocked()
         if closed:
@@ -79,20 +91,20 @@
         decision = await self.link.place(query) if asks else None
         if decision is None:
             context.decided_by = THIS_BOX
-            return await self._decide_alone(query, context)
+            return _unpacked(await self._decide_alone(query, context), context)
         context.decided_by = scheduler or ''
         # Keep the local share counts current: if the scheduler is lost, this box
         # decides by them.
         self.local.shares.ask(query)
         if isinstance(decision, Choice):
             self.local.shares.grant(query)
-        return decision
+        return _unpacked(decision, context)
 
     async def _decide_alone(
         self,
         query: PlacementQuery,
         context: RequestContext,
-    ) -> Choice | Refusal:
+    ) -> PlacementDecision:
         """Decide without the scheduler; the request may wait in this box."""
         if not query.longest_wait:
             return self.local.decide(query)
@@ -104,7 +116,7 @@
         if decision is not None:
             return decision
         loop = asyncio.get_running_loop()
-        place: asyncio.Future[Choice | Refusal] = loop.create_future()
+        place: asyncio.Future[PlacementDecision] = loop.create_future()
         self.places[key] = place
         self.reviews.ensure_running()
         try:
@@ -138,3 +150,11 @@
             return Refusal.no_upstream
         self.local.placement.cold_budget.spend(choice.upstream)
         return choice
+
+
+def _unpacked(decision: PlacementDecision, context: RequestContext) -> Choice | Refusal:
+    """Return a decision, and record the predicted time of a retry in its context."""
+    if not isinstance(decision, Refused):
+        return decision
+    context.retry_after = decision.retry_after
+    return decision.refusal
--- a/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
@@ -145,8 +145,19 @@
                 )
         return found
 
-    def refuse(self, query: PlacementQuery, unplaced: Unplaced) -> Refusal:
-        """Log a refusal, count it if engines have room, and return its reason."""
+    def refuse(
+        self,
+        query: PlacementQuery,
+        unplaced: Unplaced,
+        retry_after: float | None = None,
+    ) -> Refusal:
+        """Log a refusal, count it if engines have room, and return its reason.
+
+        Parameters
+        ----------
+        retry_after
+            Seconds until the request can be served, if they are predicted.
+        """
         cause = cause_of_refusal(query, unplaced.choice).name
         beside_room = self._has_room(query)
         if beside_room:
@@ -162,6 +173,7 @@
             queue=round(unplaced.queue, 3),
             goal=query.goal,
             waited=round(query.waited, 3),
+            retry_after=None if retry_after is None else round(retry_after, 3),
             version=self.documents.version,
         )
         return unplaced.refusal
--- a/packages/edge/src/hitchdeck_edge/scheduling/waiting.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/waiting.py
@@ -14,9 +14,14 @@
 from hitchdeck_core import logs
 from hitchdeck_core.clock import Clock
 from hitchdeck_core.ids import AccountName
-from hitchdeck_edge.model.placing import Choice, PlacementQuery
-from hitchdeck_edge.model.refusals import Refusal
+from hitchdeck_edge.model.placing import (
+    Choice,
+    PlacementDecision,
+    PlacementQuery,
+)
+from hitchdeck_edge.model.refusals import Refusal, Refused
 from hitchdeck_edge.scheduling.queue_limit import FREE_FRACTION
+from hitchdeck_edge.scheduling.retry_times import RetryTimes
 from hitchdeck_edge.scheduling.scheduler import BoxTicket, Scheduler, Unplaced
 
 REVIEW_SECONDS = 0.05
@@ -43,7 +48,7 @@
 
 Attempt = Callable[[BoxTicket, PlacementQuery], Choice | Unplaced]
 
-Decided = list[tuple[BoxTicket, Choice | Refusal]]
+Decided = list[tuple[BoxTicket, PlacementDecision]]
 
 WAITABLE = frozenset((Refusal.over_share, Refusal.overloaded))
 """Refusals whose reason may end within the goal of a request."""
@@ -143,6 +148,9 @@
         Places a request if an engine may get it now.
     max_placed
         Maximum number of requests that one review places.
+    retry_times
+        Predicts when refused requests can be served; otherwise the times of their
+        reasons apply.
     entries
         Waiting requests, by box and ticket.
     placed, timed_out, turned_bad
@@ -157,10 +165,12 @@
         attempt: Attempt,
         now: Clock,
         max_placed: int = MAX_REVIEWED,
+        retry_times: RetryTimes | None = None,
     ) -> None:
         self.scheduler = scheduler
         self.attempt = attempt
         self.max_placed = max_placed
+        self.retry_times = retry_times
         self.now = now
         self.entries: dict[BoxTicket, WaitingRequest] = {}
         self.refused = RefusedRequests(now)
@@ -168,7 +178,7 @@
         self.timed_out = 0
         self.turned_bad = 0
 
-    def place(self, key: BoxTicket, query: PlacementQuery) -> Choice | Refusal | None:
+    def place(self, key: BoxTicket, query: PlacementQuery) -> PlacementDecision | None:
         """Decide on a request; ``None`` if it waits."""
         if not query.longest_wait:
             found = self.attempt(key, query)
@@ -204,7 +214,7 @@
 
     def _keep_or_refuse(
         self, key: BoxTicket, entry: WaitingRequest, found: Unplaced
-    ) -> Refusal | None:
+    ) -> Refusal | Refused | None:
         entry.unplaced = found
         goal_left = entry.arrived + entry.query.goal - self.now()
         wait = min(entry.query.longest_wait, goal_left - found.reading - SEND_SECONDS)
@@ -219,12 +229,21 @@
         self.entries[key] = entry
         return None
 
-    def _refuse(self, entry: WaitingRequest) -> Refusal:
+    def _refuse(self, entry: WaitingRequest) -> Refusal | Refused:
         assert entry.unplaced is not None
         self.refused.add(entry.query, entry.arrived)
-        return self.scheduler.refuse(self._current(entry), entry.unplaced)
-
-    def _refuse_late(self) -> Iterator[tuple[BoxTicket, Refusal]]:
+        query = self._current(entry)
+        seconds = self._retry_seconds(query, entry.unplaced)
+        refusal = self.scheduler.refuse(query, entry.unplaced, seconds)
+        return refusal if seconds is None else Refused(refusal, seconds)
+
+    def _retry_seconds(self, query: PlacementQuery, unplaced: Unplaced) -> float | None:
+        """Return when a refused request can be served, if that is predicted."""
+        if self.retry_times is None or not self.scheduler.mechanisms.predicted_retry:
+            return None
+        return self.retry_times.seconds(query, unplaced)
+
+    def _refuse_late(self) -> Iterator[tuple[BoxTicket, Refusal | Refused]]:
         now = self.now()
         late = [key for key, entry in self.entries.items() if entry.until <= now]
         for key in late:
@@ -265,7 +284,7 @@
 
     def _refuse_turned_bad(
         self, unplaced: dict[Hashable, Unplaced]
-    ) -> Iterator[tuple[BoxTicket, Refusal]]:
+    ) -> Iterator[tuple[BoxTicket, Refusal | Refused]]:
         """Refuse requests that can't begin in time any more.
 
         Parameters
