Give prompts of all sizes the same limit beyond the share

Where requests may wait: beyond the share the queueing limit is the same part of the goal for all sizes; a request that would be late at the engine of the lowest cost goes to one that makes its first token in time; a retry may be late rather than be refused again. Each has a switch in Mechanisms.

--- a/packages/edge/src/hitchdeck_edge/model/mechanisms.py
+++ b/packages/edge/src/hitchdeck_edge/model/mechanisms.py
@@ -39,6 +39,14 @@
         Waiting requests that can't begin in time any more are refused at once.
     predicted_retry
         Callers that are refused are told when their requests can be served.
+    even_sizes
+        Where requests may wait, those of accounts beyond their share get the same
+        queueing limits whatever their size, and ``yielding`` does not apply.
+    late_retries
+        Retries of refused requests may be late, rather than refused again.
+    goal_first
+        A request that would be late at the engine with the lowest cost goes to one that
+        makes its first token in time.
     near_first
         Upstreams in the box's own failure domain are preferred.
     box_resources
@@ -60,6 +68,9 @@
     waiting: bool = True
     prediction_review: bool = True
     predicted_retry: bool = True
+    even_sizes: bool = True
+    late_retries: bool = True
+    goal_first: bool = True
     near_first: bool = True
     box_resources: bool = True
     stream_reuse: bool = True
--- a/packages/edge/src/hitchdeck_edge/model/placing.py
+++ b/packages/edge/src/hitchdeck_edge/model/placing.py
@@ -39,6 +39,8 @@
     waited
         Seconds since it first arrived, if it has waited there or is a retry of a
         refused request.
+    returned
+        Whether it is a retry of a refused request.
     """
 
     request: RequestId
@@ -56,6 +58,7 @@
     priority: int = 0
     longest_wait: float = 0.0
     waited: float = 0.0
+    returned: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/edge/src/hitchdeck_edge/scheduling/queue_limit.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/queue_limit.py
@@ -48,6 +48,7 @@
     share_used: float,
     *,
     yielding: bool = True,
+    even_sizes: bool = False,
 ) -> float:
     """Return the longest queueing time for a request, in seconds.
 
@@ -59,11 +60,17 @@
         What its account was granted, as a fraction of the fair share level.
     yielding
         Whether the efficiency of the request counts.
+    even_sizes
+        Whether the limit is reduced alike for prompts of all sizes: to a part of the
+        goal, not of what reading them leaves of it, and whatever their efficiency.
     """
     longest = _longest_within_goal(query, choice)
     if query.prompt is None or share_used <= FREE_FRACTION:
         return longest
-    longest *= (FREE_FRACTION / share_used) ** OVER_SHARE_EXPONENT
+    reduction = (FREE_FRACTION / share_used) ** OVER_SHARE_EXPONENT
+    if even_sizes:
+        return min(longest, _longest_of_any_size(query, choice, reduction))
+    longest *= reduction
     if not yielding:
         return float(longest)
     # Blends efficiency in gradually beyond the share, so that there is no step.
@@ -77,7 +84,23 @@
     left = query.goal - query.waited - choice.reading
     if query.waited >= query.goal or choice.reading >= query.goal:
         return late
-    return left if query.waited else max(late, left)
+    # A retry that is refused again is lost; a request that waits may still come back.
+    may_be_late = query.returned or not query.waited
+    return max(late, left) if may_be_late else left
+
+
+def _longest_of_any_size(
+    query: PlacementQuery, choice: Choice, reduction: float
+) -> float:
+    """Return the longest queueing time beyond the share, alike for all sizes.
+
+    Load: an account beyond its share with prompts that take up to half of their goal to
+    read.  A limit in proportion to what reading leaves of the goal is shortest for the
+    largest ones, and short ones keep every queue longer than that.
+    """
+    late = query.goal * LATE_FRACTION
+    left = max(0, query.goal - query.waited - choice.reading)
+    return float(max(late * reduction, min(left, query.goal * reduction)))
 
 
 def _efficiency_factor(prompt: Prompt, unread: int) -> float:
--- a/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
@@ -121,6 +121,7 @@
         choice = self.placement.choose(query)
         if choice is None:
             return Unplaced(Refusal.no_upstream, share_used, 0, 0)
+        choice = self._in_time(query, choice, share_used)
         first_token = math.inf
         for one in self._alternatives(query, choice, share_used):
             if query.resumes or self._starts_in_time(query, one, share_used):
@@ -271,6 +272,26 @@
         if soonest is not None:
             yield soonest
 
+    def _in_time(
+        self, query: PlacementQuery, choice: Choice, share_used: float
+    ) -> Choice:
+        """Return a choice by which the first token comes in time, or the given one.
+
+        Load: prompts that an engine reads for a large part of their goal.  The engine
+        that has their shared part cached may be slow, or read others first.  Where
+        requests may not wait, and beyond the share of the account, the engine with the
+        lowest cost is kept.
+        """
+        left = query.goal - query.waited
+        if not (self.mechanisms.goal_first and query.longest_wait) or left <= 0:
+            return choice
+        if share_used > 1 or choice.queue + choice.reading <= left:
+            return choice
+        soonest = self.placement.soonest(query)
+        if soonest is None or soonest.queue + soonest.reading > left:
+            return choice
+        return soonest
+
     def _choose_far(self, query: PlacementQuery, choice: Choice) -> Choice | None:
         """Return the choice without the preference for the box's own domain.
 
@@ -287,8 +308,13 @@
         choice: Choice,
         share_used: float,
     ) -> bool:
-        yielding = self.mechanisms.yielding
-        longest = max_queue_seconds(query, choice, share_used, yielding=yielding)
+        longest = max_queue_seconds(
+            query,
+            choice,
+            share_used,
+            yielding=self.mechanisms.yielding,
+            even_sizes=self.mechanisms.even_sizes and query.longest_wait > 0,
+        )
         return choice.queue <= longest
 
     def _count_asked(self, query: PlacementQuery) -> float:
--- a/packages/edge/src/hitchdeck_edge/scheduling/waiting.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/waiting.py
@@ -186,6 +186,8 @@
                 return found
             return self.scheduler.refuse(query, found)
         waited = self.refused.seconds_since(query)
+        returned = waited > 0 and self.scheduler.mechanisms.late_retries
+        query = replace(query, returned=returned)
         entry = WaitingRequest(query, self.now() - waited)
         # Exactly 0 for a first attempt, whose demand counts; the clock moves on.
         found = self.attempt(key, replace(query, waited=waited))
--- a/tests/edge/test_retry_times.py
+++ b/tests/edge/test_retry_times.py
@@ -1,11 +1,14 @@
 """When callers whose requests are refused are told to come back."""
 
 from dataclasses import replace
+from types import SimpleNamespace
+from unittest.mock import Mock
 
 import pytest
 
 from hitchdeck_core.ids import AccountName
 from hitchdeck_core.wire.spread_pb2 import Placed
+from hitchdeck_edge.dispatch.dispatcher import Dispatcher
 from hitchdeck_edge.links.placing_messages import decode_refusal, encode_decision
 from hitchdeck_edge.model.mechanisms import Mechanisms
 from hitchdeck_edge.model.placing import PlacementQuery
@@ -188,3 +191,20 @@
     context = context_of(clock)
     assert await chooser.choose(context) is Refusal.overloaded
     assert context.retry_after == pytest.approx(0.851)
+
+
+@pytest.mark.parametrize(
+    ('predicted', 'left', 'told'), [(1.5, 15, 1.5), (4, 6, 2), (0, 6, 0)]
+)
+async def test_a_box_tells_a_third_of_the_time_left_at_most(
+    predicted: float, left: float, told: float
+) -> None:
+    # Guards against a time that the caller can't wait for; 0 stands for the usual one.
+    clock = FakeClock()
+    chooser = SimpleNamespace(backoff_left=lambda _pool: 0)
+    dispatcher = Dispatcher(Mock(), chooser, Mock(), Mock(), clock)
+    active = Mock(last_attempt=None)
+    active.context.retry_after = predicted
+    active.context.deadline = clock.seconds + left
+    await dispatcher._fail(active, Refusal.over_share)
+    active.response.fail.assert_called_once_with(Refusal.over_share, told)
--- a/tools/switch_off.py
+++ b/tools/switch_off.py
@@ -192,6 +192,34 @@
         'if held_bytes.limit:',
         'test_reading_of_bodies_stops_while_the_budget_is_used',
     ),
+    Mechanism(
+        'waiting requests refused when a prediction turned bad',
+        f'{_EDGE}/scheduling/waiting.py',
+        'return worse and begins > self.arrived + self.query.goal',
+        'return False',
+        'test_a_request_is_refused_when_its_prediction_turns_bad',
+    ),
+    Mechanism(
+        'late answers to a stalled box bounded in time',
+        f'{_EDGE}/hub/late_answers.py',
+        'async with asyncio.timeout(MAX_SEND_SECONDS):',
+        'async with asyncio.timeout(None):',
+        'test_the_stream_of_a_box_that_reads_nothing_ends',
+    ),
+    Mechanism(
+        'retries spread in the order of refusal',
+        f'{_EDGE}/scheduling/retry_times.py',
+        'self.served_until[key] = begins + size / rate',
+        'self.served_until[key] = begins',
+        'test_callers_come_back_in_the_order_of_their_refusals',
+    ),
+    Mechanism(
+        'long prompts sent where they are in time',
+        f'{_EDGE}/scheduling/scheduler.py',
+        'choice = self._in_time(query, choice, share_used)',
+        'pass',
+        'test_a_long_prompt_goes_where_it_is_in_time',
+    ),
 )
 
 
