Bound predicted retries, and try a request before refusing it for a prediction

What refused requests of an account or pool lie ahead is kept in tokens and divided by the present rate: with a time, one large refusal at an idle scheduler made every caller wait 5 s for 100 s. Room goes by the limit that applies to late requests, times are 0.08 s at least, a retry keeps its place, and callers that can't wait as long are spread over the second half of what they can. A waiting request is tried itself before it is refused because one like it can't be begun. As many late answers are held as requests can wait.

--- a/packages/edge/src/hitchdeck_edge/dispatch/dispatcher.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/dispatcher.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import random
 
 from hitchdeck_core.clock import Clock
 from hitchdeck_edge.dispatch.attempts import ActiveRequest, Attempt, AttemptOutcome
@@ -164,5 +165,5 @@
             active.response.fail(Refusal.paused, backoff)
             return
         left = active.context.deadline - self.now()
-        seconds = usable_seconds(active.context.retry_after, left)
+        seconds = usable_seconds(active.context.retry_after, left, random.random())
         active.response.fail(refusal, seconds)
--- a/packages/edge/src/hitchdeck_edge/hub/late_answers.py
+++ b/packages/edge/src/hitchdeck_edge/hub/late_answers.py
@@ -10,6 +10,7 @@
 from hitchdeck_core import logs
 from hitchdeck_core.wire.spread_pb2 import Placed
 from hitchdeck_edge.links.hub_streams import LINK_ERRORS
+from hitchdeck_edge.scheduling.waiting import MAX_WAITING
 
 MAX_SEND_SECONDS = 0.5
 """Time for which answers are held for a box that does not read.
@@ -18,9 +19,8 @@
 its own frames within the same time.
 """
 
-MAX_UNSENT = 200
-"""Maximum number of answers that are held for a box.  In lab load ``a`` at most 29
-requests waited at all boxes (one play)."""
+MAX_UNSENT = MAX_WAITING
+"""Maximum number of answers that are held for a box: as many as can wait for one."""
 
 
 class LateAnswers:
--- a/packages/edge/src/hitchdeck_edge/hub/placing.py
+++ b/packages/edge/src/hitchdeck_edge/hub/placing.py
@@ -54,7 +54,8 @@
 
     def end(self) -> None:
         """End the stream; the box opens another one when it runs again."""
-        self.serving.reschedule(asyncio.get_running_loop().time())
+        if not self.serving.expired():
+            self.serving.reschedule(asyncio.get_running_loop().time())
 
     async def send(self, answers: list[Placed]) -> None:
         """Send answers; frames of several tasks must not interleave."""
--- a/packages/edge/src/hitchdeck_edge/scheduling/placement.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/placement.py
@@ -184,7 +184,7 @@
             self._choice(one, query, tokens)
             for one, tokens in zip(free, self._unread_at(free, prompt), strict=True)
         ]
-        return min(choices, key=_first_token_seconds, default=None)
+        return min(choices, key=first_token_seconds, default=None)
 
     def _choose_engine(
         self,
@@ -329,5 +329,6 @@
         )
 
 
-def _first_token_seconds(choice: Choice) -> float:
+def first_token_seconds(choice: Choice) -> float:
+    """Return the expected seconds until the first token of a request."""
     return choice.queue + choice.reading
--- a/packages/edge/src/hitchdeck_edge/scheduling/queue_limit.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/queue_limit.py
@@ -49,6 +49,7 @@
     *,
     yielding: bool = True,
     even_sizes: bool = False,
+    late_retries: bool = True,
 ) -> float:
     """Return the longest queueing time for a request, in seconds.
 
@@ -63,8 +64,10 @@
     even_sizes
         Whether the limit is reduced alike for prompts of all sizes: to a part of the
         goal, not of what reading them leaves of it, and whatever their efficiency.
+    late_retries
+        Whether a retry of a refused request may be late.
     """
-    longest = _longest_within_goal(query, choice)
+    longest = _longest_within_goal(query, choice, late_retries=late_retries)
     if query.prompt is None or share_used <= FREE_FRACTION:
         return longest
     reduction = (FREE_FRACTION / share_used) ** OVER_SHARE_EXPONENT
@@ -78,14 +81,16 @@
     return float(longest * _efficiency_factor(query.prompt, choice.tokens) ** beyond)
 
 
-def _longest_within_goal(query: PlacementQuery, choice: Choice) -> float:
+def _longest_within_goal(
+    query: PlacementQuery, choice: Choice, *, late_retries: bool
+) -> float:
     """Return the longest queueing time of a request of an account within its share."""
     late = query.goal * LATE_FRACTION
     left = query.goal - query.waited - choice.reading
     if query.waited >= query.goal or choice.reading >= query.goal:
         return late
     # A retry that is refused again is lost; a request that waits may still come back.
-    may_be_late = query.returned or not query.waited
+    may_be_late = not query.waited or (query.returned and late_retries)
     return max(late, left) if may_be_late else left
 
 
--- a/packages/edge/src/hitchdeck_edge/scheduling/retry_times.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/retry_times.py
@@ -5,12 +5,12 @@
 the engines, have room for its request after those that were refused before it.
 """
 
-from collections.abc import Hashable
+from dataclasses import dataclass, replace
 
 from hitchdeck_core.clock import Clock
 from hitchdeck_edge.model.placing import PlacementQuery
 from hitchdeck_edge.model.refusals import Refusal
-from hitchdeck_edge.scheduling.queue_limit import LATE_FRACTION
+from hitchdeck_edge.scheduling.queue_limit import max_queue_seconds
 from hitchdeck_edge.scheduling.scheduler import Unplaced
 from hitchdeck_edge.scheduling.shares import Shares, weight_of
 
@@ -18,16 +18,45 @@
 """Longest time that is told: a third of the longest time that callers were described to
 wait, 15 s, which is as much as they use."""
 
+MIN_SECONDS = 0.08
+"""Shortest time that is told: one review and a way to an engine.  Nothing changes
+sooner; a caller that was told 1 ms was refused five times in 50 ms."""
+
 USABLE_FRACTION = 1 / 3
 """Fraction of its time left for which a caller waits at the longest."""
 
 MAX_KNOWN = 1000
 """Maximum number of accounts and pools with refused requests, which bounds memory."""
 
+Key = tuple[str, str]
+"""What requests wait for, an account's share or a pool's room, and its name."""
+
+
+def usable_seconds(seconds: float, time_left: float, part: float) -> float:
+    """Return a time after which a caller should come back, within what it can use.
+
+    Parameters
+    ----------
+    seconds
+        The predicted time; 0 if there is none.
+    part
+        Place of the caller among those that can't wait as long as predicted, 0 to 1.
+        They would otherwise come back together.
+    """
+    if not seconds:
+        return 0
+    usable = time_left * USABLE_FRACTION
+    if seconds > usable:
+        seconds = usable * (1 + part) / 2
+    return max(MIN_SECONDS, seconds)
 
-def usable_seconds(seconds: float, time_left: float) -> float:
-    """Return a time after which a caller should come back, within what it can use."""
-    return min(seconds, max(0, time_left) * USABLE_FRACTION)
+
+@dataclass(slots=True)
+class _Backlog:
+    """Tokens of refused requests that are expected to come back, at a moment."""
+
+    tokens: float = 0.0
+    at: float = 0.0
 
 
 class RetryTimes:
@@ -35,14 +64,14 @@
 
     Attributes
     ----------
-    served_until
-        When the refused requests of each account or pool will have been served.
+    backlogs
+        Refused requests of each account or pool that are still to be served.
     """
 
     def __init__(self, shares: Shares, now: Clock) -> None:
         self.shares = shares
         self.now = now
-        self.served_until: dict[Hashable, float] = {}
+        self.backlogs: dict[Key, _Backlog] = {}
 
     def seconds(self, query: PlacementQuery, unplaced: Unplaced) -> float | None:
         """Return the seconds until a refused request can be served.
@@ -56,7 +85,7 @@
         goal_left = query.goal - query.waited
         if served + unplaced.reading > goal_left:
             served = max(served, goal_left)
-        return min(MAX_SECONDS, served)
+        return min(MAX_SECONDS, max(MIN_SECONDS, served))
 
     def _until_served(self, query: PlacementQuery, unplaced: Unplaced) -> float | None:
         if unplaced.refusal is Refusal.over_share:
@@ -73,44 +102,48 @@
         """
         account = query.account
         granted = self.shares.granted.tokens[account] if account else 0
-        if not granted or unplaced.share_used <= 1:
+        if account is None or not granted or unplaced.share_used <= 1:
             return None
         window = self.shares.window
         rate = granted / unplaced.share_used / window
-        return self._next(account, window * (1 - 1 / unplaced.share_used), rate, query)
+        allowed = window * (1 - 1 / unplaced.share_used)
+        return allowed + self._after_others(('account', account), rate, query)
 
     def _until_room(self, query: PlacementQuery, unplaced: Unplaced) -> float | None:
-        """Return the seconds until an engine may get the request, in time or late."""
-        rate = self.shares.granted.total / self.shares.window
-        if not rate:
+        """Return the seconds until an engine may get the request, in time or late.
+
+        A scheduler that has just started, or an idle one, has granted little, but its
+        engines serve what is stated.
+        """
+        rate = max(self.shares.capacity, self.shares.granted.total / self.shares.window)
+        choice = unplaced.choice
+        if not rate or choice is None:
             return None
-        room = max(0, unplaced.queue - query.goal * LATE_FRACTION)
-        return self._next(query.pool, room, rate, query)
+        late = replace(query, waited=query.goal, returned=True)
+        limit = max_queue_seconds(late, choice, unplaced.share_used, even_sizes=True)
+        room = max(0, unplaced.queue - limit)
+        return room + self._after_others(('pool', query.pool), rate, query)
 
-    def _next(
-        self, key: Hashable, seconds: float, rate: float, query: PlacementQuery
-    ) -> float:
-        """Return when a request is served after those refused before it.
+    def _after_others(self, key: Key, rate: float, query: PlacementQuery) -> float:
+        """Return the seconds that those refused before take; count a new one with them.
 
         Parameters
         ----------
-        seconds
-            Until the first of them can be served.
         rate
-            Tokens per second that are served of them.
+            Tokens per second at which they are served.
         """
         now = self.now()
-        begins = max(now + seconds, self.served_until.get(key, 0))
-        if begins < now + MAX_SECONDS:
-            size = weight_of(query.prompt) if query.prompt else 0
-            self._make_room(key)
-            self.served_until[key] = begins + size / rate
-        return begins - now
-
-    def _make_room(self, key: Hashable) -> None:
-        """Drop times that have passed, or all, if there are too many."""
-        if key in self.served_until or len(self.served_until) < MAX_KNOWN:
-            return
-        now = self.now()
-        ahead = {one: at for one, at in self.served_until.items() if at > now}
-        self.served_until = ahead if len(ahead) < MAX_KNOWN else {}
+        backlog = self.backlogs.get(key) or self._new_backlog(key)
+        # What can't be served within the longest time does not come back for it.
+        most = rate * MAX_SECONDS
+        ahead = min(most, max(0, backlog.tokens - rate * (now - backlog.at)))
+        backlog.tokens, backlog.at = ahead, now
+        if query.prompt is not None and not query.returned:
+            backlog.tokens = min(most, ahead + weight_of(query.prompt))
+        return ahead / rate
+
+    def _new_backlog(self, key: Key) -> _Backlog:
+        """Return a new entry; the one that was used first gives way if needed."""
+        if len(self.backlogs) >= MAX_KNOWN:
+            self.backlogs.pop(next(iter(self.backlogs)))
+        return self.backlogs.setdefault(key, _Backlog())
--- a/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-import math
 from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass, replace
@@ -20,7 +19,12 @@
 from hitchdeck_edge.model.placing import Choice, PlacementQuery
 from hitchdeck_edge.model.refusals import Refusal
 from hitchdeck_edge.scheduling.open_work import OpenWorkEntry, OpenWorkTable
-from hitchdeck_edge.scheduling.placement import NO_AREAS, Areas, Placement
+from hitchdeck_edge.scheduling.placement import (
+    NO_AREAS,
+    Areas,
+    Placement,
+    first_token_seconds,
+)
 from hitchdeck_edge.scheduling.queue_limit import max_queue_seconds
 from hitchdeck_edge.scheduling.refusal_causes import cause_of_refusal, has_room
 from hitchdeck_edge.scheduling.shares import Shares
@@ -56,9 +60,9 @@
         Fraction of its share that its account used.
     queue, reading
         Expected seconds until the best engine begins to read it, and of reading.
-    first_token
-        Expected seconds until the first token at the engine that makes it soonest, of
-        those that were considered.
+    soonest_queue, first_token
+        Expected seconds until reading begins, and until the first token, at the engine
+        that makes it soonest of those that were considered.
     choice
         The best engine, if there is one.
     """
@@ -67,6 +71,7 @@
     share_used: float
     queue: float
     reading: float
+    soonest_queue: float = 0.0
     first_token: float = 0.0
     choice: Choice | None = None
 
@@ -122,17 +127,23 @@
         if choice is None:
             return Unplaced(Refusal.no_upstream, share_used, 0, 0)
         choice = self._in_time(query, choice, share_used)
-        first_token = math.inf
+        soonest = choice
         for one in self._alternatives(query, choice, share_used):
             if query.resumes or self._starts_in_time(query, one, share_used):
                 self.placement.cold_budget.spend(one.upstream)
                 if self.documents.document is not None:
                     self.shares.grant(query)
                 return one
-            first_token = min(first_token, one.queue + one.reading)
+            soonest = min(soonest, one, key=first_token_seconds)
         refusal = Refusal.over_share if share_used > 1 else Refusal.overloaded
         return Unplaced(
-            refusal, share_used, choice.queue, choice.reading, first_token, choice
+            refusal,
+            share_used,
+            choice.queue,
+            choice.reading,
+            soonest.queue,
+            first_token_seconds(soonest),
+            choice,
         )
 
     def attempt_place(self, key: BoxTicket, query: PlacementQuery) -> Choice | Unplaced:
@@ -314,6 +325,7 @@
             share_used,
             yielding=self.mechanisms.yielding,
             even_sizes=self.mechanisms.even_sizes and query.longest_wait > 0,
+            late_retries=self.mechanisms.late_retries,
         )
         return choice.queue <= longest
 
--- a/tests/edge/test_waiting.py
+++ b/tests/edge/test_waiting.py
@@ -128,6 +128,33 @@
     assert len(queue.entries) == 2 - len(refused)
 
 
+@pytest.mark.parametrize(
+    ('queue_at_second', 'placed'), [(8_000, True), (30_000, False)]
+)
+def test_a_request_is_tried_itself_before_it_is_refused(
+    queue_at_second: int, *, placed: bool
+) -> None:
+    # Guards against a short request that is refused because a long one of its account,
+    # whose prompt is cached at a busy engine, can't be begun.
+    clock = FakeClock()
+    scheduler = scheduler_of(clock, 2)
+    scheduler.add_open(FULL, ENGINE, 26_000)
+    scheduler.add_open(('second', 0), UpstreamName('e1'), 24_400)
+    shared, own = Part(PartId('s'), 39_000), Part(PartId('own'), 1000)
+    scheduler.placement.prefix_cache.record_prompt(ENGINE, Prompt(39_000, 0, (shared,)))
+    queue = queue_of(scheduler, clock)
+    large = replace(patient(longest=0.3), prompt=Prompt(40_000, 0, (shared, own)))
+    small = replace(patient(), prompt=Prompt(1000, 0, (own,)))
+    assert queue.place(('box', 1), large) is None
+    assert queue.place(('box', 2), small) is None
+    scheduler.add_open(FULL, ENGINE, 34_000)
+    scheduler.add_open(('second', 0), UpstreamName('e1'), queue_at_second)
+    clock.seconds += 0.06
+    decided = dict(queue.review())
+    assert decided['box', 1] is Refusal.overloaded
+    assert isinstance(decided['box', 2], Choice) is placed
+
+
 def test_a_bad_prediction_for_one_area_refuses_nothing_elsewhere() -> None:
     clock = FakeClock()
     scheduler = full_scheduler(clock)
--- a/tools/switch_off.py
+++ b/tools/switch_off.py
@@ -195,7 +195,7 @@
     Mechanism(
         'waiting requests refused when a prediction turned bad',
         f'{_EDGE}/scheduling/waiting.py',
-        'return worse and begins > self.arrived + self.query.goal',
+        'return worse and first_token_at > self.arrived + self.query.goal',
         'return False',
         'test_a_request_is_refused_when_its_prediction_turns_bad',
     ),
@@ -209,8 +209,8 @@
     Mechanism(
         'retries spread in the order of refusal',
         f'{_EDGE}/scheduling/retry_times.py',
-        'self.served_until[key] = begins + size / rate',
-        'self.served_until[key] = begins',
+        'backlog.tokens = min(most, ahead + weight_of(query.prompt))',
+        'backlog.tokens = ahead',
         'test_callers_come_back_in_the_order_of_their_refusals',
     ),
     Mechanism(
