--- a/tests/edge/test_waiting.py
+++ b/tests/edge/test_waiting.py
@@ -556,3 +556,28 @@
         first, second = (one.place(('box', number), query) for one in queues)
         assert first == second
         assert [one.review() for one in queues] == [[], []]
+
+
+def test_a_refusal_at_the_end_of_a_wait_goes_by_the_latest_prediction(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against a time for the retry by the queue at the arrival, for requests
+    # behind another one of their account.
+    clock = FakeClock()
+    scheduler = full_scheduler(clock)
+    queue = queue_of(scheduler, clock)
+    for number, longest in enumerate((0.2, 0.3)):
+        queue.place(('box', number), patient(longest=longest))
+    scheduler.add_open(FULL, ENGINE, 30_000)
+    clock.seconds += 0.05
+    assert queue.review() == []
+    queues: list[float] = []
+
+    def refuse(_query: PlacementQuery, unplaced: Unplaced, _: object) -> Refusal:
+        queues.append(unplaced.queue)
+        return unplaced.refusal
+
+    monkeypatch.setattr(scheduler, 'refuse', refuse)
+    clock.seconds += 0.5
+    assert len(queue.review()) == 2
+    assert queues == pytest.approx([0.751, 0.751])
