--- a/packages/edge/src/hitchdeck_edge/scheduling/queue_limit.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/queue_limit.py
@@ -5,8 +5,15 @@
 account has used, and further for requests that cost an engine much work relative to
 their size.  So accounts well below their share find room at engines that
 other accounts keep busy.
+
+Where a request is refused all the same, the limit that binds is named, above all beside
+engines with free slots.
 """
 
+from collections.abc import Sequence
+from dataclasses import replace
+from enum import Enum
+
 from hitchdeck_edge.model.calls import Prompt
 from hitchdeck_edge.model.placing import Choice, PlacementQuery
 from hitchdeck_edge.scheduling.shares import weight_of
@@ -42,6 +49,32 @@
 always refused."""
 
 
+MAX_TAKEN_FRACTION = 0.5
+"""Fraction of the slots of a pool below which its engines have room."""
+
+
+class Cause(Enum):
+    """The limit that caused a refusal."""
+
+    no_upstream = 'no_upstream'
+    """No upstream may get the request at present."""
+
+    share = 'share'
+    """Within its share, the account's request would have been sent."""
+
+    places = 'places'
+    """The engine has no free slot, or too little free memory."""
+
+    reading = 'reading'
+    """Reading the prompt takes longer than its goal."""
+
+    time_left = 'time_left'
+    """Too little of its goal is left; a new request would have been sent."""
+
+    queue = 'queue'
+    """The engine reads other prompts first, for longer than the goal allows."""
+
+
 def max_queue_seconds(
     query: PlacementQuery,
     choice: Choice,
@@ -81,6 +114,44 @@
     return float(longest * _efficiency_factor(query.prompt, choice.tokens) ** beyond)
 
 
+def cause_of_refusal(query: PlacementQuery, choice: Choice | None) -> Cause:
+    """Return the limit that kept a request from being sent to the best engine.
+
+    Parameters
+    ----------
+    choice
+        The engine with the lowest cost, at which the request would begin too late.
+    """
+    if choice is None:
+        return Cause.no_upstream
+    if choice.queue <= max_queue_seconds(query, choice, 0):
+        return Cause.share
+    if not choice.fits:
+        return Cause.places
+    if choice.reading >= query.goal:
+        return Cause.reading
+    if choice.queue <= max_queue_seconds(replace(query, waited=0), choice, 0):
+        return Cause.time_left
+    return Cause.queue
+
+
+def has_room(running: Sequence[int], slots: int) -> bool:
+    """Tell whether under half of a pool's slots are taken and no request waits there.
+
+    Requests that wait for memory are not known to wait.
+
+    Parameters
+    ----------
+    running
+        Open requests of each engine.
+    slots
+        Concurrent requests per engine.
+    """
+    if not running or max(running) > slots:
+        return False
+    return sum(running) < MAX_TAKEN_FRACTION * slots * len(running)
+
+
 def _longest_within_goal(
     query: PlacementQuery, choice: Choice, *, late_retries: bool
 ) -> float:
--- a/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
@@ -25,8 +25,11 @@
     Placement,
     first_token_seconds,
 )
-from hitchdeck_edge.scheduling.queue_limit import max_queue_seconds
-from hitchdeck_edge.scheduling.refusal_causes import cause_of_refusal, has_room
+from hitchdeck_edge.scheduling.queue_limit import (
+    cause_of_refusal,
+    has_room,
+    max_queue_seconds,
+)
 from hitchdeck_edge.scheduling.shares import Shares
 from hitchdeck_edge.settings import BoxSettings
 from hitchdeck_edge.state.documents import Documents
--- a/tests/edge/test_refusal_causes.py
+++ b/tests/edge/test_refusal_causes.py
@@ -7,7 +7,7 @@
 from hitchdeck_core.ids import UpstreamName
 from hitchdeck_edge.model.placing import Choice
 from hitchdeck_edge.model.refusals import Refusal
-from hitchdeck_edge.scheduling.refusal_causes import (
+from hitchdeck_edge.scheduling.queue_limit import (
     Cause,
     cause_of_refusal,
     has_room,
