--- a/packages/edge/src/hitchdeck_edge/dispatch/dispatcher.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/dispatcher.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import random
 
 from hitchdeck_core import logs
 from hitchdeck_core.clock import Clock
@@ -19,6 +20,7 @@
 from hitchdeck_edge.model.refusals import Refusal
 from hitchdeck_edge.model.request_context import RequestContext
 from hitchdeck_edge.scheduling.chooser import Chooser
+from hitchdeck_edge.scheduling.retry_times import usable_seconds
 from hitchdeck_edge.scheduling.service_calls import second_attempt_pays
 from hitchdeck_edge.serving.budgets import ByteBudget
 from hitchdeck_edge.serving.caller import CallerConnection
@@ -200,4 +202,6 @@
         if backoff and refusal in NO_UPSTREAM_ACCEPTS:
             active.response.fail(Refusal.paused, backoff)
             return
-        active.response.fail(refusal)
+        left = active.context.deadline - self.now()
+        seconds = usable_seconds(active.context.retry_after, left, random.random())
+        active.response.fail(refusal, seconds)
--- a/packages/edge/src/hitchdeck_edge/hub/placing.py
+++ b/packages/edge/src/hitchdeck_edge/hub/placing.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from functools import partial
 
+from grpclib import GRPCError, Status
 from grpclib.server import Stream
 
 from hitchdeck_core import logs
@@ -15,6 +16,7 @@
 from hitchdeck_core.wire.spread_pb2 import Placed, PlacedFrame, PlacingFrame
 from hitchdeck_core.wire.spread_pb2 import Wanted as WantedMessage
 from hitchdeck_edge.hub.connected_boxes import ConnectedBoxes
+from hitchdeck_edge.hub.late_answers import LateAnswers
 from hitchdeck_edge.links.hub_streams import LINK_ERRORS
 from hitchdeck_edge.links.placing_messages import (
     decode_wanted,
@@ -22,6 +24,7 @@
     encode_wait,
 )
 from hitchdeck_edge.links.service_messages import decode_report, encode_states
+from hitchdeck_edge.scheduling.retry_times import RetryTimes
 from hitchdeck_edge.scheduling.scheduler import Scheduler, new_scheduler
 from hitchdeck_edge.scheduling.service_health import ServiceState, ServiceTable
 from hitchdeck_edge.scheduling.waiting import Decided, Reviews, WaitingQueue
@@ -75,6 +78,13 @@
         self.new_states: Callable[[], list[ServiceState]] = list
         self.told_at = 0.0
         self.tells = False
+        self.serving = asyncio.timeout(None)
+        self.late_answers = LateAnswers(name, self.send, self.end)
+
+    def end(self) -> None:
+        """End the stream; the box opens another one when it runs again."""
+        if not self.serving.expired():
+            self.serving.reschedule(asyncio.get_running_loop().time())
 
     async def send(self, answers: list[Placed]) -> None:
         """Send answers, with what is new of plain services.
@@ -130,7 +140,12 @@
         self.streams = 0
         self.connected = 0
         self.boxes: dict[str, _Box] = {}
-        self.queue = WaitingQueue(scheduler, scheduler.attempt_place, scheduler.now)
+        self.queue = WaitingQueue(
+            scheduler,
+            scheduler.attempt_place,
+            scheduler.now,
+            retry_times=RetryTimes(scheduler.shares, scheduler.now),
+        )
         self.reviews = Reviews(self.queue, self._deliver)
         scheduler.placement.cold_budget.rate_fraction = self.fleet_fraction
         self.services: ServiceTable | None = None
@@ -156,7 +171,10 @@
         if self.services is not None:
             box.new_states = partial(self.services.changes_for, box.name)
         try:
-            await self._serve(box, first)
+            async with box.serving:
+                await self._serve(box, first)
+        except TimeoutError:
+            raise GRPCError(Status.UNAVAILABLE, 'answers are not read') from None
         finally:
             self._drop(box)
 
@@ -171,6 +189,7 @@
     def _drop(self, box: _Box) -> None:
         self.connected -= 1
         self.boxes.pop(box.name)
+        box.late_answers.close()
         # A send to a box that stands still would otherwise wait for ever.
         for task in box.sends:
             task.cancel()
@@ -231,7 +250,9 @@
         """Tell a box what is new to it, in one frame of its own at a time."""
         if not box.tells:
             box.tells = True
-            self._start_send(box, [])
+            task = asyncio.create_task(self._send_states(box))
+            box.sends.add(task)
+            task.add_done_callback(box.sends.discard)
 
     def _place(self, box: _Box, message: WantedMessage) -> Placed:
         document = self.scheduler.documents.document
@@ -246,26 +267,24 @@
         return encode_decision(ticket, decision)
 
     def _deliver(self, decided: Decided) -> None:
-        """Send decisions on requests that waited, in a task for each box."""
+        """Send decisions on requests that waited."""
         answers: dict[str, list[Placed]] = defaultdict(list)
         for (name, ticket), decision in decided:
             answers[name].append(encode_decision(ticket, decision))
         for name, placed in answers.items():
-            self._start_send(self.boxes[name], placed)
-
-    def _start_send(self, box: _Box, answers: list[Placed]) -> None:
-        task = asyncio.create_task(self._send(box, answers))
-        box.sends.add(task)
-        task.add_done_callback(box.sends.discard)
+            for dropped in self.boxes[name].late_answers.add(placed):
+                # The box decides on it by itself once it has waited long enough.
+                self.scheduler.end((name, int(dropped.id)))
 
-    async def _send(self, box: _Box, answers: list[Placed]) -> None:
+    async def _send_states(self, box: _Box) -> None:
+        """Send a box the states of plain services that are new to it."""
         try:
-            await box.send(answers)
+            await box.send([])
         except LINK_ERRORS as error:
-            # Its stream ends, and the box decides on these requests by itself.
-            logs.info('answers not sent', attendee=box.name, reason=repr(error))
+            # Its stream ends, and it is told everything on its next one.
+            logs.info('states not sent', attendee=box.name, reason=repr(error))
         finally:
-            box.tells = box.tells and bool(answers)
+            box.tells = False
 
 
 def placing_service(
--- a/packages/edge/src/hitchdeck_edge/links/placing.py
+++ b/packages/edge/src/hitchdeck_edge/links/placing.py
@@ -28,8 +28,7 @@
     encode_wanted,
 )
 from hitchdeck_edge.links.service_exchange import ServiceExchange
-from hitchdeck_edge.model.placing import Choice, PlacementQuery
-from hitchdeck_edge.model.refusals import Refusal
+from hitchdeck_edge.model.placing import PlacementDecision, PlacementQuery
 from hitchdeck_edge.scheduling.shares import Shares
 from hitchdeck_edge.state.registry import Registry
 
@@ -118,7 +117,7 @@
         self.unanswered = 0
         self.services: ServiceExchange | None = None
 
-    async def place(self, query: PlacementQuery) -> Choice | Refusal | None:
+    async def place(self, query: PlacementQuery) -> PlacementDecision | None:
         """Return the scheduler's decision, or ``None`` if it does not answer."""
         if self.scheduler is None:
             return None
@@ -336,7 +335,7 @@
         self.unanswered += 1
         logs.info('scheduler silent', ticket=ticket, in_a_row=self.unanswered)
 
-    def _decision(self, placed: Placed) -> Choice | Refusal | None:
+    def _decision(self, placed: Placed) -> PlacementDecision | None:
         refusal = decode_refusal(placed)
         if refusal is not None:
             return refusal
--- a/packages/edge/src/hitchdeck_edge/model/placing.py
+++ b/packages/edge/src/hitchdeck_edge/model/placing.py
@@ -3,6 +3,7 @@
 from hitchdeck_core.ids import AccountName, PoolName, RequestId, UpstreamName
 from hitchdeck_core.lazy_dataclasses import dataclass
 from hitchdeck_edge.model.calls import Prompt
+from hitchdeck_edge.model.refusals import Refusal, Refused
 from hitchdeck_edge.model.upstreams import Upstream
 
 
@@ -40,6 +41,8 @@
         refused request.
     repeatable
         Whether it may be sent again after it may have run.
+    returned
+        Whether it is a retry of a refused request.
     """
 
     request: RequestId
@@ -58,6 +61,7 @@
     longest_wait: float = 0.0
     waited: float = 0.0
     repeatable: bool = False
+    returned: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,3 +89,6 @@
     ticket: int = 0
     reading: float = 0.0
     fits: bool = True
+
+
+PlacementDecision = Choice | Refusal | Refused
--- a/packages/edge/src/hitchdeck_edge/process.py
+++ b/packages/edge/src/hitchdeck_edge/process.py
@@ -115,6 +115,8 @@
         self.admission.metrics.connections_reused = sender.connections.reused
         self.admission.metrics.exclusions_adopted = self.known_hubs.adopted
         self._report_service_calls()
+        scheduler = self.admission.dispatcher.chooser.local
+        self.admission.metrics.refused_beside_room = scheduler.refused_beside_room
         self.admission.metrics.handed_off = self.caller_server.handoff.handed_off
 
     def _report_service_calls(self) -> None:
--- a/packages/edge/src/hitchdeck_edge/scheduling/queue_limit.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/queue_limit.py
@@ -5,8 +5,15 @@
 account has used, and further for requests that cost an engine much work relative to
 their size.  So accounts well below their share find room at engines that
 other accounts keep busy.
+
+Where a request is refused all the same, the limit that binds is named, above all beside
+engines with free slots.
 """
 
+from collections.abc import Sequence
+from dataclasses import replace
+from enum import Enum
+
 from hitchdeck_edge.model.calls import Prompt
 from hitchdeck_edge.model.placing import Choice, PlacementQuery
 from hitchdeck_edge.scheduling.shares import weight_of
@@ -42,12 +49,40 @@
 always refused."""
 
 
+MAX_TAKEN_FRACTION = 0.5
+"""Fraction of the slots of a pool below which its engines have room."""
+
+
+class Cause(Enum):
+    """The limit that caused a refusal."""
+
+    no_upstream = 'no_upstream'
+    """No upstream may get the request at present."""
+
+    share = 'share'
+    """Within its share, the account's request would have been sent."""
+
+    places = 'places'
+    """The engine has no free slot, or too little free memory."""
+
+    reading = 'reading'
+    """Reading the prompt takes longer than its goal."""
+
+    time_left = 'time_left'
+    """Too little of its goal is left; a new request would have been sent."""
+
+    queue = 'queue'
+    """The engine reads other prompts first, for longer than the goal allows."""
+
+
 def max_queue_seconds(
     query: PlacementQuery,
     choice: Choice,
     share_used: float,
     *,
     yielding: bool = True,
+    even_sizes: bool = False,
+    late_retries: bool = True,
 ) -> float:
     """Return the longest queueing time for a request, in seconds.
 
@@ -59,11 +94,19 @@
         What its account was granted, as a fraction of the fair share level.
     yielding
         Whether the efficiency of the request counts.
+    even_sizes
+        Whether the limit is reduced alike for prompts of all sizes: to a part of the
+        goal, not of what reading them leaves of it, and whatever their efficiency.
+    late_retries
+        Whether a retry of a refused request may be late.
     """
-    longest = _longest_within_goal(query, choice)
+    longest = _longest_within_goal(query, choice, late_retries=late_retries)
     if query.prompt is None or share_used <= FREE_FRACTION:
         return longest
-    longest *= (FREE_FRACTION / share_used) ** OVER_SHARE_EXPONENT
+    reduction = (FREE_FRACTION / share_used) ** OVER_SHARE_EXPONENT
+    if even_sizes:
+        return min(longest, _longest_of_any_size(query, choice, reduction))
+    longest *= reduction
     if not yielding:
         return float(longest)
     # Blends efficiency in gradually beyond the share, so that there is no step.
@@ -71,13 +114,69 @@
     return float(longest * _efficiency_factor(query.prompt, choice.tokens) ** beyond)
 
 
-def _longest_within_goal(query: PlacementQuery, choice: Choice) -> float:
+def cause_of_refusal(query: PlacementQuery, choice: Choice | None) -> Cause:
+    """Return the limit that kept a request from being sent to the best engine.
+
+    Parameters
+    ----------
+    choice
+        The engine with the lowest cost, at which the request would begin too late.
+    """
+    if choice is None:
+        return Cause.no_upstream
+    if choice.queue <= max_queue_seconds(query, choice, 0):
+        return Cause.share
+    if not choice.fits:
+        return Cause.places
+    if choice.reading >= query.goal:
+        return Cause.reading
+    if choice.queue <= max_queue_seconds(replace(query, waited=0), choice, 0):
+        return Cause.time_left
+    return Cause.queue
+
+
+def has_room(running: Sequence[int], slots: int) -> bool:
+    """Tell whether under half of a pool's slots are taken and no request waits there.
+
+    Requests that wait for memory are not known to wait.
+
+    Parameters
+    ----------
+    running
+        Open requests of each engine.
+    slots
+        Concurrent requests per engine.
+    """
+    if not running or max(running) > slots:
+        return False
+    return sum(running) < MAX_TAKEN_FRACTION * slots * len(running)
+
+
+def _longest_within_goal(
+    query: PlacementQuery, choice: Choice, *, late_retries: bool
+) -> float:
     """Return the longest queueing time of a request of an account within its share."""
     late = query.goal * LATE_FRACTION
     left = query.goal - query.waited - choice.reading
     if query.waited >= query.goal or choice.reading >= query.goal:
         return late
-    return left if query.waited else max(late, left)
+    # A retry that is refused again is lost; a request that waits may still come back.
+    may_be_late = not query.waited or (query.returned and late_retries)
+    return max(late, left) if may_be_late else left
+
+
+def _longest_of_any_size(
+    query: PlacementQuery, choice: Choice, reduction: float
+) -> float:
+    """Return the longest queueing time beyond the share, alike for all sizes.
+
+    Load: an account beyond its share with prompts that take up to half of their goal to
+    read.  A limit in proportion to what reading leaves of the goal is shortest for the
+    largest ones, and short ones keep every queue longer than that.
+    """
+    late = query.goal * LATE_FRACTION
+    left = max(0, query.goal - query.waited - choice.reading)
+    return float(max(late * reduction, min(left, query.goal * reduction)))
 
 
 def _efficiency_factor(prompt: Prompt, unread: int) -> float:
--- a/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
@@ -7,6 +7,8 @@
 """
 
 import asyncio
+from collections import Counter
+from collections.abc import Iterator
 from dataclasses import dataclass, replace
 
 from hitchdeck_core import logs
@@ -17,8 +19,17 @@
 from hitchdeck_edge.model.placing import Choice, PlacementQuery
 from hitchdeck_edge.model.refusals import Refusal
 from hitchdeck_edge.scheduling.open_work import OpenWorkEntry, OpenWorkTable
-from hitchdeck_edge.scheduling.placement import NO_AREAS, Areas, Placement
-from hitchdeck_edge.scheduling.queue_limit import max_queue_seconds
+from hitchdeck_edge.scheduling.placement import (
+    NO_AREAS,
+    Areas,
+    Placement,
+    first_token_seconds,
+)
+from hitchdeck_edge.scheduling.queue_limit import (
+    cause_of_refusal,
+    has_room,
+    max_queue_seconds,
+)
 from hitchdeck_edge.scheduling.shares import Shares
 from hitchdeck_edge.settings import BoxSettings
 from hitchdeck_edge.state.documents import Documents
@@ -52,12 +63,20 @@
         Fraction of its share that its account used.
     queue, reading
         Expected seconds until the best engine begins to read it, and of reading.
+    soonest_queue, first_token
+        Expected seconds until reading begins, and until the first token, at the engine
+        that makes it soonest of those that were considered.
+    choice
+        The best engine, if there is one.
     """
 
     refusal: Refusal
     share_used: float
     queue: float
     reading: float
+    soonest_queue: float = 0.0
+    first_token: float = 0.0
+    choice: Choice | None = None
 
 
 class Scheduler:
@@ -67,6 +86,8 @@
     ----------
     open
         Open requests, by box and ticket.
+    refused_beside_room
+        Numbers of requests that were refused while their engines had room, by cause.
     """
 
     def __init__(
@@ -90,6 +111,7 @@
         )
         self.now = now
         self.open: dict[BoxTicket, OpenRequest] = {}
+        self.refused_beside_room: Counter[str] = Counter()
 
     def decide(self, query: PlacementQuery) -> Choice | Refusal:
         """Return the chosen upstream, or the reason for refusing the request."""
@@ -107,14 +129,25 @@
         choice = self.placement.choose(query)
         if choice is None:
             return Unplaced(Refusal.no_upstream, share_used, 0, 0)
-        accepted = self._accepted(query, choice, share_used)
-        if accepted is not None:
-            self.placement.cold_budget.spend(accepted.upstream)
-            if self.documents.document is not None:
-                self.shares.grant(query)
-            return accepted
+        choice = self._in_time(query, choice, share_used)
+        soonest = choice
+        for one in self._alternatives(query, choice, share_used):
+            if query.resumes or self._starts_in_time(query, one, share_used):
+                self.placement.cold_budget.spend(one.upstream)
+                if self.documents.document is not None:
+                    self.shares.grant(query)
+                return one
+            soonest = min(soonest, one, key=first_token_seconds)
         refusal = Refusal.over_share if share_used > 1 else Refusal.overloaded
-        return Unplaced(refusal, share_used, choice.queue, choice.reading)
+        return Unplaced(
+            refusal,
+            share_used,
+            choice.queue,
+            choice.reading,
+            soonest.queue,
+            first_token_seconds(soonest),
+            choice,
+        )
 
     def attempt_place(self, key: BoxTicket, query: PlacementQuery) -> Choice | Unplaced:
         """Attempt to place a request, and if it is accepted count it as open."""
@@ -127,17 +160,35 @@
                 )
         return found
 
-    def refuse(self, query: PlacementQuery, unplaced: Unplaced) -> Refusal:
-        """Log a refusal, and return its reason."""
+    def refuse(
+        self,
+        query: PlacementQuery,
+        unplaced: Unplaced,
+        retry_after: float | None = None,
+    ) -> Refusal:
+        """Log a refusal, count it if engines have room, and return its reason.
+
+        Parameters
+        ----------
+        retry_after
+            Seconds until the request can be served, if they are predicted.
+        """
+        cause = cause_of_refusal(query, unplaced.choice).name
+        beside_room = self._has_room(query)
+        if beside_room:
+            self.refused_beside_room[cause] += 1
         logs.info(
             'refused',
             request=query.request,
             account=query.account,
             reason=unplaced.refusal.name,
+            cause=cause,
+            beside_room=beside_room,
             standing=round(unplaced.share_used, 3),
             queue=round(unplaced.queue, 3),
             goal=query.goal,
             waited=round(query.waited, 3),
+            retry_after=None if retry_after is None else round(retry_after, 3),
             version=self.documents.version,
         )
         return unplaced.refusal
@@ -200,34 +251,59 @@
             self.placement.forget_gone()
             await asyncio.sleep(CLEANUP_SECONDS)
 
+    def _has_room(self, query: PlacementQuery) -> bool:
+        if not query.slots:
+            return False
+        running = self.placement.open_work.running
+        serving = self.placement.registry.serving(query.pool)
+        return has_room([running(one.name) for one in serving], query.slots)
+
     def _cold_rate(self, pool: PoolName) -> float:
         return cold_rate(self.documents.document, pool)
 
-    def _accepted(
+    def _alternatives(
         self,
         query: PlacementQuery,
         choice: Choice,
         share_used: float,
-    ) -> Choice | None:
-        """Return a choice by which a request starts in time, or ``None``.
+    ) -> Iterator[Choice]:
+        """Yield the choices for a request in the order in which they are considered.
 
         The engine with the lowest cost may have a long queue, if it is nearby or has
         the prompt cached.  Before the request is refused, the best engine of another
         domain is tried; and if the account is within its share, the one that makes the
         first token soonest, although it must read again what another has cached.
         """
-        if query.resumes or self._starts_in_time(query, choice, share_used):
-            return choice
+        yield choice
         if not self.mechanisms.another_engine:
-            return None
+            return
         far = self._choose_far(query, choice)
-        if far is not None and self._starts_in_time(query, far, share_used):
-            return far
+        if far is not None:
+            yield far
         if share_used > 1:
-            return None
+            return
         soonest = self.placement.soonest(query)
-        if soonest is None or not self._starts_in_time(query, soonest, share_used):
-            return None
+        if soonest is not None:
+            yield soonest
+
+    def _in_time(
+        self, query: PlacementQuery, choice: Choice, share_used: float
+    ) -> Choice:
+        """Return a choice by which the first token comes in time, or the given one.
+
+        Load: prompts that an engine reads for a large part of their goal.  The engine
+        that has their shared part cached may be slow, or read others first.  Where
+        requests may not wait, and beyond the share of the account, the engine with the
+        lowest cost is kept.
+        """
+        left = query.goal - query.waited
+        if not (self.mechanisms.goal_first and query.longest_wait) or left <= 0:
+            return choice
+        if share_used > 1 or choice.queue + choice.reading <= left:
+            return choice
+        soonest = self.placement.soonest(query)
+        if soonest is None or soonest.queue + soonest.reading > left:
+            return choice
         return soonest
 
     def _choose_far(self, query: PlacementQuery, choice: Choice) -> Choice | None:
@@ -246,8 +322,14 @@
         choice: Choice,
         share_used: float,
     ) -> bool:
-        yielding = self.mechanisms.yielding
-        longest = max_queue_seconds(query, choice, share_used, yielding=yielding)
+        longest = max_queue_seconds(
+            query,
+            choice,
+            share_used,
+            yielding=self.mechanisms.yielding,
+            even_sizes=self.mechanisms.even_sizes and query.longest_wait > 0,
+            late_retries=self.mechanisms.late_retries,
+        )
         return choice.queue <= longest
 
     def _count_asked(self, query: PlacementQuery) -> float:
--- a/packages/edge/src/hitchdeck_edge/scheduling/waiting.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/waiting.py
@@ -14,9 +14,14 @@
 from hitchdeck_core import logs
 from hitchdeck_core.clock import Clock
 from hitchdeck_core.ids import AccountName
-from hitchdeck_edge.model.placing import Choice, PlacementQuery
-from hitchdeck_edge.model.refusals import Refusal
+from hitchdeck_edge.model.placing import (
+    Choice,
+    PlacementDecision,
+    PlacementQuery,
+)
+from hitchdeck_edge.model.refusals import Refusal, Refused
 from hitchdeck_edge.scheduling.queue_limit import FREE_FRACTION
+from hitchdeck_edge.scheduling.retry_times import RetryTimes
 from hitchdeck_edge.scheduling.scheduler import BoxTicket, Scheduler, Unplaced
 
 REVIEW_SECONDS = 0.05
@@ -43,7 +48,7 @@
 
 Attempt = Callable[[BoxTicket, PlacementQuery], Choice | Unplaced]
 
-Decided = list[tuple[BoxTicket, Choice | Refusal]]
+Decided = list[tuple[BoxTicket, PlacementDecision]]
 
 WAITABLE = frozenset((Refusal.over_share, Refusal.overloaded))
 """Refusals whose reason may end within the goal of a request."""
@@ -61,12 +66,40 @@
         When it is refused at the latest.
     unplaced
         Why it was not placed at the last attempt.
+    first_token_at
+        When it was predicted to get its first token as it began to wait.
+    latest
+        Why the last request of its group that was tried was not placed.
     """
 
     query: PlacementQuery
     arrived: float
     until: float = 0.0
     unplaced: Unplaced | None = None
+    first_token_at: float = 0.0
+    latest: Unplaced | None = None
+
+    def turned_bad(self, found: Unplaced, now: float) -> bool:
+        """Tell whether it can't begin within its goal any more.
+
+        A prediction that was beyond the goal from the start does not count: engines may
+        become free sooner than predicted.
+
+        Parameters
+        ----------
+        found
+            Why a request like it, or it itself, is not placed now.
+        """
+        assert self.unplaced is not None
+        if found.refusal not in WAITABLE:
+            return True
+        seconds = found.first_token
+        if found is not self.unplaced:
+            seconds = found.soonest_queue + self.unplaced.reading
+        first_token_at = now + seconds + SEND_SECONDS
+        # Predictions of the same engine differ by less from one review to the next.
+        worse = first_token_at > self.first_token_at + REVIEW_SECONDS
+        return worse and first_token_at > self.arrived + self.query.goal
 
 
 class RefusedRequests:
@@ -120,11 +153,15 @@
         Places a request if an engine may get it now.
     max_placed
         Maximum number of requests that one review places.
+    retry_times
+        Predicts when refused requests can be served; otherwise the times of their
+        reasons apply.
     entries
         Waiting requests, by box and ticket.
-    placed, timed_out
-        Numbers of requests that were placed after a wait, and that were refused at the
-        end of theirs.
+    placed, timed_out, turned_bad
+        Numbers of requests that were placed after a wait, that were refused at the end
+        of theirs, and that were refused before because they could not begin in time any
+        more.
     """
 
     def __init__(
@@ -133,17 +170,20 @@
         attempt: Attempt,
         now: Clock,
         max_placed: int = MAX_REVIEWED,
+        retry_times: RetryTimes | None = None,
     ) -> None:
         self.scheduler = scheduler
         self.attempt = attempt
         self.max_placed = max_placed
+        self.retry_times = retry_times
         self.now = now
         self.entries: dict[BoxTicket, WaitingRequest] = {}
         self.refused = RefusedRequests(now)
         self.placed = 0
         self.timed_out = 0
+        self.turned_bad = 0
 
-    def place(self, key: BoxTicket, query: PlacementQuery) -> Choice | Refusal | None:
+    def place(self, key: BoxTicket, query: PlacementQuery) -> PlacementDecision | None:
         """Decide on a request; ``None`` if it waits."""
         if not query.longest_wait:
             found = self.attempt(key, query)
@@ -151,6 +191,7 @@
                 return found
             return self.scheduler.refuse(query, found)
         waited = self.refused.seconds_since(query)
+        query = replace(query, returned=waited > 0)
         entry = WaitingRequest(query, self.now() - waited)
         # Exactly 0 for a first attempt, whose demand counts; the clock moves on.
         found = self.attempt(key, replace(query, waited=waited))
@@ -170,11 +211,17 @@
 
     def review(self) -> Decided:
         """Place or refuse what can be decided now."""
-        return [*self._refuse_late(), *self._place_first()]
+        unplaced: dict[Hashable, Unplaced] = {}
+        left = _Left(min(MAX_REVIEWED, len(self.entries)), self.max_placed)
+        return [
+            *self._refuse_late(),
+            *self._place_first(unplaced, left),
+            *self._refuse_turned_bad(unplaced, left),
+        ]
 
     def _keep_or_refuse(
         self, key: BoxTicket, entry: WaitingRequest, found: Unplaced
-    ) -> Refusal | None:
+    ) -> Refusal | Refused | None:
         entry.unplaced = found
         goal_left = entry.arrived + entry.query.goal - self.now()
         wait = min(entry.query.longest_wait, goal_left - found.reading - SEND_SECONDS)
@@ -185,44 +232,111 @@
         ):
             return self._refuse(entry)
         entry.until = self.now() + wait
+        entry.first_token_at = self.now() + found.first_token + SEND_SECONDS
         self.entries[key] = entry
         return None
 
-    def _refuse(self, entry: WaitingRequest) -> Refusal:
-        assert entry.unplaced is not None
+    def _refuse(self, entry: WaitingRequest) -> Refusal | Refused:
+        unplaced = entry.latest or entry.unplaced
+        assert unplaced is not None
         self.refused.add(entry.query, entry.arrived)
-        return self.scheduler.refuse(self._current(entry), entry.unplaced)
-
-    def _refuse_late(self) -> Iterator[tuple[BoxTicket, Refusal]]:
+        query = self._current(entry)
+        seconds = self._retry_seconds(query, unplaced)
+        refusal = self.scheduler.refuse(query, unplaced, seconds)
+        return refusal if seconds is None else Refused(refusal, seconds)
+
+    def _retry_seconds(self, query: PlacementQuery, unplaced: Unplaced) -> float | None:
+        """Return when a refused request can be served, if that is predicted."""
+        if self.retry_times is None or not self.scheduler.mechanisms.predicted_retry:
+            return None
+        return self.retry_times.seconds(query, unplaced)
+
+    def _refuse_late(self) -> Iterator[tuple[BoxTicket, Refusal | Refused]]:
         now = self.now()
         late = [key for key, entry in self.entries.items() if entry.until <= now]
         for key in late:
             self.timed_out += 1
             yield key, self._refuse(self.entries.pop(key))
 
-    def _place_first(self) -> Iterator[tuple[BoxTicket, Choice]]:
-        budget = min(MAX_REVIEWED, len(self.entries))
-        placed = 0
-        # Requests like one that can't be begun would keep others from their turn.
-        blocked: set[Hashable] = set()
+    def _place_first(
+        self, unplaced: dict[Hashable, Unplaced], left: '_Left'
+    ) -> Iterator[tuple[BoxTicket, Choice]]:
+        """Place what engines may get now.
+
+        Parameters
+        ----------
+        unplaced
+            Gets the reason for each group of requests that can't be placed.
+        """
         for key, entry in self._ordered():
-            group = (entry.query.pool, entry.query.account, entry.query.avoid)
-            if group in blocked:
+            if not left.attempts or not left.places:
+                return
+            group = _group(entry)
+            # Requests like one that can't be begun would keep others from their turn.
+            if group in unplaced:
                 continue
-            query = self._current(entry)
-            found = self.attempt(key, query)
-            budget -= 1
+            found = self._try(key, entry, left)
             if isinstance(found, Choice):
-                self.remove(key)
-                self.placed += 1
-                self._log_placed(query, found)
                 yield key, found
-                placed += 1
             else:
-                entry.unplaced = found
-                blocked.add(group)
-            if not budget or placed >= self.max_placed:
-                return
+                unplaced[group] = found
+
+    def _refuse_turned_bad(
+        self, unplaced: dict[Hashable, Unplaced], left: '_Left'
+    ) -> Iterator[tuple[BoxTicket, PlacementDecision]]:
+        """Refuse requests that can't begin in time any more.
+
+        A request that was not tried itself is tried first, in this review or a later
+        one: another engine may have its prompt cached.
+
+        Parameters
+        ----------
+        unplaced
+            Why requests of each group are not placed now.
+        """
+        reviewed = self.scheduler.mechanisms.prediction_review
+        for key, entry in list(self.entries.items()):
+            found = unplaced.get(_group(entry))
+            if found is None:
+                continue
+            entry.latest = found
+            if reviewed and entry.turned_bad(found, self.now()):
+                decision = self._place_or_refuse(key, entry, left)
+                if decision is not None:
+                    yield key, decision
+
+    def _place_or_refuse(
+        self, key: BoxTicket, entry: WaitingRequest, left: '_Left'
+    ) -> PlacementDecision | None:
+        """Decide on a request like one that turned bad; ``None`` if it waits on."""
+        if entry.latest is not entry.unplaced:
+            if not left.attempts or not left.places:
+                return None
+            found = self._try(key, entry, left)
+            if isinstance(found, Choice):
+                return found
+            entry.latest = found
+            if not entry.turned_bad(found, self.now()):
+                return None
+        self.turned_bad += 1
+        self.remove(key)
+        return self._refuse(entry)
+
+    def _try(
+        self, key: BoxTicket, entry: WaitingRequest, left: '_Left'
+    ) -> Choice | Unplaced:
+        """Try to place a waiting request, and remove it if an engine gets it."""
+        query = self._current(entry)
+        found = self.attempt(key, query)
+        left.attempts -= 1
+        if isinstance(found, Choice):
+            left.places -= 1
+            self.remove(key)
+            self.placed += 1
+            self._log_placed(query, found)
+        else:
+            entry.unplaced = found
+        return found
 
     def _ordered(self) -> list[tuple[BoxTicket, WaitingRequest]]:
         accounts = {entry.query.account for entry in self.entries.values()}
@@ -253,6 +367,20 @@
         )
 
 
+@dataclass(slots=True)
+class _Left:
+    """Attempts and places that are left in one review."""
+
+    attempts: int
+    places: int
+
+
+def _group(entry: WaitingRequest) -> Hashable:
+    """Return what requests have in common of which none, or the first, is placed."""
+    query = entry.query
+    return query.pool, query.account, query.avoid, query.tried, query.areas
+
+
 def _rank(entry: WaitingRequest, excess: float) -> tuple[float, int, float, int]:
     """Return the sort key: excess over the share, priority, time left, cost."""
     prompt = entry.query.prompt
--- a/packages/edge/src/hitchdeck_edge/serving/metrics.py
+++ b/packages/edge/src/hitchdeck_edge/serving/metrics.py
@@ -1,6 +1,7 @@
 """Counters and latency histograms of an entry box."""
 
 from collections import Counter
+from collections.abc import Mapping
 
 from hitchdeck_core.clock import Clock
 from hitchdeck_core.histograms import Histograms
@@ -66,6 +67,9 @@
         Exclusions of schedulers that hubs told this box of.
     service_counts
         Counts of calls to plain services, by what happened to them.
+    refused_beside_room
+        Requests that this box refused without a scheduler while engines had room, by
+        cause.
     """
 
     def __init__(self, now: Clock) -> None:
@@ -86,6 +90,7 @@
         self.connections_reused = 0
         self.exclusions_adopted = 0
         self.service_counts = dict.fromkeys(SERVICE_COUNTS, 0)
+        self.refused_beside_room: Mapping[str, int] = {}
 
     def record_served(
         self, context: RequestContext, outcome: str, seconds: float
@@ -141,6 +146,10 @@
             f'hitchdeck_service_{name}_total {count}'
             for name, count in self.service_counts.items()
         )
+        lines.extend(
+            f'hitchdeck_refused_beside_room_total{{cause="{cause}"}} {count}'
+            for cause, count in sorted(self.refused_beside_room.items())
+        )
         lines.extend(
             f'hitchdeck_requests_total{{outcome="{name}"}} {count}'
             for name, count in sorted(self.outcomes.items())
--- a/tests/edge/test_waiting.py
+++ b/tests/edge/test_waiting.py
@@ -1,7 +1,7 @@
 """Requests that wait at the scheduler, or at a box that decides alone."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import replace
 from types import SimpleNamespace
@@ -9,12 +9,15 @@
 import pytest
 
 from hitchdeck_core.channels import require_fleet_token, serve
-from hitchdeck_core.ids import AccountName, RequestId, UpstreamName
+from hitchdeck_core.ids import AccountName, InstanceName, RequestId, UpstreamName
 from hitchdeck_edge.hub.placing import FleetSize, PlacingService
 from hitchdeck_edge.links.placing import PlacingLink
+from hitchdeck_edge.model.calls import Part, PartId, Prompt
+from hitchdeck_edge.model.mechanisms import Mechanisms
 from hitchdeck_edge.model.placing import Choice, PlacementQuery
 from hitchdeck_edge.model.refusals import Refusal
 from hitchdeck_edge.scheduling.chooser import Chooser
+from hitchdeck_edge.scheduling.queue_limit import max_queue_seconds
 from hitchdeck_edge.scheduling.scheduler import Scheduler, Unplaced
 from hitchdeck_edge.scheduling.waiting import (
     MAX_REMEMBERED,
@@ -87,6 +90,94 @@
     assert not scheduler.open
 
 
+def lose_engines(scheduler: Scheduler) -> None:
+    scheduler.placement.registry.end(InstanceName(ENGINE), 'test')
+
+
+def lengthen_queue(scheduler: Scheduler) -> None:
+    scheduler.add_open(('other', 1), ENGINE, 20_000)
+
+
+def restart_reading(scheduler: Scheduler) -> None:
+    scheduler.add_open(FULL, ENGINE, 41_000)
+
+
+@pytest.mark.parametrize(
+    ('change', 'reason'),
+    [
+        (lose_engines, Refusal.no_upstream),
+        (lengthen_queue, Refusal.overloaded),
+        (restart_reading, None),
+    ],
+)
+def test_a_request_is_refused_when_its_prediction_turns_bad(
+    change: Callable[[Scheduler], None], reason: Refusal | None
+) -> None:
+    # Guards against holding a request until the end of its wait although nothing can
+    # begin it in time any more; a queue as long as it was is no such reason.
+    clock = FakeClock()
+    scheduler = full_scheduler(clock)
+    queue = queue_of(scheduler, clock)
+    queue.place(('box', 1), patient())
+    queue.place(('box', 2), patient())
+    change(scheduler)
+    clock.seconds += 0.01
+    refused = [(('box', number), reason) for number in (1, 2) if reason]
+    assert queue.review() == refused
+    assert queue.turned_bad == len(refused)
+    assert len(queue.entries) == 2 - len(refused)
+
+
+@pytest.mark.parametrize(
+    ('queue_at_second', 'placed'), [(8_000, True), (30_000, False)]
+)
+def test_a_request_is_tried_itself_before_it_is_refused(
+    queue_at_second: int, *, placed: bool
+) -> None:
+    # Guards against a short request that is refused because a long one of its account,
+    # whose prompt is cached at a busy engine, can't be begun.
+    clock = FakeClock()
+    scheduler = scheduler_of(clock, 2)
+    scheduler.add_open(FULL, ENGINE, 26_000)
+    scheduler.add_open(('second', 0), UpstreamName('e1'), 24_400)
+    shared, own = Part(PartId('s'), 39_000), Part(PartId('own'), 1000)
+    scheduler.placement.prefix_cache.record_prompt(ENGINE, Prompt(39_000, 0, (shared,)))
+    queue = queue_of(scheduler, clock)
+    large = replace(patient(longest=0.3), prompt=Prompt(40_000, 0, (shared, own)))
+    small = replace(patient(), prompt=Prompt(1000, 0, (own,)))
+    assert queue.place(('box', 1), large) is None
+    assert queue.place(('box', 2), small) is None
+    scheduler.add_open(FULL, ENGINE, 34_000)
+    scheduler.add_open(('second', 0), UpstreamName('e1'), queue_at_second)
+    clock.seconds += 0.06
+    decided = dict(queue.review())
+    assert decided['box', 1] is Refusal.overloaded
+    assert isinstance(decided['box', 2], Choice) is placed
+
+
+def test_a_bad_prediction_for_one_area_refuses_nothing_elsewhere() -> None:
+    clock = FakeClock()
+    scheduler = full_scheduler(clock)
+    queue = queue_of(scheduler, clock)
+    scheduler.placement.areas = {'a': 'here'}
+    for number, area in enumerate(('here', 'here', 'gone')):
+        queue.place(('box', number), replace(patient(), areas=frozenset((area,))))
+    assert list(queue.entries) == [('box', 0), ('box', 1)]
+    entry = queue.entries['box', 1]
+    entry.query = replace(entry.query, areas=frozenset(('gone',)))
+    assert queue.review() == [(('box', 1), Refusal.no_upstream)]
+
+
+def test_without_the_mechanism_a_request_waits_to_the_end() -> None:
+    clock = FakeClock()
+    scheduler = full_scheduler(clock)
+    scheduler.mechanisms = Mechanisms(prediction_review=False)
+    queue = queue_of(scheduler, clock)
+    queue.place(('box', 1), patient())
+    lose_engines(scheduler)
+    assert queue.review() == []
+
+
 def test_the_time_waited_shortens_the_queue_that_is_accepted() -> None:
     # Guards against starting a request late after it has waited in time.
     clock = FakeClock()
@@ -380,3 +471,114 @@
         queue.place(('', number), patient())
     scheduler.end(FULL)
     assert len(queue.review()) == 1
+
+
+@pytest.mark.parametrize(
+    ('late_retries', 'served'), [(True, True), (False, False)], ids=['on', 'off']
+)
+def test_a_retry_may_be_late_rather_than_refused_again(
+    *, late_retries: bool, served: bool
+) -> None:
+    # Guards against a retry, the last that its caller makes, which is refused just
+    # before its goal although one that comes just after it is served.
+    clock = FakeClock()
+    scheduler = full_scheduler(clock)
+    scheduler.mechanisms = Mechanisms(late_retries=late_retries)
+    queue = queue_of(scheduler, clock)
+    short = patient(longest=0.01)
+    assert queue.place(('box', 1), short) is Refusal.overloaded
+    clock.seconds += 0.55
+    scheduler.add_open(FULL, ENGINE, 4_000)
+    decision = queue.place(('box', 2), short)
+    assert isinstance(decision, Choice) is served
+
+
+@pytest.mark.parametrize(
+    ('longest', 'goal_first', 'placed'),
+    [(GOAL, True, 'e1'), (GOAL, False, 'e0'), (0, True, 'e0')],
+    ids=['on', 'off', 'no-waits'],
+)
+def test_a_long_prompt_goes_where_it_is_in_time(
+    longest: float, *, goal_first: bool, placed: str
+) -> None:
+    # Guards against a long prompt that is sent to the engine which has its shared part,
+    # and is late there, beside an idle engine that would read all of it in time.
+    scheduler = scheduler_of(FakeClock(), 2)
+    scheduler.mechanisms = Mechanisms(goal_first=goal_first)
+    shared, own = Part(PartId('s'), 2_000), Part(PartId('own'), 19_000)
+    query = replace(patient(longest=longest), prompt=Prompt(21_000, 0, (shared, own)))
+    scheduler.placement.prefix_cache.record_prompt(ENGINE, Prompt(2_000, 0, (shared,)))
+    scheduler.add_open(FULL, ENGINE, 5_400)
+    found = scheduler.attempt(query)
+    assert isinstance(found, Choice)
+    assert found.upstream.name == placed
+
+
+@pytest.mark.parametrize(
+    ('reading', 'share_used', 'longest', 'even'),
+    [
+        (0, 0.8, 0.6, 0.6),
+        (0, 1.6, 0.15, 0.15),
+        (0.3, 1.6, 0.075, 0.15),
+        (0.45, 1.6, 0.0375, 0.15),
+        (0.45, 0.8, 0.15, 0.15),
+        (0.45, 3.2, 0.009375, 0.0375),
+        # A prompt that is late anyway may wait for a part of a quarter of its goal.
+        (0.7, 1.6, 0.0375, 0.0375),
+    ],
+)
+def test_beyond_the_share_prompts_of_all_sizes_may_queue_alike(
+    reading: float, share_used: float, longest: float, even: float
+) -> None:
+    # Guards against the largest prompts of an account getting none of its share: short
+    # ones keep every queue longer than what was left to them.
+    choice = Choice(engine('e0'), 100, 0, reading=reading)
+    limits = [
+        max_queue_seconds(wanted(), choice, share_used, yielding=False, even_sizes=one)
+        for one in (False, True)
+    ]
+    assert limits == pytest.approx([longest, even])
+
+
+@pytest.mark.parametrize(
+    'name', ['even_sizes', 'goal_first', 'late_retries', 'prediction_review']
+)
+def test_without_waits_a_mechanism_changes_no_decision(name: str) -> None:
+    clock = FakeClock()
+    on, off = (scheduler_of(clock, 2) for _ in range(2))
+    off.mechanisms = Mechanisms(**{name: False})
+    queues = [queue_of(on, clock), queue_of(off, clock)]
+    for one in (on, off):
+        offer(one, 4000)
+    for number in range(200):
+        clock.seconds += 0.01
+        tokens = 20_000 if number % 5 == 0 else 2000
+        query = wanted('big' if number % 3 else 'ann', str(number % 7), tokens)
+        first, second = (one.place(('box', number), query) for one in queues)
+        assert first == second
+        assert [one.review() for one in queues] == [[], []]
+
+
+def test_a_refusal_at_the_end_of_a_wait_goes_by_the_latest_prediction(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against a time for the retry by the queue at the arrival, for requests
+    # behind another one of their account.
+    clock = FakeClock()
+    scheduler = full_scheduler(clock)
+    queue = queue_of(scheduler, clock)
+    for number, longest in enumerate((0.2, 0.3)):
+        queue.place(('box', number), patient(longest=longest))
+    scheduler.add_open(FULL, ENGINE, 30_000)
+    clock.seconds += 0.05
+    assert queue.review() == []
+    queues: list[float] = []
+
+    def refuse(_query: PlacementQuery, unplaced: Unplaced, _: object) -> Refusal:
+        queues.append(unplaced.queue)
+        return unplaced.refusal
+
+    monkeypatch.setattr(scheduler, 'refuse', refuse)
+    clock.seconds += 0.5
+    assert len(queue.review()) == 2
+    assert queues == pytest.approx([0.751, 0.751])
