Take cached prompt parts from other engines where it costs less than reading

Where the document states the size of a cached token and the rate of the links, placement compares the cost of reading a shared part again with that of taking it from an engine that has read it, and names that engine to the chosen one in Kv-Fetch.

--- a/packages/edge/src/hitchdeck_edge/dispatch/sender.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/sender.py
@@ -40,7 +40,14 @@
 
 
 class Sender:
-    """Makes single attempts, and records what they show about upstreams."""
+    """Makes single attempts, and records what they show about upstreams.
+
+    Attributes
+    ----------
+    moves_sent, moves_dropped
+        Requests that named a source of cached parts to their engine, and requests whose
+        source this box knew to be of no use.
+    """
 
     def __init__(
         self,
@@ -59,6 +66,8 @@
         self.domain = chooser.domain
         self.connections = connections
         self.now = now
+        self.moves_sent = 0
+        self.moves_dropped = 0
 
     async def send(self, active: ActiveRequest, choice: Choice) -> bool:
         """Send the request to an upstream; return whether it was sent.
@@ -133,7 +142,10 @@
 
     def _open_attempt(self, context: RequestContext, choice: Choice) -> Attempt:
         name = choice.upstream.name
-        ticket = OpenWorkEntry(self.placement.open_work, name, choice.tokens)
+        source = choice.source.name if choice.source else None
+        ticket = OpenWorkEntry(
+            self.placement.open_work, name, choice.tokens, source=source
+        )
         number = 0
         if context.pool.engine is not None:
             number = self.link.track(choice.ticket, name, choice.tokens)
@@ -185,6 +197,7 @@
             seconds_left=max(0, context.deadline - self.now()),
             last_event=context.last_event,
             body_bytes=len(context.body),
+            cache_source=self._cache_source(choice),
         )
         headers = self.adapter.forward_headers(context.call, forwarding)
         return UpstreamRequest(
@@ -194,6 +207,25 @@
             context.body,
         )
 
+    def _cache_source(self, choice: Choice) -> Upstream | None:
+        """Return the engine to take a cached part from, unless it is of no use now."""
+        placement = self.placement
+        if choice.source is None or not placement.mechanisms.cache_moves:
+            return None
+        source = placement.registry.records.get(choice.source.name)
+        if source is not None and self._may_take_from(source):
+            self.moves_sent += 1
+            return source
+        self.moves_dropped += 1
+        return None
+
+    def _may_take_from(self, source: Upstream) -> bool:
+        return (
+            self.placement.registry.takes_work(source)
+            and self.placement.moves.is_trusted(source)
+            and self.backpressure.accepts_requests(source.name)
+        )
+
     def _record_sent(self, active: ActiveRequest, attempt: Attempt) -> None:
         context = active.context
         context.sent += 1
@@ -225,6 +257,9 @@
         else:
             attempt.body = await connection.read_body()
             attempt.ticket.start()
+            if success:
+                prompt = active.context.call.prompt
+                self.placement.prefix_cache.record_read(attempt.upstream, prompt)
             attempt.outcome = outcome_of(head, not_run=mark.not_run)
         self.connections.keep_alive(attempt.choice.upstream, connection, head.headers)
 
@@ -246,6 +281,7 @@
 
     def _record_first_event(self, context: RequestContext, attempt: Attempt) -> None:
         attempt.ticket.start()
+        self.placement.prefix_cache.record_read(attempt.upstream, context.call.prompt)
         self.link.record_start(attempt.number)
         if loop_utilization() <= OVERLOADED_UTILIZATION:
             self.placement.measure(attempt.ticket, context.placement_query(self.domain))
--- a/packages/edge/src/hitchdeck_edge/links/placing.py
+++ b/packages/edge/src/hitchdeck_edge/links/placing.py
@@ -333,4 +333,6 @@
             # not get requests according to this box's state.
             self._send_ended(placed.id)
             return None
-        return decode_choice(placed, upstream)
+        # ``None`` if the scheduler named none, or one that this box does not know.
+        source = self.registry.records.get(UpstreamName(placed.cache_source))
+        return decode_choice(placed, upstream, source)
--- a/packages/edge/src/hitchdeck_edge/links/placing_messages.py
+++ b/packages/edge/src/hitchdeck_edge/links/placing_messages.py
@@ -77,6 +77,7 @@
         upstream=decision.upstream.name,
         unread=decision.tokens,
         queue_ms=int(decision.queue * _MILLISECONDS),
+        cache_source=decision.source.name if decision.source else '',
     )
 
 
@@ -93,7 +94,10 @@
     return None
 
 
-def decode_choice(placed: Placed, upstream: Upstream) -> Choice:
-    """Return the choice in an answer, given the upstream that it names."""
+def decode_choice(
+    placed: Placed, upstream: Upstream, source: Upstream | None = None
+) -> Choice:
+    """Return the choice in an answer, given the upstreams that it names."""
     queue = placed.queue_ms / _MILLISECONDS
-    return Choice(upstream, int(placed.unread), queue, int(placed.id))
+    tokens, ticket = int(placed.unread), int(placed.id)
+    return Choice(upstream, tokens, queue, ticket, source=source)
--- a/packages/edge/src/hitchdeck_edge/model/adapter.py
+++ b/packages/edge/src/hitchdeck_edge/model/adapter.py
@@ -21,6 +21,8 @@
         Id of the last event that the caller received, if the stream is resumed.
     body_bytes
         Length of the request body.
+    cache_source
+        Engine from which the upstream is to take what it has cached of the prompt.
     """
 
     upstream: Upstream
@@ -28,6 +30,7 @@
     seconds_left: float
     last_event: str
     body_bytes: int
+    cache_source: Upstream | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/edge/src/hitchdeck_edge/model/document.py
+++ b/packages/edge/src/hitchdeck_edge/model/document.py
@@ -71,12 +71,39 @@
     allowed_areas: frozenset[str] = frozenset()
 
 
+@dataclass(frozen=True, slots=True)
+class CacheLink:
+    """What a move of cached tokens between two engines takes.
+
+    Attributes
+    ----------
+    token_bytes
+        Size of one cached token.
+    bytes_per_second
+        Rate of the link of an engine.
+    """
+
+    token_bytes: float
+    bytes_per_second: float
+
+
 @dataclass(frozen=True, slots=True)
 class Engine:
-    """Resources of each engine of a pool: concurrent requests, cache size in tokens."""
+    """Resources of each engine of a pool.
+
+    Attributes
+    ----------
+    slots
+        Concurrent requests.
+    memory_tokens
+        Size of its cache.
+    cache_link
+        Costs of moves of cached prompt parts; ``None`` if engines can't move any.
+    """
 
     slots: int
     memory_tokens: int
+    cache_link: CacheLink | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -150,6 +177,12 @@
     return known.cold_rate if known else 0
 
 
+def cache_link(document: Document | None, pool: PoolName) -> CacheLink | None:
+    """Return the costs of moves in a pool; ``None`` if its engines can't move any."""
+    known = document.pools.get(pool) if document else None
+    return known.engine.cache_link if known and known.engine else None
+
+
 def urgency(route: Route, account: ClientAccount | None) -> int:
     """Return the priority of a request; that of its account takes precedence."""
     if account is None or account.priority is None:
--- a/packages/edge/src/hitchdeck_edge/model/mechanisms.py
+++ b/packages/edge/src/hitchdeck_edge/model/mechanisms.py
@@ -27,6 +27,8 @@
         or to one that must read a cached part again.
     places
         The expected wait includes the time until an engine slot is free.
+    cache_moves
+        Engines take cached prompt parts from each other, if the document allows it.
     engine_model
         Speed and memory are learned for each engine, if the settings call for it.
     slowness
@@ -50,6 +52,7 @@
     reading_again: bool = True
     another_engine: bool = True
     places: bool = True
+    cache_moves: bool = True
     engine_model: bool = True
     slowness: bool = True
     ejection: bool = True
--- a/packages/edge/src/hitchdeck_edge/model/placing.py
+++ b/packages/edge/src/hitchdeck_edge/model/placing.py
@@ -74,6 +74,12 @@
     fits
         Whether the engine has a slot, and memory as far as known, free for the
         request now.
+    source
+        Engine from which the upstream is to take a cached part of the prompt.
+    moved
+        Prompt tokens that it is expected to take from there.  ``tokens`` contains what
+        the move costs, and ``reading`` the time to read these tokens in case the source
+        fails.
     """
 
     upstream: Upstream
@@ -82,3 +88,5 @@
     ticket: int = 0
     reading: float = 0.0
     fits: bool = True
+    source: Upstream | None = None
+    moved: int = 0
--- a/packages/edge/src/hitchdeck_edge/scheduling/open_work.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/open_work.py
@@ -6,6 +6,7 @@
 from hitchdeck_core.clock import Clock
 from hitchdeck_core.ids import UpstreamName
 from hitchdeck_edge.model.calls import Prompt
+from hitchdeck_edge.scheduling.cache_moves import MovesInFlight
 from hitchdeck_edge.scheduling.engine_memory import MemoryTable
 from hitchdeck_edge.scheduling.engine_model import EngineModel, EnginePace
 from hitchdeck_edge.state.tallies import Tally
@@ -38,6 +39,8 @@
         Whether the first token is still awaited.
     started
         When the first token came.
+    source
+        Engine from which a cached part of the prompt is taken.
     """
 
     def __init__(
@@ -46,11 +49,13 @@
         upstream: UpstreamName,
         tokens: int,
         prompt: Prompt | None = None,
+        source: UpstreamName | None = None,
     ) -> None:
         self.open_work = open_work
         self.upstream = upstream
         self.tokens = tokens
         self.prompt = prompt
+        self.source = source
         self.opened = open_work.now()
         self.expected = open_work.waiting(upstream) + tokens
         self.unread = float(self.expected)
@@ -154,6 +159,8 @@
         Requests of this process that engines have still to read.
     memory, model
         Memory in use, and learned speeds; ``None`` where they take no part.
+    moves
+        Moves of cached prompt parts.
     """
 
     def __init__(self, now: Clock) -> None:
@@ -164,6 +171,7 @@
         self.queues: dict[UpstreamName, ReadingQueue] = {}
         self.memory: MemoryTable | None = None
         self.model: EngineModel | None = None
+        self.moves = MovesInFlight(now)
 
     def add(self, entry: OpenWorkEntry) -> None:
         """Count a request that is being sent."""
@@ -177,10 +185,14 @@
             queue.add(entry)
         if self.memory is not None and entry.prompt is not None:
             self.memory.engine(name).hold(entry.prompt)
+        if entry.source is not None:
+            self.moves.begin(entry.source, entry)
 
     def mark_read(self, entry: OpenWorkEntry, *, begun: bool) -> None:
         """Count a prompt as read, or as given up if its response has not begun."""
         self.own.waiting[entry.upstream] -= entry.tokens
+        if entry.source is not None:
+            self.moves.end(entry.source, entry)
         queue = self.queues.get(entry.upstream)
         if queue is not None:
             queue.mark_read(entry, self.now())
--- a/packages/edge/src/hitchdeck_edge/scheduling/placement.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/placement.py
@@ -10,6 +10,7 @@
 
 import random
 from collections.abc import Callable, Mapping
+from dataclasses import replace
 from types import MappingProxyType
 
 from hitchdeck_core.hashing import ranked
@@ -18,6 +19,7 @@
 from hitchdeck_edge.model.mechanisms import ALL_MECHANISMS, Mechanisms
 from hitchdeck_edge.model.placing import Choice, PlacementQuery
 from hitchdeck_edge.model.upstreams import Upstream
+from hitchdeck_edge.scheduling.cache_moves import CacheMoves, Source
 from hitchdeck_edge.scheduling.cold_budget import ColdBudget
 from hitchdeck_edge.scheduling.cost_weights import (
     FAILURE_TOKENS,
@@ -82,6 +84,7 @@
         self.mechanisms = mechanisms
         self.health = Health(open_work.now)
         self.prefix_cache = PrefixCacheModel(open_work.now)
+        self.moves = CacheMoves(open_work.moves, self.prefix_cache, self.health)
         self.speed = EngineSpeed()
         self.costs: EngineCosts | None = None
 
@@ -179,12 +182,21 @@
         prompt = query.prompt
         if prompt is None:
             return self.choose(query)
-        free = [one for one in self.candidates(query) if not self._is_full(one, query)]
+        candidates = self.candidates(query)
+        unread = self._unread_at(candidates, prompt)
+        source = self._source(query, candidates, unread)
+        expected = source.expected(unread) if source else unread
         choices = [
-            self._choice(one, query, tokens)
-            for one, tokens in zip(free, self._unread_at(free, prompt), strict=True)
+            (self._choice(one, query, tokens), position)
+            for position, (one, tokens) in enumerate(
+                zip(candidates, expected, strict=True)
+            )
+            if not self._is_full(one, query)
         ]
-        return min(choices, key=_first_token_seconds, default=None)
+        if not choices:
+            return None
+        soonest, position = min(choices, key=_first_token_seconds)
+        return self._with_move(soonest, query, source, unread[position])
 
     def _choose_engine(
         self,
@@ -196,24 +208,51 @@
         holder = self._assumed_holder(
             prompt, self._nearby(candidates, query), min(unread)
         )
-        own = prompt.parts[-1].tokens if prompt.parts else 0
-        if self.costs is not None:
-            expected = unread
-            if holder:
-                expected = [
-                    min(own, tokens) if one.name == holder else tokens
-                    for one, tokens in zip(candidates, unread, strict=True)
-                ]
+        source = self._source(query, candidates, unread)
+        expected = source.expected(unread) if source else unread
+        if holder:
+            own = prompt.parts[-1].tokens
+            expected = [
+                min(own, tokens) if one.name == holder else tokens
+                for one, tokens in zip(candidates, expected, strict=True)
+            ]
+        if self.costs is None:
+            costs = [
+                self._engine_cost(one, prompt, query, tokens)
+                for one, tokens in zip(candidates, expected, strict=True)
+            ]
+            place = costs.index(min(costs))
+        else:
             place = self.costs.cheapest(query, prompt, candidates, expected)
-            return self.costs.choice(candidates[place], query, expected[place])
-        weighed = [
-            self._engine_cost(one, prompt, query, min(own, tokens))
-            if one.name == holder
-            else self._engine_cost(one, prompt, query, tokens)
-            for one, tokens in zip(candidates, unread, strict=True)
-        ]
-        _, tokens, best = min(weighed, key=lambda entry: entry[0])
-        return self._choice(best, query, tokens)
+        choice = self._choice(candidates[place], query, expected[place])
+        return self._with_move(choice, query, source, unread[place])
+
+    def _source(
+        self, query: PlacementQuery, candidates: list[Upstream], unread: list[int]
+    ) -> Source | None:
+        """Return the engine to take a cached part from, or ``None``."""
+        if not self.mechanisms.cache_moves or not candidates:
+            return None
+        if self.costs is None:
+            read_rate = self.speed.read_rate(query.pool)
+        else:
+            read_rate = 1 / self.costs.model.pool(query.pool).fit.per_token
+        return self.moves.source(query, candidates, unread, read_rate)
+
+    def _with_move(
+        self, choice: Choice, query: PlacementQuery, source: Source | None, unread: int
+    ) -> Choice:
+        """Return a choice with the source, if moving costs less than reading there.
+
+        The time to read all of it is kept in case the source fails.
+        """
+        if source is None or source.expected([unread])[0] == unread:
+            return choice
+        moved = unread - source.unread
+        whole = self._choice(choice.upstream, query, choice.tokens + moved)
+        return replace(
+            choice, source=source.upstream, moved=moved, reading=whole.reading
+        )
 
     def _choice(
         self,
@@ -267,7 +306,7 @@
         prompt: Prompt,
         query: PlacementQuery,
         tokens: int,
-    ) -> tuple[float, int, Upstream]:
+    ) -> float:
         reread = max(0, tokens - prompt.parts[-1].tokens) if prompt.parts else 0
         running = self.open_work.running(upstream.name)
         waiting = self.open_work.waiting(upstream.name)
@@ -281,7 +320,7 @@
         if self.mechanisms.near_first and upstream.domain == query.domain:
             wait = self._tokens_ahead(upstream.name)
             cost -= near_tokens(query, prompt, wait, self.speed.read_rate(query.pool))
-        return cost, tokens, upstream
+        return cost
 
     def _tokens_ahead(self, name: UpstreamName) -> int:
         """Return the work ahead of a new request at an engine, in tokens."""
@@ -329,5 +368,6 @@
         )
 
 
-def _first_token_seconds(choice: Choice) -> float:
+def _first_token_seconds(placed: tuple[Choice, int]) -> float:
+    choice, _ = placed
     return choice.queue + choice.reading
--- a/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
@@ -12,7 +12,7 @@
 from hitchdeck_core import logs
 from hitchdeck_core.clock import Clock, boot_seconds
 from hitchdeck_core.ids import PoolName, UpstreamName
-from hitchdeck_edge.model.document import cold_rate
+from hitchdeck_edge.model.document import CacheLink, cache_link, cold_rate
 from hitchdeck_edge.model.mechanisms import ALL_MECHANISMS, Mechanisms
 from hitchdeck_edge.model.placing import Choice, PlacementQuery
 from hitchdeck_edge.model.refusals import Refusal
@@ -88,6 +88,7 @@
             areas,
             self._cold_rate,
         )
+        self.placement.moves.link_of = self._cache_link
         self.now = now
         self.open: dict[BoxTicket, OpenRequest] = {}
 
@@ -110,6 +111,7 @@
         accepted = self._accepted(query, choice, share_used)
         if accepted is not None:
             self.placement.cold_budget.spend(accepted.upstream)
+            self.placement.moves.record(query, accepted)
             if self.documents.document is not None:
                 self.shares.grant(query)
             return accepted
@@ -120,7 +122,8 @@
         """Attempt to place a request, and if it is accepted count it as open."""
         found = self.attempt(query)
         if isinstance(found, Choice):
-            self.add_open(key, found.upstream.name, found.tokens, query)
+            source = found.source.name if found.source else None
+            self.add_open(key, found.upstream.name, found.tokens, query, source)
             if query.prompt is not None:
                 self.placement.prefix_cache.record_prompt(
                     found.upstream.name, query.prompt
@@ -148,6 +151,7 @@
         upstream: UpstreamName,
         unread: int,
         query: PlacementQuery | None = None,
+        source: UpstreamName | None = None,
     ) -> None:
         """Count a request as open at an upstream.
 
@@ -155,10 +159,14 @@
         ----------
         unread
             Prompt tokens that the engine has not read yet.
+        source
+            Engine from which it takes a cached part of the prompt.
         """
         self.end(key)
         prompt = query.prompt if query else None
-        entry = OpenWorkEntry(self.placement.open_work, upstream, unread, prompt)
+        entry = OpenWorkEntry(
+            self.placement.open_work, upstream, unread, prompt, source
+        )
         self.open[key] = OpenRequest(entry, query)
 
     def start(self, key: BoxTicket, *, learn: bool = True) -> None:
@@ -174,6 +182,9 @@
             return
         known.entry.start()
         self.placement.health.record_first_event(known.entry.upstream)
+        self.placement.prefix_cache.record_read(
+            known.entry.upstream, known.entry.prompt
+        )
         if not learn:
             known.query = None
         if known.query is not None:
@@ -203,6 +214,9 @@
     def _cold_rate(self, pool: PoolName) -> float:
         return cold_rate(self.documents.document, pool)
 
+    def _cache_link(self, pool: PoolName) -> CacheLink | None:
+        return cache_link(self.documents.document, pool)
+
     def _accepted(
         self,
         query: PlacementQuery,
@@ -274,12 +288,15 @@
 ) -> Scheduler:
     """Return the scheduler of a process, without any open requests."""
     shares = Shares(settings.share_window, boot_seconds)
+    mechanisms = settings.mechanisms
+    if not settings.move_cache:
+        mechanisms = replace(mechanisms, cache_moves=False)
     scheduler = Scheduler(
         documents,
         registry,
         shares,
         boot_seconds,
-        settings.mechanisms,
+        mechanisms,
         settings.areas,
     )
     if settings.learn_engines:
--- a/packages/edge/src/hitchdeck_edge/settings.py
+++ b/packages/edge/src/hitchdeck_edge/settings.py
@@ -45,6 +45,7 @@
     ('memory_limit', _not_negative),
     ('descriptor_limit', _not_negative),
     ('learn_engines', check_boolean),
+    ('move_cache', check_boolean),
     ('fleet_token', partial(check_text, min_length=MIN_TOKEN_LENGTH)),
 )
 _HUB_CHECKS: tuple[tuple[str, Check], ...] = (
@@ -87,6 +88,9 @@
     learn_engines
         Whether the speed of each engine is learned, and its memory tracked; otherwise
         the engines of a pool are taken to be alike.
+    move_cache
+        Whether engines may take cached prompt parts from each other, where the document
+        allows it.
     mechanisms
         Mechanisms that take part in placing requests.  Some are disabled only for
         measurements.
@@ -114,6 +118,7 @@
     retry_extra: float = 50
     retry_window: float = 10
     learn_engines: bool = False
+    move_cache: bool = True
     mechanisms: Mechanisms = ALL_MECHANISMS
     capacity: float = 0
     memory_limit: float = 0
--- a/tests/common/scheduling.py
+++ b/tests/common/scheduling.py
@@ -100,7 +100,7 @@
     return Upstream(UpstreamName(name), POOL, Address(f'{name}:1'), 'a', 8, phase, 1)
 
 
-def offer(scheduler: Scheduler, tokens_per_second: int, **pool: float) -> None:
+def offer(scheduler: Scheduler, tokens_per_second: int, **pool: object) -> None:
     """Apply a document that states the capacity of the engines, and their pool."""
     engines = {'name': POOL, 'engine': {'slots': 8, 'kvCapacity': 100_000}, **pool}
     given = document(1, limits={'tokensPerS': tokens_per_second})
--- a/tests/edge/test_mechanisms.py
+++ b/tests/edge/test_mechanisms.py
@@ -7,7 +7,7 @@
 
 from hitchdeck_core.ids import UpstreamName
 from hitchdeck_edge.model.mechanisms import Mechanisms
-from hitchdeck_edge.model.placing import PlacementQuery
+from hitchdeck_edge.model.placing import Choice, PlacementQuery
 from hitchdeck_edge.model.refusals import Refusal
 from hitchdeck_edge.scheduling.scheduler import Scheduler
 from hitchdeck_edge.settings import EntrySettings
@@ -91,6 +91,19 @@
     return outcome_of(scheduler, one)
 
 
+def source_of_a_busy_subject(scheduler: Scheduler) -> str:
+    stated = {'moves': True, 'kvTokenBytes': 18_432, 'linkMbps': 550_000}
+    limits = {'slots': 8, 'kvCapacity': 100_000, **stated}
+    offer(scheduler, 10_000_000, engine=limits)
+    one = replace(long_query(scheduler), goal=10)
+    scheduler.place(('box', 1), one)
+    scheduler.start(('box', 1))
+    scheduler.add_open(('box', 2), FIRST, 400_000)
+    decision = scheduler.decide(one)
+    assert isinstance(decision, Choice)
+    return decision.source.name if decision.source else 'none'
+
+
 def _placed_or_refused(scheduler: Scheduler) -> str:
     decision = scheduler.decide(wanted())
     return decision.name if isinstance(decision, Refusal) else 'placed'
@@ -106,6 +119,7 @@
         ('places', crowded, 'overloaded', 'placed'),
         ('prefix_memory', cached, 'e1', 'e0'),
         ('another_engine', busy_with_the_subject, 'e1', 'overloaded'),
+        ('cache_moves', source_of_a_busy_subject, 'e0', 'none'),
         ('reading_again', worth_the_wait, 'e0', 'e1'),
     ],
 )
--- a/tests/edge/test_platform_requests.py
+++ b/tests/edge/test_platform_requests.py
@@ -1,5 +1,7 @@
 """Headers of a caller that reach an upstream."""
 
+from dataclasses import replace
+
 import pytest
 
 from hitchdeck_core.ids import AccountName
@@ -59,6 +61,12 @@
     assert texts == [own]
 
 
+def test_the_source_of_a_cached_part_replaces_what_a_caller_names() -> None:
+    call = read_call('POST', '/a/b', [('Host', 'h'), ('Kv-Fetch', '10.0.0.1:80')])
+    headers = forward_headers(call, replace(FORWARDING, cache_source=engine('e1')))
+    assert [text for one, text in headers if one.lower() == b'kv-fetch'] == [b'e1:1']
+
+
 @pytest.mark.parametrize(
     ('hint', 'expected'),
     [
