--- a/bench/lab/deployment.py
+++ b/bench/lab/deployment.py
@@ -16,6 +16,9 @@
     ``per_context`` for each thousand tokens in memory, ``1 / read`` for each
     token read in it, and ``pairs`` for each million of pairs of a token read
     and one before it.  ``first_delay`` passes before each first event.
+    A move of cached tokens between engines takes ``move_setup`` and the time
+    of ``token_bytes`` for each of them on a link of ``link_mbps``; none is
+    possible at 0.
     """
 
     places: int
@@ -27,6 +30,9 @@
     pairs: float
     chunk: int = 2048
     first_delay: float = 0.0
+    token_bytes: float = 0.0
+    link_mbps: float = 0.0
+    move_setup: float = 0.0
 
     def slower(self, factor: float) -> 'EngineSheet':
         """Return the sheet of an engine that takes ``factor`` times as long."""
--- a/bench/lab/engine.py
+++ b/bench/lab/engine.py
@@ -14,6 +14,8 @@
 RESERVE = 0.03
 """Part of the memory that is left for what running requests make."""
 
+MEGABIT_BYTES = 125_000
+
 STRIDE = 3
 """Tokens in one event of a stream: a pause is measured over so many steps."""
 
@@ -98,6 +100,14 @@
             self.idle_tokens += tokens
         self._yield()
 
+    def add(self, part: str, tokens: int) -> None:
+        """Keep a part that came from another engine."""
+        if part in self.held or part in self.idle:
+            return
+        self.idle[part] = tokens
+        self.idle_tokens += tokens
+        self._yield()
+
     def _yield(self) -> None:
         while self.idle and self.idle_tokens + self.held_tokens > self.size:
             _, tokens = self.idle.popitem(last=False)
@@ -109,8 +119,10 @@
 
     Attributes
     ----------
-    on_read
-        Called with each part that had to be read, and its size.
+    on_read, on_moved
+        Called with each part that had to be read or was moved here, and its size.
+    link_free_at
+        When the last move from here ends; they are made one after another.
     """
 
     def __init__(
@@ -118,10 +130,14 @@
         sheet: EngineSheet,
         timeline: Timeline,
         on_read: Callable[[str, int], None],
+        on_moved: Callable[[str, int], None],
     ) -> None:
         self.sheet = sheet
         self.timeline = timeline
         self.on_read = on_read
+        self.on_moved = on_moved
+        self.link_free_at = 0.0
+        self.moving: set[Run] = set()
         self.memory = Memory(sheet.memory)
         self.waiting: deque[Run] = deque()
         self.reading: deque[Run] = deque()
@@ -134,12 +150,26 @@
         self.alive = True
         self.recent: deque[float] = deque(maxlen=STRIDE)
 
-    def submit(self, run: Run) -> None:
-        """Put a request behind those that wait."""
+    def submit(self, run: Run, source: 'Engine | None' = None) -> None:
+        """Put a request behind those that wait, once its parts are moved here."""
+        if source is not None and self._begin_move(run, source):
+            return
         self.waiting.append(run)
         if not self.busy:
             self._begin_step()
 
+    def parts_beyond(self, run: Run, memory: Memory) -> list[tuple[str, int]]:
+        """Return the parts of a prompt that were read here and another one lacks."""
+        unread = {part for one in self.reading for part, _ in one.missing}
+        kept = self.memory.idle.keys() | self.memory.held.keys()
+        parts: list[tuple[str, int]] = []
+        for part, tokens in run.parts:
+            if part not in kept or part in unread:
+                break
+            if part not in memory.idle and part not in memory.held:
+                parts.append((part, tokens))
+        return parts
+
     def crash(self) -> None:
         """Lose everything."""
         self.alive = False
@@ -147,10 +177,11 @@
 
     def drop_all(self) -> None:
         """Lose every request: those who asked are gone."""
-        lost = [*self.waiting, *self.runs]
+        lost = [*self.waiting, *self.runs, *self.moving]
         for run in self.runs:
             self.memory.release(run)
         self.waiting.clear()
+        self.moving.clear()
         self.reading.clear()
         self.making.clear()
         self.runs.clear()
@@ -158,6 +189,30 @@
         for run in lost:
             run.on_lost()
 
+    def _begin_move(self, run: Run, source: 'Engine') -> bool:
+        parts = source.parts_beyond(run, self.memory)
+        if not source.alive or not parts:
+            return False
+        sheet = self.sheet
+        size = sheet.token_bytes * sum(tokens for _, tokens in parts)
+        seconds = sheet.move_setup * MS + size / (sheet.link_mbps * MEGABIT_BYTES)
+        now = self.timeline.now
+        source.link_free_at = max(now, source.link_free_at) + seconds
+        self.moving.add(run)
+        self.timeline.after(
+            source.link_free_at - now, lambda: self._end_move(run, parts)
+        )
+        return True
+
+    def _end_move(self, run: Run, parts: list[tuple[str, int]]) -> None:
+        if run not in self.moving:
+            return
+        self.moving.discard(run)
+        for part, tokens in parts:
+            self.memory.add(part, tokens)
+            self.on_moved(part, tokens)
+        self.submit(run)
+
     def _admit(self) -> None:
         while self.waiting and len(self.runs) < self.sheet.places:
             run = self.waiting[0]
--- a/bench/lab/judge.py
+++ b/bench/lab/judge.py
@@ -29,7 +29,8 @@
     ``again`` is the price of tokens read again, ``charges`` what refusals and waits
     cost, ``all`` what was earned of all that was asked for, owed or not, and
     ``least`` the least that an account got in six seconds, as a part of the lesser
-    of what it asked for and of what the best served account got.
+    of what it asked for and of what the best served account got.  ``tokens_again``
+    were read again, and ``tokens_moved`` were taken from other engines.
     """
 
     worth: float
@@ -45,6 +46,8 @@
     refused: int
     failed: int
     asked: int
+    tokens_again: float = 0.0
+    tokens_moved: int = 0
 
 
 def judge(deployment: Deployment, asked: list[Asked], again: float) -> Verdict:
@@ -90,6 +93,7 @@
         refused=outcomes['refused'],
         failed=outcomes['failed'],
         asked=len(asked),
+        tokens_again=again,
     )
 
 
--- a/bench/lab/loads.py
+++ b/bench/lab/loads.py
@@ -19,6 +19,7 @@
 BURST_BEGINS = (3, 13)
 SECONDS = 24
 ACCOUNTS = 30
+LINK_MBPS = 550_000
 
 
 def load_a(random: Random) -> Deployment:
@@ -32,6 +33,9 @@
         read=56.9,
         pairs=0,
         first_delay=13,
+        token_bytes=18_432,
+        link_mbps=LINK_MBPS,
+        move_setup=3.3,
     )
     long = _kind('long', 88.6, (1, 15), (5.5, 0.55))
     middle = _kind('middle', 247, (1, 12), (1, 0.1))
@@ -71,6 +75,9 @@
         read=112,
         pairs=0,
         first_delay=47,
+        token_bytes=35_136,
+        link_mbps=LINK_MBPS,
+        move_setup=2.7,
     )
     bursts = tuple(
         _burst(random, begins, random.randint(1, 14), 13, 1) for begins in BURST_BEGINS
--- a/bench/lab/play.py
+++ b/bench/lab/play.py
@@ -1,11 +1,12 @@
 """One play: callers on paper, the real scheduler, engines on paper."""
 
+from dataclasses import replace
 from functools import partial
 from random import Random
 
 from bench.lab.arrivals import Asked, draw_arrivals
 from bench.lab.deployment import Deployment, Fault, FaultKind, Stalls
-from bench.lab.engine import MS, Engine, Run
+from bench.lab.engine import MEGABIT_BYTES, MS, Engine, Run
 from bench.lab.judge import Verdict, judge
 from bench.lab.timeline import Timeline
 from bench.owed import SHARE_WINDOW
@@ -19,7 +20,13 @@
 from hitchdeck_core.signals import Signal
 from hitchdeck_edge.errors import DocumentError
 from hitchdeck_edge.model.calls import Part, PartId, Prompt
-from hitchdeck_edge.model.document import Document, DocumentVersion, Limits, Pool
+from hitchdeck_edge.model.document import (
+    CacheLink,
+    Document,
+    DocumentVersion,
+    Limits,
+    Pool,
+)
 from hitchdeck_edge.model.document import Engine as EngineLimits
 from hitchdeck_edge.model.mechanisms import ALL_MECHANISMS, Mechanisms
 from hitchdeck_edge.model.placing import Choice, PlacementQuery
@@ -68,6 +75,7 @@
         self.engines: dict[UpstreamName, Engine] = {}
         self.last_use: dict[str, float] = {}
         self.again = 0.0
+        self.moved = 0
         self.numbers = 0
         self.down_until = 0.0
         self.registry = Registry(self.now, Signal())
@@ -91,12 +99,16 @@
         if self.deployment.stalls is not None:
             self._enter_stalls(self.deployment.stalls)
         self.timeline.play()
-        return judge(self.deployment, asked, self.again)
+        verdict = judge(self.deployment, asked, self.again)
+        return replace(verdict, tokens_moved=self.moved)
 
     def _new_scheduler(self) -> Scheduler:
         documents = Documents(_unread, Signal())
         sheet = self.deployment.sheet
-        engine = EngineLimits(sheet.places, sheet.memory)
+        link = CacheLink(sheet.token_bytes, sheet.link_mbps * MEGABIT_BYTES)
+        engine = EngineLimits(
+            sheet.places, sheet.memory, link if sheet.link_mbps else None
+        )
         documents.document = Document(
             version=DocumentVersion(1),
             routes=(),
@@ -119,7 +131,9 @@
         name = UpstreamName(f'engine-{self.numbers}')
         slower = self.deployment.slower
         sheet = self.deployment.sheet.slower(slower[self.numbers % len(slower)])
-        self.engines[name] = Engine(sheet, self.timeline, self._note_read)
+        self.engines[name] = Engine(
+            sheet, self.timeline, self._note_read, self._note_moved
+        )
         places = self.deployment.sheet.places
         record = Upstream(name, POOL, Address(name), DOMAIN, places, Phase.serving, 1)
         self.registry.merge(record, 'play')
@@ -131,6 +145,10 @@
             self.again += tokens
         self.last_use[part] = now
 
+    def _note_moved(self, part: str, tokens: int) -> None:
+        self.last_use[part] = self.timeline.now
+        self.moved += tokens
+
     def _come(self, one: Asked) -> None:
         one.tries += 1
         self.timeline.after(ASK_SECONDS, lambda: self._place(one, frozenset()))
@@ -177,7 +195,9 @@
             self._place(one, tried | {decision.upstream.name})
             return
         run = self._run_of(one, key, decision)
-        self.timeline.after(SEND_SECONDS, lambda: engine.submit(run))
+        source = decision.source
+        donor = self.engines[source.name] if source else None
+        self.timeline.after(SEND_SECONDS, partial(engine.submit, run, donor))
 
     def _run_of(self, one: Asked, key: tuple[str, int], choice: Choice) -> Run:
         scheduler = self.scheduler
