--- a/tests/edge/test_part_moves.py
+++ b/tests/edge/test_part_moves.py
@@ -6,12 +6,14 @@
 
 from collections.abc import Callable
 from dataclasses import replace
+from pathlib import Path
 from random import Random
 from types import SimpleNamespace
 from typing import cast
 
 import pytest
 
+from hitchdeck_core.clock import boot_seconds
 from hitchdeck_core.ids import BoxName, UpstreamName
 from hitchdeck_core.quarantine.quarantine import Quarantine
 from hitchdeck_core.signals import Signal
@@ -33,11 +35,15 @@
     Source,
 )
 from hitchdeck_edge.scheduling.chooser import Chooser
-from hitchdeck_edge.scheduling.scheduler import Scheduler
+from hitchdeck_edge.scheduling.scheduler import Scheduler, new_scheduler
 from hitchdeck_edge.scheduling.shares import Shares
+from hitchdeck_edge.state.documents import Documents
 from hitchdeck_edge.state.registry import Registry
+from hitchdeck_platform.documents import read_document
 from hitchdeck_platform.requests import DIALECT
+from hitchdeck_platform.settings import read_settings
 from tests.common.scheduling import POOL, FakeClock, engine, offer, scheduler_of, wanted
+from tests.edge.test_policies import SETTINGS
 
 MOVES = {'moves': True, 'kvTokenBytes': 18_432, 'linkMbps': 550_000}
 FIRST, SECOND = UpstreamName('e0'), UpstreamName('e1')
@@ -368,3 +374,22 @@
     scheduler = scheduler_of(FakeClock(), 2)
     offer(scheduler, 100_000)
     assert scheduler.placement.moves.link_of(POOL) is None
+
+
+@pytest.mark.parametrize(
+    ('text', 'moves'),
+    [('', True), ('moveCache = true\n', True), ('moveCache = false\n', False)],
+)
+def test_a_process_moves_parts_unless_its_settings_say_no(
+    tmp_path: Path, text: str, moves: bool
+) -> None:
+    path = tmp_path / 'boot.toml'
+    path.write_text(text + SETTINGS)
+    settings = read_settings(path)
+    assert settings.hub is not None
+    assert settings.entry is not None
+    for one in (settings.hub, settings.entry):
+        registry = Registry(boot_seconds, Signal())
+        documents = Documents(read_document, Signal())
+        scheduler = new_scheduler(one, documents, registry)
+        assert scheduler.placement.mechanisms.cache_moves is moves
