--- a/packages/edge/src/hitchdeck_edge/scheduling/cache_moves.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/cache_moves.py
@@ -33,17 +33,14 @@
 bounds how many requests one engine that hangs can delay."""
 
 SILENT_SECONDS = 0.3
-"""Time without a first event from an engine, while a move from it is in flight, after
-which it is not asked for more: the shortest goal that was stated."""
+"""Time without a first event from an engine, while a request was sent to it or a move
+from it is in flight, after which it is not asked for more: the shortest goal that was
+stated."""
 
 
 LinkOf = Callable[[PoolName], CacheLink | None]
 
-Weighed = tuple[float, int, int]
-"""Tokens that a source lacks, its moves in flight, and its position among the
-candidates."""
-
-_NOWHERE = -1
+NOWHERE = -1
 
 
 def _no_link(_: PoolName) -> None:
@@ -210,7 +207,7 @@
         if min(unread) >= limit:
             return None
         left, moves, position = self._best(candidates, unread, query.prompt, limit)
-        if position < 0:
+        if position == NOWHERE:
             return None
         per_token = link.token_bytes / link.bytes_per_second * rate
         return Source(candidates[position], int(left), setup * (moves + 1), per_token)
@@ -242,35 +239,43 @@
         unread: list[int],
         prompt: Prompt,
         limit: float,
-    ) -> Weighed:
-        """Return the best source that lacks fewer tokens than ``limit``, if any."""
+    ) -> tuple[float, int, int]:
+        """Return the best source that lacks fewer tokens than ``limit``.
+
+        Returns
+        -------
+        tuple
+            Tokens that the source lacks, its moves in flight, and its position among
+            the candidates, which is ``NOWHERE`` if there is none.
+        """
         least = min(unread)
-        best: Weighed = (limit, 0, _NOWHERE)
+        fewest, found = 0, NOWHERE
         for position, tokens in enumerate(unread):
-            if tokens > best[0]:
+            if tokens > limit:
                 continue
-            weighed = self._weigh(candidates[position], prompt)
-            best = min(best, (*weighed, position))
-            if best[:2] == (least, 0):
+            moves = self.in_flight.count(candidates[position].name)
+            left = self._lacks(candidates[position], prompt, moves)
+            if left < limit or (left == limit and moves < fewest):
+                limit, fewest, found = left, moves, position
+            if found == position and left == least and not moves:
                 # An idle source of all that any engine has cached.
                 break
-        return best
+        return limit, fewest, found
 
-    def _weigh(self, source: Upstream, prompt: Prompt) -> tuple[float, int]:
-        """Return the tokens that a source lacks, and its moves in flight.
-
-        The first number is infinite if it must not be asked.
-        """
-        moves = self.in_flight.count(source.name)
+    def _lacks(self, source: Upstream, prompt: Prompt, moves: int) -> float:
+        """Return the tokens that a source lacks; infinite if it must not be asked."""
         if moves >= MAX_MOVES or not self.is_trusted(source):
-            return math.inf, moves
-        if moves and self._is_silent(source.name):
-            return math.inf, moves
-        return self.prefix_cache.not_read(source.name, prompt), moves
-
-    def _is_silent(self, name: UpstreamName) -> bool:
-        """Tell whether a source has given no sign since it was asked for a part."""
-        oldest = self.in_flight.oldest(name)
-        if self.in_flight.now() - oldest < SILENT_SECONDS:
+            return math.inf
+        if self._is_silent(source.name, moves):
+            return math.inf
+        return self.prefix_cache.not_read(source.name, prompt)
+
+    def _is_silent(self, name: UpstreamName, moves: int) -> bool:
+        """Tell whether an engine has given no sign since it was asked for something."""
+        earliest = self.in_flight.now() - SILENT_SECONDS
+        if self.prefix_cache.asked_at(name) < earliest:
+            return True
+        if not moves:
             return False
-        return self.prefix_cache.heard_at(name) <= oldest
+        oldest = self.in_flight.oldest(name)
+        return oldest < earliest and self.prefix_cache.heard_at(name) <= oldest
--- a/packages/edge/src/hitchdeck_edge/scheduling/prefix_cache.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/prefix_cache.py
@@ -1,5 +1,6 @@
 """Estimate of which prompt prefixes each engine has in its cache."""
 
+import math
 from collections import OrderedDict
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -36,12 +37,15 @@
     ----------
     heard_at
         When a first event last came from the engine.
+    asked_at
+        When the first prompt after that was sent to it; infinite if there was none.
     """
 
     def __init__(self) -> None:
         self.parts: OrderedDict[PartId, CachedPart] = OrderedDict()
         self.tokens = 0
         self.heard_at = 0.0
+        self.asked_at = math.inf
 
     def touch(self, part: Part, now: float, capacity: int) -> None:
         """Record the use of a part; ``capacity`` is the cache size in tokens."""
@@ -122,6 +126,7 @@
     def record_prompt(self, name: UpstreamName, prompt: Prompt) -> None:
         """Record that a prompt is sent to an engine, which will cache it."""
         engine = self.engines.setdefault(name, EngineCacheModel())
+        engine.asked_at = min(engine.asked_at, self.now())
         for part in prompt.parts:
             engine.touch(part, self.now(), self.size)
 
@@ -131,6 +136,7 @@
         if engine is None:
             return
         engine.heard_at = self.now()
+        engine.asked_at = math.inf
         if prompt is not None:
             engine.mark_read(prompt)
 
@@ -142,6 +148,11 @@
         read = engine.read_tokens(prompt, self.now() - CACHE_TTL_SECONDS)
         return max(0, prompt.tokens - read)
 
+    def asked_at(self, name: UpstreamName) -> float:
+        """Return when the first prompt since its last first event was sent there."""
+        engine = self.engines.get(name)
+        return engine.asked_at if engine else math.inf
+
     def heard_at(self, name: UpstreamName) -> float:
         """Return when a first event last came from an engine."""
         engine = self.engines.get(name)
--- a/tests/edge/test_part_moves.py
+++ b/tests/edge/test_part_moves.py
@@ -133,13 +133,20 @@
     scheduler.now.seconds += SILENT_SECONDS + 0.01  # type: ignore[attr-defined]
 
 
+def hang(scheduler: Scheduler) -> None:
+    query = asked(subject='other')
+    assert query.prompt is not None
+    scheduler.placement.prefix_cache.record_prompt(FIRST, query.prompt)
+    scheduler.now.seconds += SILENT_SECONDS + 0.01  # type: ignore[attr-defined]
+
+
 def restart(scheduler: Scheduler) -> None:
     scheduler.placement.prefix_cache.keep({SECOND})
 
 
 @pytest.mark.parametrize(
     'happen',
-    [leave, suspect, eject, close_domain, move_many, fall_silent, restart],
+    [leave, suspect, eject, close_domain, move_many, fall_silent, hang, restart],
 )
 def test_no_part_is_taken_from_an_engine_that_can_not_give_it(
     happen: Callable[[Scheduler], None],
@@ -180,10 +187,13 @@
     assert chosen(scheduler).source is not None
 
 
-def test_a_source_that_gives_first_events_stays_in_use() -> None:
+@pytest.mark.parametrize('happen', [fall_silent, hang])
+def test_a_source_that_gives_first_events_stays_in_use(
+    happen: Callable[[Scheduler], None],
+) -> None:
     scheduler = scheduler_with()
     read_at_first(scheduler)
-    fall_silent(scheduler)
+    happen(scheduler)
     scheduler.add_open(('box', 3), FIRST, 0)
     scheduler.start(('box', 3), learn=False)
     assert chosen(scheduler).source is not None
