--- a/packages/edge/src/hitchdeck_edge/scheduling/cache_moves.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/cache_moves.py
@@ -6,7 +6,6 @@
 less, so that the queues decide between the engines.
 """
 
-import math
 from collections.abc import Callable, Hashable
 
 from hitchdeck_core import logs
@@ -32,6 +31,10 @@
 eight of 5 ms delay the last one by an eighth of the shortest goal, 0.3 s.  It also
 bounds how many requests one engine that hangs can delay."""
 
+FEW_MOVES = 1
+"""Moves in flight up to which a source is as good as an idle one: looking further would
+cost more than the 5 ms that a move takes are worth."""
+
 SILENT_SECONDS = 0.3
 """Time without a first event from an engine, while a request was sent to it or a move
 from it is in flight, after which it is not asked for more: the shortest goal that was
@@ -249,33 +252,27 @@
             the candidates, which is ``NOWHERE`` if there is none.
         """
         least = min(unread)
-        fewest, found = 0, NOWHERE
+        fewest, found = MAX_MOVES, NOWHERE
         for position, tokens in enumerate(unread):
             if tokens > limit:
                 continue
-            moves = self.in_flight.count(candidates[position].name)
-            left = self._lacks(candidates[position], prompt, moves)
-            if left < limit or (left == limit and moves < fewest):
+            source = candidates[position]
+            left = self.prefix_cache.not_read(source.name, prompt)
+            moves = self.in_flight.count(source.name)
+            if (left, moves) < (limit, fewest) and self._may_ask(source, moves):
                 limit, fewest, found = left, moves, position
-            if found == position and left == least and not moves:
-                # An idle source of all that any engine has cached.
-                break
+                if left == least and moves <= FEW_MOVES:
+                    break
         return limit, fewest, found
 
-    def _lacks(self, source: Upstream, prompt: Prompt, moves: int) -> float:
-        """Return the tokens that a source lacks; infinite if it must not be asked."""
+    def _may_ask(self, source: Upstream, moves: int) -> bool:
+        """Tell whether an engine with these moves in flight may be asked for more."""
         if moves >= MAX_MOVES or not self.is_trusted(source):
-            return math.inf
-        if self._is_silent(source.name, moves):
-            return math.inf
-        return self.prefix_cache.not_read(source.name, prompt)
-
-    def _is_silent(self, name: UpstreamName, moves: int) -> bool:
-        """Tell whether an engine has given no sign since it was asked for something."""
+            return False
         earliest = self.in_flight.now() - SILENT_SECONDS
-        if self.prefix_cache.asked_at(name) < earliest:
-            return True
-        if not moves:
+        if self.prefix_cache.asked_at(source.name) < earliest:
             return False
-        oldest = self.in_flight.oldest(name)
-        return oldest < earliest and self.prefix_cache.heard_at(name) <= oldest
+        if not moves:
+            return True
+        oldest = self.in_flight.oldest(source.name)
+        return oldest >= earliest or self.prefix_cache.heard_at(source.name) > oldest
