--- a/tests/edge/test_part_moves.py
+++ b/tests/edge/test_part_moves.py
@@ -298,6 +298,16 @@
     return decisions
 
 
+# Numbers of the engines that the code before moves chose for the first of these
+# requests; "-" for a refusal.  Without and with learned speeds of engines.
+BEFORE = (
+    '03230301220322110000002-32-20203-2302-232--30100----0--23---'
+    '030---3-----11--33001-3--32---2-20-210111-332----01---------',
+    '0323030122032-1-0000002-32-20203-2302-232--30100----0--23---'
+    '-30---3-----11--3-0-1-3--3-------0-210111033-23-------------',
+)
+
+
 @pytest.mark.parametrize('learns', [False, True])
 def test_without_the_setting_or_the_document_decisions_are_as_before(
     learns: bool,
@@ -315,6 +325,10 @@
             scheduler.placement.learn_engines()
     first, *others = map(placements, schedulers)
     assert all(decisions == first for decisions in others)
+    chosen_names = ''.join(
+        one.upstream.name[1] if isinstance(one, Choice) else '-' for one in first
+    )
+    assert chosen_names.startswith(BEFORE[learns])
     assert not any(one.source for one in first if isinstance(one, Choice))
     assert placements(moving) != first
 
