--- a/packages/edge/src/hitchdeck_edge/model/placing.py
+++ b/packages/edge/src/hitchdeck_edge/model/placing.py
@@ -77,9 +77,8 @@
     source
         Engine from which the upstream is to take a cached part of the prompt.
     moved
-        Prompt tokens that it is expected to take from there.  ``tokens`` contains what
-        the move costs, and ``reading`` the time to read these tokens in case the source
-        fails.
+        Prompt tokens that it is expected to take from there.  ``reading`` contains the
+        time to read them in case the source fails; ``tokens`` does not contain them.
     """
 
     upstream: Upstream
--- a/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
@@ -185,10 +185,10 @@
         self.placement.prefix_cache.record_read(
             known.entry.upstream, known.entry.prompt
         )
-        if not learn or known.entry.source is not None:
-            # A move takes its time, and the source may not have had the part.
+        if not learn:
             known.query = None
-        if known.query is not None:
+        # A move takes its time, and the source may not have had the part.
+        if known.query is not None and known.entry.source is None:
             self.placement.measure(known.entry, known.query)
 
     def end(self, key: BoxTicket) -> None:
--- a/tests/edge/test_part_moves.py
+++ b/tests/edge/test_part_moves.py
@@ -283,6 +283,10 @@
     scheduler.now.seconds += 100  # type: ignore[attr-defined]
     scheduler.start(('box', 1))
     assert (scheduler.placement.health.slowness(SECOND) > 1) != moves
+    # How long it runs has nothing to do with the move.
+    before = scheduler.placement.speed.mean_run_seconds(POOL)
+    scheduler.end(('box', 1))
+    assert scheduler.placement.speed.mean_run_seconds(POOL) > before
 
 
 def placements(scheduler: Scheduler) -> list[Choice | object]:
