Decide again without moves before a request is refused

A choice with a move has to be in time even if its source fails, so requests were refused that the engine with the cached part would have served in time.

--- a/packages/edge/src/hitchdeck_edge/model/placing.py
+++ b/packages/edge/src/hitchdeck_edge/model/placing.py
@@ -38,6 +38,8 @@
     waited
         Seconds since it first arrived, if it has waited there or is a retry of a
         refused request.
+    may_move
+        Whether a cached part may be taken from another engine.
     """
 
     request: RequestId
@@ -55,6 +57,7 @@
     priority: int = 0
     longest_wait: float = 0.0
     waited: float = 0.0
+    may_move: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/edge/src/hitchdeck_edge/scheduling/cache_moves.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/cache_moves.py
@@ -203,6 +203,8 @@
         link = self.link_of(query.pool)
         if link is None or query.tried or query.prompt is None:
             return None
+        if not query.may_move:
+            return None
         rate = MOVE_WEIGHT * costs.read_rate
         setup = SETUP_SECONDS * rate
         # What the source has beyond the others must be worth the setup of a move.
--- a/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
@@ -109,6 +109,8 @@
         if choice is None:
             return Unplaced(Refusal.no_upstream, share_used, 0, 0)
         accepted = self._accepted(query, choice, share_used)
+        if accepted is None:
+            accepted = self._accepted_without_moves(query, share_used)
         if accepted is not None:
             self.placement.cold_budget.spend(accepted.upstream)
             self.placement.moves.record(query, accepted)
@@ -245,6 +247,22 @@
             return None
         return soonest
 
+    def _accepted_without_moves(
+        self, query: PlacementQuery, share_used: float
+    ) -> Choice | None:
+        """Return a choice in time that moves nothing, or ``None``.
+
+        A choice with a move must be in time even if the source fails; the engine that
+        has the part cached may be in time where that one is not.
+        """
+        if not self.mechanisms.cache_moves or self._cache_link(query.pool) is None:
+            return None
+        unmoved = replace(query, may_move=False)
+        choice = self.placement.choose(unmoved)
+        if choice is None:
+            return None
+        return self._accepted(unmoved, choice, share_used)
+
     def _choose_far(self, query: PlacementQuery, choice: Choice) -> Choice | None:
         """Return the choice without the preference for the box's own domain.
 
--- a/tests/edge/test_part_moves.py
+++ b/tests/edge/test_part_moves.py
@@ -104,6 +104,21 @@
     assert scheduler.placement.moves.chosen == 1
 
 
+def test_a_request_is_not_refused_where_the_engine_with_the_part_is_in_time() -> None:
+    """Guards against refusing for the time to read all of it if the source fails."""
+    scheduler = scheduler_with()
+    read_there(scheduler, FIRST)
+    rate = scheduler.placement.speed.read_rate(POOL)
+    parts = (Part(PartId('s'), SHARED), Part(PartId('mine'), 1000))
+    goal = 0.9 * SHARED / rate
+    scheduler.add_open(('box', 1), FIRST, int(0.66 * goal * rate))
+    scheduler.add_open(('box', 2), SECOND, int(0.33 * goal * rate))
+    query = replace(asked(), goal=goal, prompt=Prompt(SHARED + 1000, 0, parts))
+    choice = chosen(scheduler, query)
+    assert choice.upstream.name == FIRST
+    assert choice.source is None
+
+
 def leave(scheduler: Scheduler) -> None:
     record = replace(engine(FIRST, Phase.leaving), sequence=2)
     scheduler.placement.registry.merge(record, 'test')
