Merge moves of cached prompt parts

A moved token weighs as much as one that is read again, so that engines are chosen as before and moves replace what would be read again.

--- a/packages/edge/src/hitchdeck_edge/dispatch/sender.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/sender.py
@@ -41,7 +41,14 @@
 
 
 class Sender:
-    """Makes single attempts, and records what they show about upstreams."""
+    """Makes single attempts, and records what they show about upstreams.
+
+    Attributes
+    ----------
+    moves_sent, moves_dropped
+        Requests that named a source of cached parts to their engine, and requests whose
+        source this box knew to be of no use.
+    """
 
     def __init__(
         self,
@@ -63,6 +70,8 @@
         self.watch: ServiceWatch | None = None
         if self.link.services is not None:
             self.watch = ServiceWatch(self.link.services, self.placement.health, now)
+        self.moves_sent = 0
+        self.moves_dropped = 0
 
     async def send(self, active: ActiveRequest, choice: Choice) -> bool:
         """Send the request to an upstream; return whether it was sent.
@@ -142,7 +151,10 @@
 
     def _open_attempt(self, context: RequestContext, choice: Choice) -> Attempt:
         name = choice.upstream.name
-        ticket = OpenWorkEntry(self.placement.open_work, name, choice.tokens)
+        source = choice.source.name if choice.source else None
+        ticket = OpenWorkEntry(
+            self.placement.open_work, name, choice.tokens, source=source
+        )
         number = 0
         if context.pool.engine is not None:
             number = self.link.track(choice.ticket, name, choice.tokens)
@@ -201,6 +213,7 @@
             seconds_left=max(0, context.deadline - self.now()),
             last_event=context.last_event,
             body_bytes=len(context.body),
+            cache_source=self._cache_source(choice),
         )
         headers = self.adapter.forward_headers(context.call, forwarding)
         return UpstreamRequest(
@@ -210,6 +223,25 @@
             context.body,
         )
 
+    def _cache_source(self, choice: Choice) -> Upstream | None:
+        """Return the engine to take a cached part from, unless it is of no use now."""
+        placement = self.placement
+        if choice.source is None or not placement.mechanisms.cache_moves:
+            return None
+        source = placement.registry.records.get(choice.source.name)
+        if source is not None and self._may_take_from(source):
+            self.moves_sent += 1
+            return source
+        self.moves_dropped += 1
+        return None
+
+    def _may_take_from(self, source: Upstream) -> bool:
+        return (
+            self.placement.registry.takes_work(source)
+            and self.placement.moves.is_trusted(source)
+            and self.backpressure.accepts_requests(source.name)
+        )
+
     def _record_sent(self, active: ActiveRequest, attempt: Attempt) -> None:
         context = active.context
         context.sent += 1
@@ -241,6 +273,9 @@
         else:
             attempt.body = await connection.read_body()
             attempt.ticket.start()
+            if success:
+                prompt = active.context.call.prompt
+                self.placement.prefix_cache.record_read(attempt.upstream, prompt)
             attempt.outcome = outcome_of(head, not_run=mark.not_run)
         self.connections.keep_alive(attempt.choice.upstream, connection, head.headers)
 
@@ -262,8 +297,10 @@
 
     def _record_first_event(self, context: RequestContext, attempt: Attempt) -> None:
         attempt.ticket.start()
+        self.placement.prefix_cache.record_read(attempt.upstream, context.call.prompt)
         self.link.record_start(attempt.number)
-        if loop_utilization() <= OVERLOADED_UTILIZATION:
+        moves = attempt.ticket.source is not None
+        if loop_utilization() <= OVERLOADED_UTILIZATION and not moves:
             self.placement.measure(attempt.ticket, context.placement_query(self.domain))
 
     async def _read_matching_head(
--- a/packages/edge/src/hitchdeck_edge/hub/process.py
+++ b/packages/edge/src/hitchdeck_edge/hub/process.py
@@ -133,6 +133,10 @@
             'requests_timed_out_waiting_total': self.placing.queue.timed_out,
             'services_silent': self.placing.silent_services(),
             'requests_turned_bad_waiting_total': self.placing.queue.turned_bad,
+            'cache_moves_total': self.placing.scheduler.placement.moves.chosen,
+            'cache_moved_tokens_total': (
+                self.placing.scheduler.placement.moves.chosen_tokens
+            ),
             'term': replica.term if replica else 0,
             'commit_index': replica.commit_index if replica else 0,
             'voters': len(replica.voters()) if replica else 0,
--- a/packages/edge/src/hitchdeck_edge/model/placing.py
+++ b/packages/edge/src/hitchdeck_edge/model/placing.py
@@ -43,6 +43,8 @@
         Whether it may be sent again after it may have run.
     returned
         Whether it is a retry of a refused request.
+    may_move
+        Whether a cached part may be taken from another engine.
     """
 
     request: RequestId
@@ -62,6 +64,7 @@
     waited: float = 0.0
     repeatable: bool = False
     returned: bool = False
+    may_move: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,6 +84,11 @@
     fits
         Whether the engine has a slot, and memory as far as known, free for the
         request now.
+    source
+        Engine from which the upstream is to take a cached part of the prompt.
+    moved
+        Prompt tokens that it is expected to take from there.  ``reading`` contains the
+        time to read them in case the source fails; ``tokens`` does not contain them.
     """
 
     upstream: Upstream
@@ -89,6 +97,8 @@
     ticket: int = 0
     reading: float = 0.0
     fits: bool = True
+    source: Upstream | None = None
+    moved: int = 0
 
 
 PlacementDecision = Choice | Refusal | Refused
--- a/packages/edge/src/hitchdeck_edge/scheduling/placement.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/placement.py
@@ -11,6 +11,7 @@
 
 import random
 from collections.abc import Callable, Mapping
+from dataclasses import replace
 from types import MappingProxyType
 
 from hitchdeck_core.hashing import ranked
@@ -19,6 +20,7 @@
 from hitchdeck_edge.model.mechanisms import ALL_MECHANISMS, Mechanisms
 from hitchdeck_edge.model.placing import Choice, PlacementQuery
 from hitchdeck_edge.model.upstreams import Upstream
+from hitchdeck_edge.scheduling.cache_moves import CacheMoves, ReadCosts
 from hitchdeck_edge.scheduling.cold_budget import ColdBudget
 from hitchdeck_edge.scheduling.cost_weights import (
     FAILURE_TOKENS,
@@ -92,6 +94,7 @@
         self.mechanisms = mechanisms
         self.health = Health(open_work.now)
         self.prefix_cache = PrefixCacheModel(open_work.now)
+        self.moves = CacheMoves(open_work.moves, self.prefix_cache, self.health)
         self.speed = EngineSpeed()
         self.costs: EngineCosts | None = None
         self.services: ServiceView | None = None
@@ -220,12 +223,20 @@
         prompt = query.prompt
         if prompt is None:
             return self.choose(query)
-        free = [one for one in self.candidates(query) if not self._is_full(one, query)]
+        candidates = self.candidates(query)
+        unread = self._unread_at(candidates, prompt)
+        costs = self._read_costs(query, prompt)
+        if candidates and self.mechanisms.cache_moves:
+            costs.source = self.moves.source(query, candidates, unread, costs)
         choices = [
-            self._choice(one, query, tokens)
-            for one, tokens in zip(free, self._unread_at(free, prompt), strict=True)
+            (self._choice(one, query, costs.left(tokens)), tokens)
+            for one, tokens in zip(candidates, unread, strict=True)
+            if not self._is_full(one, query)
         ]
-        return min(choices, key=first_token_seconds, default=None)
+        if not choices:
+            return None
+        soonest, tokens = min(choices, key=lambda one: first_token_seconds(one[0]))
+        return self._with_move(soonest, query, costs, tokens)
 
     def _choose_engine(
         self,
@@ -237,24 +248,61 @@
         holder = self._assumed_holder(
             prompt, self._nearby(candidates, query), min(unread)
         )
-        own = prompt.parts[-1].tokens if prompt.parts else 0
+        costs = self._read_costs(query, prompt)
+        if self.mechanisms.cache_moves:
+            costs.source = self.moves.source(query, candidates, unread, costs)
+        expected = unread
+        if holder:
+            expected = [
+                min(costs.own, tokens) if one.name == holder else tokens
+                for one, tokens in zip(candidates, unread, strict=True)
+            ]
+        place = self._cheapest(query, prompt, candidates, costs.lowest(expected))
+        left = costs.left(expected[place])
+        choice = self._choice(candidates[place], query, left)
+        return self._with_move(choice, query, costs, unread[place])
+
+    def _cheapest(
+        self,
+        query: PlacementQuery,
+        prompt: Prompt,
+        candidates: list[Upstream],
+        works: list[float],
+    ) -> int:
+        """Return the position of the engine with the lowest cost."""
         if self.costs is not None:
-            expected = unread
-            if holder:
-                expected = [
-                    min(own, tokens) if one.name == holder else tokens
-                    for one, tokens in zip(candidates, unread, strict=True)
-                ]
-            place = self.costs.cheapest(query, prompt, candidates, expected)
-            return self.costs.choice(candidates[place], query, expected[place])
+            return self.costs.cheapest(query, prompt, candidates, works)
         weighed = [
-            self._engine_cost(one, prompt, query, min(own, tokens))
-            if one.name == holder
-            else self._engine_cost(one, prompt, query, tokens)
-            for one, tokens in zip(candidates, unread, strict=True)
+            self._engine_cost(one, prompt, query, work)
+            for one, work in zip(candidates, works, strict=True)
         ]
-        _, tokens, best = min(weighed, key=lambda entry: entry[0])
-        return self._choice(best, query, tokens)
+        return weighed.index(min(weighed))
+
+    def _read_costs(self, query: PlacementQuery, prompt: Prompt) -> ReadCosts:
+        own = prompt.parts[-1].tokens if prompt.parts else prompt.tokens
+        read_rate = self.speed.read_rate(query.pool)
+        weight: float = REREAD_WEIGHT
+        if self.costs is not None:
+            read_rate = 1 / self.costs.model.pool(query.pool).fit.per_token
+            weight = self.costs.reread_weight(query.pool)
+        if not self.mechanisms.reading_again:
+            weight = 0
+        return ReadCosts(own, weight, read_rate)
+
+    def _with_move(
+        self, choice: Choice, query: PlacementQuery, costs: ReadCosts, unread: int
+    ) -> Choice:
+        """Return a choice with the source, if moving costs less than reading there.
+
+        The time to read all of it is kept in case the source fails.
+        """
+        moved = unread - costs.left(unread)
+        if costs.source is None or not moved:
+            return choice
+        whole = self._choice(choice.upstream, query, choice.tokens + moved)
+        return replace(
+            choice, source=costs.source.upstream, moved=moved, reading=whole.reading
+        )
 
     def _choice(
         self,
@@ -307,14 +355,11 @@
         upstream: Upstream,
         prompt: Prompt,
         query: PlacementQuery,
-        tokens: int,
-    ) -> tuple[float, int, Upstream]:
-        reread = max(0, tokens - prompt.parts[-1].tokens) if prompt.parts else 0
+        work: float,
+    ) -> float:
         running = self.open_work.running(upstream.name)
         waiting = self.open_work.waiting(upstream.name)
-        cost = float(waiting + RUNNING_TOKENS * running + tokens)
-        if self.mechanisms.reading_again:
-            cost += REREAD_WEIGHT * reread
+        cost = float(waiting + RUNNING_TOKENS * running + work)
         if running >= query.slots:
             cost += FULL_TOKENS
         cost *= self._slowness(upstream)
@@ -322,7 +367,7 @@
         if self.mechanisms.near_first and upstream.domain == query.domain:
             wait = self._tokens_ahead(upstream.name)
             cost -= near_tokens(query, prompt, wait, self.speed.read_rate(query.pool))
-        return cost, tokens, upstream
+        return cost
 
     def _tokens_ahead(self, name: UpstreamName) -> int:
         """Return the work ahead of a new request at an engine, in tokens."""
--- a/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
@@ -14,7 +14,7 @@
 from hitchdeck_core import logs
 from hitchdeck_core.clock import Clock, boot_seconds
 from hitchdeck_core.ids import PoolName, UpstreamName
-from hitchdeck_edge.model.document import cold_rate
+from hitchdeck_edge.model.document import CacheLink, cache_link, cold_rate
 from hitchdeck_edge.model.mechanisms import ALL_MECHANISMS, Mechanisms
 from hitchdeck_edge.model.placing import Choice, PlacementQuery
 from hitchdeck_edge.model.refusals import Refusal
@@ -109,6 +109,7 @@
             areas,
             self._cold_rate,
         )
+        self.placement.moves.link_of = self._cache_link
         self.now = now
         self.open: dict[BoxTicket, OpenRequest] = {}
         self.refused_beside_room: Counter[str] = Counter()
@@ -134,6 +135,7 @@
         for one in self._alternatives(query, choice, share_used):
             if query.resumes or self._starts_in_time(query, one, share_used):
                 self.placement.cold_budget.spend(one.upstream)
+                self.placement.moves.record(query, one)
                 if self.documents.document is not None:
                     self.shares.grant(query)
                 return one
@@ -153,7 +155,8 @@
         """Attempt to place a request, and if it is accepted count it as open."""
         found = self.attempt(query)
         if isinstance(found, Choice):
-            self.add_open(key, found.upstream.name, found.tokens, query)
+            source = found.source.name if found.source else None
+            self.add_open(key, found.upstream.name, found.tokens, query, source)
             if query.prompt is not None:
                 self.placement.prefix_cache.record_prompt(
                     found.upstream.name, query.prompt
@@ -199,6 +202,7 @@
         upstream: UpstreamName,
         unread: int,
         query: PlacementQuery | None = None,
+        source: UpstreamName | None = None,
     ) -> None:
         """Count a request as open at an upstream.
 
@@ -206,10 +210,14 @@
         ----------
         unread
             Prompt tokens that the engine has not read yet.
+        source
+            Engine from which it takes a cached part of the prompt.
         """
         self.end(key)
         prompt = query.prompt if query else None
-        entry = OpenWorkEntry(self.placement.open_work, upstream, unread, prompt)
+        entry = OpenWorkEntry(
+            self.placement.open_work, upstream, unread, prompt, source
+        )
         self.open[key] = OpenRequest(entry, query)
 
     def start(self, key: BoxTicket, *, learn: bool = True) -> None:
@@ -225,9 +233,13 @@
             return
         known.entry.start()
         self.placement.health.record_first_event(known.entry.upstream)
+        self.placement.prefix_cache.record_read(
+            known.entry.upstream, known.entry.prompt
+        )
         if not learn:
             known.query = None
-        if known.query is not None:
+        # A move takes its time, and the source may not have had the part.
+        if known.query is not None and known.entry.source is None:
             self.placement.measure(known.entry, known.query)
 
     def end(self, key: BoxTicket) -> None:
@@ -261,6 +273,9 @@
     def _cold_rate(self, pool: PoolName) -> float:
         return cold_rate(self.documents.document, pool)
 
+    def _cache_link(self, pool: PoolName) -> CacheLink | None:
+        return cache_link(self.documents.document, pool)
+
     def _alternatives(
         self,
         query: PlacementQuery,
@@ -269,6 +284,26 @@
     ) -> Iterator[Choice]:
         """Yield the choices for a request in the order in which they are considered.
 
+        A choice with a move must be in time even if the source fails; the engine that
+        has the part cached may be in time where that one is not.
+        """
+        moves = False
+        for one in self._preferred(query, choice, share_used):
+            moves = moves or one.source is not None
+            yield one
+        if moves:
+            unmoved = self.placement.choose(replace(query, may_move=False))
+            if unmoved is not None:
+                yield unmoved
+
+    def _preferred(
+        self,
+        query: PlacementQuery,
+        choice: Choice,
+        share_used: float,
+    ) -> Iterator[Choice]:
+        """Yield the choices at several engines in the order of preference.
+
         The engine with the lowest cost may have a long queue, if it is nearby or has
         the prompt cached.  Before the request is refused, the best engine of another
         domain is tried; and if the account is within its share, the one that makes the
@@ -356,12 +391,15 @@
 ) -> Scheduler:
     """Return the scheduler of a process, without any open requests."""
     shares = Shares(settings.share_window, boot_seconds)
+    mechanisms = settings.mechanisms
+    if not settings.move_cache:
+        mechanisms = replace(mechanisms, cache_moves=False)
     scheduler = Scheduler(
         documents,
         registry,
         shares,
         boot_seconds,
-        settings.mechanisms,
+        mechanisms,
         settings.areas,
     )
     if settings.learn_engines:
--- a/packages/edge/src/hitchdeck_edge/serving/metrics.py
+++ b/packages/edge/src/hitchdeck_edge/serving/metrics.py
@@ -70,6 +70,9 @@
     refused_beside_room
         Requests that this box refused without a scheduler while engines had room, by
         cause.
+    cache_moves, cache_moves_dropped
+        Requests that named a source of cached parts to their engine, and requests whose
+        source this box knew to be of no use.
     """
 
     def __init__(self, now: Clock) -> None:
@@ -91,6 +94,8 @@
         self.exclusions_adopted = 0
         self.service_counts = dict.fromkeys(SERVICE_COUNTS, 0)
         self.refused_beside_room: Mapping[str, int] = {}
+        self.cache_moves = 0
+        self.cache_moves_dropped = 0
 
     def record_served(
         self, context: RequestContext, outcome: str, seconds: float
@@ -141,6 +146,8 @@
             f'hitchdeck_upstream_connections_opened_total {self.connections_opened}',
             f'hitchdeck_upstream_connections_reused_total {self.connections_reused}',
             f'hitchdeck_scheduler_exclusions_adopted_total {self.exclusions_adopted}',
+            f'hitchdeck_cache_moves_sent_total {self.cache_moves}',
+            f'hitchdeck_cache_moves_dropped_total {self.cache_moves_dropped}',
         ]
         lines.extend(
             f'hitchdeck_service_{name}_total {count}'
--- a/packages/edge/src/hitchdeck_edge/settings.py
+++ b/packages/edge/src/hitchdeck_edge/settings.py
@@ -47,6 +47,7 @@
     ('learn_engines', check_boolean),
     ('scheduler_agreement', check_boolean),
     ('share_service_health', check_boolean),
+    ('move_cache', check_boolean),
     ('fleet_token', partial(check_text, min_length=MIN_TOKEN_LENGTH)),
 )
 _HUB_CHECKS: tuple[tuple[str, Check], ...] = (
@@ -95,6 +96,9 @@
     share_service_health
         Whether boxes share what they observe of plain services through the scheduler;
         otherwise each goes by its own calls.
+    move_cache
+        Whether engines may take cached prompt parts from each other, where the document
+        allows it.
     mechanisms
         Mechanisms that take part in placing requests.  Some are disabled only for
         measurements.
@@ -124,6 +128,7 @@
     learn_engines: bool = False
     scheduler_agreement: bool = False
     share_service_health: bool = False
+    move_cache: bool = True
     mechanisms: Mechanisms = ALL_MECHANISMS
     capacity: float = 0
     memory_limit: float = 0
