--- a/packages/core/src/hitchdeck_core/hashing.py
+++ b/packages/core/src/hitchdeck_core/hashing.py
@@ -28,6 +28,11 @@
     )
 
 
+def first_ranked(key: str, members: Iterable[str]) -> str:
+    """Return the first of ``ranked``, without sorting the others."""
+    return max(members, key=lambda member: (stable_hash(key, member), member))
+
+
 def token_hash(token: str) -> str:
     """Return the SHA-256 hex digest under which a bearer token is stored."""
     return hashlib.sha256(token.encode()).hexdigest()
--- a/packages/edge/src/hitchdeck_edge/scheduling/open_work.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/open_work.py
@@ -229,6 +229,18 @@
         own = self.own.running.get(name, 0) * self.assumed_boxes
         return max(0, own + self.others.running.get(name, 0))
 
+    def loads(self, names: list[UpstreamName]) -> list[tuple[int, int]]:
+        """Return ``waiting`` and ``running`` of many upstreams at once."""
+        boxes = self.assumed_boxes
+        own_waiting, own_running = self.own.waiting.get, self.own.running.get
+        waiting, running = self.others.waiting.get, self.others.running.get
+        loads: list[tuple[int, int]] = []
+        for name in names:
+            tokens = own_waiting(name, 0) * boxes + waiting(name, 0)
+            requests = own_running(name, 0) * boxes + running(name, 0)
+            loads.append((tokens if tokens > 0 else 0, requests if requests > 0 else 0))
+        return loads
+
     def sees_all(self) -> bool:
         """Tell whether there are no other boxes whose requests count too."""
         others = self.others
--- a/packages/edge/src/hitchdeck_edge/scheduling/placement.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/placement.py
@@ -13,7 +13,7 @@
 from dataclasses import replace
 from types import MappingProxyType
 
-from hitchdeck_core.hashing import ranked
+from hitchdeck_core.hashing import first_ranked
 from hitchdeck_core.ids import PoolName, UpstreamName
 from hitchdeck_edge.model.calls import Prompt
 from hitchdeck_edge.model.mechanisms import ALL_MECHANISMS, Mechanisms
@@ -217,10 +217,7 @@
                 for one, tokens in zip(candidates, expected, strict=True)
             ]
         if self.costs is None:
-            costs = [
-                self._engine_cost(one, prompt, query, tokens)
-                for one, tokens in zip(candidates, expected, strict=True)
-            ]
+            costs = self._engine_costs(candidates, prompt, query, expected)
             place = costs.index(min(costs))
         else:
             place = self.costs.cheapest(query, prompt, candidates, expected)
@@ -298,29 +295,56 @@
         if least_unread <= parts[-1].tokens:
             return ''
         key = parts[-2].part_id if len(parts) > 1 else parts[0].part_id
-        return ranked(key, [one.name for one in candidates])[0]
+        return first_ranked(key, [one.name for one in candidates])
 
-    def _engine_cost(
+    def _engine_costs(
         self,
-        upstream: Upstream,
+        candidates: list[Upstream],
         prompt: Prompt,
         query: PlacementQuery,
-        tokens: int,
-    ) -> float:
-        reread = max(0, tokens - prompt.parts[-1].tokens) if prompt.parts else 0
-        running = self.open_work.running(upstream.name)
-        waiting = self.open_work.waiting(upstream.name)
-        cost = float(waiting + RUNNING_TOKENS * running + tokens)
-        if self.mechanisms.reading_again:
-            cost += REREAD_WEIGHT * reread
-        if running >= query.slots:
-            cost += FULL_TOKENS
-        cost *= self._slowness(upstream)
-        cost += FAILURE_TOKENS * self.health.failure_rate(upstream.name)
-        if self.mechanisms.near_first and upstream.domain == query.domain:
-            wait = self._tokens_ahead(upstream.name)
-            cost -= near_tokens(query, prompt, wait, self.speed.read_rate(query.pool))
-        return cost
+        unread: list[int],
+    ) -> list[float]:
+        """Return the cost of each engine, in tokens to be read.
+
+        Few calls for each engine: this is the largest part of a decision, which takes
+        it up to four times.
+
+        Parameters
+        ----------
+        unread
+            Tokens of the prompt that each of the candidates must read.
+        """
+        loads = self.open_work.loads([one.name for one in candidates])
+        costs = [
+            float(waiting + RUNNING_TOKENS * running + tokens)
+            for (waiting, running), tokens in zip(loads, unread, strict=True)
+        ]
+        if self.mechanisms.reading_again and prompt.parts:
+            own = prompt.parts[-1].tokens
+            for position, tokens in enumerate(unread):
+                if tokens > own:
+                    costs[position] += REREAD_WEIGHT * (tokens - own)
+        for position, (_, running) in enumerate(loads):
+            if running >= query.slots:
+                costs[position] += FULL_TOKENS
+        _weigh_health(costs, candidates, self.health, slowness=self.mechanisms.slowness)
+        if self.mechanisms.near_first:
+            self._prefer_near(costs, query, prompt, candidates)
+        return costs
+
+    def _prefer_near(
+        self,
+        costs: list[float],
+        query: PlacementQuery,
+        prompt: Prompt,
+        candidates: list[Upstream],
+    ) -> None:
+        """Reduce the costs of the engines in the request's domain."""
+        read_rate = self.speed.read_rate(query.pool)
+        for position, one in enumerate(candidates):
+            if one.domain == query.domain:
+                wait = self._tokens_ahead(one.name)
+                costs[position] -= near_tokens(query, prompt, wait, read_rate)
 
     def _tokens_ahead(self, name: UpstreamName) -> int:
         """Return the work ahead of a new request at an engine, in tokens."""
@@ -368,6 +392,19 @@
         )
 
 
+def _weigh_health(
+    costs: list[float], candidates: list[Upstream], health: Health, *, slowness: bool
+) -> None:
+    """Add the slowness, where it counts, and the failures of engines to their costs."""
+    known = health.records.get
+    for position, one in enumerate(candidates):
+        record = known(one.name)
+        if record is not None:
+            factor = record.slowness if slowness else 1
+            lost = FAILURE_TOKENS * record.failure_rate
+            costs[position] = costs[position] * factor + lost
+
+
 def _first_token_seconds(placed: tuple[Choice, int]) -> float:
     choice, _ = placed
     return choice.queue + choice.reading
