--- a/bench/lab/play.py
+++ b/bench/lab/play.py
@@ -19,15 +19,14 @@
 )
 from hitchdeck_core.signals import Signal
 from hitchdeck_edge.errors import DocumentError
+from hitchdeck_edge.model import document as document_types
 from hitchdeck_edge.model.calls import Part, PartId, Prompt
 from hitchdeck_edge.model.document import (
     CacheLink,
     Document,
-    DocumentVersion,
     Limits,
     Pool,
 )
-from hitchdeck_edge.model.document import Engine as EngineLimits
 from hitchdeck_edge.model.mechanisms import ALL_MECHANISMS, Mechanisms
 from hitchdeck_edge.model.placing import (
     Choice,
@@ -111,11 +110,11 @@
         documents = Documents(_unread, Signal())
         sheet = self.deployment.sheet
         link = CacheLink(sheet.token_bytes, sheet.link_mbps * MEGABIT_BYTES)
-        engine = EngineLimits(
+        engine = document_types.Engine(
             sheet.places, sheet.memory, link if sheet.link_mbps else None
         )
         documents.document = Document(
-            version=DocumentVersion(1),
+            version=document_types.DocumentVersion(1),
             routes=(),
             pools={POOL: Pool(POOL, 0, engine)},
             limits=Limits(0, 0, 0, 0, self.deployment.capacity),
--- a/packages/edge/src/hitchdeck_edge/dispatch/factory.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/factory.py
@@ -55,7 +55,7 @@
     placement = chooser.local.placement
     calls = ServiceCalls(boot_seconds)
     view = ServiceView(boot_seconds, budget.fleet_fraction, placement.mechanisms)
-    placement.services = view
+    placement.services.view = view
     placement.keepers += [calls.keep, view.keep]
     chooser.service_places = ServicePlaces(placement, view, boot_seconds)
     calls.send_now = chooser.link.outbox.make_due
--- a/packages/edge/src/hitchdeck_edge/scheduling/chooser.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/chooser.py
@@ -113,8 +113,8 @@
         closed = frozenset(self.backpressure.blocked())
         query = replace(context.placement_query(self.domain), avoid=closed)
         placement = self.local.placement
-        others = placement.responding_services(query)
-        return min(map(placement.service_seconds, others), default=None)
+        others = placement.services.responding(placement.candidates(query))
+        return min(map(placement.services.seconds, others), default=None)
 
     async def _decide_alone(
         self,
--- a/packages/edge/src/hitchdeck_edge/scheduling/placement.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/placement.py
@@ -9,12 +9,11 @@
 settings say so.
 """
 
-import random
 from collections.abc import Callable, Mapping
 from dataclasses import replace
 from types import MappingProxyType
 
-from hitchdeck_core.hashing import ranked
+from hitchdeck_core.hashing import first_ranked
 from hitchdeck_core.ids import PoolName, UpstreamName
 from hitchdeck_edge.model.calls import Prompt
 from hitchdeck_edge.model.mechanisms import ALL_MECHANISMS, Mechanisms
@@ -36,28 +35,13 @@
 from hitchdeck_edge.scheduling.health import Health
 from hitchdeck_edge.scheduling.open_work import OpenWorkEntry, OpenWorkTable
 from hitchdeck_edge.scheduling.prefix_cache import PrefixCacheModel
-from hitchdeck_edge.scheduling.service_view import ServiceView, expected_seconds
+from hitchdeck_edge.scheduling.service_costs import ServiceCosts
 from hitchdeck_edge.state.registry import Registry
 
 MAX_SLOWNESS = 4.0
 """Upper bound of one slowness sample, so that a single late response has little
 effect."""
 
-FAILURE_WEIGHT = 4.0
-"""Weight of the failure rate in the cost of a plain service."""
-
-FAR_FACTOR = 1.1
-"""Cost factor for a plain service in another failure domain; see ``NEAR_TOKENS``."""
-
-JITTER_FACTOR = 1.05
-"""Upper bound of a random cost factor, so that not all boxes choose the same one of
-several equal upstreams."""
-
-MIN_SERVICE_SECONDS = 0.005
-"""Lower bound of a plain service's latency, so that a fast one does not cost
-nothing."""
-
-
 Areas = Mapping[str, str]
 """The area of each failure domain."""
 
@@ -97,7 +81,7 @@
         self.moves = CacheMoves(open_work.moves, self.prefix_cache, self.health)
         self.speed = EngineSpeed()
         self.costs: EngineCosts | None = None
-        self.services: ServiceView | None = None
+        self.services = ServiceCosts(self.health, open_work, mechanisms)
         self.keepers: list[Callable[[set[UpstreamName]], None]] = []
 
     def learn_engines(self) -> None:
@@ -124,9 +108,7 @@
         if not candidates:
             return None
         if not query.slots or query.prompt is None:
-            if self.services is not None:
-                candidates = list(self.services.compared(candidates, query))
-            best = min(candidates, key=lambda one: self._service_cost(one, query))
+            best = self.services.cheapest(candidates, query)
             return Choice(best, 0, 0)
         return self._choose_engine(query, query.prompt, candidates)
 
@@ -137,7 +119,8 @@
             passed_over = query.tried | query.avoid
             serving = [one for one in serving if one.name not in passed_over]
         if query.areas:
-            serving = [one for one in serving if self._is_in(one, query.areas)]
+            areas = query.areas
+            serving = [one for one in serving if self.areas.get(one.domain) in areas]
         return serving
 
     def candidates(self, query: PlacementQuery) -> list[Upstream]:
@@ -190,31 +173,6 @@
         if self.costs is not None:
             self.costs.keep(present)
 
-    def responding_services(self, query: PlacementQuery) -> list[Upstream]:
-        """Return the plain services for a call that respond, as far as known."""
-        view = self.services
-        return [
-            one
-            for one in self.candidates(query)
-            if not one.unresponsive
-            and not self.health.is_ejected(one.name)
-            and not (view is not None and view.is_silent(one.name))
-        ]
-
-    def service_seconds(self, upstream: Upstream) -> float:
-        """Return the expected time of a call at a plain service."""
-        name = upstream.name
-        state = self.services.state(name) if self.services is not None else None
-        if state is None:
-            seconds = max(MIN_SERVICE_SECONDS, self.health.record(name).seconds)
-            return (self.open_work.running(name) + 1) * seconds
-        running = state.running + self.open_work.own.running.get(name, 0)
-        seconds = max(MIN_SERVICE_SECONDS, state.seconds)
-        if self.services is not None and state.failure_rate and not state.seconds:
-            # It has only failed: how long a call takes there is not known.
-            seconds = max(seconds, self.services.longest_seconds())
-        return expected_seconds(seconds, running, upstream.slots)
-
     def soonest(self, query: PlacementQuery) -> Choice | None:
         """Return the engine with a free slot that makes the first token soonest.
 
@@ -272,10 +230,7 @@
         """Return the position of the engine with the lowest cost."""
         if self.costs is not None:
             return self.costs.cheapest(query, prompt, candidates, works)
-        weighed = [
-            self._engine_cost(one, prompt, query, work)
-            for one, work in zip(candidates, works, strict=True)
-        ]
+        weighed = self._engine_costs(candidates, prompt, query, works)
         return weighed.index(min(weighed))
 
     def _read_costs(self, query: PlacementQuery, prompt: Prompt) -> ReadCosts:
@@ -348,26 +303,51 @@
         if least_unread <= parts[-1].tokens:
             return ''
         key = parts[-2].part_id if len(parts) > 1 else parts[0].part_id
-        return ranked(key, [one.name for one in candidates])[0]
+        return first_ranked(key, [one.name for one in candidates])
 
-    def _engine_cost(
+    def _engine_costs(
         self,
-        upstream: Upstream,
+        candidates: list[Upstream],
         prompt: Prompt,
         query: PlacementQuery,
-        work: float,
-    ) -> float:
-        running = self.open_work.running(upstream.name)
-        waiting = self.open_work.waiting(upstream.name)
-        cost = float(waiting + RUNNING_TOKENS * running + work)
-        if running >= query.slots:
-            cost += FULL_TOKENS
-        cost *= self._slowness(upstream)
-        cost += FAILURE_TOKENS * self.health.failure_rate(upstream.name)
-        if self.mechanisms.near_first and upstream.domain == query.domain:
-            wait = self._tokens_ahead(upstream.name)
-            cost -= near_tokens(query, prompt, wait, self.speed.read_rate(query.pool))
-        return cost
+        works: list[float],
+    ) -> list[float]:
+        """Return the cost of each engine, in tokens to be read.
+
+        Few calls for each engine: this is the largest part of a decision, which takes
+        it up to four times.
+
+        Parameters
+        ----------
+        works
+            Cost of having the prompt in the cache of each of the candidates.
+        """
+        loads = self.open_work.loads([one.name for one in candidates])
+        costs = [
+            float(waiting + RUNNING_TOKENS * running + work)
+            for (waiting, running), work in zip(loads, works, strict=True)
+        ]
+        for position, (_, running) in enumerate(loads):
+            if running >= query.slots:
+                costs[position] += FULL_TOKENS
+        _weigh_health(costs, candidates, self.health, slowness=self.mechanisms.slowness)
+        if self.mechanisms.near_first:
+            self._prefer_near(costs, query, prompt, candidates)
+        return costs
+
+    def _prefer_near(
+        self,
+        costs: list[float],
+        query: PlacementQuery,
+        prompt: Prompt,
+        candidates: list[Upstream],
+    ) -> None:
+        """Reduce the costs of the engines in the request's domain."""
+        read_rate = self.speed.read_rate(query.pool)
+        for position, one in enumerate(candidates):
+            if one.domain == query.domain:
+                wait = self._tokens_ahead(one.name)
+                costs[position] -= near_tokens(query, prompt, wait, read_rate)
 
     def _tokens_ahead(self, name: UpstreamName) -> int:
         """Return the work ahead of a new request at an engine, in tokens."""
@@ -392,9 +372,6 @@
             return [prompt.tokens for _ in upstreams]
         return self.prefix_cache.uncached_at([one.name for one in upstreams], prompt)
 
-    def _is_in(self, upstream: Upstream, areas: frozenset[str]) -> bool:
-        return self.areas.get(upstream.domain) in areas
-
     def _slowness(self, upstream: Upstream) -> float:
         if not self.mechanisms.slowness:
             return 1
@@ -403,14 +380,18 @@
     def _is_full(self, upstream: Upstream, query: PlacementQuery) -> bool:
         return self.open_work.running(upstream.name) >= query.slots
 
-    def _service_cost(self, upstream: Upstream, query: PlacementQuery) -> float:
-        name = upstream.name
-        state = self.services.state(name) if self.services is not None else None
-        doubt = 1 + FAILURE_WEIGHT * (state or self.health.record(name)).failure_rate
-        near = upstream.domain == query.domain or not self.mechanisms.near_first
-        far = 1 if near else FAR_FACTOR
-        jitter = random.uniform(1, JITTER_FACTOR)
-        return self.service_seconds(upstream) * doubt * far * jitter
+
+def _weigh_health(
+    costs: list[float], candidates: list[Upstream], health: Health, *, slowness: bool
+) -> None:
+    """Add the slowness, where it counts, and the failures of engines to their costs."""
+    known = health.records.get
+    for position, one in enumerate(candidates):
+        record = known(one.name)
+        if record is not None:
+            factor = record.slowness if slowness else 1
+            lost = FAILURE_TOKENS * record.failure_rate
+            costs[position] = costs[position] * factor + lost
 
 
 def first_token_seconds(choice: Choice) -> float:
--- a/packages/edge/src/hitchdeck_edge/scheduling/service_places.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/service_places.py
@@ -149,7 +149,7 @@
     def _seconds_if_full(self, query: PlacementQuery) -> float | None:
         if self.now() - self.view.updated_at > MAX_SUMMARY_AGE_SECONDS:
             return None
-        upstreams = self.placement.responding_services(query)
+        upstreams = self.placement.services.responding(self.placement.candidates(query))
         loads = [self._load(one) for one in upstreams]
         return seconds_if_full(loads, repeatable=query.repeatable)
 
--- a/tests/edge/test_service_health.py
+++ b/tests/edge/test_service_health.py
@@ -258,9 +258,9 @@
     placement = scheduler_of(clock, 0, mechanisms or Mechanisms()).placement
     for name in (FIRST, SECOND):
         placement.registry.merge(service(name), 'test')
-    placement.services = ServiceView(clock, mechanisms=placement.mechanisms)
-    placement.services.draw = never
-    placement.services.update(states)
+    placement.services.view = ServiceView(clock, mechanisms=placement.mechanisms)
+    placement.services.view.draw = never
+    placement.services.view.update(states)
     return placement
 
 
@@ -322,21 +322,21 @@
     assert chosen(placement) == {SECOND}
     clock.seconds += MAX_AGE_SECONDS + 0.1
     assert chosen(placement) == {FIRST, SECOND}
-    assert placement.services is not None
+    assert placement.services.view is not None
     # The stream is open, but the scheduler had nothing to tell.
-    placement.services.connected = True
+    placement.services.view.connected = True
     assert chosen(placement) == {SECOND}
-    placement.services.connected = False
+    placement.services.view.connected = False
     assert chosen(placement) == {FIRST, SECOND}
-    placement.services.update([])
+    placement.services.view.update([])
     assert chosen(placement) == {SECOND}
-    placement.services.clear()
+    placement.services.view.clear()
     assert chosen(placement) == {FIRST, SECOND}
 
 
 def without_view(clock: FakeClock) -> Placement:
     placement = placement_with(clock, ServiceState(FIRST, silent=True))
-    placement.services = None
+    placement.services.view = None
     return placement
 
 
@@ -375,7 +375,7 @@
 ) -> None:
     clock = FakeClock()
     placement = placement_with(clock, ServiceState(FIRST, silent=True))
-    view = placement.services
+    view = placement.services.view
     assert view is not None
     view.draw = lambda: draw
     clock.seconds += after
@@ -391,8 +391,8 @@
 def test_the_second_attempt_of_a_call_never_tries_a_silent_service() -> None:
     clock = FakeClock()
     placement = placement_with(clock, ServiceState(FIRST, silent=True))
-    assert placement.services is not None
-    placement.services.draw = always
+    assert placement.services.view is not None
+    placement.services.view.draw = always
     clock.seconds += 1
     second = replace(call_query(), tried=frozenset((UpstreamName('other'),)))
     assert chosen(placement, second) == {SECOND}
@@ -400,8 +400,8 @@
 
 def test_a_box_uses_a_service_that_responded_to_it() -> None:
     placement = placement_with(FakeClock(), ServiceState(FIRST, silent=True))
-    assert placement.services is not None
-    placement.services.note_response(FIRST)
+    assert placement.services.view is not None
+    placement.services.view.note_response(FIRST)
     assert chosen(placement) == {FIRST, SECOND}
 
 
