Read requests that arrive in one piece with httptools, and serve them in place

A request of HTTP/1.1 that arrives whole, with at most one Content-Length, is parsed by llhttp and served in the task of its connection: without a task, a future and a timer of its own. Its response is written to the socket directly. Whatever else arrives is put back for Tornado, so that its limits and checks decide as before. A differential test compares the answers to 37 kinds of input with those of Tornado's server, byte by byte, and a property test compares the two parsers.

The time limit of 3600 s for a head is kept by one timer of a connection. TCP_NODELAY is set once for a connection instead of twice for each response.

--- a/packages/edge/src/hitchdeck_edge/serving/admission.py
+++ b/packages/edge/src/hitchdeck_edge/serving/admission.py
@@ -18,6 +18,7 @@
 from hitchdeck_edge.model.request_context import RequestContext
 from hitchdeck_edge.serving.budgets import Budgets
 from hitchdeck_edge.serving.caller import CallerConnection
+from hitchdeck_edge.serving.caller_http import Service
 from hitchdeck_edge.serving.caller_server import IncomingRequest
 from hitchdeck_edge.serving.graceful_stop import GracefulStop
 from hitchdeck_edge.serving.metrics import EntryMetrics
@@ -75,9 +76,11 @@
         if incoming.is_refused or not self._should_admit():
             self._reject(incoming, caller)
             return
-        task = asyncio.get_running_loop().create_task(
-            self._serve(incoming, caller, arrived),
-        )
+        service = self._serve(incoming, caller, arrived)
+        if incoming.connection_serves:
+            incoming.serve_in_connection(self._tracked(service, incoming, caller))
+            return
+        task = asyncio.get_running_loop().create_task(service)
 
         def cancel_task() -> None:
             task.cancel()
@@ -114,6 +117,29 @@
         self.metrics.record_undispatched(Refusal.no_time_here.name)
         self.rejections.add(request)
 
+    async def _tracked(
+        self, service: Service, incoming: IncomingRequest, caller: CallerConnection
+    ) -> None:
+        """Serve a request in the task of its connection."""
+        task = asyncio.current_task()
+        assert task is not None
+
+        def cancel_task() -> None:
+            task.cancel()
+
+        caller.on_disconnect = cancel_task
+        self.tasks.add(task)
+        try:
+            await service
+        finally:
+            # The task goes on to the next request of the connection.
+            caller.on_disconnect = None
+            self._forget(task, incoming)
+
+    def _forget(self, task: asyncio.Task[None], incoming: IncomingRequest) -> None:
+        self.tasks.discard(task)
+        incoming.release()
+
     async def _serve(
         self, incoming: IncomingRequest, caller: CallerConnection, arrived: float
     ) -> None:
--- a/packages/edge/src/hitchdeck_edge/serving/caller.py
+++ b/packages/edge/src/hitchdeck_edge/serving/caller.py
@@ -4,12 +4,13 @@
 from collections.abc import Awaitable, Callable, Iterable
 
 from tornado.http1connection import HTTP1Connection
-from tornado.httputil import HTTPHeaders, ResponseStartLine
+from tornado.httputil import ResponseStartLine
 from tornado.iostream import StreamClosedError
 
 from hitchdeck_core.loop_load import loop_utilization
 from hitchdeck_core.sockets import peer_has_closed
 from hitchdeck_edge.errors import CallerDisconnectedError
+from hitchdeck_edge.serving.fields import Fields
 from hitchdeck_edge.serving.overload import should_close
 
 ResponseHeaders = Iterable[tuple[str, str]]
@@ -171,7 +172,7 @@
         headers: ResponseHeaders,
         body: bytes,
     ) -> Awaitable[None]:
-        fields = HTTPHeaders()
+        fields = Fields()
         for name, text in headers:
             fields.add(name, text)
         if should_close(loop_utilization()):
--- a/packages/edge/src/hitchdeck_edge/serving/caller_server.py
+++ b/packages/edge/src/hitchdeck_edge/serving/caller_server.py
@@ -27,7 +27,14 @@
     prepare_for_slow_callers,
 )
 from hitchdeck_edge.serving.budgets import Budgets, Holding
+from hitchdeck_edge.serving.caller_http import (
+    CallerHTTPConnection,
+    CallerServerConnection,
+    CallerStream,
+    Service,
+)
 from hitchdeck_edge.serving.handoff import GREETING, Handoff, should_hand_off
+from hitchdeck_edge.serving.request_heads import MAX_LENGTH_DIGITS
 from hitchdeck_edge.serving.shedding import Shedder
 
 HEADER_BYTES = 65_536
@@ -40,9 +47,6 @@
 BODY_BYTES = 16_777_216
 """Maximum size of a request's body, for the same reason."""
 
-MAX_LENGTH_DIGITS = 18
-"""Digits of a stated length that is read; the HTTP parser rejects such bodies."""
-
 Serve = Callable[['IncomingRequest'], None]
 
 IsOverloaded = Callable[[], bool]
@@ -113,6 +117,17 @@
             return None
         return self._wait_to_read(self.holding)
 
+    @property
+    def connection_serves(self) -> bool:
+        """Tell whether the request is to be served in the task of its connection."""
+        connection = self.connection
+        return isinstance(connection, CallerHTTPConnection) and connection.is_whole
+
+    def serve_in_connection(self, service: Service) -> None:
+        """Have the request served in the task of its connection."""
+        assert isinstance(self.connection, CallerHTTPConnection)
+        self.connection.service = service
+
     def finish(self) -> None:
         """Have the complete request served, unless it was evicted."""
         if self.holding is not None and not self.is_refused:
@@ -161,6 +176,13 @@
 class ClosingServer(HTTPServer):
     """An HTTP server that also tells its delegate when a connection ends."""
 
+    def handle_stream(self, stream: IOStream, address: tuple[object, ...]) -> None:
+        """Serve a connection of a caller."""
+        assert isinstance(stream, CallerStream)
+        connection = CallerServerConnection(stream, self.conn_params, address[0])
+        self._connections.add(connection)
+        connection.start_serving(self)
+
     def on_close(self, server_conn: object) -> None:
         """Forget a connection, and have the delegate forget it."""
         super().on_close(server_conn)
@@ -307,7 +329,7 @@
     ) -> None:
         try:
             (server or self.server).handle_stream(
-                IOStream(connection), connection.getpeername()
+                CallerStream(connection), connection.getpeername()
             )
         except OSError as error:
             logs.info('connection closed before it was served', reason=repr(error))
