--- a/packages/core/src/hitchdeck_core/logs.py
+++ b/packages/core/src/hitchdeck_core/logs.py
@@ -3,14 +3,34 @@
 import json
 import logging as standard_logging
 import sys
+import threading
 import time
 from collections.abc import Mapping
+from functools import lru_cache
 
 from absl import flags, logging
 
 from hitchdeck_core.log_output import BoundedOutput
 
 _FIELDS = 'hitchdeck_fields'
+_MS = 1000
+_encode = json.JSONEncoder(default=str).encode
+
+
+@lru_cache(maxsize=1)
+def _format_second(second: int) -> str:
+    return time.strftime('%Y-%m-%dT%H:%M:%S', time.gmtime(second))
+
+
+def _head_of_line(created: float, level: str, event: str) -> dict[str, object]:
+    """Return the first fields of a line."""
+    second = int(created)
+    ms = int((created - second) * _MS)
+    return {
+        'time': f'{_format_second(second)}.{ms:03d}Z',
+        'level': level,
+        'event': event,
+    }
 
 
 class JsonFormatter(standard_logging.Formatter):
@@ -19,25 +39,53 @@
     def format(self, record: standard_logging.LogRecord) -> str:
         """Return a line with time, level, event and the fields of the record."""
         line = {
-            'time': time.strftime(
-                '%Y-%m-%dT%H:%M:%S',
-                time.gmtime(record.created),
-            )
-            + f'.{int(record.msecs):03d}Z',
-            'level': record.levelname.lower(),
-            'event': record.getMessage(),
+            **_head_of_line(
+                record.created, record.levelname.lower(), record.getMessage()
+            ),
             **getattr(record, _FIELDS, {}),
         }
         if record.exc_info:
             line['error'] = self.formatException(record.exc_info)
-        return json.dumps(line, default=str)
+        return _encode(line)
 
 
 class _Context:
-    """Fields that are added to every line of this process."""
+    """What holds for every line of this process.
+
+    Attributes
+    ----------
+    fields
+        Fields that are added.
+    handler
+        Writes lines to standard output; ``None`` if they go to standard error, or none
+        are written.
+    """
 
     def __init__(self) -> None:
         self.fields: dict[str, object] = {}
+        self.handler: standard_logging.StreamHandler[BoundedOutput] | None = None
+
+    def write(self, level: int, event: str, fields: Mapping[str, object]) -> bool:
+        """Write a line to standard output; return whether lines go there.
+
+        A record of the logging library, and its way through handlers, took two thirds
+        of the time of a line.
+        """
+        if self.handler is None:
+            return False
+        name = standard_logging.getLevelName(level).lower()
+        head = _head_of_line(time.time(), name, event)
+        line = _encode({**head, **self.fields, **fields})
+        with _lock_of(self.handler):
+            self.handler.stream.write(f'{line}\n')
+            self.handler.stream.flush()
+        return True
+
+
+def _lock_of(handler: standard_logging.Handler) -> threading.RLock:
+    """Return the lock that other records are written under."""
+    assert handler.lock is not None
+    return handler.lock
 
 
 _context = _Context()
@@ -62,10 +110,12 @@
     flags.FLAGS['logtostderr'].value = False
     handler = logging.get_absl_handler().python_handler
     handler.stream = BoundedOutput(sys.stdout.fileno())
+    _context.handler = handler
 
 
 def silence() -> None:
     """Disable logging, for programs whose output is something else."""
+    _context.handler = None
     logging.set_verbosity(logging.FATAL)
     logging.get_absl_logger().setLevel(standard_logging.CRITICAL)
 
@@ -76,6 +126,8 @@
     fields: Mapping[str, object],
     error: BaseException | None = None,
 ) -> None:
+    if error is None and _context.write(level, event, fields):
+        return
     logging.get_absl_logger().log(
         level,
         event,
