--- a/packages/edge/src/hitchdeck_edge/links/placing.py
+++ b/packages/edge/src/hitchdeck_edge/links/placing.py
@@ -10,6 +10,7 @@
 from hitchdeck_core.errors import LinkError
 from hitchdeck_core.ids import Address, UpstreamName
 from hitchdeck_core.loop_load import loop_utilization
+from hitchdeck_core.signals import Signal
 from hitchdeck_core.wire.spread_grpc import PlacingStub
 from hitchdeck_core.wire.spread_pb2 import (
     Decision,
@@ -75,6 +76,42 @@
 PlacingStream = Stream[PlacingFrame, PlacedFrame]
 
 
+class Answer:
+    """Answer of the scheduler that a request waits for.
+
+    It wakes the request directly: ``asyncio.wait`` with a timeout takes two futures,
+    and another turn of the event loop.
+
+    Attributes
+    ----------
+    placed
+        The answer; ``None`` if there is none yet, or will be none.
+    is_lost
+        Whether the stream to the scheduler ended before the answer.
+    settled
+        Notified when one of the two is known.
+    """
+
+    __slots__ = ('is_lost', 'placed', 'settled')
+
+    def __init__(self) -> None:
+        self.placed: Placed | None = None
+        self.is_lost = False
+        self.settled = Signal()
+
+    @property
+    def is_settled(self) -> bool:
+        """Tell whether there is nothing to wait for."""
+        return self.is_lost or self.placed is not None
+
+    def settle(self, placed: Placed | None) -> None:
+        """Wake the request; without an answer, it is lost."""
+        if not self.is_settled:
+            self.placed = placed
+            self.is_lost = placed is None
+            self.settled.notify()
+
+
 class PlacingLink:
     """Client of the scheduler in an entry box.
 
@@ -108,7 +145,7 @@
         self.now = shares.now
         self.scheduler: Address | None = None
         self.open: dict[int, OpenWork] = {}
-        self.waiting: dict[int, asyncio.Future[Placed]] = {}
+        self.waiting: dict[int, Answer] = {}
         self.queued: set[int] = set()
         self.outbox = Outbox()
         self.last_ticket = 0
@@ -119,26 +156,25 @@
         if self.scheduler is None:
             return None
         ticket = self._new_ticket()
-        answer = asyncio.get_running_loop().create_future()
+        answer = Answer()
         self.waiting[ticket] = answer
         self.outbox.add_query(encode_wanted(ticket, query))
         try:
             await self._wait_for_answer(answer)
-            if ticket in self.queued and not answer.done():
+            if ticket in self.queued and not answer.is_settled:
                 longest = query.longest_wait + ANSWER_TIMEOUT_SECONDS
                 await self._wait_for_answer(answer, longest)
         finally:
             self.waiting.pop(ticket, None)
             self._leave_queue(ticket, answer)
-        if not answer.done():
-            answer.cancel()
-            self._count_unanswered(ticket)
-            return None
-        if answer.exception() is not None:
+        if answer.is_lost:
             # The loss has been logged where the stream was closed.
             return None
+        if answer.placed is None:
+            self._count_unanswered(ticket)
+            return None
         self.unanswered = 0
-        return self._decision(answer.result())
+        return self._decision(answer.placed)
 
     def track(self, ticket: int, upstream: UpstreamName, unread: int) -> int:
         """Record a request that is being sent; return its ticket.
@@ -185,7 +221,7 @@
 
     async def _wait_for_answer(
         self,
-        answer: asyncio.Future[Placed],
+        answer: Answer,
         timeout: float = ANSWER_TIMEOUT_SECONDS,
     ) -> None:
         """Wait for an answer, and wait again if this box itself was late.
@@ -194,17 +230,18 @@
         """
         for _ in range(MAX_WAITS):
             asked = self.now()
-            await asyncio.wait((answer,), timeout=timeout)
+            if not answer.is_settled:
+                await answer.settled.wait(timeout)
             late = self.now() - asked - timeout
-            if answer.done() or late < LATE_TIMER_SECONDS:
+            if answer.is_settled or late < LATE_TIMER_SECONDS:
                 return
             timeout = ANSWER_TIMEOUT_SECONDS
 
-    def _leave_queue(self, ticket: int, answer: asyncio.Future[Placed]) -> None:
+    def _leave_queue(self, ticket: int, answer: Answer) -> None:
         """Report that a request no longer waits if the caller or the time has gone."""
         if ticket in self.queued:
             self.queued.discard(ticket)
-            if not answer.done():
+            if not answer.is_settled:
                 self._send_ended(ticket)
 
     async def _keep_stream(self, hub: Address) -> bool:
@@ -276,8 +313,8 @@
             self._note_queued(ticket)
             return
         answer = self.waiting.pop(ticket, None)
-        if answer is not None and not answer.done():
-            answer.set_result(placed)
+        if answer is not None and not answer.is_settled:
+            answer.settle(placed)
         elif placed.decision == Decision.DECISION_PLACED:
             # The answer is too late: this box has placed the request itself.
             self._send_ended(ticket)
@@ -316,8 +353,7 @@
     def _disconnect(self) -> None:
         self.scheduler = None
         for answer in self.waiting.values():
-            if not answer.done():
-                answer.set_exception(LinkError('scheduler lost'))
+            answer.settle(None)
 
     def _count_unanswered(self, ticket: int) -> None:
         self.unanswered += 1
