--- a/packages/core/src/hitchdeck_core/loop_load.py
+++ b/packages/core/src/hitchdeck_core/loop_load.py
@@ -64,21 +64,17 @@
         """Record the start of a poll and return its time."""
         now = self.now()
         turn = now - self.turn_started_at
+        self.longest_turn = max(self.longest_turn, turn)
+        self._smooth_lag(min(turn, MAX_COUNTED_TURN_SECONDS), turn)
         self.turn_started_at = now
-        if turn > self.longest_turn:
-            self.longest_turn = turn
-        counted = turn if turn < MAX_COUNTED_TURN_SECONDS else MAX_COUNTED_TURN_SECONDS
-        self.lag += (1 - math.exp(-turn / LAG_SECONDS)) * (counted - self.lag)
         return now
 
     def end_poll(self, began: float) -> None:
         """Record the end of a poll that waited."""
-        now = self.now()
-        waited = now - began
-        self.turn_started_at = now
+        self.turn_started_at = self.now()
+        waited = self.turn_started_at - began
         self.waited += waited
-        # What arrives during a wait is noticed at once: a turn of no length.
-        self.lag *= math.exp(-waited / LAG_SECONDS)
+        self._smooth_lag(0, waited)
 
     def take_longest_turn(self) -> float:
         """Return the longest turn since the last call, in seconds."""
@@ -98,6 +94,10 @@
         self.waited = 0
         return self.smoothed_utilization
 
+    def _smooth_lag(self, turn: float, span: float) -> None:
+        weight = 1 - math.exp(-span / LAG_SECONDS)
+        self.lag += weight * (turn - self.lag)
+
 
 class _Selector(selectors.DefaultSelector):
     """Default selector that reports how long it waited."""
@@ -112,9 +112,9 @@
     ) -> list[tuple[selectors.SelectorKey, int]]:
         """Wait for events, up to a limit, since a suspension doesn't end a wait."""
         began = self.load.begin_poll()
-        wait = timeout
-        if wait is None or wait > MAX_POLL_SECONDS:
-            wait = MAX_POLL_SECONDS
+        wait = MAX_POLL_SECONDS
+        if timeout is not None:
+            wait = min(wait, timeout)
         events = super().select(wait)
         if wait > 0:
             self.load.end_poll(began)
