--- a/packages/edge/src/hitchdeck_edge/serving/request_heads.py
+++ b/packages/edge/src/hitchdeck_edge/serving/request_heads.py
@@ -6,11 +6,11 @@
 """
 
 import re
-from dataclasses import dataclass
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 from tornado.httputil import RequestStartLine
 
+from hitchdeck_core.lazy_dataclasses import dataclass
 from hitchdeck_edge.serving.fields import Fields
 
 MAX_LENGTH_DIGITS = 18
