Reject fields that end in control characters, and heads with line breaks

The last character of a field's value could be any but tab and space, so that a value could end in CR, LF or NUL. The head of a response is checked as a whole as well, since fields that are assigned are not checked.

--- a/packages/edge/src/hitchdeck_edge/serving/caller_http.py
+++ b/packages/edge/src/hitchdeck_edge/serving/caller_http.py
@@ -303,10 +303,14 @@
     Raises
     ------
     ValueError
-        The reason would change where the status line ends.
+        The reason or a field holds a line break, which would change where a line of the
+        head ends, or NUL.
     """
-    status = f'HTTP/1.1 {start_line.code} {start_line.reason}'
-    if '\r' in status or '\n' in status:
-        raise ValueError(f'line break in the reason {start_line.reason!r}')
+    status = f'HTTP/1.1 {start_line.code} {start_line.reason}\r\n'
     lines = [f'{name}: {text}\r\n' for name, text in headers.get_all()]
-    return b'%b\r\n%b\r\n' % (status.encode(), ''.join(lines).encode('latin-1'))
+    fields = ''.join(lines)
+    head = status + fields
+    ends = 1 + len(lines)
+    if head.count('\r') != ends or head.count('\n') != ends or '\0' in head:
+        raise ValueError('line break or NUL in the head of a response')
+    return b'%b%b\r\n' % (status.encode(), fields.encode('latin-1'))
--- a/packages/edge/src/hitchdeck_edge/serving/fields.py
+++ b/packages/edge/src/hitchdeck_edge/serving/fields.py
@@ -14,7 +14,9 @@
 """Names of fields that are kept in their normal form, as many as Tornado keeps."""
 
 _NAME = re.compile(r"[-!#$%&'*+.^_`|~0-9A-Za-z]+")
-_TEXT = re.compile(r'(?:[\x21-\x7e\x80-\xff](?:[\t\x20-\x7e\x80-\xff]*[^\t ])?)?')
+_TEXT = re.compile(
+    r'(?:[\x21-\x7e\x80-\xff](?:[\t\x20-\x7e\x80-\xff]*[\x21-\x7e\x80-\xff])?)?'
+)
 
 
 class Fields(HTTPHeaders):
--- a/tests/edge/test_caller_requests.py
+++ b/tests/edge/test_caller_requests.py
@@ -9,7 +9,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from tornado.httpserver import HTTPServer
-from tornado.httputil import HTTPHeaders, HTTPInputError, parse_request_start_line
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPInputError,
+    ResponseStartLine,
+    parse_request_start_line,
+)
 
 from hitchdeck_edge.serving import caller_http
 from hitchdeck_edge.serving.caller import CallerConnection
@@ -41,6 +46,9 @@
         *(b'Expect: 100-continue\r\n', b'Upgrade: h2c\r\n', b'body', b'a b: c\r\n'),
     ]
 )
+LATIN_PARTS = PARTS.map(lambda part: part.decode('latin-1'))
+FIELDS = st.lists(st.tuples(LATIN_PARTS, LATIN_PARTS), max_size=6)
+ENDINGS = st.text('a \t\n\r\x00\x7f\xe9\u0141', max_size=4)
 MUTATIONS = st.lists(st.tuples(st.integers(0, len(WHOLE)), PARTS, st.integers(0, 4)))
 
 
@@ -69,14 +77,15 @@
     assert 'Transfer-Encoding' not in known
 
 
-@given(st.lists(st.tuples(PARTS, PARTS), max_size=6))
-def test_fields_are_checked_as_by_tornado(given: list[tuple[bytes, bytes]]) -> None:
+# The second strategy finds values that are malformed by their last character only.
+@given(st.one_of(FIELDS, ENDINGS.map(lambda text: [('a', text)])))
+def test_fields_are_checked_as_by_tornado(given: list[tuple[str, str]]) -> None:
     outcomes: list[object] = []
     for kind in (Fields, HTTPHeaders):
         fields = kind()
         try:
             for name, text in given:
-                fields.add(name.decode('latin-1'), text.decode('latin-1'))
+                fields.add(name, text)
         except HTTPInputError:
             outcomes.append('malformed')
         else:
@@ -84,6 +93,18 @@
     assert outcomes[0] == outcomes[1]
 
 
+@pytest.mark.parametrize('text', ['a\r\nSet: b', 'a\n', 'a\r', 'a\0', '\r\n'])
+@pytest.mark.parametrize('place', ['reason', 'name', 'value'])
+def test_a_head_with_another_end_is_not_sent(text: str, place: str) -> None:
+    # Guards against response splitting by fields that are set without a check.
+    fields = Fields()
+    fields['X'] = text if place == 'value' else 'a'
+    fields._as_list[text if place == 'name' else 'Y'] = ['b']
+    reason = text if place == 'reason' else 'OK'
+    with pytest.raises(ValueError, match='line break or NUL'):
+        caller_http._encoded_head(ResponseStartLine('HTTP/1.1', 200, reason), fields)
+
+
 def test_most_requests_are_not_left_to_tornado() -> None:
     assert parse_whole_request(WHOLE)
     assert parse_whole_request(STREAM)
