Release the bytes of a request before it is served

The bytes that were read, and the future that held them, lived until the request was served or its body complete: up to 64 KiB per connection beside the copy that the budget counts.

--- a/packages/edge/src/hitchdeck_edge/serving/caller_http.py
+++ b/packages/edge/src/hitchdeck_edge/serving/caller_http.py
@@ -153,16 +153,10 @@
             The connection was closed before a whole request arrived.
         """
         self.idle.start()
-        reading = self.stream.read_bytes(PIECE_BYTES, partial=True)
-        if self.follows and asyncio.isfuture(reading) and reading.done():
-            # A caller that sends requests without a pause must not occupy the loop.
-            await asyncio.sleep(0)
-        arrived = await reading
-        request = parse_whole_request(arrived)
+        request = await self._read_whole()
         if request is not None:
             self.idle.stop()
             return await self._serve(request, delegate)
-        self.caller_stream.unread(arrived)
         followed = await self.read_response(delegate)
         await asyncio.sleep(0)
         return followed
@@ -210,6 +204,22 @@
         self.idle.stop()
         return super()._parse_headers(data)
 
+    async def _read_whole(self) -> WholeRequest | None:
+        """Return a request that arrived whole, or leave what was read to Tornado.
+
+        The bytes that were read are released on return: the body is a copy, and the
+        budget counts it once.
+        """
+        reading = self.stream.read_bytes(PIECE_BYTES, partial=True)
+        if self.follows and asyncio.isfuture(reading) and reading.done():
+            # A caller that sends requests without a pause must not occupy the loop.
+            await asyncio.sleep(0)
+        arrived = await reading
+        request = parse_whole_request(arrived)
+        if request is None:
+            self.caller_stream.unread(arrived)
+        return request
+
     async def _serve(
         self, request: WholeRequest, delegate: HTTPMessageDelegate
     ) -> bool:
--- a/tests/edge/test_caller_requests.py
+++ b/tests/edge/test_caller_requests.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import tracemalloc
 from collections.abc import Callable
 from unittest.mock import Mock
 
@@ -31,6 +32,8 @@
 SECONDS = 10.0
 PAUSE_SECONDS = 0.02
 QUIET_SECONDS = 0.2
+CONNECTIONS = 20
+SIZE = 60_000
 POST = b'POST /a?b=c HTTP/1.1\r\nHost: h\r\n'
 WHOLE = POST + b'x-Two-words: 1\r\nX-Two-Words:\t2 \r\nContent-Length: 4\r\n\r\nbody'
 CLOSING = b'GET /z HTTP/1.1\r\nConnection: Close\r\n\r\n'
@@ -218,6 +221,46 @@
     assert found
 
 
+@pytest.mark.parametrize('missing', [0, 30_000])
+async def test_bytes_of_a_request_are_held_once(missing: int) -> None:
+    # Guards against memory outside the budget while a request is served or read.
+    data = POST + b'Content-Length: %d\r\n\r\n' % (SIZE + missing) + bytes(SIZE)
+    answered = asyncio.Event()
+    delegate = CallerServer(
+        lambda one: one.serve_in_connection(answered.wait()), Mock(), Mock(), bool
+    )
+    start, started = delegate.start_request, list[IncomingRequest]()
+    delegate.start_request = lambda *given: started.append(start(*given)) or started[-1]
+    pairs = [connected_pair() for _ in range(CONNECTIONS)]
+    tracemalloc.start()
+    try:
+        for caller, accepted in pairs:
+            caller.sendall(data)
+            delegate._serve_connection(accepted)
+        await wait_for(
+            lambda: (
+                [sum(map(len, one.chunks)) for one in started] == CONNECTIONS * [SIZE]
+            )
+        )
+        held, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    answered.set()
+    for caller, _ in pairs:
+        caller.close()
+    assert held < 1.5 * SIZE * CONNECTIONS
+    await wait_for(lambda: not delegate.server._connections)
+
+
+def connected_pair() -> tuple[socket.socket, socket.socket]:
+    """Return the sockets of a caller and of the server."""
+    with socket.create_server(('127.0.0.1', 0)) as listener:
+        caller = socket.create_connection(listener.getsockname())
+        accepted, _ = listener.accept()
+    accepted.setblocking(False)
+    return caller, accepted
+
+
 async def wait_for(condition: Callable[[], bool]) -> None:
     async with asyncio.timeout(SECONDS):
         while not condition():
