Read the next request of a connection in the turn in which it is marked busy

The event loop got its turn after the next request had been read, while the connection was still listed as idle. When descriptors were scarce, it was closed then, and the request was served without a caller. The turn is given before the connection counts as idle, as in Tornado, and a request that was read on a connection that is closed now is not served.

--- a/packages/edge/src/hitchdeck_edge/serving/caller_http.py
+++ b/packages/edge/src/hitchdeck_edge/serving/caller_http.py
@@ -82,21 +82,17 @@
     ----------
     until
         When the connection is closed; infinite while no request is awaited.
-    waits
-        Number of requests that were awaited so far.
     """
 
     def __init__(self, close: Callable[[], None]) -> None:
         self.loop = asyncio.get_running_loop()
         self.close = close
         self.until = math.inf
-        self.waits = 0
         self.timer = self.loop.call_later(IDLE_SECONDS, self._check)
 
     def start(self) -> None:
         """Start to wait for a request."""
         self.until = self.loop.time() + IDLE_SECONDS
-        self.waits += 1
 
     def stop(self) -> None:
         """Stop waiting: the head of a request has arrived."""
@@ -121,8 +117,6 @@
     ----------
     idle
         Closes the connection if no head of a request arrives in time.
-    follows
-        Whether another request was read on this connection.
     is_whole
         Whether the request arrived in one piece.
     service
@@ -139,7 +133,6 @@
         super().__init__(stream, is_client=False, params=limits, context=address)
         self.idle = idle
         self.caller_stream = stream
-        self.follows = idle.waits
         self.is_whole = False
         self.service: Service | None = None
         self._is_sent_now = False
@@ -154,10 +147,14 @@
         """
         self.idle.start()
         request = await self._read_whole()
-        if request is not None:
+        if request is None:
+            followed = await self.read_response(delegate)
+        else:
             self.idle.stop()
-            return await self._serve(request, delegate)
-        followed = await self.read_response(delegate)
+            followed = await self._serve(request, delegate)
+        # A caller that sends requests without a pause must not occupy the loop.  The
+        # turn is given before the connection counts as idle: once the next request is
+        # read, the kernel no longer shows that one arrived.
         await asyncio.sleep(0)
         return followed
 
@@ -209,12 +206,16 @@
 
         The bytes that were read are released on return: the body is a copy, and the
         budget counts it once.
+
+        Raises
+        ------
+        StreamClosedError
+            The connection was closed, maybe after the request arrived.
         """
-        reading = self.stream.read_bytes(PIECE_BYTES, partial=True)
-        if self.follows and asyncio.isfuture(reading) and reading.done():
-            # A caller that sends requests without a pause must not occupy the loop.
-            await asyncio.sleep(0)
-        arrived = await reading
+        arrived = await self.stream.read_bytes(PIECE_BYTES, partial=True)
+        if self.stream.closed():
+            # Nobody could receive the response.
+            raise StreamClosedError(real_error=self.stream.error)
         request = parse_whole_request(arrived)
         if request is None:
             self.caller_stream.unread(arrived)
--- a/tests/edge/test_caller_requests.py
+++ b/tests/edge/test_caller_requests.py
@@ -16,9 +16,12 @@
     ResponseStartLine,
     parse_request_start_line,
 )
+from tornado.iostream import IOStream
 
 from hitchdeck_edge.serving import caller_http
+from hitchdeck_edge.serving.budgets import Budgets
 from hitchdeck_edge.serving.caller import CallerConnection
+from hitchdeck_edge.serving.caller_http import PIECE_BYTES
 from hitchdeck_edge.serving.caller_server import (
     BODY_BYTES,
     HEADER_BYTES,
@@ -252,6 +255,60 @@
     await wait_for(lambda: not delegate.server._connections)
 
 
+async def test_a_request_that_arrived_is_served_when_descriptors_are_scarce() -> None:
+    # Guards against closing a connection whose next request was read, but not served.
+    answering = asyncio.Event()
+    served: list[str] = []
+
+    async def answer_later(incoming: IncomingRequest) -> None:
+        assert incoming.start_line
+        served.append(incoming.start_line.path)
+        await answering.wait()
+        await answer(incoming, CallerConnection(incoming.connection))
+
+    budgets = Budgets(descriptors=Mock(usable=1, scarce=True))
+    delegate = CallerServer(
+        lambda one: one.serve_in_connection(answer_later(one)),
+        Mock(),
+        Mock(),
+        bool,
+        budgets,
+    )
+    caller, accepted = connected_pair()
+    caller.sendall(STREAM)
+    delegate._serve_connection(accepted)
+    await wait_for(lambda: served == ['/stream'])
+    caller.sendall(CLOSING)
+    answering.set()
+    async with asyncio.timeout(SECONDS):
+        while delegate.server._connections:
+            delegate._free_descriptors(Mock())
+            await asyncio.sleep(0)
+    assert served == ['/stream', '/z']
+    with caller:
+        assert caller.recv(PIECE_BYTES).count(b'HTTP/1.1 200 OK') == 2
+
+
+@pytest.mark.parametrize('data', [WHOLE, STREAM.replace(b'1.1', b'1.0')])
+async def test_a_request_read_on_a_connection_then_closed_is_not_served(
+    data: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against requests that wait at the scheduler without a caller to notice.
+    async def read_and_close(stream: IOStream, size: int, *, partial: bool) -> bytes:
+        read = await IOStream.read_bytes(stream, size, partial=partial)
+        stream.close()
+        return read
+
+    monkeypatch.setattr(caller_http.CallerStream, 'read_bytes', read_and_close)
+    delegate = CallerServer(Mock(), Mock(), Mock(), bool)
+    caller, accepted = connected_pair()
+    with caller:
+        caller.sendall(data)
+        delegate._serve_connection(accepted)
+        await wait_for(lambda: not delegate.server._connections)
+    assert not delegate.serve.called
+
+
 def connected_pair() -> tuple[socket.socket, socket.socket]:
     """Return the sockets of a caller and of the server."""
     with socket.create_server(('127.0.0.1', 0)) as listener:
