Leave log fields that cannot be encoded to the logging library

Since lines are written without a record, such a field raised into the code that logs. A request whose record could not be written would have been aborted after its answer.

--- a/packages/core/src/hitchdeck_core/logs.py
+++ b/packages/core/src/hitchdeck_core/logs.py
@@ -66,16 +66,20 @@
         self.handler: standard_logging.StreamHandler[BoundedOutput] | None = None
 
     def write(self, level: int, event: str, fields: Mapping[str, object]) -> bool:
-        """Write a line to standard output; return whether lines go there.
+        """Write a line to standard output; return whether it was written.
 
         A record of the logging library, and its way through handlers, took two thirds
-        of the time of a line.
+        of the time of a line.  Fields that cannot be encoded are left to the library,
+        which reports them on standard error and does not raise.
         """
         if self.handler is None:
             return False
         name = standard_logging.getLevelName(level).lower()
         head = _head_of_line(time.time(), name, event)
-        line = _encode({**head, **self.fields, **fields})
+        try:
+            line = _encode({**head, **self.fields, **fields})
+        except Exception:
+            return False
         with _lock_of(self.handler):
             self.handler.stream.write(f'{line}\n')
             self.handler.stream.flush()
--- a/tests/common/test_log_lines.py
+++ b/tests/common/test_log_lines.py
@@ -30,3 +30,27 @@
     assert b'"time": "2023-11-14T22:13:20.999Z", "level": "info"' in lines[0]
     assert b'"event": "another", "box": "b2", "request": "r1"' in lines[1]
     assert b'"error": "ValueError: reason"' in lines[4]
+
+
+UNENCODABLE = """
+from hitchdeck_core import logs
+
+class Unprintable:
+    def __str__(self):
+        raise RuntimeError('no text')
+
+logs.set_up_stdout(box='b1')
+logs.info('with a key', field={(1, 2): 3})
+logs.warning('with a value', field=Unprintable())
+logs.info('after them')
+"""
+
+
+def test_fields_that_cannot_be_encoded_do_not_raise() -> None:
+    # Guards against requests that are aborted by a log line.
+    command = [sys.executable, '-c', UNENCODABLE]
+    done = subprocess.run(command, capture_output=True, check=True)
+    assert done.stdout.count(b'\n') == 1
+    assert b'"event": "after them"' in done.stdout
+    assert b'keys must be str' in done.stderr
+    assert b'RuntimeError: no text' in done.stderr
