Ask no source for a part after a move from it was lost

A source that hangs got no prompts of its own and so counted as answering: each burst of requests named it again. A move that ends without a first event now takes it out until its next first event, and an old event no longer counts for one that has moves in flight. Found in a review; the new cases failed before.

--- a/packages/edge/src/hitchdeck_edge/scheduling/cache_moves.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/cache_moves.py
@@ -6,6 +6,7 @@
 less.
 """
 
+import math
 from collections.abc import Callable, Hashable
 
 from hitchdeck_core import logs
@@ -51,21 +52,35 @@
     """Moves that were begun, by source, with the time when each one began.
 
     A move counts until the first event of its request, by which it has ended.
+
+    Attributes
+    ----------
+    failed_at
+        When a request last ended without an event while it took a part from a source.
     """
 
     def __init__(self, now: Clock) -> None:
         self.now = now
         self.begun: dict[UpstreamName, dict[Hashable, float]] = {}
+        self.failed_at: dict[UpstreamName, float] = {}
 
     def begin(self, source: UpstreamName, key: Hashable) -> None:
         """Count a move."""
         self.begun.setdefault(source, {})[key] = self.now()
 
-    def end(self, source: UpstreamName, key: Hashable) -> None:
-        """Remove a move; further calls have no effect."""
+    def end(self, source: UpstreamName, key: Hashable, *, begun: bool) -> None:
+        """Remove a move; further calls have no effect.
+
+        Parameters
+        ----------
+        begun
+            Whether its request had a first event, so that the move has succeeded.
+        """
         moves = self.begun.get(source)
-        if moves is None:
+        if moves is None or key not in moves:
             return
+        if not begun:
+            self.failed_at[source] = self.now()
         moves.pop(key, None)
         if not moves:
             self.begun.pop(source)
@@ -75,6 +90,11 @@
         moves = self.begun.get(source)
         return len(moves) if moves else 0
 
+    def keep(self, names: set[UpstreamName]) -> None:
+        """Drop what is known of all other sources without moves in flight."""
+        for name in self.failed_at.keys() - names:
+            self.failed_at.pop(name)
+
     def oldest(self, source: UpstreamName) -> float:
         """Return when the oldest move in flight from an engine began."""
         return next(iter(self.begun[source].values()))
@@ -274,7 +294,10 @@
         earliest = self.in_flight.now() - SILENT_SECONDS
         if self.prefix_cache.asked_at(source.name) < earliest:
             return False
+        heard_at = self.prefix_cache.heard_at(source.name)
+        # A source that hangs would otherwise delay each burst of requests anew.
+        if heard_at <= self.in_flight.failed_at.get(source.name, -math.inf):
+            return False
         if not moves:
             return True
-        oldest = self.in_flight.oldest(source.name)
-        return oldest >= earliest or self.prefix_cache.heard_at(source.name) > oldest
+        return self.in_flight.oldest(source.name) >= earliest or heard_at > earliest
--- a/packages/edge/src/hitchdeck_edge/scheduling/open_work.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/open_work.py
@@ -192,7 +192,7 @@
         """Count a prompt as read, or as given up if its response has not begun."""
         self.own.waiting[entry.upstream] -= entry.tokens
         if entry.source is not None:
-            self.moves.end(entry.source, entry)
+            self.moves.end(entry.source, entry, begun=begun)
         queue = self.queues.get(entry.upstream)
         if queue is not None:
             queue.mark_read(entry, self.now())
--- a/packages/edge/src/hitchdeck_edge/scheduling/placement.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/placement.py
@@ -167,6 +167,7 @@
         present = self.registry.records.keys() - self.registry.gone()
         self.prefix_cache.keep(present)
         self.open_work.keep(present)
+        self.open_work.moves.keep(present)
         self.health.keep(present)
         for keep in self.keepers:
             keep(present)
--- a/tests/edge/test_part_moves.py
+++ b/tests/edge/test_part_moves.py
@@ -156,13 +156,38 @@
     scheduler.now.seconds += SILENT_SECONDS + 0.01  # type: ignore[attr-defined]
 
 
+def lose_a_move(scheduler: Scheduler) -> None:
+    scheduler.add_open(('moves', 1), SECOND, 0, source=FIRST)
+    scheduler.end(('moves', 1))
+    scheduler.now.seconds += 1  # type: ignore[attr-defined]
+
+
+def hear_long_ago(scheduler: Scheduler) -> None:
+    """Have a move hang whose source gave one event since it began."""
+    scheduler.add_open(('moves', 1), SECOND, 0, source=FIRST)
+    scheduler.now.seconds += 0.01  # type: ignore[attr-defined]
+    scheduler.placement.prefix_cache.record_read(FIRST, None)
+    scheduler.now.seconds += SILENT_SECONDS + 0.01  # type: ignore[attr-defined]
+
+
 def restart(scheduler: Scheduler) -> None:
     scheduler.placement.prefix_cache.keep({SECOND})
 
 
 @pytest.mark.parametrize(
     'happen',
-    [leave, suspect, eject, close_domain, move_many, fall_silent, hang, restart],
+    [
+        leave,
+        suspect,
+        eject,
+        close_domain,
+        move_many,
+        fall_silent,
+        hang,
+        lose_a_move,
+        hear_long_ago,
+        restart,
+    ],
 )
 def test_no_part_is_taken_from_an_engine_that_can_not_give_it(
     happen: Callable[[Scheduler], None],
@@ -203,7 +228,7 @@
     assert chosen(scheduler).source is not None
 
 
-@pytest.mark.parametrize('happen', [fall_silent, hang])
+@pytest.mark.parametrize('happen', [fall_silent, hang, lose_a_move, hear_long_ago])
 def test_a_source_that_gives_first_events_stays_in_use(
     happen: Callable[[Scheduler], None],
 ) -> None:
