Wait for the first byte instead of a fixed time in a test of handoff

The test failed once with 0 bytes held on a machine at load 20: its thread had not begun to send. It now waits until bytes are held, and then as long as before for more than the bound.

--- a/tests/edge/test_handoff.py
+++ b/tests/edge/test_handoff.py
@@ -193,6 +193,8 @@
         accepted, _ = await asyncio.to_thread(target.accept)
         sent = GREETING + bytes(SLOW_BYTES)
         sending = asyncio.create_task(asyncio.to_thread(accepted.sendall, sent))
+        # On a busy machine, the sending thread may begin after any fixed time.
+        await until(lambda: any(relay.to_caller for relay in handing.open))
         await asyncio.sleep(3 * SHORT_SECONDS)
         held = [len(relay.to_caller) for relay in handing.open]
         assert 0 < sum(held) <= READ_BYTES
