--- a/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
@@ -8,7 +8,6 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Iterator
 from dataclasses import dataclass, replace
 
 from hitchdeck_core import logs
@@ -18,6 +17,7 @@
 from hitchdeck_edge.model.mechanisms import ALL_MECHANISMS, Mechanisms
 from hitchdeck_edge.model.placing import Choice, PlacementQuery
 from hitchdeck_edge.model.refusals import Refusal
+from hitchdeck_edge.scheduling.engine_order import EngineOrder
 from hitchdeck_edge.scheduling.open_work import OpenWorkEntry, OpenWorkTable
 from hitchdeck_edge.scheduling.placement import (
     NO_AREAS,
@@ -28,7 +28,6 @@
 from hitchdeck_edge.scheduling.queue_limit import (
     cause_of_refusal,
     has_room,
-    max_queue_seconds,
 )
 from hitchdeck_edge.scheduling.shares import Shares
 from hitchdeck_edge.settings import BoxSettings
@@ -110,6 +109,7 @@
             self._cold_rate,
         )
         self.placement.moves.link_of = self._cache_link
+        self.engine_order = EngineOrder(self.placement, lambda: self.mechanisms)
         self.now = now
         self.open: dict[BoxTicket, OpenRequest] = {}
         self.refused_beside_room: Counter[str] = Counter()
@@ -130,10 +130,12 @@
         choice = self.placement.choose(query)
         if choice is None:
             return Unplaced(Refusal.no_upstream, share_used, 0, 0)
-        choice = self._in_time(query, choice, share_used)
+        choice = self.engine_order.in_time(query, choice, share_used)
         soonest = choice
-        for one in self._alternatives(query, choice, share_used):
-            if query.resumes or self._starts_in_time(query, one, share_used):
+        for one in self.engine_order.alternatives(query, choice, share_used):
+            if query.resumes or self.engine_order.starts_in_time(
+                query, one, share_used
+            ):
                 self.placement.cold_budget.spend(one.upstream)
                 self.placement.moves.record(query, one)
                 if self.documents.document is not None:
@@ -276,97 +278,6 @@
     def _cache_link(self, pool: PoolName) -> CacheLink | None:
         return cache_link(self.documents.document, pool)
 
-    def _alternatives(
-        self,
-        query: PlacementQuery,
-        choice: Choice,
-        share_used: float,
-    ) -> Iterator[Choice]:
-        """Yield the choices for a request in the order in which they are considered.
-
-        A choice with a move must be in time even if the source fails; the engine that
-        has the part cached may be in time where that one is not.
-        """
-        moves = False
-        for one in self._preferred(query, choice, share_used):
-            moves = moves or one.source is not None
-            yield one
-        if moves:
-            unmoved = self.placement.choose(replace(query, may_move=False))
-            if unmoved is not None:
-                yield unmoved
-
-    def _preferred(
-        self,
-        query: PlacementQuery,
-        choice: Choice,
-        share_used: float,
-    ) -> Iterator[Choice]:
-        """Yield the choices at several engines in the order of preference.
-
-        The engine with the lowest cost may have a long queue, if it is nearby or has
-        the prompt cached.  Before the request is refused, the best engine of another
-        domain is tried; and if the account is within its share, the one that makes the
-        first token soonest, although it must read again what another has cached.
-        """
-        yield choice
-        if not self.mechanisms.another_engine:
-            return
-        far = self._choose_far(query, choice)
-        if far is not None:
-            yield far
-        if share_used > 1:
-            return
-        soonest = self.placement.soonest(query)
-        if soonest is not None:
-            yield soonest
-
-    def _in_time(
-        self, query: PlacementQuery, choice: Choice, share_used: float
-    ) -> Choice:
-        """Return a choice by which the first token comes in time, or the given one.
-
-        Load: prompts that an engine reads for a large part of their goal.  The engine
-        that has their shared part cached may be slow, or read others first.  Where
-        requests may not wait, and beyond the share of the account, the engine with the
-        lowest cost is kept.
-        """
-        left = query.goal - query.waited
-        if not (self.mechanisms.goal_first and query.longest_wait) or left <= 0:
-            return choice
-        if share_used > 1 or choice.queue + choice.reading <= left:
-            return choice
-        soonest = self.placement.soonest(query)
-        if soonest is None or soonest.queue + soonest.reading > left:
-            return choice
-        return soonest
-
-    def _choose_far(self, query: PlacementQuery, choice: Choice) -> Choice | None:
-        """Return the choice without the preference for the box's own domain.
-
-        ``None`` if it is in the same domain as ``choice``.
-        """
-        far = self.placement.choose(replace(query, domain=''))
-        if far is None or far.upstream.domain == choice.upstream.domain:
-            return None
-        return far
-
-    def _starts_in_time(
-        self,
-        query: PlacementQuery,
-        choice: Choice,
-        share_used: float,
-    ) -> bool:
-        longest = max_queue_seconds(
-            query,
-            choice,
-            share_used,
-            yielding=self.mechanisms.yielding,
-            even_sizes=self.mechanisms.even_sizes and query.longest_wait > 0,
-            late_retries=self.mechanisms.late_retries,
-        )
-        return choice.queue <= longest
-
     def _count_asked(self, query: PlacementQuery) -> float:
         """Count a request; return the fraction of its share that its account used."""
         document = self.documents.document
--- a/packages/edge/src/hitchdeck_edge/scheduling/waiting.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/waiting.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-from collections import OrderedDict
 from collections.abc import Callable, Hashable, Iterator
 from dataclasses import dataclass, replace
 
@@ -21,6 +20,7 @@
 )
 from hitchdeck_edge.model.refusals import Refusal, Refused
 from hitchdeck_edge.scheduling.queue_limit import FREE_FRACTION
+from hitchdeck_edge.scheduling.refused_requests import RefusedRequests
 from hitchdeck_edge.scheduling.retry_times import RetryTimes
 from hitchdeck_edge.scheduling.scheduler import BoxTicket, Scheduler, Unplaced
 
@@ -39,13 +39,6 @@
 """Maximum number of waiting requests, which bounds memory.  In the lab load ``a`` at
 most 29 waited (one play)."""
 
-RETRY_MEMORY_SECONDS = 6.0
-"""Time for which a refused request is recognized.  ``Retry-After`` is 2 s at most, and
-callers wait for a third of their time left (15 s) at the longest."""
-
-MAX_REMEMBERED = 20_000
-"""Maximum number of remembered refusals, which bounds memory."""
-
 Attempt = Callable[[BoxTicket, PlacementQuery], Choice | Unplaced]
 
 Decided = list[tuple[BoxTicket, PlacementDecision]]
@@ -102,48 +95,6 @@
         return worse and first_token_at > self.arrived + self.query.goal
 
 
-class RefusedRequests:
-    """Arrival times of refused requests, by which retries are recognized.
-
-    A retry has another id, but the account, the size and the last prompt part of the
-    refused request.
-    """
-
-    def __init__(self, now: Clock) -> None:
-        self.now = now
-        self.arrivals: OrderedDict[Hashable, float] = OrderedDict()
-
-    def add(self, query: PlacementQuery, arrived: float) -> None:
-        """Remember a refused request by its first arrival."""
-        key = _retry_key(query)
-        if key is None:
-            return
-        self.arrivals[key] = arrived
-        self.arrivals.move_to_end(key)
-        oldest = next(iter(self.arrivals.values()))
-        while len(self.arrivals) > MAX_REMEMBERED or self._is_old(oldest):
-            self.arrivals.popitem(last=False)
-            oldest = next(iter(self.arrivals.values()), self.now())
-
-    def seconds_since(self, query: PlacementQuery) -> float:
-        """Return the seconds since a request first arrived; 0 if it was not refused."""
-        arrived = self.arrivals.pop(_retry_key(query), None)
-        if arrived is None or self._is_old(arrived):
-            return 0
-        return self.now() - arrived
-
-    def _is_old(self, arrived: float) -> bool:
-        return self.now() - arrived > RETRY_MEMORY_SECONDS
-
-
-def _retry_key(query: PlacementQuery) -> Hashable:
-    prompt = query.prompt
-    if prompt is None or not prompt.parts:
-        return None
-    size = prompt.tokens, prompt.expected_output_tokens
-    return query.account, prompt.parts[-1].part_id, size
-
-
 class WaitingQueue:
     """Bounded queue of requests, ordered anew at each review.
 
--- a/tests/edge/test_waiting.py
+++ b/tests/edge/test_waiting.py
@@ -18,11 +18,13 @@
 from hitchdeck_edge.model.refusals import Refusal
 from hitchdeck_edge.scheduling.chooser import Chooser
 from hitchdeck_edge.scheduling.queue_limit import max_queue_seconds
-from hitchdeck_edge.scheduling.scheduler import Scheduler, Unplaced
-from hitchdeck_edge.scheduling.waiting import (
+from hitchdeck_edge.scheduling.refused_requests import (
     MAX_REMEMBERED,
     RETRY_MEMORY_SECONDS,
     RefusedRequests,
+)
+from hitchdeck_edge.scheduling.scheduler import Scheduler, Unplaced
+from hitchdeck_edge.scheduling.waiting import (
     WaitingQueue,
 )
 from hitchdeck_platform.settings import GOAL_WAIT, decode_settings
--- a/tools/switch_off.py
+++ b/tools/switch_off.py
@@ -230,7 +230,7 @@
     Mechanism(
         'long prompts sent where they are in time',
         f'{_EDGE}/scheduling/scheduler.py',
-        'choice = self._in_time(query, choice, share_used)',
+        'choice = self.engine_order.in_time(query, choice, share_used)',
         'pass',
         'test_a_long_prompt_goes_where_it_is_in_time',
     ),
