--- a/packages/edge/src/hitchdeck_edge/hub/late_answers.py
+++ b/packages/edge/src/hitchdeck_edge/hub/late_answers.py
@@ -1,6 +1,6 @@
 """Answers that a hub sends to a box after requests have waited at its scheduler.
 
-Load: a box that stands still, or reads no answers, while its requests wait.  What is
+Load: a box that is stalled, or reads no answers, while its requests wait.  What is
 held for it is bounded in time and number, and no task stays behind.
 """
 
--- a/packages/edge/src/hitchdeck_edge/hub/placing.py
+++ b/packages/edge/src/hitchdeck_edge/hub/placing.py
@@ -190,7 +190,7 @@
         self.connected -= 1
         self.boxes.pop(box.name)
         box.late_answers.close()
-        # A send to a box that stands still would otherwise wait for ever.
+        # A send to a stalled box would otherwise wait forever.
         for task in box.sends:
             task.cancel()
         self.queue.drop_box(box.name)
--- a/packages/edge/src/hitchdeck_edge/scheduling/queue_limit.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/queue_limit.py
@@ -160,7 +160,7 @@
     left = query.goal - query.waited - choice.reading
     if query.waited >= query.goal or choice.reading >= query.goal:
         return late
-    # A retry that is refused again is lost; a request that waits may still come back.
+    # A retry that is refused again is lost; a waiting one may still be retried.
     may_be_late = not query.waited or (query.returned and late_retries)
     return max(late, left) if may_be_late else left
 
--- a/packages/edge/src/hitchdeck_edge/scheduling/retry_times.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/retry_times.py
@@ -1,7 +1,7 @@
-"""When callers whose requests are refused should come back.
+"""When callers should retry refused requests.
 
-Load: accounts at several times their usual traffic.  Callers that all come back after
-the same time are refused again together.  A caller is told when its account's share, or
+Load: accounts at several times their usual traffic.  Callers that all retry after the
+same time are refused again together.  A caller is told when its account's share, or
 the engines, have room for its request after those that were refused before it.
 """
 
@@ -33,7 +33,7 @@
 
 
 def usable_seconds(seconds: float, time_left: float, part: float) -> float:
-    """Return a time after which a caller should come back, within what it can use.
+    """Return a time after which a caller should retry, within what it can use.
 
     Parameters
     ----------
@@ -41,7 +41,7 @@
         The predicted time; 0 if there is none.
     part
         Place of the caller among those that can't wait as long as predicted, 0 to 1.
-        They would otherwise come back together.
+        They would otherwise retry together.
     """
     if not seconds:
         return 0
@@ -53,7 +53,7 @@
 
 @dataclass(slots=True)
 class _Backlog:
-    """Tokens of refused requests that are expected to come back, at a moment."""
+    """Tokens of refused requests that are expected to be retried, at a moment."""
 
     tokens: float = 0.0
     at: float = 0.0
@@ -134,7 +134,7 @@
         """
         now = self.now()
         backlog = self.backlogs.get(key) or self._new_backlog(key)
-        # What can't be served within the longest time does not come back for it.
+        # What can't be served within the longest time is not expected to be retried.
         most = rate * MAX_SECONDS
         ahead = min(most, max(0, backlog.tokens - rate * (now - backlog.at)))
         backlog.tokens, backlog.at = ahead, now
