--- a/tests/edge/test_service_places.py
+++ b/tests/edge/test_service_places.py
@@ -61,7 +61,7 @@
             registry.merge(service(name), 'test')
         self.placement = Placement(registry, OpenWorkTable(boot_seconds))
         self.view = ServiceView(boot_seconds)
-        self.placement.services = self.view
+        self.placement.services.view = self.view
         self.places = ServicePlaces(self.placement, self.view, boot_seconds)
         self.seconds = seconds
         self.admitted: list[str] = []
