--- a/packages/edge/src/hitchdeck_edge/links/entry.py
+++ b/packages/edge/src/hitchdeck_edge/links/entry.py
@@ -94,8 +94,7 @@
             return frame
 
         if self.settings.scheduler_agreement:
-            # Hubs hear of an exclusion at once: a first one lasts for two intervals of
-            # frames only.
+            # Hubs hear of a repeated loss at once, so that all boxes move together.
             known_hubs.excluded = self.wake
         return StreamHandlers(
             next_frame,
