--- a/packages/edge/src/hitchdeck_edge/hub/placing.py
+++ b/packages/edge/src/hitchdeck_edge/hub/placing.py
@@ -41,8 +41,8 @@
 
 
 QUIET_SECONDS = 0.5
-"""Time without a query of a box after which it is told of plain services in a frame of
-its own.  Answers to queries, several a second, carry what is new otherwise."""
+"""Time without a query of a box after which it gets states of plain services in a frame
+of its own.  Answers to queries, several a second, carry what is new otherwise."""
 
 TELL_INTERVAL_SECONDS = 0.5
 """Least time between two messages to all boxes that an upstream has become silent, so
@@ -59,7 +59,7 @@
     new_states
         Returns what is new to the box of plain services.
     told_at
-        When it was last told of them.
+        When states were last sent to it.
     tells
         Whether a frame with nothing else is about to be sent to it.
     """
@@ -281,7 +281,7 @@
         try:
             await box.send([])
         except LINK_ERRORS as error:
-            # Its stream ends, and it is told everything on its next one.
+            # Its stream ends, and its next one begins with all states.
             logs.info('states not sent', attendee=box.name, reason=repr(error))
         finally:
             box.tells = False
--- a/packages/edge/src/hitchdeck_edge/scheduling/cache_moves.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/cache_moves.py
@@ -20,18 +20,18 @@
 from hitchdeck_edge.scheduling.health import Health
 from hitchdeck_edge.scheduling.prefix_cache import PrefixCacheModel
 
-SETUP_SECONDS = 0.0033
-"""Time to set up a move, which documents don't state: 3.3 ms and 2.7 ms in the two
-deployments that were described."""
+SETUP_SECONDS = 0.0056
+"""Assumed time to set up a move, which documents don't state: two round trips between
+failure domains of 1.4 ms one way, for a connection and a request."""
 
 MAX_MOVES = 8
 """Maximum number of moves in flight from one engine.  They are made one after another:
-eight of 5 ms delay the last one by an eighth of the shortest goal, 0.3 s.  It also
+eight of 7 ms delay the last one by a fifth of the shortest goal, 0.3 s.  It also
 bounds how many requests one engine that hangs can delay."""
 
 FEW_MOVES = 1
 """Moves in flight up to which a source is as good as an idle one: looking further would
-cost more than the 5 ms that a move takes are worth."""
+cost more than the time of a short move is worth."""
 
 SILENT_SECONDS = 0.3
 """Time without a first event from an engine, while a request was sent to it or a move
--- a/packages/edge/src/hitchdeck_edge/scheduling/retry_times.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/retry_times.py
@@ -1,7 +1,7 @@
 """When callers should retry refused requests.
 
 Load: accounts at several times their usual traffic.  Callers that all retry after the
-same time are refused again together.  A caller is told when its account's share, or
+same time are refused again together.  ``Retry-After`` says when its account's share, or
 the engines, have room for its request after those that were refused before it.
 """
 
@@ -15,12 +15,12 @@
 from hitchdeck_edge.scheduling.shares import Shares, weight_of
 
 MAX_SECONDS = 5.0
-"""Longest time that is told: a third of the longest time that callers were described to
+"""Longest ``Retry-After``: a third of the longest time that callers were described to
 wait, 15 s, which is as much as they use."""
 
 MIN_SECONDS = 0.08
-"""Shortest time that is told: one review and a way to an engine.  Nothing changes
-sooner; a caller that was told 1 ms was refused five times in 50 ms."""
+"""Shortest ``Retry-After``: one review and a way to an engine.  Nothing changes
+sooner; a caller that got 1 ms was refused five times in 50 ms."""
 
 USABLE_FRACTION = 1 / 3
 """Fraction of its time left for which a caller waits at the longest."""
--- a/packages/edge/src/hitchdeck_edge/scheduling/service_health.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/service_health.py
@@ -3,7 +3,7 @@
 Load: many boxes that each make about one call a second to a few upstreams.  By its own
 calls alone, each box would learn of a silent, failing or slow upstream only by losing
 or delaying calls there.  Boxes report what changed since their last report, and each
-box is told what changed enough to matter to its choice.
+box is notified of what changed enough to matter to its choice.
 """
 
 import math
@@ -26,18 +26,18 @@
 upstream that is not used is forgotten, and so tried again, within 6 s."""
 
 RUNNING_STEP = 2
-"""Change of the calls in flight that boxes are told of.  One call more or less is a
-sixth of the places of an upstream and changes with every call."""
+"""Change of the calls in flight of which boxes are notified.  One call more or less is
+a sixth of the places of an upstream and changes with every call."""
 
 SECONDS_STEP = 0.25
-"""Relative change of the mean duration that boxes are told of."""
+"""Relative change of the mean duration of which boxes are notified."""
 
 MIN_SECONDS_STEP = 0.005
-"""Least change of the mean duration that boxes are told of: a round trip between
+"""Least change of the mean duration of which boxes are notified: a round trip between
 failure domains takes as long."""
 
 FAILURE_RATE_STEP = 0.1
-"""Change of the failure rate that boxes are told of."""
+"""Change of the failure rate of which boxes are notified."""
 
 REFRESH_SECONDS = 0.05
 """Age up to which means of an upstream are used again.  The scheduler answers hundreds
@@ -75,7 +75,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ServiceState:
-    """What a box is told of an upstream.
+    """What a box knows of an upstream from the scheduler.
 
     Attributes
     ----------
--- a/tests/edge/test_service_frames.py
+++ b/tests/edge/test_service_frames.py
@@ -22,7 +22,7 @@
 
 
 async def test_a_delayed_frame_holds_the_state_of_its_time() -> None:
-    # Guards against a box that is told of silence after it was told of its end.
+    # Guards against a box that hears of silence after it heard of its end.
     table = ServiceTable(FakeClock())
     frames = Frames()
     box = _Box('box', 'a', frames)
