--- a/packages/edge/src/hitchdeck_edge/dispatch/response_parser.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/response_parser.py
@@ -6,6 +6,7 @@
 
 from collections import deque
 from dataclasses import dataclass
+from enum import Enum
 from http import HTTPStatus
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
@@ -26,6 +27,19 @@
 _BODILESS_STATUSES = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 
 
+class Framing(Enum):
+    """What marks the end of a response."""
+
+    length = 'length'
+    """Its stated length, or that it has no body."""
+
+    chunks = 'chunks'
+    """The last chunk."""
+
+    close = 'close'
+    """The end of the connection."""
+
+
 @dataclass(frozen=True, slots=True)
 class ResponseHead:
     """Status and headers of an upstream's response."""
@@ -33,6 +47,7 @@
     status: int
     reason: bytes
     headers: list[Header]
+    framing: Framing
 
 
 Event = ResponseHead | bytes | None
@@ -138,12 +153,13 @@
         status = self._parser.get_status_code()
         if status < HTTPStatus.OK:
             return
-        framed = self._check_framing()
+        framing = self._check_framing(status)
         self._flush()
-        self.events.append(ResponseHead(status, self._reason, self._headers))
+        head = ResponseHead(status, self._reason, self._headers, framing)
+        self.events.append(head)
         self._unparsed = 0
         self._in_body = True
-        self._until_close = not framed and status not in _BODILESS_STATUSES
+        self._until_close = framing is Framing.close
         if self.bodiless:
             version = self._parser.get_http_version()
             self._end_response(keep_alive=version == _PERSISTENT_VERSION)
@@ -167,15 +183,20 @@
         if not (chunk.startswith(_PROTOCOL) or _PROTOCOL.startswith(chunk)):
             self.error = 'no HTTP response'
 
-    def _check_framing(self) -> bool:
-        """Return whether the headers state where the body ends."""
-        framed = False
+    def _check_framing(self, status: int) -> Framing:
+        """Return what marks the end of the response, by its status and headers."""
+        names = set()
         for name, text in self._headers:
             lowered = name.lower()
             if lowered == _TRANSFER_ENCODING and text.strip().lower() != _CHUNKED:
                 raise HttpParserError(f'transfer encoding {text!r}')
-            framed = framed or lowered in {_CONTENT_LENGTH, _TRANSFER_ENCODING}
-        return framed
+            names.add(lowered)
+        if _TRANSFER_ENCODING in names:
+            return Framing.chunks
+        bodiless = self.bodiless or status in _BODILESS_STATUSES
+        if bodiless or _CONTENT_LENGTH in names:
+            return Framing.length
+        return Framing.close
 
     def _flush(self) -> None:
         if self._pieces:
--- a/packages/edge/src/hitchdeck_edge/dispatch/sender.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/sender.py
@@ -367,6 +367,7 @@
             upstream=attempt.upstream,
             verdict=attempt.outcome.value,
             status=attempt.head.status if attempt.head else 0,
+            framing=attempt.head.framing.value if attempt.head else '',
             reason=attempt.reason,
             attempt=active.context.sent,
             pause=attempt.backoff,
--- a/packages/edge/src/hitchdeck_edge/serving/admission.py
+++ b/packages/edge/src/hitchdeck_edge/serving/admission.py
@@ -276,6 +276,7 @@
             idle_before=round(last_attempt.idle_before, 3) if last_attempt else 0,
             goal=context.route.goal,
             seconds=round(seconds, 3),
+            **_framing_fields(active),
             **_quarantine_fields(context, active.response.outcome),
             **_size_fields(context.call),
         )
@@ -300,6 +301,17 @@
         )
 
 
+def _framing_fields(active: ActiveRequest) -> dict[str, object]:
+    """Return how a stream was framed, and the bytes of an event that it left."""
+    last_attempt = active.last_attempt
+    if last_attempt is None or last_attempt.head is None or not last_attempt.streamed:
+        return {}
+    return {
+        'framing': last_attempt.head.framing.value,
+        'unfinished': len(active.relay.splitter.remainder),
+    }
+
+
 def _quarantine_fields(context: RequestContext, outcome: str) -> dict[str, object]:
     """Return the fingerprint that links a quarantined request to earlier crashes."""
     if outcome != Refusal.quarantined.name:
