--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -9,6 +9,16 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from standins.worker_bodies import (
+    LAST_CHUNK,
+    Framing,
+    encoded_event,
+    encoded_stream,
+    events,
+    framing_header,
+    reset,
+)
+
 
 class Fault(Enum):
     """Fault that a worker injects into its next requests.
@@ -33,6 +43,12 @@
         Sends a second response after the right one.
     hang
         Never responds.
+    end_early
+        Closes the connection after ``cut_bytes`` bytes of the body.
+    reset_early
+        Aborts the connection there.
+    hang_early
+        Sends nothing more from there on.
     """
 
     none = 'none'
@@ -44,6 +60,9 @@
     stale = 'stale'
     surplus = 'surplus'
     hang = 'hang'
+    end_early = 'end early'
+    reset_early = 'reset early'
+    hang_early = 'hang early'
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,6 +78,16 @@
         """Return the ID that the caller gave the request."""
         return self.headers.get('attempt-id', '')
 
+    @property
+    def last_event(self) -> str:
+        """Return the ID of the last event that the caller received."""
+        return self.headers.get('last-event-id', '')
+
+    @property
+    def streams(self) -> bool:
+        """Tell whether the response is a stream."""
+        return bool(self.headers.get('model'))
+
 
 @dataclass(frozen=True, slots=True)
 class Peer:
@@ -84,6 +113,10 @@
         ID of the last event of a stream; IDs start at 1.
     cut_at
         ID of the last complete event of a stream that is cut off.
+    cut_bytes
+        Number of bytes of an encoded body that it sends before it ends early.
+    framing
+        What marks the end of its responses; that of a plain call is never chunks.
     lethal
         A request with this body crashes the worker, which closes its port.
     pause
@@ -110,6 +143,8 @@
     gap: float = 0.005
     events: int = 5
     cut_at: int = 2
+    cut_bytes: int = 0
+    framing: Framing = Framing.chunks
     lethal: bytes = b''
     pause: str = ''
     leaving: bool = False
@@ -178,6 +213,21 @@
             **({'born': self.born} if self.born else {}),
         }
 
+    def encoded_body(self, request: Seen) -> bytes:
+        """Return the body of the successful response to a request, as it is framed."""
+        if not request.streams:
+            return _body(request, self.name)
+        return encoded_stream(events(request.last_event, self.events), self.framing)
+
+    def head(self, request: Seen, status: str, seal: str = '') -> str:
+        """Return the first lines of the head of a response."""
+        lines = [f'HTTP/1.1 {status}', f'Attempt-Id: {request.attempt}']
+        if seal:
+            lines.append(f'Server-Seal: {seal}')
+        if self.leaving:
+            lines.append('Server-Leaving: 1')
+        return '\r\n'.join([*lines, ''])
+
     async def _serve(
         self,
         reader: asyncio.StreamReader,
@@ -224,20 +274,21 @@
             Fault.stale: self._answer_stale,
             Fault.surplus: self._answer_surplus,
             Fault.hang: self._hang,
+            Fault.end_early: self._end_early,
+            Fault.reset_early: self._end_early,
+            Fault.hang_early: self._end_early,
         }.get(self.fault, self._answer_normally)
 
     async def _answer_normally(self, request: Seen, peer: Peer) -> bool:
         self.ran.append(request.attempt)
-        if request.headers.get('model'):
+        if request.streams:
             return await self._stream(request, peer, self.events)
-        peer.writer.write(
-            self._answer(request, '200 OK', self._body(request), seal=self.name)
-        )
-        return True
+        peer.writer.write(_whole_head(self, request) + self.encoded_body(request))
+        return self.framing is not Framing.close
 
     async def _crash_during_answer(self, request: Seen, peer: Peer) -> bool:
         self.ran.append(request.attempt)
-        head = self._head(request, '200 OK', self.name)
+        head = self.head(request, '200 OK', self.name)
         peer.writer.write(f'{head}Transfer-Encoding: chunked\r\n\r\n'.encode())
         await peer.writer.drain()
         await self.end()
@@ -274,7 +325,7 @@
         peer: Peer,
     ) -> bool:
         self.ran.append(request.attempt)
-        peer.writer.write(self._answer(request, '200 OK', self._body(request)))
+        peer.writer.write(self._answer(request, '200 OK', _body(request, self.name)))
         return True
 
     async def _answer_stale(self, request: Seen, peer: Peer) -> bool:
@@ -297,6 +348,21 @@
         self.left.append(request.attempt)
         return False
 
+    async def _end_early(self, request: Seen, peer: Peer) -> bool:
+        """Send a part of the body, and then what the fault says."""
+        self.ran.append(request.attempt)
+        part = self.encoded_body(request)[: self.cut_bytes]
+        peer.writer.write(_whole_head(self, request) + part)
+        await peer.writer.drain()
+        if self.fault is Fault.hang_early:
+            await peer.reader.read()
+            self.left.append(request.attempt)
+        elif self.fault is Fault.reset_early:
+            # The bytes must not be discarded with the connection.
+            await asyncio.sleep(self.gap)
+            reset(peer.writer)
+        return False
+
     async def _stream(
         self,
         request: Seen,
@@ -305,31 +371,17 @@
         *,
         whole: bool = True,
     ) -> bool:
-        first = int(request.headers.get('last-event-id', '0') or 0) + 1
-        head = self._head(request, '200 OK', self.name)
-        peer.writer.write(f'{head}Transfer-Encoding: chunked\r\n\r\n'.encode())
-        for number in range(first, last + 1):
-            event = f'id: {number}\ndata: {number}\n\n'.encode()
-            peer.writer.write(b'%x\r\n%s\r\n' % (len(event), event))
+        peer.writer.write(_whole_head(self, request))
+        for event in events(request.last_event, last):
+            peer.writer.write(encoded_event(event, self.framing))
             await peer.writer.drain()
             await asyncio.sleep(self.gap)
             if peer.writer.transport.is_closing():
                 self.left.append(request.attempt)
                 return False
-        if whole:
-            peer.writer.write(b'0\r\n\r\n')
-        return True
-
-    def _body(self, request: Seen) -> bytes:
-        return json.dumps({'attempt': request.attempt, 'by': self.name}).encode()
-
-    def _head(self, request: Seen, status: str, seal: str = '') -> str:
-        lines = [f'HTTP/1.1 {status}', f'Attempt-Id: {request.attempt}']
-        if seal:
-            lines.append(f'Server-Seal: {seal}')
-        if self.leaving:
-            lines.append('Server-Leaving: 1')
-        return '\r\n'.join([*lines, ''])
+        if whole and self.framing is Framing.chunks:
+            peer.writer.write(LAST_CHUNK)
+        return self.framing is not Framing.close
 
     def _answer(
         self,
@@ -340,10 +392,23 @@
         seal: str = '',
         extra: str = '',
     ) -> bytes:
-        head = self._head(request, status, seal)
+        head = self.head(request, status, seal)
         return f'{head}{extra}Content-Length: {len(body)}\r\n\r\n'.encode() + body
 
 
+def _body(request: Seen, worker: str) -> bytes:
+    return json.dumps({'attempt': request.attempt, 'by': worker}).encode()
+
+
+def _whole_head(worker: Worker, request: Seen) -> bytes:
+    """Return the head of a successful response, with its framing."""
+    framing = worker.framing
+    if framing is Framing.chunks and not request.streams:
+        framing = Framing.length
+    stated = framing_header(framing, len(worker.encoded_body(request)))
+    return f'{worker.head(request, "200 OK", worker.name)}{stated}\r\n'.encode()
+
+
 async def _read(reader: asyncio.StreamReader) -> Seen | None:
     head = await reader.readuntil(b'\r\n\r\n')
     line, *rest = head.decode('latin-1').split('\r\n')
--- /dev/null
+++ b/standins/worker_bodies.py
@@ -0,0 +1,55 @@
+"""Bodies of a simulated worker's responses, and their framing."""
+
+import socket
+import struct
+from asyncio import StreamWriter
+from enum import Enum
+
+LAST_CHUNK = b'0\r\n\r\n'
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+
+
+class Framing(Enum):
+    """What marks the end of a worker's successful responses."""
+
+    length = 'length'
+    chunks = 'chunks'
+    close = 'close'
+
+
+def events(last_event: str, last: int) -> list[bytes]:
+    """Return the events of a stream after the one that a request names."""
+    first = int(last_event or 0) + 1
+    return [
+        f'id: {number}\ndata: {number}\n\n'.encode()
+        for number in range(first, last + 1)
+    ]
+
+
+def encoded_event(event: bytes, framing: Framing) -> bytes:
+    """Return an event as it is sent."""
+    if framing is not Framing.chunks:
+        return event
+    return b'%x\r\n%s\r\n' % (len(event), event)
+
+
+def encoded_stream(stream: list[bytes], framing: Framing) -> bytes:
+    """Return the body of a whole stream as it is sent."""
+    encoded = b''.join(encoded_event(event, framing) for event in stream)
+    return encoded + LAST_CHUNK if framing is Framing.chunks else encoded
+
+
+def framing_header(framing: Framing, size: int) -> str:
+    """Return the header line that states the framing of a body, if any does."""
+    return {
+        Framing.length: f'Content-Length: {size}\r\n',
+        Framing.chunks: 'Transfer-Encoding: chunked\r\n',
+        Framing.close: '',
+    }[framing]
+
+
+def reset(writer: StreamWriter) -> None:
+    """Reset a connection, so that its peer sees an error and not its end."""
+    sock = writer.get_extra_info('socket')
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+    writer.transport.abort()
--- /dev/null
+++ b/tests/edge/test_truncated_responses.py
@@ -0,0 +1,144 @@
+"""A truncated response never reaches its caller framed as complete."""
+
+import json
+from collections.abc import AsyncIterator
+from pathlib import Path
+from typing import NamedTuple
+
+import pytest
+
+from hitchdeck_core.ids import UpstreamName
+from hitchdeck_edge.model.placing import Choice
+from hitchdeck_edge.model.refusals import Refusal
+from hitchdeck_edge.model.request_context import RequestContext
+from standins.platform_site import Site, running_site
+from standins.platform_worker import Fault, Seen, Worker
+from standins.worker_bodies import Framing
+from tests.common.asking import of_pool
+from tests.common.raw_callers import Received, caller_request, receive
+
+EVENTS = 3
+STREAM = b''.join(b'id: %d\ndata: %d\n\n' % (one, one) for one in range(1, EVENTS + 1))
+EVENT_SIZE = len(STREAM) // EVENTS
+IDLE_LIMIT_MS = '150'
+ENDS = {
+    'closed': Fault.end_early,
+    'reset': Fault.reset_early,
+    'idle': Fault.hang_early,
+}
+
+
+class Kind(NamedTuple):
+    """A kind of route."""
+
+    path: str
+    pool: str
+    streams: bool
+    repeatable: bool
+
+
+KINDS = {
+    'resumable-stream': Kind('/s/', 'llm', streams=True, repeatable=True),
+    'other-stream': Kind('/once/', 'llm', streams=True, repeatable=False),
+    'repeatable-call': Kind('/g/', 'app', streams=False, repeatable=True),
+    'other-call': Kind('/u/', 'app', streams=False, repeatable=False),
+}
+
+
+@pytest.fixture
+async def site(tmp_path: Path) -> AsyncIterator[Site]:
+    """Return a site whose box sends each request to the same worker first."""
+    async with running_site(tmp_path) as running:
+        dispatcher = running.boxes[0].admission.dispatcher
+        registry = running.boxes[0].link.known.registry
+        dispatcher.budget.share = EVENT_SIZE * len(ENDS) * len(Framing)
+
+        async def choose(context: RequestContext) -> Choice | Refusal:
+            serving = registry.serving(context.pool.name)
+            left = [one for one in serving if one.name not in context.tried]
+            if not left:
+                return Refusal.no_upstream
+            return Choice(min(left, key=lambda one: one.name), 0, 0)
+
+        dispatcher.chooser.choose = choose  # type: ignore[method-assign]
+        for worker in running.workers:
+            worker.gap = 0.001
+            worker.events = EVENTS
+        yield running
+
+
+async def ask(site: Site, kind: Kind, attempt: str, **more: str) -> Received:
+    model = {'Model': 'm', 'Token_Count': '300,40', 'Prompt_Prefix': 'aa:300'}
+    headers = {**(model if kind.streams else {}), **more}
+    request = caller_request(kind.path, attempt, **headers)
+    return await receive(site.boxes[0].settings.listen, request)
+
+
+def whole_body(kind: Kind, worker: Worker, attempt: str) -> bytes:
+    if kind.streams:
+        return STREAM
+    return json.dumps({'attempt': attempt, 'by': worker.name}).encode()
+
+
+def body_size(kind: Kind, worker: Worker) -> int:
+    """Return the size of a worker's encoded body, for an id of four characters."""
+    headers = {'attempt-id': 'r000'}
+    if kind.streams:
+        headers['model'] = 'm'
+    return len(worker.encoded_body(Seen('', headers, b'')))
+
+
+def is_truncated(kind: Kind, framing: Framing, end: str, cut: int, size: int) -> bool:
+    """Tell whether a response is truncated that ends after ``cut`` bytes."""
+    if framing is not Framing.close:
+        return cut < size
+    if end != 'closed':
+        return True
+    return kind.streams and (cut == 0 or cut % EVENT_SIZE > 0)
+
+
+def cuts(end: str, size: int) -> list[int]:
+    """Return where bodies are cut: at each byte, or at a few if the box must wait."""
+    if end != 'idle':
+        return list(range(size + 1))
+    return [0, EVENT_SIZE, EVENT_SIZE + 1, size - 1]
+
+
+def check(received: Received, kind: Kind, expected: bytes, *, served: bool) -> None:
+    """Check that a response is whole, or else visibly truncated or an error."""
+    assert received.succeeded == served
+    if served:
+        assert received.body == expected
+    elif kind.streams and received.status == 200:
+        # What was forwarded are complete events, from the first one on.
+        assert STREAM.startswith(received.body)
+        assert len(received.body) % EVENT_SIZE == 0
+
+
+@pytest.mark.parametrize('name', KINDS)
+@pytest.mark.parametrize('framing', Framing)
+async def test_only_a_whole_response_is_framed_as_complete(
+    site: Site, framing: Framing, name: str
+) -> None:
+    kind = KINDS[name]
+    first, second = of_pool(site, kind.pool)
+    first.framing = framing
+    size = body_size(kind, first)
+    endings = [(end, cut) for end in ENDS for cut in cuts(end, size)]
+    connections = site.boxes[0].admission.dispatcher.sender.connections
+    for end, cut in endings:
+        # A kept connection may be reset only after the response that it carried.
+        connections.close_idle(UpstreamName(first.name))
+        attempt = f'{end[0]}{cut:03}'
+        first.cut_bytes = cut
+        first.misbehave(ENDS[end])
+        limit = {'Deadline_Ms': IDLE_LIMIT_MS} if end == 'idle' else {}
+        received = await ask(site, kind, attempt, **limit)
+        truncated = is_truncated(kind, framing, end, cut, size)
+        repeated = truncated and kind.repeatable and end != 'idle'
+        sender = second if repeated and not kind.streams else first
+        expected = whole_body(kind, sender, attempt)
+        if framing is Framing.close and not truncated:
+            expected = expected[:cut]
+        check(received, kind, expected, served=repeated or not truncated)
+        assert (attempt in second.ran) == repeated
