Treat a stream that ends inside an event as cut off, whatever its framing

Cause: a response without length and chunks ends with its connection, and the box took any regular close for that end: it forwarded the incomplete event as it was, and the last chunk after it. An engine that crashes closes its connections regularly too.

A stream whose last event is not complete now counts as truncated: the incomplete event is discarded, the stream goes on at another upstream where its route allows that, and is cut off visibly otherwise. So is one of unstated length without any event. Bodies that state another type than text/event-stream end by their framing alone. Events may also end with carriage returns alone, which were held back until the end of the stream before.

In test_slow_readers.py a test relayed the chunked body 'ab' and expected a complete stream, which it is not by the new rule; it relays one complete event now and checks the same: the connection is closed when the caller of a complete stream leaves.

--- a/packages/edge/src/hitchdeck_edge/dispatch/events.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/events.py
@@ -2,10 +2,11 @@
 
 import re
 
-_ID_LINE = re.compile(rb'(?:^|\n)id:[ ]?([^\r\n]*)')
+_ID_LINE = re.compile(rb'(?:^|[\r\n])id:[ ]?([^\r\n]*)')
 _ID_START = b'id:'
-_LATER_ID_START = b'\nid:'
-_BLANK_LINES = (b'\n\n', b'\n\r\n')
+_LATER_ID_STARTS = (b'\nid:', b'\rid:')
+_BLANK_LINES = (b'\n\n', b'\n\r\n', b'\r\r')
+_LINE_ENDS = b'\r\n'
 
 
 class EventSplitter:
@@ -25,6 +26,11 @@
         self._last_id = last_id
         self._with_id = b''
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Tell whether the data so far ends inside an event."""
+        return bool(self.remainder.strip(_LINE_ENDS))
+
     @property
     def last_id(self) -> str:
         """Return the id of the last complete event that has one.
@@ -46,7 +52,7 @@
             end = _end_of_events(data)
             self.remainder = data[end:]
             data = data[:end]
-        if data.startswith(_ID_START) or _LATER_ID_START in data:
+        if data.startswith(_ID_START) or any(one in data for one in _LATER_ID_STARTS):
             self._with_id = data
         return data
 
--- a/packages/edge/src/hitchdeck_edge/dispatch/relay.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/relay.py
@@ -3,10 +3,11 @@
 from collections.abc import Awaitable, Callable
 
 from hitchdeck_edge.dispatch.events import EventSplitter
-from hitchdeck_edge.dispatch.response_parser import ResponseHead
+from hitchdeck_edge.dispatch.response_parser import Framing, ResponseHead
 from hitchdeck_edge.dispatch.responses import response_headers
 from hitchdeck_edge.dispatch.spool import CallerSpool
 from hitchdeck_edge.dispatch.upstream_connection import Connection
+from hitchdeck_edge.errors import IncompleteResponseError
 from hitchdeck_edge.model.request_context import RequestContext
 from hitchdeck_edge.serving.caller import CallerConnection
 
@@ -19,6 +20,8 @@
 
     Attributes
     ----------
+    has_events
+        Whether the current upstream sent a complete event.
     pending
         Done when the caller has read what it was sent last; ``None`` if it has.
     """
@@ -33,6 +36,7 @@
         self.caller = caller
         self.spool = spool
         self.splitter = EventSplitter(context.last_event)
+        self.has_events = False
         self.pending: Awaitable[None] | None = None
 
     async def forward(
@@ -51,6 +55,7 @@
             The upstream's response was truncated; an incomplete event is discarded.
         """
         self.splitter.remainder = b''
+        self.has_events = False
         if not self.caller.started:
             reason = head.reason.decode('latin-1')
             await self.caller.start_response(
@@ -60,6 +65,7 @@
         def relay(chunk: bytes) -> None:
             whole = self.splitter.feed(chunk)
             if whole:
+                self.has_events = True
                 on_event()
                 self._write(connection, whole)
 
@@ -68,6 +74,7 @@
         finally:
             self.context.last_event = self.splitter.last_id
         try:
+            self._check_whole(head)
             await self._finish(connection)
         except BaseException:
             # The connection is idle by now, but may be paused and is in no pool.
@@ -90,6 +97,19 @@
         if self.spool is not None:
             self.spool.close()
 
+    def _check_whole(self, head: ResponseHead) -> None:
+        """Raise ``IncompleteResponseError`` if the stream was cut off before its end.
+
+        An upstream that crashes closes its connections, which is the regular end of a
+        response without length and chunks.
+        """
+        if not head.is_event_stream:
+            return
+        if self.splitter.is_inside_event:
+            raise IncompleteResponseError('stream ended inside an event')
+        if head.framing is Framing.close and not self.has_events:
+            raise IncompleteResponseError('stream ended before its first event')
+
     async def _finish(self, connection: Connection) -> None:
         """Complete the response, unless it is spooled, once the caller has read it."""
         if self.splitter.remainder:
--- a/packages/edge/src/hitchdeck_edge/dispatch/response_parser.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/response_parser.py
@@ -23,6 +23,8 @@
 _CONTENT_LENGTH = b'content-length'
 _TRANSFER_ENCODING = b'transfer-encoding'
 _CHUNKED = b'chunked'
+_CONTENT_TYPE = b'content-type'
+_EVENT_STREAM = b'text/event-stream'
 _PERSISTENT_VERSION = '1.1'
 _BODILESS_STATUSES = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 
@@ -49,6 +51,15 @@
     headers: list[Header]
     framing: Framing
 
+    @property
+    def is_event_stream(self) -> bool:
+        """Tell whether the body consists of events: its type, if stated, says so."""
+        for name, text in self.headers:
+            if name.lower() == _CONTENT_TYPE:
+                media_type, _, _ = text.partition(b';')
+                return media_type.strip().lower() == _EVENT_STREAM
+        return True
+
 
 Event = ResponseHead | bytes | None
 """A head, a part of a body, or ``None`` for the end of a response."""
--- a/tests/edge/test_slow_readers.py
+++ b/tests/edge/test_slow_readers.py
@@ -13,12 +13,14 @@
 from hitchdeck_edge.dispatch.relay import StreamRelay
 from hitchdeck_edge.errors import CallerDisconnectedError
 from hitchdeck_edge.serving.caller import CallerConnection
-from tests.edge.test_upstream_responses import CHUNKED, connection_with_request
+from tests.edge.test_upstream_responses import OK, connection_with_request
 
 CHUNK = bytes(range(256)) * 1024
 CHUNKS = 40
 """Together some 10 MB, which no socket buffers."""
 
+EVENT = OK + b'Transfer-Encoding: chunked\r\n\r\n9\r\ndata: 1\n\n\r\n0\r\n\r\n'
+
 ASK = b'GET / HTTP/1.1\r\nHost: a\r\n\r\n'
 
 
@@ -126,7 +128,7 @@
 async def test_a_complete_stream_whose_caller_leaves_closes_its_connection() -> None:
     # It is paused and in no pool, so that nothing else would ever close it.
     connection = connection_with_request()
-    connection.data_received(CHUNKED)
+    connection.data_received(EVENT)
     head = await connection.read_head()
     context = SimpleNamespace(last_event='')
     relay = StreamRelay(context, StalledCaller())  # type: ignore[arg-type]
--- a/tests/edge/test_truncated_responses.py
+++ b/tests/edge/test_truncated_responses.py
@@ -8,6 +8,9 @@
 import pytest
 
 from hitchdeck_core.ids import UpstreamName
+from hitchdeck_edge.dispatch.events import EventSplitter
+from hitchdeck_edge.dispatch.response_parser import Framing as HeadFraming
+from hitchdeck_edge.dispatch.response_parser import ResponseHead
 from hitchdeck_edge.model.placing import Choice
 from hitchdeck_edge.model.refusals import Refusal
 from hitchdeck_edge.model.request_context import RequestContext
@@ -142,3 +145,49 @@
             expected = expected[:cut]
         check(received, kind, expected, served=repeated or not truncated)
         assert (attempt in second.ran) == repeated
+
+
+class Ending(NamedTuple):
+    """Data of a stream, and whether it ends inside an event."""
+
+    data: bytes
+    inside: bool
+
+
+ENDINGS = {
+    'line feeds': Ending(b'id: 1\ndata: 1\n\n', inside=False),
+    'carriage returns': Ending(b'id: 1\rdata: 1\r\r', inside=False),
+    'both': Ending(b'id: 1\r\ndata: 1\r\n\r\n', inside=False),
+    'further blank line': Ending(b'id: 1\ndata: 1\n\n\n', inside=False),
+    'one line end': Ending(b'id: 1\ndata: 1\n', inside=True),
+    'no line end': Ending(b'id: 1\ndata: 1', inside=True),
+    'later event': Ending(b'id: 1\ndata: 1\n\nid', inside=True),
+    'comment': Ending(b'id: 1\ndata: 1\n\n: ping', inside=True),
+    'nothing': Ending(b'', inside=False),
+}
+
+
+@pytest.mark.parametrize('name', ENDINGS)
+def test_the_end_of_a_stream_is_inside_an_event_until_its_blank_line(name: str) -> None:
+    splitter = EventSplitter()
+    passed_on = b''.join(splitter.feed(bytes([one])) for one in ENDINGS[name].data)
+    assert splitter.is_inside_event == ENDINGS[name].inside
+    assert passed_on + splitter.remainder == ENDINGS[name].data
+    assert splitter.last_id == ('1' if passed_on else '')
+
+
+@pytest.mark.parametrize(
+    ('content_type', 'expected'),
+    [
+        ('', True),
+        ('text/event-stream', True),
+        ('Text/Event-Stream; charset=utf-8', True),
+        ('application/json', False),
+    ],
+)
+def test_a_response_is_a_stream_unless_its_type_is_another(
+    content_type: str, expected: bool
+) -> None:
+    headers = [(b'Content-Type', content_type.encode())] if content_type else []
+    head = ResponseHead(200, b'OK', headers, HeadFraming.close)
+    assert head.is_event_stream == expected
