Treat a reset response of unstated length as truncated in the router

The same cause as in the entry boxes, on the other request path: tornado ends a body without length and chunks with any end of its connection, also with a reset, so the router forwarded a truncated answer of a plain service as complete, and stored it for keyed calls. The end now counts as complete only without an error on the connection.

The splitter of event streams moves to the core package, where both request paths reach it.

--- a/packages/edge/src/hitchdeck_edge/dispatch/relay.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/relay.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Awaitable, Callable
 
-from hitchdeck_edge.dispatch.events import EventSplitter
+from hitchdeck_core.event_streams import EventSplitter
 from hitchdeck_edge.dispatch.response_parser import Framing, ResponseHead
 from hitchdeck_edge.dispatch.responses import response_headers
 from hitchdeck_edge.dispatch.spool import CallerSpool
--- a/packages/router/src/hitchdeck_router/dispatch/calls.py
+++ b/packages/router/src/hitchdeck_router/dispatch/calls.py
@@ -28,6 +28,7 @@
 CONNECT_SECONDS = 2.0
 _MAX_RESPONSE_BYTES = 1024 * 1024 * 1024
 _CHUNK_BYTES = 1024 * 10
+_FRAMING_HEADERS = ('Content-Length', 'Transfer-Encoding')
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,12 +59,17 @@
 
 @dataclass
 class _Receiver(HTTPMessageDelegate):
-    """Puts the parts of a response into a queue of length one."""
+    """Puts the parts of a response into a queue of length one.
+
+    ``ends_with_connection`` is whether nothing but the end of the connection marks that
+    of the response.
+    """
 
     queue: asyncio.Queue[ResponseHead | bytes | _ResponseEnd] = field(
         default_factory=lambda: asyncio.Queue(1),
     )
     ended: bool = False
+    ends_with_connection: bool = False
     abandoned: bool = False
 
     async def put(self, received: ResponseHead | bytes | _ResponseEnd) -> None:
@@ -88,6 +94,7 @@
     ) -> None:
         """Queue the status and headers."""
         assert isinstance(start_line, ResponseStartLine)
+        self.ends_with_connection = not any(one in headers for one in _FRAMING_HEADERS)
         await self.put(ResponseHead(start_line.code, headers))
 
     async def data_received(self, chunk: bytes) -> None:
@@ -165,7 +172,11 @@
         except StreamClosedError:
             await self.receiver.put(_ResponseEnd(complete=False))
             return
-        await self.receiver.put(_ResponseEnd(complete=self.receiver.ended))
+        # Tornado takes a reset, too, for the end of a body of unstated length.
+        reset = self.receiver.ends_with_connection and self.stream.error is not None
+        await self.receiver.put(
+            _ResponseEnd(complete=self.receiver.ended and not reset)
+        )
 
     async def _next(self) -> ResponseHead | bytes | _ResponseEnd:
         try:
--- a/packages/router/src/hitchdeck_router/dispatch/services.py
+++ b/packages/router/src/hitchdeck_router/dispatch/services.py
@@ -81,7 +81,7 @@
             check_request_id(head, admitted)
             apply_backpressure(context, upstream, head)
             await deliver_head(head)
-            await _forward_body(call, deliver_bytes)
+            await forward_body(call, head, deliver_bytes)
         except ResponseTruncatedError:
             check_for_crash(context, admitted, upstream)
             raise
@@ -91,7 +91,16 @@
     await run_attempts(context, admitted, progress, run_once)
 
 
-async def _forward_body(call: UpstreamCall, deliver_bytes: DeliverBytes) -> None:
+async def forward_body(
+    call: UpstreamCall, head: ResponseHead, deliver_bytes: DeliverBytes
+) -> None:
+    """Forward the body of a response.
+
+    Raises
+    ------
+    ResponseTruncatedError
+        The response was truncated.
+    """
     try:
         async for chunk in call.chunks():
             await deliver_bytes(chunk)
--- a/tests/edge/test_policies.py
+++ b/tests/edge/test_policies.py
@@ -7,10 +7,10 @@
 import pytest
 
 from hitchdeck_core.errors import SettingsError
+from hitchdeck_core.event_streams import EventSplitter
 from hitchdeck_core.ids import Address, BoxName, UpstreamName
 from hitchdeck_core.log_output import BURST_LINES, MAX_BUFFERED_BYTES, BoundedOutput
 from hitchdeck_edge.dispatch.budget import SAFETY_FACTOR, RetryBudget
-from hitchdeck_edge.dispatch.events import EventSplitter
 from hitchdeck_edge.dispatch.responses import end_to_end_headers
 from hitchdeck_edge.links.known_hubs import LEARNED_HUB_TTL_SECONDS, KnownHubs
 from hitchdeck_edge.links.placing import PlacingLink
--- a/tests/edge/test_truncated_responses.py
+++ b/tests/edge/test_truncated_responses.py
@@ -7,8 +7,8 @@
 
 import pytest
 
+from hitchdeck_core.event_streams import EventSplitter
 from hitchdeck_core.ids import UpstreamName
-from hitchdeck_edge.dispatch.events import EventSplitter
 from hitchdeck_edge.dispatch.response_parser import Framing as HeadFraming
 from hitchdeck_edge.dispatch.response_parser import ResponseHead
 from hitchdeck_edge.model.placing import Choice
--- a/tests/edge/test_upstream_responses.py
+++ b/tests/edge/test_upstream_responses.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from hitchdeck_edge.dispatch.events import EventSplitter
+from hitchdeck_core.event_streams import EventSplitter
 from hitchdeck_edge.dispatch.response_parser import MAX_UNPARSED_BYTES
 from hitchdeck_edge.dispatch.upstream_connection import (
     Connection,
