Treat a stream of a plain service that ends inside an event as truncated

The router forwarded a text/event-stream of a plain service as complete when its connection ended inside an event or before the first one. It forwards complete events only, and truncates the response visibly where the stream ends inside one.

--- a/packages/core/src/hitchdeck_core/event_streams.py
+++ b/packages/core/src/hitchdeck_core/event_streams.py
@@ -9,6 +9,15 @@
 _LINE_ENDS = b'\r\n'
 
 
+_MEDIA_TYPE = 'text/event-stream'
+
+
+def is_event_stream(content_type: str) -> bool:
+    """Tell whether a ``Content-Type`` states that a body consists of events."""
+    media_type, _, _ = content_type.partition(';')
+    return media_type.strip().lower() == _MEDIA_TYPE
+
+
 class EventSplitter:
     """Buffers the end of a stream until it is a complete event.
 
--- a/packages/edge/src/hitchdeck_edge/dispatch/response_parser.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/response_parser.py
@@ -11,6 +11,7 @@
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
 
+from hitchdeck_core.event_streams import is_event_stream
 from hitchdeck_edge.model.calls import Header
 
 MAX_UNPARSED_BYTES = 16_384
@@ -24,7 +25,6 @@
 _TRANSFER_ENCODING = b'transfer-encoding'
 _CHUNKED = b'chunked'
 _CONTENT_TYPE = b'content-type'
-_EVENT_STREAM = b'text/event-stream'
 _PERSISTENT_VERSION = '1.1'
 _BODILESS_STATUSES = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 
@@ -56,8 +56,7 @@
         """Tell whether the body consists of events: its type, if stated, says so."""
         for name, text in self.headers:
             if name.lower() == _CONTENT_TYPE:
-                media_type, _, _ = text.partition(b';')
-                return media_type.strip().lower() == _EVENT_STREAM
+                return is_event_stream(text.decode('latin-1'))
         return True
 
 
--- a/packages/router/src/hitchdeck_router/dispatch/services.py
+++ b/packages/router/src/hitchdeck_router/dispatch/services.py
@@ -1,10 +1,11 @@
 """Calls to plain services, whose responses are forwarded unchanged."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass, field
 
 from tornado.httputil import HTTPHeaders
 
+from hitchdeck_core.event_streams import EventSplitter, is_event_stream
 from hitchdeck_core.resources import Upstream
 from hitchdeck_router.context import RouterContext
 from hitchdeck_router.dispatch.attempts import Progress, run_attempts
@@ -99,10 +100,35 @@
     Raises
     ------
     ResponseTruncatedError
-        The response was truncated.
+        The response was truncated, or is a stream that ended inside an event.
     """
+    streams = is_event_stream(head.headers.get('Content-Type', ''))
+    pieces = _complete_events(call) if streams else call.chunks()
     try:
-        async for chunk in call.chunks():
-            await deliver_bytes(chunk)
+        async for piece in pieces:
+            await deliver_bytes(piece)
     except UpstreamBrokenError as error:
         raise ResponseTruncatedError(str(error)) from error
+
+
+async def _complete_events(call: UpstreamCall) -> AsyncIterator[bytes]:
+    """Yield a stream in complete events.
+
+    Raises
+    ------
+    UpstreamBrokenError
+        The response was truncated, or ended inside or before the first event.
+    """
+    splitter = EventSplitter()
+    has_events = False
+    async for chunk in call.chunks():
+        whole = splitter.feed(chunk)
+        if whole:
+            has_events = True
+            yield whole
+    if splitter.is_inside_event:
+        raise UpstreamBrokenError('stream ended inside an event')
+    if not has_events and call.receiver.ends_with_connection:
+        raise UpstreamBrokenError('stream ended before its first event')
+    if splitter.remainder:
+        yield splitter.remainder
