Reset the connection of a caller whose truncated response has no chunks

To a caller of HTTP/1.0 a stream goes without chunks, and the end of its connection marks the end of the response: a truncated one looked complete, directly and where the connection was handed off to another box, whose reset the first box passed on as a regular close.

A box resets such a connection, and a relay that is aborted resets both of its own.

Left: a box that is killed closes these connections regularly.

--- a/packages/core/src/hitchdeck_core/sockets.py
+++ b/packages/core/src/hitchdeck_core/sockets.py
@@ -27,6 +27,8 @@
 _LAST_ACK_OFFSET = 56
 """Offset of ``tcpi_last_ack_recv`` in the kernel's ``struct tcp_info``."""
 
+_NO_LINGER = struct.pack('ii', 1, 0)
+
 _MS = 1000
 
 BACKLOG = 1024
@@ -79,6 +81,15 @@
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
 
 
+def reset_on_close(sock: socket.socket) -> None:
+    """Let the close of a connection reset it, so that its peer sees an error.
+
+    Otherwise a peer whose response has neither length nor chunks takes the close for
+    the end of the response.
+    """
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+
+
 def has_unread_input(descriptor: int) -> bool:
     """Return whether data or the end of the stream can be read now."""
     poller = select.poll()
--- a/packages/edge/src/hitchdeck_edge/serving/caller.py
+++ b/packages/edge/src/hitchdeck_edge/serving/caller.py
@@ -8,7 +8,7 @@
 from tornado.iostream import StreamClosedError
 
 from hitchdeck_core.loop_load import loop_utilization
-from hitchdeck_core.sockets import peer_has_closed
+from hitchdeck_core.sockets import peer_has_closed, reset_on_close
 from hitchdeck_edge.errors import CallerDisconnectedError
 from hitchdeck_edge.serving.fields import Fields
 from hitchdeck_edge.serving.overload import should_close
@@ -127,8 +127,11 @@
             self.connection.finish()
 
     def abort(self) -> None:
-        """Truncate the response visibly, by closing the connection."""
-        self.connection.stream.close()
+        """Truncate the response visibly, by closing or resetting the connection."""
+        stream = self.connection.stream
+        if self.started and not (self.chunked or stream.closed()):
+            reset_on_close(stream.socket)
+        stream.close()
 
     def _send_now(self, frame: bytes) -> int:
         """Return how many bytes the kernel accepts without waiting."""
--- a/packages/edge/src/hitchdeck_edge/serving/relay_pump.py
+++ b/packages/edge/src/hitchdeck_edge/serving/relay_pump.py
@@ -17,7 +17,7 @@
 from hitchdeck_core.channels import split_address
 from hitchdeck_core.clock import Clock
 from hitchdeck_core.ids import Address
-from hitchdeck_core.sockets import enable_keepalive
+from hitchdeck_core.sockets import enable_keepalive, reset_on_close
 
 POLL_SECONDS = 0.01
 """Interval of polls.  A relayed request takes three of them (greeting, request and
@@ -132,16 +132,27 @@
         return relay
 
     def abort(self, relay: Relay) -> None:
-        """Close both connections of a relay, and discard what they hold."""
-        self._forget(relay)
-        relay.caller.close()
-        relay.target.close()
+        """Reset both connections of a relay, and discard what they hold.
+
+        A response that is framed by the end of its connection must not look complete.
+        """
+        for sock in (relay.caller, relay.target):
+            # The target is closed already if no greeting came.
+            if sock.fileno() >= 0:
+                reset_on_close(sock)
+        self._end(relay)
 
     def close(self) -> None:
         """Abort all relays."""
         for relay in list(self.open):
             self.abort(relay)
 
+    def _end(self, relay: Relay) -> None:
+        """Close both connections of a relay."""
+        self._forget(relay)
+        relay.caller.close()
+        relay.target.close()
+
     def _connect(self, relay: Relay, address: tuple[str, int]) -> None:
         relay.target.setblocking(False)
         enable_keepalive(relay.target)
@@ -242,7 +253,7 @@
         received = (relay.caller if from_caller else relay.target).recv(READ_BYTES)
         if not received:
             # All that was read has been written; the kernel sends the rest.
-            self.abort(relay)
+            self._end(relay)
             return 0
         if from_caller:
             relay.to_target = received
--- a/standins/worker_bodies.py
+++ b/standins/worker_bodies.py
@@ -1,12 +1,11 @@
 """Bodies of a simulated worker's responses, and their framing."""
 
-import socket
-import struct
 from asyncio import StreamWriter
 from enum import Enum
 
+from hitchdeck_core.sockets import reset_on_close
+
 LAST_CHUNK = b'0\r\n\r\n'
-_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
 
 class Framing(Enum):
@@ -50,6 +49,5 @@
 
 def reset(writer: StreamWriter) -> None:
     """Reset a connection, so that its peer sees an error and not its end."""
-    sock = writer.get_extra_info('socket')
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+    reset_on_close(writer.get_extra_info('socket'))
     writer.transport.abort()
--- a/tests/edge/test_truncated_responses.py
+++ b/tests/edge/test_truncated_responses.py
@@ -14,6 +14,7 @@
 from hitchdeck_edge.model.placing import Choice
 from hitchdeck_edge.model.refusals import Refusal
 from hitchdeck_edge.model.request_context import RequestContext
+from hitchdeck_edge.serving import caller_server
 from standins.platform_site import Site, running_site
 from standins.platform_worker import Fault, Seen, Worker
 from standins.worker_bodies import Framing
@@ -191,3 +192,27 @@
     headers = [(b'Content-Type', content_type.encode())] if content_type else []
     head = ResponseHead(200, b'OK', headers, HeadFraming.close)
     assert head.is_event_stream == expected
+
+
+@pytest.mark.parametrize('handed_off', [False, True])
+@pytest.mark.parametrize('cut', [0, EVENT_SIZE, EVENT_SIZE + 1, len(STREAM)])
+async def test_a_caller_without_chunks_gets_a_reset_for_a_truncated_stream(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, cut: int, handed_off: bool
+) -> None:
+    # The end of its connection would mark a truncated response as complete.
+    monkeypatch.setattr(caller_server, 'should_hand_off', lambda _busy: handed_off)
+    async with running_site(tmp_path, boxes=2) as site:
+        first, second = site.boxes
+        target = second.settings.relief_listen or ''
+        first.caller_server.handoff.targets.offer([target])
+        for worker in of_pool(site, 'llm'):
+            worker.events = EVENTS
+            worker.framing = Framing.close
+            worker.cut_bytes = cut
+            worker.misbehave(Fault.end_early)
+        headers = {'Model': 'm', 'Token_Count': '300,40', 'Prompt_Prefix': 'aa:300'}
+        request = caller_request('/once/', 'r1', 'HTTP/1.0', **headers)
+        received = await receive(first.settings.listen, request)
+    assert received.status == 200
+    assert received.reset == (cut < len(STREAM) and cut != EVENT_SIZE)
+    assert first.caller_server.handoff.handed_off == handed_off
