Truncate a service response that fails after it has begun

Two ends of a plain service's response in the router looked complete to the caller: an unexpected error wrote an error event into the body and finished it, and to a caller of HTTP/1.0 the close of the connection marked the end. The first now closes the connection, the second resets it. Streams of chat completions keep their error event, which is part of the API.

--- a/packages/router/src/hitchdeck_router/serving/base.py
+++ b/packages/router/src/hitchdeck_router/serving/base.py
@@ -144,17 +144,21 @@
             )
 
     def refuse(self, error: RouterError) -> None:
-        """Send an error in the API's format, also within a started stream."""
+        """Send an error in the API's format, also within a started response."""
         self.record_outcome(error.ran)
         if self._finished:
             return
-        content = error_content(error)
         if self._headers_written:
-            self.write(b'data: ' + json.dumps(content).encode() + b'\n\n')
-            self.finish()
+            self.end_started(error)
             return
         self._set_error_headers(error)
-        self.finish(content)
+        self.finish(error_content(error))
+
+    def end_started(self, error: RouterError) -> None:
+        """End a stream that has begun with an error event."""
+        content = json.dumps(error_content(error)).encode()
+        self.write(b'data: ' + content + b'\n\n')
+        self.finish()
 
     def respond_internal_error(self) -> None:
         """Send an internal error, for which the outcome is unknown."""
--- a/packages/router/src/hitchdeck_router/serving/services.py
+++ b/packages/router/src/hitchdeck_router/serving/services.py
@@ -2,9 +2,11 @@
 
 import asyncio
 
+from tornado.http1connection import HTTP1Connection
 from tornado.iostream import StreamClosedError
 
 from hitchdeck_core.ids import AccountName, PoolName
+from hitchdeck_core.sockets import reset_on_close
 from hitchdeck_router.dispatch.attempts import ReplayError
 from hitchdeck_router.dispatch.calls import ResponseHead
 from hitchdeck_router.dispatch.ledger import (
@@ -18,13 +20,14 @@
     ServiceResponse,
     run_service,
 )
-from hitchdeck_router.errors import NotRunError, ResponseTruncatedError
+from hitchdeck_router.errors import NotRunError, ResponseTruncatedError, RouterError
 from hitchdeck_router.scheduling.costs import SERVICE_CALL_COST
 from hitchdeck_router.serving import admission
 from hitchdeck_router.serving.base import RAN_HEADER, BaseHandler
 from hitchdeck_router.serving.replay import check_replayable
 
 _BAD_REQUEST = 400
+_WITHOUT_CHUNKS = 'HTTP/1.0'
 _SAFE_METHODS = frozenset(('GET', 'HEAD'))
 _FORWARDED_REQUEST_HEADERS = ('Content-Type', 'Accept', 'Accept-Language')
 _FORWARDED_RESPONSE_HEADERS = (
@@ -56,6 +59,20 @@
         """Serve a call that may have side effects."""
         await self.run(self._serve(pool, path))
 
+    def end_started(self, error: RouterError) -> None:
+        """Truncate a response that has begun: an error would become part of it."""
+        self.abort()
+
+    def abort(self) -> None:
+        """Close the connection, as the truncated response must not look complete."""
+        connection = self.request.connection
+        if not isinstance(connection, HTTP1Connection):
+            return
+        stream = connection.stream
+        if self.request.version == _WITHOUT_CHUNKS and not stream.closed():
+            reset_on_close(stream.socket)
+        stream.close()
+
     async def _serve(self, pool: str, path: str) -> None:
         account = self.check_account()
         view = self.context.fleet.view
@@ -74,7 +91,8 @@
         except ReplayError as error:
             await self._replay(error.response)
         except ResponseTruncatedError:
-            self._abort()
+            self.record_outcome('unknown')
+            self.abort()
 
     def _admit(self, account: AccountName, pool: PoolName) -> AdmittedRequest:
         view = self.context.fleet.view
@@ -175,12 +193,6 @@
             self.write(stored.body)
         await self.finish()
 
-    def _abort(self) -> None:
-        """Close the connection, as the truncated response must not look complete."""
-        self.record_outcome('unknown')
-        if self.request.connection is not None:
-            self.request.connection.stream.close()  # type: ignore[attr-defined]
-
 
 def _check_has_key(admitted: AdmittedRequest, request: ServiceRequest) -> None:
     if request.repeatable or admitted.key is not None:
