Let workers of the soak answer without length and chunks, and end inside events

The soak's workers draw a framing and a place inside an event where they end early, for each time that they misbehave. Its proxy passes a reset on as a reset: as a regular close it would be the end of a response of unstated length.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -9,12 +9,16 @@
 from soak.fleet import Fleet, Program
 from soak.proxy import LinkState, Proxy
 from standins.platform_worker import Fault, Worker
+from standins.worker_bodies import Framing, events
 
 STOP_GRACE_SECONDS = 3.0
 """Time between SIGTERM and SIGKILL; equal to ``graceS`` in the settings."""
 
 MS = 1000
 
+STREAM_POOL = 'llm'
+"""Pool whose workers send streams."""
+
 RETRY_AFTER_VALUES = ('', '', '0.2', '1', 'soon', '-1', '1e-9')
 """Retry-After values, some invalid, of a worker that sheds a request."""
 
@@ -122,6 +126,12 @@
         worker = self.random.choice(self.workers)
         fault = self.random.choice(list(Fault))
         worker.pause = self.random.choice(RETRY_AFTER_VALUES)
+        if worker.pool == STREAM_POOL:
+            worker.framing = self.random.choice(list(Framing))
+            # Between two events, the end of a connection may be that of the stream.
+            size = len(events('', 1)[0])
+            inside = self.random.randrange(1, size)
+            worker.cut_bytes = self.random.randrange(worker.events) * size + inside
         worker.misbehave(fault, self.random.randint(1, 5))
 
     async def crash_worker(self) -> None:
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -1,14 +1,12 @@
 """TCP proxy on loopback that delays, resets or blocks connections."""
 
 import asyncio
-import socket
-import struct
 from dataclasses import dataclass, field
 from enum import Enum
 
-CHUNK_BYTES = 65_536
+from standins.worker_bodies import reset
 
-_NO_LINGER = struct.pack('ii', 1, 0)
+CHUNK_BYTES = 65_536
 
 END_POLL_SECONDS = 0.01
 
@@ -75,11 +73,7 @@
     def reset(self) -> None:
         """Reset every open connection."""
         for writer in self.writers:
-            if not writer.transport.is_closing():
-                # With a linger time of 0 the kernel sends RST instead of FIN.
-                sock = writer.get_extra_info('socket')
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
-            writer.transport.abort()
+            _reset(writer)
 
     async def change(self, state: LinkState) -> None:
         """Change the state; bytes that it no longer holds are forwarded."""
@@ -125,7 +119,7 @@
             await self._wait(direction)
         except ConnectionError:
             # Propagate a reset to the other side.
-            writer.transport.abort()
+            _reset(writer)
             return
         writer.close()
 
@@ -136,3 +130,10 @@
             await self.changed.wait_for(
                 lambda: direction not in HELD.get(self.state, set()),
             )
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    if writer.transport.is_closing():
+        writer.transport.abort()
+    else:
+        reset(writer)
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -183,7 +183,11 @@
         self.ended = True
         await self.stop()
         for writer in self.open:
-            writer.transport.abort()
+            if self.framing is Framing.close:
+                # Between two events, a close would be the end of the stream.
+                reset(writer)
+            else:
+                writer.transport.abort()
 
     async def restart(self, born: int) -> None:
         """Start a new incarnation with the same name and address."""
