Record the software version of upstreams, and log it with what a request resumes

Upstream records carry it now; 'upstream known', 'request' and 'attempt failed' name it, and 'request' the attempt and event that the caller resumes. Nothing decides by it yet. A record relayed by a process of an earlier build lacks the version, so that a merge keeps the one that is known.

--- a/packages/core/src/hitchdeck_core/ids.py
+++ b/packages/core/src/hitchdeck_core/ids.py
@@ -20,6 +20,9 @@
 UpstreamIncarnation = NewType('UpstreamIncarnation', str)
 """One run of an upstream, from its start to its exit."""
 
+SoftwareVersion = NewType('SoftwareVersion', str)
+"""Version of an upstream's software, compared for equality only; empty if unknown."""
+
 SessionName = NewType('SessionName', str)
 
 ShardId = NewType('ShardId', str)
--- a/packages/edge/src/hitchdeck_edge/dispatch/sender.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/sender.py
@@ -365,6 +365,7 @@
             request=active.context.call.request,
             content=active.context.fingerprint.hex(),
             upstream=attempt.upstream,
+            software=attempt.choice.upstream.software,
             verdict=attempt.outcome.value,
             status=attempt.head.status if attempt.head else 0,
             framing=attempt.head.framing.value if attempt.head else '',
--- a/packages/edge/src/hitchdeck_edge/links/records.py
+++ b/packages/edge/src/hitchdeck_edge/links/records.py
@@ -4,7 +4,13 @@
 from types import MappingProxyType
 
 from hitchdeck_core import logs
-from hitchdeck_core.ids import Address, InstanceName, PoolName, UpstreamName
+from hitchdeck_core.ids import (
+    Address,
+    InstanceName,
+    PoolName,
+    SoftwareVersion,
+    UpstreamName,
+)
 from hitchdeck_core.wire.spread_pb2 import (
     SuspicionRecord,
     UpstreamPhase,
@@ -38,6 +44,7 @@
         instance=upstream.instance,
         born=upstream.born,
         cold_left_ms=round(cold_left * _MILLISECONDS),
+        software=upstream.software,
     )
 
 
@@ -55,6 +62,7 @@
         instance=InstanceName(record.instance),
         born=int(record.born),
         cold_left=record.cold_left_ms / _MILLISECONDS,
+        software=SoftwareVersion(record.software),
     )
 
 
--- a/packages/edge/src/hitchdeck_edge/model/calls.py
+++ b/packages/edge/src/hitchdeck_edge/model/calls.py
@@ -52,6 +52,9 @@
         Seconds that the caller waits for the response, or ``None`` if not stated.
     last_event
         Id of the last event that the caller received of an interrupted stream.
+    resumed
+        Id of the caller's earlier request that brought the first event of that stream;
+        empty if the request does not resume one.
     headers
         All headers as received.
     """
@@ -64,6 +67,7 @@
     key: str
     timeout: float | None
     last_event: str
+    resumed: RequestId
     prompt: Prompt | None
     headers: tuple[Header, ...]
 
--- a/packages/edge/src/hitchdeck_edge/model/upstreams.py
+++ b/packages/edge/src/hitchdeck_edge/model/upstreams.py
@@ -7,6 +7,7 @@
     Address,
     InstanceName,
     PoolName,
+    SoftwareVersion,
     UpstreamIncarnation,
     UpstreamName,
 )
@@ -46,6 +47,8 @@
     cold_left
         Seconds for which it remains cold, as of this report.  Not compared, since it
         changes with time alone.
+    software
+        Version of its software; empty if not stated.
     """
 
     name: UpstreamName
@@ -59,6 +62,7 @@
     instance: InstanceName = InstanceName('')
     born: int = 0
     cold_left: float = field(default=0.0, compare=False)
+    software: SoftwareVersion = SoftwareVersion('')
 
     @property
     def unresponsive(self) -> bool:
--- a/packages/edge/src/hitchdeck_edge/serving/admission.py
+++ b/packages/edge/src/hitchdeck_edge/serving/admission.py
@@ -268,6 +268,7 @@
             outcome=active.response.outcome,
             status=active.caller.status,
             upstream=last_attempt.upstream if last_attempt else '',
+            software=last_attempt.choice.upstream.software if last_attempt else '',
             sent=context.sent,
             expected_queue=round(last_attempt.choice.queue, 3) if last_attempt else 0,
             decided_by=context.decided_by,
@@ -277,6 +278,7 @@
             goal=context.route.goal,
             seconds=round(seconds, 3),
             **_framing_fields(active),
+            **_resumption_fields(context.call),
             **_quarantine_fields(context, active.response.outcome),
             **_size_fields(context.call),
         )
@@ -312,6 +314,13 @@
     }
 
 
+def _resumption_fields(call: Call) -> dict[str, object]:
+    """Return what a request states of the stream that it resumes, if any."""
+    if not (call.last_event or call.resumed):
+        return {}
+    return {'resumed': call.resumed, 'last_event': call.last_event}
+
+
 def _quarantine_fields(context: RequestContext, outcome: str) -> dict[str, object]:
     """Return the fingerprint that links a quarantined request to earlier crashes."""
     if outcome != Refusal.quarantined.name:
--- a/packages/edge/src/hitchdeck_edge/state/registry.py
+++ b/packages/edge/src/hitchdeck_edge/state/registry.py
@@ -108,6 +108,7 @@
             silent=record.unresponsive,
             cold_left=round(self.cold.seconds_left(record.name), 3),
             cleared_by=record.cleared_by,
+            software=record.software,
             origin=origin,
         )
         self._end_earlier_incarnations(record)
@@ -331,8 +332,12 @@
         newer = max(record, known, key=_tie_break)
     else:
         newer = max(record, known, key=attrgetter('rank'))
-    cleared_by = max(record.cleared_by, known.cleared_by)
-    return replace(newer, cleared_by=cleared_by)
+    return replace(
+        newer,
+        cleared_by=max(record.cleared_by, known.cleared_by),
+        # Processes of earlier builds relay records without it.
+        software=newer.software or max(record.software, known.software),
+    )
 
 
 def _tie_break(record: Upstream) -> str:
