--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -22,6 +22,7 @@
 from hitchdeck_platform.requests import DIALECT
 from standins.platform_worker import Worker
 from standins.ports import free_address
+from standins.worker_bodies import SOFTWARE
 
 HOST = 'site.example'
 KEY = 'key-of-ann'
@@ -175,6 +176,8 @@
         domain: str = 'a',
         born: int = 0,
         cold_left_ms: float = 0,
+        *,
+        software: str = SOFTWARE,
     ) -> Worker:
         """Start a worker and report it to the first hub."""
         worker = Worker(
@@ -183,6 +186,7 @@
             domain=domain,
             born=born,
             cold_left_ms=cold_left_ms,
+            software=software,
         )
         await worker.start()
         self.workers.append(worker)
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -11,6 +11,7 @@
 
 from standins.worker_bodies import (
     LAST_CHUNK,
+    SOFTWARE,
     Framing,
     encoded_event,
     encoded_stream,
@@ -117,6 +118,8 @@
         Number of bytes of an encoded body that it sends before it ends early.
     framing
         What marks the end of its responses; that of a plain call is never chunks.
+    software
+        Software version that it reports; empty for none.
     lethal
         A request with this body crashes the worker, which closes its port.
     pause
@@ -145,6 +148,7 @@
     cut_at: int = 2
     cut_bytes: int = 0
     framing: Framing = Framing.chunks
+    software: str = SOFTWARE
     lethal: bytes = b''
     pause: str = ''
     leaving: bool = False
@@ -215,13 +219,16 @@
             'sequence': sequence,
             'coldLeftMs': self.cold_left_ms,
             **({'born': self.born} if self.born else {}),
+            **({'version': self.software} if self.software else {}),
         }
 
     def encoded_body(self, request: Seen) -> bytes:
         """Return the body of the successful response to a request, as it is framed."""
         if not request.streams:
             return _body(request, self.name)
-        return encoded_stream(events(request.last_event, self.events), self.framing)
+        return encoded_stream(
+            events(request.last_event, self.events, self.software), self.framing
+        )
 
     def head(self, request: Seen, status: str, seal: str = '') -> str:
         """Return the first lines of the head of a response."""
@@ -376,7 +383,7 @@
         whole: bool = True,
     ) -> bool:
         peer.writer.write(_whole_head(self, request))
-        for event in events(request.last_event, last):
+        for event in events(request.last_event, last, self.software):
             peer.writer.write(encoded_event(event, self.framing))
             await peer.writer.drain()
             await asyncio.sleep(self.gap)
--- a/standins/worker_bodies.py
+++ b/standins/worker_bodies.py
@@ -16,11 +16,18 @@
     close = 'close'
 
 
-def events(last_event: str, last: int) -> list[bytes]:
-    """Return the events of a stream after the one that a request names."""
+SOFTWARE = 'v1'
+"""Software version that a worker reports unless it is given another one."""
+
+
+def events(last_event: str, last: int, software: str = SOFTWARE) -> list[bytes]:
+    """Return the events of a stream after the one that a request names.
+
+    Each of them names the software version that made it.
+    """
     first = int(last_event or 0) + 1
     return [
-        f'id: {number}\ndata: {number}\n\n'.encode()
+        f'id: {number}\ndata: {software}\n\n'.encode()
         for number in range(first, last + 1)
     ]
 
--- a/tests/edge/test_truncated_responses.py
+++ b/tests/edge/test_truncated_responses.py
@@ -17,12 +17,12 @@
 from hitchdeck_edge.serving import caller_server
 from standins.platform_site import Site, running_site
 from standins.platform_worker import Fault, Seen, Worker
-from standins.worker_bodies import Framing
+from standins.worker_bodies import Framing, events
 from tests.common.asking import of_pool
 from tests.common.raw_callers import Received, caller_request, receive
 
 EVENTS = 3
-STREAM = b''.join(b'id: %d\ndata: %d\n\n' % (one, one) for one in range(1, EVENTS + 1))
+STREAM = b''.join(events('', EVENTS))
 EVENT_SIZE = len(STREAM) // EVENTS
 IDLE_LIMIT_MS = '150'
 ENDS = {
