Resume streams only at the software version that began them

Cause: nothing knew the version of an upstream, so a stream went on at the best engine of any version, within an answer and when a caller took it up again, whose Resumes was ignored.

The origin of a stream, the pool and the version of the upstream that sent its first event, is now known to the box that serves it, to the hub that placed it, and within a second to every hub that the box reaches; for 30 to 60 s, 100,000 records at most. A box that does not know the stream of a caller asks all hubs that it reaches. Schedulers, and boxes that decide alone, choose only upstreams of the version; a box checks the choice of a scheduler of an earlier build. Where no upstream of the version is left, or the version is unknown, the answer is truncated, or the new request refused at once with 503 before it was sent.

--- a/packages/core/src/hitchdeck_core/hashing.py
+++ b/packages/core/src/hitchdeck_core/hashing.py
@@ -14,6 +14,11 @@
 @lru_cache(maxsize=_CACHED_HASHES)
 def stable_hash(*parts: str) -> int:
     """Return a 64-bit hash that doesn't vary between processes."""
+    return short_digest(*parts)
+
+
+def short_digest(*parts: str) -> int:
+    """Return the same hash without keeping it, for parts that hardly ever recur."""
     joined = '\x1f'.join(parts).encode()
     digest = hashlib.blake2b(joined, digest_size=_WORD_BYTES).digest()
     return int.from_bytes(digest, 'big')
--- a/packages/edge/src/hitchdeck_edge/dispatch/dispatcher.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/dispatcher.py
@@ -28,7 +28,9 @@
 MAX_UNREACHED = 4
 """Number of unreachable upstreams after which a request is refused."""
 
-NO_UPSTREAM_ACCEPTS = frozenset((Refusal.no_upstream, Refusal.no_attempt_left))
+NO_UPSTREAM_ACCEPTS = frozenset(
+    (Refusal.no_upstream, Refusal.no_attempt_left, Refusal.version_gone)
+)
 """Refusals after which a retry makes sense only once some upstream accepts requests."""
 
 
@@ -80,6 +82,7 @@
             active.response.time_out()
         finally:
             active.relay.close()
+            self.sender.origins.end(active.context.stream)
 
     def _spool(
         self, context: RequestContext, caller: CallerConnection
@@ -176,6 +179,9 @@
             return False
         if context.may_have_run and not context.repeatable:
             return False
+        # An unknown version is not the same as any other.
+        if context.origin is not None and not context.origin.software:
+            return False
         return context.route.resumable or not active.caller.started
 
     async def _deliver(self, active: ActiveRequest, attempt: Attempt) -> None:
@@ -198,7 +204,7 @@
             return
         # Without the actual backoff, callers retried after 0.1 s while every upstream
         # asked for a longer one.
-        backoff = self.chooser.backoff_left(active.context.pool.name)
+        backoff = self.chooser.backoff_left(active.context)
         if backoff and refusal in NO_UPSTREAM_ACCEPTS:
             active.response.fail(Refusal.paused, backoff)
             return
--- a/packages/edge/src/hitchdeck_edge/dispatch/sender.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/sender.py
@@ -31,9 +31,11 @@
 from hitchdeck_edge.model.calls import ResponseMarks
 from hitchdeck_edge.model.placing import Choice
 from hitchdeck_edge.model.request_context import RequestContext
+from hitchdeck_edge.model.stream_origins import StreamOrigin
 from hitchdeck_edge.model.upstreams import Upstream
 from hitchdeck_edge.scheduling.chooser import Chooser
 from hitchdeck_edge.scheduling.open_work import OpenWorkEntry
+from hitchdeck_edge.state.stream_origins import StreamOrigins
 
 MAX_STALE_RESPONSES = 2
 """Maximum number of response heads that are read for one request; late responses to
@@ -45,6 +47,8 @@
 
     Attributes
     ----------
+    origins
+        Where the streams that this box serves began.
     moves_sent, moves_dropped
         Requests that named a source of cached parts to their engine, and requests whose
         source this box knew to be of no use.
@@ -67,6 +71,7 @@
         self.domain = chooser.domain
         self.connections = connections
         self.now = now
+        self.origins = StreamOrigins(now)
         self.watch: ServiceWatch | None = None
         if self.link.services is not None:
             self.watch = ServiceWatch(self.link.services, self.placement.health, now)
@@ -157,7 +162,7 @@
         )
         number = 0
         if context.pool.engine is not None:
-            number = self.link.track(choice.ticket, name, choice.tokens)
+            number = self.link.track(choice.ticket, name, choice.tokens, context.stream)
         attempt = Attempt(choice, self.now(), ticket, number, context.may_have_run)
         if self.watch is not None:
             attempt.watched = self.watch.open(context, choice)
@@ -295,7 +300,14 @@
         await active.relay.forward(connection, head, on_event)
         attempt.outcome = AttemptOutcome.answered
 
+    def _record_origin(self, context: RequestContext, upstream: Upstream) -> None:
+        """Record the first event of a stream."""
+        if context.origin is None:
+            context.origin = StreamOrigin(context.pool.name, upstream.software)
+        self.origins.begin(context.stream, context.origin)
+
     def _record_first_event(self, context: RequestContext, attempt: Attempt) -> None:
+        self._record_origin(context, attempt.choice.upstream)
         attempt.ticket.start()
         self.placement.prefix_cache.record_read(attempt.upstream, context.call.prompt)
         self.link.record_start(attempt.number)
--- a/packages/edge/src/hitchdeck_edge/hub/connected_boxes.py
+++ b/packages/edge/src/hitchdeck_edge/hub/connected_boxes.py
@@ -18,6 +18,7 @@
     hub_idle_interval,
 )
 from hitchdeck_edge.links.scheduler_exclusions import Exclusions, decode_exclusions
+from hitchdeck_edge.model.stream_origins import StreamKey
 from hitchdeck_edge.state.headroom import capacity_percent, headroom
 from hitchdeck_edge.state.tallies import Tally, tally_of, total_of
 
@@ -63,6 +64,8 @@
         Work and demand of these boxes, as its scheduler knows them.
     granted
         Tokens that its scheduler granted of this demand.
+    wanted_origins
+        Streams whose origin it asked for and was not told yet.
     arrived
         Notified when a frame of the box has arrived.
     """
@@ -81,6 +84,7 @@
     attending: int = 0
     placed: Tally = field(default_factory=Tally)
     granted: int = 0
+    wanted_origins: list[StreamKey] = field(default_factory=list)
     arrived: Signal = field(default_factory=Signal)
 
     @property
--- a/packages/edge/src/hitchdeck_edge/hub/placing.py
+++ b/packages/edge/src/hitchdeck_edge/hub/placing.py
@@ -15,8 +15,8 @@
 from hitchdeck_core.wire.spread_grpc import PlacingBase
 from hitchdeck_core.wire.spread_pb2 import Placed, PlacedFrame, PlacingFrame
 from hitchdeck_core.wire.spread_pb2 import Wanted as WantedMessage
-from hitchdeck_edge.hub.connected_boxes import ConnectedBoxes
 from hitchdeck_edge.hub.late_answers import LateAnswers
+from hitchdeck_edge.hub.spread import HubState
 from hitchdeck_edge.links.hub_streams import LINK_ERRORS
 from hitchdeck_edge.links.placing_messages import (
     decode_wanted,
@@ -24,13 +24,12 @@
     encode_wait,
 )
 from hitchdeck_edge.links.service_messages import decode_report, encode_states
+from hitchdeck_edge.model.stream_origins import StreamKey
 from hitchdeck_edge.scheduling.retry_times import RetryTimes
 from hitchdeck_edge.scheduling.scheduler import Scheduler, new_scheduler
 from hitchdeck_edge.scheduling.service_health import ServiceState, ServiceTable
 from hitchdeck_edge.scheduling.waiting import Decided, Reviews, WaitingQueue
 from hitchdeck_edge.settings import HubSettings
-from hitchdeck_edge.state.documents import Documents
-from hitchdeck_edge.state.registry import Registry
 
 MAX_LEARNING_LAG_SECONDS = 0.05
 """Lag of the event loop above which first events are not used as samples: it would
@@ -213,7 +212,9 @@
             self.scheduler.shares.count_elsewhere(account, int(demand.tokens))
         for work in frame.open:
             key = (box.name, int(work.id))
-            self.scheduler.add_open(key, UpstreamName(work.upstream), int(work.unread))
+            upstream = UpstreamName(work.upstream)
+            self.scheduler.add_open(key, upstream, int(work.unread))
+            self.scheduler.record_sent(StreamKey(int(work.stream)), upstream)
         # After a suspension of this process, all times until first events are too long.
         on_time = loop_lag() <= MAX_LEARNING_LAG_SECONDS
         for started in frame.started:
@@ -287,16 +288,12 @@
             box.tells = False
 
 
-def placing_service(
-    settings: HubSettings,
-    documents: Documents,
-    registry: Registry,
-    connected_boxes: ConnectedBoxes,
-) -> PlacingService:
+def placing_service(settings: HubSettings, state: HubState) -> PlacingService:
     """Return the service of a hub, with its own scheduler."""
-    scheduler = new_scheduler(settings, documents, registry)
+    scheduler = new_scheduler(settings, state.documents, state.registry)
+    scheduler.origins = state.origins
     service = PlacingService(
-        scheduler, FleetSize(connected_boxes.box_count, scheduler.now)
+        scheduler, FleetSize(state.connected_boxes.box_count, scheduler.now)
     )
     if settings.share_service_health and settings.mechanisms.service_health:
         service.share_services()
--- a/packages/edge/src/hitchdeck_edge/hub/process.py
+++ b/packages/edge/src/hitchdeck_edge/hub/process.py
@@ -207,12 +207,7 @@
         documents=client,
         orders=DomainOrders(client, state.evacuations, settings.areas),
         liveness=Liveness(state.registry, boot_seconds, settings.report_period),
-        placing=placing_service(
-            settings,
-            state.documents,
-            state.registry,
-            state.connected_boxes,
-        ),
+        placing=placing_service(settings, state),
         replica=replica,
         # A full disk is not fatal: when it ended the task that syncs the log for good,
         # the hub, once elected, committed nothing for 15 s and more.
--- a/packages/edge/src/hitchdeck_edge/hub/spread.py
+++ b/packages/edge/src/hitchdeck_edge/hub/spread.py
@@ -24,11 +24,14 @@
 from hitchdeck_edge.hub.connected_boxes import ConnectedBox, ConnectedBoxes
 from hitchdeck_edge.hub.scheduler_agreement import SchedulerAgreement
 from hitchdeck_edge.links.hub_streams import RELAY_INTERVAL_SECONDS
+from hitchdeck_edge.links.origin_messages import decode_origins, encode_origins
 from hitchdeck_edge.links.records import decode_suspicion, encode_upstream
+from hitchdeck_edge.model.stream_origins import StreamKey
 from hitchdeck_edge.settings import HubSettings
 from hitchdeck_edge.state.documents import Documents, ReadDocument
 from hitchdeck_edge.state.evacuations import Evacuations, domain_closer
 from hitchdeck_edge.state.registry import Registry
+from hitchdeck_edge.state.stream_origins import StreamOrigins
 
 BoxStream = Stream[BoxFrame, HubFrame]
 
@@ -46,6 +49,8 @@
         Whether the hub has a disk.
     agreement
         Merges the exclusions of schedulers, where the settings say so.
+    origins
+        Where streams began, as boxes tell it and as it placed them.
     founder
         Hub that is to found the replicated group; empty if none is named.
     changed
@@ -60,6 +65,7 @@
     connected_boxes: ConnectedBoxes
     quarantine: Quarantine
     evacuations: Evacuations
+    origins: StreamOrigins
     agreement: SchedulerAgreement | None = None
     founder: Address = Address('')
     changed: Signal = field(default_factory=Signal)
@@ -80,6 +86,7 @@
         connected_boxes=connected_boxes,
         quarantine=Quarantine(boot_seconds, changed),
         evacuations=Evacuations(domain_closer(registry, documents), changed),
+        origins=StreamOrigins(boot_seconds),
         agreement=(
             SchedulerAgreement(connected_boxes, boot_seconds, settings.mechanisms)
             if settings.scheduler_agreement
@@ -145,6 +152,10 @@
                 state.registry.suspect(incarnation)
         for record in frame.suspicions:
             state.registry.merge_suspicion(decode_suspicion(record))
+        for key, origin in decode_origins(frame.origins).items():
+            state.origins.remember(key, origin)
+        wanted = (StreamKey(int(key)) for key in frame.wanted_origins)
+        connected_box.wanted_origins.extend(wanted)
 
     async def _send(self, connected_box: ConnectedBox, stream: BoxStream) -> None:
         sent = _Sent()
@@ -208,6 +219,8 @@
                 encode_upstream(one, left(one.name)) for one in fresh
             )
         _add_verdicts(frame, sent, state.quarantine)
+        if connected_box.wanted_origins:
+            _add_origins(frame, connected_box, state.origins)
         self._add_hubs(frame, sent)
         state.connected_boxes.add_relief_targets(frame, connected_box)
         if state.agreement is not None:
@@ -231,6 +244,18 @@
         frame.quarantine.CopyFrom(encode_update(update, quarantine.now()))
 
 
+def _add_origins(
+    frame: HubFrame, connected_box: ConnectedBox, origins: StreamOrigins
+) -> None:
+    """Answer which streams began where, and which of them this hub does not know."""
+    wanted, connected_box.wanted_origins = connected_box.wanted_origins, []
+    found = {key: origins.find(key) for key in wanted}
+    frame.origins.extend(
+        encode_origins((key, one) for key, one in found.items() if one is not None)
+    )
+    frame.unknown_origins.extend(key for key, one in found.items() if one is None)
+
+
 def _add_reports(
     frame: HubFrame, connected_box: ConnectedBox, connected_boxes: ConnectedBoxes
 ) -> None:
--- a/packages/edge/src/hitchdeck_edge/links/entry.py
+++ b/packages/edge/src/hitchdeck_edge/links/entry.py
@@ -16,11 +16,13 @@
     box_send_interval,
 )
 from hitchdeck_edge.links.known_hubs import KnownHubs
+from hitchdeck_edge.links.origin_messages import decode_origins, encode_origins
 from hitchdeck_edge.links.records import encode_suspicion
 from hitchdeck_edge.links.scheduler_exclusions import (
     decode_exclusions,
     encode_exclusions,
 )
+from hitchdeck_edge.model.stream_origins import StreamKey
 from hitchdeck_edge.settings import EntrySettings
 from hitchdeck_edge.state.fleet_state import FleetState
 from hitchdeck_edge.state.headroom import capacity_percent
@@ -47,6 +49,8 @@
         Sends the next frames at once when notified.
     sent_positions
         Position in the quarantine's updates up to which each hub has been sent them.
+    sent_origins
+        Number of this box's origins of streams that each hub has been sent.
     sent_changes
         Change number of the registry up to which each hub has been sent suspicions.
     report_hub
@@ -69,6 +73,7 @@
         self.ready = False
         self.wake = known.quarantine.changed
         self.sent_positions: dict[Address, SyncPosition] = {}
+        self.sent_origins: dict[Address, int] = {}
         self.sent_changes: dict[Address, int] = {}
         self.incarnation = secrets.token_hex(4)
         self.report_hub: Address | None = None
@@ -93,6 +98,7 @@
                 )
             return frame
 
+        self.known.origins.hubs = lambda: known_hubs.reachable
         if self.settings.scheduler_agreement:
             # Hubs hear of a repeated loss at once, so that all boxes move together.
             known_hubs.excluded = self.wake
@@ -119,14 +125,17 @@
             frame.hello.CopyFrom(self._hello())
             self.sent_positions.pop(hub, None)
             self.sent_changes.pop(hub, None)
+            self.sent_origins.pop(hub, None)
         if is_report_hub:
             self._add_report(frame)
         self._add_quarantine(hub, frame)
         self._add_suspicions(hub, frame)
+        self._add_origins(hub, frame)
         return frame
 
     def on_loss(self, hub: Address) -> None:
         """Handle the loss of a hub: the last totals are used until they expire."""
+        self.known.origins.forget_hub(hub)
         if hub == self.report_hub:
             self.report_hub = None
         self._expire_digest()
@@ -143,6 +152,9 @@
         known = self.known
         apply_hub_frame(hub, frame, known)
         self.targets.offer(frame.relief, frame.relief_headroom_percent)
+        if frame.origins or frame.unknown_origins:
+            unknown = (StreamKey(int(key)) for key in frame.unknown_origins)
+            known.origins.apply(hub, decode_origins(frame.origins), unknown)
         if not is_report_hub:
             return
         self.report_hub = hub
@@ -203,6 +215,14 @@
         fresh = registry.suspicions_since(last_change)
         frame.suspicions.extend(encode_suspicion(one) for one in fresh)
 
+    def _add_origins(self, hub: Address, frame: BoxFrame) -> None:
+        """Add the streams that began since the last frame, and those to look up."""
+        lookup = self.known.origins
+        sent = self.sent_origins.get(hub, 0)
+        fresh, self.sent_origins[hub] = lookup.origins.own_since(sent)
+        frame.origins.extend(encode_origins(fresh))
+        frame.wanted_origins.extend(lookup.take_wanted(hub))
+
     def _add_report(self, frame: BoxFrame) -> None:
         frame.loads.extend(self.known.open_work.own.loads())
         frame.demands.extend(self.known.scheduler.shares.demands())
--- a/packages/edge/src/hitchdeck_edge/links/placing.py
+++ b/packages/edge/src/hitchdeck_edge/links/placing.py
@@ -30,6 +30,8 @@
 )
 from hitchdeck_edge.links.service_exchange import ServiceExchange
 from hitchdeck_edge.model.placing import PlacementDecision, PlacementQuery
+from hitchdeck_edge.model.stream_origins import NO_STREAM, StreamKey
+from hitchdeck_edge.model.upstreams import Upstream
 from hitchdeck_edge.scheduling.shares import Shares
 from hitchdeck_edge.state.registry import Registry
 
@@ -177,16 +179,22 @@
             self._count_unanswered(ticket)
             return None
         self.unanswered = 0
-        return self._decision(answer.placed)
+        return self._decision(answer.placed, query)
 
-    def track(self, ticket: int, upstream: UpstreamName, unread: int) -> int:
+    def track(
+        self,
+        ticket: int,
+        upstream: UpstreamName,
+        unread: int,
+        stream: StreamKey = NO_STREAM,
+    ) -> int:
         """Record a request that is being sent; return its ticket.
 
         A request that this box placed by itself gets a ticket too, and is reported to
         the scheduler.
         """
         number = ticket or self._new_ticket()
-        work = OpenWork(id=number, upstream=upstream, unread=unread)
+        work = OpenWork(id=number, upstream=upstream, unread=unread, stream=stream)
         self.open[number] = work
         if not ticket:
             self._send_progress(PlacingFrame(open=[work]))
@@ -371,16 +379,26 @@
         self.unanswered += 1
         logs.info('scheduler silent', ticket=ticket, in_a_row=self.unanswered)
 
-    def _decision(self, placed: Placed) -> PlacementDecision | None:
+    def _decision(
+        self, placed: Placed, query: PlacementQuery
+    ) -> PlacementDecision | None:
         refusal = decode_refusal(placed)
         if refusal is not None:
             return refusal
         upstream = self.registry.records.get(UpstreamName(placed.upstream))
-        if upstream is None or not self.registry.takes_work(upstream):
+        if upstream is None or not self._may_get(upstream, query):
             # The scheduler chose an upstream that this box does not know, or that may
-            # not get requests according to this box's state.
+            # not get the request according to this box's state.
             self._send_ended(placed.id)
             return None
         # ``None`` if the scheduler named none, or one that this box does not know.
         source = self.registry.records.get(UpstreamName(placed.cache_source))
         return decode_choice(placed, upstream, source)
+
+    def _may_get(self, upstream: Upstream, query: PlacementQuery) -> bool:
+        """Tell whether an upstream may get a request.
+
+        Schedulers of earlier builds choose engines of any software version.
+        """
+        fits = not query.software or upstream.software == query.software
+        return fits and self.registry.takes_work(upstream)
--- a/packages/edge/src/hitchdeck_edge/links/placing_messages.py
+++ b/packages/edge/src/hitchdeck_edge/links/placing_messages.py
@@ -2,7 +2,13 @@
 
 from types import MappingProxyType
 
-from hitchdeck_core.ids import AccountName, PoolName, RequestId, UpstreamName
+from hitchdeck_core.ids import (
+    AccountName,
+    PoolName,
+    RequestId,
+    SoftwareVersion,
+    UpstreamName,
+)
 from hitchdeck_core.wire.spread_pb2 import Decision, Placed, PromptPart
 from hitchdeck_core.wire.spread_pb2 import Wanted as WantedMessage
 from hitchdeck_edge.model.calls import Part, PartId, Prompt
@@ -40,6 +46,7 @@
         request=query.request,
         longest_wait_ms=int(query.longest_wait * _MILLISECONDS),
         priority=query.priority,
+        software=query.software,
     )
     if query.prompt is not None:
         message.tokens = query.prompt.tokens
@@ -69,6 +76,7 @@
         body_bytes=int(message.body_bytes),
         priority=int(message.priority),
         longest_wait=message.longest_wait_ms / _MILLISECONDS,
+        software=SoftwareVersion(message.software),
     )
 
 
--- a/packages/edge/src/hitchdeck_edge/model/placing.py
+++ b/packages/edge/src/hitchdeck_edge/model/placing.py
@@ -1,6 +1,12 @@
 """Placement queries and their results."""
 
-from hitchdeck_core.ids import AccountName, PoolName, RequestId, UpstreamName
+from hitchdeck_core.ids import (
+    AccountName,
+    PoolName,
+    RequestId,
+    SoftwareVersion,
+    UpstreamName,
+)
 from hitchdeck_core.lazy_dataclasses import dataclass
 from hitchdeck_edge.model.calls import Prompt
 from hitchdeck_edge.model.refusals import Refusal, Refused
@@ -45,6 +51,8 @@
         Whether it is a retry of a refused request.
     may_move
         Whether a cached part may be taken from another engine.
+    software
+        Software version of the upstreams that may get the request; any if empty.
     """
 
     request: RequestId
@@ -65,6 +73,7 @@
     repeatable: bool = False
     returned: bool = False
     may_move: bool = True
+    software: SoftwareVersion = SoftwareVersion('')
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/edge/src/hitchdeck_edge/model/refusals.py
+++ b/packages/edge/src/hitchdeck_edge/model/refusals.py
@@ -73,6 +73,16 @@
         QUARANTINE_RETRY_SECONDS,
         'upstreams ended under this request',
     )
+    version_gone = Reply(
+        UNAVAILABLE,
+        STATE_RETRY_SECONDS,
+        'no upstream of the software version that began the stream',
+    )
+    version_unknown = Reply(
+        UNAVAILABLE,
+        STATE_RETRY_SECONDS,
+        'software version that began the stream is unknown',
+    )
     stopping = Reply(UNAVAILABLE, OTHER_BOX_RETRY_SECONDS, 'stopping')
     no_time_here = Reply(
         UNAVAILABLE, OTHER_BOX_RETRY_SECONDS, 'this box has no time left'
--- a/packages/edge/src/hitchdeck_edge/model/request_context.py
+++ b/packages/edge/src/hitchdeck_edge/model/request_context.py
@@ -2,12 +2,18 @@
 
 from dataclasses import field
 
-from hitchdeck_core.ids import AccountName, UpstreamName
+from hitchdeck_core.ids import AccountName, SoftwareVersion, UpstreamName
 from hitchdeck_core.lazy_dataclasses import dataclass
 from hitchdeck_core.quarantine.fingerprints import Fingerprint, fingerprint_of
 from hitchdeck_edge.model.calls import Call
 from hitchdeck_edge.model.document import DocumentVersion, Pool, RepeatPolicy, Route
 from hitchdeck_edge.model.placing import PlacementQuery
+from hitchdeck_edge.model.stream_origins import (
+    NO_STREAM,
+    StreamKey,
+    StreamOrigin,
+    stream_key,
+)
 
 THIS_BOX = 'this box'
 """Value of ``decided_by`` for requests that were placed locally."""
@@ -40,6 +46,11 @@
         Urgency by its account or route; 0 is the most urgent.
     retry_after
         Seconds after which it can be served, if it was refused and they were predicted.
+    origin
+        Where the stream that it continues began: set by its first event, or from the
+        start if the caller resumes a stream.
+    stream
+        Key of that stream, which is a new one unless the caller resumes one.
     fingerprint
         Digest of account and content; equal for every retry, whatever the request's id.
     """
@@ -60,11 +71,16 @@
     areas: frozenset[str] = frozenset()
     priority: int = 0
     retry_after: float = 0.0
+    origin: StreamOrigin | None = None
+    stream: StreamKey = field(init=False)
     fingerprint: Fingerprint = field(init=False)
 
     def __post_init__(self) -> None:
-        """Compute the fingerprint of the request."""
+        """Compute the fingerprint of the request, and the key of its stream."""
         call = self.call
+        self.stream = NO_STREAM
+        if self.route.resumable:
+            self.stream = stream_key(self.account, call.resumed or call.request)
         self.fingerprint = fingerprint_of(
             call.method,
             call.host.encode(),
@@ -84,13 +100,19 @@
             account=self.account,
             prompt=self.call.prompt,
             tried=frozenset(self.tried),
-            resumes=bool(self.sent or self.last_event),
+            resumes=bool(self.sent or self.last_event or self.origin),
             areas=self.areas,
             body_bytes=len(self.body),
             priority=self.priority,
             repeatable=self.repeatable,
+            software=self.software,
         )
 
+    @property
+    def software(self) -> SoftwareVersion:
+        """Return the version at which its stream must go on; empty if it is new."""
+        return self.origin.software if self.origin else SoftwareVersion('')
+
     @property
     def repeatable(self) -> bool:
         """Tell whether the request may be retried after it may have run."""
--- a/packages/edge/src/hitchdeck_edge/scheduling/chooser.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/chooser.py
@@ -4,7 +4,6 @@
 from dataclasses import replace
 
 from hitchdeck_core.backpressure import Backpressure
-from hitchdeck_core.ids import PoolName
 from hitchdeck_edge.links.placing import PlacingLink
 from hitchdeck_edge.model.placing import (
     Choice,
@@ -69,20 +68,39 @@
         """Release a choice that is not used, so that it no longer counts as load."""
         self.link.release(choice.ticket)
 
-    def backoff_left(self, pool: PoolName) -> float:
-        """Return the seconds until some upstream of a pool accepts requests again."""
-        serving = self.local.placement.registry.serving(pool)
-        return self.backpressure.seconds_until_accepting(one.name for one in serving)
+    def backoff_left(self, context: RequestContext) -> float:
+        """Return the seconds until some upstream accepts a request again."""
+        serving = self.local.placement.registry.serving(context.pool.name)
+        return self.backpressure.seconds_until_accepting(
+            one.name for one in serving if context.software in {'', one.software}
+        )
 
     async def choose(self, context: RequestContext) -> Choice | Refusal:
         """Return the upstream to send a request to, or the reason for refusing it."""
+        found = await self._choose(context)
+        if found is Refusal.no_upstream and context.software:
+            return Refusal.version_gone
+        return found
+
+    def expected_service_seconds(self, context: RequestContext) -> float | None:
+        """Return the expected time of a call at a plain service that it has not tried.
+
+        ``None`` if no such one responds.
+        """
+        closed = frozenset(self.backpressure.blocked())
+        query = replace(context.placement_query(self.domain), avoid=closed)
+        placement = self.local.placement
+        others = placement.services.responding(placement.candidates(query))
+        return min(map(placement.services.seconds, others), default=None)
+
+    async def _choose(self, context: RequestContext) -> Choice | Refusal:
         context.retry_after = 0
         query = context.placement_query(self.domain)
         closed = self.backpressure.blocked()
         if closed:
             query = replace(query, avoid=frozenset(closed))
-            if not self.local.placement.eligible(query):
-                return Refusal.no_upstream
+        if (closed or query.software) and not self.local.placement.eligible(query):
+            return Refusal.no_upstream
         if not query.slots or query.prompt is None:
             return await self._choose_service(query, context)
         if self._exceeds_memory(context):
@@ -105,17 +123,6 @@
             self.local.shares.grant(query)
         return _unpacked(decision, context)
 
-    def expected_service_seconds(self, context: RequestContext) -> float | None:
-        """Return the expected time of a call at a plain service that it has not tried.
-
-        ``None`` if no such one responds.
-        """
-        closed = frozenset(self.backpressure.blocked())
-        query = replace(context.placement_query(self.domain), avoid=closed)
-        placement = self.local.placement
-        others = placement.services.responding(placement.candidates(query))
-        return min(map(placement.services.seconds, others), default=None)
-
     async def _decide_alone(
         self,
         query: PlacementQuery,
--- a/packages/edge/src/hitchdeck_edge/scheduling/placement.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/placement.py
@@ -115,6 +115,8 @@
     def eligible(self, query: PlacementQuery) -> list[Upstream]:
         """Return the serving upstreams that a request may use and has not tried."""
         serving = self.registry.serving(query.pool)
+        if query.software:
+            serving = [one for one in serving if one.software == query.software]
         if query.tried or query.avoid:
             passed_over = query.tried | query.avoid
             serving = [one for one in serving if one.name not in passed_over]
--- a/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
@@ -17,6 +17,7 @@
 from hitchdeck_edge.model.mechanisms import ALL_MECHANISMS, Mechanisms
 from hitchdeck_edge.model.placing import Choice, PlacementQuery
 from hitchdeck_edge.model.refusals import Refusal
+from hitchdeck_edge.model.stream_origins import StreamKey, StreamOrigin, stream_key
 from hitchdeck_edge.scheduling.engine_order import EngineOrder
 from hitchdeck_edge.scheduling.open_work import OpenWorkEntry, OpenWorkTable
 from hitchdeck_edge.scheduling.placement import (
@@ -33,6 +34,7 @@
 from hitchdeck_edge.settings import BoxSettings
 from hitchdeck_edge.state.documents import Documents
 from hitchdeck_edge.state.registry import Registry
+from hitchdeck_edge.state.stream_origins import StreamOrigins
 
 CLEANUP_SECONDS = 2.0
 """Interval between removals of upstreams that are gone; only memory depends on it."""
@@ -85,6 +87,8 @@
     ----------
     open
         Open requests, by box and ticket.
+    origins
+        Where it placed streams; ``None`` in a box, which records what it serves.
     refused_beside_room
         Numbers of requests that were refused while their engines had room, by cause.
     """
@@ -99,6 +103,7 @@
         areas: Areas = NO_AREAS,
     ) -> None:
         self.documents = documents
+        self.origins: StreamOrigins | None = None
         self.shares = shares
         self.mechanisms = mechanisms
         self.placement = Placement(
@@ -158,6 +163,7 @@
         found = self.attempt(query)
         if isinstance(found, Choice):
             source = found.source.name if found.source else None
+            self._record_origin(query, found)
             self.add_open(key, found.upstream.name, found.tokens, query, source)
             if query.prompt is not None:
                 self.placement.prefix_cache.record_prompt(
@@ -265,6 +271,19 @@
             self.placement.forget_gone()
             await asyncio.sleep(CLEANUP_SECONDS)
 
+    def record_sent(self, stream: StreamKey, upstream: UpstreamName) -> None:
+        """Record where a stream begins that its box placed by itself."""
+        record = self.placement.registry.records.get(upstream)
+        if self.origins is not None and record is not None:
+            origin = StreamOrigin(record.pool, record.software)
+            self.origins.remember(stream, origin)
+
+    def _record_origin(self, query: PlacementQuery, choice: Choice) -> None:
+        """Record where a stream begins, as its box may be lost right after that."""
+        if self.origins is not None:
+            origin = StreamOrigin(query.pool, choice.upstream.software)
+            self.origins.remember(stream_key(query.account, query.request), origin)
+
     def _has_room(self, query: PlacementQuery) -> bool:
         if not query.slots:
             return False
--- a/packages/edge/src/hitchdeck_edge/scheduling/waiting.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/waiting.py
@@ -329,7 +329,8 @@
 def _group(entry: WaitingRequest) -> Hashable:
     """Return what requests have in common of which none, or the first, is placed."""
     query = entry.query
-    return query.pool, query.account, query.avoid, query.tried, query.areas
+    reach = query.avoid, query.tried, query.areas, query.software
+    return query.pool, query.account, *reach
 
 
 def _rank(entry: WaitingRequest, excess: float) -> tuple[float, int, float, int]:
--- a/packages/edge/src/hitchdeck_edge/serving/admission.py
+++ b/packages/edge/src/hitchdeck_edge/serving/admission.py
@@ -16,6 +16,7 @@
 from hitchdeck_edge.model.document import Route, common_areas, urgency
 from hitchdeck_edge.model.refusals import Refusal
 from hitchdeck_edge.model.request_context import RequestContext
+from hitchdeck_edge.model.stream_origins import stream_key
 from hitchdeck_edge.serving.budgets import Budgets
 from hitchdeck_edge.serving.caller import CallerConnection
 from hitchdeck_edge.serving.caller_http import Service
@@ -59,6 +60,7 @@
         self.budgets = budgets or Budgets()
         self.adapter = adapter
         self.documents = fleet_state.documents
+        self.origins = fleet_state.origins
         self.dispatcher = dispatcher
         self.graceful_stop = graceful_stop
         self.now = now
@@ -190,6 +192,8 @@
     ) -> None:
         await self._wait_for_document(call, arrived)
         decision = self._admit(call, incoming.body, arrived)
+        if isinstance(decision, RequestContext):
+            decision = await self._find_origin(decision) or decision
         if isinstance(decision, Refusal):
             send_refusal(self.adapter, call.request, caller, decision)
             self._record_end(call.request, caller, decision.name, arrived, call)
@@ -250,6 +254,39 @@
             priority=urgency(route, account),
         )
 
+    async def _find_origin(self, context: RequestContext) -> Refusal | None:
+        """Find the upstreams at which a stream may go on that the caller resumes.
+
+        Returns
+        -------
+        Refusal or None
+            Why it can't go on; ``None`` if it may, or if the request resumes none.
+        """
+        call = context.call
+        if not (context.route.streams and (call.last_event or call.resumed)):
+            return None
+        origin = None
+        if call.resumed:
+            origin = await self.origins.find(stream_key(context.account, call.resumed))
+        logs.info(
+            'stream resumed',
+            request=call.request,
+            resumed=call.resumed,
+            last_event=call.last_event,
+            pool=origin.pool if origin else '',
+            software=origin.software if origin else '',
+            seconds=round(self.now() - context.arrived, 3),
+        )
+        if origin is None:
+            return Refusal.version_unknown
+        document = self.documents.document
+        routed = origin.pool in {target.pool for target in context.route.targets}
+        if document is None or not routed or origin.pool not in document.pools:
+            return Refusal.version_gone
+        context.origin = origin
+        context.pool = document.pools[origin.pool]
+        return None
+
     def _would_outlast_stop(self, route: Route) -> bool:
         longest = min(self.metrics.longest_seconds(route.name), route.time_limit)
         return self.graceful_stop.should_refuse(longest, streams=route.streams)
--- a/packages/edge/src/hitchdeck_edge/state/fleet_state.py
+++ b/packages/edge/src/hitchdeck_edge/state/fleet_state.py
@@ -10,7 +10,9 @@
 from hitchdeck_edge.settings import EntrySettings
 from hitchdeck_edge.state.documents import Documents
 from hitchdeck_edge.state.evacuations import Evacuations, domain_closer
+from hitchdeck_edge.state.origin_lookup import OriginLookup
 from hitchdeck_edge.state.registry import Registry
+from hitchdeck_edge.state.stream_origins import StreamOrigins
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,6 +31,8 @@
         Requests that must not be sent to any upstream.
     evacuations
         Failure domains that get no new work.
+    origins
+        Where streams began.
     """
 
     documents: Documents
@@ -37,6 +41,7 @@
     scheduler: Scheduler
     quarantine: Quarantine
     evacuations: Evacuations
+    origins: OriginLookup
 
 
 def new_fleet_state(settings: EntrySettings, adapter: PlatformAdapter) -> FleetState:
@@ -48,6 +53,7 @@
     quarantine = Quarantine(boot_seconds, Signal())
     open_work = scheduler.placement.open_work
     evacuations = Evacuations(domain_closer(registry, documents), changed)
+    origins = OriginLookup(StreamOrigins(boot_seconds), quarantine.changed)
     return FleetState(
-        documents, registry, open_work, scheduler, quarantine, evacuations
+        documents, registry, open_work, scheduler, quarantine, evacuations, origins
     )
--- /dev/null
+++ b/packages/edge/src/hitchdeck_edge/state/stream_origins.py
@@ -0,0 +1,88 @@
+"""Which software version began each recent stream.
+
+It is soft state in two generations.  Records of streams that are still open are
+renewed, so that a stream may last longer than a record.
+"""
+
+from hitchdeck_core.clock import Clock
+from hitchdeck_edge.model.stream_origins import NO_STREAM, StreamKey, StreamOrigin
+
+GENERATION_SECONDS = 30.0
+"""A record is kept for one to two generations after its last renewal.  Callers resume a
+stream within the time for which they wait for it, some 15 s."""
+
+MAX_GENERATION_RECORDS = 50_000
+"""Maximum number of records in a generation, which bounds memory to some 10 MB."""
+
+OwnRecord = tuple[StreamKey, StreamOrigin]
+
+
+class StreamOrigins:
+    """Origins of recent streams.
+
+    Attributes
+    ----------
+    recent, older
+        Records of the current generation and of the one before.
+    open
+        Streams that this process is serving.
+    own
+        Records of streams that this process serves or served, oldest first, as long as
+        they are kept.
+    own_count
+        Number of such records so far, with those that were dropped.
+    """
+
+    def __init__(self, now: Clock) -> None:
+        self.now = now
+        self.recent: dict[StreamKey, StreamOrigin] = {}
+        self.older: dict[StreamKey, StreamOrigin] = {}
+        self.open: dict[StreamKey, StreamOrigin] = {}
+        self.own: list[OwnRecord] = []
+        self.own_count = 0
+        self.own_older = 0
+        self.began_at = now()
+
+    def find(self, key: StreamKey) -> StreamOrigin | None:
+        """Return the origin of a stream, if it is known."""
+        self._drop_expired()
+        return self.recent.get(key) or self.older.get(key)
+
+    def remember(self, key: StreamKey, origin: StreamOrigin) -> None:
+        """Record where a stream began, unless its version or its key is unknown."""
+        self._drop_expired()
+        if origin.software and key != NO_STREAM:
+            self.recent[key] = origin
+
+    def begin(self, key: StreamKey, origin: StreamOrigin) -> None:
+        """Record the first event of a stream that this process serves."""
+        self.remember(key, origin)
+        if origin.software and key != NO_STREAM:
+            self.open[key] = origin
+            self._add_own(key, origin)
+
+    def end(self, key: StreamKey) -> None:
+        """Record that this process no longer serves a stream; its record is kept."""
+        self.open.pop(key, None)
+
+    def own_since(self, count: int) -> tuple[list[OwnRecord], int]:
+        """Return this process's records after the first ``count``, and their number."""
+        self._drop_expired()
+        dropped = self.own_count - len(self.own)
+        return self.own[max(0, count - dropped) :], self.own_count
+
+    def _add_own(self, key: StreamKey, origin: StreamOrigin) -> None:
+        self.own.append((key, origin))
+        self.own_count += 1
+
+    def _drop_expired(self) -> None:
+        """Begin a new generation if the current one is over or full."""
+        ended = self.now() - self.began_at > GENERATION_SECONDS
+        if not ended and len(self.recent) < MAX_GENERATION_RECORDS:
+            return
+        self.began_at = self.now()
+        self.older, self.recent = self.recent, dict(self.open)
+        self.own = self.own[self.own_older :]
+        self.own_older = len(self.own)
+        for key, origin in self.open.items():
+            self._add_own(key, origin)
--- a/tests/edge/test_alone.py
+++ b/tests/edge/test_alone.py
@@ -14,7 +14,9 @@
 from hitchdeck_edge.state.documents import Documents
 from hitchdeck_edge.state.evacuations import Evacuations
 from hitchdeck_edge.state.fleet_state import FleetState
+from hitchdeck_edge.state.origin_lookup import OriginLookup
 from hitchdeck_edge.state.relief import ReliefTargets
+from hitchdeck_edge.state.stream_origins import StreamOrigins
 from hitchdeck_platform.documents import read_document
 from tests.common.scheduling import FakeClock, scheduler_of
 
@@ -35,6 +37,7 @@
         scheduler,
         Quarantine(clock, Signal()),
         Evacuations(lambda _domains: None, Signal()),
+        OriginLookup(StreamOrigins(clock), Signal()),
     )
     settings = EntrySettings(
         box='box',
--- a/tests/edge/test_part_moves.py
+++ b/tests/edge/test_part_moves.py
@@ -420,7 +420,8 @@
     message = encode_decision(3, Choice(engine('e0'), 10, 0, source=source))
     hubs = KnownHubs(BoxName('box'), 'a', [], clock)
     link = PlacingLink('box', hubs, registry, 'token', Shares(4, clock))
-    choice = link._decision(Placed.FromString(message.SerializeToString()))
+    placed = Placed.FromString(message.SerializeToString())
+    choice = link._decision(placed, wanted())
     assert isinstance(choice, Choice)
     assert (choice.source.name if choice.source else None) == used
 
--- a/tests/edge/test_software_versions.py
+++ b/tests/edge/test_software_versions.py
@@ -214,10 +214,10 @@
 async def test_a_box_that_is_gone_leaves_the_version_known(site: Site) -> None:
     # Callers take most streams up because their box is gone.
     await begin(site, 'r0')
-    await site.boxes[0].stop()
+    await site.boxes.pop(0).stop()
     other = await start_engine(site, 'e3', 'v2')
     received, _ = await ask(
-        site.boxes[1], 'r1', Resumes='r0', Last_Event_Id=str(CUT_AT)
+        site.boxes[0], 'r1', Resumes='r0', Last_Event_Id=str(CUT_AT)
     )
     assert received.succeeded
     assert not other.ran
