Continue a completion only at the software version that began it

An upstream states its version in the label 'software'; a completion that has begun goes on at upstreams of that version only, and ends at once with an error if none serves. A version that is not stated is not the same as any other, so that operators have to state it for completions to be continued.

--- a/packages/core/src/hitchdeck_core/resources.py
+++ b/packages/core/src/hitchdeck_core/resources.py
@@ -14,7 +14,7 @@
 
 from hitchdeck_core.errors import ResourceError
 from hitchdeck_core.field_types import AddressText, Name
-from hitchdeck_core.ids import AccountName, PoolName, UpstreamName
+from hitchdeck_core.ids import AccountName, PoolName, SoftwareVersion, UpstreamName
 from hitchdeck_core.labels import check_labels, check_selector
 
 
@@ -116,6 +116,10 @@
     repeatable: bool = True
 
 
+SOFTWARE_LABEL = 'software'
+"""Label of an upstream with the version of its software."""
+
+
 class Upstream(Definition):
     """One back end: a model engine or a plain service."""
 
@@ -124,6 +128,11 @@
     slots: int = Field(default=8, ge=1, le=4096)
     checks_fences: bool = False
 
+    @property
+    def software(self) -> SoftwareVersion:
+        """Return the version of its software; empty if its labels state none."""
+        return SoftwareVersion(self.labels.get(SOFTWARE_LABEL, ''))
+
 
 class Session(Definition):
     """A long-lived conversation of an account in a pool."""
--- a/packages/router/src/hitchdeck_router/dispatch/attempts.py
+++ b/packages/router/src/hitchdeck_router/dispatch/attempts.py
@@ -1,7 +1,7 @@
 """Slots, idempotency claims and retries around calls to upstreams."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Set
 from dataclasses import dataclass
 
 from hitchdeck_core import logs
@@ -108,10 +108,11 @@
     progress: Progress,
 ) -> Slot:
     now = context.fleet.now()
-    ticket = admitted.ticket(now, context.backpressure.blocked())
     try:
+        _check_version_served(context, admitted)
         check_not_quarantined(context, admitted)
         check_pool_accepting(context, admitted.pool)
+        ticket = admitted.ticket(now, _to_avoid(context, admitted))
         grant = await context.finder.acquire(admitted.pool, ticket)
     except NotRunError as error:
         if progress.sent:
@@ -131,6 +132,39 @@
     return grant
 
 
+def _to_avoid(context: RouterContext, admitted: AdmittedRequest) -> Set[UpstreamName]:
+    """Return the upstreams in backoff, and those of versions that don't fit."""
+    blocked = context.backpressure.blocked()
+    if admitted.software is None:
+        return blocked
+    view = context.fleet.view
+    return blocked | view.other_versions(admitted.pool, admitted.software)
+
+
+def _check_version_served(context: RouterContext, admitted: AdmittedRequest) -> None:
+    """Raise ``NotRunError`` if a response that has begun can go on nowhere.
+
+    A scheduler ignores what to avoid if that is every upstream.  So those of the
+    version that failed are no longer avoided once all of them have.
+    """
+    if admitted.software is None:
+        return
+    serving = {
+        UpstreamName(one.name)
+        for one in context.fleet.view.in_service(admitted.pool)
+        if one.software == admitted.software
+    }
+    if not serving:
+        raise NotRunError(
+            _UNAVAILABLE,
+            'version-gone',
+            f'no upstream of software version {admitted.software!r}',
+            _RETRY_AFTER_SECONDS,
+        )
+    if serving <= admitted.avoid:
+        admitted.avoid -= serving
+
+
 async def _run_granted(
     context: RouterContext,
     admitted: AdmittedRequest,
@@ -208,7 +242,10 @@
     if not view.may_dispatch(admitted.pool, name):
         raise GrantLostError(f'{name} is leaving or gone')
     check_accepting(context, name)
-    return view.upstreams[name]
+    upstream = view.upstreams[name]
+    if admitted.software not in {None, upstream.software}:
+        raise GrantLostError(f'{name} has another software version')
+    return upstream
 
 
 def _record_lost_grant(progress: Progress, error: GrantLostError) -> None:
@@ -261,7 +298,9 @@
         reason=str(error),
     )
     attempts_exhausted = progress.failures >= context.settings.attempts
-    may_repeat = progress.repeatable or not progress.sent
+    # An unknown version is not the same as any other.
+    may_go_on = admitted.software is None or bool(admitted.software)
+    may_repeat = may_go_on and (progress.repeatable or not progress.sent)
     if may_repeat and not attempts_exhausted and context.budget.try_spend():
         return
     if progress.sent:
--- a/packages/router/src/hitchdeck_router/dispatch/chat.py
+++ b/packages/router/src/hitchdeck_router/dispatch/chat.py
@@ -127,6 +127,8 @@
             await _read_stream(context, admitted, response, grant, call, deliver)
         finally:
             call.close()
+            if response.text and admitted.software is None:
+                admitted.software = upstream.software
 
     await run_attempts(context, admitted, progress, run_once)
     return response
--- a/packages/router/src/hitchdeck_router/dispatch/requests.py
+++ b/packages/router/src/hitchdeck_router/dispatch/requests.py
@@ -7,7 +7,13 @@
 from typing import Any
 
 from hitchdeck_core.hashing import stable_hash
-from hitchdeck_core.ids import AccountName, PoolName, RequestId, UpstreamName
+from hitchdeck_core.ids import (
+    AccountName,
+    PoolName,
+    RequestId,
+    SoftwareVersion,
+    UpstreamName,
+)
 from hitchdeck_core.quarantine.fingerprints import Fingerprint, fingerprint_of
 from hitchdeck_core.resources import Urgency
 from hitchdeck_core.wire.hitchdeck_pb2 import Ticket
@@ -36,6 +42,9 @@
         Hashes of growing prefixes of the prompt, the shortest first.
     upstream
         Upstream to which it was sent last, for the log.
+    software
+        Software version that began its response, at which it must go on; ``None``
+        until it has begun.
     has_disconnected
         Returns whether the caller has closed the connection, from its socket.
     target
@@ -57,6 +66,7 @@
     admitted_at: float = 0.0
     avoid: set[UpstreamName] = field(default_factory=set)
     upstream: str = ''
+    software: SoftwareVersion | None = None
     has_disconnected: Callable[[], bool] = bool
     target: str = ''
     fingerprint: Fingerprint = field(init=False)
--- a/packages/router/src/hitchdeck_router/fleet/view.py
+++ b/packages/router/src/hitchdeck_router/fleet/view.py
@@ -7,7 +7,13 @@
 
 from collections.abc import Iterable
 
-from hitchdeck_core.ids import AccountName, PoolName, SessionName, UpstreamName
+from hitchdeck_core.ids import (
+    AccountName,
+    PoolName,
+    SessionName,
+    SoftwareVersion,
+    UpstreamName,
+)
 from hitchdeck_core.labels import check_selector
 from hitchdeck_core.resources import (
     Account,
@@ -96,6 +102,16 @@
             upstream,
         )
 
+    def other_versions(
+        self, pool: PoolName, software: SoftwareVersion
+    ) -> set[UpstreamName]:
+        """Return the upstreams of a pool whose software version is another one."""
+        return {
+            name
+            for name in self.members.get(pool, ())
+            if self.upstreams[name].software != software
+        }
+
     def reachable_pools(self, account: AccountName) -> tuple[PoolName, ...]:
         """Return the pools that access rules allow an account to use."""
         if account not in self.pools_by_account:
--- a/tests/common/callers.py
+++ b/tests/common/callers.py
@@ -3,7 +3,9 @@
 import asyncio
 import json
 import time
+from collections.abc import Sequence
 from dataclasses import dataclass
+from itertools import cycle
 from pathlib import Path
 
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
@@ -29,9 +31,13 @@
     retry_after: str = ''
 
 
-def write_resources(fleet: Fleet) -> Path:
-    """Write the resource file that the tests apply; return its path."""
+def write_resources(fleet: Fleet, versions: Sequence[str] = ('1',)) -> Path:
+    """Write the resource file that the tests apply; return its path.
+
+    ``versions`` are the software versions of the engines, in turn; empty for none.
+    """
     lines = []
+    of_engines = cycle(versions)
     for name, key in KEYS.items():
         lines += ['[[account]]', f'name = "{name}"']
         lines += [f'key_hashes = ["{token_hash(key)}"]']
@@ -39,7 +45,10 @@
         for member in members:
             lines += ['[[upstream]]', f'name = "{member.name}"', 'slots = 4']
             lines += [f'address = "127.0.0.1:{member.port}"']
-            lines += [f'labels = {{kind = "{kind}"}}']
+            version = next(of_engines) if kind == 'engine' else ''
+            labels = f'kind = "{kind}"'
+            labels += f', software = "{version}"' if version else ''
+            lines += [f'labels = {{{labels}}}']
             lines += ['checks_fences = true'] if kind == 'engine' else []
     lines += ['[[pool]]', 'name = "chat"', 'model = "m"', 'upstreams = "kind=engine"']
     lines += ['queue_limit = 50']
