Resume streams of callers that do not name the request which began them

The origin of a stream is now also kept under the content of its request, which is the same for every retry; a content that began at several versions is unknown, and all hubs in reach are asked. Boxes send the keys with the query, so that a scheduler need not compute them.

--- a/packages/edge/src/hitchdeck_edge/dispatch/dispatcher.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/dispatcher.py
@@ -82,7 +82,7 @@
             active.response.time_out()
         finally:
             active.relay.close()
-            self.sender.origins.end(active.context.stream)
+            self.sender.origins.end(active.context.streams)
 
     def _spool(
         self, context: RequestContext, caller: CallerConnection
--- a/packages/edge/src/hitchdeck_edge/dispatch/sender.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/sender.py
@@ -162,7 +162,9 @@
         )
         number = 0
         if context.pool.engine is not None:
-            number = self.link.track(choice.ticket, name, choice.tokens, context.stream)
+            number = self.link.track(
+                choice.ticket, name, choice.tokens, context.streams
+            )
         attempt = Attempt(choice, self.now(), ticket, number, context.may_have_run)
         if self.watch is not None:
             attempt.watched = self.watch.open(context, choice)
@@ -304,7 +306,7 @@
         """Record the first event of a stream."""
         if context.origin is None:
             context.origin = StreamOrigin(context.pool.name, upstream.software)
-        self.origins.begin(context.stream, context.origin)
+        self.origins.begin(context.streams, context.origin)
 
     def _record_first_event(self, context: RequestContext, attempt: Attempt) -> None:
         self._record_origin(context, attempt.choice.upstream)
--- a/packages/edge/src/hitchdeck_edge/hub/placing.py
+++ b/packages/edge/src/hitchdeck_edge/hub/placing.py
@@ -13,7 +13,12 @@
 from hitchdeck_core.ids import AccountName, PoolName, UpstreamName
 from hitchdeck_core.loop_load import loop_lag
 from hitchdeck_core.wire.spread_grpc import PlacingBase
-from hitchdeck_core.wire.spread_pb2 import Placed, PlacedFrame, PlacingFrame
+from hitchdeck_core.wire.spread_pb2 import (
+    OpenWork,
+    Placed,
+    PlacedFrame,
+    PlacingFrame,
+)
 from hitchdeck_core.wire.spread_pb2 import Wanted as WantedMessage
 from hitchdeck_edge.hub.late_answers import LateAnswers
 from hitchdeck_edge.hub.spread import HubState
@@ -211,10 +216,7 @@
             account = AccountName(demand.account)
             self.scheduler.shares.count_elsewhere(account, int(demand.tokens))
         for work in frame.open:
-            key = (box.name, int(work.id))
-            upstream = UpstreamName(work.upstream)
-            self.scheduler.add_open(key, upstream, int(work.unread))
-            self.scheduler.record_sent(StreamKey(int(work.stream)), upstream)
+            self._apply_open(box, work)
         # After a suspension of this process, all times until first events are too long.
         on_time = loop_lag() <= MAX_LEARNING_LAG_SECONDS
         for started in frame.started:
@@ -228,6 +230,13 @@
             health = self.scheduler.placement.health
             health.record_failure(UpstreamName(failed), f'reported by {box.name}')
 
+    def _apply_open(self, box: _Box, work: OpenWork) -> None:
+        """Count a request that a box has placed by itself, or at another scheduler."""
+        upstream = UpstreamName(work.upstream)
+        self.scheduler.add_open((box.name, int(work.id)), upstream, int(work.unread))
+        streams = [StreamKey(int(key)) for key in work.streams]
+        self.scheduler.record_sent(streams, upstream)
+
     def _apply_services(self, box: _Box, frame: PlacingFrame) -> bool:
         """Apply what a box reports of plain services; return whether to answer."""
         if self.services is None:
--- a/packages/edge/src/hitchdeck_edge/hub/spread.py
+++ b/packages/edge/src/hitchdeck_edge/hub/spread.py
@@ -152,8 +152,8 @@
                 state.registry.suspect(incarnation)
         for record in frame.suspicions:
             state.registry.merge_suspicion(decode_suspicion(record))
-        for key, origin in decode_origins(frame.origins).items():
-            state.origins.remember(key, origin)
+        for key, origin in decode_origins(frame.origins):
+            state.origins.remember((key,), origin)
         wanted = (StreamKey(int(key)) for key in frame.wanted_origins)
         connected_box.wanted_origins.extend(wanted)
 
--- a/packages/edge/src/hitchdeck_edge/links/origin_messages.py
+++ b/packages/edge/src/hitchdeck_edge/links/origin_messages.py
@@ -1,7 +1,7 @@
 """Conversion of the origins of streams to and from protobuf messages."""
 
 from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 from hitchdeck_core.ids import PoolName, SoftwareVersion
 from hitchdeck_core.wire.spread_pb2 import StreamOrigins as OriginsMessage
@@ -23,10 +23,9 @@
 
 def decode_origins(
     messages: Iterable[OriginsMessage],
-) -> dict[StreamKey, StreamOrigin]:
-    """Return the origins in messages, by stream."""
-    origins: dict[StreamKey, StreamOrigin] = {}
+) -> Iterator[tuple[StreamKey, StreamOrigin]]:
+    """Yield the streams and origins in messages; a stream may have several."""
     for message in messages:
-        origin = StreamOrigin(PoolName(message.pool), SoftwareVersion(message.software))
-        origins.update((StreamKey(int(key)), origin) for key in message.streams)
-    return origins
+        pool, software = PoolName(message.pool), SoftwareVersion(message.software)
+        for key in message.streams:
+            yield StreamKey(int(key)), StreamOrigin(pool, software)
--- a/packages/edge/src/hitchdeck_edge/links/placing.py
+++ b/packages/edge/src/hitchdeck_edge/links/placing.py
@@ -1,7 +1,7 @@
 """Stream from a box to the scheduler: one query and one answer per request."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from grpclib.client import Channel, Stream
 
@@ -30,7 +30,7 @@
 )
 from hitchdeck_edge.links.service_exchange import ServiceExchange
 from hitchdeck_edge.model.placing import PlacementDecision, PlacementQuery
-from hitchdeck_edge.model.stream_origins import NO_STREAM, StreamKey
+from hitchdeck_edge.model.stream_origins import StreamKey
 from hitchdeck_edge.model.upstreams import Upstream
 from hitchdeck_edge.scheduling.shares import Shares
 from hitchdeck_edge.state.registry import Registry
@@ -186,7 +186,7 @@
         ticket: int,
         upstream: UpstreamName,
         unread: int,
-        stream: StreamKey = NO_STREAM,
+        streams: Iterable[StreamKey] = (),
     ) -> int:
         """Record a request that is being sent; return its ticket.
 
@@ -194,7 +194,7 @@
         the scheduler.
         """
         number = ticket or self._new_ticket()
-        work = OpenWork(id=number, upstream=upstream, unread=unread, stream=stream)
+        work = OpenWork(id=number, upstream=upstream, unread=unread, streams=streams)
         self.open[number] = work
         if not ticket:
             self._send_progress(PlacingFrame(open=[work]))
--- a/packages/edge/src/hitchdeck_edge/links/placing_messages.py
+++ b/packages/edge/src/hitchdeck_edge/links/placing_messages.py
@@ -18,6 +18,7 @@
     PlacementQuery,
 )
 from hitchdeck_edge.model.refusals import Refusal, Refused
+from hitchdeck_edge.model.stream_origins import StreamKey
 from hitchdeck_edge.model.upstreams import Upstream
 
 _MILLISECONDS = 1000
@@ -47,6 +48,7 @@
         longest_wait_ms=int(query.longest_wait * _MILLISECONDS),
         priority=query.priority,
         software=query.software,
+        streams=query.streams,
     )
     if query.prompt is not None:
         message.tokens = query.prompt.tokens
@@ -77,6 +79,7 @@
         priority=int(message.priority),
         longest_wait=message.longest_wait_ms / _MILLISECONDS,
         software=SoftwareVersion(message.software),
+        streams=tuple(StreamKey(int(key)) for key in message.streams),
     )
 
 
--- a/packages/edge/src/hitchdeck_edge/model/placing.py
+++ b/packages/edge/src/hitchdeck_edge/model/placing.py
@@ -10,6 +10,7 @@
 from hitchdeck_core.lazy_dataclasses import dataclass
 from hitchdeck_edge.model.calls import Prompt
 from hitchdeck_edge.model.refusals import Refusal, Refused
+from hitchdeck_edge.model.stream_origins import StreamKey
 from hitchdeck_edge.model.upstreams import Upstream
 
 
@@ -53,6 +54,8 @@
         Whether a cached part may be taken from another engine.
     software
         Software version of the upstreams that may get the request; any if empty.
+    streams
+        Keys of the stream that it begins or resumes; none if nobody can resume it.
     """
 
     request: RequestId
@@ -74,6 +77,7 @@
     returned: bool = False
     may_move: bool = True
     software: SoftwareVersion = SoftwareVersion('')
+    streams: tuple[StreamKey, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/scheduler.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections import Counter
+from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
 from hitchdeck_core import logs
@@ -17,7 +18,7 @@
 from hitchdeck_edge.model.mechanisms import ALL_MECHANISMS, Mechanisms
 from hitchdeck_edge.model.placing import Choice, PlacementQuery
 from hitchdeck_edge.model.refusals import Refusal
-from hitchdeck_edge.model.stream_origins import StreamKey, StreamOrigin, stream_key
+from hitchdeck_edge.model.stream_origins import StreamKey, StreamOrigin
 from hitchdeck_edge.scheduling.engine_order import EngineOrder
 from hitchdeck_edge.scheduling.open_work import OpenWorkEntry, OpenWorkTable
 from hitchdeck_edge.scheduling.placement import (
@@ -271,18 +272,18 @@
             self.placement.forget_gone()
             await asyncio.sleep(CLEANUP_SECONDS)
 
-    def record_sent(self, stream: StreamKey, upstream: UpstreamName) -> None:
+    def record_sent(self, streams: Iterable[StreamKey], upstream: UpstreamName) -> None:
         """Record where a stream begins that its box placed by itself."""
         record = self.placement.registry.records.get(upstream)
         if self.origins is not None and record is not None:
             origin = StreamOrigin(record.pool, record.software)
-            self.origins.remember(stream, origin)
+            self.origins.remember(streams, origin)
 
     def _record_origin(self, query: PlacementQuery, choice: Choice) -> None:
         """Record where a stream begins, as its box may be lost right after that."""
         if self.origins is not None:
             origin = StreamOrigin(query.pool, choice.upstream.software)
-            self.origins.remember(stream_key(query.account, query.request), origin)
+            self.origins.remember(query.streams, origin)
 
     def _has_room(self, query: PlacementQuery) -> bool:
         if not query.slots:
--- a/packages/edge/src/hitchdeck_edge/serving/admission.py
+++ b/packages/edge/src/hitchdeck_edge/serving/admission.py
@@ -16,7 +16,7 @@
 from hitchdeck_edge.model.document import Route, common_areas, urgency
 from hitchdeck_edge.model.refusals import Refusal
 from hitchdeck_edge.model.request_context import RequestContext
-from hitchdeck_edge.model.stream_origins import stream_key
+from hitchdeck_edge.model.stream_origins import content_key, request_key
 from hitchdeck_edge.serving.budgets import Budgets
 from hitchdeck_edge.serving.caller import CallerConnection
 from hitchdeck_edge.serving.caller_http import Service
@@ -265,9 +265,10 @@
         call = context.call
         if not (context.route.streams and (call.last_event or call.resumed)):
             return None
-        origin = None
+        key = content_key(context.fingerprint)
         if call.resumed:
-            origin = await self.origins.find(stream_key(context.account, call.resumed))
+            key = request_key(context.account, call.resumed)
+        origin = await self.origins.find(key)
         logs.info(
             'stream resumed',
             request=call.request,
--- a/packages/edge/src/hitchdeck_edge/state/origin_lookup.py
+++ b/packages/edge/src/hitchdeck_edge/state/origin_lookup.py
@@ -1,11 +1,11 @@
 """Asking the hubs for the origins of streams that this box did not serve."""
 
 import asyncio
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable
 
 from hitchdeck_core.ids import Address
 from hitchdeck_core.signals import Signal
-from hitchdeck_edge.model.stream_origins import NO_STREAM, StreamKey, StreamOrigin
+from hitchdeck_edge.model.stream_origins import StreamKey, StreamOrigin, is_by_content
 from hitchdeck_edge.state.stream_origins import StreamOrigins
 
 LOOKUP_SECONDS = 0.25
@@ -22,18 +22,32 @@
     ----------
     unasked, silent
         Hubs that have not been asked yet, and hubs that have not answered yet.
+    needs_all
+        Whether hubs may know different origins.
+    found
+        The origins that hubs answered.
+    result
+        Done when the lookup ends.
     """
 
-    def __init__(self, hubs: Iterable[Address]) -> None:
+    def __init__(self, hubs: Iterable[Address], *, needs_all: bool) -> None:
         self.unasked = set(hubs)
         self.silent = set(self.unasked)
+        self.needs_all = needs_all
+        self.found: set[StreamOrigin] = set()
         loop = asyncio.get_running_loop()
-        self.found: asyncio.Future[StreamOrigin | None] = loop.create_future()
+        self.result: asyncio.Future[StreamOrigin | None] = loop.create_future()
 
-    def settle(self, origin: StreamOrigin | None) -> None:
-        """End the lookup."""
-        if not self.found.done():
-            self.found.set_result(origin)
+    @property
+    def is_complete(self) -> bool:
+        """Tell whether no further answer can change the result."""
+        return not self.silent or bool(self.found and not self.needs_all)
+
+    def settle(self) -> None:
+        """End the lookup; several origins are as good as none."""
+        if not self.result.done():
+            only = next(iter(self.found)) if len(self.found) == 1 else None
+            self.result.set_result(_if_certain(only))
 
 
 class OriginLookup:
@@ -61,15 +75,15 @@
         self.open: dict[StreamKey, _Lookup] = {}
 
     async def find(self, key: StreamKey) -> StreamOrigin | None:
-        """Return the origin of a stream; ``None`` if nobody in reach knows it."""
+        """Return the origin of a stream; ``None`` if it is not certain."""
         known = self.origins.find(key)
-        if known is not None or key == NO_STREAM:
-            return known
+        if known is not None:
+            return _if_certain(known)
         lookup = self.open.get(key) or self._begin(key)
         if lookup is None:
             return None
         # Another request may wait for the same lookup.
-        return await asyncio.shield(lookup.found)
+        return await asyncio.shield(lookup.result)
 
     def take_wanted(self, hub: Address) -> list[StreamKey]:
         """Return the streams that a hub is to be asked for now."""
@@ -81,41 +95,50 @@
     def apply(
         self,
         hub: Address,
-        found: Mapping[StreamKey, StreamOrigin],
+        found: Iterable[tuple[StreamKey, StreamOrigin]],
         unknown: Iterable[StreamKey],
     ) -> None:
         """Apply a hub's answer."""
-        for key, origin in found.items():
-            self.origins.remember(key, origin)
-            self._settle(key, origin)
-        for key in unknown:
-            self._leave_out(key, hub)
+        for key, origin in found:
+            self.origins.remember((key,), origin)
+            self._answer(key, hub, origin)
+        for stream in unknown:
+            self._answer(stream, hub)
 
     def forget_hub(self, hub: Address) -> None:
         """Expect no answer of a hub that was lost."""
         for key in list(self.open):
-            self._leave_out(key, hub)
+            self._answer(key, hub)
 
     def _begin(self, key: StreamKey) -> _Lookup | None:
         hubs = set(self.hubs())
         if not hubs or len(self.open) >= MAX_LOOKUPS:
             return None
-        lookup = _Lookup(hubs)
+        # Only a content may have several origins, each of which another hub knows.
+        lookup = _Lookup(hubs, needs_all=is_by_content(key))
         self.open[key] = lookup
-        asyncio.get_running_loop().call_later(LOOKUP_SECONDS, self._settle, key, None)
+        asyncio.get_running_loop().call_later(LOOKUP_SECONDS, self._settle, key)
         self.wake.notify()
         return lookup
 
-    def _leave_out(self, key: StreamKey, hub: Address) -> None:
+    def _answer(
+        self, key: StreamKey, hub: Address, origin: StreamOrigin | None = None
+    ) -> None:
         lookup = self.open.get(key)
         if lookup is None:
             return
         lookup.unasked.discard(hub)
         lookup.silent.discard(hub)
-        if not lookup.silent:
-            self._settle(key, None)
+        if origin is not None:
+            lookup.found.add(origin)
+        if lookup.is_complete:
+            self._settle(key)
 
-    def _settle(self, key: StreamKey, origin: StreamOrigin | None) -> None:
+    def _settle(self, key: StreamKey) -> None:
         lookup = self.open.pop(key, None)
         if lookup is not None:
-            lookup.settle(origin)
+            lookup.settle()
+
+
+def _if_certain(origin: StreamOrigin | None) -> StreamOrigin | None:
+    return origin if origin and origin.software else None
--- a/packages/edge/src/hitchdeck_edge/state/stream_origins.py
+++ b/packages/edge/src/hitchdeck_edge/state/stream_origins.py
@@ -4,8 +4,15 @@
 renewed, so that a stream may last longer than a record.
 """
 
+from collections.abc import Iterable
+
 from hitchdeck_core.clock import Clock
-from hitchdeck_edge.model.stream_origins import NO_STREAM, StreamKey, StreamOrigin
+from hitchdeck_core.ids import SoftwareVersion
+from hitchdeck_edge.model.stream_origins import (
+    StreamKey,
+    StreamOrigin,
+    is_by_content,
+)
 
 GENERATION_SECONDS = 30.0
 """A record is kept for one to two generations after its last renewal.  Callers resume a
@@ -44,26 +51,34 @@
         self.began_at = now()
 
     def find(self, key: StreamKey) -> StreamOrigin | None:
-        """Return the origin of a stream, if it is known."""
+        """Return the origin of a stream, without a version if it has several."""
         self._drop_expired()
         return self.recent.get(key) or self.older.get(key)
 
-    def remember(self, key: StreamKey, origin: StreamOrigin) -> None:
-        """Record where a stream began, unless its version or its key is unknown."""
-        self._drop_expired()
-        if origin.software and key != NO_STREAM:
-            self.recent[key] = origin
-
-    def begin(self, key: StreamKey, origin: StreamOrigin) -> None:
+    def remember(self, keys: Iterable[StreamKey], origin: StreamOrigin) -> None:
+        """Record where a stream began, unless the version is unknown."""
+        if not origin.software:
+            return
+        for key in keys:
+            known = self.find(key)
+            if is_by_content(key) and known not in {None, origin}:
+                self.recent[key] = StreamOrigin(origin.pool, SoftwareVersion(''))
+            else:
+                self.recent[key] = origin
+
+    def begin(self, keys: Iterable[StreamKey], origin: StreamOrigin) -> None:
         """Record the first event of a stream that this process serves."""
-        self.remember(key, origin)
-        if origin.software and key != NO_STREAM:
+        self.remember(keys, origin)
+        if not origin.software:
+            return
+        for key in keys:
             self.open[key] = origin
             self._add_own(key, origin)
 
-    def end(self, key: StreamKey) -> None:
+    def end(self, keys: Iterable[StreamKey]) -> None:
         """Record that this process no longer serves a stream; its record is kept."""
-        self.open.pop(key, None)
+        for key in keys:
+            self.open.pop(key, None)
 
     def own_since(self, count: int) -> tuple[list[OwnRecord], int]:
         """Return this process's records after the first ``count``, and their number."""
