--- a/packages/router/src/hitchdeck_router/dispatch/attempts.py
+++ b/packages/router/src/hitchdeck_router/dispatch/attempts.py
@@ -243,7 +243,7 @@
         raise GrantLostError(f'{name} is leaving or gone')
     check_accepting(context, name)
     upstream = view.upstreams[name]
-    if admitted.software not in {None, upstream.software}:
+    if admitted.software is not None and upstream.software != admitted.software:
         raise GrantLostError(f'{name} has another software version')
     return upstream
 
