Let callers of the soak resume streams, at workers of several software versions

Workers draw a version at each start, and their events name it. A caller whose stream is cut off after an event resumes it at any box, with Resumes and Last-Event-Id; no event may be missing, repeated, or of another version, within an answer and over both requests. The stand-in cut off streams with the bytes of a chunk whatever their framing, which completed an event where there are none.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -18,12 +18,13 @@
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
 from tornado.simple_httpclient import HTTPStreamClosedError, HTTPTimeoutError
 
-from soak.faults import MS, Faults
+from soak.callers import Request, resumption, send
+from soak.faults import MS, VERSIONS, Faults
 from soak.fleet import Program, claimed_fleet
 from soak.places import COLD_PER_SECOND, DomainOrders
 from soak.promises import SUCCESS, Answer, History
 from soak.proxy import Proxy
-from standins.platform_site import HOST, KEY, document
+from standins.platform_site import document
 from standins.platform_worker import Fault, Worker
 
 START_SECONDS = 20.0
@@ -115,6 +116,7 @@
             self.fleet.add(number, 'box')
         for worker in self.workers:
             worker.lethal = LETHAL.encode()
+            worker.software = self.random.choice(VERSIONS)
             worker.born = int(time.time() * MS)
             await worker.start()
             worker.address = await self._proxy(worker.address)
@@ -166,12 +168,14 @@
         """Clear all faults, check orders, then send the lethal request to each box."""
         await self._wait_for_recovery(faults)
         await self.domain_orders.check(self._ask_each, self._restart_all)
-        self.history.lethal_before = self._lethal_runs()
+        self.history.lethal_before = _lethal_runs(self.workers)
         for box in self.fleet.boxes * 2:
             await self._ask(self._next(LETHAL), '/s/', LETHAL, box)
             await faults.restart_crashed()
             await asyncio.sleep(REPORT_SECONDS)
-        self.history.lethal_after = self._lethal_runs() - self.history.lethal_before
+        self.history.lethal_after = (
+            _lethal_runs(self.workers) - self.history.lethal_before
+        )
         await self._check_refusing_workers()
 
     async def _wait_for_recovery(self, faults: Faults) -> None:
@@ -212,10 +216,6 @@
                 (worker.name, len(worker.seen) - known, most)
             )
 
-    def _lethal_runs(self) -> int:
-        ran = [one for worker in self.workers for one in worker.ran]
-        return sum(one.startswith(LETHAL) for one in ran)
-
     def _next(self, kind: str) -> str:
         self.asked += 1
         return f'{kind}{self.asked}'
@@ -235,6 +235,13 @@
 
     async def _ask_once(self) -> bool:
         answer = await self._ask(self._next('a'), self.random.choice(PATHS))
+        attempt = self._next('resumed')
+        request = resumption(answer, attempt)
+        if request is not None:
+            self.history.asked.add(attempt)
+            box = self.random.choice(self.fleet.boxes)
+            rest = await send(self._fetch, self._front(box), request)
+            self.history.add_resumed(answer, rest)
         return answer.status == SUCCESS
 
     async def _call(self) -> None:
@@ -265,21 +272,14 @@
         box: Program | None = None,
     ) -> Answer:
         self.history.asked.add(attempt)
-        headers = {'Host': HOST, 'Attempt-Id': attempt, 'Deadline-Ms': '2000'}
-        headers['Authorization'] = f'Token {KEY}'
-        if path in {'/s/', '/once/'}:
-            prompt = f'x:100,{attempt}:100'
-            model = {'Model': 'm', 'Token-Count': '200,20', 'Prompt-Prefix': prompt}
-            headers.update(model)
-        chosen = box or self.random.choice(self.fleet.boxes)
-        url = f'http://{self.proxies[self.fleet.front(chosen)].address}{path}'
-        status, answered = await self._fetch(
-            HTTPRequest(url, 'POST', headers=headers, body=body, request_timeout=5),
-        )
-        answer = Answer(attempt, path, status, bool(status), answered)
+        address = self._front(box or self.random.choice(self.fleet.boxes))
+        answer = await send(self._fetch, address, Request(attempt, path, body))
         self.history.answers.append(answer)
         return answer
 
+    def _front(self, box: Program) -> str:
+        return self.proxies[self.fleet.front(box)].address
+
     def _control(self) -> str:
         """Return the control address of a random hub."""
         hub = self.random.choice(self.fleet.hubs)
@@ -317,6 +317,11 @@
         return reply.code, reply.body.decode() if reply.body else ''
 
 
+def _lethal_runs(workers: list[Worker]) -> int:
+    ran = [one for worker in workers for one in worker.ran]
+    return sum(one.startswith(LETHAL) for one in ran)
+
+
 async def _cancel(tasks: list[asyncio.Task[None]]) -> None:
     for task in tasks:
         task.cancel()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -16,6 +16,9 @@
 
 MS = 1000
 
+VERSIONS = ('v1', 'v1', 'v2')
+"""Software versions of workers, drawn at each start."""
+
 STREAM_POOL = 'llm'
 """Pool whose workers send streams."""
 
@@ -150,6 +153,7 @@
         """Restart all crashed workers."""
         for worker in self.workers:
             if worker.ended:
+                worker.software = self.random.choice(VERSIONS)
                 await worker.restart(int(time.time() * MS))
 
     async def disturb_link(self) -> None:
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from dataclasses import dataclass, field
+from itertools import chain
 
 NOT_RUN = frozenset((429, 503))
 SUCCESS = 200
@@ -35,6 +36,7 @@
     ``request_limits`` holds a name, the number of requests received and the
     limit, without faults: an upstream that drains or sends Retry-After may get
     one request from each box, whose response notifies the box.
+    ``resumed`` holds the attempt and all events of each stream that a caller resumed.
     """
 
     asked: set[str] = field(default_factory=set)
@@ -45,6 +47,14 @@
     lethal_before: int = 0
     lethal_after: int = 0
     request_limits: list[tuple[str, int, int]] = field(default_factory=list)
+    resumed: list[tuple[str, str]] = field(default_factory=list)
+
+    def add_resumed(self, broken: Answer, rest: Answer) -> None:
+        """Add a stream that a caller resumed, if it went on."""
+        more = complete_events(rest.body)
+        if rest.status in {0, SUCCESS} and 'id: ' in more:
+            events = complete_events(broken.body) + more
+            self.resumed.append((rest.attempt, events))
 
     def broken(self, ran: Counter[str]) -> list[str]:
         """Return a line for each violated guarantee.
@@ -68,6 +78,7 @@
             for body, status in self.foreign
             if status not in REFUSALS
         )
+        lines.extend(self._broken_streams())
         if (
             self.lethal_before >= MIN_LETHAL_CRASHES
             and self.lethal_after > MAX_LATE_RUNS
@@ -82,6 +93,10 @@
         )
         return lines
 
+    def _broken_streams(self) -> list[str]:
+        checked = [_check_one_stream(*stream) for stream in self.resumed]
+        return list(chain.from_iterable(checked))
+
 
 def _check_answer(answer: Answer, runs: int) -> list[str]:
     lines: list[str] = []
@@ -102,11 +117,29 @@
         ids = [line for line in answer.body.split('\n') if line.startswith('id: ')]
         wanted = [f'id: {number}' for number in range(1, len(ids) + 1)]
         whole = ids == wanted and len(ids) == EVENTS
-        return [] if whole else [f'{answer.attempt} got the events {ids}']
+        lines = [] if whole else [f'{answer.attempt} got the events {ids}']
+        return lines + _check_one_stream(answer.attempt, answer.body)
     if f'"{answer.attempt}"' not in answer.body:
         return [f'{answer.attempt} got {answer.body}']
     return []
 
 
+EVENT_END = '\n\n'
 EVENTS = 5
 """Number of events in a stream of the stand-in worker."""
+
+
+def complete_events(body: str) -> str:
+    """Return a body without an incomplete event at its end."""
+    return body[: body.rfind(EVENT_END) + len(EVENT_END)] if EVENT_END in body else ''
+
+
+def _check_one_stream(attempt: str, events: str) -> list[str]:
+    """Return a line if events are missing, repeated or of several versions."""
+    lines = events.split('\n')
+    ids = [line for line in lines if line.startswith('id: ')]
+    versions = {line for line in lines if line.startswith('data: ')}
+    in_order = ids == [f'id: {number}' for number in range(1, len(ids) + 1)]
+    if in_order and len(versions) <= 1:
+        return []
+    return [f'{attempt} got the events {ids} of {sorted(versions)}']
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -325,7 +325,7 @@
     async def _cut(self, request: Seen, peer: Peer) -> bool:
         self.ran.append(request.attempt)
         await self._stream(request, peer, self.cut_at, whole=False)
-        peer.writer.write(b'6\r\nid: 9\n\r\n')
+        peer.writer.write(encoded_event(b'id: 9\n', self.framing))
         await peer.writer.drain()
         peer.writer.transport.abort()
         return False
