Keep a content unknown while a stream of it is open

A new generation of records began with the open streams alone, so that a content which had begun at two software versions had the one of the open stream after 30 s. The test failed before.

--- a/packages/edge/src/hitchdeck_edge/state/stream_origins.py
+++ b/packages/edge/src/hitchdeck_edge/state/stream_origins.py
@@ -96,8 +96,10 @@
         if not ended and len(self.recent) < MAX_GENERATION_RECORDS:
             return
         self.began_at = self.now()
-        self.older, self.recent = self.recent, dict(self.open)
+        self.older, self.recent = self.recent, {}
         self.own = self.own[self.own_older :]
         self.own_older = len(self.own)
         for key, origin in self.open.items():
+            # A content that began at several versions stays one.
+            self.remember((key,), origin)
             self._add_own(key, origin)
--- a/tests/edge/test_stream_origins.py
+++ b/tests/edge/test_stream_origins.py
@@ -107,6 +107,16 @@
     assert origins.find(KEY) == V2
 
 
+def test_a_content_of_two_versions_stays_unknown_while_a_stream_is_open() -> None:
+    clock = FakeClock()
+    origins = StreamOrigins(clock)
+    origins.begin([CONTENT], V1)
+    origins.remember([CONTENT], V2)
+    for _ in range(3):
+        clock.seconds += GENERATION_SECONDS + 0.1
+        assert origins.find(CONTENT) == UNKNOWN
+
+
 def test_keys_differ_by_account_and_request() -> None:
     keys = {
         request_key(account, RequestId(request))
