--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -382,7 +382,9 @@
         *,
         whole: bool = True,
     ) -> bool:
-        peer.writer.write(_whole_head(self, request))
+        stream = events(request.last_event, self.events, self.software)
+        size = len(encoded_stream(stream, self.framing))
+        peer.writer.write(_framed_head(self, request, self.framing, size))
         for event in events(request.last_event, last, self.software):
             peer.writer.write(encoded_event(event, self.framing))
             await peer.writer.drain()
@@ -416,8 +418,13 @@
     framing = worker.framing
     if framing is Framing.chunks and not request.streams:
         framing = Framing.length
-    stated = framing_header(framing, len(worker.encoded_body(request)))
-    return f'{worker.head(request, "200 OK", worker.name)}{stated}\r\n'.encode()
+    size = len(worker.encoded_body(request))
+    return _framed_head(worker, request, framing, size)
+
+
+def _framed_head(worker: Worker, request: Seen, framing: Framing, size: int) -> bytes:
+    head = worker.head(request, '200 OK', worker.name)
+    return f'{head}{framing_header(framing, size)}\r\n'.encode()
 
 
 async def _read(reader: asyncio.StreamReader) -> Seen | None:
