--- a/soak/promises.py
+++ b/soak/promises.py
@@ -117,8 +117,9 @@
         ids = [line for line in answer.body.split('\n') if line.startswith('id: ')]
         wanted = [f'id: {number}' for number in range(1, len(ids) + 1)]
         whole = ids == wanted and len(ids) == EVENTS
-        lines = [] if whole else [f'{answer.attempt} got the events {ids}']
-        return lines + _check_one_stream(answer.attempt, answer.body)
+        if not whole:
+            return [f'{answer.attempt} got the events {ids}']
+        return _check_one_stream(answer.attempt, answer.body)
     if f'"{answer.attempt}"' not in answer.body:
         return [f'{answer.attempt} got {answer.body}']
     return []
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -37,6 +37,7 @@
         (Answer('a', '/g/', 503, True, ''), 1, 0),
         (Answer('a', '/s/', 200, True, GOOD), 2, 0),
         (Answer('a', '/s/', 200, True, GOOD.replace('id: 3', 'id: 2')), 1, 1),
+        (Answer('a', '/s/', 200, True, f'{GOOD}\ndata: v1\ndata: v2'), 1, 1),
         (Answer('a', '/once/', 200, True, GOOD), 2, 1),
     ],
 )
@@ -55,3 +56,21 @@
 def test_requests_to_an_unwilling_upstream_are_reported() -> None:
     history = History(request_limits=[('w0', 3, 3), ('w1', 4, 3)])
     assert len(history.broken(Counter())) == 1
+
+
+@pytest.mark.parametrize(
+    ('rest', 'lines'),
+    [
+        ('id: 2\ndata: v1\n\n', 0),
+        ('id: 2\ndata: v2\n\n', 1),
+        ('id: 3\ndata: v1\n\n', 1),
+        ('id: 2\ndata: v', 0),
+    ],
+)
+def test_a_resumed_stream_has_every_event_once_and_of_one_version(
+    rest: str, lines: int
+) -> None:
+    history = History()
+    begun = Answer('a', '/s/', 0, False, 'id: 1\ndata: v1\n\nid: 2\nda')
+    history.add_resumed(begun, Answer('b', '/s/', 200, True, rest))
+    assert len(history.broken(Counter())) == lines
