--- a/packages/edge/src/hitchdeck_edge/dispatch/factory.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/factory.py
@@ -47,7 +47,7 @@
     connections = ConnectionPool(boot_seconds, streams_reuse=reuse)
     quarantine = fleet_state.quarantine
     sender = Sender(adapter, chooser, connections, quarantine, boot_seconds)
-    sender.origins = fleet_state.origins.origins
+    sender.origins = fleet_state.origin_lookup.origins
     return Dispatcher(adapter, chooser, sender, budget, boot_seconds)
 
 
--- a/packages/edge/src/hitchdeck_edge/dispatch/response_parser.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/response_parser.py
@@ -163,7 +163,7 @@
         status = self._parser.get_status_code()
         if status < HTTPStatus.OK:
             return
-        framing = self._check_framing(status)
+        framing = self._find_framing(status)
         self._flush()
         head = ResponseHead(status, self._reason, self._headers, framing)
         self.events.append(head)
@@ -193,8 +193,14 @@
         if not (chunk.startswith(_PROTOCOL) or _PROTOCOL.startswith(chunk)):
             self.error = 'no HTTP response'
 
-    def _check_framing(self, status: int) -> Framing:
-        """Return what marks the end of the response, by its status and headers."""
+    def _find_framing(self, status: int) -> Framing:
+        """Return what marks the end of the response, by its status and headers.
+
+        Raises
+        ------
+        HttpParserError
+            The transfer encoding is not chunked.
+        """
         names = set()
         for name, text in self._headers:
             lowered = name.lower()
--- a/packages/edge/src/hitchdeck_edge/dispatch/sender.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/sender.py
@@ -15,6 +15,7 @@
     AttemptOutcome,
     outcome_of,
 )
+from hitchdeck_edge.dispatch.cache_sources import CacheSources
 from hitchdeck_edge.dispatch.connections import ConnectionPool
 from hitchdeck_edge.dispatch.response_parser import ResponseHead
 from hitchdeck_edge.dispatch.reuse import permitted_reuse
@@ -49,9 +50,8 @@
     ----------
     origins
         Where the streams that this box serves began.
-    moves_sent, moves_dropped
-        Requests that named a source of cached parts to their engine, and requests whose
-        source this box knew to be of no use.
+    cache_sources
+        Engines from which requests take cached parts.
     """
 
     def __init__(
@@ -75,8 +75,7 @@
         self.watch: ServiceWatch | None = None
         if self.link.services is not None:
             self.watch = ServiceWatch(self.link.services, self.placement.health, now)
-        self.moves_sent = 0
-        self.moves_dropped = 0
+        self.cache_sources = CacheSources(self.placement, chooser.backpressure)
 
     async def send(self, active: ActiveRequest, choice: Choice) -> bool:
         """Send the request to an upstream; return whether it was sent.
@@ -220,7 +219,7 @@
             seconds_left=max(0, context.deadline - self.now()),
             last_event=context.last_event,
             body_bytes=len(context.body),
-            cache_source=self._cache_source(choice),
+            cache_source=self.cache_sources.find(choice),
         )
         headers = self.adapter.forward_headers(context.call, forwarding)
         return UpstreamRequest(
@@ -230,25 +229,6 @@
             context.body,
         )
 
-    def _cache_source(self, choice: Choice) -> Upstream | None:
-        """Return the engine to take a cached part from, unless it is of no use now."""
-        placement = self.placement
-        if choice.source is None or not placement.mechanisms.cache_moves:
-            return None
-        source = placement.registry.records.get(choice.source.name)
-        if source is not None and self._may_take_from(source):
-            self.moves_sent += 1
-            return source
-        self.moves_dropped += 1
-        return None
-
-    def _may_take_from(self, source: Upstream) -> bool:
-        return (
-            self.placement.registry.takes_work(source)
-            and self.placement.moves.is_trusted(source)
-            and self.backpressure.accepts_requests(source.name)
-        )
-
     def _record_sent(self, active: ActiveRequest, attempt: Attempt) -> None:
         context = active.context
         context.sent += 1
--- a/packages/edge/src/hitchdeck_edge/links/entry.py
+++ b/packages/edge/src/hitchdeck_edge/links/entry.py
@@ -98,7 +98,7 @@
                 )
             return frame
 
-        self.known.origins.hubs = lambda: known_hubs.reachable
+        self.known.origin_lookup.hubs = lambda: known_hubs.reachable
         if self.settings.scheduler_agreement:
             # Hubs hear of a repeated loss at once, so that all boxes move together.
             known_hubs.excluded = self.wake
@@ -135,7 +135,7 @@
 
     def on_loss(self, hub: Address) -> None:
         """Handle the loss of a hub: the last totals are used until they expire."""
-        self.known.origins.forget_hub(hub)
+        self.known.origin_lookup.forget_hub(hub)
         if hub == self.report_hub:
             self.report_hub = None
         self._expire_digest()
@@ -154,7 +154,7 @@
         self.targets.offer(frame.relief, frame.relief_headroom_percent)
         if frame.origins or frame.unknown_origins:
             unknown = (StreamKey(int(key)) for key in frame.unknown_origins)
-            known.origins.apply(hub, decode_origins(frame.origins), unknown)
+            known.origin_lookup.apply(hub, decode_origins(frame.origins), unknown)
         if not is_report_hub:
             return
         self.report_hub = hub
@@ -217,7 +217,7 @@
 
     def _add_origins(self, hub: Address, frame: BoxFrame) -> None:
         """Add the streams that began since the last frame, and those to look up."""
-        lookup = self.known.origins
+        lookup = self.known.origin_lookup
         sent = self.sent_origins.get(hub, 0)
         fresh, self.sent_origins[hub] = lookup.origins.own_since(sent)
         frame.origins.extend(encode_origins(fresh))
--- a/packages/edge/src/hitchdeck_edge/links/placing.py
+++ b/packages/edge/src/hitchdeck_edge/links/placing.py
@@ -10,7 +10,6 @@
 from hitchdeck_core.errors import LinkError
 from hitchdeck_core.ids import Address, UpstreamName
 from hitchdeck_core.loop_load import loop_utilization
-from hitchdeck_core.signals import Signal
 from hitchdeck_core.wire.spread_grpc import PlacingStub
 from hitchdeck_core.wire.spread_pb2 import (
     Decision,
@@ -20,6 +19,7 @@
     PlacingFrame,
 )
 from hitchdeck_edge.errors import SchedulerMovedError
+from hitchdeck_edge.links.answers import Answer
 from hitchdeck_edge.links.hub_streams import CONNECT_TIMEOUT_SECONDS, LINK_ERRORS
 from hitchdeck_edge.links.known_hubs import KnownHubs
 from hitchdeck_edge.links.outbox import Outbox
@@ -78,42 +78,6 @@
 PlacingStream = Stream[PlacingFrame, PlacedFrame]
 
 
-class Answer:
-    """Answer of the scheduler that a request waits for.
-
-    It wakes the request directly: ``asyncio.wait`` with a timeout takes two futures,
-    and another turn of the event loop.
-
-    Attributes
-    ----------
-    placed
-        The answer; ``None`` if there is none yet, or will be none.
-    is_lost
-        Whether the stream to the scheduler ended before the answer.
-    settled
-        Notified when one of the two is known.
-    """
-
-    __slots__ = ('is_lost', 'placed', 'settled')
-
-    def __init__(self) -> None:
-        self.placed: Placed | None = None
-        self.is_lost = False
-        self.settled = Signal()
-
-    @property
-    def is_settled(self) -> bool:
-        """Tell whether there is nothing to wait for."""
-        return self.is_lost or self.placed is not None
-
-    def settle(self, placed: Placed | None) -> None:
-        """Wake the request; without an answer, it is lost."""
-        if not self.is_settled:
-            self.placed = placed
-            self.is_lost = placed is None
-            self.settled.notify()
-
-
 class PlacingLink:
     """Client of the scheduler in an entry box.
 
--- a/packages/edge/src/hitchdeck_edge/process.py
+++ b/packages/edge/src/hitchdeck_edge/process.py
@@ -117,8 +117,8 @@
         self._report_service_calls()
         scheduler = self.admission.dispatcher.chooser.local
         self.admission.metrics.refused_beside_room = scheduler.refused_beside_room
-        self.admission.metrics.cache_moves = sender.moves_sent
-        self.admission.metrics.cache_moves_dropped = sender.moves_dropped
+        self.admission.metrics.cache_moves = sender.cache_sources.sent
+        self.admission.metrics.cache_moves_dropped = sender.cache_sources.dropped
         self.admission.metrics.handed_off = self.caller_server.handoff.handed_off
 
     def _report_service_calls(self) -> None:
--- a/packages/edge/src/hitchdeck_edge/scheduling/health.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/health.py
@@ -5,6 +5,8 @@
 from hitchdeck_core import logs
 from hitchdeck_core.clock import Clock
 from hitchdeck_core.ids import UpstreamName
+from hitchdeck_edge.model.upstreams import Upstream
+from hitchdeck_edge.scheduling.cost_weights import FAILURE_TOKENS
 
 FIRST_EJECTION_SECONDS = 0.5
 """Ejection after the first failure; doubled with each consecutive one."""
@@ -169,3 +171,16 @@
     def _eject(self, name: UpstreamName, seconds: float) -> None:
         self.record(name).ejected_until = self.now() + seconds
         self.ejected_names.add(name)
+
+
+def weigh_health(
+    costs: list[float], candidates: list[Upstream], health: Health, *, slowness: bool
+) -> None:
+    """Add the slowness, where it counts, and the failures of engines to their costs."""
+    known = health.records.get
+    for position, one in enumerate(candidates):
+        record = known(one.name)
+        if record is not None:
+            factor = record.slowness if slowness else 1
+            lost = FAILURE_TOKENS * record.failure_rate
+            costs[position] = costs[position] * factor + lost
--- a/packages/edge/src/hitchdeck_edge/scheduling/placement.py
+++ b/packages/edge/src/hitchdeck_edge/scheduling/placement.py
@@ -22,7 +22,6 @@
 from hitchdeck_edge.scheduling.cache_moves import CacheMoves, ReadCosts
 from hitchdeck_edge.scheduling.cold_budget import ColdBudget
 from hitchdeck_edge.scheduling.cost_weights import (
-    FAILURE_TOKENS,
     FULL_TOKENS,
     REREAD_WEIGHT,
     RUNNING_TOKENS,
@@ -32,7 +31,7 @@
 from hitchdeck_edge.scheduling.engine_memory import MemoryTable
 from hitchdeck_edge.scheduling.engine_model import EngineModel
 from hitchdeck_edge.scheduling.engine_speed import EngineSpeed
-from hitchdeck_edge.scheduling.health import Health
+from hitchdeck_edge.scheduling.health import Health, weigh_health
 from hitchdeck_edge.scheduling.open_work import OpenWorkEntry, OpenWorkTable
 from hitchdeck_edge.scheduling.prefix_cache import PrefixCacheModel
 from hitchdeck_edge.scheduling.service_costs import ServiceCosts
@@ -333,7 +332,7 @@
         for position, (_, running) in enumerate(loads):
             if running >= query.slots:
                 costs[position] += FULL_TOKENS
-        _weigh_health(costs, candidates, self.health, slowness=self.mechanisms.slowness)
+        weigh_health(costs, candidates, self.health, slowness=self.mechanisms.slowness)
         if self.mechanisms.near_first:
             self._prefer_near(costs, query, prompt, candidates)
         return costs
@@ -384,19 +383,6 @@
         return self.open_work.running(upstream.name) >= query.slots
 
 
-def _weigh_health(
-    costs: list[float], candidates: list[Upstream], health: Health, *, slowness: bool
-) -> None:
-    """Add the slowness, where it counts, and the failures of engines to their costs."""
-    known = health.records.get
-    for position, one in enumerate(candidates):
-        record = known(one.name)
-        if record is not None:
-            factor = record.slowness if slowness else 1
-            lost = FAILURE_TOKENS * record.failure_rate
-            costs[position] = costs[position] * factor + lost
-
-
 def first_token_seconds(choice: Choice) -> float:
     """Return the expected seconds until the first token of a request."""
     return choice.queue + choice.reading
--- a/packages/edge/src/hitchdeck_edge/serving/admission.py
+++ b/packages/edge/src/hitchdeck_edge/serving/admission.py
@@ -60,7 +60,7 @@
         self.budgets = budgets or Budgets()
         self.adapter = adapter
         self.documents = fleet_state.documents
-        self.origins = fleet_state.origins
+        self.origin_lookup = fleet_state.origin_lookup
         self.dispatcher = dispatcher
         self.graceful_stop = graceful_stop
         self.now = now
@@ -268,7 +268,7 @@
         key = content_key(context.fingerprint)
         if call.resumed:
             key = request_key(context.account, call.resumed)
-        origin = await self.origins.find(key)
+        origin = await self.origin_lookup.find(key)
         logs.info(
             'stream resumed',
             request=call.request,
--- a/packages/edge/src/hitchdeck_edge/state/fleet_state.py
+++ b/packages/edge/src/hitchdeck_edge/state/fleet_state.py
@@ -31,8 +31,8 @@
         Requests that must not be sent to any upstream.
     evacuations
         Failure domains that get no new work.
-    origins
-        Where streams began.
+    origin_lookup
+        Finds where streams began.
     """
 
     documents: Documents
@@ -41,7 +41,7 @@
     scheduler: Scheduler
     quarantine: Quarantine
     evacuations: Evacuations
-    origins: OriginLookup
+    origin_lookup: OriginLookup
 
 
 def new_fleet_state(settings: EntrySettings, adapter: PlatformAdapter) -> FleetState:
@@ -53,7 +53,12 @@
     quarantine = Quarantine(boot_seconds, Signal())
     open_work = scheduler.placement.open_work
     evacuations = Evacuations(domain_closer(registry, documents), changed)
-    origins = OriginLookup(StreamOrigins(boot_seconds), quarantine.changed)
     return FleetState(
-        documents, registry, open_work, scheduler, quarantine, evacuations, origins
+        documents,
+        registry,
+        open_work,
+        scheduler,
+        quarantine,
+        evacuations,
+        OriginLookup(StreamOrigins(boot_seconds), quarantine.changed),
     )
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -25,7 +25,8 @@
 from soak.promises import SUCCESS, Answer, History
 from soak.proxy import Proxy
 from standins.platform_site import document
-from standins.platform_worker import Fault, Worker
+from standins.platform_worker import Worker
+from standins.worker_faults import Fault
 
 START_SECONDS = 20.0
 CALLERS = 8
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,10 +6,12 @@
 import time
 from collections.abc import Awaitable, Callable
 
+from hitchdeck_edge.dispatch.response_parser import Framing
 from soak.fleet import Fleet, Program
 from soak.proxy import LinkState, Proxy
-from standins.platform_worker import Fault, Worker
-from standins.worker_bodies import Framing, events
+from standins.platform_worker import Worker
+from standins.worker_bodies import events
+from standins.worker_faults import Fault
 
 STOP_GRACE_SECONDS = 3.0
 """Time between SIGTERM and SIGKILL; equal to ``graceS`` in the settings."""
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -7,87 +7,19 @@
 import json
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
-from enum import Enum
 
+from hitchdeck_edge.dispatch.response_parser import Framing
 from standins.worker_bodies import (
     LAST_CHUNK,
     SOFTWARE,
-    Framing,
     encoded_event,
     encoded_stream,
     events,
     framing_header,
     reset,
 )
-
-
-class Fault(Enum):
-    """Fault that a worker injects into its next requests.
-
-    Attributes
-    ----------
-    none
-        Answers normally.
-    error
-        Executes the request and answers 500.
-    shed
-        Answers 503 and declares that the request was not executed.
-    reset
-        Executes the request and aborts the connection without a response.
-    cut
-        Aborts the connection in the middle of a stream.
-    unsealed
-        Omits the header ``Server-Seal``.
-    stale
-        Sends a response to another request before the right one.
-    surplus
-        Sends a second response after the right one.
-    hang
-        Never responds.
-    end_early
-        Closes the connection after ``cut_bytes`` bytes of the body.
-    reset_early
-        Aborts the connection there.
-    hang_early
-        Sends nothing more from there on.
-    """
-
-    none = 'none'
-    error = 'error'
-    shed = 'shed'
-    reset = 'reset'
-    cut = 'cut'
-    unsealed = 'unsealed'
-    stale = 'stale'
-    surplus = 'surplus'
-    hang = 'hang'
-    end_early = 'end early'
-    reset_early = 'reset early'
-    hang_early = 'hang early'
-
-
-@dataclass(frozen=True, slots=True)
-class Seen:
-    """One request as a worker received it."""
-
-    line: str
-    headers: dict[str, str]
-    body: bytes
-
-    @property
-    def attempt(self) -> str:
-        """Return the ID that the caller gave the request."""
-        return self.headers.get('attempt-id', '')
-
-    @property
-    def last_event(self) -> str:
-        """Return the ID of the last event that the caller received."""
-        return self.headers.get('last-event-id', '')
-
-    @property
-    def streams(self) -> bool:
-        """Tell whether the response is a stream."""
-        return bool(self.headers.get('model'))
+from standins.worker_faults import Fault
+from standins.worker_requests import Seen, read_request
 
 
 @dataclass(frozen=True, slots=True)
@@ -260,7 +192,7 @@
         self,
         peer: Peer,
     ) -> bool:
-        request = await _read(peer.reader)
+        request = await read_request(peer.reader)
         if request is None:
             return False
         self.seen.append(request)
@@ -425,15 +357,3 @@
 def _framed_head(worker: Worker, request: Seen, framing: Framing, size: int) -> bytes:
     head = worker.head(request, '200 OK', worker.name)
     return f'{head}{framing_header(framing, size)}\r\n'.encode()
-
-
-async def _read(reader: asyncio.StreamReader) -> Seen | None:
-    head = await reader.readuntil(b'\r\n\r\n')
-    line, *rest = head.decode('latin-1').split('\r\n')
-    headers = {}
-    for one in rest:
-        name, colon, text = one.partition(':')
-        if colon:
-            headers[name.strip().lower()] = text.strip()
-    body = await reader.readexactly(int(headers.get('content-length', '0')))
-    return Seen(line, headers, body)
--- a/standins/worker_bodies.py
+++ b/standins/worker_bodies.py
@@ -1,21 +1,13 @@
 """Bodies of a simulated worker's responses, and their framing."""
 
 from asyncio import StreamWriter
-from enum import Enum
 
 from hitchdeck_core.sockets import reset_on_close
+from hitchdeck_edge.dispatch.response_parser import Framing
 
 LAST_CHUNK = b'0\r\n\r\n'
 
 
-class Framing(Enum):
-    """What marks the end of a worker's successful responses."""
-
-    length = 'length'
-    chunks = 'chunks'
-    close = 'close'
-
-
 SOFTWARE = 'v1'
 """Software version that a worker reports unless it is given another one."""
 
--- a/tests/edge/test_backpressure.py
+++ b/tests/edge/test_backpressure.py
@@ -23,7 +23,8 @@
 from hitchdeck_edge.dispatch.upstream_connection import Connection
 from hitchdeck_edge.model.upstreams import Upstream
 from standins.platform_site import Site, running_site
-from standins.platform_worker import Fault, Worker
+from standins.platform_worker import Worker
+from standins.worker_faults import Fault
 from tests.common.asking import PATHS, ask_often, of_pool
 from tests.common.scheduling import FakeClock
 
--- a/tests/edge/test_homes.py
+++ b/tests/edge/test_homes.py
@@ -14,7 +14,7 @@
 from hitchdeck_edge.state.routing import RoutingTable
 from hitchdeck_platform.documents import read_document
 from standins.platform_site import HOST, KEY, Site, document, route, running_site
-from standins.platform_worker import Fault
+from standins.worker_faults import Fault
 from tests.common.scheduling import FakeClock, engine, scheduler_of, wanted
 
 AREAS = {'a': 'north', 'b': 'south', 'c': 'east'}
--- a/tests/edge/test_leaving_answers.py
+++ b/tests/edge/test_leaving_answers.py
@@ -18,7 +18,8 @@
 from hitchdeck_core.backpressure import Backpressure
 from hitchdeck_core.ids import UpstreamName
 from standins.platform_site import Site, running_site
-from standins.platform_worker import Fault, Worker
+from standins.platform_worker import Worker
+from standins.worker_faults import Fault
 from tests.common.asking import ask_often, of_pool
 from tests.common.scheduling import FakeClock
 
--- a/tests/edge/test_lives.py
+++ b/tests/edge/test_lives.py
@@ -26,7 +26,8 @@
 from hitchdeck_edge.state.registry import GONE_RETENTION_SECONDS, Registry
 from hitchdeck_platform.hub_api import decode_upstream
 from standins.platform_site import Site, running_site
-from standins.platform_worker import Fault, Worker
+from standins.platform_worker import Worker
+from standins.worker_faults import Fault
 from tests.common.scheduling import FakeClock, prompt
 
 NAME = 'e0'
--- a/tests/edge/test_part_moves.py
+++ b/tests/edge/test_part_moves.py
@@ -297,10 +297,10 @@
 ) -> None:
     sender = sender_of(scheduler_with())
     choice = Choice(engine(SECOND), 0, 0, source=engine(FIRST))
-    assert sender._cache_source(choice) == engine(FIRST)
+    assert sender.cache_sources.find(choice) == engine(FIRST)
     happen(sender)
-    assert sender._cache_source(choice) is None
-    assert sender.moves_sent == 1
+    assert sender.cache_sources.find(choice) is None
+    assert sender.cache_sources.sent == 1
 
 
 @pytest.mark.parametrize('happen', [leave, suspect, eject, close_domain])
@@ -311,8 +311,8 @@
     sender = sender_of(scheduler)
     happen(scheduler)
     choice = Choice(engine(SECOND), 0, 0, source=engine(FIRST))
-    assert sender._cache_source(choice) is None
-    assert sender.moves_dropped == 1
+    assert sender.cache_sources.find(choice) is None
+    assert sender.cache_sources.dropped == 1
 
 
 @pytest.mark.parametrize('moves', [False, True])
--- a/tests/edge/test_passing.py
+++ b/tests/edge/test_passing.py
@@ -19,7 +19,8 @@
 from hitchdeck_edge.serving import admission, caller
 from hitchdeck_platform.requests import DIALECT
 from standins.platform_site import HOST, KEY, Site, document, running_site
-from standins.platform_worker import Fault, Worker
+from standins.platform_worker import Worker
+from standins.worker_faults import Fault
 from tests.common.asking import of_pool
 
 
--- a/tests/edge/test_retry_times.py
+++ b/tests/edge/test_retry_times.py
@@ -1,4 +1,4 @@
-"""When callers whose requests are refused are told to come back."""
+"""The Retry-After of refused requests."""
 
 from dataclasses import replace
 from types import SimpleNamespace
@@ -135,7 +135,7 @@
 
 
 def test_a_retry_keeps_its_place() -> None:
-    # Guards against callers that come back early and delay themselves and others.
+    # Guards against retries that are too early and delay other requests.
     retry_times = times(FakeClock())
     first = retry_times.seconds(wanted(), over_share(1.25))
     again = replace(wanted(), waited=0.1, returned=True)
--- a/tests/edge/test_shared_services.py
+++ b/tests/edge/test_shared_services.py
@@ -35,8 +35,9 @@
 )
 from hitchdeck_edge.scheduling.service_view import ServiceView
 from standins.platform_site import HOST, KEY, Site, running_site
-from standins.platform_worker import Fault, Worker
+from standins.platform_worker import Worker
 from standins.ports import free_address
+from standins.worker_faults import Fault
 from tests.common.scheduling import FakeClock, engine, scheduler_of, wanted
 from tests.edge.test_scheduler_link import reached, running_link
 from tests.edge.test_service_health import always, never
--- a/tests/edge/test_software_versions.py
+++ b/tests/edge/test_software_versions.py
@@ -10,8 +10,9 @@
 from hitchdeck_core.ids import UpstreamName
 from hitchdeck_edge.process import EntryBox
 from standins.platform_site import Site, document, route, running_site
-from standins.platform_worker import Fault, Worker
+from standins.platform_worker import Worker
 from standins.worker_bodies import events
+from standins.worker_faults import Fault
 from tests.common.asking import of_pool
 from tests.common.raw_callers import Received, caller_request, receive
 
--- a/tests/edge/test_truncated_responses.py
+++ b/tests/edge/test_truncated_responses.py
@@ -9,15 +9,16 @@
 
 from hitchdeck_core.event_streams import EventSplitter
 from hitchdeck_core.ids import UpstreamName
-from hitchdeck_edge.dispatch.response_parser import Framing as HeadFraming
-from hitchdeck_edge.dispatch.response_parser import ResponseHead
+from hitchdeck_edge.dispatch.response_parser import Framing, ResponseHead
 from hitchdeck_edge.model.placing import Choice
 from hitchdeck_edge.model.refusals import Refusal
 from hitchdeck_edge.model.request_context import RequestContext
 from hitchdeck_edge.serving import caller_server
 from standins.platform_site import Site, running_site
-from standins.platform_worker import Fault, Seen, Worker
-from standins.worker_bodies import Framing, events
+from standins.platform_worker import Worker
+from standins.worker_bodies import events
+from standins.worker_faults import Fault
+from standins.worker_requests import Seen
 from tests.common.asking import of_pool
 from tests.common.raw_callers import Received, caller_request, receive
 
@@ -190,7 +191,7 @@
     content_type: str, expected: bool
 ) -> None:
     headers = [(b'Content-Type', content_type.encode())] if content_type else []
-    head = ResponseHead(200, b'OK', headers, HeadFraming.close)
+    head = ResponseHead(200, b'OK', headers, Framing.close)
     assert head.is_event_stream == expected
 
 
