Log the shared parts of a prompt whose attempt failed

The logs of the incident name the last part of a prompt only, so that a crash that one shared part brings cannot be told from one of a whole content.

--- a/packages/edge/src/hitchdeck_edge/dispatch/sender.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/sender.py
@@ -9,6 +9,7 @@
 from hitchdeck_core.loop_load import loop_utilization
 from hitchdeck_core.quarantine.crash_detector import CrashDetector
 from hitchdeck_core.quarantine.quarantine import Quarantine
+from hitchdeck_edge.dispatch.attempt_log import log_failed_attempt
 from hitchdeck_edge.dispatch.attempts import (
     ActiveRequest,
     Attempt,
@@ -354,22 +355,7 @@
             health.record_error(attempt.upstream)
         if attempt.outcome is AttemptOutcome.not_run:
             active.context.may_have_run = attempt.may_have_run_before
-        logs.info(
-            'attempt failed',
-            request=active.context.call.request,
-            content=active.context.fingerprint.hex(),
-            upstream=attempt.upstream,
-            software=attempt.choice.upstream.software,
-            verdict=attempt.outcome.value,
-            status=attempt.head.status if attempt.head else 0,
-            framing=attempt.head.framing.value if attempt.head else '',
-            reason=attempt.reason,
-            attempt=active.context.sent,
-            pause=attempt.backoff,
-            leaving=attempt.leaving,
-            idle_before=round(attempt.idle_before, 3),
-            decided_by=active.context.decided_by,
-        )
+        log_failed_attempt(active.context, attempt)
 
     def _record_unreached(
         self,
--- a/packages/edge/src/hitchdeck_edge/model/calls.py
+++ b/packages/edge/src/hitchdeck_edge/model/calls.py
@@ -39,6 +39,11 @@
     expected_output_tokens: int
     parts: tuple[Part, ...]
 
+    @property
+    def shared_parts(self) -> tuple[Part, ...]:
+        """Return the parts that other requests may have too."""
+        return self.parts[:-1]
+
 
 @dataclass(frozen=True, slots=True)
 class Call:
