Add a failing test: one prompt part crashes one worker after the other

Requests share the part at one of four positions, and no two of them are alike. The stand-in worker crashes on a part as it begins to answer.

--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -54,6 +54,12 @@
         Software version that it reports; empty for none.
     lethal
         A request with this body crashes the worker, which closes its port.
+    lethal_part
+        A prompt with this part does the same as soon as the worker begins to answer.
+    lethal_events
+        Number of whole events that it sends before the crash.
+    lethal_delay
+        Time after which it crashes, in seconds.
     pause
         Value of ``Retry-After`` when it sheds a request; empty for none.
     leaving
@@ -82,6 +88,9 @@
     framing: Framing = Framing.chunks
     software: str = SOFTWARE
     lethal: bytes = b''
+    lethal_part: str = ''
+    lethal_events: int = 0
+    lethal_delay: float = 0
     pause: str = ''
     leaving: bool = False
     ended: bool = False
@@ -199,7 +208,7 @@
         if request.headers.get('expect-instance') != self.name:
             peer.writer.write(self._answer(request, '421 Misdirected', b''))
             return True
-        if self.lethal and request.body == self.lethal:
+        if _is_lethal(self, request):
             return await self._crash_during_answer(request, peer)
         serve = self._behaviour()
         return await serve(request, peer)
@@ -233,8 +242,12 @@
         self.ran.append(request.attempt)
         head = self.head(request, '200 OK', self.name)
         peer.writer.write(f'{head}Transfer-Encoding: chunked\r\n\r\n'.encode())
+        for event in events(request.last_event, self.lethal_events, self.software):
+            peer.writer.write(encoded_event(event, Framing.chunks))
         await peer.writer.drain()
-        await self.end()
+        await asyncio.sleep(self.lethal_delay)
+        if not self.ended:
+            await self.end()
         return False
 
     async def _answer_error(self, request: Seen, peer: Peer) -> bool:
@@ -341,6 +354,12 @@
         return f'{head}{extra}Content-Length: {len(body)}\r\n\r\n'.encode() + body
 
 
+def _is_lethal(worker: Worker, request: Seen) -> bool:
+    if worker.lethal and request.body == worker.lethal:
+        return True
+    return bool(worker.lethal_part) and worker.lethal_part in request.parts
+
+
 def _body(request: Seen, worker: str) -> bytes:
     return json.dumps({'attempt': request.attempt, 'by': worker}).encode()
 
--- a/standins/worker_requests.py
+++ b/standins/worker_requests.py
@@ -22,6 +22,12 @@
         """Return the ID of the last event that the caller received."""
         return self.headers.get('last-event-id', '')
 
+    @property
+    def parts(self) -> tuple[str, ...]:
+        """Return the ids of the parts of its prompt."""
+        listed = self.headers.get('prompt-prefix', '').split(',')
+        return tuple(one.partition(':')[0] for one in listed)
+
     @property
     def streams(self) -> bool:
         """Tell whether the response is a stream."""
--- /dev/null
+++ b/tests/edge/test_lethal_parts.py
@@ -0,0 +1,173 @@
+"""One prompt part that crashes workers is kept away, and nothing else is.
+
+Guards against a quarantine of whole contents only: requests that share the part are
+never alike, so each was in flight at one crash and none was ever quarantined.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import NamedTuple
+
+import pytest
+from tornado.simple_httpclient import HTTPStreamClosedError
+
+from standins.platform_site import HOST, KEY, Site, document, route, running_site
+from standins.platform_worker import Worker
+
+LETHAL = 'deadbeef'
+SHARED = ('aaaa', 'bbbb', 'cccc')
+"""Parts that lethal and sound requests share, in the order of the prompt."""
+
+MAX_CRASHES = 5
+"""Crashes by which a part must be recognized."""
+
+ENGINES = 10
+SPREAD_SECONDS = 1.0
+ROUTES = [
+    route('stream', '/s/', 'stream', resumable=True, service='llm'),
+    route('once', '/once/', 'stream', resumable=False, service='llm'),
+    route('one', '/one/', 'stream', resumable=True, service='llm', maxAttempts=1),
+    route('plain', '/p/', 'idempotent', service='llm'),
+    route('unsafe', '/u/', 'non_idempotent', service='llm'),
+]
+
+
+class Case(NamedTuple):
+    """A way in which lethal requests arrive.
+
+    Attributes
+    ----------
+    position
+        Number of shared parts before the lethal one.
+    path
+        Route that they take.
+    burst
+        How many arrive at once.
+    beside
+        Number of sound streams in flight, with all other parts of the lethal requests.
+    """
+
+    position: int = 2
+    path: str = '/s/'
+    burst: int = 1
+    boxes: int = 3
+    beside: int = 0
+
+
+class Caller:
+    """Sends requests of which no two are alike."""
+
+    def __init__(self, site: Site) -> None:
+        self.site = site
+        self.sent = 0
+
+    async def send(self, path: str, parts: tuple[str, ...], box: int = -1) -> int:
+        """Return the status of the answer, or 0 if the connection was closed."""
+        self.sent += 1
+        attempt = f'r{self.sent}'
+        listed = ','.join(f'{part}:20' for part in (*parts, f'f{self.sent}'))
+        headers = {
+            'Host': HOST,
+            'Attempt_Id': attempt,
+            'Deadline_Ms': '3000',
+            'Authorization': f'Token {KEY}',
+            'Model': 'm',
+            'Token_Count': f'{20 * len(parts) + 20},40',
+            'Prompt_Prefix': listed,
+        }
+        boxes = self.site.boxes
+        address = boxes[box if box >= 0 else self.sent % len(boxes)].settings.listen
+        try:
+            reply = await self.site.call('POST', address, path, attempt, **headers)
+        except HTTPStreamClosedError:
+            return 0
+        return int(reply.code)
+
+    async def send_lethal(self, case: Case) -> list[int]:
+        """Send a burst of lethal requests, each with a further part of its own."""
+        parts = (*SHARED[: case.position], LETHAL)
+        return await asyncio.gather(
+            *(
+                self.send(case.path, (*parts, f'e{self.sent}'))
+                for _ in range(case.burst)
+            )
+        )
+
+
+def crash_count(site: Site) -> int:
+    return sum(worker.ended for worker in site.workers)
+
+
+async def add_engines(site: Site) -> list[Worker]:
+    """Start engines that crash under the part, and publish the routes."""
+    engines = [await site.start_worker(f'x{at}', 'llm') for at in range(ENGINES)]
+    await site.publish(document(2, routes=ROUTES))
+    await site.settle(2)
+    for worker in site.workers:
+        worker.lethal_part = LETHAL
+    return engines
+
+
+@asynccontextmanager
+async def site_under_way(folder: Path, boxes: int) -> AsyncIterator[Caller]:
+    """Run a site that has served sound requests with the shared parts."""
+    async with running_site(folder, boxes=boxes) as site:
+        await add_engines(site)
+        caller = Caller(site)
+        for _ in range(boxes):
+            assert await caller.send('/s/', SHARED) == 200
+        yield caller
+
+
+async def keep_streaming(caller: Caller) -> None:
+    """Send sound streams that last, one after the other, until cancelled."""
+    while True:
+        await caller.send('/s/', SHARED)
+
+
+async def crash_until_kept_away(caller: Caller, case: Case) -> None:
+    """Send lethal requests until all of a burst are rejected, or too many crashed."""
+    async with asyncio.timeout(20):
+        while crash_count(caller.site) < MAX_CRASHES + 2:
+            codes = await caller.send_lethal(case)
+            await asyncio.sleep(0.1)
+            if set(codes) == {503}:
+                return
+
+
+@pytest.mark.parametrize(
+    'case',
+    [
+        *(Case(position=position) for position in (0, 1, 2, 3)),
+        *(Case(path=path) for path in ('/once/', '/one/', '/p/', '/u/')),
+        Case(boxes=1),
+        Case(beside=6),
+        Case(position=1, path='/one/', beside=6),
+        Case(position=0, path='/once/', boxes=1, beside=4),
+        Case(path='/one/', burst=3),
+        Case(path='/once/', burst=3, beside=6),
+        Case(position=1, path='/u/', burst=2, boxes=1),
+    ],
+)
+async def test_a_lethal_part_reaches_no_worker_after_five_crashes(
+    case: Case, tmp_path: Path
+) -> None:
+    async with site_under_way(tmp_path, case.boxes) as caller:
+        for worker in caller.site.workers:
+            worker.gap = 0.05
+        beside = [
+            asyncio.create_task(keep_streaming(caller)) for _ in range(case.beside)
+        ]
+        await crash_until_kept_away(caller, case)
+        await asyncio.sleep(SPREAD_SECONDS)
+        before = crash_count(caller.site)
+        later = [await caller.send_lethal(case._replace(burst=1)) for _ in range(6)]
+        for task in beside:
+            task.cancel()
+        assert before <= MAX_CRASHES + case.burst - 1
+        assert later == [[503]] * 6
+        assert crash_count(caller.site) == before
+        sound = [await caller.send(case.path, SHARED) for _ in range(6)]
+        assert sound == [200] * 6
