Quarantine the part of a prompt that crashes upstreams

What callers saw: one kind of request crashed one engine after the other, each with up to twelve other responses. Cause: the quarantine charged a crash to whole contents. The requests share one part of their prompts and no two are alike, so each content was at one crash; only retried bystanders were ever at three. Class: a fault charged by an identity that the cause does not have.

A crash is now charged to contents and to the shared parts of the prompts in flight. A part is blamed for three crashes under two requests or more, unless something that was in flight at more of them explains it; of parts at as many crashes, the later one in the prompt. A complete framed answer within a minute clears a part, at the box that has it and by its veto everywhere; a status, a head or a truncated answer does not. Requests are checked again when they are sent, also after a wait and at a second attempt. A quarantine ends by an answer: from 30 s on one request is a trial, whose crash renews it for ten minutes.

Messages have new fields, which earlier builds ignore. The hubs' file holds the verdicts.

--- a/packages/control/src/hitchdeck_control/fleet/watch.py
+++ b/packages/control/src/hitchdeck_control/fleet/watch.py
@@ -121,7 +121,7 @@
         frame.directory.CopyFrom(difference(sent.directory, directory))
         sent.directory = directory
     update, sent.quarantine = leader.quarantine.update_since(sent.quarantine)
-    if update.verdicts:
+    if update.has_verdicts:
         frame.quarantine.CopyFrom(encode_update(update, leader.now()))
     now = leader.now()
     if now - sent.usage_at >= _USAGE_PERIOD_SECONDS:
--- a/packages/core/src/hitchdeck_core/quarantine/crash_detector.py
+++ b/packages/core/src/hitchdeck_core/quarantine/crash_detector.py
@@ -11,7 +11,7 @@
 from hitchdeck_core import logs
 from hitchdeck_core.ids import UpstreamIncarnation
 from hitchdeck_core.lazy_dataclasses import dataclass
-from hitchdeck_core.quarantine.fingerprints import Fingerprint
+from hitchdeck_core.quarantine.fingerprints import RequestKeys
 from hitchdeck_core.quarantine.quarantine import Quarantine
 from hitchdeck_core.supervisor import Supervisor
 
@@ -26,7 +26,7 @@
 class SuspectedCrash:
     """Requests in flight on an incarnation that may have crashed, and since when."""
 
-    in_flight: frozenset[Fingerprint]
+    in_flight: frozenset[RequestKeys]
     since: float
 
 
@@ -50,16 +50,16 @@
     ) -> None:
         self.quarantine = quarantine
         self.on_crash = on_crash
-        self.probed: dict[UpstreamIncarnation, set[Fingerprint]] = defaultdict(set)
+        self.probed: dict[UpstreamIncarnation, set[RequestKeys]] = defaultdict(set)
         self.suspected: dict[UpstreamIncarnation, SuspectedCrash] = {}
         self.tasks = Supervisor('endings')
 
     def record_broken_response(
-        self, incarnation: UpstreamIncarnation, fingerprint: Fingerprint, probe: Probe
+        self, incarnation: UpstreamIncarnation, keys: RequestKeys, probe: Probe
     ) -> None:
         """Record that the response to a request broke off, and probe the upstream."""
         already_probed = incarnation in self.probed
-        self.probed[incarnation].add(fingerprint)
+        self.probed[incarnation].add(keys)
         if not already_probed:
             self.tasks.temporary(incarnation, self._probe(incarnation, probe))
 
@@ -85,7 +85,7 @@
             logs.info(
                 'upstream accepts connections after a broken response',
                 upstream=incarnation,
-                contents=[one.hex() for one in in_flight],
+                contents=[one.content.hex() for one in in_flight],
             )
             self._suspect(incarnation, in_flight)
             return
@@ -93,7 +93,7 @@
         self.quarantine.record_crash(incarnation, in_flight)
 
     def _suspect(
-        self, incarnation: UpstreamIncarnation, in_flight: set[Fingerprint]
+        self, incarnation: UpstreamIncarnation, in_flight: set[RequestKeys]
     ) -> None:
         self._expire()
         before = self.suspected.pop(incarnation, None)
--- a/packages/core/src/hitchdeck_core/quarantine/crash_history.py
+++ b/packages/core/src/hitchdeck_core/quarantine/crash_history.py
@@ -1,9 +1,10 @@
-"""Requests in flight on upstreams that crashed, and which of them are the likely cause.
+"""What was in flight on upstreams that crashed, and what of it is the likely cause.
 
-Requests are identified by the fingerprint of their content.
+A cause is the content of a request, or one part of a prompt that several requests have.
 """
 
 from collections import defaultdict, deque
+from collections.abc import Callable, Iterable
 
 from hitchdeck_core.clock import Clock
 from hitchdeck_core.ids import UpstreamIncarnation
@@ -16,6 +17,13 @@
 next to a lethal one, four were in flight at two crashes and none at three (logs of
 eight crashes in nine seconds)."""
 
+CRASHES_PER_CONTENT = 2
+"""Crashes that count against a part of a prompt for each request with it: what a single
+request brings that is retried is charged to the request."""
+
+MAX_CONTENTS = 32
+"""Maximum number of requests that are kept for a part."""
+
 CRASH_TTL_SECONDS = 600.0
 """Time after which a crash record expires.  It is long enough to recognize a lethal
 request that arrives every one or two minutes, and short enough not to blame a
@@ -24,17 +32,63 @@
 MAX_CRASH_RECORDS = 4096
 """Most crash records: 64 requests in flight at each of 64 crashes."""
 
+IsCleared = Callable[[Fingerprint], bool]
+"""Tells whether a request or part was answered recently."""
+
 
 @dataclass(frozen=True, slots=True)
 class CrashRecord:
-    """An incarnation that crashed, and a request that was in flight on it."""
+    """An incarnation that crashed, and a request or part that was in flight on it.
+
+    Attributes
+    ----------
+    content
+        For a part, the content of the request that had it; empty for a request.
+    position
+        For a part, its place in the prompt, from 1; 0 for a request.
+    """
 
     fingerprint: Fingerprint
     incarnation: UpstreamIncarnation
+    content: Fingerprint = Fingerprint(b'')
+    position: int = 0
+
+
+@dataclass(slots=True)
+class Charges:
+    """The crashes at which a request or part was in flight.
+
+    Attributes
+    ----------
+    known_since
+        When the first of them became known.
+    requests
+        For a part, the contents of the requests that had it.
+    """
+
+    known_since: float
+    incarnations: set[UpstreamIncarnation]
+    requests: set[Fingerprint]
+    position: int = 0
+
+    def weight_of(self, crashes: int) -> int:
+        """Return how many of its crashes count against it."""
+        if not self.position:
+            return crashes
+        return min(crashes, CRASHES_PER_CONTENT * len(self.requests))
+
+    @property
+    def rank(self) -> tuple[int, int]:
+        """Return a key that is higher for the likelier cause of a common crash.
+
+        Of two parts that were in flight at as many crashes, the later one in the
+        prompt is shared by fewer requests.
+        """
+        return (self.weight_of(len(self.incarnations)), self.position)
 
 
 class CrashHistory:
-    """Recent crash records, by request and by incarnation.
+    """Recent crash records, by request or part and by incarnation.
 
     Attributes
     ----------
@@ -44,9 +98,7 @@
 
     def __init__(self, now: Clock) -> None:
         self.now = now
-        self.by_fingerprint: dict[Fingerprint, set[UpstreamIncarnation]] = defaultdict(
-            set
-        )
+        self.by_fingerprint: dict[Fingerprint, Charges] = {}
         self.by_incarnation: dict[UpstreamIncarnation, set[Fingerprint]] = defaultdict(
             set
         )
@@ -55,40 +107,58 @@
     def add(self, crash: CrashRecord) -> bool:
         """Add a record; tell whether it is new."""
         self._expire()
-        if self.has(crash):
+        charges = self.by_fingerprint.get(crash.fingerprint)
+        if charges is None:
+            charges = Charges(self.now(), set(), set())
+            self.by_fingerprint[crash.fingerprint] = charges
+        if crash.content and len(charges.requests) < MAX_CONTENTS:
+            charges.requests.add(crash.content)
+        charges.position = max(charges.position, crash.position)
+        if crash.incarnation in charges.incarnations:
             return False
-        self.by_fingerprint[crash.fingerprint].add(crash.incarnation)
+        charges.incarnations.add(crash.incarnation)
         self.by_incarnation[crash.incarnation].add(crash.fingerprint)
         self.order.append((self.now(), crash))
         return True
 
     def has(self, crash: CrashRecord) -> bool:
         """Tell whether a record is present, and not expired or removed."""
-        return crash.incarnation in self.by_fingerprint.get(crash.fingerprint, ())
+        return crash.incarnation in self.incarnations(crash.fingerprint)
+
+    def incarnations(self, fingerprint: Fingerprint) -> set[UpstreamIncarnation]:
+        """Return the crashed incarnations on which a request or part was in flight."""
+        charges = self.by_fingerprint.get(fingerprint)
+        return set() if charges is None else charges.incarnations
 
-    def implicates(self, fingerprint: Fingerprint) -> bool:
-        """Tell whether a request is the likely cause of enough crashes.
+    def implicates(
+        self, fingerprint: Fingerprint, is_cleared: IsCleared, least: int = MIN_CRASHES
+    ) -> bool:
+        """Tell whether a request or part is the likely cause of enough crashes.
 
-        A crash is attributed to the request that was in flight at the most crashes,
-        and not to the others that were in flight on the same incarnation.
+        A crash is attributed to what was in flight at the most crashes and was not
+        answered, and not to the others that were in flight on the same incarnation.
         """
-        incarnations = self.by_fingerprint.get(fingerprint, set())
-        against = [
-            incarnation
-            for incarnation in incarnations
-            if not self._is_explained(incarnation, len(incarnations))
-        ]
-        return len(against) >= MIN_CRASHES
+        charges = self.by_fingerprint.get(fingerprint)
+        if charges is None or len(charges.incarnations) < least:
+            return False
+        against = sum(
+            not self._is_explained(incarnation, charges, is_cleared)
+            for incarnation in charges.incarnations
+        )
+        return charges.weight_of(against) >= least
 
     def forget(self, fingerprint: Fingerprint) -> None:
-        """Remove all records of a request."""
-        for incarnation in list(self.by_fingerprint.get(fingerprint, ())):
+        """Remove all records of a request or part."""
+        for incarnation in tuple(self.incarnations(fingerprint)):
             self._forget(CrashRecord(fingerprint, incarnation))
 
-    def _is_explained(self, incarnation: UpstreamIncarnation, times: int) -> bool:
-        """Tell whether another request in flight was at more than ``times`` crashes."""
+    def _is_explained(
+        self, incarnation: UpstreamIncarnation, charges: Charges, is_cleared: IsCleared
+    ) -> bool:
+        """Tell whether something else in flight is the likelier cause of a crash."""
+        rank = charges.rank
         return any(
-            len(self.by_fingerprint[one]) > times
+            self.by_fingerprint[one].rank > rank and not is_cleared(one)
             for one in self.by_incarnation[incarnation]
         )
 
@@ -102,11 +172,24 @@
 
     def _forget(self, crash: CrashRecord) -> None:
         """Remove a record, and the sets that become empty."""
-        incarnations = self.by_fingerprint[crash.fingerprint]
-        incarnations.discard(crash.incarnation)
-        if not incarnations:
+        charges = self.by_fingerprint.get(crash.fingerprint)
+        if charges is None or crash.incarnation not in charges.incarnations:
+            return
+        charges.incarnations.remove(crash.incarnation)
+        if not charges.incarnations:
             self.by_fingerprint.pop(crash.fingerprint)
         in_flight = self.by_incarnation[crash.incarnation]
         in_flight.discard(crash.fingerprint)
         if not in_flight:
             self.by_incarnation.pop(crash.incarnation)
+
+
+def known_first(
+    records: Iterable[CrashRecord], history: CrashHistory
+) -> list[CrashRecord]:
+    """Return records, those of what was in flight at earlier crashes first.
+
+    The rest is ordered by position, so that one long prompt doesn't displace others.
+    """
+    known = history.by_fingerprint
+    return sorted(records, key=lambda one: (one.fingerprint not in known, one.position))
--- a/packages/core/src/hitchdeck_core/quarantine/messages.py
+++ b/packages/core/src/hitchdeck_core/quarantine/messages.py
@@ -1,5 +1,7 @@
 """Encoding of quarantine updates as protobuf messages."""
 
+from collections.abc import Iterable
+
 from hitchdeck_core.ids import UpstreamIncarnation
 from hitchdeck_core.quarantine.crash_history import CrashRecord
 from hitchdeck_core.quarantine.fingerprints import Fingerprint
@@ -7,11 +9,14 @@
 from hitchdeck_core.quarantine.verdicts import Verdict, VerdictStatus
 from hitchdeck_core.wire.quarantine_pb2 import (
     CasualtyRecord,
+    PartCrashRecord,
     QuarantineNews,
     VerdictRecord,
 )
 
 _MS = 1000
+_AGE_BITS = 32
+_MAX_AGE_MS = 2**_AGE_BITS - 1
 
 
 def encode_update(update: QuarantineUpdate, now: float) -> QuarantineNews:
@@ -20,30 +25,57 @@
         casualties=[
             CasualtyRecord(content=one.fingerprint, life=one.incarnation)
             for one in update.crashes
+            if not one.position
         ],
-        verdicts=[
-            VerdictRecord(
-                content=one.fingerprint,
-                round=one.round_number,
-                quarantined=one.status is VerdictStatus.quarantined,
-                age_ms=max(0, int((now - one.since) * _MS)),
+        verdicts=_encoded_verdicts(update.verdicts, now),
+        part_crashes=[
+            PartCrashRecord(
+                part=one.fingerprint,
+                incarnation=one.incarnation,
+                content=one.content,
+                position=one.position,
             )
-            for one in update.verdicts
+            for one in update.crashes
+            if one.position
         ],
+        part_verdicts=_encoded_verdicts(update.part_verdicts, now),
     )
 
 
 def decode_update(message: QuarantineNews, now: float) -> QuarantineUpdate:
     """Decode an update; ``now`` is the present time of the receiver's clock."""
+    whole = [
+        CrashRecord(Fingerprint(one.content), UpstreamIncarnation(one.life))
+        for one in message.casualties
+    ]
+    parts = [
+        CrashRecord(
+            Fingerprint(one.part),
+            UpstreamIncarnation(one.incarnation),
+            Fingerprint(one.content),
+            max(1, int(one.position)),
+        )
+        for one in message.part_crashes
+    ]
     return QuarantineUpdate(
-        tuple(
-            CrashRecord(Fingerprint(one.content), UpstreamIncarnation(one.life))
-            for one in message.casualties
-        ),
+        (*whole, *parts),
         tuple(_verdict(one, now) for one in message.verdicts),
+        tuple(_verdict(one, now) for one in message.part_verdicts),
     )
 
 
+def _encoded_verdicts(verdicts: Iterable[Verdict], now: float) -> list[VerdictRecord]:
+    return [
+        VerdictRecord(
+            content=one.fingerprint,
+            round=one.round_number,
+            quarantined=one.status is VerdictStatus.quarantined,
+            age_ms=min(_MAX_AGE_MS, max(0, int((now - one.since) * _MS))),
+        )
+        for one in verdicts
+    ]
+
+
 def _verdict(record: VerdictRecord, now: float) -> Verdict:
     status = VerdictStatus.quarantined if record.quarantined else VerdictStatus.cleared
     since = now - record.age_ms / _MS
--- a/packages/core/src/hitchdeck_core/quarantine/verdicts.py
+++ b/packages/core/src/hitchdeck_core/quarantine/verdicts.py
@@ -1,4 +1,4 @@
-"""Verdicts on requests, merged from all processes that decide.
+"""Verdicts on requests and parts of prompts, merged from all processes that decide.
 
 They converge to the same state in any order of arrival: the verdict of a later round
 wins, and within a round the stricter status.
@@ -36,7 +36,8 @@
     Attributes
     ----------
     round_number
-        Number of times that the request was cleared before; each starts a new round.
+        Number of decisions that superseded earlier ones: those that cleared the
+        request or part, and those that renewed its quarantine.
     since
         Time of the decision, on this process's clock.
     """
@@ -53,18 +54,21 @@
 
 
 class Verdicts:
-    """The newest verdict on each request.
+    """The newest verdict on each request, or on each part of a prompt.
 
     Attributes
     ----------
+    ttl
+        Time after which a verdict expires, in seconds.
     changes
         Number of the last change.
     change_numbers
         Number of the last change of each verdict.
     """
 
-    def __init__(self, now: Clock) -> None:
+    def __init__(self, now: Clock, ttl: float = QUARANTINE_SECONDS) -> None:
         self.now = now
+        self.ttl = ttl
         self.known: dict[Fingerprint, Verdict] = {}
         self.change_numbers: dict[Fingerprint, int] = {}
         self.changes = 0
@@ -87,6 +91,13 @@
             )
         )
 
+    def renew(self, fingerprint: Fingerprint) -> bool:
+        """Start a quarantine anew, whose time runs from now."""
+        number = self._round(fingerprint) + 1
+        return self.merge(
+            Verdict(fingerprint, number, VerdictStatus.quarantined, self.now())
+        )
+
     def clear(self, fingerprint: Fingerprint) -> bool:
         """End the quarantine of a request; tell whether there was one."""
         if not self.is_quarantined(fingerprint):
@@ -121,7 +132,7 @@
         return 0 if known is None or self._is_expired(known) else known.round_number
 
     def _is_expired(self, verdict: Verdict) -> bool:
-        return self.now() - verdict.since >= QUARANTINE_SECONDS
+        return self.now() - verdict.since >= self.ttl
 
     def _store(self, verdict: Verdict) -> None:
         self.changes += 1
--- a/packages/edge/src/hitchdeck_edge/dispatch/dispatcher.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/dispatcher.py
@@ -126,8 +126,10 @@
             The deadline has passed.
         """
         # Without this check, retries of one request crashed ten engines in a row.
-        if self.sender.quarantine.is_quarantined(context.fingerprint):
-            return Refusal.quarantined
+        context.quarantined = self.sender.quarantine.cause_of_quarantine(context.keys)
+        if context.quarantined is not None:
+            whole = context.quarantined == context.fingerprint
+            return Refusal.quarantined if whole else Refusal.part_quarantined
         choice = await self.chooser.choose(context)
         if self.now() >= context.deadline:
             if isinstance(choice, Choice):
@@ -139,7 +141,7 @@
         """Check whether the upstream of the last, unfinished attempt has crashed."""
         last_attempt = active.last_attempt
         if last_attempt is not None and last_attempt.outcome is AttemptOutcome.broken:
-            self.sender.check_for_crash(active, last_attempt)
+            self.sender.crash_watch.check_for_crash(active.context, last_attempt)
 
     def _begin_second(self, active: ActiveRequest) -> bool:
         """Decide whether to give up an attempt without a response for a second one.
--- a/packages/edge/src/hitchdeck_edge/dispatch/sender.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/sender.py
@@ -1,13 +1,11 @@
 """Sending a request to one upstream, and recording the outcome."""
 
-from functools import partial
 from http import HTTPStatus
 
 from hitchdeck_core import logs
 from hitchdeck_core.clock import Clock
-from hitchdeck_core.ids import UpstreamIncarnation, UpstreamName
+from hitchdeck_core.ids import UpstreamName
 from hitchdeck_core.loop_load import loop_utilization
-from hitchdeck_core.quarantine.crash_detector import CrashDetector
 from hitchdeck_core.quarantine.quarantine import Quarantine
 from hitchdeck_edge.dispatch.attempt_log import log_failed_attempt
 from hitchdeck_edge.dispatch.attempts import (
@@ -18,6 +16,7 @@
 )
 from hitchdeck_edge.dispatch.cache_sources import CacheSources
 from hitchdeck_edge.dispatch.connections import ConnectionPool
+from hitchdeck_edge.dispatch.crash_watch import CrashWatch
 from hitchdeck_edge.dispatch.response_parser import ResponseHead
 from hitchdeck_edge.dispatch.reuse import permitted_reuse
 from hitchdeck_edge.dispatch.service_watch import ServiceWatch
@@ -26,6 +25,7 @@
     CallerDisconnectedError,
     IncompleteResponseError,
     NotSentError,
+    QuarantinedError,
     UpstreamNotAcceptingError,
 )
 from hitchdeck_edge.links.placing import OVERLOADED_UTILIZATION
@@ -67,7 +67,7 @@
         self.quarantine = quarantine
         self.link = chooser.link
         self.placement = chooser.local.placement
-        self.crash_detector = CrashDetector(quarantine, self._avoid_crashed)
+        self.crash_watch = CrashWatch(quarantine, connections, self.placement.health)
         self.backpressure = chooser.backpressure
         self.domain = chooser.domain
         self.connections = connections
@@ -96,7 +96,7 @@
                 raise CallerDisconnectedError(
                     'caller disconnected before the request was sent'
                 )
-            self._check_accepting(choice, connection)
+            self._check_accepting(context, choice, connection)
             self._send_request(active, attempt, connection)
             await self._receive(active, attempt, connection)
         except UpstreamNotAcceptingError as error:
@@ -120,15 +120,6 @@
         self._record_outcome(active, attempt)
         return True
 
-    def check_for_crash(self, active: ActiveRequest, attempt: Attempt) -> None:
-        """Check whether an upstream that gave no complete response has crashed."""
-        upstream = attempt.choice.upstream
-        self.crash_detector.record_broken_response(
-            upstream.incarnation,
-            active.context.fingerprint,
-            partial(self.connections.is_reachable, upstream),
-        )
-
     def replace(self, record: Upstream, newer: Upstream) -> None:
         """Abandon an upstream incarnation that a newer one has replaced.
 
@@ -139,13 +130,9 @@
             self.connections.close_idle(record.name)
         else:
             self.connections.abort_all(record.name)
-        self.crash_detector.confirm_crash(record.incarnation)
+        self.crash_watch.detector.confirm_crash(record.incarnation)
         self.backpressure.transfer_backoff(record.name, newer.name)
 
-    def _avoid_crashed(self, incarnation: UpstreamIncarnation) -> None:
-        """Avoid a crashed upstream on this box; the quarantine notifies the hubs."""
-        self.placement.health.record_crash(UpstreamName(incarnation))
-
     async def _connect(self, context: RequestContext, attempt: Attempt) -> Connection:
         """Return a connection for an attempt, or raise ``NotSentError``."""
         reuse = permitted_reuse(context, streams_reuse=self.connections.streams_reuse)
@@ -182,13 +169,18 @@
             waited = 0 if attempt.head else self.now() - attempt.started_at
             self.connections.abandon(attempt.upstream, connection, waited)
 
-    def _check_accepting(self, choice: Choice, connection: Connection) -> None:
-        """Raise ``UpstreamNotAcceptingError`` if an upstream accepts no requests now.
+    def _check_accepting(
+        self, context: RequestContext, choice: Choice, connection: Connection
+    ) -> None:
+        """Raise ``UpstreamNotAcceptingError`` if a request must not be sent now.
 
-        It may have asked for a backoff while the request waited for the scheduler
-        and for a connection.
+        The upstream may have asked for a backoff, or the request may have been
+        quarantined, while it waited for the scheduler and for a connection.
         """
         name = choice.upstream.name
+        if self.quarantine.is_quarantined(context.keys):
+            self.connections.return_unused(name, connection)
+            raise QuarantinedError('the request was quarantined while it waited')
         if not self.backpressure.accepts_requests(name):
             self.connections.return_unused(name, connection)
             raise UpstreamNotAcceptingError(
@@ -206,6 +198,7 @@
     ) -> None:
         self.connections.mark_busy(attempt.upstream, connection)
         attempt.idle_before = connection.idle_before
+        self.quarantine.begin_trial(active.context.keys)
         connection.send(self._upstream_request(active.context, attempt.choice))
         self._record_sent(active, attempt)
         if self.watch is not None:
@@ -341,8 +334,7 @@
     def _record_outcome(self, active: ActiveRequest, attempt: Attempt) -> None:
         """Update the upstream's health, and whether the request may have run."""
         health = self.placement.health
-        if attempt.outcome in {AttemptOutcome.answered, AttemptOutcome.failed}:
-            self.quarantine.record_answer(active.context.fingerprint)
+        self.crash_watch.record_answer(active.context, attempt)
         if attempt.outcome is AttemptOutcome.answered:
             health.record_success(attempt.upstream, self.now() - attempt.started_at)
             return
@@ -350,7 +342,7 @@
             if attempt.watched is None or not attempt.watched.ejected:
                 health.record_failure(attempt.upstream, attempt.reason)
             self.link.report_failure(attempt.upstream)
-            self.check_for_crash(active, attempt)
+            self.crash_watch.check_for_crash(active.context, attempt)
         else:
             health.record_error(attempt.upstream)
         if attempt.outcome is AttemptOutcome.not_run:
--- a/packages/edge/src/hitchdeck_edge/hub/spread.py
+++ b/packages/edge/src/hitchdeck_edge/hub/spread.py
@@ -242,7 +242,7 @@
 
 def _add_verdicts(frame: HubFrame, sent: _Sent, quarantine: Quarantine) -> None:
     update, sent.quarantine = quarantine.update_since(sent.quarantine)
-    if update.verdicts:
+    if update.has_verdicts:
         frame.quarantine.CopyFrom(encode_update(update, quarantine.now()))
 
 
--- a/packages/edge/src/hitchdeck_edge/hub/state_file.py
+++ b/packages/edge/src/hitchdeck_edge/hub/state_file.py
@@ -181,7 +181,7 @@
         message = QuarantineNews.FromString(payload)
         quarantine.merge(decode_update(message, quarantine.now()), ORIGIN)
 
-    codec = StateCodec(lambda: quarantine.verdicts.changes, encode, restore)
+    codec = StateCodec(lambda: quarantine.verdict_changes, encode, restore)
     return StateFile(folder / 'quarantine', codec, quarantine.changed)
 
 
--- a/packages/edge/src/hitchdeck_edge/links/entry.py
+++ b/packages/edge/src/hitchdeck_edge/links/entry.py
@@ -78,6 +78,7 @@
         self.incarnation = secrets.token_hex(4)
         self.report_hub: Address | None = None
         self.digest_at = -math.inf
+        known.quarantine.trials.box_count = lambda: budget.boxes
         self._assume_others_alike()
 
     def stream_handlers(self, known_hubs: KnownHubs) -> StreamHandlers:
@@ -199,7 +200,7 @@
         quarantine = self.known.quarantine
         position = self.sent_positions.get(hub, SYNC_START)
         update, self.sent_positions[hub] = quarantine.update_since(position)
-        if update.crashes or update.verdicts:
+        if update.has_news:
             frame.quarantine.CopyFrom(encode_update(update, quarantine.now()))
 
     def _add_suspicions(self, hub: Address, frame: BoxFrame) -> None:
--- a/packages/edge/src/hitchdeck_edge/model/refusals.py
+++ b/packages/edge/src/hitchdeck_edge/model/refusals.py
@@ -73,6 +73,11 @@
         QUARANTINE_RETRY_SECONDS,
         'upstreams ended under this request',
     )
+    part_quarantined = Reply(
+        UNAVAILABLE,
+        QUARANTINE_RETRY_SECONDS,
+        'upstreams crashed under a part of this prompt',
+    )
     version_gone = Reply(
         UNAVAILABLE,
         STATE_RETRY_SECONDS,
--- a/packages/edge/src/hitchdeck_edge/model/request_context.py
+++ b/packages/edge/src/hitchdeck_edge/model/request_context.py
@@ -4,7 +4,12 @@
 
 from hitchdeck_core.ids import AccountName, SoftwareVersion, UpstreamName
 from hitchdeck_core.lazy_dataclasses import dataclass
-from hitchdeck_core.quarantine.fingerprints import Fingerprint, fingerprint_of
+from hitchdeck_core.quarantine.fingerprints import (
+    Fingerprint,
+    RequestKeys,
+    fingerprint_of,
+    part_fingerprints,
+)
 from hitchdeck_edge.model.calls import Call
 from hitchdeck_edge.model.document import DocumentVersion, Pool, RepeatPolicy, Route
 from hitchdeck_edge.model.placing import PlacementQuery
@@ -53,6 +58,10 @@
         Keys of that stream; none if nobody can resume it.
     fingerprint
         Digest of account and content; equal for every retry, whatever the request's id.
+    keys
+        What of it may crash an upstream: its content, or a shared part of its prompt.
+    quarantined
+        The key for which it was refused, if it was quarantined.
     """
 
     call: Call
@@ -72,11 +81,13 @@
     priority: int = 0
     retry_after: float = 0.0
     origin: StreamOrigin | None = None
+    quarantined: Fingerprint | None = None
     streams: tuple[StreamKey, ...] = field(init=False)
     fingerprint: Fingerprint = field(init=False)
+    keys: RequestKeys = field(init=False)
 
     def __post_init__(self) -> None:
-        """Compute the fingerprint of the request, and the keys of its stream."""
+        """Compute the fingerprints of the request, and the keys of its stream."""
         call = self.call
         self.fingerprint = fingerprint_of(
             call.method,
@@ -85,6 +96,9 @@
             (self.account or '').encode(),
             self.body,
         )
+        shared = call.prompt.shared_parts if call.prompt else ()
+        parts = part_fingerprints(part.part_id for part in shared)
+        self.keys = RequestKeys(self.fingerprint, parts)
         self.streams = ()
         if self.route.streams and self.route.resumable:
             request = call.resumed or call.request
--- a/packages/edge/src/hitchdeck_edge/serving/admission.py
+++ b/packages/edge/src/hitchdeck_edge/serving/admission.py
@@ -317,7 +317,7 @@
             seconds=round(seconds, 3),
             **_framing_fields(active),
             **_resumption_fields(context.call),
-            **_quarantine_fields(context, active.response.outcome),
+            **_quarantine_fields(context),
             **_size_fields(context.call),
         )
 
@@ -359,11 +359,14 @@
     return {'resumed': call.resumed, 'last_event': call.last_event}
 
 
-def _quarantine_fields(context: RequestContext, outcome: str) -> dict[str, object]:
-    """Return the fingerprint that links a quarantined request to earlier crashes."""
-    if outcome != Refusal.quarantined.name:
+def _quarantine_fields(context: RequestContext) -> dict[str, object]:
+    """Return the fingerprints that link a quarantined request to earlier crashes."""
+    if context.quarantined is None:
         return {}
-    return {'content': context.fingerprint.hex()}
+    fields: dict[str, object] = {'content': context.fingerprint.hex()}
+    if context.quarantined != context.fingerprint:
+        fields['quarantined_part'] = context.quarantined.hex()
+    return fields
 
 
 def _size_fields(call: Call) -> dict[str, object]:
--- a/packages/router/src/hitchdeck_router/dispatch/attempts.py
+++ b/packages/router/src/hitchdeck_router/dispatch/attempts.py
@@ -85,7 +85,7 @@
         failed = False
         try:
             await _run_granted(context, admitted, progress, grant, run_once)
-            context.fleet.quarantine.record_answer(admitted.fingerprint)
+            context.fleet.quarantine.record_answer(admitted.keys)
             return
         except GrantLostError as error:
             _record_lost_grant(progress, error)
@@ -186,6 +186,7 @@
     try:
         # There must be no await between the check of lease and configuration
         # and the call.
+        context.fleet.quarantine.begin_trial(admitted.keys)
         await run_once(grant, upstream)
     except UpstreamUnreachedError:
         if claimed:
@@ -237,6 +238,8 @@
 ) -> Upstream:
     """Return a granted upstream, or raise if it accepts no new requests now."""
     view = context.fleet.view
+    if context.fleet.quarantine.is_quarantined(admitted.keys):
+        raise GrantLostError('the request was quarantined while it waited')
     if not context.fleet.lease.is_live():
         raise GrantLostError('the configuration lease has run out')
     if not view.may_dispatch(admitted.pool, name):
--- a/packages/router/src/hitchdeck_router/dispatch/quarantine.py
+++ b/packages/router/src/hitchdeck_router/dispatch/quarantine.py
@@ -19,6 +19,7 @@
 crash within some milliseconds."""
 
 _UNAVAILABLE = 503
+_PART_REASON = 'upstreams crashed under a message of this conversation'
 
 
 def incarnation_of(name: UpstreamName) -> UpstreamIncarnation:
@@ -41,13 +42,16 @@
 def check_not_quarantined(context: RouterContext, admitted: AdmittedRequest) -> None:
     """Raise ``NotRunError`` for a request that has crashed upstreams."""
     # A lethal request that was retried crashed six of six engines, at any router.
-    if context.fleet.quarantine.is_quarantined(admitted.fingerprint):
-        raise NotRunError(
-            _UNAVAILABLE,
-            'quarantined',
-            'upstreams ended under this request',
-            QUARANTINE_SECONDS,
-        )
+    cause = context.fleet.quarantine.cause_of_quarantine(admitted.keys)
+    if cause is None:
+        return
+    whole = cause == admitted.keys.content
+    raise NotRunError(
+        _UNAVAILABLE,
+        'quarantined',
+        'upstreams ended under this request' if whole else _PART_REASON,
+        QUARANTINE_SECONDS,
+    )
 
 
 def check_for_crash(
@@ -56,6 +60,4 @@
     """Check whether an upstream that sent no complete response has crashed."""
     probe = partial(accepts_connections, upstream.address)
     incarnation = incarnation_of(UpstreamName(upstream.name))
-    context.crash_detector.record_broken_response(
-        incarnation, admitted.fingerprint, probe
-    )
+    context.crash_detector.record_broken_response(incarnation, admitted.keys, probe)
--- a/packages/router/src/hitchdeck_router/dispatch/requests.py
+++ b/packages/router/src/hitchdeck_router/dispatch/requests.py
@@ -14,7 +14,11 @@
     SoftwareVersion,
     UpstreamName,
 )
-from hitchdeck_core.quarantine.fingerprints import Fingerprint, fingerprint_of
+from hitchdeck_core.quarantine.fingerprints import (
+    Fingerprint,
+    RequestKeys,
+    fingerprint_of,
+)
 from hitchdeck_core.resources import Urgency
 from hitchdeck_core.wire.hitchdeck_pb2 import Ticket
 
@@ -49,8 +53,10 @@
         Returns whether the caller has closed the connection, from its socket.
     target
         Method and path of the request.
-    fingerprint
-        Digest that is equal for each retry of the request.
+    parts
+        Fingerprints of the parts of its prompt that other requests may have too.
+    keys
+        What of it may crash an upstream.
     """
 
     request: RequestId
@@ -69,12 +75,14 @@
     software: SoftwareVersion | None = None
     has_disconnected: Callable[[], bool] = bool
     target: str = ''
-    fingerprint: Fingerprint = field(init=False)
+    parts: tuple[Fingerprint, ...] = ()
+    keys: RequestKeys = field(init=False)
 
     def __post_init__(self) -> None:
-        """Compute the fingerprint of the request."""
+        """Compute the fingerprint of the content."""
         target, account = self.target.encode(), self.account.encode()
-        self.fingerprint = fingerprint_of(target, account, self.body)
+        content = fingerprint_of(target, account, self.body)
+        self.keys = RequestKeys(content, self.parts)
 
     @property
     def urgency_name(self) -> str:
--- a/packages/router/src/hitchdeck_router/fleet/link.py
+++ b/packages/router/src/hitchdeck_router/fleet/link.py
@@ -190,7 +190,7 @@
         update, self.quarantine_position = quarantine.update_since(
             self.quarantine_position
         )
-        if update.crashes or update.verdicts:
+        if update.has_news:
             beat.quarantine.CopyFrom(encode_update(update, quarantine.now()))
 
     def _handle_frame(self, frame: ControlFrame) -> None:
--- a/tests/cover/test_ends_found.py
+++ b/tests/cover/test_ends_found.py
@@ -17,7 +17,7 @@
 from hitchdeck_core.clock import boot_seconds
 from hitchdeck_core.ids import Address, UpstreamIncarnation
 from hitchdeck_core.quarantine.crash_detector import CrashDetector, Probe
-from hitchdeck_core.quarantine.fingerprints import fingerprint_of
+from hitchdeck_core.quarantine.fingerprints import RequestKeys, fingerprint_of
 from hitchdeck_core.quarantine.quarantine import Quarantine
 from hitchdeck_core.signals import Signal
 from hitchdeck_edge.dispatch.connections import ConnectionPool
@@ -62,7 +62,7 @@
     crash_detector = CrashDetector(Quarantine(boot_seconds, Signal()), ended.append)
     reaches = asker(await CrashingUpstream().listen())
     crash_detector.record_broken_response(
-        UpstreamIncarnation('e0'), fingerprint_of(b'lethal'), reaches
+        UpstreamIncarnation('e0'), RequestKeys(fingerprint_of(b'lethal')), reaches
     )
     async with asyncio.timeout(SECONDS):
         while not ended:
--- a/tests/cover/test_quarantine.py
+++ b/tests/cover/test_quarantine.py
@@ -18,7 +18,11 @@
     CrashHistory,
     CrashRecord,
 )
-from hitchdeck_core.quarantine.fingerprints import Fingerprint, fingerprint_of
+from hitchdeck_core.quarantine.fingerprints import (
+    Fingerprint,
+    RequestKeys,
+    fingerprint_of,
+)
 from hitchdeck_core.quarantine.messages import decode_update, encode_update
 from hitchdeck_core.quarantine.quarantine import (
     ANSWER_TTL_SECONDS,
@@ -50,6 +54,10 @@
         return self.seconds
 
 
+def whole(content: Fingerprint) -> RequestKeys:
+    return RequestKeys(content)
+
+
 def quarantine_with(clock: FakeClock) -> Quarantine:
     return Quarantine(clock.now, Signal())
 
@@ -58,7 +66,8 @@
     quarantine: Quarantine, *open_there: tuple[Fingerprint, ...]
 ) -> None:
     for number, there in enumerate(open_there):
-        quarantine.record_crash(UpstreamIncarnation(f'e{number}'), there)
+        in_flight = [whole(one) for one in there]
+        quarantine.record_crash(UpstreamIncarnation(f'e{number}'), in_flight)
 
 
 def verdict_of(number: int, standing: VerdictStatus, since: float = 1000.0) -> Verdict:
@@ -93,15 +102,17 @@
 def test_the_request_in_flight_at_most_crashes_is_blamed(case: Blame) -> None:
     quarantine = quarantine_with(FakeClock())
     crash_incarnations(quarantine, *case.ends)
-    blamed = {one for one in (LETHAL, SOUND, OTHER) if quarantine.is_quarantined(one)}
+    blamed = {
+        one for one in (LETHAL, SOUND, OTHER) if quarantine.is_quarantined(whole(one))
+    }
     assert blamed == case.blamed
 
 
 def test_one_crash_counts_once_however_many_boxes_saw_it() -> None:
     quarantine = quarantine_with(FakeClock())
     for _ in range(5):
-        quarantine.record_crash(UpstreamIncarnation('e0'), [LETHAL])
-    assert not quarantine.is_quarantined(LETHAL)
+        quarantine.record_crash(UpstreamIncarnation('e0'), [whole(LETHAL)])
+    assert not quarantine.is_quarantined(whole(LETHAL))
 
 
 def test_old_crashes_expire() -> None:
@@ -109,8 +120,8 @@
     quarantine = quarantine_with(clock)
     crash_incarnations(quarantine, (LETHAL,), (LETHAL,))
     clock.seconds += CRASH_TTL_SECONDS + 1
-    quarantine.record_crash(UpstreamIncarnation('late'), [LETHAL])
-    assert not quarantine.is_quarantined(LETHAL)
+    quarantine.record_crash(UpstreamIncarnation('late'), [whole(LETHAL)])
+    assert not quarantine.is_quarantined(whole(LETHAL))
 
 
 def test_recorded_crashes_are_bounded() -> None:
@@ -138,7 +149,7 @@
     quarantine = quarantine_with(clock)
     crash_incarnations(quarantine, (LETHAL,), (LETHAL,), (LETHAL,))
     clock.seconds += seconds
-    assert quarantine.is_quarantined(LETHAL) is held
+    assert quarantine.is_quarantined(whole(LETHAL)) is held
 
 
 @pytest.mark.parametrize(
@@ -148,32 +159,32 @@
 def test_a_recent_answer_clears_a_request(before: float, held: bool) -> None:
     clock = FakeClock()
     quarantine = quarantine_with(clock)
-    quarantine.record_answer(SOUND)
+    quarantine.record_answer(whole(SOUND))
     clock.seconds += before
     crash_incarnations(quarantine, (SOUND,), (SOUND,), (SOUND,))
-    assert quarantine.is_quarantined(SOUND) is held
+    assert quarantine.is_quarantined(whole(SOUND)) is held
 
 
 def test_an_answer_elsewhere_clears_a_request_for_all() -> None:
     clock = FakeClock()
     hub, box = quarantine_with(clock), quarantine_with(clock)
     crash_incarnations(hub, (SOUND,), (SOUND,), (SOUND,))
-    box.record_answer(SOUND)
+    box.record_answer(whole(SOUND))
     news, _ = hub.update_since(SYNC_START)
     box.merge(news, 'hub')
     back, _ = box.update_since(SYNC_START)
     hub.merge(back, 'box')
-    assert not box.is_quarantined(SOUND)
-    assert not hub.is_quarantined(SOUND)
+    assert not box.is_quarantined(whole(SOUND))
+    assert not hub.is_quarantined(whole(SOUND))
 
 
 def test_a_cleared_request_is_not_blamed_for_the_same_crashes_again() -> None:
     clock = FakeClock()
     hub, box = quarantine_with(clock), quarantine_with(clock)
     crash_incarnations(box, (SOUND,), (SOUND,), (SOUND,))
-    box.record_answer(SOUND)
+    box.record_answer(whole(SOUND))
     hub.merge(box.update_since(SYNC_START)[0], 'box')
-    assert not hub.is_quarantined(SOUND)
+    assert not hub.is_quarantined(whole(SOUND))
 
 
 def test_a_crash_reported_again_is_not_propagated() -> None:
@@ -188,7 +199,7 @@
     quarantine = quarantine_with(FakeClock())
     crash_incarnations(quarantine, (LETHAL,), (LETHAL,))
     first, told = quarantine.update_since(SYNC_START)
-    quarantine.record_crash(UpstreamIncarnation('third'), [LETHAL])
+    quarantine.record_crash(UpstreamIncarnation('third'), [whole(LETHAL)])
     second, told = quarantine.update_since(told)
     third, _ = quarantine.update_since(told)
     assert len(first.crashes) == 2
@@ -255,8 +266,12 @@
         next(asked)
         return reached
 
-    crash_detector.record_broken_response(UpstreamIncarnation('e0'), LETHAL, reaches)
-    crash_detector.record_broken_response(UpstreamIncarnation('e0'), SOUND, reaches)
+    crash_detector.record_broken_response(
+        UpstreamIncarnation('e0'), whole(LETHAL), reaches
+    )
+    crash_detector.record_broken_response(
+        UpstreamIncarnation('e0'), whole(SOUND), reaches
+    )
     await crash_detector.tasks.tasks['e0-1']
     assert next(asked) == 1
     assert ended == ([] if reached else ['e0'])
@@ -276,7 +291,9 @@
     async def reaches() -> bool:
         return True
 
-    crash_detector.record_broken_response(UpstreamIncarnation('e0'), LETHAL, reaches)
+    crash_detector.record_broken_response(
+        UpstreamIncarnation('e0'), whole(LETHAL), reaches
+    )
     await crash_detector.tasks.tasks['e0-1']
     clock.seconds += seconds
     crash_detector.confirm_crash(UpstreamIncarnation('e0'))
--- a/tests/edge/test_recovery.py
+++ b/tests/edge/test_recovery.py
@@ -9,7 +9,7 @@
 
 from hitchdeck_core.clock import boot_seconds
 from hitchdeck_core.ids import Address, PoolName, UpstreamIncarnation, UpstreamName
-from hitchdeck_core.quarantine.fingerprints import Fingerprint
+from hitchdeck_core.quarantine.fingerprints import Fingerprint, RequestKeys
 from hitchdeck_core.quarantine.quarantine import Quarantine
 from hitchdeck_core.signals import Signal
 from hitchdeck_edge.hub.state_file import (
@@ -82,7 +82,7 @@
 
 
 async def test_a_quarantine_survives_a_full_restart(tmp_path: Path) -> None:
-    lethal = Fingerprint(b'lethal')
+    lethal = RequestKeys(Fingerprint(b'lethal'))
     before = Quarantine(boot_seconds, Signal())
     for number in range(3):
         before.record_crash(UpstreamIncarnation(f'e{number}'), [lethal])
