Confirm a crash where the next incarnation is back at the address

A probe after a broken response may be accepted by the worker's next incarnation. The crash was confirmed only if that has the name of the last one; on the platform each start has a new name, so a worker that was back at once never counted as crashed: the new test saw no verdict in 20 s. An upstream that is first reported at the address of another, or answers in its place, now confirms the crash. A late report of an incarnation that is known does not.

--- a/packages/core/src/hitchdeck_core/quarantine/crash_detector.py
+++ b/packages/core/src/hitchdeck_core/quarantine/crash_detector.py
@@ -65,6 +65,8 @@
 
     def confirm_crash(self, incarnation: UpstreamIncarnation) -> None:
         """Record that an incarnation is gone, since a later one is known."""
+        if incarnation not in self.suspected and incarnation not in self.probed:
+            return
         self._expire()
         crash = self.suspected.pop(incarnation, None)
         in_flight = crash.in_flight if crash else frozenset()
--- a/packages/edge/src/hitchdeck_edge/dispatch/crash_watch.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/crash_watch.py
@@ -35,6 +35,10 @@
             partial(self.connections.is_reachable, upstream),
         )
 
+    def confirm_crash(self, name: UpstreamName) -> None:
+        """Confirm a suspected crash, since another upstream has the address now."""
+        self.detector.confirm_crash(UpstreamIncarnation(name))
+
     def record_answer(self, context: RequestContext, attempt: Attempt) -> None:
         """Clear the request, and its parts if the answer was surely complete."""
         if attempt.outcome in _ANSWERED:
--- a/packages/edge/src/hitchdeck_edge/dispatch/sender.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/sender.py
@@ -130,7 +130,7 @@
             self.connections.close_idle(record.name)
         else:
             self.connections.abort_all(record.name)
-        self.crash_watch.detector.confirm_crash(record.incarnation)
+        self.crash_watch.confirm_crash(record.name)
         self.backpressure.transfer_backoff(record.name, newer.name)
 
     async def _connect(self, context: RequestContext, attempt: Attempt) -> Connection:
@@ -244,6 +244,7 @@
         attempt.leaving = mark.leaving
         if mark.other_incarnation:
             self.placement.health.record_wrong_upstream(attempt.upstream)
+            self.crash_watch.confirm_crash(attempt.upstream)
         success = HTTPStatus.OK <= head.status < HTTPStatus.MULTIPLE_CHOICES
         if success and not mark.sealed:
             raise IncompleteResponseError(
--- a/packages/edge/src/hitchdeck_edge/process.py
+++ b/packages/edge/src/hitchdeck_edge/process.py
@@ -106,6 +106,8 @@
             sender.connections.close_idle(name)
         for record, newer in registry.replaced():
             sender.replace(record, newer)
+        for displaced in registry.displaced:
+            sender.crash_watch.confirm_crash(displaced)
         sender.backpressure.retain(registry.names())
         self.admission.metrics.unwilling_upstreams = len(sender.backpressure.blocked())
         self.admission.metrics.upstream_changes = registry.changes
--- a/packages/edge/src/hitchdeck_edge/state/registry.py
+++ b/packages/edge/src/hitchdeck_edge/state/registry.py
@@ -50,6 +50,8 @@
         The latest known incarnation of each instance, gone or not.
     superseded
         Incarnations that were replaced by a later one of their instance.
+    displaced
+        Upstreams at whose address another one was first reported since.
     cold
         Which upstreams are cold.
     closed_domains
@@ -73,6 +75,7 @@
         self.holders: dict[Address, UpstreamName] = {}
         self.latest: dict[InstanceName, UpstreamName] = {}
         self.superseded: set[UpstreamName] = set()
+        self.displaced: set[UpstreamName] = set()
         self.changes = 0
         self.changed = changed
         self.serving_cache: dict[PoolName, list[Upstream]] = {}
@@ -113,7 +116,7 @@
         )
         self._end_earlier_incarnations(record)
         if known is None or known.address != record.address:
-            self._suspect_holder(record)
+            self._suspect_holder(record, is_new=known is None)
         return True
 
     def hear(self, name: UpstreamName) -> None:
@@ -288,7 +291,7 @@
         if before.phase is not Phase.gone:
             self._store(replace(before, phase=Phase.gone))
 
-    def _suspect_holder(self, record: Upstream) -> None:
+    def _suspect_holder(self, record: Upstream, *, is_new: bool) -> None:
         """Suspect the previous upstream at an address that another one reports.
 
         The report may be a delayed one of an incarnation that is gone; then the
@@ -300,6 +303,8 @@
         self.holders[record.address] = record.name
         if holder is None or holder == record.name or holder not in self.records:
             return
+        if is_new:
+            self.displaced.add(holder)
         if self.hears_reports and self._raise_suspicion(self.records[holder]):
             logs.info('address reported by another', upstream=holder, by=record.name)
 
@@ -318,6 +323,7 @@
         ):
             known.pop(record.name, None)
         self.superseded.discard(record.name)
+        self.displaced.discard(record.name)
         self.cold.forget(record.name)
         if self.latest.get(record.instance_key) == record.name:
             self.latest.pop(record.instance_key)
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -60,6 +60,8 @@
         Number of whole events that it sends before the crash.
     lethal_delay
         Time after which it crashes, in seconds.
+    returns
+        Whether its next incarnation listens at its address before it has crashed.
     pause
         Value of ``Retry-After`` when it sheds a request; empty for none.
     leaving
@@ -91,6 +93,7 @@
     lethal_part: str = ''
     lethal_events: int = 0
     lethal_delay: float = 0
+    returns: bool = False
     pause: str = ''
     leaving: bool = False
     ended: bool = False
@@ -125,8 +128,12 @@
 
     async def end(self) -> None:
         """Stop listening and abort all connections, as a crash does."""
-        self.ended = True
+        self.ended = not self.returns
         await self.stop()
+        if self.returns:
+            # As the next incarnation, which has another name.
+            self.name = f'{self.name}+'
+            await self.restart(self.born)
         for writer in self.open:
             if self.framing is Framing.close:
                 # Between two events, a close would be the end of the stream.
--- a/tests/edge/test_lethal_parts.py
+++ b/tests/edge/test_lethal_parts.py
@@ -171,3 +171,16 @@
         assert crash_count(caller.site) == before
         sound = [await caller.send(case.path, SHARED) for _ in range(6)]
         assert sound == [200] * 6
+
+
+async def test_crashes_count_where_workers_are_back_at_once(tmp_path: Path) -> None:
+    # Guards against a probe that the next incarnation at the address accepts.
+    async with site_under_way(tmp_path, boxes=2) as caller:
+        for worker in caller.site.workers:
+            worker.returns = True
+        case = Case(path='/one/')
+        async with asyncio.timeout(20):
+            while await caller.send_lethal(case) != [503]:
+                await asyncio.sleep(2 * SPREAD_SECONDS)
+        crashes = sum(worker.name.count('+') for worker in caller.site.workers)
+        assert crashes <= MAX_CRASHES
