Hold a part's requests back for a moment before its quarantine is enforced

Crashes at one moment, some of which a part was not in flight at, now count once against it, and the process that decided withdraws its verdict if it hears of them later. Part decisions have a module of their own.

The new cases of tests/cover/test_quarantined_parts.py fail without the change: the functions that they call are new.

--- a/packages/core/src/hitchdeck_core/quarantine/crash_history.py
+++ b/packages/core/src/hitchdeck_core/quarantine/crash_history.py
@@ -3,6 +3,7 @@
 A cause is the content of a request, or one part of a prompt that several requests have.
 """
 
+from bisect import bisect_left
 from collections import defaultdict, deque
 from collections.abc import Callable, Iterable
 
@@ -21,6 +22,9 @@
 """Crashes that count against a part of a prompt for each request with it: what a single
 request brings that is retried is charged to the request."""
 
+MOMENT_SECONDS = 0.25
+"""Time within which crashes count as simultaneous."""
+
 MAX_CONTENTS = 32
 """Maximum number of requests that are kept for a part."""
 
@@ -94,6 +98,8 @@
     ----------
     order
         Times and records, the oldest first.
+    crashed_at
+        When the crash of each incarnation became known.
     """
 
     def __init__(self, now: Clock) -> None:
@@ -103,6 +109,7 @@
             set
         )
         self.order: deque[tuple[float, CrashRecord]] = deque()
+        self.crashed_at: dict[UpstreamIncarnation, float] = {}
 
     def add(self, crash: CrashRecord) -> bool:
         """Add a record; tell whether it is new."""
@@ -118,6 +125,7 @@
             return False
         charges.incarnations.add(crash.incarnation)
         self.by_incarnation[crash.incarnation].add(crash.fingerprint)
+        self.crashed_at.setdefault(crash.incarnation, self.now())
         self.order.append((self.now(), crash))
         return True
 
@@ -141,17 +149,46 @@
         charges = self.by_fingerprint.get(fingerprint)
         if charges is None or len(charges.incarnations) < least:
             return False
-        against = sum(
-            not self._is_explained(incarnation, charges, is_cleared)
+        against = {
+            incarnation
             for incarnation in charges.incarnations
-        )
-        return charges.weight_of(against) >= least
+            if not self._is_explained(incarnation, charges, is_cleared)
+        }
+        if len(against) < least:
+            return False
+        count = len(against)
+        if charges.position:
+            count = self._count_independent(against, charges.incarnations)
+        return charges.weight_of(count) >= least
 
     def forget(self, fingerprint: Fingerprint) -> None:
         """Remove all records of a request or part."""
         for incarnation in tuple(self.incarnations(fingerprint)):
             self._forget(CrashRecord(fingerprint, incarnation))
 
+    def _count_independent(
+        self,
+        against: set[UpstreamIncarnation],
+        present: set[UpstreamIncarnation],
+    ) -> int:
+        """Return how many crashes count against a part.
+
+        Where others crash at the same moment without it, as in the failure of a rack,
+        its crashes at that moment count once.
+        """
+        others = sorted(
+            at for name, at in self.crashed_at.items() if name not in present
+        )
+        count = 0
+        counted_at = float('-inf')
+        for at in sorted(self.crashed_at[name] for name in against):
+            first = bisect_left(others, at - MOMENT_SECONDS)
+            alone = first == len(others) or others[first] > at + MOMENT_SECONDS
+            if alone or at - counted_at > MOMENT_SECONDS:
+                count += 1
+                counted_at = at if not alone else counted_at
+        return count
+
     def _is_explained(
         self, incarnation: UpstreamIncarnation, charges: Charges, is_cleared: IsCleared
     ) -> bool:
@@ -182,6 +219,7 @@
         in_flight.discard(crash.fingerprint)
         if not in_flight:
             self.by_incarnation.pop(crash.incarnation)
+            self.crashed_at.pop(crash.incarnation, None)
 
 
 def known_first(
--- a/packages/core/src/hitchdeck_core/quarantine/messages.py
+++ b/packages/core/src/hitchdeck_core/quarantine/messages.py
@@ -71,6 +71,8 @@
             round=one.round_number,
             quarantined=one.status is VerdictStatus.quarantined,
             age_ms=min(_MAX_AGE_MS, max(0, int((now - one.since) * _MS))),
+            withdrawn=one.status is VerdictStatus.withdrawn,
+            failed_trials=one.failed_trials,
         )
         for one in verdicts
     ]
@@ -78,6 +80,10 @@
 
 def _verdict(record: VerdictRecord, now: float) -> Verdict:
     status = VerdictStatus.quarantined if record.quarantined else VerdictStatus.cleared
+    if record.withdrawn:
+        status = VerdictStatus.withdrawn
     since = now - record.age_ms / _MS
     fingerprint = Fingerprint(record.content)
-    return Verdict(fingerprint, int(record.round), status, since)
+    return Verdict(
+        fingerprint, int(record.round), status, since, int(record.failed_trials)
+    )
--- a/packages/core/src/hitchdeck_core/quarantine/quarantine.py
+++ b/packages/core/src/hitchdeck_core/quarantine/quarantine.py
@@ -9,21 +9,19 @@
 """
 
 from collections import OrderedDict, deque
-from collections.abc import Collection, Iterator
+from collections.abc import Collection, Iterable
 
 from hitchdeck_core import logs
 from hitchdeck_core.clock import Clock
 from hitchdeck_core.ids import UpstreamIncarnation
 from hitchdeck_core.lazy_dataclasses import dataclass
-from hitchdeck_core.quarantine.answers import AnsweredParts
 from hitchdeck_core.quarantine.crash_history import (
     MAX_CRASH_RECORDS,
     CrashHistory,
     CrashRecord,
-    known_first,
 )
 from hitchdeck_core.quarantine.fingerprints import Fingerprint, RequestKeys
-from hitchdeck_core.quarantine.trials import FIRST_TRIAL_SECONDS, Trials
+from hitchdeck_core.quarantine.parts import PartQuarantine
 from hitchdeck_core.quarantine.verdicts import Verdict, Verdicts, VerdictStatus
 from hitchdeck_core.signals import Signal
 
@@ -39,12 +37,6 @@
 """Most recently answered requests that are kept: two minutes at 70 requests per
 second."""
 
-PART_QUARANTINE_SECONDS = 3600.0
-"""Time after which the quarantine of a part expires if no trial has ended it."""
-
-MAX_PARTS_PER_CRASH = 512
-"""Maximum number of parts that a process records for one crash."""
-
 MAX_CRASHES_PER_UPDATE = 512
 """Maximum number of crash records in one update: 30 kB."""
 
@@ -90,16 +82,16 @@
         Notified of each change that peers should get.
     crashes
         Crashes known to this process.
-    verdicts, part_verdicts
-        Verdicts on requests, and on parts of prompts.
+    verdicts
+        Verdicts on requests.
+    parts
+        Decides on parts of prompts.
     own_crashes
         Crashes that this process observed itself, the newest last.
     dropped_crashes
         Number of records that were dropped from ``own_crashes``.
     answered
         Time of the last response to each request, the oldest first.
-    answered_parts
-        Time of the last complete answer to a request with each part.
     """
 
     def __init__(self, now: Clock, changed: Signal) -> None:
@@ -107,17 +99,17 @@
         self.changed = changed
         self.crashes = CrashHistory(now)
         self.verdicts = Verdicts(now)
-        self.part_verdicts = Verdicts(now, PART_QUARANTINE_SECONDS)
         self.own_crashes: deque[CrashRecord] = deque()
         self.dropped_crashes = 0
         self.answered: OrderedDict[Fingerprint, float] = OrderedDict()
-        self.answered_parts = AnsweredParts(now)
-        self.trials = Trials(now)
+        self.parts = PartQuarantine(
+            now, changed, self.crashes, self._is_cleared, self._evaluate_all
+        )
 
     @property
     def verdict_changes(self) -> int:
         """Return a number that grows with each change of a verdict."""
-        return self.verdicts.changes + self.part_verdicts.changes
+        return self.verdicts.changes + self.parts.verdicts.changes
 
     def is_quarantined(self, keys: RequestKeys) -> bool:
         """Tell whether a request must not be sent to upstreams."""
@@ -127,25 +119,34 @@
         """Return what of a request is quarantined: its content or a part, if any."""
         if self.verdicts.is_quarantined(keys.content):
             return keys.content
-        if not self.part_verdicts.known:
+        if not self.parts.verdicts.known:
             return None
-        return next(self._quarantined_parts(keys), None)
+        return next(self.parts.quarantined(keys), None)
+
+    def holds_back(self, keys: RequestKeys) -> bool:
+        """Tell whether a request must not be sent now, but may be sent later."""
+        return self.is_quarantined(keys) or self.unsettled_seconds(keys) > 0
+
+    def unsettled_seconds(self, keys: RequestKeys) -> float:
+        """Return for how long a request is to be held back; 0 if it is not.
+
+        Its part may have been blamed by a process that knows of no answer to it.
+        """
+        if not self.parts.verdicts.known:
+            return 0
+        return max(map(self.parts.unsettled_seconds, keys.parts), default=0)
 
     def begin_trial(self, keys: RequestKeys) -> None:
         """Record that a request is sent which may be the trial of a part."""
-        if not self.part_verdicts.known:
-            return
-        for part in keys.parts:
-            if self.part_verdicts.is_quarantined(part):
-                logs.info('quarantined part is tried', part=part.hex())
-                self.trials.begin(part)
+        if self.parts.verdicts.known:
+            self.parts.begin_trial(keys)
 
     def record_crash(
         self, incarnation: UpstreamIncarnation, in_flight: Collection[RequestKeys]
     ) -> None:
         """Record that an incarnation crashed with some requests in flight."""
         crashes = [CrashRecord(one.content, incarnation) for one in in_flight]
-        crashes += self._part_records(incarnation, in_flight)
+        crashes += self.parts.records(incarnation, in_flight)
         logs.warning(
             'upstream ended',
             upstream=incarnation,
@@ -174,18 +175,15 @@
         if len(self.answered) > MAX_ANSWERS:
             self.answered.popitem(last=False)
         self._clear(fingerprint)
-        if not complete:
-            return
-        for part in keys.parts:
-            self.answered_parts.record(part)
-            self._clear_part(part)
+        if complete:
+            self.parts.record_answer(keys)
 
     def merge(self, update: QuarantineUpdate, origin: str) -> set[UpstreamIncarnation]:
         """Merge an update; return the incarnations of crashes that were not known."""
         for verdict in update.verdicts:
             self._merge_verdict(verdict, origin)
         for part_verdict in update.part_verdicts:
-            self._merge_part_verdict(part_verdict, origin)
+            self.parts.merge(part_verdict, origin)
         return {one.incarnation for one in self._add_crashes(update.crashes)}
 
     def update_since(
@@ -197,7 +195,7 @@
         and there are rarely any changes.
         """
         count = self.dropped_crashes + len(self.own_crashes)
-        verdicts, parts = self.verdicts.changes, self.part_verdicts.changes
+        verdicts, parts = self.verdicts.changes, self.parts.verdicts.changes
         if position == SyncPosition(count, verdicts, parts):
             return EMPTY_UPDATE, position
         start = max(position.crashes, self.dropped_crashes)
@@ -207,38 +205,13 @@
         update = QuarantineUpdate(
             tuple(one for one in fresh if self.crashes.has(one)),
             tuple(self.verdicts.changed_since(position.verdicts)),
-            tuple(self.part_verdicts.changed_since(position.part_verdicts)),
+            tuple(self.parts.verdicts.changed_since(position.part_verdicts)),
         )
         return update, SyncPosition(end, verdicts, parts)
 
-    def _quarantined_parts(self, keys: RequestKeys) -> Iterator[Fingerprint]:
-        """Yield the quarantined parts of a request for which no trial is due."""
-        for part in keys.parts:
-            if self.part_verdicts.is_quarantined(part):
-                if not self.trials.is_due(self.part_verdicts.known[part]):
-                    yield part
-
-    def _part_records(
-        self, incarnation: UpstreamIncarnation, in_flight: Collection[RequestKeys]
-    ) -> list[CrashRecord]:
-        """Return the records of the parts that may have caused a crash.
-
-        Parts that this process knows to be sound are left out.
-        """
-        records = {
-            (part, keys.content): CrashRecord(part, incarnation, keys.content, position)
-            for keys in in_flight
-            for position, part in enumerate(keys.parts, start=1)
-            if not self._is_cleared(part)
-        }
-        if len(records) <= MAX_PARTS_PER_CRASH:
-            return list(records.values())
-        kept = known_first(records.values(), self.crashes)
-        return kept[:MAX_PARTS_PER_CRASH]
-
     def _is_cleared(self, fingerprint: Fingerprint) -> bool:
         """Tell whether a request or part was answered recently."""
-        if self.answered_parts.is_recent(fingerprint, ANSWER_TTL_SECONDS):
+        if self.parts.answered.is_recent(fingerprint, ANSWER_TTL_SECONDS):
             return True
         answered = self.answered.get(fingerprint)
         return answered is not None and self.now() - answered < ANSWER_TTL_SECONDS
@@ -246,14 +219,18 @@
     def _add_crashes(self, crashes: Collection[CrashRecord]) -> list[CrashRecord]:
         """Add crash records, all of them before any request is evaluated."""
         fresh = [one for one in crashes if self.crashes.add(one)]
-        for fingerprint in dict.fromkeys(one.fingerprint for one in fresh):
-            self._evaluate(fingerprint)
+        self.parts.review()
+        self._evaluate_all(dict.fromkeys(one.fingerprint for one in fresh))
         return fresh
 
+    def _evaluate_all(self, fingerprints: Iterable[Fingerprint]) -> None:
+        for fingerprint in fingerprints:
+            self._evaluate(fingerprint)
+
     def _evaluate(self, fingerprint: Fingerprint) -> None:
         charges = self.crashes.by_fingerprint.get(fingerprint)
         if charges is not None and charges.position:
-            self._evaluate_part(fingerprint)
+            self.parts.evaluate(fingerprint)
             return
         if self.verdicts.is_quarantined(fingerprint):
             return
@@ -266,30 +243,6 @@
                 )
                 self._publish_verdict(fingerprint)
 
-    def _evaluate_part(self, part: Fingerprint) -> None:
-        if self.part_verdicts.is_quarantined(part):
-            self._renew(part)
-            return
-        if self._is_cleared(part):
-            return
-        if self.crashes.implicates(part, self._is_cleared):
-            if self.part_verdicts.quarantine(part):
-                logs.warning(
-                    'part quarantined',
-                    part=part.hex(),
-                    ended=sorted(self.crashes.incarnations(part)),
-                )
-                self.changed.notify()
-
-    def _renew(self, part: Fingerprint) -> None:
-        """Renew the quarantine of a part after the crash of a trial."""
-        since = self.part_verdicts.known[part].since
-        if self.now() - since < FIRST_TRIAL_SECONDS:
-            return
-        if self.part_verdicts.renew(part):
-            logs.warning('quarantine of part renewed', part=part.hex())
-            self.changed.notify()
-
     def _merge_verdict(self, verdict: Verdict, origin: str) -> None:
         if not self.verdicts.merge(verdict):
             return
@@ -304,25 +257,6 @@
             self.crashes.forget(verdict.fingerprint)
         self._publish_verdict(verdict.fingerprint)
 
-    def _merge_part_verdict(self, verdict: Verdict, origin: str) -> None:
-        if not self.part_verdicts.merge(verdict):
-            return
-        part = verdict.fingerprint
-        logs.info(
-            'verdict taken',
-            part=part.hex(),
-            standing=verdict.status.name,
-            round=verdict.round_number,
-            origin=origin,
-        )
-        if verdict.status is VerdictStatus.cleared:
-            self.answered_parts.record(part)
-            self._forget_part(part)
-        elif self._is_cleared(part):
-            self._clear_part(part)
-        self.trials.keep(set(self.part_verdicts.known))
-        self.changed.notify()
-
     def _publish_verdict(self, fingerprint: Fingerprint) -> None:
         """Propagate a verdict, or clear the request if it was answered recently."""
         if self._is_cleared(fingerprint):
@@ -334,21 +268,3 @@
             self.crashes.forget(fingerprint)
             logs.warning('content cleared', content=fingerprint.hex())
             self.changed.notify()
-
-    def _clear_part(self, part: Fingerprint) -> None:
-        if self.part_verdicts.clear(part):
-            logs.warning('part cleared', part=part.hex())
-            self._forget_part(part)
-            self.changed.notify()
-
-    def _forget_part(self, part: Fingerprint) -> None:
-        """Forget the crashes of a sound part, which something else has caused."""
-        incarnations = tuple(self.crashes.incarnations(part))
-        self.crashes.forget(part)
-        beside = {
-            one
-            for incarnation in incarnations
-            for one in self.crashes.by_incarnation.get(incarnation, ())
-        }
-        for fingerprint in beside:
-            self._evaluate(fingerprint)
--- a/packages/core/src/hitchdeck_core/quarantine/trials.py
+++ b/packages/core/src/hitchdeck_core/quarantine/trials.py
@@ -16,7 +16,7 @@
 """Time from a first verdict to the first trial: a wrong one ends after it."""
 
 LATER_TRIAL_SECONDS = 600.0
-"""Time to the next trial once a quarantine was renewed."""
+"""Time to the next trial once one has failed."""
 
 TRIAL_SPACING_SECONDS = 10.0
 """Mean time between the trials of two boxes; the outcome of one reaches all in it."""
@@ -43,7 +43,7 @@
 
     def is_due(self, verdict: Verdict) -> bool:
         """Tell whether a request may be sent as a trial now."""
-        wait = LATER_TRIAL_SECONDS if verdict.round_number else FIRST_TRIAL_SECONDS
+        wait = LATER_TRIAL_SECONDS if verdict.failed_trials else FIRST_TRIAL_SECONDS
         spread = TRIAL_SPACING_SECONDS * self.box_count()
         due_at = verdict.since + wait + self.place * spread
         last = self.tried.get(verdict.fingerprint)
--- a/packages/core/src/hitchdeck_core/quarantine/verdicts.py
+++ b/packages/core/src/hitchdeck_core/quarantine/verdicts.py
@@ -4,6 +4,7 @@
 wins, and within a round the stricter status.
 """
 
+from dataclasses import replace
 from enum import Enum
 
 from hitchdeck_core.clock import Clock
@@ -22,6 +23,9 @@
 class VerdictStatus(Enum):
     """What is decided on a request."""
 
+    withdrawn = -1
+    """Other crashes have shown that it need not be their cause."""
+
     cleared = 0
     """An upstream responded to the request, so it is not the cause of crashes."""
 
@@ -40,12 +44,15 @@
         request or part, and those that renewed its quarantine.
     since
         Time of the decision, on this process's clock.
+    failed_trials
+        Trials in a row that ended with a crash.
     """
 
     fingerprint: Fingerprint
     round_number: int
     status: VerdictStatus
     since: float
+    failed_trials: int = 0
 
     @property
     def rank(self) -> tuple[int, int]:
@@ -92,20 +99,25 @@
         )
 
     def renew(self, fingerprint: Fingerprint) -> bool:
-        """Start a quarantine anew, whose time runs from now."""
-        number = self._round(fingerprint) + 1
+        """Start a quarantine anew after a trial has failed."""
+        known = self.known[fingerprint]
         return self.merge(
-            Verdict(fingerprint, number, VerdictStatus.quarantined, self.now())
+            replace(
+                known,
+                round_number=known.round_number + 1,
+                since=self.now(),
+                failed_trials=known.failed_trials + 1,
+            )
         )
 
-    def clear(self, fingerprint: Fingerprint) -> bool:
+    def clear(
+        self, fingerprint: Fingerprint, status: VerdictStatus = VerdictStatus.cleared
+    ) -> bool:
         """End the quarantine of a request; tell whether there was one."""
         if not self.is_quarantined(fingerprint):
             return False
         number = self._round(fingerprint) + 1
-        return self.merge(
-            Verdict(fingerprint, number, VerdictStatus.cleared, self.now())
-        )
+        return self.merge(Verdict(fingerprint, number, status, self.now()))
 
     def merge(self, verdict: Verdict) -> bool:
         """Merge a verdict; tell whether it won over the known one."""
--- a/packages/edge/src/hitchdeck_edge/dispatch/dispatcher.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/dispatcher.py
@@ -125,8 +125,12 @@
         TimeoutError
             The deadline has passed.
         """
+        quarantine = self.sender.quarantine
+        held_back = quarantine.unsettled_seconds(context.keys)
+        if held_back:
+            await asyncio.sleep(held_back)
         # Without this check, retries of one request crashed ten engines in a row.
-        context.quarantined = self.sender.quarantine.cause_of_quarantine(context.keys)
+        context.quarantined = quarantine.cause_of_quarantine(context.keys)
         if context.quarantined is not None:
             whole = context.quarantined == context.fingerprint
             return Refusal.quarantined if whole else Refusal.part_quarantined
--- a/packages/edge/src/hitchdeck_edge/dispatch/sender.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/sender.py
@@ -25,7 +25,6 @@
     CallerDisconnectedError,
     IncompleteResponseError,
     NotSentError,
-    QuarantinedError,
     UpstreamNotAcceptingError,
 )
 from hitchdeck_edge.links.placing import OVERLOADED_UTILIZATION
@@ -178,9 +177,10 @@
         quarantined, while it waited for the scheduler and for a connection.
         """
         name = choice.upstream.name
-        if self.quarantine.is_quarantined(context.keys):
+        if self.quarantine.holds_back(context.keys):
             self.connections.return_unused(name, connection)
-            raise QuarantinedError('the request was quarantined while it waited')
+            context.tried.discard(name)
+            raise UpstreamNotAcceptingError('the request was quarantined meanwhile')
         if not self.backpressure.accepts_requests(name):
             self.connections.return_unused(name, connection)
             raise UpstreamNotAcceptingError(
--- a/packages/edge/src/hitchdeck_edge/errors.py
+++ b/packages/edge/src/hitchdeck_edge/errors.py
@@ -39,10 +39,6 @@
     """Raised before a request is sent to an upstream that accepts none for now."""
 
 
-class QuarantinedError(UpstreamNotAcceptingError):
-    """Raised before a request is sent that must not be sent to any upstream."""
-
-
 class IncompleteResponseError(DispatchError):
     """Raised when a request was sent but no complete response came back."""
 
--- a/packages/edge/src/hitchdeck_edge/hub/process.py
+++ b/packages/edge/src/hitchdeck_edge/hub/process.py
@@ -123,7 +123,7 @@
             'entry_boxes_ready': len(connected_boxes.ready_entries()),
             'hubs_in_reach': len(connected_boxes.hubs()),
             'contents_judged': len(self.state.quarantine.verdicts.known),
-            'parts_judged': len(self.state.quarantine.part_verdicts.known),
+            'parts_judged': len(self.state.quarantine.parts.verdicts.known),
             'scheduler_exclusions_announced_total': (
                 self.state.agreement.announcements if self.state.agreement else 0
             ),
--- a/packages/edge/src/hitchdeck_edge/links/entry.py
+++ b/packages/edge/src/hitchdeck_edge/links/entry.py
@@ -78,7 +78,7 @@
         self.incarnation = secrets.token_hex(4)
         self.report_hub: Address | None = None
         self.digest_at = -math.inf
-        known.quarantine.trials.box_count = lambda: budget.boxes
+        known.quarantine.parts.trials.box_count = lambda: budget.boxes
         self._assume_others_alike()
 
     def stream_handlers(self, known_hubs: KnownHubs) -> StreamHandlers:
--- a/packages/router/src/hitchdeck_router/dispatch/attempts.py
+++ b/packages/router/src/hitchdeck_router/dispatch/attempts.py
@@ -110,7 +110,7 @@
     now = context.fleet.now()
     try:
         _check_version_served(context, admitted)
-        check_not_quarantined(context, admitted)
+        await check_not_quarantined(context, admitted)
         check_pool_accepting(context, admitted.pool)
         ticket = admitted.ticket(now, _to_avoid(context, admitted))
         grant = await context.finder.acquire(admitted.pool, ticket)
@@ -238,7 +238,7 @@
 ) -> Upstream:
     """Return a granted upstream, or raise if it accepts no new requests now."""
     view = context.fleet.view
-    if context.fleet.quarantine.is_quarantined(admitted.keys):
+    if context.fleet.quarantine.holds_back(admitted.keys):
         raise GrantLostError('the request was quarantined while it waited')
     if not context.fleet.lease.is_live():
         raise GrantLostError('the configuration lease has run out')
--- a/packages/router/src/hitchdeck_router/dispatch/quarantine.py
+++ b/packages/router/src/hitchdeck_router/dispatch/quarantine.py
@@ -1,5 +1,6 @@
 """Quarantine of requests that crash upstreams, and detection of crashes."""
 
+import asyncio
 from functools import partial
 
 from hitchdeck_core.clock import wall_seconds
@@ -39,8 +40,13 @@
     return CrashDetector(quarantine, on_crash=str)
 
 
-def check_not_quarantined(context: RouterContext, admitted: AdmittedRequest) -> None:
+async def check_not_quarantined(
+    context: RouterContext, admitted: AdmittedRequest
+) -> None:
     """Raise ``NotRunError`` for a request that has crashed upstreams."""
+    held_back = context.fleet.quarantine.unsettled_seconds(admitted.keys)
+    if held_back:
+        await asyncio.sleep(held_back)
     # A lethal request that was retried crashed six of six engines, at any router.
     cause = context.fleet.quarantine.cause_of_quarantine(admitted.keys)
     if cause is None:
--- a/tests/cover/test_quarantined_parts.py
+++ b/tests/cover/test_quarantined_parts.py
@@ -6,7 +6,10 @@
 
 from hitchdeck_core.ids import UpstreamIncarnation
 from hitchdeck_core.quarantine.answers import MAX_ANSWERED_PARTS, AnsweredParts
-from hitchdeck_core.quarantine.crash_history import MAX_CRASH_RECORDS
+from hitchdeck_core.quarantine.crash_history import (
+    MAX_CRASH_RECORDS,
+    MOMENT_SECONDS,
+)
 from hitchdeck_core.quarantine.fingerprints import (
     MAX_SHARED_PARTS,
     Fingerprint,
@@ -14,11 +17,14 @@
     part_fingerprints,
 )
 from hitchdeck_core.quarantine.messages import decode_update, encode_update
+from hitchdeck_core.quarantine.parts import (
+    MAX_PARTS_PER_CRASH,
+    PART_QUARANTINE_SECONDS,
+    SETTLE_SECONDS,
+)
 from hitchdeck_core.quarantine.quarantine import (
     ANSWER_TTL_SECONDS,
     MAX_CRASHES_PER_UPDATE,
-    MAX_PARTS_PER_CRASH,
-    PART_QUARANTINE_SECONDS,
     SYNC_START,
     Quarantine,
     SyncPosition,
@@ -49,7 +55,7 @@
 
 def quarantine_with(clock: FakeClock) -> Quarantine:
     quarantine = Quarantine(clock.now, Signal())
-    quarantine.trials.place = 0
+    quarantine.parts.trials.place = 0
     return quarantine
 
 
@@ -58,7 +64,7 @@
 
 
 def is_blamed(quarantine: Quarantine, part: str) -> bool:
-    return quarantine.is_quarantined(request('another', part))
+    return quarantine.holds_back(request('another', part))
 
 
 def exchange(first: Quarantine, second: Quarantine) -> None:
@@ -116,14 +122,71 @@
     ],
 )
 def test_the_part_that_explains_the_crashes_is_blamed(case: Blame) -> None:
-    quarantine = quarantine_with(FakeClock())
+    clock = FakeClock()
+    quarantine = quarantine_with(clock)
     for part in case.answered:
         quarantine.record_answer(request('sound', part))
     for number, in_flight in enumerate(case.crashes):
+        clock.seconds += 1
         crash(quarantine, f'e{number}', *(request(*one.split()) for one in in_flight))
     assert {one for one in 'FALS' if is_blamed(quarantine, one)} == case.blamed
 
 
+def test_requests_are_held_back_until_a_verdict_is_settled() -> None:
+    clock = FakeClock()
+    quarantine = quarantine_with(clock)
+    for number in range(3):
+        crash(quarantine, f'e{number}', request(f'{number}', LETHAL))
+    later = request('later', LETHAL)
+    assert not quarantine.is_quarantined(later)
+    assert quarantine.unsettled_seconds(later) == SETTLE_SECONDS
+    clock.seconds += SETTLE_SECONDS
+    assert quarantine.is_quarantined(later)
+    assert quarantine.unsettled_seconds(later) == 0
+
+
+@pytest.mark.parametrize(
+    ('gap', 'without', 'held'),
+    [
+        # Several upstreams fail together, some of them without the part.
+        (0, 1, False),
+        # All that failed together had it.
+        (0, 0, True),
+        # One after the other, each beside a crash without it.
+        (2 * MOMENT_SECONDS, 1, True),
+    ],
+)
+def test_simultaneous_crashes_without_a_part_speak_for_it(
+    gap: float, without: int, held: bool
+) -> None:
+    clock = FakeClock()
+    quarantine = quarantine_with(clock)
+    for number in range(3):
+        for other in range(without):
+            crash(quarantine, f'o{number}-{other}', request(f'o{number}-{other}'))
+        crash(quarantine, f'e{number}', request(f'{number}', LETHAL))
+        clock.seconds += gap
+    assert is_blamed(quarantine, LETHAL) is held
+
+
+def test_a_verdict_is_withdrawn_if_the_rest_of_a_failure_is_heard_later() -> None:
+    clock = FakeClock()
+    hub, box = quarantine_with(clock), quarantine_with(clock)
+    for number in range(3):
+        crash(hub, f'e{number}', request(f'{number}', LETHAL))
+    exchange(hub, box)
+    assert is_blamed(box, LETHAL)
+    crash(hub, 'o', request('other'))
+    exchange(hub, box)
+    assert not is_blamed(hub, LETHAL)
+    assert not is_blamed(box, LETHAL)
+    # The withdrawn verdict does not protect the part.
+    clock.seconds += 2 * MOMENT_SECONDS
+    for number in range(3, 5):
+        crash(hub, f'e{number}', request(f'{number}', LETHAL))
+    assert is_blamed(hub, LETHAL)
+
+
 def test_a_retried_sound_request_beside_a_lethal_part_is_not_blamed() -> None:
     # Guards against the verdicts of the incident, which named retried bystanders.
     quarantine = quarantine_with(FakeClock())
@@ -161,6 +224,7 @@
     hub, box = quarantine_with(clock), quarantine_with(clock)
     box.record_answer(request('sound', 'F'))
     for number in range(5):
+        clock.seconds += 1
         crash(hub, f'e{number}', request(f'{number}', 'F', 'L' if number < 4 else 'x'))
     assert is_blamed(hub, 'F')
     exchange(hub, box)
@@ -204,8 +268,8 @@
     clock = FakeClock()
     boxes = [quarantine_with(clock) for _ in range(10)]
     for place, box in enumerate(boxes):
-        box.trials.place = place / len(boxes)
-        box.trials.box_count = lambda: len(boxes)
+        box.parts.trials.place = place / len(boxes)
+        box.parts.trials.box_count = lambda: len(boxes)
         for number in range(3):
             crash(box, f'e{number}', request(f'{number}', LETHAL))
     clock.seconds += FIRST_TRIAL_SECONDS + TRIAL_SPACING_SECONDS / 2
