--- a/tests/edge/test_lethal_parts.py
+++ b/tests/edge/test_lethal_parts.py
@@ -13,6 +13,15 @@
 import pytest
 from tornado.simple_httpclient import HTTPStreamClosedError
 
+from hitchdeck_core.ids import UpstreamIncarnation
+from hitchdeck_core.quarantine.fingerprints import (
+    Fingerprint,
+    RequestKeys,
+    part_fingerprints,
+)
+from hitchdeck_edge.model.placing import Choice
+from hitchdeck_edge.model.refusals import Refusal
+from hitchdeck_edge.model.request_context import RequestContext
 from standins.platform_site import HOST, KEY, Site, document, route, running_site
 from standins.platform_worker import Worker
 
@@ -47,6 +56,8 @@
         How many arrive at once.
     beside
         Number of sound streams in flight, with all other parts of the lethal requests.
+    events
+        Number of events that are written before the crash.
     """
 
     position: int = 2
@@ -54,6 +65,7 @@
     burst: int = 1
     boxes: int = 3
     beside: int = 0
+    events: int = 0
 
 
 class Caller:
@@ -149,6 +161,8 @@
         Case(path='/one/', burst=3),
         Case(path='/once/', burst=3, beside=6),
         Case(position=1, path='/u/', burst=2, boxes=1),
+        Case(events=2),
+        Case(path='/once/', events=2, beside=4),
     ],
 )
 async def test_a_lethal_part_reaches_no_worker_after_five_crashes(
@@ -157,6 +171,7 @@
     async with site_under_way(tmp_path, case.boxes) as caller:
         for worker in caller.site.workers:
             worker.gap = 0.05
+            worker.lethal_events = case.events
         beside = [
             asyncio.create_task(keep_streaming(caller)) for _ in range(case.beside)
         ]
@@ -184,3 +199,47 @@
                 await asyncio.sleep(2 * SPREAD_SECONDS)
         crashes = sum(worker.name.count('+') for worker in caller.site.workers)
         assert crashes <= MAX_CRASHES
+
+
+async def test_a_box_without_hubs_decides_alone(tmp_path: Path) -> None:
+    async with site_under_way(tmp_path, boxes=1) as caller:
+        for hub in list(caller.site.hubs):
+            await caller.site.kill_hub(hub)
+        await crash_until_kept_away(caller, Case(path='/one/'))
+        assert crash_count(caller.site) <= MAX_CRASHES
+        assert await caller.send('/one/', SHARED) == 200
+
+
+async def test_a_box_that_starts_later_keeps_the_part_away(tmp_path: Path) -> None:
+    async with site_under_way(tmp_path, boxes=1) as caller:
+        await crash_until_kept_away(caller, Case())
+        before = crash_count(caller.site)
+        await caller.site.start_box(1)
+        await caller.site.settle(2)
+        assert await caller.send('/s/', (*SHARED, LETHAL), box=1) == 503
+        assert crash_count(caller.site) == before
+
+
+async def test_a_request_that_waits_is_checked_when_it_is_sent(tmp_path: Path) -> None:
+    # Guards against a check on arrival only.
+    async with site_under_way(tmp_path, boxes=1) as caller:
+        box = caller.site.boxes[0]
+        dispatcher = box.admission.dispatcher
+        choose = dispatcher.chooser.choose
+        placed = asyncio.Event()
+
+        async def choose_late(context: RequestContext) -> Choice | Refusal:
+            choice = await choose(context)
+            placed.set()
+            await asyncio.sleep(SPREAD_SECONDS)
+            return choice
+
+        dispatcher.chooser.choose = choose_late
+        waiting = asyncio.create_task(caller.send('/s/', (*SHARED, LETHAL)))
+        await placed.wait()
+        quarantine = box.link.known.quarantine
+        for number in range(MAX_CRASHES):
+            keys = RequestKeys(Fingerprint(b'%d' % number), part_fingerprints([LETHAL]))
+            quarantine.record_crash(UpstreamIncarnation(f'gone-{number}'), [keys])
+        assert await waiting == 503
+        assert crash_count(caller.site) == 0
--- a/tests/edge/test_recovery.py
+++ b/tests/edge/test_recovery.py
@@ -9,7 +9,11 @@
 
 from hitchdeck_core.clock import boot_seconds
 from hitchdeck_core.ids import Address, PoolName, UpstreamIncarnation, UpstreamName
-from hitchdeck_core.quarantine.fingerprints import Fingerprint, RequestKeys
+from hitchdeck_core.quarantine.fingerprints import (
+    Fingerprint,
+    RequestKeys,
+    part_fingerprints,
+)
 from hitchdeck_core.quarantine.quarantine import Quarantine
 from hitchdeck_core.signals import Signal
 from hitchdeck_edge.hub.state_file import (
@@ -81,14 +85,19 @@
     assert after.records[UpstreamName('lost')].unresponsive
 
 
-async def test_a_quarantine_survives_a_full_restart(tmp_path: Path) -> None:
-    lethal = RequestKeys(Fingerprint(b'lethal'))
+@pytest.mark.parametrize('parts', [(), part_fingerprints(['lethal'])])
+async def test_a_quarantine_survives_a_full_restart(
+    parts: tuple[Fingerprint, ...], tmp_path: Path
+) -> None:
     before = Quarantine(boot_seconds, Signal())
     for number in range(3):
+        content = Fingerprint(b'%d' % number if parts else b'lethal')
+        lethal = RequestKeys(content, parts)
         before.record_crash(UpstreamIncarnation(f'e{number}'), [lethal])
     await until_written(quarantine_file(tmp_path, before))
     after = Quarantine(boot_seconds, Signal())
     quarantine_file(tmp_path, after).restore()
+    await asyncio.sleep(after.unsettled_seconds(lethal))
     assert after.is_quarantined(lethal)
 
 
