--- a/packages/core/src/hitchdeck_core/quarantine/crash_history.py
+++ b/packages/core/src/hitchdeck_core/quarantine/crash_history.py
@@ -6,6 +6,7 @@
 from bisect import bisect_left
 from collections import defaultdict, deque
 from collections.abc import Callable, Iterable
+from itertools import islice
 
 from hitchdeck_core.clock import Clock
 from hitchdeck_core.ids import UpstreamIncarnation
@@ -100,6 +101,8 @@
         Times and records, the oldest first.
     crashed_at
         When the crash of each incarnation became known.
+    changes
+        Number of records that were added.
     """
 
     def __init__(self, now: Clock) -> None:
@@ -110,6 +113,7 @@
         )
         self.order: deque[tuple[float, CrashRecord]] = deque()
         self.crashed_at: dict[UpstreamIncarnation, float] = {}
+        self.changes = 0
 
     def add(self, crash: CrashRecord) -> bool:
         """Add a record; tell whether it is new."""
@@ -127,6 +131,7 @@
         self.by_incarnation[crash.incarnation].add(crash.fingerprint)
         self.crashed_at.setdefault(crash.incarnation, self.now())
         self.order.append((self.now(), crash))
+        self.changes += 1
         return True
 
     def has(self, crash: CrashRecord) -> bool:
@@ -138,6 +143,11 @@
         charges = self.by_fingerprint.get(fingerprint)
         return set() if charges is None else charges.incarnations
 
+    def newest(self, count: int) -> tuple[CrashRecord, ...]:
+        """Return the newest records, the oldest of them first."""
+        start = max(0, len(self.order) - count)
+        return tuple(crash for _, crash in islice(self.order, start, None))
+
     def implicates(
         self, fingerprint: Fingerprint, is_cleared: IsCleared, least: int = MIN_CRASHES
     ) -> bool:
--- a/packages/core/src/hitchdeck_core/quarantine/quarantine.py
+++ b/packages/core/src/hitchdeck_core/quarantine/quarantine.py
@@ -10,6 +10,7 @@
 
 from collections import OrderedDict, deque
 from collections.abc import Collection, Iterable
+from dataclasses import replace
 
 from hitchdeck_core import logs
 from hitchdeck_core.clock import Clock
@@ -70,6 +71,9 @@
 
 
 SYNC_START = SyncPosition()
+MAX_STORED_CRASHES = 1024
+"""Maximum number of crash records in a stored state: 60 kB."""
+
 EMPTY_UPDATE = QuarantineUpdate((), ())
 
 
@@ -107,9 +111,18 @@
         )
 
     @property
-    def verdict_changes(self) -> int:
-        """Return a number that grows with each change of a verdict."""
-        return self.verdicts.changes + self.parts.verdicts.changes
+    def changes(self) -> int:
+        """Return a number that grows with each change of what ``state`` returns."""
+        verdicts = self.verdicts.changes + self.parts.verdicts.changes
+        return verdicts + self.crashes.changes
+
+    def state(self) -> QuarantineUpdate:
+        """Return the verdicts and the newest crashes of all processes, to store them.
+
+        Without the crashes, those before a restart would not count.
+        """
+        update, _ = self.update_since(SYNC_START)
+        return replace(update, crashes=self.crashes.newest(MAX_STORED_CRASHES))
 
     def is_quarantined(self, keys: RequestKeys) -> bool:
         """Tell whether a request must not be sent to upstreams."""
--- a/packages/edge/src/hitchdeck_edge/hub/state_file.py
+++ b/packages/edge/src/hitchdeck_edge/hub/state_file.py
@@ -18,7 +18,7 @@
 from hitchdeck_core import logs
 from hitchdeck_core.lazy_dataclasses import dataclass
 from hitchdeck_core.quarantine.messages import decode_update, encode_update
-from hitchdeck_core.quarantine.quarantine import SYNC_START, Quarantine
+from hitchdeck_core.quarantine.quarantine import Quarantine
 from hitchdeck_core.signals import Signal
 from hitchdeck_core.ticks import until_tick
 from hitchdeck_core.wire.quarantine_pb2 import QuarantineNews
@@ -167,21 +167,21 @@
 
 
 def quarantine_file(folder: Path, quarantine: Quarantine) -> StateFile:
-    """Return the file of the quarantine verdicts.
+    """Return the file of the quarantine verdicts, and of the crashes behind them.
 
     Without it a quarantined request would crash three more upstreams after all hubs
     have lost power.
     """
 
     def encode() -> bytes:
-        update, _ = quarantine.update_since(SYNC_START)
-        return encode_update(update, quarantine.now()).SerializeToString()
+        state = quarantine.state()
+        return encode_update(state, quarantine.now()).SerializeToString()
 
     def restore(payload: bytes) -> None:
         message = QuarantineNews.FromString(payload)
         quarantine.merge(decode_update(message, quarantine.now()), ORIGIN)
 
-    codec = StateCodec(lambda: quarantine.verdict_changes, encode, restore)
+    codec = StateCodec(lambda: quarantine.changes, encode, restore)
     return StateFile(folder / 'quarantine', codec, quarantine.changed)
 
 
--- a/tests/edge/test_recovery.py
+++ b/tests/edge/test_recovery.py
@@ -101,6 +101,18 @@
     assert after.is_quarantined(lethal)
 
 
+async def test_crashes_before_a_full_restart_count(tmp_path: Path) -> None:
+    # Guards against a part that is never blamed, since restarts come between crashes.
+    after = Quarantine(boot_seconds, Signal())
+    for number in range(3):
+        before, after = after, Quarantine(boot_seconds, Signal())
+        lethal = RequestKeys(Fingerprint(b'%d' % number), part_fingerprints(['lethal']))
+        before.record_crash(UpstreamIncarnation(f'e{number}'), [lethal])
+        await until_written(quarantine_file(tmp_path, before))
+        quarantine_file(tmp_path, after).restore()
+    assert after.holds_back(lethal)
+
+
 @pytest.mark.parametrize('content', [b'', b'no frame', b'\x00' * 40])
 @pytest.mark.parametrize('kept', ['document', 'upstreams'])
 def test_a_damaged_file_is_ignored(content: bytes, kept: str, tmp_path: Path) -> None:
