--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -21,6 +21,7 @@
 from soak.callers import Request, resumption, send
 from soak.faults import MS, VERSIONS, Faults
 from soak.fleet import Program, claimed_fleet
+from soak.lethal import LETHAL, LETHAL_PART, LethalCallers
 from soak.places import COLD_PER_SECOND, DomainOrders
 from soak.promises import SUCCESS, Answer, History
 from soak.proxy import Proxy
@@ -31,7 +32,6 @@
 START_SECONDS = 20.0
 CALLERS = 8
 PATHS = ('/s/', '/once/', '/u/', '/g/')
-LETHAL = 'lethal'
 LONG_RETRY_AFTER = '60'
 """Retry-After of a worker, in seconds; exceeds the rest of the run."""
 
@@ -40,9 +40,6 @@
 RECOVERY_SECONDS = 4.0
 """Time for all processes to reconnect and synchronize their state."""
 
-REPORT_SECONDS = 0.8
-"""Time for a restarted worker to send its first report to a hub."""
-
 SERVICES = (
     {
         'name': 'llm',
@@ -95,6 +92,7 @@
         self.domain_orders = DomainOrders(
             self.workers, self.history, self._fetch, self._control
         )
+        self.lethal = LethalCallers(self.workers, self.history, self._send, self.random)
         self.asked = 0
         self.version = 1
 
@@ -117,6 +115,7 @@
             self.fleet.add(number, 'box')
         for worker in self.workers:
             worker.lethal = LETHAL.encode()
+            worker.lethal_part = LETHAL_PART
             worker.software = self.random.choice(VERSIONS)
             worker.born = int(time.time() * MS)
             await worker.start()
@@ -157,7 +156,7 @@
         coroutines += [
             self._change_configuration(),
             self._send_foreign_reports(),
-            self._repeat_lethal(),
+            self.lethal.repeat(),
             faults.run(),
         ]
         coroutines.append(self.domain_orders.operate(self.random))
@@ -166,17 +165,10 @@
         await _cancel(tasks)
 
     async def _check_after_recovery(self, faults: Faults) -> None:
-        """Clear all faults, check orders, then send the lethal request to each box."""
+        """Clear all faults, check orders, then send lethal requests to each box."""
         await self._wait_for_recovery(faults)
         await self.domain_orders.check(self._ask_each, self._restart_all)
-        self.history.lethal_before = _lethal_runs(self.workers)
-        for box in self.fleet.boxes * 2:
-            await self._ask(self._next(LETHAL), '/s/', LETHAL, box)
-            await faults.restart_crashed()
-            await asyncio.sleep(REPORT_SECONDS)
-        self.history.lethal_after = (
-            _lethal_runs(self.workers) - self.history.lethal_before
-        )
+        await self.lethal.check(faults, self.fleet.boxes)
         await self._check_refusing_workers()
 
     async def _wait_for_recovery(self, faults: Faults) -> None:
@@ -250,12 +242,6 @@
             await self._ask_once()
             await asyncio.sleep(self.random.uniform(0, 0.05))
 
-    async def _repeat_lethal(self) -> None:
-        """Repeatedly send a content that crashes workers."""
-        while True:
-            await asyncio.sleep(self.random.uniform(0.5, 1.5))
-            await self._ask(self._next(LETHAL), '/s/', LETHAL)
-
     async def _send_foreign_reports(self) -> None:
         """Send hubs reports that no upstream sends."""
         while True:
@@ -269,12 +255,14 @@
         self,
         attempt: str,
         path: str,
-        body: str = 'b',
         box: Program | None = None,
     ) -> Answer:
-        self.history.asked.add(attempt)
+        return await self._send(Request(attempt, path, 'b'), box)
+
+    async def _send(self, request: Request, box: Program | None = None) -> Answer:
+        self.history.asked.add(request.attempt)
         address = self._front(box or self.random.choice(self.fleet.boxes))
-        answer = await send(self._fetch, address, Request(attempt, path, body))
+        answer = await send(self._fetch, address, request)
         self.history.answers.append(answer)
         return answer
 
@@ -318,11 +306,6 @@
         return reply.code, reply.body.decode() if reply.body else ''
 
 
-def _lethal_runs(workers: list[Worker]) -> int:
-    ran = [one for worker in workers for one in worker.ran]
-    return sum(one.startswith(LETHAL) for one in ran)
-
-
 async def _cancel(tasks: list[asyncio.Task[None]]) -> None:
     for task in tasks:
         task.cancel()
@@ -350,8 +333,10 @@
             broken = asyncio.run(run.play(seconds))
         served = sum(one.status == SUCCESS for one in run.history.answers)
         history = run.history
-        summary = f'{len(history.answers)} asked, {served} served'
-        summary += f', {history.lethal_before} + {history.lethal_after} lethal'
+        lethal = [
+            f'{one.before} + {one.after} {one.kind}' for one in history.lethal_runs
+        ]
+        summary = ', '.join([f'{len(history.answers)} asked, {served} served', *lethal])
         sys.stdout.write(f'seed {number}: {summary}, {len(broken)} broken\n')
         sys.stdout.writelines(f'  {line}\n' for line in broken[:10])
         failed += bool(broken)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -18,13 +18,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Request:
-    """A request; ``resumed`` and ``last_event`` are set if it resumes a stream."""
+    """A request; ``resumed`` and ``last_event`` are set if it resumes a stream.
+
+    ``part`` is a part of its prompt that other requests have too.
+    """
 
     attempt: str
     path: str
     body: str
     resumed: str = ''
     last_event: str = ''
+    part: str = 'x'
 
     def headers(self) -> dict[str, str]:
         """Return the headers of the request."""
@@ -35,7 +39,7 @@
             'Authorization': f'Token {KEY}',
         }
         if self.path in {RESUMABLE, '/once/'}:
-            prompt = f'x:100,{self.attempt}:100'
+            prompt = f'{self.part}:100,{self.attempt}:100'
             model = {'Model': 'm', 'Token-Count': '200,20', 'Prompt-Prefix': prompt}
             headers.update(model)
         if self.resumed:
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -9,12 +9,24 @@
 REFUSALS = frozenset((0, *range(400, 500)))
 """Valid statuses for a report of a foreign writer; 0 means no response."""
 
-MIN_LETHAL_CRASHES = 3
 MAX_LATE_RUNS = 3
-"""Upstreams a lethal content may still reach after ``MIN_LETHAL_CRASHES`` crashes,
+"""Upstreams that lethal requests of one kind may reach once it must be recognized,
 while all processes are connected."""
 
 
+@dataclass(frozen=True, slots=True)
+class LethalRuns:
+    """Upstreams that requests of a lethal kind reached, under faults and after them.
+
+    ``recognized_at`` is the number of crashes by which the kind must be recognized.
+    """
+
+    kind: str
+    recognized_at: int
+    before: int
+    after: int
+
+
 @dataclass(frozen=True, slots=True)
 class Answer:
     """One request and its response; ``status`` is 0 if none arrived."""
@@ -44,8 +56,7 @@
     accepted: int = 0
     reads: list[tuple[int, int]] = field(default_factory=list)
     foreign: list[tuple[str, int]] = field(default_factory=list)
-    lethal_before: int = 0
-    lethal_after: int = 0
+    lethal_runs: list[LethalRuns] = field(default_factory=list)
     request_limits: list[tuple[str, int, int]] = field(default_factory=list)
     resumed: list[tuple[str, str]] = field(default_factory=list)
 
@@ -79,13 +90,11 @@
             if status not in REFUSALS
         )
         lines.extend(self._broken_streams())
-        if (
-            self.lethal_before >= MIN_LETHAL_CRASHES
-            and self.lethal_after > MAX_LATE_RUNS
-        ):
-            lines.append(
-                f'lethal request crashed {self.lethal_after} more without faults'
-            )
+        lines.extend(
+            f'{runs.kind} request crashed {runs.after} more without faults'
+            for runs in self.lethal_runs
+            if runs.before >= runs.recognized_at and runs.after > MAX_LATE_RUNS
+        )
         lines.extend(
             f'{name} got {sent} requests, the limit is {most}'
             for name, sent, most in self.request_limits
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -7,7 +7,7 @@
 import pytest
 
 from soak.__main__ import Run
-from soak.promises import Answer, History
+from soak.promises import Answer, History, LethalRuns
 
 SECONDS = 6.0
 
@@ -53,6 +53,16 @@
     assert len(history.broken(Counter({'stranger': 1}))) == 2
 
 
+@pytest.mark.parametrize(
+    ('before', 'after', 'lines'), [(3, 3, 0), (3, 4, 1), (2, 4, 0)]
+)
+def test_lethal_requests_that_go_on_are_reported(
+    before: int, after: int, lines: int
+) -> None:
+    history = History(lethal_runs=[LethalRuns('lethal', 3, before, after)])
+    assert len(history.broken(Counter())) == lines
+
+
 def test_requests_to_an_unwilling_upstream_are_reported() -> None:
     history = History(request_limits=[('w0', 3, 3), ('w1', 4, 3)])
     assert len(history.broken(Counter())) == 1
