Tell the failure of several upstreams from a series of crashes

Crash records carry their age, so that hubs and restarts know the moments. Before a retry a box waits up to 50 ms for the probe of the upstream whose response broke: without it the second attempt was sent before the crash of the first one counted.

--- a/packages/core/src/hitchdeck_core/quarantine/crash_detector.py
+++ b/packages/core/src/hitchdeck_core/quarantine/crash_detector.py
@@ -13,11 +13,16 @@
 from hitchdeck_core.lazy_dataclasses import dataclass
 from hitchdeck_core.quarantine.fingerprints import RequestKeys
 from hitchdeck_core.quarantine.quarantine import Quarantine
+from hitchdeck_core.signals import Signal
 from hitchdeck_core.supervisor import Supervisor
 
 Probe = Callable[[], Awaitable[bool]]
 """Tells whether an upstream accepts connections and keeps running."""
 
+PROBE_WAIT_SECONDS = 0.05
+"""Longest wait of a retry for the probe of the upstream whose response broke: a crashed
+one refuses the connection at once."""
+
 SUSPICION_TTL_SECONDS = 10.0
 """Time within which a new incarnation of the upstream confirms a suspected crash."""
 
@@ -53,6 +58,7 @@
         self.probed: dict[UpstreamIncarnation, set[RequestKeys]] = defaultdict(set)
         self.suspected: dict[UpstreamIncarnation, SuspectedCrash] = {}
         self.tasks = Supervisor('endings')
+        self.probe_done = Signal()
 
     def record_broken_response(
         self, incarnation: UpstreamIncarnation, keys: RequestKeys, probe: Probe
@@ -75,11 +81,22 @@
         if in_flight:
             self.quarantine.record_crash(incarnation, in_flight)
 
+    async def wait_for_probe(self, incarnation: UpstreamIncarnation) -> None:
+        """Wait until a broken response counts as a crash, if that is found quickly.
+
+        A retry that is sent before would crash the next upstream, even if the request
+        is quarantined for this crash.
+        """
+        until = self.quarantine.now() + PROBE_WAIT_SECONDS
+        while incarnation in self.probed and self.quarantine.now() < until:
+            await self.probe_done.wait(until - self.quarantine.now())
+
     async def _probe(self, incarnation: UpstreamIncarnation, probe: Probe) -> None:
         try:
             alive = await probe()
         finally:
             in_flight = self.probed.pop(incarnation, set())
+            self.probe_done.notify()
         if not in_flight:
             # Confirmed while the probe was running.
             return
--- a/packages/core/src/hitchdeck_core/quarantine/messages.py
+++ b/packages/core/src/hitchdeck_core/quarantine/messages.py
@@ -23,7 +23,11 @@
     """Encode an update; ``now`` is the present time of the sender's clock."""
     return QuarantineNews(
         casualties=[
-            CasualtyRecord(content=one.fingerprint, life=one.incarnation)
+            CasualtyRecord(
+                content=one.fingerprint,
+                life=one.incarnation,
+                age_ms=_age_ms(one.at, now),
+            )
             for one in update.crashes
             if not one.position
         ],
@@ -34,6 +38,7 @@
                 incarnation=one.incarnation,
                 content=one.content,
                 position=one.position,
+                age_ms=_age_ms(one.at, now),
             )
             for one in update.crashes
             if one.position
@@ -45,7 +50,11 @@
 def decode_update(message: QuarantineNews, now: float) -> QuarantineUpdate:
     """Decode an update; ``now`` is the present time of the receiver's clock."""
     whole = [
-        CrashRecord(Fingerprint(one.content), UpstreamIncarnation(one.life))
+        CrashRecord(
+            Fingerprint(one.content),
+            UpstreamIncarnation(one.life),
+            at=now - one.age_ms / _MS,
+        )
         for one in message.casualties
     ]
     parts = [
@@ -54,6 +63,7 @@
             UpstreamIncarnation(one.incarnation),
             Fingerprint(one.content),
             max(1, int(one.position)),
+            now - one.age_ms / _MS,
         )
         for one in message.part_crashes
     ]
@@ -70,7 +80,7 @@
             content=one.fingerprint,
             round=one.round_number,
             quarantined=one.status is VerdictStatus.quarantined,
-            age_ms=min(_MAX_AGE_MS, max(0, int((now - one.since) * _MS))),
+            age_ms=_age_ms(one.since, now),
             withdrawn=one.status is VerdictStatus.withdrawn,
             failed_trials=one.failed_trials,
         )
@@ -78,6 +88,10 @@
     ]
 
 
+def _age_ms(at: float, now: float) -> int:
+    return int(min(_MAX_AGE_MS, max(0, (now - at) * _MS)))
+
+
 def _verdict(record: VerdictRecord, now: float) -> Verdict:
     status = VerdictStatus.quarantined if record.quarantined else VerdictStatus.cleared
     if record.withdrawn:
--- a/packages/core/src/hitchdeck_core/quarantine/parts.py
+++ b/packages/core/src/hitchdeck_core/quarantine/parts.py
@@ -94,7 +94,9 @@
         Parts that this process knows to be sound are left out.
         """
         records = {
-            (part, keys.content): CrashRecord(part, incarnation, keys.content, position)
+            (part, keys.content): CrashRecord(
+                part, incarnation, keys.content, position, self.now()
+            )
             for keys in in_flight
             for position, part in enumerate(keys.parts, start=1)
             if not self.is_cleared(part)
--- a/packages/core/src/hitchdeck_core/quarantine/quarantine.py
+++ b/packages/core/src/hitchdeck_core/quarantine/quarantine.py
@@ -158,7 +158,8 @@
         self, incarnation: UpstreamIncarnation, in_flight: Collection[RequestKeys]
     ) -> None:
         """Record that an incarnation crashed with some requests in flight."""
-        crashes = [CrashRecord(one.content, incarnation) for one in in_flight]
+        at = self.now()
+        crashes = [CrashRecord(one.content, incarnation, at=at) for one in in_flight]
         crashes += self.parts.records(incarnation, in_flight)
         logs.warning(
             'upstream ended',
--- a/packages/edge/src/hitchdeck_edge/dispatch/crash_watch.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/crash_watch.py
@@ -35,6 +35,10 @@
             partial(self.connections.is_reachable, upstream),
         )
 
+    async def wait_for_probe(self, attempt: Attempt) -> None:
+        """Wait until it is known whether an upstream has crashed, but not for long."""
+        await self.detector.wait_for_probe(attempt.choice.upstream.incarnation)
+
     def confirm_crash(self, name: UpstreamName) -> None:
         """Confirm a suspected crash, since another upstream has the address now."""
         self.detector.confirm_crash(UpstreamIncarnation(name))
--- a/packages/edge/src/hitchdeck_edge/dispatch/dispatcher.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/dispatcher.py
@@ -96,7 +96,7 @@
     async def _serve(self, active: ActiveRequest) -> None:
         context = active.context
         while True:
-            choice = await self._choose(context)
+            choice = await self._choose(active)
             if isinstance(choice, Refusal):
                 await self._fail(active, choice)
                 return
@@ -114,7 +114,7 @@
                 await self._fail(active, Refusal.no_attempt_left)
                 return
 
-    async def _choose(self, context: RequestContext) -> Choice | Refusal:
+    async def _choose(self, active: ActiveRequest) -> Choice | Refusal:
         """Return an upstream for a request, or the reason to refuse it.
 
         The deadline is compared with the clock, since timers fire late on an
@@ -125,6 +125,9 @@
         TimeoutError
             The deadline has passed.
         """
+        context = active.context
+        if active.last_attempt is not None:
+            await self.sender.crash_watch.wait_for_probe(active.last_attempt)
         quarantine = self.sender.quarantine
         held_back = quarantine.unsettled_seconds(context.keys)
         if held_back:
--- a/packages/router/src/hitchdeck_router/dispatch/attempts.py
+++ b/packages/router/src/hitchdeck_router/dispatch/attempts.py
@@ -11,7 +11,11 @@
 from hitchdeck_router.dispatch.backpressure import check_accepting, check_pool_accepting
 from hitchdeck_router.dispatch.caches import move_cache
 from hitchdeck_router.dispatch.ledger import RunStatus, StoredResponse
-from hitchdeck_router.dispatch.quarantine import check_for_crash, check_not_quarantined
+from hitchdeck_router.dispatch.quarantine import (
+    check_for_crash,
+    check_not_quarantined,
+    incarnation_of,
+)
 from hitchdeck_router.dispatch.requests import AdmittedRequest
 from hitchdeck_router.errors import (
     CallerDisconnectedError,
@@ -98,6 +102,7 @@
             progress.sent = True
             _check_for_crash(context, admitted, upstream)
             _record_failure(context, admitted, progress, upstream, error)
+            await context.crash_detector.wait_for_probe(incarnation_of(upstream))
         finally:
             grant.release(failed=failed)
 
--- a/tests/edge/test_recovery.py
+++ b/tests/edge/test_recovery.py
@@ -9,6 +9,7 @@
 
 from hitchdeck_core.clock import boot_seconds
 from hitchdeck_core.ids import Address, PoolName, UpstreamIncarnation, UpstreamName
+from hitchdeck_core.quarantine.crash_history import MIN_SIMULTANEOUS_CRASHES
 from hitchdeck_core.quarantine.fingerprints import (
     Fingerprint,
     RequestKeys,
@@ -90,7 +91,7 @@
     parts: tuple[Fingerprint, ...], tmp_path: Path
 ) -> None:
     before = Quarantine(boot_seconds, Signal())
-    for number in range(3):
+    for number in range(MIN_SIMULTANEOUS_CRASHES):
         content = Fingerprint(b'%d' % number if parts else b'lethal')
         lethal = RequestKeys(content, parts)
         before.record_crash(UpstreamIncarnation(f'e{number}'), [lethal])
@@ -104,7 +105,7 @@
 async def test_crashes_before_a_full_restart_count(tmp_path: Path) -> None:
     # Guards against a part that is never blamed, since restarts come between crashes.
     after = Quarantine(boot_seconds, Signal())
-    for number in range(3):
+    for number in range(MIN_SIMULTANEOUS_CRASHES):
         before, after = after, Quarantine(boot_seconds, Signal())
         lethal = RequestKeys(Fingerprint(b'%d' % number), part_fingerprints(['lethal']))
         before.record_crash(UpstreamIncarnation(f'e{number}'), [lethal])
