Clear the parts of an unframed answer once its worker has survived it

An answer without length and chunks ends with its connection, as it does if its worker crashes, so it did not clear the parts of its prompt. Where all answers are unframed, the route's part was never cleared, and would be blamed for a lethal one. It clears them after a second now, in which a crash of the worker would be noticed (the new test failed before for want of it).

--- a/packages/core/src/hitchdeck_core/quarantine/crash_detector.py
+++ b/packages/core/src/hitchdeck_core/quarantine/crash_detector.py
@@ -69,6 +69,12 @@
         if not already_probed:
             self.tasks.temporary(incarnation, self._probe(incarnation, probe))
 
+    def suspects(self, incarnation: UpstreamIncarnation) -> bool:
+        """Tell whether an incarnation has crashed, or may have."""
+        if incarnation in self.probed or incarnation in self.suspected:
+            return True
+        return incarnation in self.quarantine.crashes.by_incarnation
+
     def confirm_crash(self, incarnation: UpstreamIncarnation) -> None:
         """Record that an incarnation is gone, since a later one is known."""
         if incarnation not in self.suspected and incarnation not in self.probed:
--- a/packages/edge/src/hitchdeck_edge/dispatch/crash_watch.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/crash_watch.py
@@ -1,10 +1,12 @@
 """What attempts show about upstreams that crash, and about requests that crash them."""
 
+import asyncio
 from functools import partial
 from http import HTTPStatus
 
 from hitchdeck_core.ids import UpstreamIncarnation, UpstreamName
 from hitchdeck_core.quarantine.crash_detector import CrashDetector
+from hitchdeck_core.quarantine.fingerprints import RequestKeys
 from hitchdeck_core.quarantine.quarantine import Quarantine
 from hitchdeck_edge.dispatch.attempts import Attempt, AttemptOutcome
 from hitchdeck_edge.dispatch.connections import ConnectionPool
@@ -12,6 +14,9 @@
 from hitchdeck_edge.model.request_context import RequestContext
 from hitchdeck_edge.scheduling.health import Health
 
+UNFRAMED_CHECK_SECONDS = 1.0
+"""Time after an unframed answer in which a crash of its upstream would be noticed."""
+
 _ANSWERED = frozenset((AttemptOutcome.answered, AttemptOutcome.failed))
 
 
@@ -44,24 +49,38 @@
         self.detector.confirm_crash(UpstreamIncarnation(name))
 
     def record_answer(self, context: RequestContext, attempt: Attempt) -> None:
-        """Clear the request, and its parts if the answer was surely complete."""
-        if attempt.outcome in _ANSWERED:
-            complete = _is_surely_complete(attempt)
-            self.quarantine.record_answer(context.keys, complete=complete)
+        """Clear the request, and its parts if the answer is complete.
+
+        A response without length and chunks ends with its connection, as it does if
+        the upstream crashes, which may be found a moment later.
+        """
+        if attempt.outcome not in _ANSWERED:
+            return
+        success = _is_success(attempt)
+        framed = attempt.head is not None and attempt.head.framing is not Framing.close
+        complete = success and framed
+        self.quarantine.record_answer(context.keys, complete=complete)
+        if success and not framed:
+            loop = asyncio.get_running_loop()
+            incarnation = attempt.choice.upstream.incarnation
+            loop.call_later(
+                UNFRAMED_CHECK_SECONDS, self._record_unframed, incarnation, context.keys
+            )
+
+    def _record_unframed(
+        self, incarnation: UpstreamIncarnation, keys: RequestKeys
+    ) -> None:
+        """Clear the parts of an unframed answer unless its upstream has crashed."""
+        if not self.detector.suspects(incarnation):
+            self.quarantine.record_answer(keys)
 
     def _avoid(self, incarnation: UpstreamIncarnation) -> None:
         """Avoid a crashed upstream on this box; the quarantine notifies the hubs."""
         self.health.record_crash(UpstreamName(incarnation))
 
 
-def _is_surely_complete(attempt: Attempt) -> bool:
-    """Tell whether an answer was written to its end by an upstream that survived it.
-
-    A response without length and chunks ends with its connection, as it does if the
-    upstream crashes.
-    """
+def _is_success(attempt: Attempt) -> bool:
     head = attempt.head
     if attempt.outcome is not AttemptOutcome.answered or head is None:
         return False
-    success = HTTPStatus.OK <= head.status < HTTPStatus.MULTIPLE_CHOICES
-    return success and head.framing is not Framing.close
+    return HTTPStatus.OK <= head.status < HTTPStatus.MULTIPLE_CHOICES
--- a/tests/edge/test_lethal_parts.py
+++ b/tests/edge/test_lethal_parts.py
@@ -19,6 +19,8 @@
     RequestKeys,
     part_fingerprints,
 )
+from hitchdeck_edge.dispatch.crash_watch import UNFRAMED_CHECK_SECONDS
+from hitchdeck_edge.dispatch.response_parser import Framing
 from hitchdeck_edge.model.placing import Choice
 from hitchdeck_edge.model.refusals import Refusal
 from hitchdeck_edge.model.request_context import RequestContext
@@ -243,3 +245,29 @@
             quarantine.record_crash(UpstreamIncarnation(f'gone-{number}'), [keys])
         assert await waiting == 503
         assert crash_count(caller.site) == 0
+
+
+@pytest.mark.parametrize(('crashes', 'cleared'), [(False, True), (True, False)])
+async def test_an_unframed_answer_clears_parts_unless_its_worker_crashes(
+    crashes: bool, cleared: bool, tmp_path: Path
+) -> None:
+    # The end of such an answer looks like a crash between two events.
+    async with running_site(tmp_path) as site:
+        await site.publish(document(2, routes=ROUTES))
+        await site.settle(2)
+        for worker in site.workers:
+            worker.framing = Framing.close
+        box = site.boxes[0]
+        assert await Caller(site).send('/s/', SHARED) == 200
+        parts = box.link.known.quarantine.parts
+        first = part_fingerprints(SHARED)[0]
+        assert not parts.answered.is_recent(first, 60)
+        if crashes:
+            watch = box.admission.dispatcher.sender.crash_watch
+            for worker in site.workers:
+                incarnation = UpstreamIncarnation(worker.life)
+                watch.quarantine.record_crash(
+                    incarnation, [RequestKeys(Fingerprint(b'other'))]
+                )
+        await asyncio.sleep(UNFRAMED_CHECK_SECONDS + 0.2)
+        assert parts.answered.is_recent(first, 60) is cleared
