Keep the records of five crashes under a flood of made-up parts

Eleven boxes with full floods recorded 5632 parts at one crash, more than the 4096 records that a hub kept, so that the lethal part's own record was dropped before the third crash. The new test fails with the old bounds.

--- a/packages/core/src/hitchdeck_core/quarantine/crash_history.py
+++ b/packages/core/src/hitchdeck_core/quarantine/crash_history.py
@@ -35,8 +35,9 @@
 request that arrives every one or two minutes, and short enough not to blame a
 request for unrelated crashes that are four minutes apart."""
 
-MAX_CRASH_RECORDS = 4096
-"""Most crash records: 64 requests in flight at each of 64 crashes."""
+MAX_CRASH_RECORDS = 16_384
+"""Maximum number of crash records: what eleven boxes record at five crashes under a
+flood of made-up parts."""
 
 IsCleared = Callable[[Fingerprint], bool]
 """Tells whether a request or part was answered recently."""
--- a/packages/core/src/hitchdeck_core/quarantine/parts.py
+++ b/packages/core/src/hitchdeck_core/quarantine/parts.py
@@ -24,7 +24,7 @@
 """Time from a verdict on a part until it is enforced.  Requests with the part are held
 back in it, while processes that know of an answer object."""
 
-MAX_PARTS_PER_CRASH = 512
+MAX_PARTS_PER_CRASH = 256
 """Maximum number of parts that a process records for one crash."""
 
 MAX_ANSWERED_PARTS = 4096
--- a/tests/cover/test_quarantined_parts.py
+++ b/tests/cover/test_quarantined_parts.py
@@ -8,6 +8,7 @@
 from hitchdeck_core.quarantine.crash_history import (
     MAX_CRASH_RECORDS,
     MIN_SIMULTANEOUS_CRASHES,
+    CrashRecord,
 )
 from hitchdeck_core.quarantine.fingerprints import (
     MAX_SHARED_PARTS,
@@ -29,6 +30,7 @@
     MAX_CRASHES_PER_UPDATE,
     SYNC_START,
     Quarantine,
+    QuarantineUpdate,
     SyncPosition,
 )
 from hitchdeck_core.quarantine.trials import (
@@ -341,6 +343,25 @@
     assert position == SyncPosition(MAX_CRASHES_PER_UPDATE, 0, 1)
 
 
+def test_a_hub_keeps_the_records_of_five_crashes_under_a_flood() -> None:
+    clock = FakeClock()
+    hub = quarantine_with(clock)
+    for crashed in range(5):
+        clock.seconds += 1
+        for box in range(11):
+            flood = [
+                CrashRecord(
+                    Fingerprint(b'%d-%d-%d' % (crashed, box, number)),
+                    UpstreamIncarnation(f'e{crashed}'),
+                    Fingerprint(b'%d' % number),
+                    position=1,
+                )
+                for number in range(MAX_PARTS_PER_CRASH)
+            ]
+            hub.merge(QuarantineUpdate(tuple(flood), ()), 'box')
+    assert len(hub.crashes.order) == 5 * 11 * MAX_PARTS_PER_CRASH
+
+
 def test_parts_that_never_recur_displace_no_others() -> None:
     answered = AnsweredParts(FakeClock().now)
     sound = part_fingerprints(['sound'])[0]
