--- a/tests/edge/test_recovery.py
+++ b/tests/edge/test_recovery.py
@@ -9,7 +9,10 @@
 
 from hitchdeck_core.clock import boot_seconds
 from hitchdeck_core.ids import Address, PoolName, UpstreamIncarnation, UpstreamName
-from hitchdeck_core.quarantine.crash_history import MIN_SIMULTANEOUS_CRASHES
+from hitchdeck_core.quarantine.crash_history import (
+    MIN_CRASHES,
+    MIN_SIMULTANEOUS_CRASHES,
+)
 from hitchdeck_core.quarantine.fingerprints import (
     Fingerprint,
     RequestKeys,
@@ -91,7 +94,8 @@
     parts: tuple[Fingerprint, ...], tmp_path: Path
 ) -> None:
     before = Quarantine(boot_seconds, Signal())
-    for number in range(MIN_SIMULTANEOUS_CRASHES):
+    crashes = MIN_SIMULTANEOUS_CRASHES if parts else MIN_CRASHES
+    for number in range(crashes):
         content = Fingerprint(b'%d' % number if parts else b'lethal')
         lethal = RequestKeys(content, parts)
         before.record_crash(UpstreamIncarnation(f'e{number}'), [lethal])
