Restart the soak's workers under another name at another version

Cause: a stand-in restarted at another version under its old name, so requests to the old version were taken by the new one until its next report; with one worker changed by hand a stream has both. On the platform each start has a new id, and others answer 421. The soak does so now, and counts the requests to a worker by the name they are addressed to: those to an earlier name are rejected with 421 and do not run, which the platform's rules do not count. The limit is the same.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -201,12 +201,12 @@
         await self._count_sent(self.workers)
 
     async def _count_sent(self, refusing: list[Worker]) -> None:
-        before = [len(worker.seen) for worker in refusing]
+        before = [_count_addressed(worker) for worker in refusing]
         await self._ask_each()
         most = len(self.fleet.boxes)
         for worker, known in zip(refusing, before, strict=True):
             self.history.request_limits.append(
-                (worker.name, len(worker.seen) - known, most)
+                (worker.name, _count_addressed(worker) - known, most)
             )
 
     def _next(self, kind: str) -> str:
@@ -306,6 +306,15 @@
         return reply.code, reply.body.decode() if reply.body else ''
 
 
+def _count_addressed(worker: Worker) -> int:
+    """Return how many requests to this incarnation a worker got.
+
+    It rejects those to earlier ones with 421.
+    """
+    named = [one.headers.get('expect-instance') for one in worker.seen]
+    return named.count(worker.name)
+
+
 async def _cancel(tasks: list[asyncio.Task[None]]) -> None:
     for task in tasks:
         task.cancel()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -50,6 +50,7 @@
         self.random = random.Random(seed)
         self.hub_down = asyncio.Lock()
         self.injected: list[str] = []
+        self.renamed = 0
 
     async def run(self) -> None:
         """Inject faults at random intervals without waiting for earlier ones."""
@@ -152,10 +153,18 @@
             await self.restart_crashed()
 
     async def restart_crashed(self) -> None:
-        """Restart all crashed workers."""
+        """Restart all crashed workers, under another name at another version.
+
+        Requests are addressed to a name, so that nothing else tells the versions apart
+        before the next report.
+        """
         for worker in self.workers:
             if worker.ended:
-                worker.software = self.random.choice(VERSIONS)
+                software = self.random.choice(VERSIONS)
+                if software != worker.software:
+                    self.renamed += 1
+                    worker.name = f'{worker.name.partition("-")[0]}-{self.renamed}'
+                worker.software = software
                 await worker.restart(int(time.time() * MS))
 
     async def disturb_link(self) -> None:
