Say plainly what the quarantine's limits and terms mean

Read as a newcomer: a docstring said the contrary of its function, a limit was explained by the size of one deployment, a test comment told a story. Trials of dropped verdicts are forgotten by boxes without hubs too, and a field of the stand-in that nothing used is gone.

--- a/packages/core/src/hitchdeck_core/quarantine/crash_detector.py
+++ b/packages/core/src/hitchdeck_core/quarantine/crash_detector.py
@@ -90,8 +90,7 @@
     async def wait_for_probe(self, incarnation: UpstreamIncarnation) -> None:
         """Wait until a broken response counts as a crash, if that is found quickly.
 
-        A retry that is sent before would crash the next upstream, even if the request
-        is quarantined for this crash.
+        Otherwise a retry could be sent although this crash quarantines the request.
         """
         until = self.quarantine.now() + PROBE_WAIT_SECONDS
         while incarnation in self.probed and self.quarantine.now() < until:
--- a/packages/core/src/hitchdeck_core/quarantine/crash_history.py
+++ b/packages/core/src/hitchdeck_core/quarantine/crash_history.py
@@ -36,8 +36,7 @@
 request for unrelated crashes that are four minutes apart."""
 
 MAX_CRASH_RECORDS = 16_384
-"""Maximum number of crash records: what eleven boxes record at five crashes under a
-flood of made-up parts."""
+"""Maximum number of crash records, which bounds their memory to 16 MB."""
 
 IsCleared = Callable[[Fingerprint], bool]
 """Tells whether a request or part was answered recently."""
@@ -71,9 +70,11 @@
     Attributes
     ----------
     incarnations
-        Each with the content of a request that was in flight there.
+        The crashed incarnations, each with the content of a request in flight there.
     requests
         For a part, the contents of the requests that had it.
+    position
+        For a part, its last known place in a prompt, from 1; 0 for a request.
     """
 
     fingerprint: Fingerprint
@@ -199,7 +200,7 @@
     ) -> bool:
         """Tell whether something else in flight is the likelier cause of a crash."""
         rank = charges.rank
-        # Most of what is in flight is at few crashes, which is cheaper to find out.
+        # Counts are cheaper to compare than ranks, and rule out most.
         least = rank[0]
         others = (self.by_fingerprint[one] for one in self.by_incarnation[incarnation])
         return any(
--- a/packages/core/src/hitchdeck_core/quarantine/parts.py
+++ b/packages/core/src/hitchdeck_core/quarantine/parts.py
@@ -60,7 +60,7 @@
 
     def is_recent(self, part: Fingerprint, seconds: float) -> bool:
         """Tell whether a part was answered within some seconds."""
-        answered = self.repeatedly.get(part) or self.once.get(part)
+        answered = self.repeatedly.get(part, self.once.get(part))
         return answered is not None and self.now() - answered < seconds
 
 
@@ -121,6 +121,7 @@
             if self.verdicts.is_quarantined(part):
                 logs.info('quarantined part is tried', part=part.hex())
                 self.trials.begin(part)
+        self.trials.keep(set(self.verdicts.known))
 
     def records(
         self, incarnation: UpstreamIncarnation, in_flight: Collection[RequestKeys]
--- a/packages/core/src/hitchdeck_core/quarantine/quarantine.py
+++ b/packages/core/src/hitchdeck_core/quarantine/quarantine.py
@@ -137,7 +137,7 @@
         return next(self.parts.quarantined(keys), None)
 
     def holds_back(self, keys: RequestKeys) -> bool:
-        """Tell whether a request must not be sent now, but may be sent later."""
+        """Tell whether a request is quarantined, or held until a verdict settles."""
         return self.is_quarantined(keys) or self.unsettled_seconds(keys) > 0
 
     def unsettled_seconds(self, keys: RequestKeys) -> float:
--- a/packages/core/src/hitchdeck_core/quarantine/trials.py
+++ b/packages/core/src/hitchdeck_core/quarantine/trials.py
@@ -30,7 +30,7 @@
     box_count
         Returns the number of boxes in the fleet, over which trials are spread.
     place
-        Place of this process in the order of boxes, from 0 to 1.
+        Random number from 0 to 1 that orders the trials of different boxes.
     tried
         When this process last sent a request with a quarantined part.
     """
--- a/packages/core/src/hitchdeck_core/quarantine/verdicts.py
+++ b/packages/core/src/hitchdeck_core/quarantine/verdicts.py
@@ -24,7 +24,7 @@
     """What is decided on a request."""
 
     withdrawn = -1
-    """Other crashes have shown that it need not be their cause."""
+    """Upstreams crashed at the same moment without it, so it need not be the cause."""
 
     cleared = 0
     """An upstream responded to the request, so it is not the cause of crashes."""
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -58,9 +58,7 @@
         A prompt with this part does the same as soon as the worker begins to answer.
     lethal_events
         Number of whole events that it sends before the crash.
-    lethal_delay
-        Time after which it crashes, in seconds.
-    returns
+    restarts_at_once
         Whether its next incarnation listens at its address before it has crashed.
     pause
         Value of ``Retry-After`` when it sheds a request; empty for none.
@@ -92,8 +90,7 @@
     lethal: bytes = b''
     lethal_part: str = ''
     lethal_events: int = 0
-    lethal_delay: float = 0
-    returns: bool = False
+    restarts_at_once: bool = False
     pause: str = ''
     leaving: bool = False
     ended: bool = False
@@ -128,9 +125,9 @@
 
     async def end(self) -> None:
         """Stop listening and abort all connections, as a crash does."""
-        self.ended = not self.returns
+        self.ended = not self.restarts_at_once
         await self.stop()
-        if self.returns:
+        if self.restarts_at_once:
             # As the next incarnation, which has another name.
             self.name = f'{self.name}+'
             await self.restart(self.born)
@@ -252,7 +249,6 @@
         for event in events(request.last_event, self.lethal_events, self.software):
             peer.writer.write(encoded_event(event, Framing.chunks))
         await peer.writer.drain()
-        await asyncio.sleep(self.lethal_delay)
         if not self.ended:
             await self.end()
         return False
--- a/tests/cover/test_quarantined_parts.py
+++ b/tests/cover/test_quarantined_parts.py
@@ -242,7 +242,7 @@
 
 
 def test_a_retried_sound_request_beside_a_lethal_part_is_not_blamed() -> None:
-    # Guards against the verdicts of the incident, which named retried bystanders.
+    # Guards against a verdict on a bystander that is retried.
     quarantine = quarantine_with(FakeClock())
     for number in range(MIN_SIMULTANEOUS_CRASHES):
         lethal = request(f'{number}', LETHAL)
--- a/tests/edge/test_lethal_parts.py
+++ b/tests/edge/test_lethal_parts.py
@@ -194,7 +194,7 @@
     # Guards against a probe that the next incarnation at the address accepts.
     async with site_under_way(tmp_path, boxes=2) as caller:
         for worker in caller.site.workers:
-            worker.returns = True
+            worker.restarts_at_once = True
         case = Case(path='/one/')
         async with asyncio.timeout(20):
             while await caller.send_lethal(case) != [503]:
