--- a/review/1/case.py
+++ b/review/1/case.py
@@ -73,6 +73,9 @@
         lose_disk(fleet, alive)
     time.sleep(RECOVERY_S)
     found = operator.read([*alive, *others], 3 * CONTACT_S)
+    if fleet.ended():
+        record.add(f'ended by themselves: {fleet.ended()}')
+        return NOT_RUN
     held = found is not None and found >= operator.acknowledged
     record.add(
         f'newest acknowledged: {operator.acknowledged}; read back: {found}; '
--- a/review/machines.py
+++ b/review/machines.py
@@ -113,6 +113,7 @@
     roles: tuple[str, ...]
     settings: dict[str, Path] = field(default_factory=dict)
     processes: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
+    stopped: bool = False
 
 
 class Record:
@@ -133,6 +134,8 @@
     """Starts, kills and replaces machines; ends all that it started."""
 
     def __init__(self, record: Record) -> None:
+        # A script that is stopped must end its processes too.
+        signal.signal(signal.SIGTERM, _exit)
         self.record = record
         self.folder = Path(tempfile.mkdtemp(prefix='review-'))
         self.machines: list[Machine] = []
@@ -151,6 +154,7 @@
 
     def start(self, machine: Machine, seeds: list[Machine], *, first: bool) -> None:
         """Write the settings of a machine and start its programs."""
+        machine.stopped = False
         if machine.disk is not None:
             machine.disk.mkdir(exist_ok=True)
         for role in machine.roles:
@@ -183,6 +187,7 @@
 
     def kill(self, machine: Machine) -> None:
         """Kill all programs of a machine."""
+        machine.stopped = True
         for process in machine.processes.values():
             process.send_signal(signal.SIGKILL)
         for process in machine.processes.values():
@@ -190,6 +195,7 @@
 
     def terminate(self, machine: Machine) -> None:
         """Send SIGTERM to all programs of a machine."""
+        machine.stopped = True
         for process in machine.processes.values():
             process.send_signal(signal.SIGTERM)
 
@@ -223,6 +229,16 @@
             return
         shutil.rmtree(self.folder, ignore_errors=True)
 
+    def ended(self) -> list[str]:
+        """Return the programs that ended without having been stopped here."""
+        return [
+            f'{machine.name}/{role}'
+            for machine in self.machines
+            if not machine.stopped
+            for role, process in machine.processes.items()
+            if process.poll() is not None
+        ]
+
     def control(self, machine: Machine) -> str:
         """Return the address of a hub for operators and workers."""
         return f'{machine.ip}:{self.ports.control}'
@@ -401,6 +417,10 @@
     }
 
 
+def _exit(number: int, _frame: object) -> None:
+    raise SystemExit(2)
+
+
 def _commands() -> dict[str, list[str]]:
     """Return the commands of the deploy file by role."""
     deploy = tomllib.loads((ROOT / 'deploy/system.toml').read_text())
