--- a/review/machines.py
+++ b/review/machines.py
@@ -27,6 +27,9 @@
 DRAIN_S = 2.0
 RECOVERY_S = 12.0
 
+CLAIM_PORT = 21_400
+"""Port whose owner has a loopback network for itself."""
+
 SETTINGS = """
 nodeName = "{name}"
 role = "{role}"
@@ -433,9 +436,10 @@
         claims: list[socket.socket] = []
         numbers: list[int] = []
         try:
-            for _ in range(5):
+            # The first one is a fixed port: it keeps other scripts off the network.
+            for port in (CLAIM_PORT, 0, 0, 0, 0, 0):
                 claim = socket.socket()
-                claim.bind((f'127.{network}.0.254', 0))
+                claim.bind((f'127.{network}.0.254', port))
                 claims.append(claim)
                 numbers.append(claim.getsockname()[1])
             probe = socket.socket()
@@ -445,7 +449,7 @@
             for claim in claims:
                 claim.close()
             continue
-        front, ready, control, directory, base = numbers
+        front, ready, control, directory, base = numbers[1:]
         ports = Ports(front, ready, control, directory, base, base + 2)
         return network, claims, ports
     raise OSError('no free loopback network')
