--- a/review/1/case.py
+++ b/review/1/case.py
@@ -8,8 +8,11 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 from machines import (  # noqa: E402
+    BROKEN,
     CATCH_UP_S,
     CONTACT_S,
+    HELD,
+    NOT_RUN,
     RECOVERY_S,
     ZONES,
     Fleet,
@@ -17,6 +20,7 @@
     Operator,
     Record,
     document,
+    play_case,
 )
 
 ROLES = ('hub', 'entry')
@@ -32,19 +36,16 @@
 DOWN_S = 1.0
 """How long the machine without its disk is down."""
 
-BROKEN, HELD, NOT_RUN = 1, 0, 2
-
 
 def main() -> int:
     """Run the case; return its exit code."""
     # Besides 0 and 1: "replace" and "disk", which play one of the two alone.
     trouble = os.environ.get('TROUBLE', '1')
-    record = Record(Path(__file__).parent / 'record.txt')
-    fleet = Fleet(record)
-    try:
+
+    def play(fleet: Fleet, record: Record) -> int:
         return run(fleet, record, trouble)
-    finally:
-        fleet.stop()
+
+    return play_case(Path(__file__).parent, play)
 
 
 def run(fleet: Fleet, record: Record, trouble: str) -> int:
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -8,12 +8,16 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 from machines import (  # noqa: E402
+    BROKEN,
     DRAIN_S,
+    HELD,
+    NOT_RUN,
     ZONES,
     Fleet,
     Operator,
     Record,
     document,
+    play_case,
 )
 from stand_ins import Clients, Worker, wait_until  # noqa: E402
 
@@ -25,18 +29,15 @@
 LINGER_S = 6.0
 """How long a worker serves after the answer to its departure: ``drainMs`` and more."""
 
-BROKEN, HELD, NOT_RUN = 1, 0, 2
-
 
 def main() -> int:
     """Run the case; return its exit code."""
     trouble = os.environ.get('TROUBLE', '1') != '0'
-    record = Record(Path(__file__).parent / 'record.txt')
-    fleet = Fleet(record)
-    try:
+
+    def play(fleet: Fleet, record: Record) -> int:
         return run(fleet, record, trouble=trouble)
-    finally:
-        fleet.stop()
+
+    return play_case(Path(__file__).parent, play)
 
 
 def run(fleet: Fleet, record: Record, *, trouble: bool) -> int:
--- a/review/machines.py
+++ b/review/machines.py
@@ -16,6 +16,7 @@
 import tempfile
 import time
 import tomllib
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -27,6 +28,9 @@
 DRAIN_S = 2.0
 RECOVERY_S = 12.0
 
+BROKEN, HELD, NOT_RUN = 10, 0, 2
+"""Exit codes of a case; ``run.sh`` turns the first one into 1, which Python itself uses."""
+
 CLAIM_PORT = 21_400
 """Port whose owner has a loopback network for itself."""
 
@@ -420,8 +424,26 @@
     }
 
 
+def play_case(folder: Path, play: Callable[[Fleet, Record], int]) -> int:
+    """Play a case on a new fleet, and end all that was started; return the exit code.
+
+    An error of the script or of the machine is no broken rule.
+    """
+    record = Record(folder / 'record.txt')
+    fleet: Fleet | None = None
+    try:
+        fleet = Fleet(record)
+        return play(fleet, record)
+    except Exception as error:
+        record.add(f'could not run: {error!r}')
+        return NOT_RUN
+    finally:
+        if fleet is not None:
+            fleet.stop()
+
+
 def _exit(number: int, _frame: object) -> None:
-    raise SystemExit(2)
+    raise SystemExit(NOT_RUN)
 
 
 def _commands() -> dict[str, list[str]]:
@@ -442,9 +464,10 @@
                 claim.bind((f'127.{network}.0.254', port))
                 claims.append(claim)
                 numbers.append(claim.getsockname()[1])
-            probe = socket.socket()
-            probe.bind((f'127.{network}.0.1', 9102))
-            probe.close()
+            # The deploy file fixes the ports of the metrics.
+            for port in (9101, 9102):
+                with socket.socket() as probe:
+                    probe.bind((f'127.{network}.0.1', port))
         except OSError:
             for claim in claims:
                 claim.close()
--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from socketserver import TCPServer
 
 from machines import Fleet, Machine, Record, call
 
@@ -75,6 +76,12 @@
     daemon_threads = True
     request_queue_size = 128
 
+    def server_bind(self) -> None:
+        """Bind without the look-up of a host name that ``HTTPServer`` makes."""
+        TCPServer.server_bind(self)
+        host, port = self.server_address[:2]
+        self.server_name, self.server_port = str(host), int(port)
+
 
 @dataclass(slots=True)
 class Worker:
