Take the vote of a hub that goes before its successor has to bear the next loss

What operators saw: a machine with a disk was replaced as planned, and another one lost its disk a tenth of a second after the old one had ended.

Cause: a replaced hub went on being counted as a voter beside its successor until the leader had not heard it for 4 s, counted from the start of that leader; a hub that stops told nobody. The platform does not count it any more by then. Evidence: hitchdeck_voters of the leader stayed at 4 until 4 to 6 s after the end of the old hub; the log of the successor was complete, so it was not behind.

A hub that stops asks for its removal and ends once that is committed; a voter that is gone loses its seat after a quarter of catchUpS where the group could not bear the next loss with it; no hub gets a vote while a voter is silent; no newcomer is waited for. A leader whose vote is taken steps down. It works since each change keeps 2F + 1 voters, counting hubs ready for a seat, and any two majorities before and after a change meet.

The account of losses leaves one case out, with a trace in its test: a successor's time does not run while more machines are away than the platform allows at once.

--- a/packages/control/src/hitchdeck_control/raft/membership.py
+++ b/packages/control/src/hitchdeck_control/raft/membership.py
@@ -81,26 +81,38 @@
         logs.info('replica promoted to voter', newcomer=newcomer.replica)
 
 
-async def remove_replica(replica: Replica, member: Member) -> None:
-    """Remove a member from the group."""
-    await _commit_membership(replica, _others(replica, member))
-    logs.info('replica removed', replica=member.replica)
-
-
-def unresponsive_voters(replica: Replica, seconds: float) -> list[Member]:
-    """Return the voters without contact to the leader for a time in seconds."""
-    leadership = replica.leadership
-    if leadership is None:
-        return []
-    horizon = replica.now() - seconds
-    if leadership.started_at > horizon:
-        return []
-    return [
-        one
-        for one in replica.voters()
-        if one.replica != replica.identity.replica
-        and replica.progress_of(ReplicaId(one.replica)).acked_at < horizon
-    ]
+async def change_members(replica: Replica, members: list[Member]) -> None:
+    """Commit a membership as the leader.
+
+    Raises
+    ------
+    MembershipError
+        Another change is in progress, or this one adds or removes more than one vote:
+        a majority before it and one after it might then have no voter in common.
+    NotLeaderError, OutcomeUnknownError
+        The change was not committed, or may not be.
+    """
+    await _commit_membership(replica, members)
+
+
+def is_caught_up(replica: Replica, member: ReplicaId) -> bool:
+    """Tell whether the log of a member has all but the newest committed entries."""
+    match = replica.progress_of(member).match
+    return match + _MAX_CATCH_UP_GAP > replica.commit_index
+
+
+def step_down_unless_voter(replica: Replica) -> None:
+    """Give up leadership once a membership without this replica's vote is committed.
+
+    The entry has to be replicated until then, as no other replica may have it.
+    """
+    committed = any(
+        one.voter and one.replica == replica.identity.replica
+        for one in replica.committed_members()
+    )
+    if replica.is_leader() and not committed and not replica.is_voter():
+        logs.info('stepping down without a vote', term=replica.term)
+        replica.become_follower(replica.term, ReplicaId(''))
 
 
 async def _promote(replica: Replica, newcomer: Member) -> None:
@@ -119,10 +131,7 @@
 async def _wait_until_caught_up(replica: Replica, newcomer: ReplicaId) -> None:
     for _ in range(_CATCH_UP_ROUNDS):
         replica.check_leads()
-        if (
-            replica.progress_of(newcomer).match + _MAX_CATCH_UP_GAP
-            > replica.commit_index
-        ):
+        if is_caught_up(replica, newcomer):
             return
         await asyncio.sleep(_CATCH_UP_POLL_SECONDS)
     raise MembershipError(f'{newcomer} does not catch up')
@@ -133,6 +142,7 @@
         return
     replica.check_leads()
     _check_no_pending_change(replica)
+    _check_majorities_meet(replica, members)
     entry = Entry(
         term=replica.term,
         index=replica.log.last_index + 1,
@@ -148,6 +158,16 @@
         raise MembershipError('another membership change is under way')
 
 
+def _check_majorities_meet(replica: Replica, members: list[Member]) -> None:
+    before = {one.replica for one in replica.voters()}
+    after = {one.replica for one in members if one.voter}
+    if len(before ^ after) > 1:
+        raise MembershipError(
+            f'{len(before ^ after)} votes would change at once: '
+            f'{sorted(before)} to {sorted(after)}'
+        )
+
+
 def _others(replica: Replica, member: Member) -> list[Member]:
     return [one for one in replica.members() if one.replica != member.replica]
 
--- a/packages/control/src/hitchdeck_control/raft/replica.py
+++ b/packages/control/src/hitchdeck_control/raft/replica.py
@@ -137,6 +137,10 @@
         """Return the membership in effect."""
         return self.log.members()
 
+    def committed_members(self) -> list[Member]:
+        """Return the latest membership that this replica knows to be committed."""
+        return self._members_at(self.commit_index)
+
     def voters(self) -> list[Member]:
         """Return the members that vote."""
         return [member for member in self.members() if member.voter]
--- a/packages/daemon/src/hitchdeck_daemon/hub_role.py
+++ b/packages/daemon/src/hitchdeck_daemon/hub_role.py
@@ -21,6 +21,7 @@
     servers = start_servers(hub)
 
     async def stop() -> None:
+        await hub.leave()
         await asyncio.sleep(STOP_SECONDS)
         for server in servers:
             server.stop()
--- a/packages/edge/src/hitchdeck_edge/hub/connected_boxes.py
+++ b/packages/edge/src/hitchdeck_edge/hub/connected_boxes.py
@@ -116,13 +116,21 @@
 
 
 class ConnectedBoxes:
-    """All hubs and entry boxes with a stream to this hub."""
+    """All hubs and entry boxes with a stream to this hub.
+
+    Attributes
+    ----------
+    leaving
+        Replicas of the hubs that said that they stop, also after their streams ended;
+        a new stream to a hub means that it has started again.
+    """
 
     def __init__(self, now: Clock, domain: str) -> None:
         self.now = now
         self.domain = domain
         self.boxes: dict[BoxKey, ConnectedBox] = {}
         self.hub_boxes: dict[BoxKey, ConnectedBox] = {}
+        self.leaving: set[str] = set()
         self.sum = Tally()
         self.summed_at = -math.inf
         self.count = 0
@@ -136,6 +144,7 @@
         self.boxes[_box_key(hello)] = connected_box
         if hello.hub_address:
             self.hub_boxes[_box_key(hello)] = connected_box
+            self.leaving.discard(hello.replica)
         logs.info('box connected', attendee=hello.box, entry=hello.entry_address)
         return connected_box
 
@@ -156,6 +165,8 @@
         connected_box.reports_to_this_hub = frame.wants_reports
         connected_box.reported_boxes = int(frame.boxes)
         connected_box.utilization = frame.busy_percent / PERCENT
+        if frame.leaving:
+            self.leaving.add(connected_box.hello.replica)
         if frame.wants_reports or connected_box.hello.hub_address:
             connected_box.tally = tally_of(frame)
         if frame.attending_boxes or connected_box.attending:
--- a/packages/edge/src/hitchdeck_edge/hub/peers.py
+++ b/packages/edge/src/hitchdeck_edge/hub/peers.py
@@ -70,6 +70,7 @@
             demands=own.demands(),
             boxes=len(self.state.connected_boxes.reporting_boxes()),
             heard=self.liveness.heard_since_last_frame(hub),
+            leaving=self._is_leaving(),
         )
         if first:
             frame.hello.CopyFrom(self._hello())
@@ -90,6 +91,11 @@
                 await formation.found_group_alone(replica)
             await asyncio.sleep(until_tick(formation.GROUP_CHECK_SECONDS))
 
+    def _is_leaving(self) -> bool:
+        replica = self.replica
+        leaving = self.state.connected_boxes.leaving
+        return replica is not None and replica.identity.replica in leaving
+
     def _hello(self) -> Hello:
         replica = self.replica
         empty = replica is not None and not replica.members()
--- a/packages/edge/src/hitchdeck_edge/hub/process.py
+++ b/packages/edge/src/hitchdeck_edge/hub/process.py
@@ -141,6 +141,9 @@
             'term': replica.term if replica else 0,
             'commit_index': replica.commit_index if replica else 0,
             'voters': len(replica.voters()) if replica else 0,
+            'voters_responsive': (
+                formation.responsive_voters(replica) if replica else 0
+            ),
             'leads': int(replica.is_leader()) if replica else 0,
         }
         refused = self.placing.scheduler.refused_beside_room
@@ -150,6 +153,16 @@
         }
         return ''.join(f'hitchdeck_{name} {metrics[name]}\n' for name in metrics)
 
+    async def leave(self) -> None:
+        """Tell the other hubs that this one stops, and hand over its vote."""
+        replica = self.replica
+        if replica is None:
+            return
+        self.state.connected_boxes.leaving.add(replica.identity.replica)
+        self.state.changed.notify()
+        policy = formation.voting_policy(self.settings)
+        await formation.hand_over_vote(replica, policy, self.settings.stop_grace)
+
     async def stop(self) -> None:
         """Close the servers, then stop the tasks, then close connections and files."""
         for server in self.servers:
@@ -291,7 +304,7 @@
 
 def _start_replica(hub: Hub, replica: Replica, peer: HubPeer) -> None:
     supervisor = hub.supervisor
-    min_voters = hub.settings.voters_needed
+    policy = formation.voting_policy(hub.settings)
     supervisor.permanent('election', lambda: run_elections(replica, hub.links))
     supervisor.permanent(
         'replication',
@@ -302,7 +315,5 @@
     supervisor.permanent('founding', lambda: peer.found_when_named(replica))
     supervisor.permanent(
         'group',
-        lambda: formation.maintain_group(
-            replica, hub.state.connected_boxes, min_voters
-        ),
+        lambda: formation.maintain_group(replica, hub.state.connected_boxes, policy),
     )
--- a/packages/edge/src/hitchdeck_edge/settings.py
+++ b/packages/edge/src/hitchdeck_edge/settings.py
@@ -54,6 +54,7 @@
     ('may_found', check_boolean),
     ('disks_lost', _not_negative),
     ('report_period', _positive),
+    ('catch_up', _not_negative),
     ('heartbeat', partial(check_number, above=0, maximum=_MAX_HEARTBEAT_SECONDS)),
     ('election_timeout', partial(check_number, above=0, maximum=_MAX_ELECTION_SECONDS)),
 )
@@ -197,6 +198,9 @@
         How many disks may fail at once without losing an accepted document or order.
     report_period
         Time between two reports of one upstream, in seconds.
+    catch_up
+        Time after its start or its return from which a hub has to bear the loss of
+        others, in seconds.
     heartbeat, election_timeout
         Raft timing of the group of hubs, in seconds.
     """
@@ -208,6 +212,7 @@
     may_found: bool = False
     disks_lost: int = 1
     report_period: float = 1.2
+    catch_up: float = 4
     heartbeat: float = 0.1
     election_timeout: float = 0.6
 
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -19,13 +19,14 @@
 from tornado.simple_httpclient import HTTPStreamClosedError, HTTPTimeoutError
 
 from soak.callers import Request, resumption, send
+from soak.configuration import Operator
 from soak.faults import MS, VERSIONS, Faults
 from soak.fleet import Program, claimed_fleet
 from soak.lethal import LETHAL, LETHAL_PART, LethalCallers
-from soak.places import COLD_PER_SECOND, DomainOrders
+from soak.places import DomainOrders
 from soak.promises import SUCCESS, Answer, History
 from soak.proxy import Proxy
-from standins.platform_site import document
+from soak.replacements import HubReplacements
 from standins.platform_worker import Worker
 from standins.worker_faults import Fault
 
@@ -40,17 +41,6 @@
 RECOVERY_SECONDS = 4.0
 """Time for all processes to reconnect and synchronize their state."""
 
-SERVICES = (
-    {
-        'name': 'llm',
-        'maxConns': 50,
-        'engine': {'slots': 8, 'kvCapacity': 100_000},
-        'coldS': 1.0,
-        'coldPerS': COLD_PER_SECOND,
-    },
-    {'name': 'app', 'maxConns': 50},
-)
-
 FOREIGN_REPORTS = (
     '',
     '[',
@@ -94,7 +84,7 @@
         )
         self.lethal = LethalCallers(self.workers, self.history, self._send, self.random)
         self.asked = 0
-        self.version = 1
+        self.operator = Operator(self.history, self._fetch, self._control, self.random)
 
     async def play(self, seconds: float) -> list[str]:
         """Run the seed; return a line for each violated guarantee.
@@ -142,7 +132,7 @@
     async def _play(self, seconds: float) -> None:
         reporting = asyncio.create_task(self._report())
         async with asyncio.timeout(START_SECONDS):
-            while not await self._publish() or not await self._ask_once():
+            while not await self.operator.publish() or not await self._ask_once():
                 await asyncio.sleep(0.2)
         proxies = list(self.proxies.values())
         faults = Faults(self.fleet, self.workers, proxies, self.seed)
@@ -154,10 +144,11 @@
         """Run callers, operators and foreign writers concurrently with faults."""
         coroutines = [self._call() for _ in range(CALLERS)]
         coroutines += [
-            self._change_configuration(),
+            self.operator.keep_changing(),
             self._send_foreign_reports(),
             self.lethal.repeat(),
             faults.run(),
+            HubReplacements(faults, self._proxy, self.seed).run(),
         ]
         coroutines.append(self.domain_orders.operate(self.random))
         tasks = [asyncio.create_task(work) for work in coroutines]
@@ -167,6 +158,7 @@
     async def _check_after_recovery(self, faults: Faults) -> None:
         """Clear all faults, check orders, then send lethal requests to each box."""
         await self._wait_for_recovery(faults)
+        await self.operator.check()
         await self.domain_orders.check(self._ask_each, self._restart_all)
         await self.lethal.check(faults, self.fleet.boxes)
         await self._check_refusing_workers()
@@ -274,26 +266,6 @@
         hub = self.random.choice(self.fleet.hubs)
         return self.proxies[self.fleet.control(hub)].address
 
-    async def _publish(self) -> bool:
-        url = f'http://{self._control()}/api/config'
-        body = json.dumps(document(self.version, services=SERVICES))
-        status, _ = await self._fetch(HTTPRequest(url, 'PUT', body=body))
-        if status == SUCCESS:
-            self.history.accepted = max(self.history.accepted, self.version)
-        return status == SUCCESS
-
-    async def _change_configuration(self) -> None:
-        while True:
-            self.version += 1
-            await self._publish()
-            accepted = self.history.accepted
-            url = f'http://{self._control()}/api/config'
-            status, body = await self._fetch(HTTPRequest(url))
-            if status == SUCCESS:
-                read = int(json.loads(body)['version'])
-                self.history.reads.append((accepted, read))
-            await asyncio.sleep(self.random.uniform(0.1, 0.5))
-
     async def _fetch(self, request: HTTPRequest) -> tuple[int, str]:
         """Return status and body; status 0 if no complete response arrived."""
         request.connect_timeout = 1
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -15,6 +15,8 @@
 from pathlib import Path
 from types import MappingProxyType
 
+from hitchdeck_platform.settings import HUB_METRICS_PORT
+
 FIRST_PORT = 21_400
 
 NETWORKS = range(10, 250)
@@ -23,6 +25,9 @@
 CLAIM_HOST = 254
 """Host number whose first port is bound to mark a network as in use."""
 
+SEEDS = 3
+"""Hubs that the settings of a program name."""
+
 SETTINGS = """
 nodeName = "{name}"
 serves = [{serves}]
@@ -139,8 +144,11 @@
     hubs: list[Program] = field(default_factory=list)
     boxes: list[Program] = field(default_factory=list)
 
-    def add(self, number: int, role: str) -> Program:
-        """Write a program's settings and start it."""
+    def add(self, number: int, role: str, *, first: bool = True) -> Program:
+        """Write a program's settings and start it.
+
+        ``first`` is false for a machine that is added to a running fleet.
+        """
         ip = self.ip_of(number)
         name = f'm{number}'
         data = self.folder / f'{name}-data'
@@ -154,7 +162,7 @@
             data=data if role == 'hub' else None,
             log=self.folder / f'{name}-{role}.log',
         )
-        self.write_settings(program, first=True)
+        self.write_settings(program, first=first)
         (self.hubs if role == 'hub' else self.boxes).append(program)
         program.start()
         return program
@@ -164,7 +172,12 @@
 
         ``first`` is true only for the first start of the fleet.
         """
-        seeds = ', '.join(f'"{self.ip_of(one)}:{FIRST_PORT + 3}"' for one in range(3))
+        hosts = (
+            [self.ip_of(one) for one in range(SEEDS)]
+            if first
+            else [hub.ip for hub in self.hubs[-SEEDS:]]
+        )
+        seeds = ', '.join(f'"{self.control_at(ip)}"' for ip in hosts)
         serves = '"control", "directory"' if program.role == 'hub' else '"front"'
         text = SETTINGS.format(
             name=program.name,
@@ -193,9 +206,17 @@
         """Return the address at which a box accepts requests of callers."""
         return f'{box.ip}:{FIRST_PORT + 1}'
 
+    def metrics(self, hub: Program) -> str:
+        """Return the address of a hub's metrics."""
+        return f'{hub.ip}:{HUB_METRICS_PORT}'
+
     def control(self, hub: Program) -> str:
         """Return the address of a hub for operators and upstreams."""
-        return f'{hub.ip}:{FIRST_PORT + 3}'
+        return self.control_at(hub.ip)
+
+    def control_at(self, ip: str) -> str:
+        """Return the address for operators and upstreams of the hub on a machine."""
+        return f'{ip}:{FIRST_PORT + 3}'
 
     def programs(self) -> list[Program]:
         """Return all programs, hubs first."""
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -49,6 +49,7 @@
     limit, without faults: an upstream that drains or sends Retry-After may get
     one request from each box, whose response notifies the box.
     ``resumed`` holds the attempt and all events of each stream that a caller resumed.
+    ``unavailable`` names what could not be had in time after all faults.
     """
 
     asked: set[str] = field(default_factory=set)
@@ -59,6 +60,7 @@
     lethal_runs: list[LethalRuns] = field(default_factory=list)
     request_limits: list[tuple[str, int, int]] = field(default_factory=list)
     resumed: list[tuple[str, str]] = field(default_factory=list)
+    unavailable: list[str] = field(default_factory=list)
 
     def add_resumed(self, broken: Answer, rest: Answer) -> None:
         """Add a stream that a caller resumed, if it went on."""
@@ -100,6 +102,7 @@
             for name, sent, most in self.request_limits
             if sent > most
         )
+        lines.extend(f'{one} was not to be had' for one in self.unavailable)
         return lines
 
     def _broken_streams(self) -> list[str]:
