Store departures of upstreams on several disks before acknowledging them

What upstreams saw: two of them left 10 ms apart and told a hub without a disk, which answered both and lost its machine right after.

Cause: the answer came from the memory of one hub; the others heard of the departure with its next frame, up to 40 ms later. Evidence: only the second upstream was sent to, and only if the hub was lost; in one process the same happened at a hub without a disk, at a follower and at the leader, for departures and for drains.

It works since one of these disks is left after any loss that the settings allow, and after a loss of power of all; no leader is needed, as the records merge in any order. Hubs of earlier software count as before.

--- a/packages/core/src/hitchdeck_core/wire/spread_grpc.py
+++ b/packages/core/src/hitchdeck_core/wire/spread_grpc.py
@@ -69,6 +69,34 @@
         )
 
 
+class DeparturesBase(abc.ABC):
+
+    @abc.abstractmethod
+    async def Store(self, stream: 'grpclib.server.Stream[hitchdeck_core.wire.spread_pb2.StoreRequest, hitchdeck_core.wire.spread_pb2.StoreReply]') -> None:
+        pass
+
+    def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
+        return {
+            '/hitchdeck_core.wire.Departures/Store': grpclib.const.Handler(
+                self.Store,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                hitchdeck_core.wire.spread_pb2.StoreRequest,
+                hitchdeck_core.wire.spread_pb2.StoreReply,
+            ),
+        }
+
+
+class DeparturesStub:
+
+    def __init__(self, channel: grpclib.client.Channel) -> None:
+        self.Store = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/hitchdeck_core.wire.Departures/Store',
+            hitchdeck_core.wire.spread_pb2.StoreRequest,
+            hitchdeck_core.wire.spread_pb2.StoreReply,
+        )
+
+
 class DocumentsBase(abc.ABC):
 
     @abc.abstractmethod
--- a/packages/edge/src/hitchdeck_edge/hub/liveness.py
+++ b/packages/edge/src/hitchdeck_edge/hub/liveness.py
@@ -35,20 +35,34 @@
         self.last_sent: dict[Address, float] = {}
         self.incarnation_order = IncarnationOrder(registry, now)
 
-    def report(self, upstream: Upstream) -> None:
-        """Process a report that an upstream sent to this hub."""
+    def report(self, upstream: Upstream) -> UpstreamName:
+        """Process a report that an upstream sent to this hub.
+
+        Returns
+        -------
+        UpstreamName
+            The latest incarnation of the upstream, which may not be the reporting one.
+        """
         accepted = self.incarnation_order.resolve(upstream)
         if accepted is None:
-            return
+            return self.registry.latest[upstream.instance_key]
         self.registry.merge(accepted, 'report')
         self.registry.hear(accepted.name)
         self.last_reports[accepted.name] = self.now()
+        return self.registry.latest[accepted.instance_key]
 
-    def end(self, instance: InstanceName, born: int = 0) -> None:
-        """Record that an upstream exits: its latest incarnation if ``born`` is 0."""
-        self.registry.end(instance, 'report', born)
+    def end(self, instance: InstanceName, born: int = 0) -> UpstreamName:
+        """Record that an upstream exits: its latest incarnation if ``born`` is 0.
+
+        Returns
+        -------
+        UpstreamName
+            The incarnation whose record says so, which may be a later one.
+        """
+        ended = self.registry.end(instance, 'report', born)
         for name in self.registry.gone():
             self.last_reports.pop(name, None)
+        return ended
 
     def heard_since_last_frame(self, hub: Address) -> list[UpstreamName]:
         """Return the upstreams that reported here since the last frame to a hub."""
--- a/packages/edge/src/hitchdeck_edge/hub/process.py
+++ b/packages/edge/src/hitchdeck_edge/hub/process.py
@@ -17,7 +17,12 @@
 from hitchdeck_core.clock import boot_seconds
 from hitchdeck_core.ids import Address, BoxName
 from hitchdeck_core.supervisor import Supervisor
-from hitchdeck_edge.hub import formation, shared_view
+from hitchdeck_edge.hub import formation, shared_view, state_file
+from hitchdeck_edge.hub.departures import (
+    DeparturesService,
+    DepartureStore,
+    departure_store,
+)
 from hitchdeck_edge.hub.directory import (
     CallerKey,
     ReadyEntry,
@@ -33,13 +38,6 @@
 from hitchdeck_edge.hub.placing import PlacingService, placing_service
 from hitchdeck_edge.hub.replica import group_folder, open_replica
 from hitchdeck_edge.hub.spread import HubState, SpreadService, new_state
-from hitchdeck_edge.hub.state_file import (
-    StateFile,
-    document_file,
-    evacuations_file,
-    quarantine_file,
-    upstreams_file,
-)
 from hitchdeck_edge.links.hub_streams import HubStreams
 from hitchdeck_edge.links.known_hubs import KnownHubs
 from hitchdeck_edge.model.document import Document
@@ -80,6 +78,7 @@
     documents: DocumentsClient
     orders: DomainOrders
     liveness: Liveness
+    departures: DepartureStore
     placing: PlacingService
     replica: Replica | None
     supervisor: Supervisor
@@ -168,6 +167,7 @@
         for server in self.servers:
             server.close()
         await self.supervisor.stop()
+        await self.departures.close()
         self.links.close()
         if self.replica is not None:
             self.replica.log.close()
@@ -209,7 +209,7 @@
     """
     state = new_state(settings, read)
     replica = open_replica(settings, state.documents, state.evacuations)
-    state_files = _state_files(settings, state)
+    files = _restored_files(settings, state)
     known_hubs = _new_known_hubs(settings)
     member = GroupMember(replica, settings.voters_needed)
     service = DocumentsService(member, state.documents)
@@ -221,6 +221,7 @@
         documents=client,
         orders=DomainOrders(client, state.evacuations, settings.areas),
         liveness=Liveness(state.registry, boot_seconds, settings.report_period),
+        departures=departure_store(settings, state.registry, known_hubs),
         placing=placing_service(settings, state),
         replica=replica,
         # A full disk is not fatal: when it ended the task that syncs the log for good,
@@ -234,8 +235,10 @@
         )
     await _listen(hub, service)
     _start_tasks(hub, known_hubs)
-    for file in state_files:
+    for file in files:
         hub.supervisor.permanent(f'file {file.path.name}', file.run)
+    if hub.departures.journal is not None:
+        hub.supervisor.permanent('departures', hub.departures.journal.run)
     logs.info('hub listens', address=settings.listen, durable=replica is not None)
     return hub
 
@@ -255,23 +258,25 @@
     return known_hubs
 
 
-def _state_files(settings: HubSettings, state: HubState) -> list[StateFile]:
+def _restored_files(
+    settings: HubSettings, state: HubState
+) -> list[state_file.StateFile]:
     if settings.data_folder is None:
         return []
-    folder = group_folder(settings.data_folder)
-    files = [
-        document_file(folder, state.documents),
-        evacuations_file(folder, state.evacuations),
-        upstreams_file(folder, state.registry),
-        quarantine_file(folder, state.quarantine),
-    ]
+    files = state_file.state_files(group_folder(settings.data_folder), state)
     for file in files:
         file.restore()
     return files
 
 
 async def _listen(hub: Hub, service: DocumentsService) -> None:
-    services: list[object] = [SpreadService(hub.state), service, hub.placing]
+    departures = DeparturesService(hub.state.registry, hub.departures.journal)
+    services: list[object] = [
+        SpreadService(hub.state),
+        service,
+        departures,
+        hub.placing,
+    ]
     if hub.replica is not None:
         services.append(ReplicationService(hub.replica))
     server = await serve(
--- a/packages/edge/src/hitchdeck_edge/hub/state_file.py
+++ b/packages/edge/src/hitchdeck_edge/hub/state_file.py
@@ -23,6 +23,7 @@
 from hitchdeck_core.ticks import until_tick
 from hitchdeck_core.wire.quarantine_pb2 import QuarantineNews
 from hitchdeck_core.wire.spread_pb2 import Document, EvacuationList, HubFrame
+from hitchdeck_edge.links.hub_frames import SharedState
 from hitchdeck_edge.links.records import decode_upstreams, encode_upstream
 from hitchdeck_edge.model.document import DocumentVersion
 from hitchdeck_edge.state.documents import Documents
@@ -105,7 +106,7 @@
         version = self.codec.version()
         content = frame(self.codec.encode())
         try:
-            await _wait_for_thread(asyncio.to_thread(replace_file, self.path, content))
+            await finish_thread(asyncio.to_thread(replace_file, self.path, content))
         except OSError as error:
             logs.warning(
                 'state file not written', file=self.path.name, reason=repr(error)
@@ -185,7 +186,17 @@
     return StateFile(folder / 'quarantine', codec, quarantine.changed)
 
 
-async def _wait_for_thread(work: Coroutine[Any, Any, None]) -> None:
+def state_files(folder: Path, state: SharedState) -> list[StateFile]:
+    """Return the files of the state that a hub replaces as a whole."""
+    return [
+        document_file(folder, state.documents),
+        evacuations_file(folder, state.evacuations),
+        upstreams_file(folder, state.registry),
+        quarantine_file(folder, state.quarantine),
+    ]
+
+
+async def finish_thread(work: Coroutine[Any, Any, None]) -> None:
     """Wait for work in a thread, which cancellation can't stop, even if cancelled."""
     task = asyncio.create_task(work)
     try:
--- a/packages/edge/src/hitchdeck_edge/state/registry.py
+++ b/packages/edge/src/hitchdeck_edge/state/registry.py
@@ -38,6 +38,8 @@
     ----------
     changes
         Number of the last change.
+    departures
+        Number of changes of upstreams that are leaving or gone.
     change_numbers
         Number of the last change of each record.
     last_heard
@@ -77,6 +79,7 @@
         self.superseded: set[UpstreamName] = set()
         self.displaced: set[UpstreamName] = set()
         self.changes = 0
+        self.departures = 0
         self.changed = changed
         self.serving_cache: dict[PoolName, list[Upstream]] = {}
         self.serving_cached_at = 0
@@ -123,13 +126,18 @@
         """Record that a report of an upstream arrived just now."""
         self.last_heard[name] = self.now()
 
-    def end(self, instance: InstanceName, origin: str, born: int = 0) -> None:
+    def end(self, instance: InstanceName, origin: str, born: int = 0) -> UpstreamName:
         """Record that an incarnation is gone, known or not.
 
         Parameters
         ----------
         born
             Which incarnation of the instance; 0 for the latest known one.
+
+        Returns
+        -------
+        UpstreamName
+            The incarnation whose record says so: itself, or a later one.
         """
         named = incarnation_name(instance, born)
         known = self.latest_incarnation(instance)
@@ -148,6 +156,7 @@
                 born=born,
             )
         self.merge(replace(known, phase=Phase.gone), origin)
+        return self.latest[known.instance_key]
 
     def latest_incarnation(self, instance: InstanceName) -> Upstream | None:
         """Return the latest known incarnation of an instance, gone or not."""
@@ -237,6 +246,14 @@
         if suspicion.cleared_by > record.cleared_by:
             self._store(replace(record, cleared_by=suspicion.cleared_by))
 
+    def departed(self) -> list[Upstream]:
+        """Return the upstreams that are leaving or gone."""
+        return [
+            record
+            for record in self.records.values()
+            if record.phase is not Phase.serving
+        ]
+
     def gone(self) -> set[UpstreamName]:
         """Return the upstreams that are known to be gone."""
         return {
@@ -269,6 +286,8 @@
         self.changes += 1
         self.records[record.name] = record
         self.change_numbers[record.name] = self.changes
+        if record.phase is not Phase.serving:
+            self.departures += 1
         self.changed_at[record.name] = self.now()
         self.last_heard.setdefault(record.name, self.now())
         self.changed.notify()
@@ -315,6 +334,8 @@
         return True
 
     def _forget(self, record: Upstream) -> None:
+        if record.phase is not Phase.serving:
+            self.departures += 1
         for known in (
             self.records,
             self.change_numbers,
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -144,10 +144,13 @@
     hubs: list[Program] = field(default_factory=list)
     boxes: list[Program] = field(default_factory=list)
 
-    def add(self, number: int, role: str, *, first: bool = True) -> Program:
+    def add(
+        self, number: int, role: str, *, first: bool = True, disk: bool = True
+    ) -> Program:
         """Write a program's settings and start it.
 
-        ``first`` is false for a machine that is added to a running fleet.
+        ``first`` is false for a machine that is added to a running fleet, and ``disk``
+        for a hub without one.
         """
         ip = self.ip_of(number)
         name = f'm{number}'
@@ -159,7 +162,7 @@
             ip=ip,
             role=role,
             settings=path,
-            data=data if role == 'hub' else None,
+            data=data if role == 'hub' and disk else None,
             log=self.folder / f'{name}-{role}.log',
         )
         self.write_settings(program, first=first)
--- a/tests/fuzz/test_group_losses_fuzz.py
+++ b/tests/fuzz/test_group_losses_fuzz.py
@@ -72,10 +72,11 @@
         if wiped:
             fleet.wiped[name] = fleet.wiped.get(name, 0) + 1
         outages = fleet.histories[name].outages
-        outages.append((fleet.now(), math.inf))
-        at = len(outages) - 1
+        began = fleet.now()
+        outages.append((began, math.inf))
         await asyncio.sleep(seconds)
-        outages[at] = (outages[at][0], fleet.now())
+        outages.remove((began, math.inf))
+        outages.append((began, fleet.now()))
         if name not in fleet.machines:
             fleet.start(name)
 
@@ -154,11 +155,14 @@
     series.add_successor(old)
     await asyncio.sleep(CATCH_UP)
     fleet = series.fleet
+    outages = fleet.histories[old].outages
     fleet.silent.add(old)
     began = fleet.now()
+    outages.append((began, math.inf))
     await asyncio.sleep(series.random.uniform(0.5, 5))
     fleet.silent.discard(old)
-    fleet.histories[old].outages.append((began, fleet.now()))
+    outages.remove((began, math.inf))
+    outages.append((began, fleet.now()))
     await series.when_allowed([old])
     await fleet.terminate(old)
     fleet.histories[old].removed_at = fleet.now()
@@ -215,14 +219,21 @@
 
 
 async def split_beside(series: Series) -> None:
-    """Split the machines into two halves meanwhile."""
+    """Split the machines into two halves meanwhile.
+
+    A successor that is cut off can't catch up, so the smaller half counts as lost.
+    """
     await asyncio.sleep(series.random.uniform(0, 5))
     fleet = series.fleet
     fleet.half = set(series.random.sample(series.core, len(series.core) // 2))
+    histories = [fleet.histories[name] for name in fleet.half]
     began = fleet.now()
+    for history in histories:
+        history.outages.append((began, math.inf))
     await asyncio.sleep(series.random.uniform(0.3, 6))
-    for name in fleet.half:
-        fleet.histories[name].outages.append((began, fleet.now()))
+    for history in histories:
+        history.outages.remove((began, math.inf))
+        history.outages.append((began, fleet.now()))
     fleet.half = set()
 
 
