Send no request to an upstream that left while the request waited

Cause: before it sends, a box checks that the upstream may still get work, but by the record by which the request was placed, which says that it serves. A request that waited for a connection longer than drainMs reached an upstream whose departure was acknowledged and known to the box.

Change: the check goes by the present record (Registry.takes_work), on all paths that send or take a cached part.

Test: tests/edge/test_registry.py, a request placed before; failed for drains and departures before, passes.

--- a/packages/edge/src/hitchdeck_edge/state/registry.py
+++ b/packages/edge/src/hitchdeck_edge/state/registry.py
@@ -190,9 +190,13 @@
         return known
 
     def takes_work(self, record: Upstream) -> bool:
-        """Tell whether an upstream may get new work."""
-        open_domain = record.domain not in self.closed_domains
-        return open_domain and record.phase is Phase.serving
+        """Tell whether an upstream may get new work, by its present record.
+
+        A request may have been placed by an earlier record, and have waited since.
+        """
+        present = self.records.get(record.name, record)
+        open_domain = present.domain not in self.closed_domains
+        return open_domain and present.phase is Phase.serving
 
     def close_domains(self, domains: frozenset[str]) -> list[Upstream]:
         """Stop new work to the given failure domains, and only to these.
--- a/tests/edge/test_registry.py
+++ b/tests/edge/test_registry.py
@@ -58,3 +58,16 @@
     placement.forget_gone()
     assert not registry.records
     assert not placement.prefix_cache.engines
+
+
+@pytest.mark.parametrize('phase', [Phase.leaving, Phase.gone])
+def test_an_upstream_that_left_meanwhile_takes_no_request_placed_before(
+    phase: Phase,
+) -> None:
+    # Guards against requests that waited for a connection while their upstream left.
+    registry = Registry(FakeClock(), Signal())
+    placed = engine('e0')
+    registry.merge(placed, 'test')
+    assert registry.takes_work(placed)
+    registry.merge(replace(placed, sequence=2, phase=phase), 'test')
+    assert not registry.takes_work(placed)
