Refuse to acknowledge entries after a failed sync, also when they are sent again

Cause: a write that fails with another error than a full disk takes its entries off the queue, but they stay in memory.

Change: a flush fails for good after such an error. The task that syncs thereby ends the process, as was meant.

Test: tests/cover/test_storage.py, an entry sent again; failed before, passes.

--- a/packages/control/src/hitchdeck_control/storage/log.py
+++ b/packages/control/src/hitchdeck_control/storage/log.py
@@ -133,6 +133,8 @@
 
     async def _flush(self) -> None:
         async with self.write_lock:
+            # What failed to sync is off the queue, and must not be acknowledged later.
+            self._check_disk()
             if self.disk_full:
                 await self._rewrite_log()
             elif self.pending:
@@ -214,8 +216,7 @@
         work: Callable[..., None],
         *arguments: object,
     ) -> None:
-        if self.disk_error is not None:
-            raise DiskFailedError(f'disk failed earlier: {self.disk_error}')
+        self._check_disk()
         loop = asyncio.get_running_loop()
         try:
             await loop.run_in_executor(self.executor, work, *arguments)
@@ -228,6 +229,10 @@
             self.disk_error = error
             raise DiskFailedError(f'{self.folder}: {error}') from error
 
+    def _check_disk(self) -> None:
+        if self.disk_error is not None:
+            raise DiskFailedError(f'disk failed earlier: {self.disk_error}')
+
     async def _start_segment(self) -> None:
         record = LogRecord(term=self.term, vote=self.vote, entries=self.entries)
         last = self.last_index
--- a/tests/cover/test_storage.py
+++ b/tests/cover/test_storage.py
@@ -7,7 +7,11 @@
 
 import pytest
 
-from hitchdeck_control.errors import DamagedLogError, StorageError
+from hitchdeck_control.errors import (
+    DamagedLogError,
+    DiskFailedError,
+    StorageError,
+)
 from hitchdeck_control.storage.identity import open_identity
 from hitchdeck_control.storage.log import DurableLog
 from hitchdeck_core.ids import BoxName
@@ -151,6 +155,23 @@
     assert log.synced_index == 0
 
 
+async def test_an_entry_that_failed_to_sync_is_not_acknowledged_when_sent_again(
+    tmp_path: Path,
+) -> None:
+    # Guards against a follower that has the entry in memory, finds nothing to write
+    # for the repeated request, and acknowledges what is not on its disk.
+    log = DurableLog(tmp_path)
+
+    def fail(payload: bytes) -> None:
+        raise OSError('Input/output error')
+
+    log._write = fail  # type: ignore[method-assign]
+    log.append([entry(1)])
+    for _ in range(2):
+        with pytest.raises(DiskFailedError):
+            await log.flush()
+
+
 @pytest.mark.parametrize('written', [0, 5])
 @pytest.mark.parametrize('refusals', [1, 3])
 async def test_a_replica_recovers_once_a_full_disk_has_space(
