Take a last record without its first page for a torn tail

Cause: pages of a write that was not synced are lost independently of each other.

Change: an invalid record is damage only if a valid one follows anywhere behind it.

--- a/packages/control/src/hitchdeck_control/storage/records.py
+++ b/packages/control/src/hitchdeck_control/storage/records.py
@@ -1,7 +1,8 @@
 """Framing of log records: length, checksum, payload.
 
 A batch that is synced together is one record, so a crash can tear only the last
-record.  An invalid record that is followed by others means corruption.
+record, of which any pages may be missing.  An invalid record that is followed by
+others means corruption.
 """
 
 import struct
@@ -51,8 +52,9 @@
     payload = content[body:end]
     if zlib.crc32(payload) == checksum and length:
         return payload
-    only_zeros = not any(content[offset:])
-    return Damage(offset, torn_tail=end == len(content) or only_zeros)
+    # The length may be missing, so ``end`` need not be the end of this record.
+    is_last = end == len(content) or not _record_follows(content, offset + 1)
+    return Damage(offset, torn_tail=is_last)
 
 
 def _record_follows(content: bytes, start: int) -> bool:
--- a/tests/cover/test_storage.py
+++ b/tests/cover/test_storage.py
@@ -14,9 +14,12 @@
 )
 from hitchdeck_control.storage.identity import open_identity
 from hitchdeck_control.storage.log import DurableLog
+from hitchdeck_control.storage.records import frame
 from hitchdeck_core.ids import BoxName
 from hitchdeck_core.wire.hitchdeck_pb2 import Entry, Member, Snapshot
 
+PAGE = 4096
+
 
 def entry(index: int, term: int = 1, command: bytes = b'x') -> Entry:
     """Return a log entry."""
@@ -60,6 +63,24 @@
     assert DurableLog(tmp_path).last_index == 4
 
 
+@pytest.mark.parametrize('missing', [range(0, 1), range(1, 2), range(0, 2)])
+async def test_a_tail_whose_pages_are_missing_is_truncated(
+    tmp_path: Path, missing: range
+) -> None:
+    # Guards against a replica that ends at each start after a loss of power: pages of
+    # the write that was not synced are lost independently of each other.
+    await write_three(tmp_path)
+    path = segment_of(tmp_path)
+    synced = path.read_bytes()
+    torn = bytearray(frame(bytes(range(1, 251)) * 60))
+    for page in missing:
+        torn[page * PAGE : (page + 1) * PAGE] = bytes(PAGE)
+    path.write_bytes(synced + torn)
+    log = DurableLog(tmp_path)
+    assert [one.index for one in log.entries] == [1, 2, 3]
+    assert (log.term, log.vote) == (4, 'somebody')
+
+
 @pytest.mark.parametrize('position', [0, 4, 8, 30, 70])
 async def test_damaged_middle_names_file_and_byte(
     tmp_path: Path,
