--- a/packages/control/src/hitchdeck_control/raft/peer_client.py
+++ b/packages/control/src/hitchdeck_control/raft/peer_client.py
@@ -20,7 +20,11 @@
     VoteRequest,
 )
 
-_SNAPSHOT_SECONDS = 60.0
+_SNAPSHOT_SECONDS = 2.0
+"""Time for a peer to store a snapshot, apart from its transfer."""
+
+_MIN_BYTES_PER_SECOND = 1_000_000
+"""Rate below which a transfer counts as stuck."""
 
 AppendStream = Stream[AppendRequest, AppendReply]
 
@@ -75,8 +79,10 @@
     ) -> AppendReply:
         """Send a snapshot, or raise ``LinkError``."""
         stub = self._stub(address)
+        transfer = len(request.snapshot.state) / _MIN_BYTES_PER_SECOND
+        seconds = self._call_timeout() + transfer + _SNAPSHOT_SECONDS
         try:
-            async with asyncio.timeout(_SNAPSHOT_SECONDS):
+            async with asyncio.timeout(seconds):
                 return await stub.InstallSnapshot(request)
         except TRANSPORT_ERRORS as error:
             raise self._drop_channel(address, error) from error
--- a/tests/cover/test_append_streams.py
+++ b/tests/cover/test_append_streams.py
@@ -18,10 +18,16 @@
 from hitchdeck_core.errors import LinkError
 from hitchdeck_core.ids import Address
 from hitchdeck_core.ticks import until_next_tick
-from hitchdeck_core.wire.hitchdeck_pb2 import AppendReply, AppendRequest
+from hitchdeck_core.wire.hitchdeck_pb2 import (
+    AppendReply,
+    AppendRequest,
+    Snapshot,
+    SnapshotRequest,
+)
 from standins.ports import free_address
 
 TIMEOUT_SECONDS = 2.0
+SNAPSHOT_PATIENCE_SECONDS = 8.0
 
 
 class Peer(ReplicationService):
@@ -140,6 +146,31 @@
         assert await append(3) == 3
 
 
+class SilentPeer(Peer):
+    """A replica that freezes while it receives a snapshot."""
+
+    async def InstallSnapshot(
+        self, stream: Stream[SnapshotRequest, AppendReply]
+    ) -> None:
+        await asyncio.Event().wait()
+
+
+@pytest.mark.parametrize('size', [0, 1_000_000])
+async def test_a_peer_that_goes_silent_during_a_snapshot_is_given_up(
+    size: int,
+) -> None:
+    # Guards against replication to a peer that stands still for a minute.
+    address = Address(free_address())
+    server: Server = await serve([SilentPeer()], address, lambda token, method: True)
+    client = PeerClient('token', TIMEOUT_SECONDS, SchedulingDelay(boot_seconds, 1))
+    request = SnapshotRequest(snapshot=Snapshot(state=bytes(size)))
+    async with asyncio.timeout(SNAPSHOT_PATIENCE_SECONDS):
+        with pytest.raises(LinkError):
+            await client.install(address, request)
+    client.close()
+    server.close()
+
+
 async def test_requests_of_two_replicas_at_one_address_leave_no_stream_open() -> None:
     peer = Peer()
     async with linked(peer) as append:
