Ask for keys only where the document has accounts

Cause: a route without noAuth was answered with 401 also where the document has no tenants, so that no key could be valid.

Change: a document says whether it names accounts at all. An empty list still means that every key is unknown.

Test: tests/edge/test_passing.py, a document without tenants; failed before, passes.

--- a/packages/edge/src/hitchdeck_edge/model/document.py
+++ b/packages/edge/src/hitchdeck_edge/model/document.py
@@ -156,13 +156,21 @@
 
 @dataclass(frozen=True, slots=True)
 class Document:
-    """A whole configuration."""
+    """A whole configuration.
+
+    Attributes
+    ----------
+    has_accounts
+        Whether it names client accounts at all, if only an empty list; without them no
+        route needs a key.
+    """
 
     version: DocumentVersion
     routes: tuple[Route, ...]
     pools: dict[PoolName, Pool]
     limits: Limits
     accounts: tuple[ClientAccount, ...]
+    has_accounts: bool = True
 
 
 def cold_seconds(document: Document | None, pool: PoolName) -> float:
--- a/packages/edge/src/hitchdeck_edge/serving/admission.py
+++ b/packages/edge/src/hitchdeck_edge/serving/admission.py
@@ -230,8 +230,9 @@
         route = table.route(call.host, call.path)
         if route is None:
             return Refusal.no_route
-        account = table.account(call.key) if route.needs_key else None
-        if route.needs_key and account is None:
+        needs_key = route.needs_key and document.has_accounts
+        account = table.account(call.key) if needs_key else None
+        if needs_key and account is None:
             return Refusal.no_key
         homes = common_areas(route, account)
         if homes is None:
--- a/tests/edge/test_passing.py
+++ b/tests/edge/test_passing.py
@@ -18,7 +18,14 @@
 from hitchdeck_edge.model.request_context import RequestContext
 from hitchdeck_edge.serving import admission, caller
 from hitchdeck_platform.requests import DIALECT
-from standins.platform_site import HOST, KEY, Site, document, running_site
+from standins.platform_site import (
+    HOST,
+    KEY,
+    Site,
+    document,
+    running_site,
+    until_taken,
+)
 from standins.platform_worker import Worker
 from standins.worker_faults import Fault
 from tests.common.asking import of_pool
@@ -56,6 +63,21 @@
     assert 2000 < int(seen.headers['deadline-ms']) <= 3000
 
 
+@pytest.mark.parametrize(
+    ('tenants', 'status'), [({}, 200), ({'tenants': []}, 401)], ids=['none', 'empty']
+)
+async def test_keys_are_asked_for_only_where_a_document_has_accounts(
+    site: Site, tenants: dict[str, object], status: int
+) -> None:
+    # Guards against callers who are refused although no key could be valid.
+    given = document(2)
+    del given['tenants']
+    await until_taken(site, {**given, **tenants})
+    await site.settle(2)
+    assert (await site.ask('/u/', 'r1', Authorization='')).code == status
+    assert (await site.ask_model('/s/', 'r2', Authorization='')).code == status
+
+
 @pytest.mark.parametrize(
     ('path', 'headers', 'status'),
     [
