--- a/tests/edge/test_signal_at_start.py
+++ b/tests/edge/test_signal_at_start.py
@@ -1,6 +1,8 @@
 """A signal for changed settings that arrives while a program starts."""
 
 import asyncio
+import subprocess
+import sys
 from pathlib import Path
 from types import SimpleNamespace
 from typing import Any
@@ -41,3 +43,25 @@
         assert hubs.replaced.count or await hubs.replaced.wait()
     watching.cancel()
     assert hubs.replaced.count == 1
+
+
+EARLY = """
+import os, signal
+from hitchdeck_daemon import startup
+
+class Role:
+    def run():
+        os.kill(os.getpid(), signal.SIGHUP)
+        print(len(startup.early_signals))
+
+startup.import_bundled = lambda name: Role
+startup.run_program('role')
+"""
+
+
+def test_a_signal_before_the_event_loop_runs_does_not_end_the_program() -> None:
+    # Guards against a process that is killed by SIGHUP within 0.4 s of its start.
+    done = subprocess.run(
+        [sys.executable, '-c', EARLY], capture_output=True, text=True, check=False
+    )
+    assert (done.returncode, done.stdout) == (0, '1\n')
