Cut a stream whose next upstream answers with anything but its continuation

After 204, or 200 with another type, the broken stream was ended as complete.

Cause: five places wrote a head or an end to the caller, each judging by itself whether a response had begun; outcome_of and the relay did not look, so that what a later upstream sent was taken for a first response.

The caller's connection refuses a second head by a typed error. Bodies that are no events, and events without ids, are not resumed. The router took a 3xx or 4xx to the rest of a completion for the answer; it is a failed attempt there as well.

The stand-in caller of test_slow_readers gets a start_response, since the relay no longer reads "started" of it.

--- a/packages/core/src/hitchdeck_core/event_streams.py
+++ b/packages/core/src/hitchdeck_core/event_streams.py
@@ -4,11 +4,15 @@
 
 _ID_LINE = re.compile(rb'(?:^|[\r\n])id:[ ]?([^\r\n]*)')
 _ID_START = b'id:'
+_DATA = b'data'
 _LATER_ID_STARTS = (b'\nid:', b'\rid:')
 _BLANK_LINES = (b'\n\n', b'\n\r\n', b'\r\r')
 _LINE_ENDS = b'\r\n'
 
 
+MAX_ID_DIGITS = 18
+"""Maximum number of digits of an id that is compared as a number."""
+
 _MEDIA_TYPE = 'text/event-stream'
 
 
@@ -28,10 +32,14 @@
     ----------
     remainder
         Bytes of an incomplete event.
+    has_unnumbered
+        Whether events with data came before the first id, so that no id tells where
+        the stream could be resumed.
     """
 
     def __init__(self, last_id: str = '') -> None:
         self.remainder = b''
+        self.has_unnumbered = False
         self._last_id = last_id
         self._with_id = b''
 
@@ -63,9 +71,32 @@
             data = data[:end]
         if data.startswith(_ID_START) or any(one in data for one in _LATER_ID_STARTS):
             self._with_id = data
+        elif not (self._with_id or self._last_id) and _DATA in data:
+            self.has_unnumbered = True
         return data
 
 
+def ids_of(data: bytes) -> list[str]:
+    """Return the ids of the events in complete events, in order."""
+    return [found.decode('latin-1').strip() for found in _ID_LINE.findall(data)]
+
+
+def is_later(event_id: str, earlier: str) -> bool:
+    """Tell whether an event may follow one with an earlier id in a stream.
+
+    Numbers must rise; other ids, whose order is unknown, must differ.
+    """
+    if _is_number(event_id) and _is_number(earlier):
+        return int(event_id) > int(earlier)
+    return event_id != earlier and _is_number(event_id) == _is_number(earlier)
+
+
+def _is_number(event_id: str) -> bool:
+    return (
+        event_id.isascii() and event_id.isdecimal() and len(event_id) <= MAX_ID_DIGITS
+    )
+
+
 def _end_of_events(data: bytes) -> int:
     """Return where the last blank line ends; 0 if there is none."""
     ends = (
--- a/packages/edge/src/hitchdeck_edge/dispatch/attempts.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/attempts.py
@@ -35,7 +35,7 @@
     """The upstream stated that it did not run the request."""
 
     failed = 'failed'
-    """The upstream responded with a server error."""
+    """The upstream responded with a server error, or rejected the rest of a stream."""
 
     broken = 'broken'
     """The request was sent, but no complete response came back."""
@@ -52,7 +52,7 @@
     outcome
         Outcome so far; ``broken`` until a complete response arrives.
     reason
-        Why no complete response arrived, for the log.
+        Why the attempt failed, for the log.
     may_have_run_before
         Whether the request may have run before this attempt.
     streamed
@@ -119,15 +119,20 @@
     retry_paid: bool = False
 
 
-def outcome_of(head: ResponseHead, *, not_run: bool) -> AttemptOutcome:
-    """Return the outcome of an attempt whose response was read in full."""
+def outcome_of(
+    head: ResponseHead, *, not_run: bool, within_stream: bool
+) -> AttemptOutcome:
+    """Return the outcome of an attempt whose response was read in full.
+
+    Parameters
+    ----------
+    within_stream
+        Whether the caller has received the head of another response.
+    """
     if not_run:
         return AttemptOutcome.not_run
-    return (
-        AttemptOutcome.failed
-        if head.status >= HTTPStatus.INTERNAL_SERVER_ERROR
-        else AttemptOutcome.answered
-    )
+    failed = within_stream or head.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+    return AttemptOutcome.failed if failed else AttemptOutcome.answered
 
 
 def log_failed_attempt(context: RequestContext, attempt: Attempt) -> None:
--- a/packages/edge/src/hitchdeck_edge/dispatch/dispatcher.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/dispatcher.py
@@ -189,7 +189,9 @@
         # An unknown version is not the same as any other.
         if context.origin is not None and not context.origin.software:
             return False
-        return context.route.resumable or not active.caller.started
+        if not active.caller.started:
+            return True
+        return context.route.resumable and active.relay.may_go_on
 
     async def _deliver(self, active: ActiveRequest, attempt: Attempt) -> None:
         if attempt.streamed:
--- a/packages/edge/src/hitchdeck_edge/dispatch/relay.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/relay.py
@@ -2,7 +2,9 @@
 
 from collections.abc import Awaitable, Callable
 
+from hitchdeck_core.checks import abbreviated
 from hitchdeck_core.event_streams import EventSplitter
+from hitchdeck_edge.dispatch.continuation import first_out_of_order, mismatch
 from hitchdeck_edge.dispatch.response_parser import Framing, ResponseHead
 from hitchdeck_edge.dispatch.responses import response_headers
 from hitchdeck_edge.dispatch.spool import CallerSpool
@@ -20,6 +22,10 @@
 
     Attributes
     ----------
+    begun
+        The head that the caller received; ``None`` if it received none.
+    last_sent
+        Id of the last event that a continuation follows.
     has_events
         Whether the current upstream sent a complete event.
     pending
@@ -36,9 +42,24 @@
         self.caller = caller
         self.spool = spool
         self.splitter = EventSplitter(context.last_event)
+        self.last_sent = context.last_event
+        self.begun: ResponseHead | None = None
         self.has_events = False
         self.pending: Awaitable[None] | None = None
 
+    @property
+    def may_go_on(self) -> bool:
+        """Tell whether another upstream can continue what the caller received."""
+        if self.begun is None:
+            return not self.caller.started
+        if not self.begun.is_event_stream:
+            return False
+        return bool(self.splitter.last_id) or not self.splitter.has_unnumbered
+
+    def mismatch(self, head: ResponseHead) -> str:
+        """Return why a response can't be relayed; empty if it can."""
+        return '' if self.begun is None else mismatch(self.begun, head)
+
     async def forward(
         self,
         connection: Connection,
@@ -52,11 +73,15 @@
         Raises
         ------
         IncompleteResponseError
-            The upstream's response was truncated; an incomplete event is discarded.
+            The upstream's response was truncated, or its events do not follow those
+            that the caller received; an incomplete event is discarded.
         """
         self.splitter.remainder = b''
         self.has_events = False
-        if not self.caller.started:
+        self.last_sent = self.splitter.last_id
+        continues = self.begun is not None
+        if not continues:
+            self.begun = head
             reason = head.reason.decode('latin-1')
             await self.caller.start_response(
                 head.status, reason, response_headers(head.headers)
@@ -65,6 +90,8 @@
         def relay(chunk: bytes) -> None:
             whole = self.splitter.feed(chunk)
             if whole:
+                if continues:
+                    self._check_order(whole)
                 self.has_events = True
                 on_event()
                 self._write(connection, whole)
@@ -97,6 +124,16 @@
         if self.spool is not None:
             self.spool.close()
 
+    def _check_order(self, events: bytes) -> None:
+        """Raise ``IncompleteResponseError`` unless events follow the last one sent."""
+        wrong = first_out_of_order(events, self.last_sent)
+        if wrong:
+            self.splitter = EventSplitter(self.last_sent)
+            raise IncompleteResponseError(
+                f'event {abbreviated(wrong)} after event {abbreviated(self.last_sent)}'
+            )
+        self.last_sent = self.splitter.last_id
+
     def _check_whole(self, head: ResponseHead) -> None:
         """Raise ``IncompleteResponseError`` if the stream was cut off before its end.
 
--- a/packages/edge/src/hitchdeck_edge/dispatch/response_parser.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/response_parser.py
@@ -25,6 +25,7 @@
 _TRANSFER_ENCODING = b'transfer-encoding'
 _CHUNKED = b'chunked'
 _CONTENT_TYPE = b'content-type'
+_CONTENT_ENCODING = b'content-encoding'
 _PERSISTENT_VERSION = '1.1'
 _BODILESS_STATUSES = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 
@@ -54,10 +55,20 @@
     @property
     def is_event_stream(self) -> bool:
         """Tell whether the body consists of events: its type, if stated, says so."""
+        stated = self.field(_CONTENT_TYPE)
+        return stated is None or is_event_stream(stated.decode('latin-1'))
+
+    @property
+    def encoding(self) -> bytes:
+        """Return the content encoding of the body; empty if it has none."""
+        return (self.field(_CONTENT_ENCODING) or b'').strip().lower()
+
+    def field(self, wanted: bytes) -> bytes | None:
+        """Return the first value of a header, whose name is given in lower case."""
         for name, text in self.headers:
-            if name.lower() == _CONTENT_TYPE:
-                return is_event_stream(text.decode('latin-1'))
-        return True
+            if name.lower() == wanted:
+                return text
+        return None
 
 
 Event = ResponseHead | bytes | None
--- a/packages/edge/src/hitchdeck_edge/dispatch/sender.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/sender.py
@@ -250,6 +250,10 @@
             raise IncompleteResponseError(
                 'success response without the seal of the upstream'
             )
+        mismatch = active.relay.mismatch(head)
+        if success and mismatch:
+            raise IncompleteResponseError(mismatch)
+        attempt.reason = mismatch
         if success and active.context.route.streams:
             await self._relay(active, attempt, connection, head)
         else:
@@ -258,7 +262,9 @@
             if success:
                 prompt = active.context.call.prompt
                 self.placement.prefix_cache.record_read(attempt.upstream, prompt)
-            attempt.outcome = outcome_of(head, not_run=mark.not_run)
+            attempt.outcome = outcome_of(
+                head, not_run=mark.not_run, within_stream=active.caller.started
+            )
         self.connections.keep_alive(attempt.choice.upstream, connection, head.headers)
 
     async def _relay(
--- a/packages/edge/src/hitchdeck_edge/errors.py
+++ b/packages/edge/src/hitchdeck_edge/errors.py
@@ -45,3 +45,7 @@
 
 class CallerDisconnectedError(DispatchError):
     """Raised when the caller has closed its connection."""
+
+
+class ResponseOrderError(HitchdeckError):
+    """Raised when a second head, or a body after its end, would reach a caller."""
--- a/packages/edge/src/hitchdeck_edge/serving/caller.py
+++ b/packages/edge/src/hitchdeck_edge/serving/caller.py
@@ -9,7 +9,7 @@
 
 from hitchdeck_core.loop_load import loop_utilization
 from hitchdeck_core.sockets import peer_has_closed, reset_on_close
-from hitchdeck_edge.errors import CallerDisconnectedError
+from hitchdeck_edge.errors import CallerDisconnectedError, ResponseOrderError
 from hitchdeck_edge.serving.fields import Fields
 from hitchdeck_edge.serving.overload import should_close
 
@@ -19,10 +19,15 @@
 class CallerConnection:
     """Sends the response to one request, complete or visibly truncated.
 
+    It sends one head, whatever its users do: what they send later belongs to that
+    response or is an error.
+
     Attributes
     ----------
     started
         Whether the head of a response was sent.
+    ended
+        Whether the response was sent in full, or truncated.
     disconnected
         Whether the caller closed its connection.
     chunked
@@ -32,6 +37,7 @@
     def __init__(self, connection: HTTP1Connection) -> None:
         self.connection = connection
         self.started = False
+        self.ended = False
         self.disconnected = False
         self.chunked = False
         self.status = 0
@@ -98,10 +104,14 @@
         ------
         CallerDisconnectedError
             The caller has disconnected.
+        ResponseOrderError
+            No response has begun, or it has ended.
         """
         stream = self.connection.stream
         if stream.closed():
             raise CallerDisconnectedError('caller disconnected during the response')
+        if self.ended or not self.started:
+            raise ResponseOrderError('part of a body outside a response')
         if not self.chunked or stream.writing():
             return self._write_buffered(self.connection.write(data), on_written)
         frame = b'%x\r\n%b\r\n' % (len(data), data)
@@ -123,11 +133,13 @@
 
     def finish(self) -> None:
         """Mark the response as complete."""
+        self.ended = True
         if not self.disconnected:
             self.connection.finish()
 
     def abort(self) -> None:
         """Truncate the response visibly, by closing or resetting the connection."""
+        self.ended = True
         stream = self.connection.stream
         if self.started and not (self.chunked or stream.closed()):
             reset_on_close(stream.socket)
@@ -175,6 +187,10 @@
         headers: ResponseHeaders,
         body: bytes,
     ) -> Awaitable[None]:
+        if self.started:
+            raise ResponseOrderError(
+                f'head with status {status} after one with {self.status}'
+            )
         fields = Fields()
         for name, text in headers:
             fields.add(name, text)
--- a/packages/router/src/hitchdeck_router/dispatch/chat.py
+++ b/packages/router/src/hitchdeck_router/dispatch/chat.py
@@ -45,7 +45,10 @@
 
 @dataclass(slots=True)
 class ChatResponse:
-    """Text and usage generated so far, over all attempts."""
+    """Text and usage generated so far, over all attempts.
+
+    ``begun`` is whether any part of it was handed over for the caller.
+    """
 
     request_id: str
     model: str
@@ -53,6 +56,7 @@
     output_tokens: int = 0
     prompt_tokens: int = 0
     finish_reason: str = ''
+    begun: bool = False
     created: int = field(default_factory=lambda: int(time.time()))
 
     def usage(self) -> dict[str, int]:
@@ -123,7 +127,7 @@
             head = await call.head()
             check_request_id(head, admitted)
             apply_backpressure(context, upstream, head)
-            await _check_status(head, call)
+            await _check_status(head, call, response)
             await _read_stream(context, admitted, response, grant, call, deliver)
         finally:
             call.close()
@@ -177,10 +181,22 @@
         raise UpstreamBrokenError(f'answer to {echoed}, not {admitted.request}')
 
 
-async def _check_status(head: ResponseHead, call: UpstreamCall) -> None:
+async def _check_status(
+    head: ResponseHead, call: UpstreamCall, response: ChatResponse
+) -> None:
+    """Raise an error unless an engine generates the response, or the rest of it.
+
+    Raises
+    ------
+    UpstreamBrokenError
+        It failed, or rejected the rest of a response that another engine began.
+    UpstreamRefusedError
+        It rejected the request; its response is for the caller.
+    """
     if head.status == _OK:
         return
-    if head.status >= _FIRST_SERVER_ERROR or head.status == _TOO_MANY_REQUESTS:
+    failed = head.status >= _FIRST_SERVER_ERROR or head.status == _TOO_MANY_REQUESTS
+    if failed or response.begun:
         raise UpstreamBrokenError(f'status {head.status}')
     raise UpstreamRefusedError(head.status, await call.read_body())
 
@@ -287,4 +303,5 @@
         return
     chunk.pop('usage', None)
     chunk['id'] = response.completion_id
+    response.begun = True
     await deliver(chunk)
--- a/packages/router/src/hitchdeck_router/errors.py
+++ b/packages/router/src/hitchdeck_router/errors.py
@@ -35,6 +35,10 @@
     ran = 'unknown'
 
 
+class ResponseStartedError(OutcomeUnknownError):
+    """Raised when a second response would become part of one that has begun."""
+
+
 class UpstreamError(HitchdeckError):
     """Base of errors in a call to an upstream."""
 
--- a/packages/router/src/hitchdeck_router/serving/base.py
+++ b/packages/router/src/hitchdeck_router/serving/base.py
@@ -16,7 +16,12 @@
 from hitchdeck_core.sockets import peer_has_closed
 from hitchdeck_router.context import RouterContext
 from hitchdeck_router.dispatch.requests import AdmittedRequest
-from hitchdeck_router.errors import CallerDisconnectedError, NotRunError, RouterError
+from hitchdeck_router.errors import (
+    CallerDisconnectedError,
+    NotRunError,
+    ResponseStartedError,
+    RouterError,
+)
 
 RAN_HEADER = 'Hitchdeck-Ran'
 REQUEST_HEADER = 'Hitchdeck-Request-Id'
@@ -26,6 +31,7 @@
 _TOO_LARGE = 413
 _UNAVAILABLE = 503
 _INTERNAL_ERROR = 500
+_BAD_GATEWAY = 502
 _ID_BYTES = 12
 _MAX_DISCARDED_BYTES = 16_777_216
 """Maximum number of bytes read from a body after its refusal was sent.  Closing a
@@ -143,6 +149,26 @@
                 _RETRY_AFTER_SECONDS,
             )
 
+    def begin_response(self, status: int, ran: str, content_type: str = '') -> None:
+        """Set the head of the only response to a request.
+
+        Raises
+        ------
+        ResponseStartedError
+            The caller has received the head of another one.
+        """
+        if self._headers_written:
+            logs.warning(
+                'second response dropped', request=self.request_id, status=status
+            )
+            raise ResponseStartedError(
+                _BAD_GATEWAY, 'upstream-broken', f'status {status} within a response'
+            )
+        self.set_status(status)
+        self.set_header(RAN_HEADER, ran)
+        if content_type:
+            self.set_header('Content-Type', content_type)
+
     def refuse(self, error: RouterError) -> None:
         """Send an error in the API's format, also within a started response."""
         self.record_outcome(error.ran)
@@ -197,8 +223,7 @@
             self.request.connection.close()  # type: ignore[union-attr]
 
     def _set_error_headers(self, error: RouterError) -> None:
-        self.set_status(error.status)
-        self.set_header(RAN_HEADER, error.ran)
+        self.begin_response(error.status, error.ran)
         if error.retry_after is not None:
             self.set_header('Retry-After', max(1, round(error.retry_after)))
         if error.status == _UNAUTHORIZED:
--- a/packages/router/src/hitchdeck_router/serving/chat.py
+++ b/packages/router/src/hitchdeck_router/serving/chat.py
@@ -20,10 +20,11 @@
 from hitchdeck_router.errors import UpstreamRefusedError
 from hitchdeck_router.scheduling.costs import cost_hint
 from hitchdeck_router.serving import admission
-from hitchdeck_router.serving.base import RAN_HEADER, BaseHandler
+from hitchdeck_router.serving.base import BaseHandler
 from hitchdeck_router.serving.replay import check_replayable
 
 _JSON = 'application/json'
+_EVENTS = 'text/event-stream'
 _OK = 200
 
 
@@ -107,7 +108,7 @@
         if not self.streaming:
             return
         if not self._headers_written:
-            self.set_header('Content-Type', 'text/event-stream')
+            self.set_header('Content-Type', _EVENTS)
             self.set_header('Cache-Control', 'no-cache')
         self.write(event(json.dumps(chunk).encode()))
         await self.flush()
@@ -123,7 +124,7 @@
     async def _finish(self, response: ChatResponse, body: dict[str, Any]) -> None:
         self.record_outcome('ran')
         if not body.get('stream'):
-            self.set_header(RAN_HEADER, 'ran')
+            self.begin_response(_OK, 'ran')
             await self.finish(response.completion())
             return
         options = body.get('stream_options') or {}
@@ -133,22 +134,19 @@
         await self.finish()
 
     async def _forward_refusal(self, error: UpstreamRefusedError) -> None:
+        self.begin_response(error.status, 'ran', _JSON)
         self.record_outcome('refused-by-upstream')
-        self.set_status(error.status)
-        self.set_header('Content-Type', _JSON)
-        self.set_header(RAN_HEADER, 'ran')
         await self.finish(error.body)
 
     async def _replay(self, stored: StoredResponse, body: dict[str, Any]) -> None:
         check_replayable(stored)
+        replays_events = body.get('stream') and stored.status == _OK
+        content_type = _EVENTS if replays_events else stored.content_type
+        self.begin_response(stored.status, 'ran', content_type)
         self.record_outcome('replayed')
-        self.set_status(stored.status)
-        self.set_header(RAN_HEADER, 'ran')
-        if not body.get('stream') or stored.status != _OK:
-            self.set_header('Content-Type', stored.content_type)
+        if not replays_events:
             await self.finish(stored.body)
             return
-        self.set_header('Content-Type', 'text/event-stream')
         self.write(event(json.dumps(_as_chunk(json.loads(stored.body))).encode()))
         self.write(event(DONE))
         await self.finish()
--- a/packages/router/src/hitchdeck_router/serving/services.py
+++ b/packages/router/src/hitchdeck_router/serving/services.py
@@ -23,7 +23,7 @@
 from hitchdeck_router.errors import NotRunError, ResponseTruncatedError, RouterError
 from hitchdeck_router.scheduling.costs import SERVICE_CALL_COST
 from hitchdeck_router.serving import admission
-from hitchdeck_router.serving.base import RAN_HEADER, BaseHandler
+from hitchdeck_router.serving.base import BaseHandler
 from hitchdeck_router.serving.replay import check_replayable
 
 _BAD_REQUEST = 400
@@ -166,8 +166,7 @@
             await self.finish()
 
     def _copy_head(self, head: ResponseHead) -> None:
-        self.set_status(head.status)
-        self.set_header(RAN_HEADER, 'ran')
+        self.begin_response(head.status, 'ran')
         for name in _FORWARDED_RESPONSE_HEADERS:
             if name in head.headers:
                 self.set_header(name, head.headers[name])
@@ -185,9 +184,8 @@
 
     async def _replay(self, stored: StoredResponse) -> None:
         check_replayable(stored)
+        self.begin_response(stored.status, 'ran')
         self.record_outcome('replayed')
-        self.set_status(stored.status)
-        self.set_header(RAN_HEADER, 'ran')
         if stored.status not in _BODILESS_STATUSES:
             self.set_header('Content-Type', stored.content_type)
             self.write(stored.body)
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -100,6 +100,8 @@
         lethal = self.engine.faults.get('lethal')
         if lethal and lethal in json.dumps(body):
             self._crash()
+        if self._rejects_rest(body):
+            return 'rejected'
         self.set_header('Content-Type', 'text/event-stream')
         self.set_header('X-Request-Id', self.engine.faults.get('foreign_id', request))
         tokens, done = answer_tokens(body)
@@ -126,6 +128,15 @@
         await self.finish()
         return 'whole'
 
+    def _rejects_rest(self, body: dict[str, Any]) -> bool:
+        """Reject to continue an answer if that fault is set; return whether."""
+        status = self.engine.faults.get('reject_rest')
+        if not (status and body.get('continue_final_message')):
+            return False
+        self.set_status(status)
+        self.finish({'error': 'no rest'})
+        return True
+
     def _crash(self) -> None:
         """Exit the process as a crash does.
 
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -7,6 +7,7 @@
 import json
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from functools import partial
 
 from hitchdeck_edge.dispatch.response_parser import Framing
 from standins.worker_bodies import (
@@ -30,6 +31,10 @@
     writer: asyncio.StreamWriter
 
 
+Behaviour = Callable[[Seen, Peer], Awaitable[bool]]
+"""Answers a request; returns whether the connection stays open."""
+
+
 @dataclass(slots=True)
 class Worker:
     """One worker, its faults, and the requests that it received.
@@ -48,6 +53,9 @@
         ID of the last complete event of a stream that is cut off.
     cut_bytes
         Number of bytes of an encoded body that it sends before it ends early.
+    script
+        Bytes that it sends in place of a response, with ``ATTEMPT`` for the request's
+        ID; it closes the connection after them.
     framing
         What marks the end of its responses; that of a plain call is never chunks.
     software
@@ -85,6 +93,7 @@
     events: int = 5
     cut_at: int = 2
     cut_bytes: int = 0
+    script: bytes = b''
     framing: Framing = Framing.chunks
     software: str = SOFTWARE
     lethal: bytes = b''
@@ -217,11 +226,11 @@
         serve = self._behaviour()
         return await serve(request, peer)
 
-    def _behaviour(self) -> Callable[[Seen, Peer], Awaitable[bool]]:
+    def _behaviour(self) -> Behaviour:
         if self.faults_left <= 0:
             return self._answer_normally
         self.faults_left -= 1
-        return {
+        behaviours: dict[Fault, Behaviour] = {
             Fault.error: self._answer_error,
             Fault.shed: self._shed,
             Fault.reset: self._reset,
@@ -233,7 +242,9 @@
             Fault.end_early: self._end_early,
             Fault.reset_early: self._end_early,
             Fault.hang_early: self._end_early,
-        }.get(self.fault, self._answer_normally)
+            Fault.scripted: partial(_send_script, self),
+        }
+        return behaviours.get(self.fault, self._answer_normally)
 
     async def _answer_normally(self, request: Seen, peer: Peer) -> bool:
         self.ran.append(request.attempt)
@@ -357,6 +368,13 @@
         return f'{head}{extra}Content-Length: {len(body)}\r\n\r\n'.encode() + body
 
 
+async def _send_script(worker: Worker, request: Seen, peer: Peer) -> bool:
+    worker.ran.append(request.attempt)
+    peer.writer.write(worker.script.replace(b'ATTEMPT', request.attempt.encode()))
+    await peer.writer.drain()
+    return False
+
+
 def _is_lethal(worker: Worker, request: Seen) -> bool:
     if worker.lethal and request.body == worker.lethal:
         return True
--- a/standins/worker_faults.py
+++ b/standins/worker_faults.py
@@ -32,6 +32,8 @@
         Aborts the connection there.
     hang_early
         Sends nothing more from there on.
+    scripted
+        Sends ``script`` in place of a response.
     """
 
     none = 'none'
@@ -46,3 +48,4 @@
     end_early = 'end early'
     reset_early = 'reset early'
     hang_early = 'hang early'
+    scripted = 'scripted'
--- a/tests/edge/test_slow_readers.py
+++ b/tests/edge/test_slow_readers.py
@@ -116,6 +116,9 @@
     """A caller that has not read its response, and leaves."""
 
     def __init__(self) -> None:
+        self.started = False
+
+    async def start_response(self, *_: object) -> None:
         self.started = True
 
     def write(self, data: bytes, on_written: Callable[[], None]) -> Awaitable[None]:
--- a/tests/edge/test_truncated_responses.py
+++ b/tests/edge/test_truncated_responses.py
@@ -10,16 +10,13 @@
 from hitchdeck_core.event_streams import EventSplitter
 from hitchdeck_core.ids import UpstreamName
 from hitchdeck_edge.dispatch.response_parser import Framing, ResponseHead
-from hitchdeck_edge.model.placing import Choice
-from hitchdeck_edge.model.refusals import Refusal
-from hitchdeck_edge.model.request_context import RequestContext
 from hitchdeck_edge.serving import caller_server
 from standins.platform_site import Site, running_site
 from standins.platform_worker import Worker
 from standins.worker_bodies import events
 from standins.worker_faults import Fault
 from standins.worker_requests import Seen
-from tests.common.asking import of_pool
+from tests.common.asking import choose_by_name, of_pool
 from tests.common.raw_callers import Received, caller_request, receive
 
 EVENTS = 3
@@ -55,17 +52,8 @@
     """Return a site whose box sends each request to the same worker first."""
     async with running_site(tmp_path) as running:
         dispatcher = running.boxes[0].admission.dispatcher
-        registry = running.boxes[0].link.known.registry
         dispatcher.budget.share = EVENT_SIZE * len(ENDS) * len(Framing)
-
-        async def choose(context: RequestContext) -> Choice | Refusal:
-            serving = registry.serving(context.pool.name)
-            left = [one for one in serving if one.name not in context.tried]
-            if not left:
-                return Refusal.no_upstream
-            return Choice(min(left, key=lambda one: one.name), 0, 0)
-
-        dispatcher.chooser.choose = choose  # type: ignore[method-assign]
+        choose_by_name(running.boxes[0])
         for worker in running.workers:
             worker.gap = 0.001
             worker.events = EVENTS
--- a/tests/failures/test_answers.py
+++ b/tests/failures/test_answers.py
@@ -392,3 +392,21 @@
     assert {one['shard'] for one in status['shards']} == {'chat/0', 'plain/0'}
     assert 'WAIT_MS' in fleet.hitchdeck('top').stdout
     assert 'LEADER' in fleet.hitchdeck('control', 'members').stdout
+
+
+@pytest.mark.parametrize('stream', [False, True])
+async def test_a_rejected_rest_is_no_part_of_the_completion(
+    fleet: Fleet, stream: bool
+) -> None:
+    # The body of the rejection was written after the events of the first engine.
+    for engine in fleet.engines:
+        await callers.set_faults(engine, die_after=2, reject_rest=413)
+    body = {'model': 'm', 'stream': stream, 'max_tokens': 5, 'messages': MESSAGE}
+    reply = await callers.request(fleet.routers[0], CHAT, body)
+    assert b'no rest' not in reply.body
+    if not stream:
+        assert (reply.status, reply.ran) == (502, 'unknown')
+        return
+    *_, last, end = reply.body.split(b'\n\n')
+    assert (reply.status, end) == (200, b'')
+    assert json.loads(last.removeprefix(b'data: '))['error']['ran'] == 'unknown'
