Give up responses without an end by their size, not at the deadline

Two such requests end a box and all that it serves.

Bodies and events above 64 KiB count in the byte budget, whose holder of most gives way; bodies of another type on a stream's route are forwarded as they come; a connection stops reading what nobody takes. The request may be tried elsewhere as after a broken response. Router: 64 MiB and 1 MiB in place of 1 GiB, 16 interim responses, whose status was taken for the answer's before.

--- a/packages/control/src/hitchdeck_control/fleet/orders.py
+++ b/packages/control/src/hitchdeck_control/fleet/orders.py
@@ -11,7 +11,12 @@
 from dataclasses import dataclass
 from typing import Literal
 
-from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
+from tornado.httpclient import (
+    AsyncHTTPClient,
+    HTTPClientError,
+    HTTPRequest,
+    HTTPResponse,
+)
 
 from hitchdeck_control.errors import (
     NotLeaderError,
@@ -29,6 +34,9 @@
 """Timeout of a call that sends an order."""
 
 _POLL_SECONDS = 0.2
+_MAX_REPLY_BYTES = 1_048_576
+"""Limit of an upstream's answer to an order: the names of what is loaded."""
+
 _PATH = '/admin/orders'
 _CONFLICT = 409
 _MAX_ATTEMPTS = 10
@@ -159,7 +167,7 @@
         request_timeout=FLIGHT_SECONDS,
     )
     try:
-        await AsyncHTTPClient().fetch(request)
+        await _fetch(request)
     except HTTPClientError as error:
         if error.code == _CONFLICT:
             return 'superseded'
@@ -171,6 +179,25 @@
     return 'done'
 
 
+async def _fetch(request: HTTPRequest) -> HTTPResponse:
+    """Return a response that is within ``_MAX_REPLY_BYTES``.
+
+    Raises
+    ------
+    HTTPClientError
+        There is none, or its status is an error.
+    """
+    client = AsyncHTTPClient(
+        force_instance=True,
+        max_body_size=_MAX_REPLY_BYTES,
+        max_buffer_size=_MAX_REPLY_BYTES,
+    )
+    try:
+        return await client.fetch(request)
+    finally:
+        client.close()
+
+
 def _requested_backoff(error: HTTPClientError) -> float:
     """Return the ``Retry-After`` of an error response in seconds."""
     if error.response is None:
@@ -185,7 +212,7 @@
         request_timeout=FLIGHT_SECONDS,
     )
     try:
-        reply = await AsyncHTTPClient().fetch(request)
+        reply = await _fetch(request)
     except HTTPClientError as error:
         await asyncio.sleep(_requested_backoff(error))
         return False
--- a/packages/core/src/hitchdeck_core/settings.py
+++ b/packages/core/src/hitchdeck_core/settings.py
@@ -65,6 +65,7 @@
     stop_grace: float = Field(default=600, ge=0)
     addresses_per_account: int = Field(default=3, ge=1, le=64)
     body_limit: int = Field(default=1_048_576, ge=1024)
+    response_limit: int = Field(default=67_108_864, ge=1024)
     attempts: int = Field(default=3, ge=1, le=10)
 
 
--- a/packages/edge/src/hitchdeck_edge/dispatch/attempts.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/attempts.py
@@ -11,6 +11,7 @@
 from hitchdeck_core.lazy_dataclasses import dataclass
 from hitchdeck_edge.dispatch.relay import StreamRelay
 from hitchdeck_edge.dispatch.response_parser import ResponseHead
+from hitchdeck_edge.dispatch.response_sizes import HeldResponse
 from hitchdeck_edge.dispatch.responses import FinalResponse
 from hitchdeck_edge.model.calls import Prompt
 from hitchdeck_edge.model.placing import Choice
@@ -67,6 +68,8 @@
         Whether the upstream announced that it shuts down.
     lost
         Whether the upstream was not reached or sent no complete response.
+    held
+        Counts the body; ``None`` while none is read.
     watched
         What is observed of a call to a plain service; ``None`` where boxes don't
         share it.
@@ -87,8 +90,14 @@
     backoff: float = 0.0
     leaving: bool = False
     lost: bool = False
+    held: HeldResponse | None = None
     watched: 'WatchedCall | None' = None
 
+    def release(self) -> None:
+        """Stop counting the body, which is not needed any more."""
+        if self.held is not None:
+            self.held.close()
+
     @property
     def upstream(self) -> UpstreamName:
         """Return the name of the upstream."""
@@ -118,6 +127,12 @@
     begin_second: 'Callable[[ActiveRequest], bool] | None' = None
     retry_paid: bool = False
 
+    def release(self) -> None:
+        """Discard what is held of responses."""
+        self.relay.close()
+        if self.last_attempt is not None:
+            self.last_attempt.release()
+
 
 def outcome_of(
     head: ResponseHead, *, not_run: bool, within_stream: bool
--- a/packages/edge/src/hitchdeck_edge/dispatch/dispatcher.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/dispatcher.py
@@ -58,7 +58,9 @@
         """Return the state of a request to serve; count it for the retry budget."""
         response = FinalResponse(self.adapter, context, caller)
         self.budget.count_request(context.pool.name)
-        relay = StreamRelay(context, caller, self._spool(context, caller))
+        limits = self.sender.response_limits
+        spool = self._spool(context, caller)
+        relay = StreamRelay(context, caller, spool, limits)
         active = ActiveRequest(context, caller, response, relay)
         mechanisms = self.chooser.local.mechanisms
         if self.sender.watch is not None and mechanisms.second_attempts:
@@ -81,7 +83,7 @@
             self._check_last_for_crash(active)
             active.response.time_out()
         finally:
-            active.relay.close()
+            active.release()
             self.sender.origins.end(active.context.streams)
 
     def _spool(
@@ -199,6 +201,8 @@
             active.response.outcome = 'streamed'
             return
         assert attempt.head is not None
+        if attempt.held is not None:
+            attempt.held.release = active.caller.abort
         await active.response.forward(attempt.head, attempt.body)
 
     async def _fail(self, active: ActiveRequest, refusal: Refusal) -> None:
--- a/packages/edge/src/hitchdeck_edge/dispatch/relay.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/relay.py
@@ -1,11 +1,13 @@
 """Forwarding a stream to the caller in complete events."""
 
 from collections.abc import Awaitable, Callable
+from functools import partial
 
 from hitchdeck_core.checks import abbreviated
 from hitchdeck_core.event_streams import EventSplitter
 from hitchdeck_edge.dispatch.continuation import first_out_of_order, mismatch
 from hitchdeck_edge.dispatch.response_parser import Framing, ResponseHead
+from hitchdeck_edge.dispatch.response_sizes import UNCOUNTED_BYTES, ResponseLimits
 from hitchdeck_edge.dispatch.responses import response_headers
 from hitchdeck_edge.dispatch.spool import CallerSpool
 from hitchdeck_edge.dispatch.upstream_connection import Connection
@@ -37,7 +39,10 @@
         context: RequestContext,
         caller: CallerConnection,
         spool: CallerSpool | None = None,
+        limits: ResponseLimits | None = None,
     ) -> None:
+        self.limits = limits or ResponseLimits()
+        self.partial_event = self.limits.open_event(context.account or '')
         self.context = context
         self.caller = caller
         self.spool = spool
@@ -86,18 +91,9 @@
             await self.caller.start_response(
                 head.status, reason, response_headers(head.headers)
             )
-
-        def relay(chunk: bytes) -> None:
-            whole = self.splitter.feed(chunk)
-            if whole:
-                if continues:
-                    self._check_order(whole)
-                self.has_events = True
-                on_event()
-                self._write(connection, whole)
-
+        sink = self._event_sink if head.is_event_stream else self._byte_sink
         try:
-            await connection.relay_body(relay)
+            await connection.relay_body(sink(connection, on_event, continues))
         finally:
             self.context.last_event = self.splitter.last_id
         try:
@@ -120,10 +116,43 @@
         return self.spool is not None and self.spool.is_evicted
 
     def close(self) -> None:
-        """Discard what is spooled."""
+        """Discard what is held."""
+        self.partial_event.close()
         if self.spool is not None:
             self.spool.close()
 
+    def _event_sink(
+        self, connection: Connection, on_event: Callable[[], None], continues: bool
+    ) -> Callable[[bytes], None]:
+        """Return what forwards the complete events of a stream."""
+        held = self.partial_event
+        held.release = partial(connection.abort_pending, 'event given up')
+
+        def relay(chunk: bytes) -> None:
+            whole = self.splitter.feed(chunk)
+            if len(self.splitter.remainder) > UNCOUNTED_BYTES or held.holding:
+                held.check_size(len(self.splitter.remainder))
+            if whole:
+                if continues:
+                    self._check_order(whole)
+                self.has_events = True
+                on_event()
+                self._write(connection, whole)
+
+        return relay
+
+    def _byte_sink(
+        self, connection: Connection, on_event: Callable[[], None], _: bool
+    ) -> Callable[[bytes], None]:
+        """Return what forwards a body that is no stream of events."""
+
+        def relay(chunk: bytes) -> None:
+            self.limits.check_relayed(connection.received)
+            on_event()
+            self._write(connection, chunk)
+
+        return relay
+
     def _check_order(self, events: bytes) -> None:
         """Raise ``IncompleteResponseError`` unless events follow the last one sent."""
         wrong = first_out_of_order(events, self.last_sent)
--- a/packages/edge/src/hitchdeck_edge/dispatch/sender.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/sender.py
@@ -1,5 +1,6 @@
 """Sending a request to one upstream, and recording the outcome."""
 
+from functools import partial
 from http import HTTPStatus
 
 from hitchdeck_core import logs
@@ -18,6 +19,7 @@
 from hitchdeck_edge.dispatch.connections import ConnectionPool
 from hitchdeck_edge.dispatch.crash_watch import CrashWatch
 from hitchdeck_edge.dispatch.response_parser import ResponseHead
+from hitchdeck_edge.dispatch.response_sizes import ResponseLimits
 from hitchdeck_edge.dispatch.reuse import permitted_reuse
 from hitchdeck_edge.dispatch.service_watch import ServiceWatch
 from hitchdeck_edge.dispatch.upstream_connection import Connection, UpstreamRequest
@@ -50,6 +52,8 @@
     ----------
     origins
         Where the streams that this box serves began.
+    response_limits
+        Limits of what is held of the upstreams' responses.
     cache_sources
         Engines from which requests take cached parts.
     """
@@ -72,6 +76,7 @@
         self.connections = connections
         self.now = now
         self.origins = StreamOrigins(now)
+        self.response_limits = ResponseLimits()
         self.watch: ServiceWatch | None = None
         if self.link.services is not None:
             self.watch = ServiceWatch(self.link.services, self.placement.health, now)
@@ -227,6 +232,8 @@
         context = active.context
         context.sent += 1
         context.may_have_run = True
+        if active.last_attempt is not None:
+            active.last_attempt.release()
         active.last_attempt = attempt
         prompt = context.call.prompt
         if prompt is not None and context.pool.engine is not None:
@@ -257,7 +264,7 @@
         if success and active.context.route.streams:
             await self._relay(active, attempt, connection, head)
         else:
-            attempt.body = await connection.read_body()
+            await self._read_body(active.context, attempt, connection)
             attempt.ticket.start()
             if success:
                 prompt = active.context.call.prompt
@@ -267,6 +274,14 @@
             )
         self.connections.keep_alive(attempt.choice.upstream, connection, head.headers)
 
+    async def _read_body(
+        self, context: RequestContext, attempt: Attempt, connection: Connection
+    ) -> None:
+        held = self.response_limits.open(context.account or '')
+        held.release = partial(connection.abort_pending, 'response given up')
+        attempt.held = held
+        attempt.body = await connection.read_body(held.check_size)
+
     async def _relay(
         self,
         active: ActiveRequest,
@@ -315,7 +330,7 @@
             self._apply_backpressure(attempt.upstream, mark)
             if mark.request in {'', context.call.request}:
                 return head, mark
-            await connection.read_body()
+            await connection.read_body(self.response_limits.check_skipped)
             logs.info(
                 'stale response skipped',
                 request=context.call.request,
--- a/packages/edge/src/hitchdeck_edge/dispatch/upstream_connection.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/upstream_connection.py
@@ -33,10 +33,22 @@
 CONNECT_TURNS = 4
 """Turns of this process's event loop that connecting takes, in addition."""
 
+FRAMING_FACTOR = 8
+"""Bytes on the wire for each byte of a body that is sent in the smallest chunks; a body
+with more framing counts by its bytes on the wire."""
+
+MAX_QUEUED_PARTS = 4
+"""Parts of a response that are parsed and not taken, above which reading stops; each is
+what was read at once, 256 KiB at most."""
+
 _FORBIDDEN = re.compile(rb'[\x00\x0b\x0c]')
 _START = re.compile(rb"[-!#$%&'*+.^_`|~0-9A-Za-z]+ [\x21-\x7e]+ HTTP/1\.1\r\n")
 
 
+CheckSize = Callable[[int], None]
+"""Is told how much of a body was read so far; gives the response up by an error."""
+
+
 @dataclass(frozen=True, slots=True)
 class UpstreamRequest:
     """A request as it is sent to an upstream."""
@@ -70,6 +82,10 @@
         in between; ``None`` while no body is relayed.
     sink_error
         Error that the sink raised.
+    received
+        Number of bytes that arrived for the current request.
+    is_queue_full
+        Whether reading stopped since what arrived was not taken.
     """
 
     def __init__(self) -> None:
@@ -86,6 +102,8 @@
         self.waiter: asyncio.Future[None] | None = None
         self.sink: Callable[[bytes], None] | None = None
         self.sink_error: Exception | None = None
+        self.received = 0
+        self.is_queue_full = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport, and enable keepalive."""
@@ -100,7 +118,11 @@
         if not self.busy:
             self.abort()
             return
+        self.received += len(data)
         self.parser.feed(data)
+        if self.sink is None and len(self.parser.events) > MAX_QUEUED_PARTS:
+            self.pause()
+            self.is_queue_full = True
         if self.sink is not None:
             self._relay_arrived(self.sink)
             if self._expects_more():
@@ -158,6 +180,7 @@
             raise NotSentError('connection already closed')
         head = encode_head(upstream_request)
         self.busy = True
+        self.received = 0
         bodiless = upstream_request.method == b'HEAD'
         self.parser = self.parser.restarted(bodiless=bodiless)
         self.transport.write(head + upstream_request.body)
@@ -168,17 +191,20 @@
         assert isinstance(head, ResponseHead)
         return head
 
-    async def read_body(self) -> bytes:
+    async def read_body(self, check_size: CheckSize) -> bytes:
         """Return the rest of the body.
 
         Raises
         ------
         IncompleteResponseError
-            The response was truncated.
+            The response was truncated, or ``check_size`` gave it up.
         """
         pieces: list[bytes] = []
+        size = 0
         event = await self._next_event()
         while isinstance(event, bytes):
+            size += len(event)
+            check_size(max(size, self.received // FRAMING_FACTOR))
             pieces.append(event)
             event = await self._next_event()
         self._end_request()
@@ -197,6 +223,7 @@
         self.sink = sink
         try:
             self._relay_arrived(sink)
+            _read_on(self)
             while self._expects_more():
                 self._check_lost()
                 await self._wait()
@@ -251,7 +278,9 @@
         while not self.parser.events:
             self._check_lost()
             await self._wait()
-        return self.parser.events.popleft()
+        event = self.parser.events.popleft()
+        _read_on(self)
+        return event
 
     def _relay_arrived(self, sink: Callable[[bytes], None]) -> None:
         """Pass on the parts of the body that have arrived."""
@@ -298,6 +327,14 @@
         self.not_reusable = self.not_reusable or not self.parser.reusable
 
 
+def _read_on(connection: Connection) -> None:
+    """Resume reading once what arrived was taken."""
+    taken = len(connection.parser.events) <= MAX_QUEUED_PARTS
+    if connection.is_queue_full and taken:
+        connection.is_queue_full = False
+        connection.resume()
+
+
 def encode_head(request: UpstreamRequest) -> bytes:
     """Return the head of a request as bytes on the wire.
 
--- a/packages/edge/src/hitchdeck_edge/errors.py
+++ b/packages/edge/src/hitchdeck_edge/errors.py
@@ -43,6 +43,10 @@
     """Raised when a request was sent but no complete response came back."""
 
 
+class ResponseTooLongError(IncompleteResponseError):
+    """Raised when a response is given up for the bytes that it takes."""
+
+
 class CallerDisconnectedError(DispatchError):
     """Raised when the caller has closed its connection."""
 
--- a/packages/edge/src/hitchdeck_edge/process.py
+++ b/packages/edge/src/hitchdeck_edge/process.py
@@ -13,6 +13,7 @@
 from hitchdeck_core.supervisor import Supervisor
 from hitchdeck_core.ticks import until_tick
 from hitchdeck_edge.dispatch.factory import new_dispatcher
+from hitchdeck_edge.dispatch.response_sizes import limits_within
 from hitchdeck_edge.links.entry import EntryLink
 from hitchdeck_edge.links.hub_streams import HubStreams
 from hitchdeck_edge.links.known_hubs import KnownHubs
@@ -113,8 +114,11 @@
         self.admission.metrics.upstream_changes = registry.changes
         self.admission.metrics.evicted = self.admission.budgets.bytes.evicted
         self.admission.metrics.held_bytes = self.admission.budgets.bytes.held
-        self.admission.metrics.connections_opened = sender.connections.opened
-        self.admission.metrics.connections_reused = sender.connections.reused
+        self.admission.metrics.upstream_counts = {
+            'connections_opened': sender.connections.opened,
+            'connections_reused': sender.connections.reused,
+            'responses_given_up': sender.response_limits.given_up,
+        }
         self.admission.metrics.exclusions_adopted = self.known_hubs.adopted
         self._report_service_calls()
         scheduler = self.admission.dispatcher.chooser.local
@@ -148,6 +152,8 @@
     budgets = budgets_of(settings.memory_limit, settings.descriptor_limit)
     dispatcher = new_dispatcher(settings, adapter, fleet_state, known_hubs)
     dispatcher.held_bytes = budgets.bytes
+    limit = settings.response_bytes
+    dispatcher.sender.response_limits = limits_within(budgets.bytes, limit)
     graceful_stop = GracefulStop(settings.stop_grace, boot_seconds)
     admission = Admission(
         adapter, fleet_state, dispatcher, graceful_stop, boot_seconds, budgets
--- a/packages/edge/src/hitchdeck_edge/serving/metrics.py
+++ b/packages/edge/src/hitchdeck_edge/serving/metrics.py
@@ -60,9 +60,9 @@
         Bytes that this box holds for callers and upstreams.
     evicted
         Requests and responses that were broken off for lack of memory.
-    connections_opened, connections_reused
-        Connections to upstreams that were opened for requests, and requests that used
-        a kept one.
+    upstream_counts
+        Connections to upstreams that were opened for requests, requests that used a
+        kept one, and responses that were given up for their size.
     exclusions_adopted
         Exclusions of schedulers that hubs told this box of.
     service_counts
@@ -89,8 +89,7 @@
         self.handed_off = 0
         self.held_bytes = 0
         self.evicted = 0
-        self.connections_opened = 0
-        self.connections_reused = 0
+        self.upstream_counts: Mapping[str, int] = {}
         self.exclusions_adopted = 0
         self.service_counts = dict.fromkeys(SERVICE_COUNTS, 0)
         self.refused_beside_room: Mapping[str, int] = {}
@@ -143,12 +142,14 @@
             f'hitchdeck_handed_on_total {self.handed_off}',
             f'hitchdeck_held_bytes {self.held_bytes}',
             f'hitchdeck_evicted_total {self.evicted}',
-            f'hitchdeck_upstream_connections_opened_total {self.connections_opened}',
-            f'hitchdeck_upstream_connections_reused_total {self.connections_reused}',
             f'hitchdeck_scheduler_exclusions_adopted_total {self.exclusions_adopted}',
             f'hitchdeck_cache_moves_sent_total {self.cache_moves}',
             f'hitchdeck_cache_moves_dropped_total {self.cache_moves_dropped}',
         ]
+        lines.extend(
+            f'hitchdeck_upstream_{name}_total {count}'
+            for name, count in self.upstream_counts.items()
+        )
         lines.extend(
             f'hitchdeck_service_{name}_total {count}'
             for name, count in self.service_counts.items()
--- a/packages/edge/src/hitchdeck_edge/serving/status_pages.py
+++ b/packages/edge/src/hitchdeck_edge/serving/status_pages.py
@@ -24,6 +24,12 @@
 """Answers a request."""
 
 METRICS_TYPE = 'text/plain; version=0.0.4'
+MAX_BODY_BYTES = 16_777_216
+"""Limit of a body; configuration documents are the largest ones."""
+
+MAX_BODY_SECONDS = 30.0
+"""Time within which a body must arrive."""
+
 _READING = frozenset(('GET', 'HEAD'))
 
 
@@ -53,7 +59,9 @@
 ) -> HTTPServer:
     """Start an HTTP server for a page, or for a Tornado application, at an address."""
     host, port = split_address(address)
-    server = HTTPServer(page)
+    server = HTTPServer(
+        page, max_body_size=MAX_BODY_BYTES, body_timeout=MAX_BODY_SECONDS
+    )
     server.add_socket(listening_socket(host, port))
     return server
 
--- a/packages/edge/src/hitchdeck_edge/settings.py
+++ b/packages/edge/src/hitchdeck_edge/settings.py
@@ -164,17 +164,22 @@
         Whether a stream that is not resumed may use a connection to its upstream that
         was kept for longer than a moment, if the upstream is reachable over it.  It
         saves connections; a connection that fails without a sign costs the stream.
+    response_bytes
+        Maximum size of a response that is held until it is complete, or that is
+        forwarded and is no stream of events, in bytes.
     """
 
     listen: Address
     ready_listen: Address
     relief_listen: Address | None = None
     stream_reuse: bool = False
+    response_bytes: int = 16_777_216
 
     def __post_init__(self) -> None:
         """Raise ``SettingsError``, naming the field, if a field is invalid."""
         super().__post_init__()
         _check_addresses(self, 'listen', 'ready_listen', 'relief_listen')
+        _check_field('response_bytes', self.response_bytes, _positive)
         _check_field('stream_reuse', self.stream_reuse, check_boolean)
 
 
--- a/packages/router/src/hitchdeck_router/dispatch/caches.py
+++ b/packages/router/src/hitchdeck_router/dispatch/caches.py
@@ -12,7 +12,11 @@
 from hitchdeck_core.resources import Upstream
 from hitchdeck_router.context import RouterContext
 from hitchdeck_router.dispatch.backpressure import apply_backpressure, check_accepting
-from hitchdeck_router.dispatch.calls import CallRequest, open_call
+from hitchdeck_router.dispatch.calls import (
+    MAX_RESPONSE_BYTES,
+    CallRequest,
+    open_call,
+)
 from hitchdeck_router.errors import (
     GrantLostError,
     UpstreamError,
@@ -73,7 +77,7 @@
     try:
         head = await call.head()
         apply_backpressure(context, upstream, head)
-        content = await call.read_body()
+        content = await call.read_body(MAX_RESPONSE_BYTES)
     finally:
         call.close()
     if head.status != _OK:
--- a/packages/router/src/hitchdeck_router/dispatch/calls.py
+++ b/packages/router/src/hitchdeck_router/dispatch/calls.py
@@ -26,20 +26,32 @@
 from hitchdeck_router.errors import UpstreamBrokenError, UpstreamUnreachedError
 
 CONNECT_SECONDS = 2.0
-_MAX_RESPONSE_BYTES = 1024 * 1024 * 1024
+MAX_RESPONSE_BYTES = 67_108_864
+"""Default limit of a response that is forwarded as it arrives."""
+
+MAX_REJECTION_BYTES = 1_048_576
+"""Limit of a rejection, which is held until it is complete."""
+
+MAX_INTERIM_RESPONSES = 16
+_FIRST_FINAL_STATUS = 200
 _CHUNK_BYTES = 1024 * 10
 _FRAMING_HEADERS = ('Content-Length', 'Transfer-Encoding')
 
 
 @dataclass(frozen=True, slots=True)
 class CallRequest:
-    """A request; ``read_timeout`` is the maximum wait for a chunk, in seconds."""
+    """A request.
+
+    ``read_timeout`` is the maximum wait for a chunk in seconds, and ``response_limit``
+    the maximum size of the response's body in bytes.
+    """
 
     method: str
     path: str
     headers: dict[str, str]
     body: bytes = b''
     read_timeout: float = 60.0
+    response_limit: int = MAX_RESPONSE_BYTES
 
 
 @dataclass(slots=True)
@@ -71,6 +83,7 @@
     ended: bool = False
     ends_with_connection: bool = False
     abandoned: bool = False
+    interim_count: int = 0
 
     async def put(self, received: ResponseHead | bytes | _ResponseEnd) -> None:
         """Queue a part of the response, unless the call was abandoned."""
@@ -94,6 +107,11 @@
     ) -> None:
         """Queue the status and headers."""
         assert isinstance(start_line, ResponseStartLine)
+        if start_line.code < _FIRST_FINAL_STATUS:
+            self.interim_count += 1
+            if self.interim_count > MAX_INTERIM_RESPONSES:
+                raise StreamClosedError(real_error=None)
+            return
         self.ends_with_connection = not any(one in headers for one in _FRAMING_HEADERS)
         await self.put(ResponseHead(start_line.code, headers))
 
@@ -112,9 +130,9 @@
 class UpstreamCall:
     """An open call; ``close`` it when done, which cancels a running request."""
 
-    def __init__(self, stream: IOStream, read_timeout: float) -> None:
+    def __init__(self, stream: IOStream, request: CallRequest) -> None:
         self.stream = stream
-        self.read_timeout = read_timeout
+        self.read_timeout = request.read_timeout
         self.receiver = _Receiver()
         self.reading: asyncio.Task[None] | None = None
 
@@ -126,7 +144,7 @@
             params=HTTP1ConnectionParameters(
                 no_keep_alive=True,
                 chunk_size=_CHUNK_BYTES,
-                max_body_size=_MAX_RESPONSE_BYTES,
+                max_body_size=request.response_limit,
             ),
         )
         headers = HTTPHeaders(request.headers)
@@ -157,9 +175,20 @@
                 return
             raise UpstreamBrokenError('connection closed within the answer')
 
-    async def read_body(self) -> bytes:
-        """Read and return the complete body."""
-        return b''.join([chunk async for chunk in self.chunks()])
+    async def read_body(self, limit: int) -> bytes:
+        """Read and return the complete body.
+
+        Raises
+        ------
+        UpstreamBrokenError
+            It is truncated, or larger than ``limit`` bytes.
+        """
+        body = bytearray()
+        async for chunk in self.chunks():
+            body += chunk
+            if len(body) > limit:
+                raise UpstreamBrokenError(f'answer over {limit} bytes')
+        return bytes(body)
 
     def close(self) -> None:
         """Close the connection, which engines treat as a cancellation."""
@@ -196,9 +225,9 @@
     UpstreamBrokenError
         The connection broke while the request was being sent.
     """
-    stream = await _connect(address)
+    stream = await _connect(address, request.response_limit)
     stream.set_nodelay(True)
-    call = UpstreamCall(stream, request.read_timeout)
+    call = UpstreamCall(stream, request)
     try:
         await call.start(address, request)
     except StreamClosedError as error:
@@ -234,9 +263,13 @@
             stream.close()
 
 
-async def _connect(address: Address) -> IOStream:
+async def _connect(address: Address, limit: int = MAX_RESPONSE_BYTES) -> IOStream:
+    """Return a connection that holds at most ``limit`` bytes of a response."""
     host, port = split_address(address)
+    client = TCPClient()
     try:
-        return await TCPClient().connect(host, port, timeout=CONNECT_SECONDS)
+        return await client.connect(
+            host, port, timeout=CONNECT_SECONDS, max_buffer_size=limit
+        )
     except (OSError, TimeoutError, StreamClosedError) as error:
         raise UpstreamUnreachedError(f'{address}: {error}') from error
--- a/packages/router/src/hitchdeck_router/dispatch/chat.py
+++ b/packages/router/src/hitchdeck_router/dispatch/chat.py
@@ -16,6 +16,7 @@
 from hitchdeck_router.dispatch.attempts import Progress, run_attempts
 from hitchdeck_router.dispatch.backpressure import apply_backpressure
 from hitchdeck_router.dispatch.calls import (
+    MAX_REJECTION_BYTES,
     CallRequest,
     ResponseHead,
     UpstreamCall,
@@ -38,6 +39,8 @@
 _TOO_MANY_REQUESTS = 429
 _FIRST_SERVER_ERROR = 500
 _MS_PER_SECOND = 1000
+_MAX_TEXT_CHARACTERS = 4_194_304
+"""Limit of the text of a completion, which is held for further attempts."""
 
 Deliver = Callable[[dict[str, Any]], Awaitable[None]]
 """Sends a chunk to the caller; waits while the caller reads slowly."""
@@ -53,6 +56,7 @@
     request_id: str
     model: str
     text: list[str] = field(default_factory=list)
+    characters: int = 0
     output_tokens: int = 0
     prompt_tokens: int = 0
     finish_reason: str = ''
@@ -121,7 +125,8 @@
     progress = Progress(repeatable=admitted.key is None)
 
     async def run_once(grant: Slot, upstream: Upstream) -> None:
-        request = _engine_request(admitted, body, response)
+        limit = context.settings.response_limit
+        request = _engine_request(admitted, body, response, limit)
         call = await open_call(upstream.address, request)
         try:
             head = await call.head()
@@ -142,6 +147,7 @@
     admitted: AdmittedRequest,
     body: dict[str, Any],
     response: ChatResponse,
+    response_limit: int,
 ) -> CallRequest:
     engine_body = {
         **body,
@@ -160,6 +166,7 @@
             SESSION_ID_HEADER: admitted.session,
         },
         body=json.dumps(engine_body).encode(),
+        response_limit=response_limit,
     )
 
 
@@ -198,7 +205,7 @@
     failed = head.status >= _FIRST_SERVER_ERROR or head.status == _TOO_MANY_REQUESTS
     if failed or response.begun:
         raise UpstreamBrokenError(f'status {head.status}')
-    raise UpstreamRefusedError(head.status, await call.read_body())
+    raise UpstreamRefusedError(head.status, await call.read_body(MAX_REJECTION_BYTES))
 
 
 async def _read_stream(
@@ -268,6 +275,9 @@
     text = (choice.get('delta') or {}).get('content')
     if not text:
         return
+    response.characters += len(text)
+    if response.characters > _MAX_TEXT_CHARACTERS:
+        raise UpstreamBrokenError(f'text over {_MAX_TEXT_CHARACTERS} characters')
     response.text.append(text)
     response.output_tokens += 1
     attempt.output_tokens += 1
--- a/packages/router/src/hitchdeck_router/dispatch/services.py
+++ b/packages/router/src/hitchdeck_router/dispatch/services.py
@@ -75,6 +75,7 @@
                 request.path,
                 {**request.headers, REQUEST_ID_HEADER: admitted.request},
                 admitted.body,
+                response_limit=context.settings.response_limit,
             ),
         )
         try:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -12,6 +12,7 @@
 from standins.platform_worker import Worker
 from standins.worker_bodies import events
 from standins.worker_faults import Fault
+from standins.worker_requests import Seen
 
 STOP_GRACE_SECONDS = 3.0
 """Time between SIGTERM and SIGKILL; equal to ``graceS`` in the settings."""
@@ -27,6 +28,12 @@
 RETRY_AFTER_VALUES = ('', '', '0.2', '1', 'soon', '-1', '1e-9')
 """Retry-After values, some invalid, of a worker that sheds a request."""
 
+SCRIPTED_STATUSES = ('204 No Content', '302 Found', '404 None', '413 Too Large')
+"""What a worker answers that runs nothing and does not say so."""
+
+ENDLESS_STATUSES = ('200 OK', '413 Too Large', '500 Oops')
+ENDLESS_PIECE = b'a' * 65_536
+
 Injection = Callable[[], Awaitable[None]]
 
 
@@ -132,6 +139,9 @@
         worker = self.random.choice(self.workers)
         fault = self.random.choice(list(Fault))
         worker.pause = self.random.choice(RETRY_AFTER_VALUES)
+        answers = ENDLESS_STATUSES if fault is Fault.endless else SCRIPTED_STATUSES
+        worker.script = _begun_answer(worker, self.random.choice(answers))
+        worker.endless = ENDLESS_PIECE
         if worker.pool == STREAM_POOL:
             worker.framing = self.random.choice(list(Framing))
             # Between two events, the end of a connection may be that of the stream.
@@ -191,3 +201,9 @@
         program.signal(signal.SIGSTOP)
         await asyncio.sleep(self.random.uniform(0.2, 2.5))
         program.signal(signal.SIGCONT)
+
+
+def _begun_answer(worker: Worker, status: str) -> bytes:
+    """Return the head of an answer that ends with its connection."""
+    head = worker.head(Seen('', {'attempt-id': 'ATTEMPT'}, b''), status, worker.name)
+    return f'{head}\r\n'.encode()
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -56,6 +56,10 @@
     script
         Bytes that it sends in place of a response, with ``ATTEMPT`` for the request's
         ID; it closes the connection after them.
+    endless
+        Bytes of a response without an end.
+    endless_bytes
+        Number of bytes of such responses that it sent so far.
     framing
         What marks the end of its responses; that of a plain call is never chunks.
     software
@@ -94,6 +98,8 @@
     cut_at: int = 2
     cut_bytes: int = 0
     script: bytes = b''
+    endless: bytes = b''
+    endless_bytes: int = 0
     framing: Framing = Framing.chunks
     software: str = SOFTWARE
     lethal: bytes = b''
@@ -243,6 +249,7 @@
             Fault.reset_early: self._end_early,
             Fault.hang_early: self._end_early,
             Fault.scripted: partial(_send_script, self),
+            Fault.endless: partial(_send_without_end, self),
         }
         return behaviours.get(self.fault, self._answer_normally)
 
@@ -375,6 +382,18 @@
     return False
 
 
+async def _send_without_end(worker: Worker, request: Seen, peer: Peer) -> bool:
+    await _send_script(worker, request, peer)
+    try:
+        while not peer.writer.transport.is_closing():
+            peer.writer.write(worker.endless)
+            worker.endless_bytes += len(worker.endless)
+            await peer.writer.drain()
+    finally:
+        worker.left.append(request.attempt)
+    return False
+
+
 def _is_lethal(worker: Worker, request: Seen) -> bool:
     if worker.lethal and request.body == worker.lethal:
         return True
--- a/standins/worker_faults.py
+++ b/standins/worker_faults.py
@@ -34,6 +34,8 @@
         Sends nothing more from there on.
     scripted
         Sends ``script`` in place of a response.
+    endless
+        Sends ``script``, and then ``endless`` again and again.
     """
 
     none = 'none'
@@ -49,3 +51,4 @@
     reset_early = 'reset early'
     hang_early = 'hang early'
     scripted = 'scripted'
+    endless = 'endless'
--- a/tests/edge/test_slow_readers.py
+++ b/tests/edge/test_slow_readers.py
@@ -133,7 +133,7 @@
     connection = connection_with_request()
     connection.data_received(EVENT)
     head = await connection.read_head()
-    context = SimpleNamespace(last_event='')
+    context = SimpleNamespace(last_event='', account=None)
     relay = StreamRelay(context, StalledCaller())  # type: ignore[arg-type]
     with pytest.raises(CallerDisconnectedError):
         await relay.forward(connection, head, lambda: None)
--- a/tests/edge/test_upstream_responses.py
+++ b/tests/edge/test_upstream_responses.py
@@ -53,7 +53,7 @@
 async def read(connection: Connection) -> tuple[int, bytes]:
     async with asyncio.timeout(1):
         head = await connection.read_head()
-        return head.status, await connection.read_body()
+        return head.status, await connection.read_body(lambda _: None)
 
 
 class Case(NamedTuple):
