Resume a stream by its content only if nobody can have forgotten another one

Cause: a missing record was taken as evidence. A box that had a record asked no hub, and a hub that had just started answered like one that knows everything.

Change: hubs state with each answer for how long they were told of every stream, less what boxes that are cut off, or lost together with a hub, may not have told. A content is certain if that covers the longest time that the stream can have lasted; lookups by content ask all hubs.

Ruled out: a wrong version in the restored registry (resumed events had the version of the record).

--- a/packages/edge/src/hitchdeck_edge/dispatch/dispatcher.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/dispatcher.py
@@ -33,6 +33,8 @@
 )
 """Refusals after which a retry makes sense only once some upstream accepts requests."""
 
+_STREAMED = 'streamed'
+
 
 class Dispatcher:
     """Serves requests by sending them to the upstreams that the chooser selects."""
@@ -84,7 +86,15 @@
             active.response.time_out()
         finally:
             active.release()
-            self.sender.origins.end(active.context.streams)
+            self._end_stream(active)
+
+    def _end_stream(self, active: ActiveRequest) -> None:
+        """Tell the hubs at once of a stream that broke: its caller may resume it."""
+        streams = active.context.streams
+        self.sender.origins.end(streams)
+        is_broken = active.caller.started and active.response.outcome != _STREAMED
+        if streams and is_broken:
+            self.sender.untold.notify()
 
     def _spool(
         self, context: RequestContext, caller: CallerConnection
@@ -198,7 +208,7 @@
     async def _deliver(self, active: ActiveRequest, attempt: Attempt) -> None:
         if attempt.streamed:
             await active.relay.complete()
-            active.response.outcome = 'streamed'
+            active.response.outcome = _STREAMED
             return
         assert attempt.head is not None
         if attempt.held is not None:
--- a/packages/edge/src/hitchdeck_edge/dispatch/factory.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/factory.py
@@ -48,6 +48,7 @@
     quarantine = fleet_state.quarantine
     sender = Sender(adapter, chooser, connections, quarantine, boot_seconds)
     sender.origins = fleet_state.origin_lookup.origins
+    sender.untold = fleet_state.origin_lookup.wake
     return Dispatcher(adapter, chooser, sender, budget, boot_seconds)
 
 
--- a/packages/edge/src/hitchdeck_edge/dispatch/sender.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/sender.py
@@ -1,5 +1,6 @@
 """Sending a request to one upstream, and recording the outcome."""
 
+import asyncio
 from functools import partial
 from http import HTTPStatus
 
@@ -8,6 +9,7 @@
 from hitchdeck_core.ids import UpstreamName
 from hitchdeck_core.loop_load import loop_utilization
 from hitchdeck_core.quarantine.quarantine import Quarantine
+from hitchdeck_core.signals import Signal
 from hitchdeck_edge.dispatch.attempts import (
     ActiveRequest,
     Attempt,
@@ -39,6 +41,10 @@
 from hitchdeck_edge.scheduling.chooser import Chooser
 from hitchdeck_edge.scheduling.open_work import OpenWorkEntry
 from hitchdeck_edge.state.stream_origins import StreamOrigins
+from hitchdeck_edge.state.stream_versions import StreamVersions
+
+TELL_SECONDS = 0.2
+"""Time within which hubs are told of a stream while several software versions serve."""
 
 MAX_STALE_RESPONSES = 2
 """Maximum number of response heads that are read for one request; late responses to
@@ -52,6 +58,12 @@
     ----------
     origins
         Where the streams that this box serves began.
+    stream_versions
+        Tells whether streams can have different origins.
+    untold
+        Notified when the hubs are to be told of the origins of streams at once.
+    telling
+        Timer after which it is notified; ``None`` before the first one.
     response_limits
         Limits of what is held of the upstreams' responses.
     cache_sources
@@ -76,6 +88,10 @@
         self.connections = connections
         self.now = now
         self.origins = StreamOrigins(now)
+        documents = chooser.local.documents
+        self.stream_versions = StreamVersions(self.placement.registry, documents)
+        self.untold = Signal()
+        self.telling: asyncio.TimerHandle | None = None
         self.response_limits = ResponseLimits()
         self.watch: ServiceWatch | None = None
         if self.link.services is not None:
@@ -303,6 +319,17 @@
         if context.origin is None:
             context.origin = StreamOrigin(context.pool.name, upstream.software)
         self.origins.begin(context.streams, context.origin)
+        if context.streams and self.stream_versions.are_several():
+            self._tell_soon()
+
+    def _tell_soon(self) -> None:
+        """Tell the hubs of new streams before the next idle frame.
+
+        Where one version serves, nothing can be mistaken, so that idle frames do.
+        """
+        loop = asyncio.get_running_loop()
+        if self.telling is None or self.telling.when() < loop.time():
+            self.telling = loop.call_later(TELL_SECONDS, self.untold.notify)
 
     def _record_first_event(self, context: RequestContext, attempt: Attempt) -> None:
         self._record_origin(context, attempt.choice.upstream)
--- a/packages/edge/src/hitchdeck_edge/hub/connected_boxes.py
+++ b/packages/edge/src/hitchdeck_edge/hub/connected_boxes.py
@@ -29,6 +29,14 @@
 ten seconds, 88 boxes and 90 engines).
 """
 
+MISSING_SECONDS = 60.0
+"""How long a box that went silent is taken to be cut off.  It is the time for which
+records of streams are kept at most."""
+
+TOGETHER_SECONDS = 2.0
+"""Time between the losses of a box and of its scheduler within which the box may not
+have told another hub of a stream: the interval of frames, and the time to notice."""
+
 
 @dataclass(slots=True)
 class ConnectedBox:
@@ -120,6 +128,16 @@
 
     Attributes
     ----------
+    missing
+        Entry boxes that were silent when their streams ended.  They may be cut off and
+        serve callers.
+    box_lost_at, hub_lost_at
+        When the stream of an entry box, and that of another hub, ended last, in
+        seconds.
+    untold_until
+        Until when streams may have begun of which no hub was told, in seconds: a box
+        was lost together with a hub, which may have placed them, or while it was cut
+        off.
     leaving
         Replicas of the hubs that said that they stop, also after their streams ended;
         a new stream to a hub means that it has started again.
@@ -131,6 +149,10 @@
         self.boxes: dict[BoxKey, ConnectedBox] = {}
         self.hub_boxes: dict[BoxKey, ConnectedBox] = {}
         self.leaving: set[str] = set()
+        self.missing: dict[BoxKey, ConnectedBox] = {}
+        self.box_lost_at = -math.inf
+        self.hub_lost_at = -math.inf
+        self.untold_until = -math.inf
         self.sum = Tally()
         self.summed_at = -math.inf
         self.count = 0
@@ -141,7 +163,12 @@
         # Computed once: every list of boxes compares it, hundreds of times a second.
         max_silence = MAX_MISSED_FRAMES * self._idle_interval(hello)
         connected_box = ConnectedBox(hello, self.now(), max_silence)
-        self.boxes[_box_key(hello)] = connected_box
+        key = _box_key(hello)
+        earlier = self.missing.pop(key, self.boxes.get(key))
+        if earlier is not None and earlier.hello.incarnation != hello.incarnation:
+            # Its connections did not end with it, so that it was cut off before.
+            self.untold_until = self.now()
+        self.boxes[key] = connected_box
         if hello.hub_address:
             self.hub_boxes[_box_key(hello)] = connected_box
             self.leaving.discard(hello.replica)
@@ -154,6 +181,7 @@
         if self.boxes.get(key) is connected_box:
             self.boxes.pop(key)
             self.hub_boxes.pop(key, None)
+            self._record_loss(key, connected_box)
             logs.info('box disconnected', attendee=connected_box.hello.box)
 
     def record_frame(self, connected_box: ConnectedBox, frame: BoxFrame) -> None:
@@ -197,6 +225,19 @@
         """Return the live entry boxes that are ready for callers."""
         return [one for one in self._alive() if one.hello.entry_address and one.ready]
 
+    def misses_entry_boxes(self) -> bool:
+        """Tell whether an entry box may begin streams of which this hub is not told.
+
+        A process that ended closed its connections.  One that went silent may be cut
+        off; once it returns, it tells of all the streams that it began.
+        """
+        until = self.now() - MISSING_SECONDS
+        for key, one in list(self.missing.items()):
+            if one.last_frame < until:
+                self.missing.pop(key)
+        entries = (one for one in self.boxes.values() if one.hello.entry_address)
+        return bool(self.missing) or not all(map(self._is_alive, entries))
+
     def relief_targets_for(self, connected_box: ConnectedBox) -> list[Address]:
         """Return boxes to which an overloaded box may hand off connections."""
         return [
@@ -281,11 +322,22 @@
     def _alive(
         self, boxes: Mapping[BoxKey, ConnectedBox] | None = None
     ) -> list[ConnectedBox]:
-        now = self.now()
         known = self.boxes if boxes is None else boxes
-        return [
-            one for one in known.values() if now - one.last_frame <= one.max_silence
-        ]
+        return [one for one in known.values() if self._is_alive(one)]
+
+    def _record_loss(self, key: BoxKey, connected_box: ConnectedBox) -> None:
+        now = self.now()
+        if connected_box.hello.hub_address:
+            self.hub_lost_at = now
+        else:
+            self.box_lost_at = now
+            if not self._is_alive(connected_box):
+                self.missing[key] = connected_box
+        if abs(self.box_lost_at - self.hub_lost_at) < TOGETHER_SECONDS:
+            self.untold_until = now
+
+    def _is_alive(self, connected_box: ConnectedBox) -> bool:
+        return self.now() - connected_box.last_frame <= connected_box.max_silence
 
 
 def _box_key(hello: Hello) -> BoxKey:
--- a/packages/edge/src/hitchdeck_edge/hub/spread.py
+++ b/packages/edge/src/hitchdeck_edge/hub/spread.py
@@ -33,9 +33,12 @@
 from hitchdeck_edge.state.origin_lookup import MAX_LOOKUPS
 from hitchdeck_edge.state.registry import Registry
 from hitchdeck_edge.state.stream_origins import StreamOrigins
+from hitchdeck_edge.state.stream_versions import StreamVersions
 
 BoxStream = Stream[BoxFrame, HubFrame]
 
+MS_PER_SECOND = 1000
+
 FRAME_INTERVAL_SECONDS = 0.04
 """Minimum interval between two frames of a stream: updates come in bursts."""
 
@@ -52,6 +55,8 @@
         Merges the exclusions of schedulers, where the settings say so.
     origins
         Where streams began, as boxes tell it and as it placed them.
+    stream_versions
+        Tells whether streams can have different origins.
     founder
         Hub that is to found the replicated group; empty if none is named.
     changed
@@ -67,6 +72,7 @@
     quarantine: Quarantine
     evacuations: Evacuations
     origins: StreamOrigins
+    stream_versions: StreamVersions
     agreement: SchedulerAgreement | None = None
     founder: Address = Address('')
     changed: Signal = field(default_factory=Signal)
@@ -88,6 +94,7 @@
         quarantine=Quarantine(boot_seconds, changed),
         evacuations=Evacuations(domain_closer(registry, documents), changed),
         origins=StreamOrigins(boot_seconds),
+        stream_versions=StreamVersions(registry, documents),
         agreement=(
             SchedulerAgreement(connected_boxes, boot_seconds, settings.mechanisms)
             if settings.scheduler_agreement
@@ -222,7 +229,7 @@
             )
         _add_verdicts(frame, sent, state.quarantine)
         if connected_box.wanted_origins:
-            _add_origins(frame, connected_box, state.origins)
+            _add_origins(frame, connected_box, state)
         self._add_hubs(frame, sent)
         state.connected_boxes.add_relief_targets(frame, connected_box)
         if state.agreement is not None:
@@ -246,16 +253,30 @@
         frame.quarantine.CopyFrom(encode_update(update, quarantine.now()))
 
 
-def _add_origins(
-    frame: HubFrame, connected_box: ConnectedBox, origins: StreamOrigins
-) -> None:
+def _add_origins(frame: HubFrame, connected_box: ConnectedBox, state: HubState) -> None:
     """Answer which streams began where, and which of them this hub does not know."""
+    origins = state.origins
     wanted, connected_box.wanted_origins = connected_box.wanted_origins, []
     found = {key: origins.find(key) for key in wanted}
     frame.origins.extend(
         encode_origins((key, one) for key, one in found.items() if one is not None)
     )
     frame.unknown_origins.extend(key for key, one in found.items() if one is None)
+    frame.origins_complete_ms = int(_complete_seconds(state) * MS_PER_SECOND)
+
+
+def _complete_seconds(state: HubState) -> float:
+    """Return for how long this hub has known the origin of every stream.
+
+    Where all upstreams are alike, what it was not told cannot differ from the rest.
+    """
+    since = state.origins.complete_since
+    if state.stream_versions.are_several():
+        boxes = state.connected_boxes
+        since = max(since, boxes.untold_until)
+        if boxes.misses_entry_boxes():
+            return 0
+    return state.origins.now() - since
 
 
 def _add_reports(
--- a/packages/edge/src/hitchdeck_edge/links/entry.py
+++ b/packages/edge/src/hitchdeck_edge/links/entry.py
@@ -38,6 +38,9 @@
 """
 
 
+MS_PER_SECOND = 1000
+
+
 class EntryLink:
     """Represents this entry box on its streams to the hubs.
 
@@ -155,7 +158,9 @@
         self.targets.offer(frame.relief, frame.relief_headroom_percent)
         if frame.origins or frame.unknown_origins:
             unknown = (StreamKey(int(key)) for key in frame.unknown_origins)
-            known.origin_lookup.apply(hub, decode_origins(frame.origins), unknown)
+            complete_seconds = frame.origins_complete_ms / MS_PER_SECOND
+            found = decode_origins(frame.origins)
+            known.origin_lookup.apply(hub, found, unknown, complete_seconds)
         if not is_report_hub:
             return
         self.report_hub = hub
--- a/packages/edge/src/hitchdeck_edge/serving/admission.py
+++ b/packages/edge/src/hitchdeck_edge/serving/admission.py
@@ -269,7 +269,8 @@
         key = content_key(context.fingerprint)
         if call.resumed:
             key = request_key(context.account, call.resumed)
-        origin = await self.origin_lookup.find(key)
+        max_age = max(context.route.time_limit, call.timeout or 0)
+        origin = await self.origin_lookup.find(key, max_age)
         logs.info(
             'stream resumed',
             request=call.request,
--- a/packages/edge/src/hitchdeck_edge/state/origin_lookup.py
+++ b/packages/edge/src/hitchdeck_edge/state/origin_lookup.py
@@ -1,8 +1,15 @@
-"""Asking the hubs for the origins of streams that this box did not serve."""
+"""Asking the hubs for the origins of streams.
+
+An id names one request, so that any record of it shows the origin.  A content may have
+begun at several versions, so that its only known record is evidence only if nobody can
+have forgotten another one: a hub states that it was told of every stream for as long as
+the resumed one may have lasted.
+"""
 
 import asyncio
 from collections.abc import Callable, Iterable
 
+from hitchdeck_core import logs
 from hitchdeck_core.ids import Address
 from hitchdeck_core.signals import Signal
 from hitchdeck_edge.model.stream_origins import StreamKey, StreamOrigin, is_by_content
@@ -21,6 +28,12 @@
 
     Attributes
     ----------
+    max_age
+        For how long the stream may have lasted, in seconds.
+    complete_seconds
+        For how long some hub has known every origin.
+    is_proven
+        Whether that is long enough.
     unasked, silent
         Hubs that have not been asked yet, and hubs that have not answered yet.
     needs_all
@@ -31,14 +44,24 @@
         Done when the lookup ends.
     """
 
-    def __init__(self, hubs: Iterable[Address], *, needs_all: bool) -> None:
+    def __init__(
+        self, hubs: Iterable[Address], max_age: float, *, needs_all: bool
+    ) -> None:
+        self.max_age = max_age
+        self.complete_seconds = 0.0
         self.unasked = set(hubs)
         self.silent = set(self.unasked)
+        self.hub_count = len(self.silent)
         self.needs_all = needs_all
         self.found: set[StreamOrigin] = set()
         loop = asyncio.get_running_loop()
         self.result: asyncio.Future[StreamOrigin | None] = loop.create_future()
 
+    @property
+    def is_proven(self) -> bool:
+        """Tell whether nobody can have forgotten another origin."""
+        return not self.needs_all or self.complete_seconds >= self.max_age
+
     @property
     def is_complete(self) -> bool:
         """Tell whether no further answer can change the result."""
@@ -46,9 +69,19 @@
 
     def settle(self) -> None:
         """End the lookup; several origins are as good as none."""
-        if not self.result.done():
-            only = next(iter(self.found)) if len(self.found) == 1 else None
-            self.result.set_result(_if_certain(only))
+        if self.result.done():
+            return
+        logs.info(
+            'origin looked up',
+            hubs=self.hub_count,
+            silent=len(self.silent),
+            found=sorted(f'{one.pool} {one.software}' for one in self.found),
+            complete=round(self.complete_seconds, 3),
+            needed=self.max_age if self.needs_all else 0,
+        )
+        is_certain = self.is_proven and len(self.found) == 1
+        only = next(iter(self.found)) if is_certain else None
+        self.result.set_result(_if_certain(only))
 
 
 class OriginLookup:
@@ -75,14 +108,22 @@
         self.hubs = hubs
         self.open: dict[StreamKey, _Lookup] = {}
 
-    async def find(self, key: StreamKey) -> StreamOrigin | None:
-        """Return the origin of a stream; ``None`` if it is not certain."""
+    async def find(self, key: StreamKey, max_age: float) -> StreamOrigin | None:
+        """Return the origin of a stream; ``None`` if it is not certain.
+
+        Parameters
+        ----------
+        max_age
+            For how long the stream may have lasted, in seconds.
+        """
         known = self.origins.find(key)
-        if known is not None:
+        if known is not None and not is_by_content(key):
             return _if_certain(known)
-        lookup = self.open.get(key) or self._begin(key)
+        lookup = self.open.get(key) or self._begin(key, max_age)
         if lookup is None:
             return None
+        if known is not None:
+            lookup.found.add(known)
         # Another request may wait for the same lookup.
         return await asyncio.shield(lookup.result)
 
@@ -98,12 +139,21 @@
         hub: Address,
         found: Iterable[tuple[StreamKey, StreamOrigin]],
         unknown: Iterable[StreamKey],
+        complete_seconds: float,
     ) -> None:
-        """Apply a hub's answer."""
+        """Apply a hub's answer.
+
+        Parameters
+        ----------
+        complete_seconds
+            For how long the hub has known every origin.
+        """
         for key, origin in found:
+            self._record_proof(key, complete_seconds)
             self.origins.remember((key,), origin)
             self._answer(key, hub, origin)
         for stream in unknown:
+            self._record_proof(stream, complete_seconds)
             self._answer(stream, hub)
 
     def forget_hub(self, hub: Address) -> None:
@@ -111,12 +161,17 @@
         for key in list(self.open):
             self._answer(key, hub)
 
-    def _begin(self, key: StreamKey) -> _Lookup | None:
+    def _record_proof(self, key: StreamKey, complete_seconds: float) -> None:
+        lookup = self.open.get(key)
+        if lookup is not None:
+            lookup.complete_seconds = max(lookup.complete_seconds, complete_seconds)
+
+    def _begin(self, key: StreamKey, max_age: float) -> _Lookup | None:
         hubs = set(self.hubs())
         if not hubs or len(self.open) >= MAX_LOOKUPS:
             return None
         # Only a content may have several origins, each of which another hub knows.
-        lookup = _Lookup(hubs, needs_all=is_by_content(key))
+        lookup = _Lookup(hubs, max_age, needs_all=is_by_content(key))
         self.open[key] = lookup
         asyncio.get_running_loop().call_later(LOOKUP_SECONDS, self._settle, key)
         self.wake.notify()
--- a/packages/edge/src/hitchdeck_edge/state/stream_origins.py
+++ b/packages/edge/src/hitchdeck_edge/state/stream_origins.py
@@ -37,6 +37,8 @@
     own
         Records of streams that this process serves or served, oldest first, as long as
         they are kept.
+    complete_since
+        Since when every record of which this process was told is kept, in seconds.
     own_count
         Number of such records so far, with those that were dropped.
     """
@@ -50,6 +52,7 @@
         self.own_count = 0
         self.own_older = 0
         self.began_at = now()
+        self.complete_since = self.began_at
 
     def find(self, key: StreamKey) -> StreamOrigin | None:
         """Return the origin of a stream, without a version if it has several."""
@@ -98,6 +101,7 @@
         largest = max(len(self.recent), len(self.own) - self.own_older)
         if not ended and largest < MAX_GENERATION_RECORDS:
             return
+        self.complete_since = self.began_at
         self.began_at = self.now()
         self.older, self.recent = self.recent, {}
         self.own = self.own[self.own_older :]
