--- a/packages/core/src/hitchdeck_core/event_streams.py
+++ b/packages/core/src/hitchdeck_core/event_streams.py
@@ -76,9 +76,22 @@
         return data
 
 
-def ids_of(data: bytes) -> list[str]:
-    """Return the ids of the events in complete events, in order."""
-    return [found.decode('latin-1').strip() for found in _ID_LINE.findall(data)]
+def first_out_of_order(events: bytes, last_id: str) -> str:
+    """Return the first id that does not rise; empty if all do.
+
+    Parameters
+    ----------
+    events
+        Complete events.
+    last_id
+        Id of the event before them; empty if there is none.
+    """
+    for found in _ID_LINE.findall(events):
+        event_id = str(found, 'latin-1').strip()
+        if last_id and not is_later(event_id, last_id):
+            return event_id
+        last_id = event_id
+    return ''
 
 
 def is_later(event_id: str, earlier: str) -> bool:
--- a/packages/edge/src/hitchdeck_edge/dispatch/relay.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/relay.py
@@ -4,8 +4,7 @@
 from functools import partial
 
 from hitchdeck_core.checks import abbreviated
-from hitchdeck_core.event_streams import EventSplitter
-from hitchdeck_edge.dispatch.continuation import first_out_of_order, mismatch
+from hitchdeck_core.event_streams import EventSplitter, first_out_of_order
 from hitchdeck_edge.dispatch.response_parser import Framing, ResponseHead
 from hitchdeck_edge.dispatch.response_sizes import UNCOUNTED_BYTES, ResponseLimits
 from hitchdeck_edge.dispatch.responses import response_headers
@@ -63,7 +62,7 @@
 
     def mismatch(self, head: ResponseHead) -> str:
         """Return why a response can't be relayed; empty if it can."""
-        return '' if self.begun is None else mismatch(self.begun, head)
+        return '' if self.begun is None else head.mismatch(self.begun)
 
     async def forward(
         self,
--- a/packages/edge/src/hitchdeck_edge/dispatch/response_parser.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/response_parser.py
@@ -63,6 +63,19 @@
         """Return the content encoding of the body; empty if it has none."""
         return (self.field(_CONTENT_ENCODING) or b'').strip().lower()
 
+    def mismatch(self, begun: 'ResponseHead') -> str:
+        """Return why a response can't continue one that has begun; empty if it can.
+
+        The caller has the earlier head, so that only events like its own may follow.
+        """
+        if self.status != begun.status:
+            return f'status {self.status} within a stream'
+        if not self.is_event_stream:
+            return 'body of another type within a stream'
+        if self.encoding != begun.encoding:
+            return 'another content encoding within a stream'
+        return ''
+
     def field(self, wanted: bytes) -> bytes | None:
         """Return the first value of a header, whose name is given in lower case."""
         for name, text in self.headers:
--- a/packages/edge/src/hitchdeck_edge/dispatch/sender.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/sender.py
@@ -40,8 +40,7 @@
 from hitchdeck_edge.model.upstreams import Upstream
 from hitchdeck_edge.scheduling.chooser import Chooser
 from hitchdeck_edge.scheduling.open_work import OpenWorkEntry
-from hitchdeck_edge.state.stream_origins import StreamOrigins
-from hitchdeck_edge.state.stream_versions import StreamVersions
+from hitchdeck_edge.state.stream_origins import StreamOrigins, StreamVersions
 
 TELL_SECONDS = 0.2
 """Time within which hubs are told of a stream while several software versions serve."""
--- a/packages/edge/src/hitchdeck_edge/hub/spread.py
+++ b/packages/edge/src/hitchdeck_edge/hub/spread.py
@@ -32,8 +32,7 @@
 from hitchdeck_edge.state.evacuations import Evacuations, domain_closer
 from hitchdeck_edge.state.origin_lookup import MAX_LOOKUPS
 from hitchdeck_edge.state.registry import Registry
-from hitchdeck_edge.state.stream_origins import StreamOrigins
-from hitchdeck_edge.state.stream_versions import StreamVersions
+from hitchdeck_edge.state.stream_origins import StreamOrigins, StreamVersions
 
 BoxStream = Stream[BoxFrame, HubFrame]
 
