Wake the hubs only for streams that have begun

Found on reading the diff: a refusal on a resumable route counted as a stream that broke, so that a box sent a frame to every hub for each one, most of them when load is highest. A hub that starts again was taken for an entry box that had been cut off.

--- a/packages/edge/src/hitchdeck_edge/dispatch/dispatcher.py
+++ b/packages/edge/src/hitchdeck_edge/dispatch/dispatcher.py
@@ -92,8 +92,8 @@
         """Tell the hubs at once of a stream that broke: its caller may resume it."""
         streams = active.context.streams
         self.sender.origins.end(streams)
-        is_broken = active.caller.started and active.response.outcome != _STREAMED
-        if streams and is_broken:
+        has_begun = active.relay.begun is not None
+        if streams and has_begun and active.response.outcome != _STREAMED:
             self.sender.untold.notify()
 
     def _spool(
--- a/packages/edge/src/hitchdeck_edge/hub/connected_boxes.py
+++ b/packages/edge/src/hitchdeck_edge/hub/connected_boxes.py
@@ -165,7 +165,7 @@
         connected_box = ConnectedBox(hello, self.now(), max_silence)
         key = _box_key(hello)
         earlier = self.missing.pop(key, self.boxes.get(key))
-        if earlier is not None and earlier.hello.incarnation != hello.incarnation:
+        if earlier is not None and _is_new_entry_box(earlier.hello, hello):
             # Its connections did not end with it, so that it was cut off before.
             self.untold_until = self.now()
         self.boxes[key] = connected_box
@@ -340,5 +340,10 @@
         return self.now() - connected_box.last_frame <= connected_box.max_silence
 
 
+def _is_new_entry_box(earlier: Hello, hello: Hello) -> bool:
+    is_entry_box = bool(hello.entry_address)
+    return is_entry_box and earlier.incarnation != hello.incarnation
+
+
 def _box_key(hello: Hello) -> BoxKey:
     return (hello.box, bool(hello.hub_address))
--- a/tests/edge/test_forgotten_origins.py
+++ b/tests/edge/test_forgotten_origins.py
@@ -11,6 +11,8 @@
 
 from hitchdeck_core.ids import AccountName, RequestId, UpstreamName
 from hitchdeck_edge.hub.spread import _complete_seconds
+from hitchdeck_edge.model.refusals import Refusal
+from hitchdeck_edge.model.request_context import RequestContext
 from hitchdeck_edge.model.stream_origins import request_key
 from hitchdeck_edge.process import start_entry
 from hitchdeck_platform.requests import DIALECT
@@ -228,3 +230,18 @@
         while math.isinf(boxes.untold_until):
             await asyncio.sleep(0.01)
     assert (_complete_seconds(hub.state) < WAIT_SECONDS) == (versions > 1)
+
+
+async def test_a_refusal_is_no_stream_that_breaks(site: Site) -> None:
+    # Frames to all hubs for each refusal would load them most when load is highest.
+    box = site.boxes[0]
+
+    async def refuse(_: RequestContext) -> Refusal:
+        return Refusal.overloaded
+
+    box.admission.dispatcher.chooser.choose = refuse  # type: ignore[method-assign]
+    wakes = box.link.wake.count
+    for number in range(TIMES_TOLD):
+        refused, _ = await ask(box, f'r{number}')
+        assert is_refusal(refused)
+    assert box.link.wake.count == wakes
